--- /dev/null
+++ b/src/api.rs
@@ -0,0 +1,288 @@
+//! The users' door and the workers' reports: requests in, answers out.
+
+use crate::clock;
+use crate::http::{Incoming, Outgoing};
+use crate::jobs::{JobRecord, Phase, job_key};
+use crate::node::{Node, Standing};
+use crate::peer::{JobAnswer as PeerAnswer, Outcome, Verb};
+use crate::shard::{Heard, Unfit, judge};
+use crate::state::{Commit, StateError};
+use crate::wire::{self, Change, Condition, JobAnswer, JobRequest, JobState, Redirect, Report};
+use http_types::Method;
+use std::time::Duration;
+
+const MOST_TASKS: u32 = 100_000;
+const ACCEPT_WITHIN_S: f64 = 4.0;
+
+/// A job as a user is told about it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Told {
+    pub state: JobState,
+    pub done: u64,
+    pub running: u64,
+}
+
+/// What can be said of a job by whoever was asked.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Word {
+    Known(Told),
+    /// The state service itself has no such job.
+    Absent,
+    Unable,
+}
+
+pub fn valid_id(id: &str) -> bool {
+    id.strip_prefix(wire::JOB_ID_START)
+        .is_some_and(|n| !n.is_empty() && n.len() <= 32 && n.bytes().all(|b| b.is_ascii_digit()))
+}
+
+fn parse_job(body: &[u8]) -> Result<JobRequest, String> {
+    let v: serde_json::Value = serde_json::from_slice(body).map_err(|_| "not JSON".to_owned())?;
+    if !v.is_object() {
+        return Err("not a JSON object".into());
+    }
+    let r: JobRequest = serde_json::from_value(v).map_err(|e| e.to_string())?;
+    if !valid_id(&r.id) {
+        return Err("id is malformed".into());
+    }
+    if r.tasks == 0 || r.tasks > MOST_TASKS {
+        return Err(format!("the number of tasks must be from 1 to {MOST_TASKS}"));
+    }
+    let amounts = [
+        ("cpus", r.cpus),
+        ("cards", r.cards),
+        ("memory_gb", r.memory_gb),
+        ("image size", r.image_gb),
+        ("run time", r.estimate_s),
+        ("checkpoint interval", r.checkpoint_s),
+        ("saving time", r.save_s),
+        ("deadline", r.deadline_s.unwrap_or(0.0)),
+    ];
+    match amounts.iter().find(|(_, v)| !v.is_finite() || *v < 0.0) {
+        Some((what, v)) => Err(format!("{what}: {v} is out of range")),
+        None => Ok(r),
+    }
+}
+
+fn job_answer(status: u16, id: &str, t: Told, counts: bool) -> Outgoing {
+    let count = |n| counts.then_some(n);
+    Outgoing::json(status, &JobAnswer { id, state: t.state, done: count(t.done), running: count(t.running) })
+}
+
+fn unable() -> Outgoing {
+    Outgoing::error(503, "not able to act now")
+}
+
+impl Node {
+    /// Answers one request of a user, a worker or the load balancer.
+    pub async fn handle(&self, req: Incoming) -> Outgoing {
+        let path = req.path.as_str();
+        match (req.method, path) {
+            (Method::Post, wire::REPORT_PATH) => self.report(&req.body),
+            (Method::Get, wire::HEALTH_PATH) => {
+                if self.healthy() {
+                    Outgoing::json(200, &serde_json::json!({}))
+                } else {
+                    unable()
+                }
+            }
+            (Method::Post, wire::JOBS_PATH) => self.submit(&req.body).await,
+            (method, _) => {
+                let Some(rest) = path.strip_prefix(wire::JOBS_PATH).and_then(|p| p.strip_prefix('/')) else {
+                    let known = [wire::REPORT_PATH, wire::HEALTH_PATH, wire::JOBS_PATH].contains(&path);
+                    return if known {
+                        Outgoing::error(405, "method not allowed")
+                    } else {
+                        Outgoing::error(404, "no such path")
+                    };
+                };
+                let (id, verb, wanted) = match rest.split_once('/') {
+                    None => (rest, Verb::Show, Method::Get),
+                    Some((id, wire::CANCEL_END)) => (id, Verb::Cancel, Method::Post),
+                    Some(_) => return Outgoing::error(404, "no such path"),
+                };
+                if method != wanted {
+                    return Outgoing::error(405, "method not allowed");
+                }
+                if !valid_id(id) {
+                    return Outgoing::error(400, "job id is malformed");
+                }
+                match self.about(verb, id).await {
+                    Word::Known(t) => job_answer(200, id, t, verb == Verb::Show),
+                    Word::Absent => Outgoing::error(404, "no such job"),
+                    Word::Unable => unable(),
+                }
+            }
+        }
+    }
+
+    fn report(&self, body: &[u8]) -> Outgoing {
+        let Ok(r) = serde_json::from_slice::<Report>(body) else {
+            return Outgoing::error(400, "not a report");
+        };
+        let now = clock::now();
+        let heard = self.with_shard(now, |s| s.on_report(&r, now));
+        match heard {
+            Some(Heard::Reply(reply)) => {
+                self.wake();
+                Outgoing::json(200, &reply)
+            }
+            Some(Heard::Stale) => unable(),
+            Some(Heard::Superseded) | None => match self.standing(now) {
+                Standing::Other(node) => Outgoing::json(421, &Redirect { report_to: Some(node) }),
+                _ => unable(),
+            },
+        }
+    }
+
+    async fn submit(&self, body: &[u8]) -> Outgoing {
+        let job = match parse_job(body) {
+            Ok(j) => j,
+            Err(e) => return Outgoing::error(400, &e),
+        };
+        let id = job.id.clone();
+        match judge(&job, &self.settings.teams, &self.types()) {
+            Ok(()) => {}
+            Err(Unfit::Never(why)) => return Outgoing::error(422, &why),
+            Err(Unfit::CannotTell) => return unable(),
+        }
+        let began = clock::now();
+        if let Some(Some((state, done, running))) = self.with_shard(began, |s| s.show(&id)) {
+            return job_answer(200, &id, Told { state, done, running }, false);
+        }
+        let record = JobRecord { job, at_ms: clock::wall_ms(), phase: Phase::Open };
+        let key = job_key(&id);
+        let Ok(value) = serde_json::to_value(&record) else { return unable() };
+        if value.to_string().len() > self.state.value_bytes {
+            return Outgoing::error(400, "the job's description is too long");
+        }
+        loop {
+            // If absent: of a submission and its repetitions, on any nodes, one is accepted.
+            let condition = Condition { key: key.clone(), version: 0 };
+            let change = Change::Put { key: key.clone(), value: value.clone(), lease: None };
+            match self.state.commit(vec![condition], vec![change]).await {
+                Ok(Commit::Applied(version)) => {
+                    let now = clock::now();
+                    if self
+                        .with_shard(now, |s| {
+                            s.add_job(record.clone(), version, now);
+                            s.tick(now)
+                        })
+                        .is_some()
+                    {
+                        self.wake();
+                    }
+                    return job_answer(201, &id, Told { state: JobState::Queued, done: 0, running: 0 }, false);
+                }
+                Ok(Commit::Failed(_)) => {
+                    return match self.about(Verb::Show, &id).await {
+                        Word::Known(t) => job_answer(200, &id, t, false),
+                        // It is stored, and so accepted; how far it has come nobody can say now.
+                        _ => match self.state.get(&key).await {
+                            Ok(Some(_)) => {
+                                job_answer(200, &id, Told { state: JobState::Queued, done: 0, running: 0 }, false)
+                            }
+                            _ => unable(),
+                        },
+                    };
+                }
+                // It may or may not be stored: the next try tells.
+                Err(StateError::Unknown) if clock::now() - began < ACCEPT_WITHIN_S => {}
+                Err(_) => return unable(),
+            }
+        }
+    }
+
+    /// Shows or cancels a job, here if this is the owner, else by asking the owner.
+    pub async fn about(&self, verb: Verb, id: &str) -> Word {
+        match self.standing(clock::now()) {
+            Standing::Owner => self.about_here(verb, id).await,
+            Standing::Other(node) => {
+                if let Some(t) = self.final_known(id) {
+                    return Word::Known(t);
+                }
+                let limit = (verb == Verb::Cancel).then_some(Duration::from_millis(3500));
+                match self.peers.ask(&node, verb, id, limit).await {
+                    Some(a) => self.heard_from_peer(id, &a),
+                    None => self.about_stored(id).await,
+                }
+            }
+            Standing::Nobody => self.about_stored(id).await,
+        }
+    }
+
+    fn heard_from_peer(&self, id: &str, a: &PeerAnswer) -> Word {
+        match (a.outcome(), JobState::parse(&a.state)) {
+            (Outcome::Known, Some(state)) => {
+                let t = Told { state, done: a.done, running: a.running };
+                self.note_final(id, t);
+                Word::Known(t)
+            }
+            (Outcome::Unknown, _) => Word::Absent,
+            _ => Word::Unable,
+        }
+    }
+
+    /// Without the owner, only what is final or absent can be told.
+    async fn about_stored(&self, id: &str) -> Word {
+        if let Some(t) = self.final_known(id) {
+            return Word::Known(t);
+        }
+        match self.state.get(&job_key(id)).await {
+            Ok(None) => Word::Absent,
+            Ok(Some(item)) => match serde_json::from_value::<JobRecord>(item.value) {
+                Ok(r) if r.phase != Phase::Open => {
+                    let done = u64::from(r.job.tasks);
+                    let t = match r.phase {
+                        Phase::Done => Told { state: JobState::Done, done, running: 0 },
+                        _ => Told { state: JobState::Cancelled, done: 0, running: 0 },
+                    };
+                    self.note_final(id, t);
+                    Word::Known(t)
+                }
+                _ => Word::Unable,
+            },
+            Err(_) => Word::Unable,
+        }
+    }
+
+    /// The owner's own answer.
+    pub async fn about_here(&self, verb: Verb, id: &str) -> Word {
+        let began = clock::now();
+        let mut looked = false;
+        loop {
+            let now = clock::now();
+            let seen = self.with_shard(now, |s| {
+                if verb == Verb::Cancel {
+                    s.cancel(id);
+                    s.tick(now);
+                }
+                s.show(id)
+            });
+            match seen {
+                None => return Word::Unable,
+                Some(Some((state, done, running))) => {
+                    let is_final = matches!(state, JobState::Done | JobState::Cancelled);
+                    if verb == Verb::Show || is_final {
+                        return Word::Known(Told { state, done, running });
+                    }
+                    if now - began > 3.2 {
+                        return Word::Unable;
+                    }
+                    // A cancellation is told only once it is stored.
+                    self.wake();
+                    async_io::Timer::after(Duration::from_millis(10)).await;
+                }
+                Some(None) if looked => return Word::Unable,
+                Some(None) => match self.state.get(&job_key(id)).await {
+                    Ok(None) => return Word::Absent,
+                    Ok(Some(item)) => {
+                        looked = true;
+                        self.take_job(item);
+                    }
+                    Err(_) => return Word::Unable,
+                },
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/cloud.rs
@@ -0,0 +1,104 @@
+//! Client of the cloud: machine types, rentals, deletions, the machine list.
+
+use crate::budget::Budget;
+use crate::clock;
+use crate::http::{CallError, Client};
+use crate::wire::{self, ListedMachine, MachineList, MachineNames, MachineType, RentRequest, Types};
+use async_io::Timer;
+use http_types::Method;
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::time::Duration;
+
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum CloudError {
+    #[error("no capacity")]
+    NoCapacity,
+    #[error("refused ({0})")]
+    Refused(u16),
+    #[error("no answer")]
+    NoAnswer,
+}
+
+pub struct CloudClient {
+    addr: SocketAddr,
+    http: Client,
+    budget: Mutex<Budget>,
+}
+
+impl CloudClient {
+    pub fn new(s: &crate::settings::Settings) -> CloudClient {
+        let c = CloudClient { addr: s.cloud, http: Client::new(3), budget: Mutex::new(Budget::new(1.0, 1.0)) };
+        c.set_share(s, false);
+        c
+    }
+
+    /// The leader makes nearly all calls; the others only read the machine types.
+    pub fn set_share(&self, s: &crate::settings::Settings, leader: bool) {
+        let rate = if leader { s.cloud_rps * 0.8 } else { s.cloud_rps * 0.1 / (s.peers.len().max(1) as f64) };
+        *self.lock() = Budget::new(rate, if leader { rate * 1.5 } else { 1.0 });
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, Budget> {
+        self.budget.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
+    async fn call(&self, method: Method, path: &str, body: Option<Vec<u8>>) -> Result<(u16, Vec<u8>), CloudError> {
+        while !self.lock().try_take(clock::now(), 1) {
+            Timer::after(Duration::from_millis(25)).await;
+        }
+        match self.http.call(self.addr, method, path, body, Duration::from_secs(4)).await {
+            Ok((429, _)) => {
+                self.lock().drain(clock::now());
+                Err(CloudError::Refused(429))
+            }
+            Ok(r) => Ok(r),
+            Err(CallError::NotSent) => Err(CloudError::Refused(0)),
+            Err(CallError::NoAnswer) => Err(CloudError::NoAnswer),
+        }
+    }
+
+    pub async fn types(&self) -> Result<Vec<MachineType>, CloudError> {
+        match self.call(Method::Get, wire::TYPES_PATH, None).await? {
+            (200, b) => serde_json::from_slice::<Types>(&b).map(|t| t.types).map_err(|_| CloudError::NoAnswer),
+            (s, _) => Err(CloudError::Refused(s)),
+        }
+    }
+
+    pub async fn rent(&self, r: &RentRequest) -> Result<Vec<String>, CloudError> {
+        let body = serde_json::to_vec(r).map_err(|_| CloudError::Refused(400))?;
+        match self.call(Method::Post, wire::MACHINES_PATH, Some(body)).await? {
+            (200, b) => {
+                serde_json::from_slice::<MachineNames>(&b).map(|m| m.machines).map_err(|_| CloudError::NoAnswer)
+            }
+            (503, b) if b.windows(11).any(|w| w == b"no capacity") => Err(CloudError::NoCapacity),
+            (s, _) => Err(CloudError::Refused(s)),
+        }
+    }
+
+    pub async fn delete(&self, machines: Vec<String>) -> Result<(), CloudError> {
+        let body = serde_json::to_vec(&MachineNames { machines }).map_err(|_| CloudError::Refused(400))?;
+        match self.call(Method::Post, wire::MACHINES_DELETE_PATH, Some(body)).await? {
+            (200, _) => Ok(()),
+            (s, _) => Err(CloudError::Refused(s)),
+        }
+    }
+
+    pub async fn list(&self) -> Result<Vec<ListedMachine>, CloudError> {
+        let mut all: Vec<ListedMachine> = Vec::new();
+        loop {
+            let after = all.last().map(|m| m.id.clone()).unwrap_or_default();
+            match self.call(Method::Get, &wire::machines_query(&after, 500), None).await? {
+                (200, b) => {
+                    let page: MachineList = serde_json::from_slice(&b).map_err(|_| CloudError::NoAnswer)?;
+                    let more = page.more && !page.machines.is_empty();
+                    all.extend(page.machines);
+                    if !more {
+                        return Ok(all);
+                    }
+                }
+                (s, _) => return Err(CloudError::Refused(s)),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/fleet/mod.rs
@@ -0,0 +1,272 @@
+//! The machines, and the leader's rule for how many there should be.
+//!
+//! `zones` keeps the two zone lists, `mixture` the counts, `launch` turns both
+//! into rentals and returns. This module holds what is known of each machine.
+
+pub mod launch;
+pub mod mixture;
+pub mod zones;
+
+use crate::intern::{ImageIx, Index, JobIx, MachineIx, Names, TypeIx, ZoneIx};
+use crate::jobs::{TaskKey, TaskMap};
+use crate::wire::MachineType;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeSet, HashSet};
+use std::net::SocketAddr;
+
+pub const MACHINE_PREFIX: &str = "mach/";
+pub const FLEET_KEY: &str = "fleet/0";
+
+pub fn machine_key(name: &str) -> String {
+    format!("{MACHINE_PREFIX}{name}")
+}
+
+/// A machine as it is kept at the state service: written before the first start
+/// of a job on it, so that a successor knows what it may hold.
+#[derive(Serialize, Deserialize, Clone, Debug, PartialEq)]
+pub struct MachineRecord {
+    pub shard: u32,
+    pub addr: String,
+    #[serde(rename = "type")]
+    pub type_name: String,
+    pub zone: String,
+    pub spot: bool,
+    /// Once set, never used again.
+    pub retiring: bool,
+    pub jobs: Vec<String>,
+    pub images: Vec<(String, f64)>,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Phase {
+    Booting,
+    Up,
+    /// To be deleted: marked in the state service first, then returned.
+    Retiring,
+    Gone,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum HeldState {
+    /// Chosen; the machine's record does not name the job yet.
+    Planned,
+    /// The start may have reached the machine.
+    Commanded,
+    Fetching,
+    Running,
+    Saving,
+}
+
+#[derive(Clone, Debug)]
+pub struct Held {
+    pub attempt: u64,
+    pub state: HeldState,
+    pub since: f64,
+    pub running_since: f64,
+    /// Stop it, with this much time to save.
+    pub stop: Option<f64>,
+    pub stop_sent: f64,
+    /// The last time a start was sent.
+    pub sent: f64,
+}
+
+/// An ended attempt that the machine still reports, or a stray one.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Leftover {
+    Stray,
+    Ended,
+}
+
+#[derive(Debug)]
+pub struct Machine {
+    pub name: std::sync::Arc<str>,
+    pub addr: Option<SocketAddr>,
+    pub ty: TypeIx,
+    pub zone: ZoneIx,
+    pub spot: bool,
+    pub phase: Phase,
+    pub born: f64,
+    pub session: u64,
+    pub seq: u64,
+    /// Sessions up to this one are over for certain.
+    pub dead_session: u64,
+    pub reported_token: bool,
+    /// The time until which an earlier owner's tasks may be on it, if unresolved.
+    pub unresolved_until: Option<f64>,
+    /// When the last renewal of its lease was sent by this owner.
+    pub last_ok: Option<f64>,
+    pub last_heard: f64,
+    pub tasks: TaskMap<Held>,
+    pub leftovers: TaskMap<(u64, Leftover)>,
+    pub cpus_used: f64,
+    pub cards_used: f64,
+    pub memory_used: f64,
+    /// Jobs that the stored record names.
+    pub stored_jobs: HashSet<JobIx>,
+    pub record_stored: bool,
+    pub retiring_stored: bool,
+    /// The record must be written before planned starts may go out.
+    pub record_dirty: bool,
+    pub images: Vec<(ImageIx, f64)>,
+    pub notice_until: Option<f64>,
+    pub cordoned: bool,
+    pub idle_since: f64,
+    pub fails: Vec<(JobIx, f64)>,
+    pub successes: u32,
+    pub quarantined_until: f64,
+    /// Starts sent directly that got no answer yet: these attempts may still arrive.
+    pub loose: TaskMap<u64>,
+    pub direct_busy: bool,
+    pub direct_due: bool,
+    pub direct_not_before: f64,
+    pub listed: bool,
+    pub missing: u32,
+    pub probe_failed: u32,
+    pub deleting: bool,
+}
+
+impl Machine {
+    pub fn new(name: std::sync::Arc<str>, ty: TypeIx, zone: ZoneIx, spot: bool, now: f64) -> Machine {
+        Machine {
+            name,
+            addr: None,
+            ty,
+            zone,
+            spot,
+            phase: Phase::Booting,
+            born: now,
+            session: 0,
+            seq: 0,
+            dead_session: 0,
+            reported_token: false,
+            unresolved_until: None,
+            last_ok: None,
+            last_heard: now,
+            tasks: TaskMap::new(),
+            leftovers: TaskMap::new(),
+            cpus_used: 0.0,
+            cards_used: 0.0,
+            memory_used: 0.0,
+            stored_jobs: HashSet::new(),
+            record_stored: false,
+            retiring_stored: false,
+            record_dirty: false,
+            images: Vec::new(),
+            notice_until: None,
+            cordoned: false,
+            idle_since: now,
+            fails: Vec::new(),
+            successes: 0,
+            quarantined_until: 0.0,
+            loose: TaskMap::new(),
+            direct_busy: false,
+            direct_due: false,
+            direct_not_before: 0.0,
+            listed: false,
+            missing: 0,
+            probe_failed: 0,
+            deleting: false,
+        }
+    }
+
+    pub fn resolved(&self) -> bool {
+        self.unresolved_until.is_none()
+    }
+
+    /// May new tasks be started on it?
+    pub fn usable(&self, now: f64, silent_s: f64) -> bool {
+        self.phase == Phase::Up
+            && self.resolved()
+            && self.reported_token
+            && !self.cordoned
+            && self.notice_until.is_none()
+            && now >= self.quarantined_until
+            && now - self.last_heard < silent_s
+    }
+
+    pub fn has_image(&self, image: ImageIx) -> bool {
+        self.images.iter().any(|(i, _)| *i == image)
+    }
+
+    /// The most recently used images stay within the cache.
+    pub fn used_image(&mut self, image: ImageIx, gb: f64, cache_gb: f64) {
+        self.images.retain(|(i, _)| *i != image);
+        self.images.push((image, gb));
+        let mut total: f64 = self.images.iter().map(|(_, g)| g).sum();
+        while total > cache_gb && self.images.len() > 1 {
+            total -= self.images.remove(0).1;
+        }
+    }
+
+    pub fn runs(&self, key: &TaskKey) -> bool {
+        self.tasks.contains_key(key)
+    }
+}
+
+/// All machines, by index; gone ones stay as names so that late news is recognised.
+#[derive(Debug, Default)]
+pub struct Machines {
+    pub list: Vec<Machine>,
+    pub names: Names<MachineIx>,
+    pub present: BTreeSet<MachineIx>,
+}
+
+impl Machines {
+    pub fn at(&self, m: MachineIx) -> &Machine {
+        &self.list[m.ix()]
+    }
+
+    pub fn at_mut(&mut self, m: MachineIx) -> &mut Machine {
+        &mut self.list[m.ix()]
+    }
+
+    pub fn find(&self, name: &str) -> Option<MachineIx> {
+        self.names.find(name)
+    }
+
+    pub fn add(&mut self, name: &str, ty: TypeIx, zone: ZoneIx, spot: bool, now: f64) -> MachineIx {
+        if let Some(m) = self.names.find(name) {
+            return m;
+        }
+        let m = self.names.intern(name);
+        self.list.push(Machine::new(self.names.name(m).clone(), ty, zone, spot, now));
+        self.present.insert(m);
+        m
+    }
+
+    pub fn iter(&self) -> impl Iterator<Item = (MachineIx, &Machine)> {
+        self.present.iter().map(|&m| (m, self.at(m)))
+    }
+}
+
+/// The machine types and zones, interned.
+#[derive(Debug, Default)]
+pub struct Types {
+    pub names: Names<TypeIx>,
+    pub list: Vec<MachineType>,
+    pub zones: Names<ZoneIx>,
+}
+
+impl Types {
+    pub fn update(&mut self, types: Vec<MachineType>) {
+        for t in types {
+            for z in &t.zones {
+                self.zones.intern(z);
+            }
+            let i = self.names.intern(&t.name);
+            if i.ix() < self.list.len() {
+                self.list[i.ix()] = t;
+            } else {
+                self.list.push(t);
+            }
+        }
+    }
+
+    pub fn get(&self, t: TypeIx) -> &MachineType {
+        &self.list[t.ix()]
+    }
+
+    pub fn known(&self) -> bool {
+        !self.list.is_empty()
+    }
+}
--- /dev/null
+++ b/src/http.rs
@@ -0,0 +1,280 @@
+//! HTTP/1.1 over async-io sockets, both sides, on async-h1's encoder and decoder.
+//!
+//! Every exchange has a time limit and every body a size limit, so that a slow
+//! or hostile peer costs a bounded amount.
+
+use async_io::{Async, Timer};
+use futures_lite::{AsyncRead, AsyncReadExt, AsyncWrite, FutureExt, io};
+use http_types::{Body, Method, Request, Response, StatusCode, Url};
+use std::collections::HashMap;
+use std::future::Future;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::pin::Pin;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::task::{Context, Poll};
+use std::time::{Duration, Instant};
+
+/// Largest request body that is read.
+pub const MAX_BODY: usize = 64 * 1024;
+/// Largest response body that is read (a watch may return many changes).
+const MAX_RESPONSE: u64 = 16 * 1024 * 1024;
+const IDLE: Duration = Duration::from_secs(90);
+const HEAD_AND_BODY: Duration = Duration::from_secs(5);
+const POOL_IDLE: Duration = Duration::from_secs(20);
+
+/// A socket shared by the two directions of an exchange.
+#[derive(Clone)]
+pub struct Conn(Arc<Async<TcpStream>>);
+
+impl Conn {
+    pub async fn open(addr: SocketAddr, limit: Duration) -> io::Result<Conn> {
+        let s = timed(limit, Async::<TcpStream>::connect(addr)).await??;
+        s.get_ref().set_nodelay(true)?;
+        Ok(Conn(Arc::new(s)))
+    }
+}
+
+impl AsyncRead for Conn {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut [u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut &*self.0).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for Conn {
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut &*self.0).poll_write(cx, buf)
+    }
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut &*self.0).poll_flush(cx)
+    }
+    fn poll_close(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(self.0.get_ref().shutdown(std::net::Shutdown::Write))
+    }
+}
+
+/// Runs a future for no longer than `limit`.
+pub async fn timed<T>(limit: Duration, fut: impl Future<Output = T>) -> io::Result<T> {
+    async { Ok(fut.await) }
+        .or(async {
+            Timer::after(limit).await;
+            Err(io::ErrorKind::TimedOut.into())
+        })
+        .await
+}
+
+/// How a call went wrong.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum CallError {
+    #[error("could not connect")]
+    NotSent,
+    #[error("no answer")]
+    NoAnswer,
+}
+
+/// A client with a small pool of open connections per address.
+pub struct Client {
+    idle: Mutex<HashMap<SocketAddr, Vec<(Conn, Instant)>>>,
+    per_addr: usize,
+}
+
+impl Client {
+    pub fn new(per_addr: usize) -> Client {
+        Client { idle: Mutex::default(), per_addr }
+    }
+
+    fn pooled(&self, addr: SocketAddr) -> Option<Conn> {
+        let mut idle = self.idle.lock().unwrap_or_else(|e| e.into_inner());
+        let list = idle.get_mut(&addr)?;
+        while let Some((c, since)) = list.pop() {
+            if since.elapsed() < POOL_IDLE {
+                return Some(c);
+            }
+        }
+        None
+    }
+
+    fn keep(&self, addr: SocketAddr, c: Conn) {
+        let mut idle = self.idle.lock().unwrap_or_else(|e| e.into_inner());
+        idle.retain(|_, l| {
+            l.retain(|(_, since)| since.elapsed() < POOL_IDLE);
+            !l.is_empty()
+        });
+        let list = idle.entry(addr).or_default();
+        if list.len() < self.per_addr {
+            list.push((c, Instant::now()));
+        }
+    }
+
+    /// One request and its response. A failure on the way to the first byte of a
+    /// new connection is `NotSent`; anything later may have been executed.
+    pub async fn call(
+        &self,
+        addr: SocketAddr,
+        method: Method,
+        path: &str,
+        body: Option<Vec<u8>>,
+        limit: Duration,
+    ) -> Result<(u16, Vec<u8>), CallError> {
+        let conn = match self.pooled(addr) {
+            Some(c) => c,
+            None => Conn::open(addr, limit.min(Duration::from_millis(1500))).await.map_err(|_| CallError::NotSent)?,
+        };
+        let url = Url::parse(&format!("http://{addr}{path}")).map_err(|_| CallError::NotSent)?;
+        let mut req = Request::new(method, url);
+        if let Some(b) = body {
+            req.set_body(Body::from_bytes(b));
+        }
+        let exchange = async {
+            let mut res = async_h1::connect(conn.clone(), req).await.map_err(|_| CallError::NoAnswer)?;
+            let close = res.header("connection").is_some_and(|h| h.as_str().eq_ignore_ascii_case("close"));
+            let mut out = Vec::new();
+            let mut body = res.take_body().take(MAX_RESPONSE);
+            body.read_to_end(&mut out).await.map_err(|_| CallError::NoAnswer)?;
+            Ok::<_, CallError>((res.status() as u16, out, close))
+        };
+        match timed(limit, exchange).await {
+            Ok(Ok((status, out, close))) => {
+                if !close {
+                    self.keep(addr, conn);
+                }
+                Ok((status, out))
+            }
+            _ => Err(CallError::NoAnswer),
+        }
+    }
+}
+
+/// A request as the service sees it: small, whole and checked for size.
+pub struct Incoming {
+    pub method: Method,
+    pub path: String,
+    pub body: Vec<u8>,
+}
+
+pub struct Outgoing {
+    pub status: u16,
+    pub body: Vec<u8>,
+    pub retry_after_s: Option<u32>,
+}
+
+impl Outgoing {
+    pub fn json(status: u16, v: &impl serde::Serialize) -> Outgoing {
+        Outgoing { status, body: serde_json::to_vec(v).unwrap_or_default(), retry_after_s: None }
+    }
+    pub fn error(status: u16, reason: &str) -> Outgoing {
+        let mut o = Outgoing::json(status, &crate::wire::ErrorAnswer { error: reason });
+        if matches!(status, 429 | 503 | 504) {
+            o.retry_after_s = Some(1);
+        }
+        o
+    }
+}
+
+fn response(o: Outgoing, close: bool) -> Response {
+    let mut res = Response::new(StatusCode::try_from(o.status).unwrap_or(StatusCode::InternalServerError));
+    res.set_body(Body::from_bytes(o.body));
+    res.insert_header("content-type", "application/json");
+    if let Some(s) = o.retry_after_s {
+        res.insert_header("retry-after", s.to_string());
+    }
+    if close {
+        res.insert_header("connection", "close");
+    }
+    res
+}
+
+async fn send(conn: &Conn, res: Response, method: Method) -> io::Result<()> {
+    let mut enc = async_h1::server::Encoder::new(res, method);
+    timed(HEAD_AND_BODY, io::copy(&mut enc, &mut conn.clone())).await??;
+    Ok(())
+}
+
+/// Serves one connection until it closes. Returns when the peer is done, too
+/// slow or malformed.
+async fn serve_conn<F, Fut>(conn: Conn, handler: &F) -> io::Result<()>
+where
+    F: Fn(Incoming) -> Fut,
+    Fut: Future<Output = Outgoing>,
+{
+    loop {
+        // Waiting for a next request is cheap and may last; a request once begun may not.
+        timed(IDLE, conn.0.readable()).await??;
+        let begun = async {
+            let Some((mut req, mut rest)) = async_h1::server::decode(conn.clone()).await? else {
+                return Ok(None);
+            };
+            let too_big = req.len().is_some_and(|n| n > MAX_BODY);
+            let mut body = Vec::new();
+            if !too_big {
+                req.take_body().take(MAX_BODY as u64 + 1).read_to_end(&mut body).await?;
+                // The decoder's own copy of the body's end must be read before the next request.
+                if body.len() <= MAX_BODY {
+                    io::copy(&mut rest, &mut io::sink()).await?;
+                }
+            }
+            Ok::<_, http_types::Error>(Some((req, body, too_big)))
+        };
+        let (req, body, too_big) = match timed(HEAD_AND_BODY, begun).await {
+            Ok(Ok(Some(r))) => r,
+            Ok(Ok(None)) => return Ok(()),
+            Ok(Err(_)) => {
+                return send(&conn, response(Outgoing::error(400, "malformed request"), true), Method::Get).await;
+            }
+            Err(_) => return send(&conn, response(Outgoing::error(408, "request too slow"), true), Method::Get).await,
+        };
+        let method = req.method();
+        if too_big || body.len() > MAX_BODY {
+            return send(&conn, response(Outgoing::error(413, "body over 64 KiB"), true), method).await;
+        }
+        let close = req.header("connection").is_some_and(|h| h.as_str().eq_ignore_ascii_case("close"));
+        let out = handler(Incoming { method, path: req.url().path().to_owned(), body }).await;
+        send(&conn, response(out, close), method).await?;
+        if close {
+            return Ok(());
+        }
+    }
+}
+
+struct Slot(Arc<AtomicUsize>);
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Accepts connections for ever, at most `most` open at once.
+pub async fn serve<F, Fut>(
+    ex: &'static async_executor::Executor<'static>,
+    listener: Async<TcpListener>,
+    most: usize,
+    handler: Arc<F>,
+) where
+    F: Fn(Incoming) -> Fut + Send + Sync + 'static,
+    Fut: Future<Output = Outgoing> + Send,
+{
+    let open = Arc::new(AtomicUsize::new(0));
+    loop {
+        let stream = match listener.accept().await {
+            Ok((s, _)) => s,
+            Err(e) => {
+                log::warn!("accept: {e}");
+                Timer::after(Duration::from_millis(100)).await;
+                continue;
+            }
+        };
+        if open.fetch_add(1, Ordering::Relaxed) >= most {
+            open.fetch_sub(1, Ordering::Relaxed);
+            continue;
+        }
+        let slot = Slot(open.clone());
+        let handler = handler.clone();
+        ex.spawn(async move {
+            let _slot = slot;
+            let _ = stream.get_ref().set_nodelay(true);
+            let _ = serve_conn(Conn(Arc::new(stream)), &*handler).await;
+        })
+        .detach();
+    }
+}
--- /dev/null
+++ b/src/jobs.rs
@@ -0,0 +1,312 @@
+//! Jobs and their tasks: what is kept at the state service, and what is known.
+
+use crate::intern::{ImageIx, Index, JobIx, MachineIx, Names, TeamIx};
+use crate::wire::{JobRequest, JobState, Kind, Priority};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeSet, HashMap, VecDeque};
+
+pub const JOB_PREFIX: &str = "job/";
+pub const PROGRESS_PREFIX: &str = "prog/";
+
+pub fn job_key(id: &str) -> String {
+    format!("{JOB_PREFIX}{id}")
+}
+
+pub fn progress_key(id: &str, chunk: u32) -> String {
+    format!("{PROGRESS_PREFIX}{id}/{chunk}")
+}
+
+/// How a job stands in the state service.
+#[derive(Serialize, Deserialize, Clone, Copy, PartialEq, Eq, Debug)]
+#[serde(rename_all = "lowercase")]
+pub enum Phase {
+    Open,
+    Done,
+    Cancelled,
+}
+
+/// A job as it is kept at the state service.
+#[derive(Serialize, Deserialize, Clone, Debug)]
+pub struct JobRecord {
+    pub job: JobRequest,
+    /// Time of day of the acceptance, in milliseconds.
+    pub at_ms: u64,
+    pub phase: Phase,
+}
+
+/// Which tasks of one chunk of a job are done: hexadecimal, four tasks a digit.
+#[derive(Serialize, Deserialize, Clone, Debug)]
+pub struct ProgressRecord {
+    pub done: String,
+}
+
+/// Tasks whose progress one value can hold, leaving half of it free.
+pub fn chunk_tasks(value_bytes: usize) -> u32 {
+    (value_bytes * 2).next_power_of_two().clamp(1024, 1 << 16) as u32
+}
+
+/// A task is in one place.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Slot {
+    Queued,
+    Held(MachineIx),
+    /// Completed; the result is kept at the state service or not yet.
+    Done {
+        stored: bool,
+    },
+}
+
+#[derive(Debug)]
+pub struct Job {
+    pub id: std::sync::Arc<str>,
+    pub spec: JobRequest,
+    pub team: TeamIx,
+    pub image: Option<ImageIx>,
+    pub at_ms: u64,
+    /// As stored.
+    pub phase: Phase,
+    /// A final phase that is being stored; it is told only afterwards.
+    pub wanted: Phase,
+    pub tasks: Vec<Slot>,
+    pub queue: VecDeque<u32>,
+    pub done: u32,
+    pub held: u32,
+    pub running: u32,
+    pub dirty_chunks: BTreeSet<u32>,
+    /// Unresolved machines that may hold tasks of this job.
+    pub shadowed_by: u32,
+    /// Machines on which it failed lately.
+    pub failed_on: Vec<MachineIx>,
+    pub not_before: f64,
+    pub zone_counts: Vec<u32>,
+}
+
+impl Job {
+    pub fn open(&self) -> bool {
+        self.phase == Phase::Open && self.wanted == Phase::Open
+    }
+
+    pub fn state(&self) -> JobState {
+        match self.phase {
+            Phase::Done => JobState::Done,
+            Phase::Cancelled => JobState::Cancelled,
+            Phase::Open if self.running > 0 => JobState::Running,
+            Phase::Open => JobState::Queued,
+        }
+    }
+
+    /// Tasks that still want a machine or have one.
+    pub fn unfinished(&self) -> u32 {
+        self.spec.tasks - self.done.min(self.spec.tasks)
+    }
+
+    /// Most tasks of this job that may be in one zone.
+    pub fn zone_limit(&self) -> u32 {
+        if self.spec.spread { self.spec.tasks.div_ceil(2) } else { u32::MAX }
+    }
+
+    pub fn is_service(&self) -> bool {
+        self.spec.kind == Kind::Service
+    }
+
+    /// Services first, then by priority; earlier deadlines first within it.
+    pub fn deadline_ms(&self) -> u64 {
+        let s = self.spec.deadline_s.unwrap_or(match self.spec.priority {
+            Priority::Low => 100.0,
+            _ => 60.0,
+        });
+        self.at_ms.saturating_add((s * 1000.0) as u64)
+    }
+
+    pub fn has_queued(&mut self) -> bool {
+        while let Some(&t) = self.queue.front() {
+            if self.tasks[t as usize] == Slot::Queued {
+                return true;
+            }
+            self.queue.pop_front();
+        }
+        false
+    }
+}
+
+/// All jobs that this owner knows.
+#[derive(Debug, Default)]
+pub struct Jobs {
+    pub list: Vec<Job>,
+    pub ids: Names<JobIx>,
+    pub images: Names<ImageIx>,
+    /// Jobs that still have something to do.
+    pub live: BTreeSet<JobIx>,
+    pub chunk: u32,
+    pub zones: usize,
+}
+
+/// The number of a task within its job, from `req-000412/3`.
+pub fn split_task(name: &str) -> Option<(&str, u32)> {
+    let (job, task) = name.rsplit_once('/')?;
+    Some((job, task.parse().ok()?))
+}
+
+impl Jobs {
+    pub fn new(chunk: u32, zones: usize) -> Jobs {
+        Jobs { chunk, zones, ..Jobs::default() }
+    }
+
+    pub fn find(&self, id: &str) -> Option<JobIx> {
+        self.ids.find(id)
+    }
+
+    pub fn at(&self, j: JobIx) -> &Job {
+        &self.list[j.ix()]
+    }
+
+    pub fn at_mut(&mut self, j: JobIx) -> &mut Job {
+        &mut self.list[j.ix()]
+    }
+
+    /// Takes in a stored job. A job that is known already is left as it is.
+    pub fn add(&mut self, r: JobRecord, team: TeamIx) -> JobIx {
+        if let Some(j) = self.ids.find(&r.job.id) {
+            return j;
+        }
+        let j = self.ids.intern(&r.job.id);
+        let open = r.phase == Phase::Open;
+        let n = if open { r.job.tasks } else { 0 };
+        let image = r.job.image.as_deref().map(|i| self.images.intern(i));
+        self.list.push(Job {
+            id: self.ids.name(j).clone(),
+            team,
+            image,
+            at_ms: r.at_ms,
+            phase: r.phase,
+            wanted: r.phase,
+            tasks: vec![Slot::Queued; n as usize],
+            queue: (0..n).collect(),
+            done: if r.phase == Phase::Done { r.job.tasks } else { 0 },
+            held: 0,
+            running: 0,
+            dirty_chunks: BTreeSet::new(),
+            shadowed_by: 0,
+            failed_on: Vec::new(),
+            not_before: 0.0,
+            zone_counts: vec![0; if open { self.zones } else { 0 }],
+            spec: r.job,
+        });
+        if open {
+            self.live.insert(j);
+        }
+        j
+    }
+
+    /// Marks a task done, wherever it was. True if it was not done before.
+    pub fn mark_done(&mut self, j: JobIx, t: u32, stored: bool) -> bool {
+        let chunk = self.chunk;
+        let job = self.at_mut(j);
+        let Some(slot) = job.tasks.get_mut(t as usize) else { return false };
+        if let Slot::Done { .. } = slot {
+            return false;
+        }
+        *slot = Slot::Done { stored };
+        job.done += 1;
+        if !stored {
+            job.dirty_chunks.insert(t / chunk);
+        }
+        if job.done == job.spec.tasks && job.wanted == Phase::Open && !job.is_service() {
+            job.wanted = Phase::Done;
+        }
+        true
+    }
+
+    pub fn progress(&self, j: JobIx, chunk: u32) -> ProgressRecord {
+        let job = self.at(j);
+        let from = (chunk * self.chunk) as usize;
+        let to = (from + self.chunk as usize).min(job.tasks.len());
+        let mut done = String::with_capacity((to - from).div_ceil(4));
+        for four in job.tasks[from..to].chunks(4) {
+            let mut d = 0;
+            for (i, s) in four.iter().enumerate() {
+                if matches!(s, Slot::Done { .. }) {
+                    d |= 1 << i;
+                }
+            }
+            done.push(char::from_digit(d, 16).unwrap_or('0'));
+        }
+        ProgressRecord { done }
+    }
+
+    pub fn load_progress(&mut self, j: JobIx, chunk: u32, r: &ProgressRecord) {
+        let from = chunk * self.chunk;
+        for (i, c) in r.done.chars().enumerate() {
+            let Some(d) = c.to_digit(16) else { continue };
+            for b in 0..4 {
+                if d & (1 << b) != 0 {
+                    self.mark_done(j, from + (i as u32) * 4 + b, true);
+                }
+            }
+        }
+    }
+
+    /// The tasks of a chunk that a stored record calls done are stored now.
+    pub fn progress_stored(&mut self, j: JobIx, chunk: u32, r: &ProgressRecord) {
+        let from = (chunk * self.chunk) as usize;
+        let job = self.at_mut(j);
+        for (i, c) in r.done.chars().enumerate() {
+            let Some(d) = c.to_digit(16) else { continue };
+            for b in 0..4 {
+                if let (true, Some(s @ Slot::Done { .. })) = (d & (1 << b) != 0, job.tasks.get_mut(from + i * 4 + b)) {
+                    *s = Slot::Done { stored: true };
+                }
+            }
+        }
+    }
+
+    /// A final phase is stored: from now on it may be told, and the tasks are of no more use.
+    pub fn settled(&mut self, j: JobIx, phase: Phase) {
+        self.live.remove(&j);
+        let job = self.at_mut(j);
+        job.phase = phase;
+        job.wanted = phase;
+        job.dirty_chunks.clear();
+        job.queue = VecDeque::new();
+        job.failed_on = Vec::new();
+        if phase == Phase::Done {
+            job.done = job.spec.tasks;
+        }
+    }
+}
+
+/// How many tasks of a job each machine holds, for reports about jobs not known here.
+pub type TaskKey = (JobIx, u32);
+pub type TaskMap<V> = HashMap<TaskKey, V>;
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against progress values over the state service's limit.
+    #[test]
+    fn a_hundred_thousand_tasks_fit_the_value_limit() {
+        for kb in [4.0, 16.0] {
+            let limit = (kb * 1024.0) as usize;
+            let mut jobs = Jobs::new(chunk_tasks(limit), 3);
+            let job: JobRequest = serde_json::from_value(serde_json::json!({
+                "id":"req-000001","breed":"b","herd":"t","habit":"batch","precedence":"idle","seeds":100_000,
+                "cpus":1.0,"cards":0.0,"memory_gb":1.0,"same_place":false,"scatter":false,"fallow":true,
+                "pull_gb":0.0,"expected_s":1.0,"pressing_s":0.0,"pressing_cost_s":0.0}))
+            .unwrap();
+            let j = jobs.add(JobRecord { job, at_ms: 0, phase: Phase::Open }, TeamIx::new(0));
+            for t in (0..100_000).step_by(3) {
+                jobs.mark_done(j, t, false);
+            }
+            let chunks: Vec<u32> = jobs.at(j).dirty_chunks.iter().copied().collect();
+            let mut again = Jobs::new(jobs.chunk, 3);
+            again.add(JobRecord { job: jobs.at(j).spec.clone(), at_ms: 0, phase: Phase::Open }, TeamIx::new(0));
+            for c in chunks {
+                let r = jobs.progress(j, c);
+                assert!(serde_json::to_vec(&r).unwrap().len() <= limit);
+                again.load_progress(j, c, &r);
+            }
+            assert_eq!(again.at(j).tasks.iter().filter(|s| **s == Slot::Done { stored: true }).count(), 33_334);
+        }
+    }
+}
--- /dev/null
+++ b/src/node.rs
@@ -0,0 +1,663 @@
+//! The node: sockets, clocks and loops around one shard's decisions.
+
+use crate::api::{Told, Word};
+use crate::clock;
+use crate::cloud::{CloudClient, CloudError};
+use crate::fleet::{FLEET_KEY, MACHINE_PREFIX};
+use crate::jobs::{JOB_PREFIX, PROGRESS_PREFIX};
+use crate::ownership::{CLAIM_KEY, CLAIM_PREFIX, Claim, Next, Ownership, SeenClaim};
+use crate::peer::{JobAnswer, JobQuestion, Outcome, Owner, Peers};
+use crate::settings::Settings;
+use crate::shard::{CloudCall, Loaded, Shard};
+use crate::state::{Commit, StateClient, StateError, TXN_BYTES};
+use crate::tuning::Tuning;
+use crate::wire::{Change, Condition, Item, JobState, MachineType, RentRequest};
+use crate::worker::WorkerClient;
+use async_channel::{Receiver, Sender};
+use async_executor::Executor;
+use async_io::{Async, Timer};
+use futures_lite::FutureExt;
+use serde::de::DeserializeOwned;
+use std::collections::HashMap;
+use std::net::TcpListener;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+static EX: Executor<'static> = Executor::new();
+
+const TICK: Duration = Duration::from_millis(100);
+const MOST_COMMITS: usize = 3;
+const MOST_DIRECT: usize = 16;
+const FINALS_KEPT: usize = 20_000;
+const LIST_EVERY_S: f64 = 3.0;
+const TYPES_EVERY: Duration = Duration::from_secs(20);
+const WATCH_WAIT: Duration = Duration::from_millis(1500);
+
+/// Who acts, as far as this node knows.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Standing {
+    Owner,
+    Other(String),
+    Nobody,
+}
+
+struct Wakes {
+    writer: (Sender<()>, Receiver<()>),
+    direct: (Sender<()>, Receiver<()>),
+}
+
+pub struct Node {
+    pub settings: Settings,
+    pub tuning: Tuning,
+    pub state: StateClient,
+    pub cloud: CloudClient,
+    pub workers: WorkerClient,
+    pub peers: Peers,
+    own: Mutex<Ownership>,
+    shard: Mutex<Option<Shard>>,
+    types: Mutex<Arc<Vec<MachineType>>>,
+    finals: Mutex<HashMap<String, Told>>,
+    state_ok: Mutex<f64>,
+    wakes: Wakes,
+    claiming: AtomicBool,
+}
+
+fn lock<T>(m: &Mutex<T>) -> MutexGuard<'_, T> {
+    m.lock().unwrap_or_else(|e| e.into_inner())
+}
+
+fn parse_items<T: DeserializeOwned>(items: Vec<Item>) -> impl Iterator<Item = (String, T, u64)> {
+    items.into_iter().filter_map(|i| match serde_json::from_value(i.value) {
+        Ok(v) => Some((i.key, v, i.version)),
+        Err(e) => {
+            log::error!("key {} holds something unknown: {e}", i.key);
+            None
+        }
+    })
+}
+
+impl Node {
+    fn new(settings: Settings, tuning: Tuning) -> Node {
+        let me = Claim { node: settings.node.clone(), nonce: format!("{:016x}", fastrand::u64(..)) };
+        Node {
+            state: StateClient::new(&settings),
+            cloud: CloudClient::new(&settings),
+            workers: WorkerClient::default(),
+            peers: Peers::new(&EX, &settings),
+            own: Mutex::new(Ownership::new(me, tuning.claim_s)),
+            shard: Mutex::new(None),
+            types: Mutex::default(),
+            finals: Mutex::default(),
+            state_ok: Mutex::new(-100.0),
+            wakes: Wakes { writer: async_channel::bounded(1), direct: async_channel::bounded(1) },
+            claiming: AtomicBool::new(false),
+            settings,
+            tuning,
+        }
+    }
+
+    /// Lets `f` see the shard while this node surely owns it.
+    pub fn with_shard<T>(&self, now: f64, f: impl FnOnce(&mut Shard) -> T) -> Option<T> {
+        let token = lock(&self.own).may_act(now)?;
+        let mut guard = lock(&self.shard);
+        guard.as_mut().filter(|s| s.token == token).map(f)
+    }
+
+    pub fn standing(&self, now: f64) -> Standing {
+        let own = lock(&self.own);
+        if own.may_act(now).is_some() {
+            drop(own);
+            return if lock(&self.shard).is_some() { Standing::Owner } else { Standing::Nobody };
+        }
+        own.other_owner().map_or(Standing::Nobody, |n| Standing::Other(n.to_owned()))
+    }
+
+    pub fn types(&self) -> Arc<Vec<MachineType>> {
+        lock(&self.types).clone()
+    }
+
+    pub fn healthy(&self) -> bool {
+        let now = clock::now();
+        !lock(&self.types).is_empty() && (now - *lock(&self.state_ok) < 4.0 || self.standing(now) == Standing::Owner)
+    }
+
+    pub fn wake(&self) {
+        let _ = self.wakes.writer.0.try_send(());
+        let _ = self.wakes.direct.0.try_send(());
+    }
+
+    /// Final states never change: any node may tell them once it has learnt them.
+    pub fn final_known(&self, id: &str) -> Option<Told> {
+        lock(&self.finals).get(id).copied()
+    }
+
+    pub fn note_final(&self, id: &str, t: Told) {
+        if matches!(t.state, JobState::Done | JobState::Cancelled) {
+            let mut finals = lock(&self.finals);
+            if finals.len() >= FINALS_KEPT {
+                finals.clear();
+            }
+            finals.insert(id.to_owned(), t);
+        }
+    }
+
+    /// A stored job that the shard did not know of yet.
+    pub fn take_job(&self, item: Item) {
+        let now = clock::now();
+        for (_, r, v) in parse_items(vec![item]) {
+            self.with_shard(now, |s| {
+                s.add_job(r, v, now);
+                s.tick(now);
+            });
+        }
+        self.wake();
+    }
+
+    fn state_answered(&self) {
+        *lock(&self.state_ok) = clock::now();
+    }
+
+    // ---- the lease and the claim ----
+
+    async fn keep_lease(self: Arc<Self>) {
+        let every = Duration::from_secs_f64((self.tuning.claim_s / 5.0).min(1.5));
+        loop {
+            let lease = lock(&self.own).lease();
+            if let Some(id) = lease {
+                let sent = clock::now();
+                match self.state.renew(id, Duration::from_millis(1200)).await {
+                    Ok(()) => {
+                        self.state_answered();
+                        let mut own = lock(&self.own);
+                        if own.lease() == Some(id) {
+                            own.confirmed(id, sent);
+                        }
+                    }
+                    Err(StateError::NoSuchLease) => {
+                        log::warn!("the lease is gone");
+                        self.lose(|o| o.lease_lost());
+                    }
+                    Err(e) => log::debug!("renewal: {e}"),
+                }
+            }
+            self.try_claim().await;
+            let pause =
+                if lock(&self.own).may_act(clock::now()).is_some() { every } else { Duration::from_millis(150) };
+            Timer::after(pause.min(every)).await;
+        }
+    }
+
+    fn lose(&self, f: impl FnOnce(&mut Ownership)) {
+        f(&mut lock(&self.own));
+        if lock(&self.shard).take().is_some() {
+            log::warn!("no longer the owner");
+            self.state.set_share(&self.settings, false);
+            self.cloud.set_share(&self.settings, false);
+        }
+    }
+
+    async fn try_claim(&self) {
+        if self.claiming.swap(true, Ordering::Relaxed) {
+            return;
+        }
+        self.claim_once().await;
+        self.claiming.store(false, Ordering::Relaxed);
+    }
+
+    async fn claim_once(&self) {
+        let next = lock(&self.own).next(clock::now());
+        match next {
+            Next::Nothing => {}
+            Next::Grant => {
+                let sent = clock::now();
+                match self.state.grant((self.tuning.claim_s * 1000.0) as u64).await {
+                    Ok(id) => lock(&self.own).confirmed(id, sent),
+                    Err(e) => log::debug!("asking for a lease: {e}"),
+                }
+            }
+            Next::Claim { lease, over } => {
+                let me = {
+                    let mut own = lock(&self.own);
+                    own.trying(lease);
+                    own.me().clone()
+                };
+                let Ok(value) = serde_json::to_value(&me) else { return };
+                let condition = Condition { key: CLAIM_KEY.into(), version: over };
+                let change = Change::Put { key: CLAIM_KEY.into(), value, lease: Some(lease) };
+                match self.state.commit(vec![condition], vec![change]).await {
+                    Ok(Commit::Applied(version)) => {
+                        log::info!("claimed the shard with token {version}");
+                        lock(&self.own).claimed(version);
+                    }
+                    Ok(Commit::Failed(_)) | Err(StateError::Unknown) => self.look_at_claim().await,
+                    Err(StateError::NoSuchLease) => self.lose(|o| o.lease_lost()),
+                    Err(e) => log::debug!("claiming: {e}"),
+                }
+            }
+            Next::Adopt { version } => lock(&self.own).claimed(version),
+        }
+        let token = lock(&self.own).token();
+        let have = lock(&self.shard).as_ref().map(|s| s.token);
+        if let (Some(t), true) = (token, have != token) {
+            self.load(t).await;
+        }
+    }
+
+    async fn look_at_claim(&self) {
+        if let Ok(item) = self.state.get(CLAIM_KEY).await {
+            self.state_answered();
+            self.saw_claim(item);
+        }
+    }
+
+    fn saw_claim(&self, item: Option<Item>) {
+        let seen =
+            item.and_then(|i| Some(SeenClaim { claim: serde_json::from_value(i.value).ok()?, version: i.version }));
+        let lost = lock(&self.own).saw(seen, clock::now());
+        if lost {
+            self.lose(|_| {});
+        }
+    }
+
+    /// Reads everything that the shard needs to go on.
+    async fn load(&self, token: u64) {
+        if self.types().is_empty() {
+            return;
+        }
+        let began = clock::now();
+        self.state.set_share(&self.settings, true);
+        let loaded = async {
+            let (jobs, revision) = self.state.list(JOB_PREFIX).await?;
+            let (progress, _) = self.state.list(PROGRESS_PREFIX).await?;
+            let (machines, _) = self.state.list(MACHINE_PREFIX).await?;
+            let fleet = self.state.get(FLEET_KEY).await?;
+            Ok::<_, StateError>((jobs, revision, progress, machines, fleet))
+        };
+        match loaded.await {
+            Ok((jobs, revision, progress, machines, fleet)) => {
+                let loaded = Loaded {
+                    jobs: parse_items(jobs).map(|(_, r, v)| (r, v)).collect(),
+                    progress: parse_items(progress).collect(),
+                    machines: parse_items(machines)
+                        .map(|(k, r, v): (String, _, _)| (k.trim_start_matches(MACHINE_PREFIX).to_owned(), r, v))
+                        .collect(),
+                    fleet: fleet.and_then(|i| parse_items(vec![i]).next()).map(|(_, r, v)| (r, v)),
+                };
+                log::info!("took over: {} jobs, {} machines", loaded.jobs.len(), loaded.machines.len());
+                let now = clock::now();
+                let mut shard =
+                    Shard::new(&self.settings, self.tuning.clone(), token, (*self.types()).clone(), loaded, now);
+                shard.tick(now);
+                *lock(&self.shard) = Some(shard);
+                self.cloud.set_share(&self.settings, true);
+                self.wake();
+                let me = NODE.get().cloned();
+                if let Some(me) = me {
+                    EX.spawn(me.watch_jobs(token, revision)).detach();
+                }
+            }
+            Err(e) => log::warn!("loading (after {:.1} s): {e}", clock::now() - began),
+        }
+    }
+
+    async fn watch_claim(self: Arc<Self>) {
+        let mut from: Option<u64> = None;
+        loop {
+            let Some(revision) = from else {
+                match self.state.list(CLAIM_PREFIX).await {
+                    Ok((items, revision)) => {
+                        self.state_answered();
+                        self.saw_claim(items.into_iter().find(|i| i.key == CLAIM_KEY));
+                        from = Some(revision);
+                    }
+                    Err(e) => {
+                        log::debug!("reading the claim: {e}");
+                        Timer::after(Duration::from_millis(300)).await;
+                    }
+                }
+                continue;
+            };
+            match self.state.watch(CLAIM_PREFIX, revision, WATCH_WAIT).await {
+                Ok(ev) => {
+                    self.state_answered();
+                    from = Some(ev.revision.max(revision));
+                    for e in ev.events {
+                        if e.put.as_deref() == Some(CLAIM_KEY) {
+                            let item = Item {
+                                key: CLAIM_KEY.into(),
+                                value: e.value.unwrap_or_default(),
+                                version: e.version,
+                                lease: None,
+                            };
+                            self.saw_claim(Some(item));
+                        } else if e.delete.as_deref() == Some(CLAIM_KEY) {
+                            self.saw_claim(None);
+                        }
+                    }
+                    if lock(&self.own).token().is_none() {
+                        self.try_claim().await;
+                    }
+                }
+                Err(StateError::TooOld) => from = None,
+                Err(_) => {
+                    from = None;
+                    Timer::after(Duration::from_millis(300)).await;
+                }
+            }
+        }
+    }
+
+    /// Jobs that other nodes accepted reach the owner by watching.
+    async fn watch_jobs(self: Arc<Self>, token: u64, mut from: u64) {
+        let mine = |n: &Node| lock(&n.shard).as_ref().is_some_and(|s| s.token == token);
+        while mine(&self) {
+            match self.state.watch(JOB_PREFIX, from, Duration::from_secs(5)).await {
+                Ok(ev) => {
+                    from = ev.revision.max(from);
+                    for e in ev.events {
+                        if let (Some(key), Some(value)) = (e.put, e.value) {
+                            self.take_job(Item { key, value, version: e.version, lease: None });
+                        }
+                    }
+                }
+                Err(StateError::TooOld) => {
+                    if let Ok((items, revision)) = self.state.list(JOB_PREFIX).await {
+                        from = revision;
+                        items.into_iter().for_each(|i| self.take_job(i));
+                    }
+                }
+                Err(_) => {
+                    Timer::after(Duration::from_millis(200)).await;
+                }
+            }
+        }
+    }
+
+    // ---- the shard's loops ----
+
+    async fn ticks(self: Arc<Self>) {
+        let mut round = 0u64;
+        loop {
+            Timer::after(TICK).await;
+            let now = clock::now();
+            round += 1;
+            let deaf = self.with_shard(now, |s| {
+                if round.is_multiple_of(10) {
+                    s.look_again();
+                }
+                s.tick(now);
+                s.deaf(now)
+            });
+            match deaf {
+                Some(true) if !self.settings.peers.is_empty() => {
+                    // The workers cannot reach us, though the state service can: others may do better.
+                    log::warn!("no worker is heard: stepping down");
+                    let mut lease = None;
+                    self.lose(|o| lease = o.step_down(now));
+                    if let Some(l) = lease {
+                        let _ = self.state.revoke(l).await;
+                    }
+                }
+                Some(_) => self.wake(),
+                None => {}
+            }
+        }
+    }
+
+    async fn woken(rx: &Receiver<()>) {
+        let _ = async {
+            let _ = rx.recv().await;
+        }
+        .or(async {
+            Timer::after(TICK).await;
+        })
+        .await;
+    }
+
+    async fn writer(self: Arc<Self>) {
+        let (done_tx, done_rx) = async_channel::bounded::<()>(MOST_COMMITS);
+        let mut running = 0;
+        loop {
+            Self::woken(&self.wakes.writer.1).await;
+            while done_rx.try_recv().is_ok() {
+                running -= 1;
+            }
+            while running < MOST_COMMITS {
+                let now = clock::now();
+                let available = self.state.writes_available();
+                let ops = self.state.txn_ops.min(available);
+                let spare = available.saturating_sub(4);
+                let writes = (ops > 0)
+                    .then(|| self.with_shard(now, |s| (s.token, s.next_writes(ops, TXN_BYTES, spare, now))))
+                    .flatten();
+                let Some((token, writes)) = writes.filter(|w| !w.1.is_empty()) else { break };
+                running += 1;
+                let me = self.clone();
+                let done = done_tx.clone();
+                EX.spawn(async move {
+                    me.write(token, writes).await;
+                    let _ = done.send(()).await;
+                    let _ = me.wakes.writer.0.try_send(());
+                })
+                .detach();
+            }
+        }
+    }
+
+    async fn write(&self, token: u64, writes: Vec<crate::shard::Write>) {
+        let mut conditions = vec![Condition { key: CLAIM_KEY.into(), version: token }];
+        conditions.extend(writes.iter().map(|w| Condition { key: w.key.clone(), version: w.version }));
+        let changes = writes.iter().map(|w| w.change.clone()).collect();
+        let outcome = self.state.commit(conditions, changes).await;
+        let mine = |f: &mut dyn FnMut(&mut Shard)| {
+            if let Some(s) = lock(&self.shard).as_mut().filter(|s| s.token == token) {
+                f(s);
+            }
+        };
+        match outcome {
+            Ok(Commit::Applied(revision)) => {
+                let mut writes = Some(writes);
+                mine(&mut |s| s.on_applied(writes.take().unwrap_or_default(), revision));
+                let _ = self.wakes.direct.0.try_send(());
+            }
+            Ok(Commit::Failed(_)) | Err(StateError::Unknown) => {
+                // Some version is not what was thought, or nobody knows: ask for each key.
+                for w in &writes {
+                    let item = loop {
+                        match self.state.get(&w.key).await {
+                            Ok(i) => break i,
+                            Err(_) => Timer::after(Duration::from_millis(200)).await,
+                        };
+                        if lock(&self.shard).as_ref().is_none_or(|s| s.token != token) {
+                            return;
+                        }
+                    };
+                    mine(&mut |s| s.on_version(&w.key, item.as_ref().map_or(0, |i| i.version)));
+                }
+                self.look_at_claim().await;
+                let mut writes = Some(writes);
+                mine(&mut |s| s.on_not_applied(writes.take().unwrap_or_default()));
+            }
+            Err(_) => {
+                Timer::after(Duration::from_millis(100)).await;
+                let mut writes = Some(writes);
+                mine(&mut |s| s.on_not_applied(writes.take().unwrap_or_default()));
+            }
+        }
+    }
+
+    async fn direct(self: Arc<Self>) {
+        let (done_tx, done_rx) = async_channel::bounded::<()>(MOST_DIRECT);
+        let mut running = 0;
+        loop {
+            Self::woken(&self.wakes.direct.1).await;
+            while done_rx.try_recv().is_ok() {
+                running -= 1;
+            }
+            while running < MOST_DIRECT {
+                let now = clock::now();
+                let Some(Some(send)) = self.with_shard(now, |s| s.next_direct(now)) else { break };
+                running += 1;
+                let me = self.clone();
+                let done = done_tx.clone();
+                EX.spawn(async move {
+                    let outcome = me.workers.commands(send.addr, &send.body).await;
+                    let now = clock::now();
+                    // Only the shard that sent it may learn of it.
+                    if let Some(s) = lock(&me.shard).as_mut().filter(|s| s.token == send.body.token) {
+                        s.on_direct(&send, outcome, now);
+                    }
+                    let _ = me.with_shard(now, |s| s.tick(now));
+                    let _ = done.send(()).await;
+                    me.wake();
+                })
+                .detach();
+            }
+        }
+    }
+
+    async fn rentals(self: Arc<Self>) {
+        loop {
+            let now = clock::now();
+            let launch = self
+                .with_shard(now, |s| (s.token, s.launches.pending.first().cloned()))
+                .and_then(|(t, l)| Some((t, l?)));
+            let Some((token, l)) = launch else {
+                Timer::after(TICK).await;
+                continue;
+            };
+            let request = self.with_shard(now, |s| RentRequest {
+                request: l.name.clone(),
+                type_name: s.types.names.name(l.ty).to_string(),
+                zone: s.types.zones.name(l.zone).to_string(),
+                spot: l.spot,
+                count: l.count,
+            });
+            let Some(request) = request else { continue };
+            let outcome = self.cloud.rent(&request).await;
+            let now = clock::now();
+            let mut pause = 0;
+            if let Some(s) = lock(&self.shard).as_mut().filter(|s| s.token == token) {
+                match outcome {
+                    Ok(names) => s.on_rented(&l, &names, now),
+                    Err(CloudError::NoCapacity) => s.refused(&l, now),
+                    // No word yet: the same name is asked again, which rents nothing twice.
+                    Err(e) => {
+                        log::debug!("renting {}: {e}", l.name);
+                        pause = 700;
+                    }
+                }
+            }
+            Timer::after(Duration::from_millis(pause)).await;
+        }
+    }
+
+    async fn deletions(self: Arc<Self>) {
+        loop {
+            let now = clock::now();
+            let call = self.with_shard(now, |s| s.next_delete().map(|c| (s.token, c))).flatten();
+            let Some((token, CloudCall::Delete(machines, names))) = call else {
+                Timer::after(TICK).await;
+                continue;
+            };
+            let outcome = self.cloud.delete(names).await;
+            let failed = outcome.is_err();
+            if let Some(s) = lock(&self.shard).as_mut().filter(|s| s.token == token) {
+                if failed { s.on_delete_failed(&machines) } else { s.on_deleted(&machines) }
+            }
+            let now = clock::now();
+            self.with_shard(now, |s| s.tick(now));
+            self.wake();
+            Timer::after(Duration::from_millis(if failed { 700 } else { 0 })).await;
+        }
+    }
+
+    async fn lists(self: Arc<Self>) {
+        loop {
+            Timer::after(Duration::from_secs_f64(LIST_EVERY_S)).await;
+            let now = clock::now();
+            let Some(token) = self.with_shard(now, |s| s.token) else { continue };
+            if let Ok(list) = self.cloud.list().await {
+                let now = clock::now();
+                if let Some(s) = lock(&self.shard).as_mut().filter(|s| s.token == token) {
+                    s.on_list(&list, now);
+                }
+            }
+        }
+    }
+
+    async fn learn_types(self: Arc<Self>) {
+        loop {
+            match self.cloud.types().await {
+                Ok(t) if !t.is_empty() => {
+                    let now = clock::now();
+                    self.with_shard(now, |s| s.on_types(t.clone(), now));
+                    *lock(&self.types) = Arc::new(t);
+                    Timer::after(TYPES_EVERY).await;
+                }
+                _ => {
+                    Timer::after(Duration::from_millis(500)).await;
+                }
+            }
+        }
+    }
+}
+
+struct OwnerSide(Arc<Node>);
+
+#[tonic::async_trait]
+impl Owner for OwnerSide {
+    async fn ask(&self, request: tonic::Request<JobQuestion>) -> Result<tonic::Response<JobAnswer>, tonic::Status> {
+        let q = request.into_inner();
+        if !crate::api::valid_id(&q.job) {
+            return Err(tonic::Status::invalid_argument("job id is malformed"));
+        }
+        let verb = q.verb();
+        let word = match self.0.standing(clock::now()) {
+            Standing::Owner => self.0.about_here(verb, &q.job).await,
+            _ => Word::Unable,
+        };
+        let mut a = JobAnswer::default();
+        match word {
+            Word::Known(t) => {
+                a.set_outcome(Outcome::Known);
+                a.state = t.state.as_str().to_owned();
+                a.done = t.done;
+                a.running = t.running;
+            }
+            Word::Absent => a.set_outcome(Outcome::Unknown),
+            Word::Unable => a.set_outcome(Outcome::Unable),
+        }
+        Ok(tonic::Response::new(a))
+    }
+}
+
+static NODE: std::sync::OnceLock<Arc<Node>> = std::sync::OnceLock::new();
+
+/// Runs the node until the process ends.
+pub fn run(settings: Settings, tuning: Tuning) -> std::io::Result<()> {
+    clock::now();
+    let listener = Async::<TcpListener>::bind(settings.listen)?;
+    let peer_listener = Async::<TcpListener>::bind(settings.peer_listen)?;
+    let most = settings.sockets.saturating_sub(settings.sockets / 5).max(8);
+    log::info!("{} in {} listens on {}", settings.node, settings.zone, settings.listen);
+    let node = NODE.get_or_init(|| Arc::new(Node::new(settings, tuning))).clone();
+    let n = || node.clone();
+    EX.spawn(n().learn_types()).detach();
+    EX.spawn(n().watch_claim()).detach();
+    EX.spawn(n().keep_lease()).detach();
+    EX.spawn(n().ticks()).detach();
+    EX.spawn(n().writer()).detach();
+    EX.spawn(n().direct()).detach();
+    EX.spawn(n().rentals()).detach();
+    EX.spawn(n().deletions()).detach();
+    EX.spawn(n().lists()).detach();
+    EX.spawn(crate::peer::serve(&EX, peer_listener, Arc::new(OwnerSide(n())))).detach();
+    let handler = Arc::new(move |req| {
+        let me = node.clone();
+        async move { me.handle(req).await }
+    });
+    async_io::block_on(EX.run(crate::http::serve(&EX, listener, most, handler)));
+    Ok(())
+}
--- /dev/null
+++ b/src/peer.rs
@@ -0,0 +1,146 @@
+//! gRPC between controllers: tonic's code over hyper's HTTP/2 on async-io sockets.
+
+use crate::http::timed;
+use async_executor::Executor;
+use async_io::Async;
+use http_body_util::BodyExt;
+use smol_hyper::rt::FuturesIo;
+use std::collections::HashMap;
+use std::future::Future;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::pin::Pin;
+use std::sync::Mutex;
+use std::task::{Context, Poll};
+use std::time::Duration;
+use tonic::body::Body;
+use tower_service::Service;
+
+pub mod proto {
+    #![allow(clippy::all, clippy::pedantic)]
+    tonic::include_proto!("lupinspur.peer.v1");
+}
+
+use proto::owner_client::OwnerClient;
+pub use proto::owner_server::{Owner, OwnerServer};
+pub use proto::{JobAnswer, JobQuestion, Outcome, Verb};
+
+#[derive(Clone, Copy)]
+struct Spawn(&'static Executor<'static>);
+
+impl<F: Future<Output = ()> + Send + 'static> hyper::rt::Executor<F> for Spawn {
+    fn execute(&self, f: F) {
+        self.0.spawn(f).detach();
+    }
+}
+
+/// An HTTP/2 connection as the service that tonic's client calls.
+#[derive(Clone)]
+struct Channel(hyper::client::conn::http2::SendRequest<Body>);
+
+type BoxError = Box<dyn std::error::Error + Send + Sync>;
+
+impl Service<http::Request<Body>> for Channel {
+    type Response = http::Response<hyper::body::Incoming>;
+    type Error = BoxError;
+    type Future = Pin<Box<dyn Future<Output = Result<Self::Response, BoxError>> + Send>>;
+
+    fn poll_ready(&mut self, cx: &mut Context<'_>) -> Poll<Result<(), BoxError>> {
+        self.0.poll_ready(cx).map_err(Into::into)
+    }
+
+    fn call(&mut self, req: http::Request<Body>) -> Self::Future {
+        let sent = self.0.send_request(req);
+        Box::pin(async move { Ok(sent.await?) })
+    }
+}
+
+/// Connections to the other controllers, kept while they work.
+pub struct Peers {
+    ex: &'static Executor<'static>,
+    addrs: HashMap<String, SocketAddr>,
+    open: Mutex<HashMap<String, Channel>>,
+}
+
+const CONNECT: Duration = Duration::from_millis(700);
+const ASK: Duration = Duration::from_millis(1300);
+
+impl Peers {
+    pub fn new(ex: &'static Executor<'static>, s: &crate::settings::Settings) -> Peers {
+        Peers { ex, addrs: s.peers.iter().map(|p| (p.node.clone(), p.addr)).collect(), open: Mutex::default() }
+    }
+
+    async fn channel(&self, node: &str) -> Option<Channel> {
+        if let Some(c) = self.open.lock().unwrap_or_else(|e| e.into_inner()).get(node)
+            && !c.0.is_closed()
+        {
+            return Some(c.clone());
+        }
+        let addr = *self.addrs.get(node)?;
+        let stream = timed(CONNECT, Async::<TcpStream>::connect(addr)).await.ok()?.ok()?;
+        let _ = stream.get_ref().set_nodelay(true);
+        let shake = hyper::client::conn::http2::handshake(Spawn(self.ex), FuturesIo::new(stream));
+        let (send, conn) = timed(CONNECT, shake).await.ok()?.ok()?;
+        self.ex
+            .spawn(async move {
+                let _ = conn.await;
+            })
+            .detach();
+        let c = Channel(send);
+        self.open.lock().unwrap_or_else(|e| e.into_inner()).insert(node.to_owned(), c.clone());
+        Some(c)
+    }
+
+    /// Asks the owner about a job. None when it cannot be reached or cannot act.
+    pub async fn ask(&self, node: &str, verb: Verb, job: &str, limit: Option<Duration>) -> Option<JobAnswer> {
+        let c = self.channel(node).await?;
+        let uri = http::Uri::from_static("http://owner");
+        let mut client = OwnerClient::with_origin(c, uri);
+        let q = JobQuestion { verb: verb.into(), job: job.to_owned() };
+        match timed(limit.unwrap_or(ASK), client.ask(q)).await {
+            Ok(Ok(a)) => Some(a.into_inner()).filter(|a| a.outcome() != Outcome::Unable),
+            Ok(Err(s)) => {
+                log::debug!("asking {node}: {s}");
+                self.drop_channel(node);
+                None
+            }
+            Err(_) => {
+                // A silent connection may be cut for good: the next question opens a new one.
+                self.drop_channel(node);
+                None
+            }
+        }
+    }
+
+    fn drop_channel(&self, node: &str) {
+        self.open.lock().unwrap_or_else(|e| e.into_inner()).remove(node);
+    }
+}
+
+/// Serves the owner's side for ever.
+pub async fn serve<T: Owner>(ex: &'static Executor<'static>, listener: Async<TcpListener>, owner: std::sync::Arc<T>) {
+    loop {
+        let stream = match listener.accept().await {
+            Ok((s, _)) => s,
+            Err(e) => {
+                log::warn!("accept from peers: {e}");
+                async_io::Timer::after(Duration::from_millis(100)).await;
+                continue;
+            }
+        };
+        let _ = stream.get_ref().set_nodelay(true);
+        let server = OwnerServer::from_arc(owner.clone());
+        let service = hyper::service::service_fn(move |req: http::Request<hyper::body::Incoming>| {
+            let mut server = server.clone();
+            async move {
+                let req = req.map(|b| Body::new(b.map_err(|e| tonic::Status::from_error(e.into()))));
+                server.call(req).await
+            }
+        });
+        ex.spawn(async move {
+            let conn =
+                hyper::server::conn::http2::Builder::new(Spawn(ex)).serve_connection(FuturesIo::new(stream), service);
+            let _ = conn.await;
+        })
+        .detach();
+    }
+}
--- /dev/null
+++ b/src/placement.rs
@@ -0,0 +1,214 @@
+//! Which task goes on which machine.
+//!
+//! Services first, then work within its team's guarantee, then borrowing; by
+//! priority and deadline within each. Machines are packed, and those that have
+//! the image are preferred.
+
+use crate::fleet::{HeldState, Machine};
+use crate::intern::{Index, JobIx, MachineIx};
+use crate::jobs::{Job, Slot};
+use crate::shard::{EPS, Shard};
+use crate::wire::Priority;
+
+/// Cpu room on an on-demand machine that batch work leaves to services, in their tasks.
+const SERVICE_ROOM: f64 = 2.0;
+/// Seconds of fetching that a spot machine is worth more than an on-demand one.
+const SPOT_WORTH_S: f64 = 6.0;
+/// Seconds that a full machine is preferred by over an empty one.
+const PACK_WORTH_S: f64 = 3.0;
+/// Most starts of one pass, so that a huge job cannot hold up the rest.
+const MOST_STARTS: usize = 400;
+
+/// Would one task of this job fit on the machine, all constraints counted?
+pub fn fits(s: &Shard, job: &Job, m: &Machine) -> bool {
+    let t = s.types.get(m.ty);
+    let spec = &job.spec;
+    if m.spot && !spec.spot
+        || spec.types.as_ref().is_some_and(|l| !l.contains(&t.name))
+        || spec.zone.as_ref().is_some_and(|z| **z != **s.types.zones.name(m.zone))
+    {
+        return false;
+    }
+    if m.cpus_used + spec.cpus > t.cpus + EPS
+        || m.cards_used + spec.cards > t.cards + EPS
+        || m.memory_used + spec.memory_gb > t.memory_gb + EPS
+    {
+        return false;
+    }
+    let in_zone = job.zone_counts.get(m.zone.ix()).copied().unwrap_or(0);
+    if in_zone >= job.zone_limit() {
+        return false;
+    }
+    !(spec.one_zone && job.held > in_zone)
+}
+
+/// Does the machine keep enough room for services if batch work takes this?
+fn leaves_room(s: &Shard, job: &Job, m: &Machine) -> bool {
+    m.spot
+        || job.spec.priority == Priority::Production
+        || m.cpus_used + job.spec.cpus + SERVICE_ROOM * s.service_cpus <= s.types.get(m.ty).cpus + EPS
+}
+
+/// Lower is better: seconds lost, roughly.
+fn cost(s: &Shard, job: &Job, m: &Machine) -> f64 {
+    let t = s.types.get(m.ty);
+    let fetch = match job.image {
+        Some(i) if !m.has_image(i) => job.spec.image_gb / t.fetch_gb_per_s.max(0.01),
+        _ => 0.0,
+    };
+    let full = m.cpus_used / t.cpus.max(EPS);
+    let dear = if job.spec.spot && !m.spot { SPOT_WORTH_S } else { 0.0 };
+    fetch + dear - PACK_WORTH_S * full
+}
+
+fn best(s: &Shard, job: &Job, now: f64) -> Option<MachineIx> {
+    let silent_s = s.report_s * 1.6;
+    s.machines
+        .iter()
+        .filter(|(i, m)| {
+            m.usable(now, silent_s) && !job.failed_on.contains(i) && fits(s, job, m) && leaves_room(s, job, m)
+        })
+        .min_by(|(_, a), (_, b)| cost(s, job, a).total_cmp(&cost(s, job, b)))
+        .map(|(i, _)| i)
+}
+
+/// Cpus that machines with an unknown load may be using of a team's limit.
+fn shadow(s: &Shard) -> f64 {
+    s.machines.iter().filter(|(_, m)| !m.resolved()).map(|(_, m)| s.types.get(m.ty).cpus).sum()
+}
+
+fn shadow_cards(s: &Shard) -> f64 {
+    s.machines.iter().filter(|(_, m)| !m.resolved()).map(|(_, m)| s.types.get(m.ty).cards).sum()
+}
+
+/// Does one more task stay within the team's limit?
+fn within_limit(s: &Shard, job: &Job, shadow: (f64, f64)) -> bool {
+    let team = &s.teams[job.team.ix()];
+    let ok =
+        |max: f64, used: f64, need: f64, shadow: f64| max <= 0.0 || need <= 0.0 || used + need + shadow <= max + EPS;
+    ok(team.spec.cpus_max, team.cpus_used, job.spec.cpus, shadow.0)
+        && ok(team.spec.cards_max, team.cards_used, job.spec.cards, shadow.1)
+}
+
+struct Turn {
+    job: JobIx,
+    guaranteed: bool,
+    rank: (u8, Priority, u64),
+}
+
+/// The order in which jobs get machines.
+fn turns(s: &mut Shard, now: f64) -> Vec<Turn> {
+    let mut by_age: Vec<JobIx> = s.jobs.live.iter().copied().filter(|&j| s.jobs.at(j).open()).collect();
+    by_age.sort_by_key(|&j| s.jobs.at(j).at_ms);
+    let mut taken = vec![(0.0f64, 0.0f64); s.teams.len()];
+    let mut out = Vec::new();
+    for j in by_age {
+        let job = s.jobs.at_mut(j);
+        let n = f64::from(job.unfinished());
+        let team = &s.teams[job.team.ix()].spec;
+        let t = &mut taken[job.team.ix()];
+        let (c, g) = (n * job.spec.cpus, n * job.spec.cards);
+        let guaranteed = t.0 + c <= team.cpus + EPS && t.1 + g <= team.cards + EPS;
+        t.0 += c;
+        t.1 += g;
+        if job.shadowed_by > 0 || now < job.not_before || !job.has_queued() {
+            continue;
+        }
+        let class = if job.spec.priority == Priority::Production { 0 } else { 1 + u8::from(!guaranteed) };
+        out.push(Turn { job: j, guaranteed, rank: (class, job.spec.priority, job.deadline_ms()) });
+    }
+    out.sort_by_key(|t| t.rank);
+    out
+}
+
+pub fn place(s: &mut Shard, now: f64) {
+    if !s.types.known() {
+        return;
+    }
+    let shadow = (shadow(s), shadow_cards(s));
+    let mut starts = 0;
+    for turn in turns(s, now) {
+        loop {
+            if starts >= MOST_STARTS {
+                s.look_again();
+                return;
+            }
+            let job = s.jobs.at_mut(turn.job);
+            if !job.has_queued() {
+                break;
+            }
+            let Some(&task) = job.queue.front() else { break };
+            let job = s.jobs.at(turn.job);
+            if !within_limit(s, job, shadow) {
+                break;
+            }
+            let Some(m) = best(s, job, now) else {
+                make_room(s, &turn, now);
+                break;
+            };
+            debug_assert_eq!(job.tasks[task as usize], Slot::Queued);
+            s.jobs.at_mut(turn.job).queue.pop_front();
+            s.plan(m, (turn.job, task), now);
+            starts += 1;
+        }
+    }
+}
+
+/// Stops work of lower priority, or work that another team borrows, where that
+/// lets a task of this job start. One machine a pass.
+fn make_room(s: &mut Shard, turn: &Turn, now: f64) {
+    let job = s.jobs.at(turn.job);
+    let urgent = job.spec.priority == Priority::Production;
+    if !urgent {
+        return;
+    }
+    let silent_s = s.report_s * 1.6;
+    let wanted = job.queue.len().min(job.spec.tasks as usize);
+    let mut options: Vec<(f64, MachineIx, Vec<crate::jobs::TaskKey>)> = Vec::new();
+    for (i, m) in s.machines.iter() {
+        if !m.usable(now, silent_s) || m.spot && !job.spec.spot {
+            continue;
+        }
+        let in_zone = job.zone_counts.get(m.zone.ix()).copied().unwrap_or(0);
+        if in_zone >= job.zone_limit() {
+            continue;
+        }
+        let t = s.types.get(m.ty);
+        // What is being stopped already will be free soon: wait for that first.
+        let coming: f64 = m.tasks.iter().filter(|(_, h)| h.stop.is_some()).map(|(k, _)| s.jobs.at(k.0).spec.cpus).sum();
+        let mut free = t.cpus - m.cpus_used + coming;
+        let mut memory = t.memory_gb - m.memory_used;
+        let mut victims = Vec::new();
+        let mut stoppable: Vec<_> = m
+            .tasks
+            .iter()
+            .filter(|(k, h)| {
+                h.stop.is_none() && h.state != HeldState::Saving && s.jobs.at(k.0).spec.priority > job.spec.priority
+            })
+            .collect();
+        // The least important first, then what has lost the least.
+        stoppable.sort_by(|a, b| {
+            let (ja, jb) = (s.jobs.at(a.0.0), s.jobs.at(b.0.0));
+            jb.spec.priority.cmp(&ja.spec.priority).then(b.1.since.total_cmp(&a.1.since))
+        });
+        for (k, _) in stoppable {
+            if free + EPS >= job.spec.cpus && memory + EPS >= job.spec.memory_gb {
+                break;
+            }
+            free += s.jobs.at(k.0).spec.cpus;
+            memory += s.jobs.at(k.0).spec.memory_gb;
+            victims.push(*k);
+        }
+        if free + EPS >= job.spec.cpus && (memory + EPS >= job.spec.memory_gb || coming > 0.0) {
+            options.push((cost(s, job, m) + victims.len() as f64, i, victims));
+        }
+    }
+    options.sort_by(|a, b| a.0.total_cmp(&b.0));
+    for (_, m, victims) in options.into_iter().take(wanted.min(1)) {
+        for k in victims {
+            let g = s.grace(k.0);
+            log::debug!("{}/{} makes room (guaranteed {})", s.jobs.at(k.0).id, k.1, turn.guaranteed);
+            s.stop_task(m, k, g);
+        }
+    }
+}
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,152 @@
+//! The settings file that the platform hands over, read and checked.
+
+use crate::wire;
+use std::net::SocketAddr;
+use std::path::Path;
+
+#[derive(Debug, thiserror::Error)]
+pub enum SettingsError {
+    #[error("settings file {0}: {1}")]
+    Unreadable(String, std::io::Error),
+    #[error("settings file: {0}")]
+    Malformed(String),
+    #[error("settings: {field}: {reason}")]
+    Wrong { field: String, reason: String },
+}
+
+#[derive(Debug, Clone)]
+pub struct Peer {
+    pub node: String,
+    pub zone: String,
+    pub addr: SocketAddr,
+}
+
+#[derive(Debug, Clone)]
+pub struct Team {
+    pub name: String,
+    pub cpus: f64,
+    pub cpus_max: f64,
+    pub cards: f64,
+    pub cards_max: f64,
+}
+
+#[derive(Debug, Clone)]
+pub struct Settings {
+    pub node: String,
+    pub zone: String,
+    pub listen: SocketAddr,
+    pub peer_listen: SocketAddr,
+    pub peers: Vec<Peer>,
+    pub cloud: SocketAddr,
+    pub state: SocketAddr,
+    pub zones: Vec<String>,
+    pub teams: Vec<Team>,
+    pub report_s: f64,
+    pub lease_s: f64,
+    pub cancel_s: f64,
+    pub state_rps: f64,
+    pub write_rps: f64,
+    pub value_kb: f64,
+    pub txn_ops: usize,
+    pub cloud_rps: f64,
+    pub list_lag_s: f64,
+    pub sockets: usize,
+}
+
+fn wrong<T>(field: &str, reason: impl Into<String>) -> Result<T, SettingsError> {
+    Err(SettingsError::Wrong { field: field.into(), reason: reason.into() })
+}
+
+fn addr(field: &str, text: &str) -> Result<SocketAddr, SettingsError> {
+    text.parse().or_else(|_| wrong(field, format!("{text:?} is not an address and port")))
+}
+
+fn positive(field: &str, v: f64) -> Result<f64, SettingsError> {
+    if v.is_finite() && v > 0.0 { Ok(v) } else { wrong(field, format!("{v} must be above zero")) }
+}
+
+fn amount(field: &str, v: f64) -> Result<f64, SettingsError> {
+    if v.is_finite() && v >= 0.0 { Ok(v) } else { wrong(field, format!("{v} must not be negative")) }
+}
+
+fn name(field: &str, v: String) -> Result<String, SettingsError> {
+    if v.is_empty() { wrong(field, "must not be empty") } else { Ok(v) }
+}
+
+impl Settings {
+    pub fn load(path: &Path) -> Result<Settings, SettingsError> {
+        let text =
+            std::fs::read_to_string(path).map_err(|e| SettingsError::Unreadable(path.display().to_string(), e))?;
+        Settings::parse(&text)
+    }
+
+    pub fn parse(text: &str) -> Result<Settings, SettingsError> {
+        let f: wire::SettingsFile = toml::from_str(text).map_err(|e| {
+            let field = text.get(e.span().unwrap_or_default()).unwrap_or("").trim();
+            let hint = if field.is_empty() { String::new() } else { format!(" at {field:.60}") };
+            SettingsError::Malformed(format!("{}{hint}", e.message().replace('\n', " ")))
+        })?;
+        let mut peers = Vec::new();
+        for p in f.peers {
+            let field = wire::SETTINGS_PEER_ADDR;
+            peers.push(Peer { addr: addr(field, &p.addr)?, node: p.node, zone: p.zone });
+        }
+        for (i, p) in peers.iter().enumerate() {
+            if p.node == f.node || peers[..i].iter().any(|q| q.node == p.node) {
+                return wrong(wire::SETTINGS_PEERS, format!("{} is named twice", p.node));
+            }
+        }
+        let mut teams: Vec<Team> = Vec::new();
+        for t in f.params.teams {
+            if teams.iter().any(|o| o.name == t.name) {
+                return wrong("cluster.teams", format!("{} is named twice", t.name));
+            }
+            teams.push(Team {
+                name: name("cluster.teams.name", t.name)?,
+                cpus: amount("cluster.teams.cpus", t.cpus)?,
+                cpus_max: amount("cluster.teams.cpus_max", t.cpus_max)?,
+                cards: amount("cluster.teams.gpus", t.gpus)?,
+                cards_max: amount("cluster.teams.gpus_max", t.gpus_max)?,
+            });
+        }
+        if teams.is_empty() {
+            return wrong("cluster.teams", "at least one team is needed");
+        }
+        if f.params.zones.is_empty() {
+            return wrong("cluster.zones", "at least one zone is needed");
+        }
+        let value_kb = positive("cluster.state.value_kb", f.params.state.value_kb)?;
+        if value_kb < 2.0 {
+            return wrong("cluster.state.value_kb", "at least 2 is needed");
+        }
+        let txn_ops = f.params.state.txn_ops;
+        if txn_ops == 0 {
+            return wrong("cluster.state.txn_ops", "must be above zero");
+        }
+        let sockets = f.limits.max_connections.unwrap_or(1000);
+        if sockets < 16 {
+            return wrong("cluster.limits.sockets", "at least 16 are needed");
+        }
+        Ok(Settings {
+            node: name(wire::SETTINGS_NODE, f.node)?,
+            zone: name(wire::SETTINGS_ZONE, f.zone)?,
+            listen: addr(wire::SETTINGS_LISTEN, &f.listen)?,
+            peer_listen: addr("peer_listen", &f.peer_listen)?,
+            peers,
+            cloud: addr("services.cloud", &f.services.cloud)?,
+            state: addr("services.state", &f.services.state)?,
+            zones: f.params.zones,
+            teams,
+            report_s: positive("cluster.workers.report_s", f.params.workers.report_s)?,
+            lease_s: positive("cluster.workers.lease_s", f.params.workers.lease_s)?,
+            cancel_s: positive("cluster.workers.cancel_s", f.params.workers.cancel_s)?,
+            state_rps: positive("cluster.state.rps", f.params.state.rps)?,
+            write_rps: positive("cluster.state.write_rps", f.params.state.write_rps)?,
+            value_kb,
+            txn_ops,
+            cloud_rps: positive("cluster.cloud.rps", f.params.cloud.rps)?,
+            list_lag_s: amount("cluster.cloud.list_lag_s", f.params.cloud.list_lag_s)?,
+            sockets,
+        })
+    }
+}
--- /dev/null
+++ b/src/shard/mod.rs
@@ -0,0 +1,518 @@
+//! One shard: a set of teams with their jobs, and a set of machines.
+//!
+//! Everything here decides and nothing here waits: events come in with the time,
+//! and what is wanted comes out as writes, commands and cloud calls that the
+//! node's loops carry out. Traces in tests/ drive it directly.
+
+mod reports;
+mod sizing;
+mod writes;
+
+pub use reports::{DirectSend, Heard};
+pub use sizing::CloudCall;
+pub use writes::{What, Write};
+
+use crate::clock::stretched;
+use crate::fleet::launch::Launches;
+use crate::fleet::mixture::{Mixture, Target};
+use crate::fleet::zones::ZoneLists;
+use crate::fleet::{Held, HeldState, MachineRecord, Machines, Phase as MachinePhase, Types};
+use crate::intern::{Index, JobIx, MachineIx, Names, TeamIx, TypeIx};
+use crate::jobs::{JobRecord, Jobs, Phase, ProgressRecord, Slot, TaskKey};
+use crate::settings::{Settings, Team};
+use crate::tuning::Tuning;
+use crate::wire::{JobRequest, JobState, Kind, MachineType};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeSet, HashMap, HashSet};
+
+/// Why a submission can never run, or cannot be judged yet.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Unfit {
+    Never(String),
+    CannotTell,
+}
+
+/// Judges a submission by the teams and machine types, as any node can.
+pub fn judge(r: &JobRequest, teams: &[Team], types: &[MachineType]) -> Result<(), Unfit> {
+    let never = |s: String| Err(Unfit::Never(s));
+    let Some(team) = teams.iter().find(|t| t.name == r.team) else {
+        return never(format!("unknown team {}", r.team));
+    };
+    let n = if r.kind == Kind::Service { f64::from(r.tasks) } else { 1.0 };
+    for (what, need, most) in [("cpus", r.cpus * n, team.cpus_max), ("cards", r.cards * n, team.cards_max)] {
+        if most > 0.0 && need > most + EPS {
+            return never(format!("needs {need} {what}, the team's limit is {most}"));
+        }
+    }
+    if types.is_empty() {
+        return Err(Unfit::CannotTell);
+    }
+    if types
+        .iter()
+        .any(|t| type_fits(r, t) && r.zone.as_ref().is_none_or(|z| t.zones.is_empty() || t.zones.contains(z)))
+    {
+        Ok(())
+    } else {
+        never("a task fits no allowed machine type".into())
+    }
+}
+
+pub fn type_fits(r: &JobRequest, t: &MachineType) -> bool {
+    r.types.as_ref().is_none_or(|l| l.contains(&t.name))
+        && r.cpus <= t.cpus + EPS
+        && r.cards <= t.cards + EPS
+        && r.memory_gb <= t.memory_gb + EPS
+}
+
+pub const EPS: f64 = 1e-6;
+
+#[derive(Debug)]
+pub struct TeamState {
+    pub spec: Team,
+    pub cpus_used: f64,
+    pub cards_used: f64,
+}
+
+/// The fleet's stored value: zone lists and counts.
+#[derive(Serialize, Deserialize, Clone, Debug, PartialEq, Default)]
+pub struct FleetRecord {
+    pub pools: Vec<PoolRecord>,
+}
+
+#[derive(Serialize, Deserialize, Clone, Debug, PartialEq)]
+pub struct PoolRecord {
+    #[serde(rename = "type")]
+    pub type_name: String,
+    pub active: Vec<String>,
+    pub preemptive: Vec<String>,
+    pub target: usize,
+    pub spot: usize,
+    pub on_demand: usize,
+}
+
+/// The fleet rule for one machine type.
+#[derive(Debug)]
+pub struct Pool {
+    pub zones: ZoneLists,
+    pub target: Target,
+    pub base: Target,
+    pub mix: Mixture,
+}
+
+/// What the owner is told of the world when it takes over.
+#[derive(Debug, Default)]
+pub struct Loaded {
+    pub jobs: Vec<(JobRecord, u64)>,
+    pub progress: Vec<(String, ProgressRecord, u64)>,
+    pub machines: Vec<(String, MachineRecord, u64)>,
+    pub fleet: Option<(FleetRecord, u64)>,
+}
+
+pub struct Shard {
+    pub token: u64,
+    pub began: f64,
+    pub jobs: Jobs,
+    pub machines: Machines,
+    pub types: Types,
+    pub teams: Vec<TeamState>,
+    pub team_names: Names<TeamIx>,
+    pub pools: HashMap<TypeIx, Pool>,
+    pub launches: Launches,
+    pub tuning: Tuning,
+    pub report_s: f64,
+    pub lease_s: f64,
+    pub list_lag_s: f64,
+    value_bytes: usize,
+    attempts: u64,
+    versions: HashMap<String, u64>,
+    in_flight: HashSet<String>,
+    finals: BTreeSet<JobIx>,
+    records: BTreeSet<MachineIx>,
+    progress_due: BTreeSet<JobIx>,
+    progress_at: f64,
+    cleanup: BTreeSet<String>,
+    fleet_stored: FleetRecord,
+    fleet_at: f64,
+    pub(crate) place_due: bool,
+    pub(crate) service_cpus: f64,
+    sized_at: f64,
+    moved_at: f64,
+    deletes: BTreeSet<MachineIx>,
+    fleet_to_restore: Option<FleetRecord>,
+    machines_to_restore: Vec<(String, MachineRecord)>,
+}
+
+/// Stops a job's tasks gently enough to save.
+const GRACE_EXTRA_S: f64 = 2.0;
+
+impl Shard {
+    pub fn new(s: &Settings, tuning: Tuning, token: u64, types: Vec<MachineType>, loaded: Loaded, now: f64) -> Shard {
+        let mut team_names = Names::default();
+        for t in &s.teams {
+            team_names.intern(&t.name);
+        }
+        let value_bytes = (s.value_kb * 1024.0) as usize;
+        let mut shard = Shard {
+            token,
+            began: now,
+            jobs: Jobs::new(crate::jobs::chunk_tasks(value_bytes), 0),
+            machines: Machines::default(),
+            types: Types::default(),
+            teams: s.teams.iter().map(|t| TeamState { spec: t.clone(), cpus_used: 0.0, cards_used: 0.0 }).collect(),
+            team_names,
+            pools: HashMap::new(),
+            launches: Launches::new(token),
+            tuning,
+            report_s: s.report_s,
+            lease_s: s.lease_s,
+            list_lag_s: s.list_lag_s,
+            value_bytes,
+            attempts: 0,
+            versions: HashMap::new(),
+            in_flight: HashSet::new(),
+            finals: BTreeSet::new(),
+            records: BTreeSet::new(),
+            progress_due: BTreeSet::new(),
+            progress_at: now,
+            cleanup: BTreeSet::new(),
+            fleet_stored: FleetRecord::default(),
+            fleet_at: now,
+            place_due: true,
+            service_cpus: 0.0,
+            sized_at: now - 10.0,
+            moved_at: now,
+            deletes: BTreeSet::new(),
+            fleet_to_restore: loaded.fleet.as_ref().map(|f| f.0.clone()),
+            machines_to_restore: Vec::new(),
+        };
+        for z in &s.zones {
+            shard.types.zones.intern(z);
+        }
+        shard.jobs.zones = shard.types.zones.len().max(16);
+        if let Some((_, v)) = loaded.fleet {
+            shard.versions.insert(crate::fleet::FLEET_KEY.into(), v);
+        }
+        for (r, v) in loaded.jobs {
+            shard.add_job(r, v, now);
+        }
+        for (key, r, v) in loaded.progress {
+            shard.versions.insert(key.clone(), v);
+            let parsed = key
+                .strip_prefix(crate::jobs::PROGRESS_PREFIX)
+                .and_then(|k| k.rsplit_once('/'))
+                .and_then(|(id, c)| Some((shard.jobs.find(id)?, c.parse().ok()?)));
+            match parsed {
+                Some((j, c)) if shard.jobs.at(j).phase == Phase::Open => {
+                    shard.jobs.load_progress(j, c, &r);
+                    if shard.jobs.at(j).wanted != Phase::Open {
+                        shard.finals.insert(j);
+                    }
+                }
+                _ => _ = shard.cleanup.insert(key),
+            }
+        }
+        for (name, r, v) in loaded.machines {
+            shard.versions.insert(crate::fleet::machine_key(&name), v);
+            shard.machines_to_restore.push((name, r));
+        }
+        if !types.is_empty() {
+            shard.on_types(types, now);
+        }
+        shard
+    }
+
+    /// The machine types became known, or their prices moved.
+    pub fn on_types(&mut self, types: Vec<MachineType>, now: f64) {
+        self.types.update(types);
+        let fleet = self.fleet_to_restore.take();
+        for i in 0..self.types.list.len() {
+            let ty = TypeIx::new(i);
+            if self.pools.contains_key(&ty) {
+                continue;
+            }
+            let t = self.types.get(ty);
+            let mut zones = ZoneLists::new(t.zones.iter().filter_map(|z| self.types.zones.find(z)));
+            let mut target = Target::default();
+            if let Some(p) = fleet.as_ref().and_then(|f| f.pools.iter().find(|p| p.type_name == t.name)) {
+                for z in p.preemptive.iter().filter_map(|z| self.types.zones.find(z)) {
+                    if zones.active.len() > 2 && zones.active.remove(&z) {
+                        zones.preemptive.insert(z);
+                    }
+                }
+                target.restore(now, p.target);
+            }
+            self.pools.insert(ty, Pool { zones, target, base: Target::default(), mix: Mixture::default() });
+        }
+        for (name, r) in std::mem::take(&mut self.machines_to_restore) {
+            self.restore_machine(&name, r, now);
+        }
+        self.place_due = true;
+    }
+
+    /// A machine that an earlier owner recorded may hold what its record says,
+    /// until it reports with our token or its lease is surely over.
+    fn restore_machine(&mut self, name: &str, r: MachineRecord, now: f64) {
+        let Some(ty) = self.types.names.find(&r.type_name) else {
+            log::warn!("machine {name} is of unknown type {}", r.type_name);
+            return;
+        };
+        let zone = self.types.zones.intern(&r.zone);
+        let m = self.machines.add(name, ty, zone, r.spot, now);
+        let mut jobs = HashSet::new();
+        for id in &r.jobs {
+            if let Some(j) = self.jobs.find(id)
+                && self.jobs.at(j).phase == Phase::Open
+                && jobs.insert(j)
+            {
+                self.jobs.at_mut(j).shadowed_by += 1;
+            }
+        }
+        let images = r.images.iter().map(|(i, g)| (self.jobs.images.intern(i), *g)).collect();
+        let until = self.began + stretched(self.lease_s);
+        let machine = self.machines.at_mut(m);
+        machine.addr = r.addr.parse().ok();
+        machine.phase = if r.retiring { MachinePhase::Retiring } else { MachinePhase::Up };
+        machine.unresolved_until = Some(until);
+        machine.stored_jobs = jobs;
+        machine.images = images;
+        machine.record_stored = true;
+        machine.retiring_stored = r.retiring;
+        machine.direct_due = true;
+        if r.retiring {
+            self.deletes.insert(m);
+        }
+    }
+
+    /// Takes in a job that the state service holds.
+    pub fn add_job(&mut self, r: JobRecord, version: u64, _now: f64) -> Option<JobIx> {
+        let key = crate::jobs::job_key(&r.job.id);
+        let known = self.versions.entry(key).or_insert(version);
+        *known = (*known).max(version);
+        let Some(team) = self.team_names.find(&r.job.team) else {
+            log::error!("job {} names unknown team {}", r.job.id, r.job.team);
+            return None;
+        };
+        if r.job.kind == Kind::Service {
+            self.service_cpus = self.service_cpus.max(r.job.cpus);
+        }
+        self.place_due = true;
+        Some(self.jobs.add(r, team))
+    }
+
+    /// What a user may be told of a job, if it is known here.
+    pub fn show(&self, id: &str) -> Option<(JobState, u64, u64)> {
+        let j = self.jobs.at(self.jobs.find(id)?);
+        Some((j.state(), u64::from(j.done), u64::from(j.running)))
+    }
+
+    /// A user wants the job cancelled. The answer waits until that is stored.
+    pub fn cancel(&mut self, id: &str) -> bool {
+        let Some(j) = self.jobs.find(id) else { return false };
+        let job = self.jobs.at_mut(j);
+        if job.wanted == Phase::Open {
+            job.wanted = Phase::Cancelled;
+            self.finals.insert(j);
+            self.stop_all(j);
+        }
+        true
+    }
+
+    /// Every task of this job is to go. Planned ones were never started.
+    fn stop_all(&mut self, j: JobIx) {
+        let held: Vec<(u32, MachineIx)> = (0u32..)
+            .zip(&self.jobs.at(j).tasks)
+            .filter_map(|(t, s)| if let Slot::Held(m) = s { Some((t, *m)) } else { None })
+            .collect();
+        for (t, m) in held {
+            self.stop_task(m, (j, t), 0.0);
+        }
+    }
+
+    /// Stops a held task; with grace if it can save.
+    pub(crate) fn stop_task(&mut self, m: MachineIx, key: TaskKey, grace: f64) {
+        let Some(h) = self.machines.at_mut(m).tasks.get_mut(&key) else { return };
+        if h.state == HeldState::Planned {
+            self.release(m, key);
+            self.requeue(key);
+        } else if h.stop.is_none_or(|g| grace < g) {
+            h.stop = Some(grace);
+            h.stop_sent = -1.0;
+            self.machines.at_mut(m).direct_due = true;
+        }
+    }
+
+    pub(crate) fn grace(&self, j: JobIx) -> f64 {
+        let s = &self.jobs.at(j).spec;
+        if s.checkpoint_s > 0.0 { s.save_s + GRACE_EXTRA_S } else { 0.0 }
+    }
+
+    /// Holds a task on a machine: resources and limits count from here on.
+    pub(crate) fn plan(&mut self, m: MachineIx, key: TaskKey, now: f64) {
+        self.attempts += 1;
+        // Attempts never repeat across owners: each claim has a range of its own.
+        let attempt = (self.token << 24) + self.attempts;
+        let job = self.jobs.at(key.0);
+        let image = job.image.map(|i| (i, job.spec.image_gb));
+        self.hold(
+            m,
+            key,
+            Held {
+                attempt,
+                state: HeldState::Planned,
+                since: now,
+                running_since: now,
+                stop: None,
+                stop_sent: -1.0,
+                sent: -1.0,
+            },
+        );
+        let cache = self.types.get(self.machines.at(m).ty).cache_gb;
+        let machine = self.machines.at_mut(m);
+        if let Some((i, gb)) = image {
+            machine.used_image(i, gb, cache);
+        }
+        if machine.stored_jobs.contains(&key.0) && machine.record_stored {
+            if let Some(h) = machine.tasks.get_mut(&key) {
+                h.state = HeldState::Commanded;
+            }
+            machine.direct_due = true;
+        } else {
+            machine.record_dirty = true;
+            self.records.insert(m);
+        }
+    }
+
+    pub(crate) fn hold(&mut self, m: MachineIx, key: TaskKey, held: Held) {
+        let running = held.state == HeldState::Running;
+        let machine = self.machines.at_mut(m);
+        let job = self.jobs.at_mut(key.0);
+        machine.cpus_used += job.spec.cpus;
+        machine.cards_used += job.spec.cards;
+        machine.memory_used += job.spec.memory_gb;
+        machine.tasks.insert(key, held);
+        job.tasks[key.1 as usize] = Slot::Held(m);
+        job.held += 1;
+        job.running += u32::from(running);
+        if let Some(c) = job.zone_counts.get_mut(machine.zone.ix()) {
+            *c += 1;
+        }
+        let team = &mut self.teams[job.team.ix()];
+        team.cpus_used += job.spec.cpus;
+        team.cards_used += job.spec.cards;
+    }
+
+    /// A held task's end is seen: what it took is free again.
+    pub(crate) fn release(&mut self, m: MachineIx, key: TaskKey) -> Option<Held> {
+        let machine = self.machines.at_mut(m);
+        let held = machine.tasks.remove(&key)?;
+        let job = self.jobs.at_mut(key.0);
+        machine.cpus_used -= job.spec.cpus;
+        machine.cards_used -= job.spec.cards;
+        machine.memory_used -= job.spec.memory_gb;
+        if machine.tasks.is_empty() {
+            machine.cpus_used = 0.0;
+            machine.cards_used = 0.0;
+            machine.memory_used = 0.0;
+        }
+        if job.tasks.get(key.1 as usize) == Some(&Slot::Held(m)) {
+            job.tasks[key.1 as usize] = Slot::Queued;
+        }
+        job.held -= 1;
+        if held.state == HeldState::Running {
+            job.running -= 1;
+        }
+        if let Some(c) = job.zone_counts.get_mut(machine.zone.ix()) {
+            *c -= 1;
+        }
+        let team = &mut self.teams[job.team.ix()];
+        team.cpus_used -= job.spec.cpus;
+        team.cards_used -= job.spec.cards;
+        self.place_due = true;
+        Some(held)
+    }
+
+    pub(crate) fn requeue(&mut self, key: TaskKey) {
+        let job = self.jobs.at_mut(key.0);
+        if job.open() && job.tasks.get(key.1 as usize) == Some(&Slot::Queued) {
+            job.queue.push_front(key.1);
+            self.place_due = true;
+        }
+    }
+
+    pub(crate) fn task_done(&mut self, key: TaskKey) {
+        if self.jobs.at(key.0).is_service() || self.jobs.at(key.0).phase != Phase::Open {
+            return;
+        }
+        if self.jobs.mark_done(key.0, key.1, false) {
+            self.progress_due.insert(key.0);
+            if self.jobs.at(key.0).wanted != Phase::Open {
+                self.finals.insert(key.0);
+            }
+        }
+    }
+
+    /// Everything that was on a machine is gone for certain.
+    pub(crate) fn all_gone(&mut self, m: MachineIx) {
+        let keys: Vec<TaskKey> = self.machines.at(m).tasks.keys().copied().collect();
+        for k in keys {
+            // A planned start was never sent: it may stay planned only on a machine that goes on.
+            self.release(m, k);
+            self.requeue(k);
+        }
+        let machine = self.machines.at_mut(m);
+        machine.dead_session = machine.session;
+        machine.leftovers.clear();
+        machine.loose.clear();
+        machine.last_ok = None;
+        self.resolve(m);
+    }
+
+    /// From now on it is known what this machine holds.
+    pub(crate) fn resolve(&mut self, m: MachineIx) {
+        let machine = self.machines.at_mut(m);
+        if machine.unresolved_until.take().is_some() {
+            for j in machine.stored_jobs.clone() {
+                let job = self.jobs.at_mut(j);
+                job.shadowed_by = job.shadowed_by.saturating_sub(1);
+            }
+            self.place_due = true;
+        }
+    }
+
+    /// Has every machine that an earlier owner recorded been heard or waited out?
+    pub fn gathered(&self, now: f64) -> bool {
+        let waited = now - self.began;
+        waited > self.report_s * 3.0
+            || (waited > self.report_s * 1.5 && self.machines.iter().all(|(_, m)| m.resolved()))
+    }
+
+    /// Is no worker heard at all, though several should report?
+    pub fn deaf(&self, now: f64) -> bool {
+        let limit = self.silent_s();
+        let mut known = 0;
+        for (_, m) in self.machines.iter().filter(|(_, m)| m.phase == MachinePhase::Up) {
+            known += 1;
+            if now - m.last_heard < limit {
+                return false;
+            }
+        }
+        known >= 2 && now - self.began > limit
+    }
+
+    pub fn tick(&mut self, now: f64) {
+        self.watch_machines(now);
+        if now - self.sized_at >= 0.5 && self.types.known() {
+            self.sized_at = now;
+            self.size_fleet(now);
+        }
+        if self.place_due {
+            self.place_due = false;
+            crate::placement::place(self, now);
+        }
+    }
+
+    /// Backed-off jobs and returning machines deserve another look now and then.
+    pub fn look_again(&mut self) {
+        self.place_due = true;
+    }
+}
--- /dev/null
+++ b/src/shard/reports.rs
@@ -0,0 +1,492 @@
+//! What workers say, and what they are told.
+
+use super::Shard;
+use crate::fleet::{Held, HeldState, Leftover, Phase as MachinePhase};
+use crate::intern::MachineIx;
+use crate::jobs::{Phase, Slot, TaskKey, split_task};
+use crate::wire::{Command, DirectCommands, Op, Report, ReportReply, TaskReport, TaskState, Why};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+/// What to answer to a report.
+#[derive(Debug)]
+pub enum Heard {
+    Reply(ReportReply),
+    /// An old, late or impossible report: it renews nothing.
+    Stale,
+    /// Somebody holds a newer token than ours.
+    Superseded,
+}
+
+/// Commands to be sent straight to a worker.
+#[derive(Debug)]
+pub struct DirectSend {
+    pub machine: MachineIx,
+    pub addr: SocketAddr,
+    pub body: DirectCommands,
+    pub starts: Vec<(TaskKey, u64)>,
+}
+
+const DIRECT_PAUSE_S: f64 = 4.0;
+const MOST_COMMANDS: usize = 200;
+
+impl Shard {
+    /// A worker's own report, to be answered with 200 when there is a reply.
+    pub fn on_report(&mut self, r: &Report, now: f64) -> Heard {
+        match self.absorb(r, now) {
+            Ok(m) => {
+                self.tick_for_reply(now);
+                let commands = self.report_commands(m, r, now);
+                let machine = self.machines.at_mut(m);
+                machine.last_ok = Some(now);
+                Heard::Reply(ReportReply { token: self.token, commands })
+            }
+            Err(h) => h,
+        }
+    }
+
+    /// What a report frees is placed at once, so that it leaves with this very reply.
+    fn tick_for_reply(&mut self, now: f64) {
+        if self.place_due {
+            self.place_due = false;
+            crate::placement::place(self, now);
+        }
+    }
+
+    fn machine_of(&mut self, r: &Report, now: f64) -> Option<MachineIx> {
+        if let Some(m) = self.machines.find(&r.machine) {
+            return Some(m);
+        }
+        let ty = self.types.names.find(&r.type_name)?;
+        let zone = self.types.zones.intern(&r.zone);
+        log::info!("machine {} was not expected: adopted", r.machine);
+        Some(self.machines.add(&r.machine, ty, zone, r.spot, now))
+    }
+
+    fn absorb(&mut self, r: &Report, now: f64) -> Result<MachineIx, Heard> {
+        let token = self.token;
+        if r.token > token {
+            return Err(Heard::Superseded);
+        }
+        let m = self.machine_of(r, now).ok_or(Heard::Stale)?;
+        let machine = self.machines.at_mut(m);
+        // Reports order by (session, seq); whatever is older may have been held back for minutes.
+        if machine.phase == MachinePhase::Gone
+            || r.session <= machine.dead_session
+            || (r.session, r.seq) <= (machine.session, machine.seq)
+        {
+            return Err(Heard::Stale);
+        }
+        if let Ok(a) = r.addr.parse() {
+            machine.addr = Some(a);
+        }
+        let new_session = machine.session != 0 && r.session > machine.session;
+        if r.session > machine.session {
+            // A session's lease runs from its beginning, which was before this.
+            machine.last_ok = Some(machine.last_ok.map_or(now, |t| t.max(now)));
+        }
+        machine.session = r.session;
+        machine.seq = r.seq;
+        machine.last_heard = now;
+        machine.probe_failed = 0;
+        match r.notice_s {
+            Some(s) if machine.notice_until.is_none() => {
+                log::info!("machine {} has notice of {s} s", machine.name);
+                machine.notice_until = Some(now + s);
+            }
+            _ => {}
+        }
+        let became_ready = machine.phase == MachinePhase::Booting;
+        if became_ready {
+            machine.phase = MachinePhase::Up;
+            machine.idle_since = now;
+            let (ty, zone, spot) = (machine.ty, machine.zone, machine.spot);
+            if spot && let Some(p) = self.pools.get_mut(&ty) {
+                p.zones.ready(zone);
+            }
+        }
+        if new_session {
+            // The worker killed everything of its earlier session.
+            self.session_over(m);
+        }
+        if r.token < token {
+            // It may still obey an earlier owner: ask for a report with our token.
+            let machine = self.machines.at_mut(m);
+            machine.reported_token = false;
+            machine.direct_due = true;
+            return Ok(m);
+        }
+        let first = !std::mem::replace(&mut self.machines.at_mut(m).reported_token, true);
+        if first {
+            self.place_due = true;
+        }
+        self.take_tasks(m, r, now);
+        self.resolve(m);
+        self.drain_on_notice(m);
+        Ok(m)
+    }
+
+    /// Planned starts stay, since they were never sent; the rest is gone.
+    fn session_over(&mut self, m: MachineIx) {
+        let keys: Vec<TaskKey> =
+            self.machines.at(m).tasks.iter().filter(|(_, h)| h.state != HeldState::Planned).map(|(k, _)| *k).collect();
+        for k in keys {
+            self.release(m, k);
+            self.requeue(k);
+        }
+        let machine = self.machines.at_mut(m);
+        machine.leftovers.clear();
+        machine.loose.clear();
+    }
+
+    fn key_of(&self, name: &str) -> Option<TaskKey> {
+        let (job, task) = split_task(name)?;
+        let j = self.jobs.find(job)?;
+        (task < self.jobs.at(j).spec.tasks).then_some((j, task))
+    }
+
+    /// Brings what is known of a machine's tasks in line with its report.
+    fn take_tasks(&mut self, m: MachineIx, r: &Report, now: f64) {
+        let mut listed: HashMap<TaskKey, &TaskReport> = HashMap::with_capacity(r.tasks.len());
+        for t in &r.tasks {
+            if let Some(k) = self.key_of(&t.task) {
+                listed.insert(k, t);
+            } else {
+                log::warn!("machine {} reports {}, which is no task known here", r.machine, t.task);
+            }
+        }
+        let held: Vec<(TaskKey, u64, HeldState)> =
+            self.machines.at(m).tasks.iter().map(|(k, h)| (*k, h.attempt, h.state)).collect();
+        for (k, attempt, state) in held {
+            match listed.get(&k) {
+                Some(t) if t.attempt == attempt => {
+                    if t.state == TaskState::Exited {
+                        self.exited(m, k, t, now);
+                    } else {
+                        self.seen(m, k, t.state, now);
+                    }
+                }
+                // Not there (yet): a start that may still be on its way is not gone.
+                _ if matches!(state, HeldState::Planned | HeldState::Commanded) => self.maybe_never(m, k),
+                _ => {
+                    self.release(m, k);
+                    self.requeue(k);
+                }
+            }
+        }
+        self.machines.at_mut(m).leftovers.retain(|k, (a, _)| listed.get(k).is_some_and(|t| t.attempt == *a));
+        for (k, t) in listed {
+            let machine = self.machines.at(m);
+            if machine.tasks.get(&k).is_some_and(|h| h.attempt == t.attempt) {
+                continue;
+            }
+            if t.state == TaskState::Exited {
+                if t.why == Some(Why::Done) {
+                    self.done_elsewhere(k);
+                    self.task_done(k);
+                }
+                self.machines.at_mut(m).leftovers.insert(k, (t.attempt, Leftover::Ended));
+                continue;
+            }
+            let job = self.jobs.at(k.0);
+            let free = job.tasks.get(k.1 as usize) == Some(&Slot::Queued);
+            if free && job.open() && !machine.tasks.contains_key(&k) {
+                self.adopt(m, k, t, now);
+                continue;
+            }
+            self.machines.at_mut(m).leftovers.insert(k, (t.attempt, Leftover::Stray));
+        }
+    }
+
+    /// An earlier owner's start goes on under this one.
+    fn adopt(&mut self, m: MachineIx, k: TaskKey, t: &TaskReport, now: f64) {
+        self.hold(
+            m,
+            k,
+            Held {
+                attempt: t.attempt,
+                state: HeldState::Commanded,
+                since: now,
+                running_since: now,
+                stop: None,
+                stop_sent: -1.0,
+                sent: now,
+            },
+        );
+        let (image, gb) = (self.jobs.at(k.0).image, self.jobs.at(k.0).spec.image_gb);
+        let machine = self.machines.at_mut(m);
+        if let Some(i) = image
+            && !machine.has_image(i)
+        {
+            machine.images.push((i, gb));
+        }
+        self.seen(m, k, t.state, now);
+    }
+
+    /// The task completed under another attempt: a planned start of it is of no use.
+    fn done_elsewhere(&mut self, k: TaskKey) {
+        if let Some(Slot::Held(m)) = self.jobs.at(k.0).tasks.get(k.1 as usize).copied() {
+            self.stop_task(m, k, 0.0);
+        }
+    }
+
+    fn seen(&mut self, m: MachineIx, k: TaskKey, state: TaskState, now: f64) {
+        let Some(h) = self.machines.at_mut(m).tasks.get_mut(&k) else { return };
+        let was_running = h.state == HeldState::Running;
+        h.state = match state {
+            TaskState::Running => HeldState::Running,
+            TaskState::Saving => HeldState::Saving,
+            _ => HeldState::Fetching,
+        };
+        let runs = h.state == HeldState::Running;
+        if runs && !was_running {
+            h.running_since = now;
+        }
+        let job = self.jobs.at_mut(k.0);
+        job.running = job.running + u32::from(runs) - u32::from(was_running);
+    }
+
+    /// A start that is wanted no more, is not on the machine, and cannot arrive late.
+    fn maybe_never(&mut self, m: MachineIx, k: TaskKey) {
+        let machine = self.machines.at(m);
+        let Some(h) = machine.tasks.get(&k) else { return };
+        if h.stop.is_some() && !machine.loose.contains_key(&k) && !machine.direct_busy {
+            self.release(m, k);
+            self.requeue(k);
+        }
+    }
+
+    fn exited(&mut self, m: MachineIx, k: TaskKey, t: &TaskReport, now: f64) {
+        let Some(held) = self.release(m, k) else { return };
+        self.machines.at_mut(m).leftovers.insert(k, (t.attempt, Leftover::Ended));
+        match t.why {
+            Some(Why::Done) => {
+                let machine = self.machines.at_mut(m);
+                machine.successes += 1;
+                machine.fails.clear();
+                self.jobs.at_mut(k.0).failed_on.clear();
+                self.task_done(k);
+            }
+            Some(Why::Error) => self.task_failed(m, k, now),
+            Some(Why::NoRoom) => {
+                // It counts something that is not known here: look again after its next report.
+                self.machines.at_mut(m).quarantined_until = now + self.report_s;
+            }
+            Some(Why::Unknown) => self.jobs.at_mut(k.0).not_before = now + 2.0,
+            _ => {}
+        }
+        log::debug!(
+            "{}/{} on {} ended: {:?} (attempt {})",
+            self.jobs.at(k.0).id,
+            k.1,
+            self.machines.at(m).name,
+            t.why,
+            held.attempt
+        );
+        self.requeue(k);
+    }
+
+    /// One machine on which several jobs fail is faulty; one job that fails on
+    /// several machines is.
+    fn task_failed(&mut self, m: MachineIx, k: TaskKey, now: f64) {
+        let job = self.jobs.at_mut(k.0);
+        if !job.failed_on.contains(&m) {
+            job.failed_on.push(m);
+        }
+        let on = job.failed_on.len();
+        if on >= 3 {
+            job.not_before = now + f64::from(2u32.saturating_pow(on.min(6) as u32));
+        }
+        let machine = self.machines.at_mut(m);
+        machine.fails.retain(|f| now - f.1 < 60.0);
+        machine.fails.push((k.0, now));
+        let mut jobs: Vec<_> =
+            machine.fails.iter().map(|f| f.0).filter(|j| self.jobs.at(*j).failed_on.len() < 3).collect();
+        jobs.sort();
+        jobs.dedup();
+        if (jobs.len() >= 2 || machine.fails.len() >= 3 && !jobs.is_empty()) && now >= machine.quarantined_until {
+            log::warn!("machine {} fails its tasks: set aside", machine.name);
+            machine.quarantined_until = now + 1e6;
+        }
+    }
+
+    /// A machine under notice: what can save does so now, services move, the rest may yet finish.
+    fn drain_on_notice(&mut self, m: MachineIx) {
+        if self.machines.at(m).notice_until.is_none() {
+            return;
+        }
+        let keys: Vec<TaskKey> = self.machines.at(m).tasks.keys().copied().collect();
+        for k in keys {
+            let job = self.jobs.at(k.0);
+            if job.spec.checkpoint_s > 0.0 || job.is_service() {
+                let g = self.grace(k.0);
+                self.stop_task(m, k, g);
+            }
+        }
+    }
+
+    fn command(&self, op: Op, k: TaskKey, attempt: u64, grace_s: Option<f64>) -> Command {
+        Command { op, task: format!("{}/{}", self.jobs.at(k.0).id, k.1), attempt, grace_s }
+    }
+
+    /// May an ended attempt be forgotten? Not while its result is only there, and
+    /// not while a start of it may still arrive and run it again.
+    fn may_forget(&self, m: MachineIx, k: TaskKey, attempt: u64) -> bool {
+        let machine = self.machines.at(m);
+        if machine.loose.get(&k) == Some(&attempt) || machine.direct_busy && machine.loose.contains_key(&k) {
+            return false;
+        }
+        let job = self.jobs.at(k.0);
+        job.phase != Phase::Open || !matches!(job.tasks.get(k.1 as usize), Some(Slot::Done { stored: false }))
+    }
+
+    /// Everything that the machine should be told, in the reply to its report.
+    fn report_commands(&mut self, m: MachineIx, r: &Report, now: f64) -> Vec<Command> {
+        let machine = self.machines.at(m);
+        if !machine.reported_token {
+            return Vec::new();
+        }
+        let mut out = Vec::new();
+        for t in &r.tasks {
+            if self.key_of(&t.task).is_none() {
+                let op = if t.state == TaskState::Exited { Op::Forget } else { Op::Stop };
+                let grace_s = (op == Op::Stop).then_some(0.0);
+                out.push(Command { op, task: t.task.clone(), attempt: t.attempt, grace_s });
+            }
+        }
+        for (k, (attempt, what)) in &machine.leftovers {
+            match what {
+                Leftover::Stray => out.push(self.command(Op::Stop, *k, *attempt, Some(0.0))),
+                Leftover::Ended if self.may_forget(m, *k, *attempt) => {
+                    out.push(self.command(Op::Forget, *k, *attempt, None))
+                }
+                Leftover::Ended => {}
+            }
+        }
+        for (k, h) in &machine.tasks {
+            match (h.state, h.stop) {
+                (HeldState::Planned, _) => {}
+                (HeldState::Commanded, None) => out.push(self.command(Op::Start, *k, h.attempt, None)),
+                (HeldState::Commanded, Some(_)) => {
+                    // Its start may still be on its way: an attempt that the machine has seen
+                    // end cannot start any more, so it is made to see it.
+                    if self.jobs.at(k.0).phase == Phase::Open || now - h.since < self.lease_s / 2.0 {
+                        out.push(self.command(Op::Start, *k, h.attempt, None));
+                    }
+                    out.push(self.command(Op::Stop, *k, h.attempt, Some(0.0)));
+                }
+                (HeldState::Saving, Some(g)) if g > 0.0 => {}
+                (_, Some(g)) => out.push(self.command(Op::Stop, *k, h.attempt, Some(g))),
+                _ => {}
+            }
+        }
+        out.truncate(MOST_COMMANDS);
+        let machine = self.machines.at_mut(m);
+        for h in machine.tasks.values_mut() {
+            if h.stop.is_some() {
+                h.stop_sent = now;
+            }
+        }
+        out
+    }
+
+    /// The next machine that should hear from us directly.
+    pub fn next_direct(&mut self, now: f64) -> Option<DirectSend> {
+        let due: Vec<MachineIx> = self
+            .machines
+            .iter()
+            .filter(|(_, m)| m.direct_due && !m.direct_busy && now >= m.direct_not_before)
+            .map(|(i, _)| i)
+            .collect();
+        for m in due {
+            if let Some(d) = self.direct_for(m, now) {
+                return Some(d);
+            }
+        }
+        None
+    }
+
+    fn direct_for(&mut self, m: MachineIx, now: f64) -> Option<DirectSend> {
+        let machine = self.machines.at(m);
+        let probing = !machine.reported_token;
+        let addr = machine.addr;
+        let fit = matches!(machine.phase, MachinePhase::Up) && (machine.session > 0 || probing);
+        let (Some(addr), true) = (addr, fit) else {
+            self.machines.at_mut(m).direct_due = false;
+            return None;
+        };
+        let mut commands = Vec::new();
+        let mut starts = Vec::new();
+        if !probing {
+            for (k, h) in &machine.tasks {
+                match (h.state, h.stop) {
+                    (HeldState::Commanded, None) if h.sent < 0.0 => {
+                        commands.push(self.command(Op::Start, *k, h.attempt, None));
+                        starts.push((*k, h.attempt));
+                    }
+                    (HeldState::Fetching | HeldState::Running | HeldState::Saving, Some(g)) if h.stop_sent < 0.0 => {
+                        commands.push(self.command(Op::Stop, *k, h.attempt, Some(g)));
+                    }
+                    _ => {}
+                }
+            }
+        }
+        let session = machine.session;
+        let token = self.token;
+        let machine = self.machines.at_mut(m);
+        machine.direct_due = false;
+        if commands.is_empty() && !probing {
+            return None;
+        }
+        for (k, a) in &starts {
+            machine.loose.insert(*k, *a);
+            if let Some(h) = machine.tasks.get_mut(k) {
+                h.sent = now;
+            }
+        }
+        for h in machine.tasks.values_mut() {
+            if h.stop.is_some() {
+                h.stop_sent = now;
+            }
+        }
+        machine.direct_busy = true;
+        Some(DirectSend { machine: m, addr, body: DirectCommands { token, session, commands }, starts })
+    }
+
+    /// What became of commands sent directly.
+    pub fn on_direct(&mut self, sent: &DirectSend, outcome: crate::worker::Direct, now: f64) {
+        use crate::worker::Direct;
+        let m = sent.machine;
+        let machine = self.machines.at_mut(m);
+        machine.direct_busy = false;
+        let settled = !matches!(outcome, Direct::Unknown);
+        if settled && machine.session == sent.body.session || sent.starts.is_empty() {
+            for (k, a) in &sent.starts {
+                if machine.loose.get(k) == Some(a) {
+                    machine.loose.remove(k);
+                }
+            }
+        }
+        match outcome {
+            Direct::Answered { executed, report } => {
+                let probing = !machine.reported_token;
+                if let Some(r) = report.filter(|r| *r.machine == *machine.name) {
+                    // A direct answer renews no lease.
+                    let _ = self.absorb(&r, now);
+                }
+                let machine = self.machines.at_mut(m);
+                if probing && !machine.reported_token {
+                    machine.direct_due = true;
+                    machine.direct_not_before = now + if executed { 1.0 } else { 0.05 };
+                } else if machine.tasks.values().any(|h| h.sent < 0.0 && h.state == HeldState::Commanded) {
+                    machine.direct_due = true;
+                }
+            }
+            Direct::NotSent | Direct::Unknown => {
+                machine.direct_not_before = now + DIRECT_PAUSE_S;
+                machine.direct_due = !machine.reported_token;
+                machine.probe_failed += 1;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/shard/sizing.rs
@@ -0,0 +1,399 @@
+//! The leader's loop over the fleet: how many machines, which to rent or return,
+//! and which have been silent for too long.
+
+use super::{EPS, FleetRecord, PoolRecord, Shard, type_fits};
+use crate::clock::stretched;
+use crate::fleet::launch::Launch;
+use crate::fleet::mixture::mixture;
+use crate::fleet::{HeldState, Machine, Phase as MachinePhase};
+use crate::intern::{Index, MachineIx, TypeIx, ZoneIx};
+use crate::wire::{ListedMachine, ListedState};
+use std::collections::{BTreeMap, HashMap};
+
+/// A call that the node's loop makes to the cloud.
+#[derive(Debug)]
+pub enum CloudCall {
+    Rent(Launch),
+    Delete(Vec<MachineIx>, Vec<String>),
+}
+
+/// A machine that was deleted costs at least this long.
+const LEAST_PAID_S: f64 = 60.0;
+const MOST_DELETED: usize = 100;
+const MOVE_EVERY_S: f64 = 1.0;
+/// Cpu room on on-demand machines kept for services, in tasks of theirs a machine.
+const SERVICE_ROOM: f64 = 2.0;
+
+impl Shard {
+    /// A machine is silent once two of its reports are overdue.
+    pub fn silent_s(&self) -> f64 {
+        self.report_s * 1.25 * 2.0 + 1.5
+    }
+
+    /// Leases that ran out, machines that fell silent, boots that take too long.
+    pub(super) fn watch_machines(&mut self, now: f64) {
+        let lease = stretched(self.lease_s);
+        let silent_s = self.silent_s();
+        let (mut up, mut silent) = (0usize, 0usize);
+        for (_, m) in self.machines.iter() {
+            if m.phase == MachinePhase::Up && m.reported_token {
+                up += 1;
+                silent += usize::from(now - m.last_heard > silent_s);
+            }
+        }
+        // When many fall silent at once, it is rather we who are cut off.
+        let few_silent = silent <= 1 || silent * 3 <= up;
+        let all: Vec<MachineIx> = self.machines.present.iter().copied().collect();
+        for i in all {
+            let m = self.machines.at(i);
+            let over = m.last_ok.map_or(f64::MIN, |t| t + lease).max(m.unresolved_until.unwrap_or(f64::MIN));
+            if over > f64::MIN && now > over {
+                log::warn!("machine {}: its lease is over, {} tasks are gone", m.name, m.tasks.len());
+                self.all_gone(i);
+            }
+            let m = self.machines.at(i);
+            let quiet = now - m.last_heard;
+            match m.phase {
+                MachinePhase::Booting => {
+                    let boot = self.types.get(m.ty).boot_s;
+                    if now - m.born > boot * 4.0 + 15.0 {
+                        log::warn!("machine {} does not come up", m.name);
+                        let (ty, zone, spot) = (m.ty, m.zone, m.spot);
+                        if let (true, Some(p)) = (spot, self.pools.get_mut(&ty)) {
+                            p.zones.failed(zone);
+                        }
+                        self.retire(i);
+                    }
+                }
+                MachinePhase::Up => {
+                    let taken = m.notice_until.is_some_and(|t| now > t + 1.0) && quiet > self.report_s * 1.25 + 0.5;
+                    let lost = quiet > silent_s && m.reported_token && few_silent || quiet > lease * 2.0;
+                    let faulty = now < m.quarantined_until && m.quarantined_until > now + 1e5 && m.tasks.is_empty();
+                    let emptied = m.cordoned && m.tasks.is_empty() && m.resolved() && now - m.born > LEAST_PAID_S;
+                    if taken || lost || faulty || emptied {
+                        log::info!(
+                            "machine {} goes: taken {taken}, silent {lost} ({quiet:.1} s), faulty {faulty}, not needed {emptied}",
+                            m.name
+                        );
+                        self.retire(i);
+                    }
+                }
+                MachinePhase::Retiring | MachinePhase::Gone => {}
+            }
+        }
+    }
+
+    /// Marked in the state service first, then deleted; never used again.
+    pub(super) fn retire(&mut self, m: MachineIx) {
+        let machine = self.machines.at_mut(m);
+        if matches!(machine.phase, MachinePhase::Retiring | MachinePhase::Gone) {
+            return;
+        }
+        machine.phase = MachinePhase::Retiring;
+        if machine.record_stored || machine.record_dirty {
+            machine.record_dirty = true;
+            self.records.insert(m);
+        } else {
+            self.deletes.insert(m);
+        }
+    }
+
+    /// The cloud said that these machines are gone, with all that was on them.
+    pub fn on_deleted(&mut self, machines: &[MachineIx]) {
+        for &m in machines {
+            self.deletes.remove(&m);
+            self.all_gone(m);
+            let machine = self.machines.at_mut(m);
+            machine.phase = MachinePhase::Gone;
+            machine.deleting = false;
+            if machine.record_stored {
+                self.cleanup.insert(crate::fleet::machine_key(&machine.name));
+            }
+            self.machines.present.remove(&m);
+        }
+    }
+
+    pub fn on_delete_failed(&mut self, machines: &[MachineIx]) {
+        for &m in machines {
+            self.machines.at_mut(m).deleting = false;
+        }
+    }
+
+    pub fn next_delete(&mut self) -> Option<CloudCall> {
+        let due: Vec<MachineIx> =
+            self.deletes.iter().copied().filter(|&m| !self.machines.at(m).deleting).take(MOST_DELETED).collect();
+        if due.is_empty() {
+            return None;
+        }
+        let names = due.iter().map(|&m| self.machines.at(m).name.to_string()).collect();
+        for &m in &due {
+            self.machines.at_mut(m).deleting = true;
+        }
+        Some(CloudCall::Delete(due, names))
+    }
+
+    pub fn on_rented(&mut self, l: &Launch, names: &[String], now: f64) {
+        self.launches.finished(&l.name);
+        for n in names {
+            self.machines.add(n, l.ty, l.zone, l.spot, now);
+        }
+        if names.len() < l.count {
+            self.refused(l, now);
+        } else {
+            self.launches.granted(l.ty, l.zone, l.spot);
+        }
+    }
+
+    /// No capacity, or not for all: this zone is preemptive for now.
+    pub fn refused(&mut self, l: &Launch, now: f64) {
+        self.launches.finished(&l.name);
+        self.launches.refused(l.ty, l.zone, l.spot, now);
+        if let (true, Some(p)) = (l.spot, self.pools.get_mut(&l.ty)) {
+            p.zones.failed(l.zone);
+        }
+    }
+
+    /// The cloud's list, which lags and may be older than the one before.
+    pub fn on_list(&mut self, list: &[ListedMachine], now: f64) {
+        let mut listed = std::collections::HashSet::new();
+        for l in list {
+            let known = self.machines.find(&l.id);
+            let m = match known {
+                Some(m) => m,
+                None => {
+                    let Some(ty) = self.types.names.find(&l.type_name) else { continue };
+                    let zone = self.types.zones.intern(&l.zone);
+                    log::info!("machine {} was not expected: adopted from the list", l.id);
+                    self.machines.add(&l.id, ty, zone, l.spot, now - l.age_s - self.list_lag_s)
+                }
+            };
+            listed.insert(m);
+            let machine = self.machines.at_mut(m);
+            machine.listed = true;
+            machine.missing = 0;
+            if machine.addr.is_none() {
+                machine.addr = l.addr.parse().ok();
+            }
+            if l.state == ListedState::Failed {
+                self.retire(m);
+            }
+        }
+        let missing: Vec<MachineIx> =
+            self.machines.iter().filter(|(i, m)| m.listed && !listed.contains(i)).map(|(i, _)| i).collect();
+        for i in missing {
+            let m = self.machines.at_mut(i);
+            m.missing += 1;
+            // Gone from two lists and silent: a deletion says for certain that it is gone.
+            if m.missing >= 2 && now - m.last_heard > self.report_s * 1.25 + 0.5 {
+                self.retire(i);
+            }
+        }
+    }
+
+    fn share(&self, r: &crate::wire::JobRequest, ty: TypeIx) -> f64 {
+        let t = self.types.get(ty);
+        let part = |need: f64, has: f64| if need > 0.0 { need / has.max(EPS) } else { 0.0 };
+        part(r.cpus, t.cpus).max(part(r.memory_gb, t.memory_gb)).max(part(r.cards, t.cards))
+    }
+
+    /// The cheapest type on which a job's tasks fit.
+    fn pool_of(&self, r: &crate::wire::JobRequest) -> Option<TypeIx> {
+        (0..self.types.list.len()).map(TypeIx::new).filter(|&t| type_fits(r, self.types.get(t))).min_by(|&a, &b| {
+            let cost = |t: TypeIx| {
+                let p = self.types.get(t);
+                self.share(r, t) * if r.spot && p.spot_price > 0.0 { p.spot_price } else { p.price }
+            };
+            cost(a).total_cmp(&cost(b))
+        })
+    }
+
+    /// Demand in machines, per type: that may use spot machines, and that may not.
+    fn demand(&self) -> HashMap<TypeIx, (f64, f64)> {
+        let mut out: HashMap<TypeIx, (f64, f64)> = HashMap::new();
+        let mut room: Vec<f64> =
+            self.teams.iter().map(|t| if t.spec.cpus_max > 0.0 { t.spec.cpus_max } else { f64::INFINITY }).collect();
+        for &j in &self.jobs.live {
+            let job = self.jobs.at(j);
+            if !job.open() || job.failed_on.len() >= 3 {
+                continue;
+            }
+            let Some(ty) = self.pool_of(&job.spec) else { continue };
+            let mut n = f64::from(job.unfinished());
+            let left = &mut room[job.team.ix()];
+            if job.spec.cpus > 0.0 {
+                n = n.min((*left / job.spec.cpus).max(0.0));
+                *left -= n * job.spec.cpus;
+            }
+            let d = out.entry(ty).or_default();
+            let size = n * self.share(&job.spec, ty);
+            if job.spec.spot { d.0 += size } else { d.1 += size }
+        }
+        out
+    }
+
+    pub(super) fn size_fleet(&mut self, now: f64) {
+        let demand = self.demand();
+        let types: Vec<TypeIx> = self.pools.keys().copied().collect();
+        let gathered = self.gathered(now);
+        for ty in types {
+            let (spot_demand, mut base_demand) = demand.get(&ty).copied().unwrap_or_default();
+            let size = self.types.get(ty).cpus;
+            if base_demand > 0.0 {
+                base_demand = (base_demand + SERVICE_ROOM * self.service_cpus.max(1.0) / size).max(1.5);
+            }
+            let count = |spot: bool, ready: bool| {
+                self.machines
+                    .iter()
+                    .filter(|(_, m)| m.ty == ty && m.spot == spot && staying(m, now))
+                    .filter(|(_, m)| m.phase == MachinePhase::Up || !ready)
+                    .count()
+            };
+            let (spot_up, spot_now, ordinary_now) = (count(true, true), count(true, false), count(false, false));
+            let (window, hold, extra) = (self.tuning.window_s, self.tuning.hold_s, self.tuning.extra);
+            let Some(pool) = self.pools.get_mut(&ty) else { continue };
+            let target = pool.target.update(now, spot_demand, window, hold);
+            let base = pool.base.update(now, base_demand, 1.0, hold);
+            pool.mix = mixture(target, extra, spot_up, base);
+            if !gathered {
+                // What a successor has not heard of yet still counts as there.
+                continue;
+            }
+            let mix = pool.mix;
+            let spot_pending = self.launches.pending_count(true);
+            self.adjust(ty, true, mix.spot, spot_now, spot_pending, now);
+            let pending = self.launches.pending_count(false);
+            self.adjust(ty, false, mix.base + mix.fallback, ordinary_now, pending, now);
+        }
+        if now - self.moved_at >= MOVE_EVERY_S {
+            self.moved_at = now;
+            self.move_one_service(now);
+        }
+    }
+
+    /// Works out the difference between wanted and present machines of one kind.
+    fn adjust(&mut self, ty: TypeIx, spot: bool, wanted: usize, present: usize, pending: usize, now: f64) {
+        if wanted > present + pending {
+            let mut short = wanted - present - pending;
+            let mut cordoned: Vec<MachineIx> = self
+                .machines
+                .iter()
+                .filter(|(_, m)| {
+                    m.ty == ty
+                        && m.spot == spot
+                        && m.cordoned
+                        && m.phase == MachinePhase::Up
+                        && m.notice_until.is_none()
+                })
+                .map(|(i, _)| i)
+                .collect();
+            while let (true, Some(m)) = (short > 0, cordoned.pop()) {
+                self.machines.at_mut(m).cordoned = false;
+                self.place_due = true;
+                short -= 1;
+            }
+            if short > 0 {
+                self.rent(ty, spot, short, now);
+            }
+        } else if present > wanted {
+            let mut up: Vec<(bool, usize, f64, MachineIx)> = self
+                .machines
+                .iter()
+                .filter(|(_, m)| m.ty == ty && m.spot == spot && staying(m, now) && m.phase == MachinePhase::Up)
+                .map(|(i, m)| {
+                    let services = m.tasks.keys().filter(|k| self.jobs.at(k.0).is_service()).count();
+                    (services > 0, services, m.cpus_used, i)
+                })
+                .collect();
+            up.sort_by(|a, b| (a.0, a.1).cmp(&(b.0, b.1)).then(a.2.total_cmp(&b.2)));
+            for (_, _, _, i) in up.into_iter().take(present - wanted) {
+                self.machines.at_mut(i).cordoned = true;
+            }
+        }
+    }
+
+    fn rent(&mut self, ty: TypeIx, spot: bool, short: usize, now: f64) {
+        let zones = self.types.zones.len();
+        let mut current = self.launches.pending_in(spot, zones);
+        for (_, m) in self.machines.iter().filter(|(_, m)| m.ty == ty && m.spot == spot && staying(m, now)) {
+            current[m.zone.ix()] += 1;
+        }
+        let mut asked: BTreeMap<ZoneIx, usize> = BTreeMap::new();
+        let t = self.types.get(ty);
+        let price = if spot { t.spot_price } else { t.price };
+        let offered: Vec<ZoneIx> = t.zones.iter().filter_map(|z| self.types.zones.find(z)).collect();
+        let all = crate::fleet::zones::ZoneLists::new(offered.iter().copied());
+        let Some(pool) = self.pools.get(&ty) else { return };
+        // On-demand machines go to the zone with the fewest, whatever the lists say.
+        let lists = if spot { &pool.zones } else { &all };
+        for _ in 0..short {
+            let usable = |z: ZoneIx| offered.contains(&z) && self.launches.may_ask(ty, z, spot, now);
+            let Some(z) = lists.choose(|_| price, &current, usable) else { break };
+            current[z.ix()] += 1;
+            *asked.entry(z).or_default() += 1;
+        }
+        for (z, n) in asked {
+            let l = self.launches.ask(ty, z, spot, n);
+            log::info!(
+                "renting {} {} machines in zone {}",
+                l.count,
+                if spot { "spot" } else { "on-demand" },
+                self.types.zones.name(z)
+            );
+        }
+    }
+
+    /// Services leave machines that are to be returned, one task at a time, and
+    /// only where another machine can take them at once.
+    fn move_one_service(&mut self, now: f64) {
+        let mut from: Option<(MachineIx, crate::jobs::TaskKey)> = None;
+        for (i, m) in self.machines.iter().filter(|(_, m)| m.cordoned && m.phase == MachinePhase::Up) {
+            for (k, h) in &m.tasks {
+                let job = self.jobs.at(k.0);
+                if job.is_service() && h.state == HeldState::Running && h.stop.is_none() && job.held == job.spec.tasks {
+                    let ready = job.image.is_none_or(|im| {
+                        self.machines.iter().any(|(_, o)| {
+                            o.usable(now, self.report_s * 1.6)
+                                && o.has_image(im)
+                                && crate::placement::fits(self, job, o)
+                        })
+                    });
+                    if ready {
+                        from = Some((i, *k));
+                    }
+                }
+            }
+            if from.is_some() {
+                break;
+            }
+        }
+        if let Some((m, k)) = from {
+            let g = self.grace(k.0);
+            self.stop_task(m, k, g);
+        }
+    }
+
+    pub fn fleet_record(&self) -> FleetRecord {
+        let mut pools: Vec<PoolRecord> = self
+            .pools
+            .iter()
+            .map(|(ty, p)| PoolRecord {
+                type_name: self.types.names.name(*ty).to_string(),
+                active: p.zones.active.iter().map(|z| self.types.zones.name(*z).to_string()).collect(),
+                preemptive: p.zones.preemptive.iter().map(|z| self.types.zones.name(*z).to_string()).collect(),
+                target: p.mix.target,
+                spot: p.mix.spot,
+                on_demand: p.mix.base + p.mix.fallback,
+            })
+            .collect();
+        pools.sort_by(|a, b| a.type_name.cmp(&b.type_name));
+        FleetRecord { pools }
+    }
+}
+
+/// Does this machine count as part of the fleet?
+fn staying(m: &Machine, now: f64) -> bool {
+    matches!(m.phase, MachinePhase::Up | MachinePhase::Booting)
+        && !m.cordoned
+        && m.notice_until.is_none()
+        && now >= m.quarantined_until
+}
--- /dev/null
+++ b/src/state.rs
@@ -0,0 +1,203 @@
+//! Client of the state service.
+
+use crate::budget::Budget;
+use crate::clock;
+use crate::http::{CallError, Client};
+use crate::wire::{self, Change, Condition, Events, Item, Items, LeaseAnswer, LeaseRequest, Revision, Txn};
+use async_io::Timer;
+use http_types::Method;
+use serde::de::DeserializeOwned;
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::time::Duration;
+
+#[derive(Debug, Clone, thiserror::Error, PartialEq, Eq)]
+pub enum StateError {
+    /// Certainly not executed.
+    #[error("not executed ({0})")]
+    NotExecuted(u16),
+    /// May have been executed, or may still be.
+    #[error("outcome unknown")]
+    Unknown,
+    #[error("no such lease")]
+    NoSuchLease,
+    #[error("history is gone")]
+    TooOld,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Commit {
+    Applied(u64),
+    Failed(Vec<String>),
+}
+
+pub struct StateClient {
+    addr: SocketAddr,
+    http: Client,
+    watches: Client,
+    requests: Mutex<Budget>,
+    writes: Mutex<Budget>,
+    pub value_bytes: usize,
+    pub txn_ops: usize,
+}
+
+/// Largest transaction that is sent, with room for its frame.
+pub const TXN_BYTES: usize = 56 * 1024;
+
+fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T, StateError> {
+    serde_json::from_slice(body).map_err(|_| StateError::Unknown)
+}
+
+impl StateClient {
+    /// `share` is the part of the service's limits that this controller may use
+    /// at the moment: the owner writes the most.
+    pub fn new(s: &crate::settings::Settings) -> StateClient {
+        let n = (s.peers.len() + 1) as f64;
+        StateClient {
+            addr: s.state,
+            http: Client::new(8),
+            watches: Client::new(2),
+            requests: Mutex::new(Budget::new(s.state_rps * 0.9 / n, s.state_rps * 0.9 / n)),
+            writes: Mutex::new(Budget::new(s.write_rps * 0.9 / n, s.write_rps * 0.9 / n)),
+            value_bytes: (s.value_kb * 1024.0) as usize,
+            txn_ops: s.txn_ops,
+        }
+    }
+
+    /// The owner writes most; the others only accept jobs.
+    pub fn set_share(&self, s: &crate::settings::Settings, owner: bool) {
+        let others = s.peers.len() as f64;
+        let share = match (owner, others > 0.0) {
+            (true, true) => 0.6,
+            (true, false) => 0.9,
+            (false, _) => 0.3 / others.max(1.0),
+        };
+        *lock(&self.requests) = Budget::new(s.state_rps * share, s.state_rps * share);
+        *lock(&self.writes) = Budget::new(s.write_rps * share, s.write_rps * share);
+    }
+
+    pub fn writes_available(&self) -> usize {
+        lock(&self.writes).available(clock::now())
+    }
+
+    async fn take(&self, which: &Mutex<Budget>, n: usize, limit: Duration) -> Result<(), StateError> {
+        let until = clock::now() + limit.as_secs_f64();
+        loop {
+            if lock(which).try_take(clock::now(), n) {
+                return Ok(());
+            }
+            if clock::now() > until {
+                return Err(StateError::NotExecuted(429));
+            }
+            Timer::after(Duration::from_millis(15)).await;
+        }
+    }
+
+    async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        body: Option<Vec<u8>>,
+        limit: Duration,
+    ) -> Result<(u16, Vec<u8>), StateError> {
+        self.take(&self.requests, 1, limit).await?;
+        match self.http.call(self.addr, method, path, body, limit).await {
+            Ok((429, _)) => {
+                lock(&self.requests).drain(clock::now());
+                Err(StateError::NotExecuted(429))
+            }
+            Ok((503, _)) => Err(StateError::NotExecuted(503)),
+            Ok(r) => Ok(r),
+            Err(CallError::NotSent) => Err(StateError::NotExecuted(0)),
+            Err(CallError::NoAnswer) => Err(StateError::Unknown),
+        }
+    }
+
+    pub async fn get(&self, key: &str) -> Result<Option<Item>, StateError> {
+        match self.call(Method::Get, &format!("{}/{key}", wire::KV_PATH), None, Duration::from_millis(1500)).await? {
+            (200, b) => Ok(Some(parse(&b)?)),
+            (404, _) => Ok(None),
+            (s, _) => Err(StateError::NotExecuted(s)),
+        }
+    }
+
+    /// All items under a prefix, and a revision from which a watch misses nothing.
+    pub async fn list(&self, prefix: &str) -> Result<(Vec<Item>, u64), StateError> {
+        let mut all = Vec::new();
+        let mut after = String::new();
+        let mut from = None;
+        loop {
+            let q = wire::list_query(prefix, &after, 1000);
+            let (s, b) = self.call(Method::Get, &q, None, Duration::from_secs(4)).await?;
+            if s != 200 {
+                return Err(StateError::NotExecuted(s));
+            }
+            let page: Items = parse(&b)?;
+            from.get_or_insert(page.revision);
+            after = page.items.last().map(|i| i.key.clone()).unwrap_or_default();
+            let more = page.more && !page.items.is_empty();
+            all.extend(page.items);
+            if !more {
+                return Ok((all, from.unwrap_or(0)));
+            }
+        }
+    }
+
+    pub async fn commit(&self, conditions: Vec<Condition>, changes: Vec<Change>) -> Result<Commit, StateError> {
+        self.take(&self.writes, changes.len(), Duration::from_secs(3)).await?;
+        let body = serde_json::to_vec(&Txn { conditions, changes }).map_err(|_| StateError::NotExecuted(400))?;
+        match self.call(Method::Post, wire::TXN_PATH, Some(body), Duration::from_millis(2500)).await {
+            Ok((200, b)) => Ok(Commit::Applied(parse::<Revision>(&b)?.revision)),
+            Ok((409, b)) => Ok(Commit::Failed(parse::<Revision>(&b)?.failed)),
+            Ok((400, b)) if b.windows(13).any(|w| w == b"no such lease") => Err(StateError::NoSuchLease),
+            Ok((s, b)) => {
+                log::error!("commit refused with {s}: {}", String::from_utf8_lossy(&b));
+                Err(StateError::NotExecuted(s))
+            }
+            Err(e) => {
+                if e == StateError::NotExecuted(429) {
+                    lock(&self.writes).drain(clock::now());
+                }
+                Err(e)
+            }
+        }
+    }
+
+    pub async fn grant(&self, ttl_ms: u64) -> Result<u64, StateError> {
+        let body = serde_json::to_vec(&LeaseRequest { ttl_ms }).map_err(|_| StateError::Unknown)?;
+        match self.call(Method::Post, wire::LEASES_PATH, Some(body), Duration::from_secs(2)).await? {
+            (200, b) => Ok(parse::<LeaseAnswer>(&b)?.lease),
+            (s, _) => Err(StateError::NotExecuted(s)),
+        }
+    }
+
+    pub async fn renew(&self, lease: u64, limit: Duration) -> Result<(), StateError> {
+        let path = format!("{}/{lease}/{}", wire::LEASES_PATH, wire::RENEW_END);
+        match self.call(Method::Post, &path, Some(b"{}".to_vec()), limit).await? {
+            (200, _) => Ok(()),
+            (404, _) => Err(StateError::NoSuchLease),
+            (s, _) => Err(StateError::NotExecuted(s)),
+        }
+    }
+
+    /// Ends a lease at once; its keys go with it.
+    pub async fn revoke(&self, lease: u64) -> Result<(), StateError> {
+        let path = format!("{}/{lease}", wire::LEASES_PATH);
+        self.call(Method::Delete, &path, None, Duration::from_secs(1)).await.map(|_| ())
+    }
+
+    pub async fn watch(&self, prefix: &str, from: u64, wait: Duration) -> Result<Events, StateError> {
+        self.take(&self.requests, 1, Duration::from_secs(2)).await?;
+        let q = wire::watch_query(prefix, from, wait.as_millis() as u64);
+        match self.watches.call(self.addr, Method::Get, &q, None, wait + Duration::from_secs(3)).await {
+            Ok((200, b)) => parse(&b),
+            Ok((410, _)) => Err(StateError::TooOld),
+            Ok((s, _)) => Err(StateError::NotExecuted(s)),
+            Err(_) => Err(StateError::Unknown),
+        }
+    }
+}
+
+fn lock<T>(m: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    m.lock().unwrap_or_else(|e| e.into_inner())
+}
--- /dev/null
+++ b/src/worker.rs
@@ -0,0 +1,46 @@
+//! Client of the workers' direct interface.
+
+use crate::http::{CallError, Client};
+use crate::wire::{self, DirectCommands, Report};
+use http_types::Method;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// What became of commands sent straight to a worker.
+#[derive(Debug)]
+pub enum Direct {
+    /// Executed, or refused as a whole; the report says what is on the machine.
+    Answered { executed: bool, report: Option<Report> },
+    /// Never left this controller.
+    NotSent,
+    /// May have been executed, and may still be, minutes from now.
+    Unknown,
+}
+
+pub struct WorkerClient {
+    http: Client,
+}
+
+impl Default for WorkerClient {
+    fn default() -> Self {
+        WorkerClient { http: Client::new(1) }
+    }
+}
+
+impl WorkerClient {
+    pub async fn commands(&self, addr: SocketAddr, c: &DirectCommands) -> Direct {
+        let Ok(body) = serde_json::to_vec(c) else { return Direct::NotSent };
+        match self.http.call(addr, Method::Post, wire::COMMANDS_PATH, Some(body), Duration::from_millis(2500)).await {
+            Ok((s, b)) => Direct::Answered { executed: s == 200, report: serde_json::from_slice(&b).ok() },
+            Err(CallError::NotSent) => Direct::NotSent,
+            Err(CallError::NoAnswer) => Direct::Unknown,
+        }
+    }
+
+    pub async fn status(&self, addr: SocketAddr) -> Option<Report> {
+        match self.http.call(addr, Method::Get, wire::STATUS_PATH, None, Duration::from_millis(2000)).await {
+            Ok((200, b)) => serde_json::from_slice(&b).ok(),
+            _ => None,
+        }
+    }
+}
