Count image fetches under way when choosing a machine

Cause looked for: late first starts. Ruled out: sharing of the fetch rate. Kept, since the protocol says that fetches share the rate; late starts have another cause (services land on machines without their image because batch work fills the rest).

--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -77,6 +77,14 @@
     Ended,
 }
 
+/// An image on a machine, or on its way to it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct CachedImage {
+    pub image: ImageIx,
+    pub gb: f64,
+    pub ready: bool,
+}
+
 #[derive(Debug)]
 pub struct Machine {
     pub name: std::sync::Arc<str>,
@@ -107,7 +115,7 @@
     pub retiring_stored: bool,
     /// The record must be written before planned starts may go out.
     pub record_dirty: bool,
-    pub images: Vec<(ImageIx, f64)>,
+    pub images: Vec<CachedImage>,
     pub notice_until: Option<f64>,
     pub cordoned: bool,
     pub idle_since: f64,
@@ -185,16 +193,36 @@
     }
 
     pub fn has_image(&self, image: ImageIx) -> bool {
-        self.images.iter().any(|(i, _)| *i == image)
+        self.images.iter().any(|i| i.image == image && i.ready)
+    }
+
+    /// GB to fetch until this image is there. Fetches at the same time share the
+    /// rate, so those under way count in full.
+    pub fn to_fetch_gb(&self, image: ImageIx, gb: f64) -> f64 {
+        let under_way: f64 = self.images.iter().filter(|i| !i.ready).map(|i| i.gb).sum();
+        match self.images.iter().find(|i| i.image == image) {
+            Some(i) if i.ready => 0.0,
+            Some(_) => under_way,
+            None => under_way + gb,
+        }
     }
 
     /// The most recently used images stay within the cache.
     pub fn used_image(&mut self, image: ImageIx, gb: f64, cache_gb: f64) {
-        self.images.retain(|(i, _)| *i != image);
-        self.images.push((image, gb));
-        let mut total: f64 = self.images.iter().map(|(_, g)| g).sum();
+        let ready = self.has_image(image);
+        self.images.retain(|i| i.image != image);
+        self.images.push(CachedImage { image, gb, ready });
+        let mut total: f64 = self.images.iter().map(|i| i.gb).sum();
         while total > cache_gb && self.images.len() > 1 {
-            total -= self.images.remove(0).1;
+            total -= self.images.remove(0).gb;
+        }
+    }
+
+    /// A task that needs this image runs or ran: it is there.
+    pub fn image_ready(&mut self, image: ImageIx, gb: f64) {
+        match self.images.iter_mut().find(|i| i.image == image) {
+            Some(i) => i.ready = true,
+            None => self.images.push(CachedImage { image, gb, ready: true }),
         }
     }
 
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -52,10 +52,7 @@
 /// Lower is better: seconds lost, roughly.
 fn cost(s: &Shard, job: &Job, m: &Machine) -> f64 {
     let t = s.types.get(m.ty);
-    let fetch = match job.image {
-        Some(i) if !m.has_image(i) => job.spec.image_gb / t.fetch_gb_per_s.max(0.01),
-        _ => 0.0,
-    };
+    let fetch = job.image.map_or(0.0, |i| m.to_fetch_gb(i, job.spec.image_gb) / t.fetch_gb_per_s.max(0.01));
     let full = m.cpus_used / t.cpus.max(EPS);
     let dear = if job.spec.spot && !m.spot { SPOT_WORTH_S } else { 0.0 };
     fetch + dear - PACK_WORTH_S * full
--- a/src/shard/mod.rs
+++ b/src/shard/mod.rs
@@ -16,7 +16,7 @@
 use crate::fleet::launch::Launches;
 use crate::fleet::mixture::{Mixture, Target};
 use crate::fleet::zones::ZoneLists;
-use crate::fleet::{Held, HeldState, MachineRecord, Machines, Phase as MachinePhase, Types};
+use crate::fleet::{CachedImage, Held, HeldState, MachineRecord, Machines, Phase as MachinePhase, Types};
 use crate::intern::{Index, JobIx, MachineIx, Names, TeamIx, TypeIx};
 use crate::jobs::{JobRecord, Jobs, Phase, ProgressRecord, Slot, TaskKey};
 use crate::settings::{Settings, Team};
@@ -267,7 +267,11 @@
                 self.jobs.at_mut(j).shadowed_by += 1;
             }
         }
-        let images = r.images.iter().map(|(i, g)| (self.jobs.images.intern(i), *g)).collect();
+        let images = r
+            .images
+            .iter()
+            .map(|(i, gb)| CachedImage { image: self.jobs.images.intern(i), gb: *gb, ready: true })
+            .collect();
         let until = self.began + stretched(self.lease_s);
         let machine = self.machines.at_mut(m);
         machine.addr = r.addr.parse().ok();
--- a/src/shard/reports.rs
+++ b/src/shard/reports.rs
@@ -174,6 +174,9 @@
                 }
             }
         }
+        // A fetch that no task waits for any more is given up.
+        let waited_for: Vec<_> = self.machines.at(m).tasks.keys().filter_map(|k| self.jobs.at(k.0).image).collect();
+        self.machines.at_mut(m).images.retain(|i| i.ready || waited_for.contains(&i.image));
         self.machines.at_mut(m).leftovers.retain(|k, (a, _)| listed.get(k).is_some_and(|t| t.attempt == *a));
         for (k, t) in listed {
             let machine = self.machines.at(m);
@@ -213,13 +216,6 @@
                 sent: now,
             },
         );
-        let (image, gb) = (self.jobs.at(k.0).image, self.jobs.at(k.0).spec.image_gb);
-        let machine = self.machines.at_mut(m);
-        if let Some(i) = image
-            && !machine.has_image(i)
-        {
-            machine.images.push((i, gb));
-        }
         self.seen(m, k, t.state, now);
     }
 
@@ -241,9 +237,15 @@
         let runs = h.state == HeldState::Running;
         if runs && !was_running {
             h.running_since = now;
+            let waited = now - h.since;
+            log::debug!("{}/{} runs after {waited:.2} s", self.jobs.at(k.0).id, k.1);
         }
         let job = self.jobs.at_mut(k.0);
         job.running = job.running + u32::from(runs) - u32::from(was_running);
+        if let (true, Some(i)) = (runs, job.image) {
+            let gb = job.spec.image_gb;
+            self.machines.at_mut(m).image_ready(i, gb);
+        }
     }
 
     /// A start that is wanted no more, is not on the machine, and cannot arrive late.
@@ -258,6 +260,10 @@
 
     fn exited(&mut self, m: MachineIx, k: TaskKey, t: &TaskReport, now: f64) {
         let Some(held) = self.release(m, k) else { return };
+        if let (Some(Why::Done), Some(i)) = (t.why, self.jobs.at(k.0).image) {
+            let gb = self.jobs.at(k.0).spec.image_gb;
+            self.machines.at_mut(m).image_ready(i, gb);
+        }
         self.machines.at_mut(m).leftovers.insert(k, (t.attempt, Leftover::Ended));
         match t.why {
             Some(Why::Done) => {
--- a/src/shard/writes.rs
+++ b/src/shard/writes.rs
@@ -159,7 +159,12 @@
         let mut names: Vec<String> = jobs.iter().map(|j| self.jobs.at(*j).id.to_string()).collect();
         names.sort();
         let mut images: Vec<(String, f64)> =
-            machine.images.iter().map(|(i, g)| (self.jobs.images.name(*i).to_string(), *g)).collect();
+            machine
+            .images
+            .iter()
+            .filter(|i| i.ready)
+            .map(|i| (self.jobs.images.name(i.image).to_string(), i.gb))
+            .collect();
         // The names of images are a help and not a need: they give way to the jobs.
         let used: usize = names.iter().map(|n| n.len() + 3).sum();
         images.truncate((self.value_bytes.saturating_sub(used + 512) / 64).min(16));
