Keep an on-demand base for services, with room on it

The base is the on-demand machines with the most services; batch work leaves room for four tasks there. Not enough: what batch took in the first minute stays.

--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -118,6 +118,8 @@
     pub images: Vec<CachedImage>,
     pub notice_until: Option<f64>,
     pub cordoned: bool,
+    /// Part of the on-demand base: services first, batch work only in what they leave.
+    pub base: bool,
     pub idle_since: f64,
     pub fails: Vec<(JobIx, f64)>,
     pub successes: u32,
@@ -162,6 +164,7 @@
             images: Vec::new(),
             notice_until: None,
             cordoned: false,
+            base: false,
             idle_since: now,
             fails: Vec::new(),
             successes: 0,
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -10,8 +10,10 @@
 use crate::shard::{EPS, Shard};
 use crate::wire::Priority;
 
-/// Cpu room on an on-demand machine that batch work leaves to services, in their tasks.
-const SERVICE_ROOM: f64 = 2.0;
+/// Cpu room on a machine of the on-demand base that batch work leaves to services, in their tasks.
+const SERVICE_ROOM: f64 = 4.0;
+/// Seconds that a service gains on a machine of the base, and batch work off it.
+const BASE_WORTH_S: f64 = 4.0;
 /// Seconds of fetching that a spot machine is worth more than an on-demand one.
 const SPOT_WORTH_S: f64 = 6.0;
 /// Seconds that a full machine is preferred by over an empty one.
@@ -44,7 +46,7 @@
 
 /// Does the machine keep enough room for services if batch work takes this?
 fn leaves_room(s: &Shard, job: &Job, m: &Machine) -> bool {
-    m.spot
+    !m.base
         || job.spec.priority == Priority::Production
         || m.cpus_used + job.spec.cpus + SERVICE_ROOM * s.service_cpus <= s.types.get(m.ty).cpus + EPS
 }
@@ -55,7 +57,12 @@
     let fetch = job.image.map_or(0.0, |i| m.to_fetch_gb(i, job.spec.image_gb) / t.fetch_gb_per_s.max(0.01));
     let full = m.cpus_used / t.cpus.max(EPS);
     let dear = if job.spec.spot && !m.spot { SPOT_WORTH_S } else { 0.0 };
-    fetch + dear - PACK_WORTH_S * full
+    let base = match (m.base, job.spec.priority == Priority::Production) {
+        (true, true) => -BASE_WORTH_S,
+        (true, false) => BASE_WORTH_S,
+        _ => 0.0,
+    };
+    fetch + dear + base - PACK_WORTH_S * full
 }
 
 fn best(s: &Shard, job: &Job, now: f64) -> Option<MachineIx> {
--- a/src/shard/sizing.rs
+++ b/src/shard/sizing.rs
@@ -259,6 +259,7 @@
                 continue;
             }
             let mix = pool.mix;
+            self.choose_base(ty, mix.base, now);
             let spot_pending = self.launches.pending_count(true);
             self.adjust(ty, true, mix.spot, spot_now, spot_pending, now);
             let pending = self.launches.pending_count(false);
@@ -270,6 +271,25 @@
         }
     }
 
+    /// The base are the on-demand machines with the most services: they have the
+    /// images, and so the next service starts there at once.
+    fn choose_base(&mut self, ty: TypeIx, count: usize, now: f64) {
+        let mut up: Vec<(usize, MachineIx)> = self
+            .machines
+            .iter()
+            .filter(|(_, m)| m.ty == ty && !m.spot && staying(m, now) && m.phase == MachinePhase::Up)
+            .map(|(i, m)| (self.services_on(m), i))
+            .collect();
+        up.sort_by_key(|(services, i)| (std::cmp::Reverse(*services), *i));
+        for (rank, (_, i)) in up.into_iter().enumerate() {
+            self.machines.at_mut(i).base = rank < count;
+        }
+    }
+
+    fn services_on(&self, m: &Machine) -> usize {
+        m.tasks.keys().filter(|k| self.jobs.at(k.0).is_service()).count()
+    }
+
     /// Works out the difference between wanted and present machines of one kind.
     fn adjust(&mut self, ty: TypeIx, spot: bool, wanted: usize, present: usize, pending: usize, now: f64) {
         if wanted > present + pending {
@@ -300,7 +320,7 @@
                 .iter()
                 .filter(|(_, m)| m.ty == ty && m.spot == spot && staying(m, now) && m.phase == MachinePhase::Up)
                 .map(|(i, m)| {
-                    let services = m.tasks.keys().filter(|k| self.jobs.at(k.0).is_service()).count();
+                    let services = self.services_on(m);
                     (services > 0, services, m.cpus_used, i)
                 })
                 .collect();
