--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -78,6 +78,8 @@
     /// Machines on which it failed lately.
     pub failed_on: Vec<MachineIx>,
     pub not_before: f64,
+    /// When this owner learnt of it.
+    pub since: f64,
     pub zone_counts: Vec<u32>,
 }
 
@@ -165,7 +167,7 @@
     }
 
     /// Takes in a stored job. A job that is known already is left as it is.
-    pub fn add(&mut self, r: JobRecord, team: TeamIx) -> JobIx {
+    pub fn add(&mut self, r: JobRecord, team: TeamIx, now: f64) -> JobIx {
         if let Some(j) = self.ids.find(&r.job.id) {
             return j;
         }
@@ -189,6 +191,7 @@
             shadowed_by: 0,
             failed_on: Vec::new(),
             not_before: 0.0,
+            since: now,
             zone_counts: vec![0; if open { self.zones } else { 0 }],
             spec: r.job,
         });
@@ -294,13 +297,13 @@
                 "cpus":1.0,"cards":0.0,"memory_gb":1.0,"same_place":false,"scatter":false,"fallow":true,
                 "pull_gb":0.0,"expected_s":1.0,"pressing_s":0.0,"pressing_cost_s":0.0}))
             .unwrap();
-            let j = jobs.add(JobRecord { job, at_ms: 0, phase: Phase::Open }, TeamIx::new(0));
+            let j = jobs.add(JobRecord { job, at_ms: 0, phase: Phase::Open }, TeamIx::new(0), 0.0);
             for t in (0..100_000).step_by(3) {
                 jobs.mark_done(j, t, false);
             }
             let chunks: Vec<u32> = jobs.at(j).dirty_chunks.iter().copied().collect();
             let mut again = Jobs::new(jobs.chunk, 3);
-            again.add(JobRecord { job: jobs.at(j).spec.clone(), at_ms: 0, phase: Phase::Open }, TeamIx::new(0));
+            again.add(JobRecord { job: jobs.at(j).spec.clone(), at_ms: 0, phase: Phase::Open }, TeamIx::new(0), 0.0);
             for c in chunks {
                 let r = jobs.progress(j, c);
                 assert!(serde_json::to_vec(&r).unwrap().len() <= limit);
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -6,7 +6,7 @@
 
 use crate::fleet::{HeldState, Machine};
 use crate::intern::{Index, JobIx, MachineIx};
-use crate::jobs::{Job, Slot};
+use crate::jobs::Job;
 use crate::shard::{EPS, Shard};
 use crate::wire::Priority;
 
@@ -18,6 +18,8 @@
 const SPOT_WORTH_S: f64 = 6.0;
 /// Seconds that a full machine is preferred by over an empty one.
 const PACK_WORTH_S: f64 = 3.0;
+/// Seconds that a service waits for room on a machine that has its image.
+const ROOM_WAIT_S: f64 = 0.6;
 /// Most starts of one pass, so that a huge job cannot hold up the rest.
 const MOST_STARTS: usize = 400;
 
@@ -96,7 +98,6 @@
 
 struct Turn {
     job: JobIx,
-    guaranteed: bool,
     rank: (u8, Priority, u64),
 }
 
@@ -119,7 +120,7 @@
             continue;
         }
         let class = if job.spec.priority == Priority::Production { 0 } else { 1 + u8::from(!guaranteed) };
-        out.push(Turn { job: j, guaranteed, rank: (class, job.spec.priority, job.deadline_ms()) });
+        out.push(Turn { job: j, rank: (class, job.spec.priority, job.deadline_ms()) });
     }
     out.sort_by_key(|t| t.rank);
     out
@@ -146,11 +147,14 @@
             if !within_limit(s, job, shadow) {
                 break;
             }
-            let Some(m) = best(s, job, now) else {
-                make_room(s, &turn, now);
+            let found = best(s, job, now);
+            // A service waits a moment for room where its image is, rather than for the image.
+            let fetches = found.is_some_and(|m| job.image.is_some_and(|i| !s.machines.at(m).has_image(i)));
+            let patient = now - job.since < ROOM_WAIT_S;
+            if (found.is_none() || fetches && patient) && make_room(s, &turn, fetches, now) {
                 break;
-            };
-            debug_assert_eq!(job.tasks[task as usize], Slot::Queued);
+            }
+            let Some(m) = found else { break };
             s.jobs.at_mut(turn.job).queue.pop_front();
             s.plan(m, (turn.job, task), now);
             starts += 1;
@@ -158,19 +162,21 @@
     }
 }
 
-/// Stops work of lower priority, or work that another team borrows, where that
-/// lets a task of this job start. One machine a pass.
-fn make_room(s: &mut Shard, turn: &Turn, now: f64) {
+/// Stops work of lower priority where that lets a task of this job start, on one
+/// machine a pass; `with_image`: only where its image is. True if room is coming.
+fn make_room(s: &mut Shard, turn: &Turn, with_image: bool, now: f64) -> bool {
     let job = s.jobs.at(turn.job);
     let urgent = job.spec.priority == Priority::Production;
     if !urgent {
-        return;
+        return false;
     }
     let silent_s = s.report_s * 1.6;
-    let wanted = job.queue.len().min(job.spec.tasks as usize);
     let mut options: Vec<(f64, MachineIx, Vec<crate::jobs::TaskKey>)> = Vec::new();
     for (i, m) in s.machines.iter() {
-        if !m.usable(now, silent_s) || m.spot && !job.spec.spot {
+        if !m.usable(now, silent_s)
+            || m.spot && !job.spec.spot
+            || with_image && !job.image.is_some_and(|i| m.has_image(i))
+        {
             continue;
         }
         let in_zone = job.zone_counts.get(m.zone.ix()).copied().unwrap_or(0);
@@ -208,11 +214,11 @@
         }
     }
     options.sort_by(|a, b| a.0.total_cmp(&b.0));
-    for (_, m, victims) in options.into_iter().take(wanted.min(1)) {
-        for k in victims {
-            let g = s.grace(k.0);
-            log::debug!("{}/{} makes room (guaranteed {})", s.jobs.at(k.0).id, k.1, turn.guaranteed);
-            s.stop_task(m, k, g);
-        }
+    let Some((_, m, victims)) = options.into_iter().next() else { return false };
+    for k in victims {
+        let g = s.grace(k.0);
+        log::debug!("{}/{} makes room", s.jobs.at(k.0).id, k.1);
+        s.stop_task(m, k, g);
     }
+    true
 }
--- a/src/shard/mod.rs
+++ b/src/shard/mod.rs
@@ -288,7 +288,7 @@
     }
 
     /// Takes in a job that the state service holds.
-    pub fn add_job(&mut self, r: JobRecord, version: u64, _now: f64) -> Option<JobIx> {
+    pub fn add_job(&mut self, r: JobRecord, version: u64, now: f64) -> Option<JobIx> {
         let key = crate::jobs::job_key(&r.job.id);
         let known = self.versions.entry(key).or_insert(version);
         *known = (*known).max(version);
@@ -300,7 +300,7 @@
             self.service_cpus = self.service_cpus.max(r.job.cpus);
         }
         self.place_due = true;
-        Some(self.jobs.add(r, team))
+        Some(self.jobs.add(r, team, now))
     }
 
     /// What a user may be told of a job, if it is known here.
--- a/src/shard/writes.rs
+++ b/src/shard/writes.rs
@@ -158,8 +158,7 @@
         jobs.dedup();
         let mut names: Vec<String> = jobs.iter().map(|j| self.jobs.at(*j).id.to_string()).collect();
         names.sort();
-        let mut images: Vec<(String, f64)> =
-            machine
+        let mut images: Vec<(String, f64)> = machine
             .images
             .iter()
             .filter(|i| i.ready)
