Never cordon the base; booting machines go first when demand falls

Cause: with 30 machines booting, the excess was taken from the only ones up: the seven that held the services and their images. Ruled out: fetch sharing, room.

--- a/src/shard/sizing.rs
+++ b/src/shard/sizing.rs
@@ -56,7 +56,9 @@
             match m.phase {
                 MachinePhase::Booting => {
                     let boot = self.types.get(m.ty).boot_s;
-                    if now - m.born > boot * 4.0 + 15.0 {
+                    if m.cordoned && now - m.born > LEAST_PAID_S {
+                        self.retire(i);
+                    } else if now - m.born > boot * 4.0 + 15.0 {
                         log::warn!("machine {} does not come up", m.name);
                         let (ty, zone, spot) = (m.ty, m.zone, m.spot);
                         if let (true, Some(p)) = (spot, self.pools.get_mut(&ty)) {
@@ -291,9 +293,9 @@
     }
 
     /// Works out the difference between wanted and present machines of one kind.
-    fn adjust(&mut self, ty: TypeIx, spot: bool, wanted: usize, present: usize, pending: usize, now: f64) {
-        if wanted > present + pending {
-            let mut short = wanted - present - pending;
+    fn adjust(&mut self, ty: TypeIx, spot: bool, wanted: usize, there: usize, pending: usize, now: f64) {
+        if wanted > there + pending {
+            let mut short = wanted - there - pending;
             let mut cordoned: Vec<MachineIx> = self
                 .machines
                 .iter()
@@ -314,18 +316,21 @@
             if short > 0 {
                 self.rent(ty, spot, short, now);
             }
-        } else if present > wanted {
-            let mut up: Vec<(bool, usize, f64, MachineIx)> = self
+        } else if there > wanted {
+            // Those still booting go first, the latest first, then the emptiest. Never
+            // the base: a fall in batch demand once sent all services to machines
+            // without their images, because only machines that were up could go.
+            let mut spare: Vec<(bool, usize, f64, MachineIx)> = self
                 .machines
                 .iter()
-                .filter(|(_, m)| m.ty == ty && m.spot == spot && staying(m, now) && m.phase == MachinePhase::Up)
+                .filter(|(_, m)| m.ty == ty && m.spot == spot && staying(m, now) && !m.base)
                 .map(|(i, m)| {
-                    let services = self.services_on(m);
-                    (services > 0, services, m.cpus_used, i)
+                    let up = m.phase == MachinePhase::Up;
+                    (up, self.services_on(m), if up { m.cpus_used } else { -m.born }, i)
                 })
                 .collect();
-            up.sort_by(|a, b| (a.0, a.1).cmp(&(b.0, b.1)).then(a.2.total_cmp(&b.2)));
-            for (_, _, _, i) in up.into_iter().take(present - wanted) {
+            spare.sort_by(|a, b| (a.0, a.1).cmp(&(b.0, b.1)).then(a.2.total_cmp(&b.2)));
+            for (_, _, _, i) in spare.into_iter().take(there - wanted) {
                 self.machines.at_mut(i).cordoned = true;
             }
         }
@@ -410,10 +415,11 @@
     }
 }
 
+fn present(m: &Machine) -> bool {
+    matches!(m.phase, MachinePhase::Up | MachinePhase::Booting)
+}
+
 /// Does this machine count as part of the fleet?
 fn staying(m: &Machine, now: f64) -> bool {
-    matches!(m.phase, MachinePhase::Up | MachinePhase::Booting)
-        && !m.cordoned
-        && m.notice_until.is_none()
-        && now >= m.quarantined_until
+    present(m) && !m.cordoned && m.notice_until.is_none() && now >= m.quarantined_until
 }
