--- a/src/shard/sizing.rs
+++ b/src/shard/sizing.rs
@@ -303,7 +303,7 @@
                     m.ty == ty
                         && m.spot == spot
                         && m.cordoned
-                        && m.phase == MachinePhase::Up
+                        && present(m)
                         && m.notice_until.is_none()
                 })
                 .map(|(i, _)| i)
--- a/src/tuning.rs
+++ b/src/tuning.rs
@@ -5,13 +5,13 @@
 #[derive(Args, Clone, Debug)]
 pub struct Tuning {
     /// Spot machines held beyond the target.
-    #[arg(long, env = "LUPINSPUR_EXTRA", default_value_t = 2)]
+    #[arg(long, env = "LUPINSPUR_EXTRA", default_value_t = 1)]
     pub extra: usize,
     /// Seconds over which demand is averaged before it becomes a target.
     #[arg(long, env = "LUPINSPUR_WINDOW_S", default_value_t = 10.0)]
     pub window_s: f64,
     /// Seconds for which a lower demand must last before the target falls.
-    #[arg(long, env = "LUPINSPUR_HOLD_S", default_value_t = 30.0)]
+    #[arg(long, env = "LUPINSPUR_HOLD_S", default_value_t = 15.0)]
     pub hold_s: f64,
     /// Seconds that a controller's claim outlives its last renewal.
     #[arg(long, env = "LUPINSPUR_CLAIM_S", default_value_t = 6.0)]
@@ -20,7 +20,7 @@
 
 impl Default for Tuning {
     fn default() -> Self {
-        Tuning { extra: 2, window_s: 10.0, hold_s: 30.0, claim_s: 6.0 }
+        Tuning { extra: 1, window_s: 10.0, hold_s: 15.0, claim_s: 6.0 }
     }
 }
 
