--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -1,7 +1,7 @@
 //! Jobs and their tasks: what is kept at the state service, and what is known.
 
 use crate::intern::{ImageIx, Index, JobIx, MachineIx, Names, TeamIx};
-use crate::wire::{JobRequest, JobState, Kind, Priority};
+use crate::wire::{JobRequest, JobState, Kind};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeSet, HashMap, VecDeque};
 
@@ -16,6 +16,14 @@
     format!("{PROGRESS_PREFIX}{id}/{chunk}")
 }
 
+/// What is assumed for a job whose user states no deadline.
+const UNSTATED_DEADLINE_S: f64 = 100.0;
+/// Milliseconds that a cpu-second of remaining work puts a job back, and at most.
+const WORK_WEIGHS_MS: f64 = 10.0;
+const MOST_WORK_MS: u64 = 120_000;
+/// How long a late job gives way to those that may still be in time.
+const LATE_GIVES_WAY_MS: u64 = 60_000;
+
 /// How a job stands in the state service.
 #[derive(Serialize, Deserialize, Clone, Copy, PartialEq, Eq, Debug)]
 #[serde(rename_all = "lowercase")]
@@ -111,15 +119,23 @@
         self.spec.kind == Kind::Service
     }
 
-    /// Services first, then by priority; earlier deadlines first within it.
+    /// When its user wants it done, in milliseconds of the day.
     pub fn deadline_ms(&self) -> u64 {
-        let s = self.spec.deadline_s.unwrap_or(match self.spec.priority {
-            Priority::Low => 100.0,
-            _ => 60.0,
-        });
+        let s = self.spec.deadline_s.unwrap_or(UNSTATED_DEADLINE_S);
         self.at_ms.saturating_add((s * 1000.0) as u64)
     }
 
+    /// What decides between jobs of equal standing: the earlier deadline, with
+    /// little remaining work put forward, since a short job kept waiting costs as
+    /// many users as a long one. A job that is late already gives way for a while,
+    /// but no longer: nobody starves.
+    pub fn urgency_ms(&self, now_ms: u64) -> u64 {
+        let work_s = f64::from(self.unfinished()) * self.spec.cpus * self.spec.estimate_s.max(1.0);
+        let deadline = self.deadline_ms();
+        let late = if now_ms > deadline { LATE_GIVES_WAY_MS } else { 0 };
+        deadline + late + ((work_s * WORK_WEIGHS_MS) as u64).min(MOST_WORK_MS)
+    }
+
     pub fn has_queued(&mut self) -> bool {
         while let Some(&t) = self.queue.front() {
             if self.tasks[t as usize] == Slot::Queued {
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -105,6 +105,7 @@
 fn turns(s: &mut Shard, now: f64) -> Vec<Turn> {
     let mut by_age: Vec<JobIx> = s.jobs.live.iter().copied().filter(|&j| s.jobs.at(j).open()).collect();
     by_age.sort_by_key(|&j| s.jobs.at(j).at_ms);
+    let now_ms = crate::clock::wall_ms();
     let mut taken = vec![(0.0f64, 0.0f64); s.teams.len()];
     let mut out = Vec::new();
     for j in by_age {
@@ -120,7 +121,7 @@
             continue;
         }
         let class = if job.spec.priority == Priority::Production { 0 } else { 1 + u8::from(!guaranteed) };
-        out.push(Turn { job: j, rank: (class, job.spec.priority, job.deadline_ms()) });
+        out.push(Turn { job: j, rank: (class, job.spec.priority, job.urgency_ms(now_ms)) });
     }
     out.sort_by_key(|t| t.rank);
     out
