Move and preempt only while the state service answers

Cause: on rough boards six replicas that were stopped at 410-415 s to leave machines that were to be returned stayed down until 432 s: the outage began at 409 s, and a start elsewhere needs the machine's record written first.

--- a/src/node.rs
+++ b/src/node.rs
@@ -288,6 +288,7 @@
                 let now = clock::now();
                 let mut shard =
                     Shard::new(&self.settings, self.tuning.clone(), token, (*self.types()).clone(), loaded, now);
+                shard.day_ms = clock::wall_ms() as f64 - now * 1000.0;
                 shard.tick(now);
                 *lock(&self.shard) = Some(shard);
                 self.cloud.set_share(&self.settings, true);
@@ -386,6 +387,7 @@
                 if round.is_multiple_of(10) {
                     s.look_again();
                 }
+                s.writable = self.state.answers(now);
                 s.tick(now);
                 s.deaf(now)
             });
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -105,7 +105,7 @@
 fn turns(s: &mut Shard, now: f64) -> Vec<Turn> {
     let mut by_age: Vec<JobIx> = s.jobs.live.iter().copied().filter(|&j| s.jobs.at(j).open()).collect();
     by_age.sort_by_key(|&j| s.jobs.at(j).at_ms);
-    let now_ms = crate::clock::wall_ms();
+    let now_ms = (s.day_ms + now * 1000.0) as u64;
     let mut taken = vec![(0.0f64, 0.0f64); s.teams.len()];
     let mut out = Vec::new();
     for j in by_age {
@@ -168,7 +168,7 @@
 fn make_room(s: &mut Shard, turn: &Turn, with_image: bool, now: f64) -> bool {
     let job = s.jobs.at(turn.job);
     let urgent = job.spec.priority == Priority::Production;
-    if !urgent {
+    if !urgent || !s.writable {
         return false;
     }
     let silent_s = s.report_s * 1.6;
--- a/src/shard/mod.rs
+++ b/src/shard/mod.rs
@@ -119,6 +119,11 @@
     pub pools: HashMap<TypeIx, Pool>,
     pub launches: Launches,
     pub tuning: Tuning,
+    /// Whether the state service answers: while it does not, nothing that needs a
+    /// write afterwards is begun.
+    pub writable: bool,
+    /// The time of day at the steady clock's zero, in milliseconds.
+    pub day_ms: f64,
     pub report_s: f64,
     pub lease_s: f64,
     pub list_lag_s: f64,
@@ -163,6 +168,8 @@
             pools: HashMap::new(),
             launches: Launches::new(token),
             tuning,
+            writable: true,
+            day_ms: 0.0,
             report_s: s.report_s,
             lease_s: s.lease_s,
             list_lag_s: s.list_lag_s,
--- a/src/shard/sizing.rs
+++ b/src/shard/sizing.rs
@@ -267,7 +267,9 @@
             let pending = self.launches.pending_count(false);
             self.adjust(ty, false, mix.base + mix.fallback, ordinary_now, pending, now);
         }
-        if now - self.moved_at >= MOVE_EVERY_S {
+        // A replica stopped while nothing can be written would stay down: its start
+        // elsewhere needs the machine's record first.
+        if self.writable && now - self.moved_at >= MOVE_EVERY_S {
             self.moved_at = now;
             self.move_one_service(now);
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -37,10 +37,14 @@
     watches: Client,
     requests: Mutex<Budget>,
     writes: Mutex<Budget>,
+    /// When it last answered, and when it last did not.
+    heard: Mutex<(f64, f64)>,
     pub value_bytes: usize,
     pub txn_ops: usize,
 }
 
+/// Renewals go out more often than this.
+const ANSWERED_WITHIN_S: f64 = 2.5;
 /// Largest transaction that is sent, with room for its frame.
 pub const TXN_BYTES: usize = 56 * 1024;
 
@@ -56,6 +60,7 @@
             watches: Client::new(2),
             requests: Mutex::new(Budget::new(1.0, 1.0)),
             writes: Mutex::new(Budget::new(1.0, 1.0)),
+            heard: Mutex::new((-100.0, -100.0)),
             value_bytes: (s.value_kb * 1024.0) as usize,
             txn_ops: s.txn_ops,
         };
@@ -77,6 +82,12 @@
         *lock(&self.writes) = Budget::new(s.write_rps * writes, s.write_rps * writes);
     }
 
+    /// Does the service answer, as far as the last calls tell?
+    pub fn answers(&self, now: f64) -> bool {
+        let (ok, failed) = *lock(&self.heard);
+        ok > failed && now - ok < ANSWERED_WITHIN_S
+    }
+
     pub fn writes_available(&self) -> usize {
         lock(&self.writes).available(clock::now())
     }
@@ -102,7 +113,12 @@
         limit: Duration,
     ) -> Result<(u16, Vec<u8>), StateError> {
         self.take(&self.requests, 1, limit).await?;
-        match self.http.call(self.addr, method, path, body, limit).await {
+        let outcome = self.http.call(self.addr, method, path, body, limit).await;
+        match &outcome {
+            Ok((503, _)) | Err(_) => lock(&self.heard).1 = clock::now(),
+            Ok(_) => lock(&self.heard).0 = clock::now(),
+        }
+        match outcome {
             Ok((429, _)) => {
                 lock(&self.requests).drain(clock::now());
                 Err(StateError::NotExecuted(429))
