--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -86,6 +86,8 @@
     /// Machines on which it failed lately.
     pub failed_on: Vec<MachineIx>,
     pub not_before: f64,
+    /// A machine that one of its replicas is leaving, and until when it is avoided.
+    pub avoid: Option<(MachineIx, f64)>,
     /// When this owner learnt of it.
     pub since: f64,
     pub zone_counts: Vec<u32>,
@@ -207,6 +209,7 @@
             shadowed_by: 0,
             failed_on: Vec::new(),
             not_before: 0.0,
+            avoid: None,
             since: now,
             zone_counts: vec![0; if open { self.zones } else { 0 }],
             spec: r.job,
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -72,7 +72,11 @@
     s.machines
         .iter()
         .filter(|(i, m)| {
-            m.usable(now, silent_s) && !job.failed_on.contains(i) && fits(s, job, m) && leaves_room(s, job, m)
+            m.usable(now, silent_s)
+                && !job.failed_on.contains(i)
+                && job.avoid.is_none_or(|(a, until)| a != *i || now > until)
+                && fits(s, job, m)
+                && leaves_room(s, job, m)
         })
         .min_by(|(_, a), (_, b)| cost(s, job, a).total_cmp(&cost(s, job, b)))
         .map(|(i, _)| i)
@@ -215,7 +219,7 @@
         }
     }
     options.sort_by(|a, b| a.0.total_cmp(&b.0));
-    let Some((_, m, victims)) = options.into_iter().next() else { return false };
+    let Some((_, m, victims)) = options.into_iter().next() else { return with_image && move_replica(s, turn.job, now) };
     for k in victims {
         let g = s.grace(k.0);
         log::debug!("{}/{} makes room", s.jobs.at(k.0).id, k.1);
@@ -223,3 +227,41 @@
     }
     true
 }
+
+/// Where a service's image is, only services are. One replica that can go on at
+/// once elsewhere leaves its place; true if one does, or is about to.
+fn move_replica(s: &mut Shard, waiting: JobIx, now: f64) -> bool {
+    let silent_s = s.report_s * 1.6;
+    let job = s.jobs.at(waiting);
+    let Some(image) = job.image else { return false };
+    let mut choice = None;
+    for (i, m) in s.machines.iter().filter(|(_, m)| m.usable(now, silent_s) && m.has_image(image) && !m.spot) {
+        if m.tasks.values().any(|h| h.stop.is_some()) {
+            return true;
+        }
+        for (k, h) in &m.tasks {
+            let other = s.jobs.at(k.0);
+            let enough = other.spec.cpus + EPS >= job.spec.cpus && other.spec.memory_gb + EPS >= job.spec.memory_gb;
+            if !other.is_service() || !enough || k.0 == waiting || h.state != HeldState::Running || !other.open() {
+                continue;
+            }
+            let elsewhere = other.image.is_none_or(|im| {
+                s.machines
+                    .iter()
+                    .any(|(o, t)| o != i && t.usable(now, silent_s) && t.has_image(im) && fits(s, other, t))
+            });
+            if elsewhere {
+                choice = Some((i, *k));
+            }
+        }
+        if choice.is_some() {
+            break;
+        }
+    }
+    let Some((m, k)) = choice else { return false };
+    log::debug!("{}/{} moves for {}", s.jobs.at(k.0).id, k.1, s.jobs.at(waiting).id);
+    s.jobs.at_mut(k.0).avoid = Some((m, now + 5.0));
+    let g = s.grace(k.0);
+    s.stop_task(m, k, g);
+    true
+}
--- a/src/shard/sizing.rs
+++ b/src/shard/sizing.rs
@@ -301,13 +301,7 @@
             let mut cordoned: Vec<MachineIx> = self
                 .machines
                 .iter()
-                .filter(|(_, m)| {
-                    m.ty == ty
-                        && m.spot == spot
-                        && m.cordoned
-                        && present(m)
-                        && m.notice_until.is_none()
-                })
+                .filter(|(_, m)| m.ty == ty && m.spot == spot && m.cordoned && present(m) && m.notice_until.is_none())
                 .map(|(i, _)| i)
                 .collect();
             while let (true, Some(m)) = (short > 0, cordoned.pop()) {
--- a/src/tuning.rs
+++ b/src/tuning.rs
@@ -14,13 +14,13 @@
     #[arg(long, env = "LUPINSPUR_HOLD_S", default_value_t = 15.0)]
     pub hold_s: f64,
     /// Seconds that a controller's claim outlives its last renewal.
-    #[arg(long, env = "LUPINSPUR_CLAIM_S", default_value_t = 6.0)]
+    #[arg(long, env = "LUPINSPUR_CLAIM_S", default_value_t = 4.0)]
     pub claim_s: f64,
 }
 
 impl Default for Tuning {
     fn default() -> Self {
-        Tuning { extra: 1, window_s: 10.0, hold_s: 15.0, claim_s: 6.0 }
+        Tuning { extra: 1, window_s: 10.0, hold_s: 15.0, claim_s: 4.0 }
     }
 }
 
