Rent sooner: a 4 s window, short gathering in a fresh cluster

Cause: nearly all late work is of the first two minutes, when every machine is rented and full; rentals began at 5 s and grew one by one as the average rose.

--- a/src/shard/mod.rs
+++ b/src/shard/mod.rs
@@ -122,6 +122,8 @@
     /// Whether the state service answers: while it does not, nothing that needs a
     /// write afterwards is begun.
     pub writable: bool,
+    /// No earlier owner recorded any machine.
+    fresh: bool,
     /// The time of day at the steady clock's zero, in milliseconds.
     pub day_ms: f64,
     pub report_s: f64,
@@ -169,6 +171,7 @@
             launches: Launches::new(token),
             tuning,
             writable: true,
+            fresh: loaded.machines.is_empty(),
             day_ms: 0.0,
             report_s: s.report_s,
             lease_s: s.lease_s,
@@ -500,10 +503,12 @@
     }
 
     /// Has every machine that an earlier owner recorded been heard or waited out?
+    /// Where nothing was ever recorded, one round of first reports is enough.
     pub fn gathered(&self, now: f64) -> bool {
         let waited = now - self.began;
+        let rounds = if self.fresh { 0.5 } else { 1.5 };
         waited > self.report_s * 3.0
-            || (waited > self.report_s * 1.5 && self.machines.iter().all(|(_, m)| m.resolved()))
+            || (waited > self.report_s * rounds && self.machines.iter().all(|(_, m)| m.resolved()))
     }
 
     /// Is no worker heard at all, though several should report?
--- a/src/tuning.rs
+++ b/src/tuning.rs
@@ -8,7 +8,7 @@
     #[arg(long, env = "LUPINSPUR_EXTRA", default_value_t = 1)]
     pub extra: usize,
     /// Seconds over which demand is averaged before it becomes a target.
-    #[arg(long, env = "LUPINSPUR_WINDOW_S", default_value_t = 10.0)]
+    #[arg(long, env = "LUPINSPUR_WINDOW_S", default_value_t = 4.0)]
     pub window_s: f64,
     /// Seconds for which a lower demand must last before the target falls.
     #[arg(long, env = "LUPINSPUR_HOLD_S", default_value_t = 15.0)]
@@ -20,7 +20,7 @@
 
 impl Default for Tuning {
     fn default() -> Self {
-        Tuning { extra: 1, window_s: 10.0, hold_s: 15.0, claim_s: 4.0 }
+        Tuning { extra: 1, window_s: 4.0, hold_s: 15.0, claim_s: 4.0 }
     }
 }
 
