--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -199,11 +199,6 @@
         self.images.iter().any(|i| i.image == image && i.ready)
     }
 
-    /// There, or being fetched for another task already.
-    pub fn image_at_hand(&self, image: ImageIx) -> bool {
-        self.images.iter().any(|i| i.image == image)
-    }
-
     /// GB to fetch until this image is there. Fetches at the same time share the
     /// rate, so those under way count in full.
     pub fn to_fetch_gb(&self, image: ImageIx, gb: f64) -> f64 {
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -20,8 +20,6 @@
 const PACK_WORTH_S: f64 = 3.0;
 /// Seconds that a service waits for room on a machine that has its image.
 const ROOM_WAIT_S: f64 = 0.6;
-/// Seconds after which a job's tasks may have their image fetched at once.
-const FETCH_AFTER_S: f64 = 10.0;
 /// Most starts of one pass, so that a huge job cannot hold up the rest.
 const MOST_STARTS: usize = 400;
 
@@ -69,7 +67,7 @@
     fetch + dear + base - PACK_WORTH_S * full
 }
 
-fn best(s: &Shard, job: &Job, may_fetch: bool, now: f64) -> Option<MachineIx> {
+fn best(s: &Shard, job: &Job, now: f64) -> Option<MachineIx> {
     let silent_s = s.report_s * 1.6;
     s.machines
         .iter()
@@ -77,7 +75,6 @@
             m.usable(now, silent_s)
                 && !job.failed_on.contains(i)
                 && job.avoid.is_none_or(|(a, until)| a != *i || now > until)
-                && (may_fetch || job.image.is_none_or(|i| m.image_at_hand(i)))
                 && fits(s, job, m)
                 && leaves_room(s, job, m)
         })
@@ -139,51 +136,37 @@
         return;
     }
     let shadow = (shadow(s), shadow_cards(s));
-    let order = turns(s, now);
     let mut starts = 0;
-    // Batch work first goes where its image is; only then do machines fetch. A job
-    // that has waited may fetch at once, so that a rare image does not wait for ever.
-    for may_fetch in [false, true] {
-        for turn in &order {
-            let job = s.jobs.at(turn.job);
-            let first = turn.rank.0 == 0 || job.image.is_none() || now - job.since > FETCH_AFTER_S;
-            if first && may_fetch {
-                continue;
-            }
-            if !place_job(s, turn, shadow, first || may_fetch, &mut starts, now) {
+    for turn in turns(s, now) {
+        loop {
+            if starts >= MOST_STARTS {
                 s.look_again();
                 return;
             }
+            let job = s.jobs.at_mut(turn.job);
+            if !job.has_queued() {
+                break;
+            }
+            let Some(&task) = job.queue.front() else { break };
+            let job = s.jobs.at(turn.job);
+            if !within_limit(s, job, shadow) {
+                break;
+            }
+            let found = best(s, job, now);
+            // A service waits a moment for room where its image is, rather than for the image.
+            let fetches = found.is_some_and(|m| job.image.is_some_and(|i| !s.machines.at(m).has_image(i)));
+            let patient = now - job.since < ROOM_WAIT_S;
+            if (found.is_none() || fetches && patient) && make_room(s, &turn, fetches, now) {
+                break;
+            }
+            let Some(m) = found else { break };
+            s.jobs.at_mut(turn.job).queue.pop_front();
+            s.plan(m, (turn.job, task), now);
+            starts += 1;
         }
     }
 }
 
-/// Places what it can of one job. False when this pass has started enough.
-fn place_job(s: &mut Shard, turn: &Turn, shadow: (f64, f64), may_fetch: bool, starts: &mut usize, now: f64) -> bool {
-    while s.jobs.at_mut(turn.job).has_queued() {
-        if *starts >= MOST_STARTS {
-            return false;
-        }
-        let job = s.jobs.at(turn.job);
-        let Some(&task) = job.queue.front() else { break };
-        if !within_limit(s, job, shadow) {
-            break;
-        }
-        let found = best(s, job, may_fetch, now);
-        // A service waits a moment for room where its image is, rather than for the image.
-        let fetches = found.is_some_and(|m| job.image.is_some_and(|i| !s.machines.at(m).has_image(i)));
-        let patient = now - job.since < ROOM_WAIT_S;
-        if (found.is_none() || fetches && patient) && make_room(s, turn, fetches, now) {
-            break;
-        }
-        let Some(m) = found else { break };
-        s.jobs.at_mut(turn.job).queue.pop_front();
-        s.plan(m, (turn.job, task), now);
-        *starts += 1;
-    }
-    true
-}
-
 /// Stops work of lower priority where that lets a task of this job start, on one
 /// machine a pass; `with_image`: only where its image is. True if room is coming.
 fn make_room(s: &mut Shard, turn: &Turn, with_image: bool, now: f64) -> bool {
