A silent machine is to blame only while most others are heard

Ruled out: machines dying (the successor found their neighbours well). Silence no longer counts time in which this owner could not answer; a deaf owner steps down sooner.

--- a/src/shard/mod.rs
+++ b/src/shard/mod.rs
@@ -124,6 +124,9 @@
     pub writable: bool,
     /// No earlier owner recorded any machine.
     fresh: bool,
+    ticked: f64,
+    /// When it last began to act again after a pause.
+    resumed: f64,
     /// The time of day at the steady clock's zero, in milliseconds.
     pub day_ms: f64,
     pub report_s: f64,
@@ -151,6 +154,8 @@
 
 /// Stops a job's tasks gently enough to save.
 const GRACE_EXTRA_S: f64 = 2.0;
+/// Longer between two ticks, and this owner was not entitled to act in between.
+const PAUSE_S: f64 = 1.0;
 
 impl Shard {
     pub fn new(s: &Settings, tuning: Tuning, token: u64, types: Vec<MachineType>, loaded: Loaded, now: f64) -> Shard {
@@ -171,6 +176,8 @@
             launches: Launches::new(token),
             tuning,
             writable: true,
+            ticked: now,
+            resumed: now,
             fresh: loaded.machines.is_empty(),
             day_ms: 0.0,
             report_s: s.report_s,
@@ -511,20 +518,30 @@
             || (waited > self.report_s * rounds && self.machines.iter().all(|(_, m)| m.resolved()))
     }
 
+    /// How long a machine has been silent, not counting what this owner could not hear
+    /// because it was not entitled to answer.
+    pub(crate) fn silence(&self, m: &crate::fleet::Machine, now: f64) -> f64 {
+        now - m.last_heard.max(self.resumed)
+    }
+
     /// Is no worker heard at all, though several should report?
     pub fn deaf(&self, now: f64) -> bool {
-        let limit = self.silent_s();
+        let limit = self.report_s * 1.25 + 2.0;
         let mut known = 0;
         for (_, m) in self.machines.iter().filter(|(_, m)| m.phase == MachinePhase::Up) {
             known += 1;
-            if now - m.last_heard < limit {
+            if self.silence(m, now) < limit {
                 return false;
             }
         }
-        known >= 2 && now - self.began > limit
+        known >= 3 && now - self.began > limit
     }
 
     pub fn tick(&mut self, now: f64) {
+        if now - self.ticked > PAUSE_S {
+            self.resumed = now;
+        }
+        self.ticked = now;
         self.watch_machines(now);
         if now - self.sized_at >= 0.5 && self.types.known() {
             self.sized_at = now;
--- a/src/shard/sizing.rs
+++ b/src/shard/sizing.rs
@@ -34,15 +34,16 @@
     pub(super) fn watch_machines(&mut self, now: f64) {
         let lease = stretched(self.lease_s);
         let silent_s = self.silent_s();
-        let (mut up, mut silent) = (0usize, 0usize);
+        let (mut up, mut recent) = (0usize, 0usize);
         for (_, m) in self.machines.iter() {
             if m.phase == MachinePhase::Up && m.reported_token {
                 up += 1;
-                silent += usize::from(now - m.last_heard > silent_s);
+                recent += usize::from(self.silence(m, now) < self.report_s * 1.25 + 1.0);
             }
         }
-        // When many fall silent at once, it is rather we who are cut off.
-        let few_silent = silent <= 1 || silent * 3 <= up;
+        // Only while most others are heard is a silent machine to blame. An owner that was
+        // cut off from the workers once deleted the third of them that it missed first.
+        let others_heard = recent * 5 >= (up - 1.min(up)) * 3;
         let all: Vec<MachineIx> = self.machines.present.iter().copied().collect();
         for i in all {
             let m = self.machines.at(i);
@@ -52,7 +53,7 @@
                 self.all_gone(i);
             }
             let m = self.machines.at(i);
-            let quiet = now - m.last_heard;
+            let quiet = self.silence(m, now);
             match m.phase {
                 MachinePhase::Booting => {
                     let boot = self.types.get(m.ty).boot_s;
@@ -68,8 +69,10 @@
                     }
                 }
                 MachinePhase::Up => {
-                    let taken = m.notice_until.is_some_and(|t| now > t + 1.0) && quiet > self.report_s * 1.25 + 0.5;
-                    let lost = quiet > silent_s && m.reported_token && few_silent || quiet > lease * 2.0;
+                    let taken = m.notice_until.is_some_and(|t| now > t + 1.0)
+                        && others_heard
+                        && quiet > self.report_s * 1.25 + 0.5;
+                    let lost = quiet > silent_s && m.reported_token && others_heard || quiet > lease * 2.0;
                     let faulty = now < m.quarantined_until && m.quarantined_until > now + 1e5 && m.tasks.is_empty();
                     let emptied = m.cordoned && m.tasks.is_empty() && m.resolved() && now - m.born > LEAST_PAID_S;
                     if taken || lost || faulty || emptied {
