Golden traces; a reply under way is not a start that was lost

Writing the traces showed that a start in the reply to a report could be taken for gone when a direct answer overtook that reply; a stopped task could then have run twice. Maps of tasks are ordered, so that every run decides alike.

--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -66,8 +66,9 @@
     /// Stop it, with this much time to save.
     pub stop: Option<f64>,
     pub stop_sent: f64,
-    /// The last time a start was sent.
+    /// The last time a start was sent, and the last time in the reply to a report.
     pub sent: f64,
+    pub replied: f64,
 }
 
 /// An ended attempt that the machine still reports, or a stray one.
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -3,7 +3,7 @@
 use crate::intern::{ImageIx, Index, JobIx, MachineIx, Names, TeamIx};
 use crate::wire::{JobRequest, JobState, Kind};
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 pub const JOB_PREFIX: &str = "job/";
 pub const PROGRESS_PREFIX: &str = "prog/";
@@ -297,9 +297,9 @@
     }
 }
 
-/// How many tasks of a job each machine holds, for reports about jobs not known here.
+/// One task of one job; maps of them are ordered, so that every run decides alike.
 pub type TaskKey = (JobIx, u32);
-pub type TaskMap<V> = HashMap<TaskKey, V>;
+pub type TaskMap<V> = BTreeMap<TaskKey, V>;
 
 #[cfg(test)]
 mod tests {
--- a/src/shard/mod.rs
+++ b/src/shard/mod.rs
@@ -23,7 +23,7 @@
 use crate::tuning::Tuning;
 use crate::wire::{JobRequest, JobState, Kind, MachineType};
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeSet, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 
 /// Why a submission can never run, or cannot be judged yet.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -116,7 +116,7 @@
     pub types: Types,
     pub teams: Vec<TeamState>,
     pub team_names: Names<TeamIx>,
-    pub pools: HashMap<TypeIx, Pool>,
+    pub pools: BTreeMap<TypeIx, Pool>,
     pub launches: Launches,
     pub tuning: Tuning,
     /// Whether the state service answers: while it does not, nothing that needs a
@@ -172,7 +172,7 @@
             types: Types::default(),
             teams: s.teams.iter().map(|t| TeamState { spec: t.clone(), cpus_used: 0.0, cards_used: 0.0 }).collect(),
             team_names,
-            pools: HashMap::new(),
+            pools: BTreeMap::new(),
             launches: Launches::new(token),
             tuning,
             writable: true,
@@ -394,6 +394,7 @@
                 stop: None,
                 stop_sent: -1.0,
                 sent: -1.0,
+                replied: f64::MIN,
             },
         );
         let cache = self.types.get(self.machines.at(m).ty).cache_gb;
--- a/src/shard/reports.rs
+++ b/src/shard/reports.rs
@@ -5,7 +5,7 @@
 use crate::intern::MachineIx;
 use crate::jobs::{Phase, Slot, TaskKey, split_task};
 use crate::wire::{Command, DirectCommands, Op, Report, ReportReply, TaskReport, TaskState, Why};
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 /// What to answer to a report.
@@ -29,11 +29,13 @@
 
 const DIRECT_PAUSE_S: f64 = 4.0;
 const MOST_COMMANDS: usize = 200;
+/// Workers drop a reply that takes 4 s.
+const REPLY_DROPPED_S: f64 = 6.0;
 
 impl Shard {
     /// A worker's own report, to be answered with 200 when there is a reply.
     pub fn on_report(&mut self, r: &Report, now: f64) -> Heard {
-        match self.absorb(r, now) {
+        match self.absorb(r, true, now) {
             Ok(m) => {
                 self.tick_for_reply(now);
                 let commands = self.report_commands(m, r, now);
@@ -63,7 +65,7 @@
         Some(self.machines.add(&r.machine, ty, zone, r.spot, now))
     }
 
-    fn absorb(&mut self, r: &Report, now: f64) -> Result<MachineIx, Heard> {
+    fn absorb(&mut self, r: &Report, own: bool, now: f64) -> Result<MachineIx, Heard> {
         let token = self.token;
         if r.token > token {
             return Err(Heard::Superseded);
@@ -120,7 +122,7 @@
         if first {
             self.place_due = true;
         }
-        self.take_tasks(m, r, now);
+        self.take_tasks(m, r, own, now);
         self.resolve(m);
         self.drain_on_notice(m);
         Ok(m)
@@ -145,9 +147,10 @@
         (task < self.jobs.at(j).spec.tasks).then_some((j, task))
     }
 
-    /// Brings what is known of a machine's tasks in line with its report.
-    fn take_tasks(&mut self, m: MachineIx, r: &Report, now: f64) {
-        let mut listed: HashMap<TaskKey, &TaskReport> = HashMap::with_capacity(r.tasks.len());
+    /// Brings what is known of a machine's tasks in line with its report; `own`: one
+    /// that it sent by itself, so that the reply to the one before is through or dropped.
+    fn take_tasks(&mut self, m: MachineIx, r: &Report, own: bool, now: f64) {
+        let mut listed: BTreeMap<TaskKey, &TaskReport> = BTreeMap::new();
         for t in &r.tasks {
             if let Some(k) = self.key_of(&t.task) {
                 listed.insert(k, t);
@@ -167,7 +170,7 @@
                     }
                 }
                 // Not there (yet): a start that may still be on its way is not gone.
-                _ if matches!(state, HeldState::Planned | HeldState::Commanded) => self.maybe_never(m, k),
+                _ if matches!(state, HeldState::Planned | HeldState::Commanded) => self.maybe_never(m, k, own, now),
                 _ => {
                     self.release(m, k);
                     self.requeue(k);
@@ -214,6 +217,7 @@
                 stop: None,
                 stop_sent: -1.0,
                 sent: now,
+                replied: f64::MIN,
             },
         );
         self.seen(m, k, t.state, now);
@@ -248,11 +252,14 @@
         }
     }
 
-    /// A start that is wanted no more, is not on the machine, and cannot arrive late.
-    fn maybe_never(&mut self, m: MachineIx, k: TaskKey) {
+    /// A start that is wanted no more, is not on the machine, and cannot arrive late:
+    /// not by an unanswered direct command, nor in the reply to a report that is still
+    /// on its way while a direct answer overtakes it.
+    fn maybe_never(&mut self, m: MachineIx, k: TaskKey, own: bool, now: f64) {
         let machine = self.machines.at(m);
         let Some(h) = machine.tasks.get(&k) else { return };
-        if h.stop.is_some() && !machine.loose.contains_key(&k) && !machine.direct_busy {
+        let reply_through = own || now - h.replied > REPLY_DROPPED_S;
+        if h.stop.is_some() && reply_through && !machine.loose.contains_key(&k) && !machine.direct_busy {
             self.release(m, k);
             self.requeue(k);
         }
@@ -389,6 +396,10 @@
         out.truncate(MOST_COMMANDS);
         let machine = self.machines.at_mut(m);
         for h in machine.tasks.values_mut() {
+            if h.state == HeldState::Commanded {
+                h.sent = now;
+                h.replied = now;
+            }
             if h.stop.is_some() {
                 h.stop_sent = now;
             }
@@ -478,7 +489,7 @@
                 let probing = !machine.reported_token;
                 if let Some(r) = report.filter(|r| *r.machine == *machine.name) {
                     // A direct answer renews no lease.
-                    let _ = self.absorb(&r, now);
+                    let _ = self.absorb(&r, false, now);
                 }
                 let machine = self.machines.at_mut(m);
                 if probing && !machine.reported_token {
--- /dev/null
+++ b/tests/traces.rs
@@ -0,0 +1,419 @@
+//! Golden traces: stories of events, and what one shard wanted after each.
+//!
+//! A trace file is read by people first. Lines that begin with `#` tell the story,
+//! lines that begin with a time are events, and lines that begin with `=` are what
+//! the shard answered, which this test compares. `UPDATE_TRACES=1 cargo test --test
+//! traces` writes the answers anew; the difference is then to be read and judged.
+//!
+//! The state service is a stand-in: a map with versions. Attempts are shown as
+//! `token.number`.
+
+use lupinspur::fleet::launch::Launch;
+use lupinspur::intern::MachineIx;
+use lupinspur::jobs::{JOB_PREFIX, JobRecord, PROGRESS_PREFIX, Phase, job_key};
+use lupinspur::settings::Settings;
+use lupinspur::shard::{CloudCall, DirectSend, Heard, Loaded, Shard, Write};
+use lupinspur::tuning::Tuning;
+use lupinspur::wire::{Change, Command, JobRequest, ListedMachine, MachineType, Op, Report, TaskReport};
+use lupinspur::worker::Direct;
+use serde::de::DeserializeOwned;
+use serde_json::{Value, json};
+use std::collections::{BTreeMap, HashMap};
+use std::fmt::Write as _;
+
+const SETTINGS: &str = r#"
+host_name = "n0"
+domain = "a"
+bind = "127.0.0.1:1"
+peer_listen = "127.0.0.1:2"
+[services]
+cloud = "127.0.0.1:3"
+state = "127.0.0.1:4"
+[cluster]
+zones = ["a", "b", "c"]
+[[cluster.teams]]
+name = "red"
+cpus = 16.0
+cpus_max = 64.0
+[[cluster.teams]]
+name = "blue"
+[cluster.workers]
+report_s = 3.0
+lease_s = 20.0
+cancel_s = 45.0
+[cluster.state]
+rps = 100.0
+write_rps = 30.0
+value_kb = 4.0
+txn_ops = 8
+[cluster.cloud]
+rps = 5.0
+list_lag_s = 5.0
+"#;
+
+fn types() -> Vec<MachineType> {
+    serde_json::from_value(json!([{"name":"m32","cpus":32.0,"memory_gb":64.0,"local_gb":40.0,
+        "pull_gb_per_s":0.5,"hourly":1.5,"spot_price":0.5,"ready_s":20.0,"fields":["a","b","c"]}]))
+    .expect("types")
+}
+
+struct World {
+    settings: Settings,
+    shard: Option<Shard>,
+    store: BTreeMap<String, (Value, u64)>,
+    revision: u64,
+    sent: HashMap<String, DirectSend>,
+    out: String,
+}
+
+/// `key=value` words of an event.
+fn word<'a>(args: &[&'a str], key: &str) -> Option<&'a str> {
+    args.iter().find_map(|a| a.strip_prefix(key)?.strip_prefix('='))
+}
+
+fn has(args: &[&str], flag: &str) -> bool {
+    args.contains(&flag)
+}
+
+fn num(args: &[&str], key: &str, otherwise: f64) -> f64 {
+    word(args, key).map_or(otherwise, |v| v.parse().expect("a number"))
+}
+
+fn attempt_in(s: &str) -> u64 {
+    let (token, n) = s.split_once('.').expect("token.number");
+    (token.parse::<u64>().expect("token") << 24) + n.parse::<u64>().expect("number")
+}
+
+fn attempt_out(a: u64) -> String {
+    format!("{}.{}", a >> 24, a & 0xff_ffff)
+}
+
+fn shown(c: &Command) -> String {
+    let op = match c.op {
+        Op::Start => "start",
+        Op::Stop => "stop",
+        Op::Forget => "forget",
+    };
+    let grace = c.grace_s.map_or(String::new(), |g| format!(" grace {g}"));
+    format!("{op} {}@{}{grace}", c.task, attempt_out(c.attempt))
+}
+
+impl World {
+    fn say(&mut self, s: &str) {
+        let _ = writeln!(self.out, "= {s}");
+    }
+
+    fn commands(&mut self, what: &str, commands: &[Command]) {
+        let mut all: Vec<String> = commands.iter().map(shown).collect();
+        // The order matters only within a task.
+        all.sort_by_key(|c| c.split(' ').nth(1).map(str::to_owned));
+        let list = if all.is_empty() { "nothing".to_owned() } else { all.join(", ") };
+        self.say(&format!("{what}: {list}"));
+    }
+
+    fn s(&mut self) -> &mut Shard {
+        self.shard.as_mut().expect("an owner")
+    }
+
+    fn load<T: DeserializeOwned>(&self, prefix: &str) -> Vec<(String, T, u64)> {
+        self.store
+            .range(prefix.to_owned()..)
+            .take_while(|(k, _)| k.starts_with(prefix))
+            .map(|(k, (v, n))| (k.clone(), serde_json::from_value(v.clone()).expect("a stored value"), *n))
+            .collect()
+    }
+
+    fn report(&self, name: &str, args: &[&str]) -> Report {
+        let state = |s: &str| match s {
+            "fetching" => json!({"bloom":"pulling"}),
+            "running" => json!({"bloom":"running"}),
+            why => json!({"bloom":"ended","wilt":why}),
+        };
+        let tasks: Vec<TaskReport> = args
+            .iter()
+            .filter(|a| a.contains('@'))
+            .map(|a| {
+                let (task, rest) = a.split_once('@').expect("task@attempt:state");
+                let (attempt, st) = rest.split_once(':').expect("attempt:state");
+                let mut v = state(st);
+                v["seed"] = json!(task);
+                v["sowing"] = json!(attempt_in(attempt));
+                serde_json::from_value(v).expect("a task report")
+            })
+            .collect();
+        Report {
+            machine: name.into(),
+            addr: "127.0.0.1:9".into(),
+            type_name: "m32".into(),
+            zone: word(args, "zone").unwrap_or("a").into(),
+            spot: has(args, "spot"),
+            session: num(args, "session", 1.0) as u64,
+            seq: num(args, "seq", 1.0) as u64,
+            token: num(args, "token", 0.0) as u64,
+            notice_s: word(args, "notice").map(|n| n.parse().expect("seconds")),
+            tasks,
+        }
+    }
+
+    fn apply(&mut self, writes: &[Write]) -> u64 {
+        self.revision += 1;
+        for w in writes {
+            match &w.change {
+                Change::Put { key, value, .. } => _ = self.store.insert(key.clone(), (value.clone(), self.revision)),
+                Change::Delete { key } => _ = self.store.remove(key),
+            }
+        }
+        self.revision
+    }
+
+    fn write(&mut self, mode: &str, now: f64) {
+        for _ in 0..10 {
+            let writes = self.s().next_writes(8, 50_000, 8, now);
+            if writes.is_empty() {
+                return;
+            }
+            for w in &writes {
+                let text = match &w.change {
+                    Change::Put { value, .. } => {
+                        let brief = match (value.get("phase"), value.get("jobs"), value.get("done")) {
+                            (Some(p), _, _) => format!("phase {}", p.as_str().unwrap_or("?")),
+                            (_, Some(j), _) if value["retiring"] == true => format!("retiring, jobs {j}"),
+                            (_, Some(j), _) => format!("jobs {j}"),
+                            (_, _, Some(d)) => format!("done {d}"),
+                            _ => "counts and lists".into(),
+                        };
+                        format!("{}: {brief}", w.key)
+                    }
+                    Change::Delete { .. } => format!("{}: deleted", w.key),
+                };
+                self.say(&format!("write {text}"));
+            }
+            match mode {
+                "lost" => {
+                    self.say("the write was lost");
+                    self.s().on_not_applied(writes);
+                    return;
+                }
+                "unanswered" => {
+                    self.say("the write was applied, its answer was lost");
+                    let revision = self.apply(&writes);
+                    for w in &writes {
+                        self.s().on_version(&w.key, revision);
+                    }
+                    self.s().on_not_applied(writes);
+                    return;
+                }
+                _ => {
+                    for w in &writes {
+                        let there = self.store.get(&w.key).map_or(0, |v| v.1);
+                        assert_eq!(there, w.version, "{} is written over a version that is not there", w.key);
+                    }
+                    let revision = self.apply(&writes);
+                    self.s().on_applied(writes, revision);
+                }
+            }
+        }
+    }
+
+    fn machine(&mut self, name: &str) -> MachineIx {
+        self.s().machines.find(name).expect("a known machine")
+    }
+
+    fn event(&mut self, now: f64, what: &str, args: &[&str]) {
+        let first = args.first().copied().unwrap_or("");
+        match what {
+            "takeover" => {
+                let token: u64 = first.parse().expect("a token");
+                self.revision = self.revision.max(token);
+                let loaded = Loaded {
+                    jobs: self.load(JOB_PREFIX).into_iter().map(|(_, r, v)| (r, v)).collect(),
+                    progress: self.load(PROGRESS_PREFIX),
+                    machines: self
+                        .load("mach/")
+                        .into_iter()
+                        .map(|(k, r, v)| (k.trim_start_matches("mach/").to_owned(), r, v))
+                        .collect(),
+                    fleet: self.load("fleet/").into_iter().next().map(|(_, r, v)| (r, v)),
+                };
+                self.sent.clear();
+                let tuning = Tuning { extra: 2, window_s: 10.0, hold_s: 30.0, claim_s: 6.0 };
+                self.shard = Some(Shard::new(&self.settings, tuning, token, types(), loaded, now));
+            }
+            "job" => {
+                let service = has(args, "service");
+                let job: JobRequest = serde_json::from_value(json!({
+                    "id": first, "breed": "any", "herd": word(args, "team").unwrap_or("blue"),
+                    "habit": if service { "standing" } else { "batch" },
+                    "precedence": if service { "critical" } else { "standard" },
+                    "seeds": num(args, "tasks", 1.0) as u32, "cpus": num(args, "cpus", 2.0), "cards": 0.0,
+                    "memory_gb": 1.0, "same_place": false, "scatter": has(args, "spread"),
+                    "fallow": !has(args, "nospot"), "bulb": word(args, "image"), "pull_gb": 1.0,
+                    "expected_s": if service { 0.0 } else { 20.0 }, "pressing_s": 0.0, "pressing_cost_s": 0.0}))
+                .expect("a job");
+                let record = JobRecord { job, at_ms: (now * 1000.0) as u64, phase: Phase::Open };
+                self.revision += 1;
+                let value = serde_json::to_value(&record).expect("a record");
+                self.store.insert(job_key(first), (value, self.revision));
+                let v = self.revision;
+                self.s().add_job(record, v, now);
+                self.s().tick(now);
+            }
+            "report" => {
+                let r = self.report(first, args);
+                match self.s().on_report(&r, now) {
+                    Heard::Reply(reply) => self.commands(&format!("reply, token {}", reply.token), &reply.commands),
+                    other => self.say(&format!("no reply: {other:?}")),
+                }
+            }
+            "write" => self.write(first, now),
+            "direct" => {
+                while let Some(d) = self.s().next_direct(now) {
+                    let name = self.s().machines.at(d.machine).name.to_string();
+                    self.commands(&format!("to {name}, session {}", d.body.session), &d.body.commands);
+                    self.sent.insert(name, d);
+                }
+            }
+            "answer" | "refuse" | "silence" => {
+                let d = self
+                    .sent
+                    .remove(first)
+                    .unwrap_or_else(|| panic!("nothing was sent to {first} at {now}:\n{}", self.out));
+                let outcome = match what {
+                    "silence" => Direct::Unknown,
+                    _ => Direct::Answered { executed: what == "answer", report: Some(self.report(first, args)) },
+                };
+                self.s().on_direct(&d, outcome, now);
+            }
+            "tick" => {
+                let until = num(args, "until", now);
+                let mut t = now;
+                while t <= until + 1e-9 {
+                    self.s().tick(t);
+                    t += 0.5;
+                }
+            }
+            "cancel" => _ = self.s().cancel(first),
+            "show" => {
+                let told = self.s().show(first);
+                let text =
+                    told.map_or("unknown".to_owned(), |(s, d, r)| format!("{}, {d} done, {r} running", s.as_str()));
+                self.say(&format!("{first}: {text}"));
+            }
+            "rentals" => {
+                let mut asked: Vec<String> = Vec::new();
+                for l in &self.s().launches.pending.clone() {
+                    let zone = self.s().types.zones.name(l.zone).clone();
+                    asked.push(format!("{} {} in {zone}", l.count, if l.spot { "spot" } else { "on-demand" }));
+                }
+                asked.sort();
+                self.say(&format!("renting: {}", if asked.is_empty() { "nothing".into() } else { asked.join(", ") }));
+            }
+            "grant" | "refused" => {
+                let spot = has(args, "spot");
+                let zone = self.s().types.zones.find(first).expect("a zone");
+                let l: Launch =
+                    self.s().launches.pending.iter().find(|l| l.zone == zone && l.spot == spot).expect("asked").clone();
+                if what == "refused" {
+                    self.s().refused(&l, now);
+                } else {
+                    let names: Vec<String> = word(args, "as").expect("names").split(',').map(str::to_owned).collect();
+                    self.s().on_rented(&l, &names, now);
+                }
+            }
+            "list" => {
+                let list: Vec<ListedMachine> = args
+                    .iter()
+                    .map(|n| {
+                        let v = json!({"id":n,"addr":"127.0.0.1:9","strain":"m32","field":"a","fallow":false,"bloom":"running"});
+                        serde_json::from_value(v).expect("a machine")
+                    })
+                    .collect();
+                self.s().on_list(&list, now);
+            }
+            "deletions" => match self.s().next_delete() {
+                Some(CloudCall::Delete(machines, names)) => {
+                    self.say(&format!("deleting: {}", names.join(", ")));
+                    if has(args, "confirmed") {
+                        self.s().on_deleted(&machines);
+                    } else {
+                        self.s().on_delete_failed(&machines);
+                    }
+                }
+                _ => self.say("deleting: nothing"),
+            },
+            "fleet" => {
+                let r = self.s().fleet_record();
+                for p in r.pools {
+                    self.say(&format!(
+                        "target {}, spot {}, on-demand {}; active {:?}, preemptive {:?}",
+                        p.target, p.spot, p.on_demand, p.active, p.preemptive
+                    ));
+                }
+            }
+            "outage" => self.s().writable = false,
+            "answers" => self.s().writable = true,
+            "cordon" => {
+                let m = self.machine(first);
+                self.s().machines.at_mut(m).cordoned = true;
+            }
+            "holds" => {
+                let m = self.machine(first);
+                let n = self.s().machines.at(m).tasks.len();
+                let team = word(args, "team").map(|t| {
+                    let s = self.s();
+                    let i = s.team_names.find(t).expect("a team");
+                    s.teams[lupinspur::intern::Index::ix(i)].cpus_used
+                });
+                let text = team.map_or(String::new(), |c| format!("; the team uses {c} cpus"));
+                self.say(&format!("{first} holds {n} tasks{text}"));
+            }
+            other => panic!("unknown event {other}"),
+        }
+    }
+}
+
+fn play(text: &str) -> String {
+    let mut w = World {
+        settings: Settings::parse(SETTINGS).expect("settings"),
+        shard: None,
+        store: BTreeMap::new(),
+        revision: 0,
+        sent: HashMap::new(),
+        out: String::new(),
+    };
+    for line in text.lines().filter(|l| !l.starts_with('=')) {
+        let _ = writeln!(w.out, "{line}");
+        let words: Vec<&str> = line.split_whitespace().collect();
+        if let Some(now) = words.first().and_then(|t| t.parse::<f64>().ok()) {
+            w.event(now, words[1], &words[2..]);
+        }
+    }
+    w.out
+}
+
+#[test]
+fn traces_are_as_they_were_judged() {
+    let update = std::env::var_os("UPDATE_TRACES").is_some();
+    let mut files: Vec<_> =
+        std::fs::read_dir("tests/traces").expect("traces").map(|f| f.expect("a file").path()).collect();
+    files.sort();
+    assert!(files.len() >= 10, "the traces are missing");
+    let mut wrong = String::new();
+    for f in files {
+        let was = std::fs::read_to_string(&f).expect("a trace");
+        let is = play(&was);
+        if update {
+            std::fs::write(&f, is).expect("writing a trace");
+        } else if is != was {
+            let at = was
+                .lines()
+                .zip(is.lines())
+                .position(|(a, b)| a != b)
+                .unwrap_or(was.lines().count().min(is.lines().count()));
+            let line = |t: &str| t.lines().nth(at).unwrap_or("(end)").to_owned();
+            let _ =
+                writeln!(wrong, "{} line {}:\n  judged {}\n  is     {}", f.display(), at + 1, line(&was), line(&is));
+        }
+    }
+    assert!(wrong.is_empty(), "\n{wrong}");
+}
