The base takes from each zone in turn

Cause: after 600 s of steady booking four machines held what fits on two; replicas that must be spread could not leave a third in a zone of its own.

--- a/src/shard/sizing.rs
+++ b/src/shard/sizing.rs
@@ -285,16 +285,26 @@
     }
 
     /// The base are the on-demand machines with the most services: they have the
-    /// images, and so the next service starts there at once.
+    /// images, and so the next service starts there at once. It takes from each zone
+    /// in turn: replicas that must be spread could never leave the others otherwise.
     fn choose_base(&mut self, ty: TypeIx, count: usize, now: f64) {
-        let mut up: Vec<(usize, MachineIx)> = self
+        let mut up: Vec<(ZoneIx, usize, MachineIx)> = self
             .machines
             .iter()
             .filter(|(_, m)| m.ty == ty && !m.spot && staying(m, now) && m.phase == MachinePhase::Up)
-            .map(|(i, m)| (self.services_on(m), i))
+            .map(|(i, m)| (m.zone, self.services_on(m), i))
             .collect();
-        up.sort_by_key(|(services, i)| (std::cmp::Reverse(*services), *i));
-        for (rank, (_, i)) in up.into_iter().enumerate() {
+        up.sort_by_key(|(zone, services, i)| (*zone, std::cmp::Reverse(*services), *i));
+        let mut turn = 0;
+        let mut last = None;
+        let mut in_turns: Vec<(usize, std::cmp::Reverse<usize>, MachineIx)> = Vec::with_capacity(up.len());
+        for (zone, services, i) in up {
+            turn = if last == Some(zone) { turn + 1 } else { 0 };
+            last = Some(zone);
+            in_turns.push((turn, std::cmp::Reverse(services), i));
+        }
+        in_turns.sort();
+        for (rank, (_, _, i)) in in_turns.into_iter().enumerate() {
             self.machines.at_mut(i).base = rank < count;
         }
     }
