A spread replica may move within its zone

Cause: at 740-880 s of steady boards a fourth machine held four replicas that could go nowhere: a single replica that must be spread counted itself in its own zone, and the other zones lacked its image. Ruled out: the base count (it was 3).

--- a/src/placement.rs
+++ b/src/placement.rs
@@ -5,7 +5,7 @@
 //! the image are preferred.
 
 use crate::fleet::{HeldState, Machine};
-use crate::intern::{Index, JobIx, MachineIx};
+use crate::intern::{Index, JobIx, MachineIx, ZoneIx};
 use crate::jobs::Job;
 use crate::shard::{EPS, Shard};
 use crate::wire::Priority;
@@ -25,6 +25,19 @@
 
 /// Would one task of this job fit on the machine, all constraints counted?
 pub fn fits(s: &Shard, job: &Job, m: &Machine) -> bool {
+    fits_beside(s, job, m, job.held, job.zone_counts.get(m.zone.ix()).copied().unwrap_or(0))
+}
+
+/// Would a task that leaves a machine in zone `from` fit on this one? It does not
+/// stand in its own way: else replicas that must be spread could not change machines
+/// within their zone.
+pub fn fits_after_leaving(s: &Shard, job: &Job, m: &Machine, from: ZoneIx) -> bool {
+    let in_zone = job.zone_counts.get(m.zone.ix()).copied().unwrap_or(0);
+    let itself = u32::from(m.zone == from);
+    fits_beside(s, job, m, job.held.saturating_sub(1), in_zone.saturating_sub(itself))
+}
+
+fn fits_beside(s: &Shard, job: &Job, m: &Machine, held: u32, in_zone: u32) -> bool {
     let t = s.types.get(m.ty);
     let spec = &job.spec;
     if m.spot && !spec.spot
@@ -39,11 +52,7 @@
     {
         return false;
     }
-    let in_zone = job.zone_counts.get(m.zone.ix()).copied().unwrap_or(0);
-    if in_zone >= job.zone_limit() {
-        return false;
-    }
-    !(spec.one_zone && job.held > in_zone)
+    in_zone < job.zone_limit() && !(spec.one_zone && held > in_zone)
 }
 
 /// Does the machine keep enough room for services if batch work takes this?
@@ -246,9 +255,9 @@
                 continue;
             }
             let elsewhere = other.image.is_none_or(|im| {
-                s.machines
-                    .iter()
-                    .any(|(o, t)| o != i && t.usable(now, silent_s) && t.has_image(im) && fits(s, other, t))
+                s.machines.iter().any(|(o, t)| {
+                    o != i && t.usable(now, silent_s) && t.has_image(im) && fits_after_leaving(s, other, t, m.zone)
+                })
             });
             if elsewhere {
                 choice = Some((i, *k));
--- a/src/shard/sizing.rs
+++ b/src/shard/sizing.rs
@@ -417,7 +417,7 @@
                 let takes = |o: &Machine| {
                     o.usable(now, self.report_s * 1.6)
                         && job.image.is_none_or(|im| o.has_image(im))
-                        && crate::placement::fits(self, job, o)
+                        && crate::placement::fits_after_leaving(self, job, o, m.zone)
                 };
                 if moving(self, k, h) && job.open() && self.machines.iter().any(|(_, o)| takes(o)) {
                     out.push((i, *k));
