--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -350,6 +350,13 @@
                     ));
                 }
             }
+            "cordoned" => {
+                let mut names: Vec<String> = Vec::new();
+                for (_, m) in self.s().machines.iter().filter(|(_, m)| m.cordoned) {
+                    names.push(m.name.to_string());
+                }
+                self.say(&format!("cordoned: {}", names.join(", ")));
+            }
             "outage" => self.s().writable = false,
             "answers" => self.s().writable = true,
             "cordon" => {
