A machine's record always fits its value

Found by reading: a machine full of tiny jobs could have a record over the value limit, which would be refused for ever.

--- a/src/shard/writes.rs
+++ b/src/shard/writes.rs
@@ -146,6 +146,11 @@
         out
     }
 
+    /// How many jobs a machine's record can name, with the longest ids.
+    pub fn jobs_per_record(&self) -> usize {
+        (self.value_bytes.saturating_sub(1024) / 40).max(8)
+    }
+
     /// A machine's record names every job that it holds or may come to hold.
     fn machine_record(&self, m: MachineIx) -> (MachineRecord, Vec<JobIx>) {
         let machine = self.machines.at(m);
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -246,7 +246,7 @@
                     "habit": if service { "standing" } else { "batch" },
                     "precedence": if service { "critical" } else { "standard" },
                     "seeds": num(args, "tasks", 1.0) as u32, "cpus": num(args, "cpus", 2.0), "cards": 0.0,
-                    "memory_gb": 1.0, "same_place": false, "scatter": has(args, "spread"),
+                    "memory_gb": 0.1, "same_place": false, "scatter": has(args, "spread"),
                     "fallow": !has(args, "nospot"), "bulb": word(args, "image"), "pull_gb": 1.0,
                     "expected_s": if service { 0.0 } else { 20.0 }, "pressing_s": 0.0, "pressing_cost_s": 0.0}))
                 .expect("a job");
@@ -379,15 +379,39 @@
     }
 }
 
-fn play(text: &str) -> String {
-    let mut w = World {
+fn world() -> World {
+    World {
         settings: Settings::parse(SETTINGS).expect("settings"),
         shard: None,
         store: BTreeMap::new(),
         revision: 0,
         sent: HashMap::new(),
         out: String::new(),
-    };
+    }
+}
+
+/// Guards against a machine full of tiny jobs whose record is over the value limit: it
+/// would never be stored, and nothing could start there any more.
+#[test]
+fn the_record_of_a_machine_full_of_tiny_jobs_fits_its_value() {
+    let mut w = world();
+    w.event(0.0, "takeover", &["10"]);
+    w.event(0.1, "report", &["h1", "seq=1"]);
+    w.event(0.6, "report", &["h1", "seq=2", "token=10"]);
+    for i in 0..300 {
+        let id = format!("req-{i:032}");
+        w.event(0.7, "job", &[&id, "cpus=0.1"]);
+    }
+    w.event(0.8, "write", &[]);
+    let m = w.machine("h1");
+    let held = w.s().machines.at(m).tasks.len();
+    assert!(held > 50, "only {held} tasks were placed");
+    let (value, _) = &w.store["mach/h1"];
+    assert!(value.to_string().len() <= 4096, "the record has {} bytes", value.to_string().len());
+}
+
+fn play(text: &str) -> String {
+    let mut w = world();
     for line in text.lines().filter(|l| !l.starts_with('=')) {
         let _ = writeln!(w.out, "{line}");
         let words: Vec<&str> = line.split_whitespace().collect();
