--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -33,6 +33,9 @@
     pub spot: bool,
     /// Once set, never used again.
     pub retiring: bool,
+    /// It fails its tasks: a successor need not learn that again.
+    #[serde(default)]
+    pub faulty: bool,
     pub jobs: Vec<String>,
     pub images: Vec<(String, f64)>,
 }
@@ -181,6 +184,11 @@
         }
     }
 
+    /// Set aside for good, because several jobs failed here.
+    pub fn faulty(&self) -> bool {
+        self.quarantined_until == f64::INFINITY
+    }
+
     pub fn resolved(&self) -> bool {
         self.unresolved_until.is_none()
     }
--- a/src/shard/mod.rs
+++ b/src/shard/mod.rs
@@ -298,6 +298,9 @@
         machine.images = images;
         machine.record_stored = true;
         machine.retiring_stored = r.retiring;
+        if r.faulty {
+            machine.quarantined_until = f64::INFINITY;
+        }
         machine.direct_due = true;
         if r.retiring {
             self.deletes.insert(m);
--- a/src/shard/reports.rs
+++ b/src/shard/reports.rs
@@ -283,7 +283,9 @@
             Some(Why::Error) => self.task_failed(m, k, now),
             Some(Why::NoRoom) => {
                 // It counts something that is not known here: look again after its next report.
-                self.machines.at_mut(m).quarantined_until = now + self.report_s;
+                let until = now + self.report_s;
+                let machine = self.machines.at_mut(m);
+                machine.quarantined_until = machine.quarantined_until.max(until);
             }
             Some(Why::Unknown) => self.jobs.at_mut(k.0).not_before = now + 2.0,
             _ => {}
@@ -319,7 +321,9 @@
         jobs.dedup();
         if (jobs.len() >= 2 || machine.fails.len() >= 3 && !jobs.is_empty()) && now >= machine.quarantined_until {
             log::warn!("machine {} fails its tasks: set aside", machine.name);
-            machine.quarantined_until = now + 1e6;
+            machine.quarantined_until = f64::INFINITY;
+            machine.record_dirty = true;
+            self.records.insert(m);
         }
     }
 
--- a/src/shard/sizing.rs
+++ b/src/shard/sizing.rs
@@ -78,7 +78,7 @@
                         && others_heard
                         && quiet > self.report_s * 1.25 + 0.5;
                     let lost = quiet > silent_s && m.reported_token && others_heard || quiet > lease * 2.0;
-                    let faulty = now < m.quarantined_until && m.quarantined_until > now + 1e5 && m.tasks.is_empty();
+                    let faulty = m.faulty() && m.tasks.is_empty() && m.resolved();
                     let emptied = m.cordoned && m.tasks.is_empty() && m.resolved() && now - m.born > LEAST_PAID_S;
                     if taken || lost || faulty || emptied {
                         log::info!(
--- a/src/shard/writes.rs
+++ b/src/shard/writes.rs
@@ -179,6 +179,7 @@
             zone: self.types.zones.name(machine.zone).to_string(),
             spot: machine.spot,
             retiring: machine.phase == MachinePhase::Retiring,
+            faulty: machine.faulty(),
             jobs: names,
             images,
         };
