--- a/src/tuning.rs
+++ b/src/tuning.rs
@@ -5,7 +5,7 @@
 #[derive(Args, Clone, Debug)]
 pub struct Tuning {
     /// Spot machines held beyond the target.
-    #[arg(long, env = "LUPINSPUR_EXTRA", default_value_t = 1)]
+    #[arg(long, env = "LUPINSPUR_EXTRA", default_value_t = 2)]
     pub extra: usize,
     /// Seconds over which demand is averaged before it becomes a target.
     #[arg(long, env = "LUPINSPUR_WINDOW_S", default_value_t = 4.0)]
@@ -20,7 +20,7 @@
 
 impl Default for Tuning {
     fn default() -> Self {
-        Tuning { extra: 1, window_s: 4.0, hold_s: 15.0, claim_s: 4.0 }
+        Tuning { extra: 2, window_s: 4.0, hold_s: 15.0, claim_s: 4.0 }
     }
 }
 
