--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -195,13 +195,10 @@
 
     /// May new tasks be started on it?
     pub fn usable(&self, now: f64, silent_s: f64) -> bool {
-        !self.cordoned && self.usable_if_not_cordoned(now, silent_s)
-    }
-
-    pub fn usable_if_not_cordoned(&self, now: f64, silent_s: f64) -> bool {
         self.phase == Phase::Up
             && self.resolved()
             && self.reported_token
+            && !self.cordoned
             && self.notice_until.is_none()
             && now >= self.quarantined_until
             && now - self.last_heard < silent_s
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -180,10 +180,7 @@
             if (found.is_none() || fetches && patient) && make_room(s, &turn, fetches, now) {
                 break;
             }
-            let Some(m) = found else {
-                call_back(s, turn.job, now);
-                break;
-            };
+            let Some(m) = found else { break };
             s.jobs.at_mut(turn.job).queue.pop_front();
             s.plan(m, (turn.job, task), now);
             starts += 1;
@@ -191,18 +188,6 @@
     }
 }
 
-/// Work waits while a machine that fits is only waiting to be returned: it is used
-/// again, rather than a new one rented when the average has risen.
-fn call_back(s: &mut Shard, job: JobIx, now: f64) {
-    let silent_s = s.report_s * 1.6;
-    let job = s.jobs.at(job);
-    let fit = s.machines.iter().find(|(_, m)| m.cordoned && m.usable_if_not_cordoned(now, silent_s) && fits(s, job, m));
-    if let Some((m, _)) = fit {
-        s.machines.at_mut(m).cordoned = false;
-        s.look_again();
-    }
-}
-
 /// Stops work of lower priority where that lets a task of this job start, on one
 /// machine a pass; `with_image`: only where its image is. True if room is coming.
 fn make_room(s: &mut Shard, turn: &Turn, with_image: bool, now: f64) -> bool {
