--- a/src/placement.rs
+++ b/src/placement.rs
@@ -20,8 +20,6 @@
 const PACK_WORTH_S: f64 = 3.0;
 /// Seconds that a service waits for room on a machine that has its image.
 const ROOM_WAIT_S: f64 = 0.6;
-/// Seconds that work within its team's guarantee waits before others' borrowing ends.
-const OWED_AFTER_S: f64 = 2.0;
 /// Most starts of one pass, so that a huge job cannot hold up the rest.
 const MOST_STARTS: usize = 400;
 
@@ -144,7 +142,6 @@
         let guaranteed = t.0 + c <= team.cpus + EPS && t.1 + g <= team.cards + EPS;
         t.0 += c;
         t.1 += g;
-        job.guaranteed = guaranteed;
         if job.shadowed_by > 0 || now < job.not_before || !job.has_queued() {
             continue;
         }
@@ -196,18 +193,9 @@
 fn make_room(s: &mut Shard, turn: &Turn, with_image: bool, now: f64) -> bool {
     let job = s.jobs.at(turn.job);
     let urgent = job.spec.priority == Priority::Production;
-    // A team's guarantee takes back what other teams borrow, if waiting has not helped.
-    let owed = job.guaranteed && now - job.since > OWED_AFTER_S;
-    if !urgent && !owed || !s.writable {
+    if !urgent || !s.writable {
         return false;
     }
-    let may_stop = |other: &Job| {
-        if urgent {
-            other.spec.priority > job.spec.priority
-        } else {
-            !other.guaranteed && other.team != job.team && !other.is_service()
-        }
-    };
     let silent_s = s.report_s * 1.6;
     let mut options: Vec<(f64, MachineIx, Vec<crate::jobs::TaskKey>)> = Vec::new();
     for (i, m) in s.machines.iter() {
@@ -230,7 +218,9 @@
         let mut stoppable: Vec<_> = m
             .tasks
             .iter()
-            .filter(|(k, h)| h.stop.is_none() && h.state != HeldState::Saving && may_stop(s.jobs.at(k.0)))
+            .filter(|(k, h)| {
+                h.stop.is_none() && h.state != HeldState::Saving && s.jobs.at(k.0).spec.priority > job.spec.priority
+            })
             .collect();
         // The least important first, then what has lost the least.
         stoppable.sort_by(|a, b| {
