--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -126,8 +126,7 @@
     pub base: bool,
     pub idle_since: f64,
     pub fails: Vec<(JobIx, f64)>,
-    /// Tasks compared with others of their jobs, and how much longer they took here.
-    pub pace: (u32, f64),
+    pub successes: u32,
     pub quarantined_until: f64,
     /// Starts sent directly that got no answer yet: these attempts may still arrive.
     pub loose: TaskMap<u64>,
@@ -172,7 +171,7 @@
             base: false,
             idle_since: now,
             fails: Vec::new(),
-            pace: (0, 1.0),
+            successes: 0,
             quarantined_until: 0.0,
             loose: TaskMap::new(),
             direct_busy: false,
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -88,8 +88,6 @@
     pub not_before: f64,
     /// A machine that one of its replicas is leaving, and until when it is avoided.
     pub avoid: Option<(MachineIx, f64)>,
-    /// Completed tasks whose run time was seen, and its mean.
-    pub timed: (u32, f64),
     /// When this owner learnt of it.
     pub since: f64,
     pub zone_counts: Vec<u32>,
@@ -212,7 +210,6 @@
             failed_on: Vec::new(),
             not_before: 0.0,
             avoid: None,
-            timed: (0, 0.0),
             since: now,
             zone_counts: vec![0; if open { self.zones } else { 0 }],
             spec: r.job,
--- a/src/shard/reports.rs
+++ b/src/shard/reports.rs
@@ -29,9 +29,6 @@
 
 const DIRECT_PAUSE_S: f64 = 4.0;
 const MOST_COMMANDS: usize = 200;
-/// A machine is slow when tasks take this many times as long, over this many of them.
-const SLOW_TIMES: f64 = 2.0;
-const SLOW_SAMPLES: u32 = 4;
 /// Workers drop a reply that takes 4 s.
 const REPLY_DROPPED_S: f64 = 6.0;
 
@@ -277,10 +274,9 @@
         self.machines.at_mut(m).leftovers.insert(k, (t.attempt, Leftover::Ended));
         match t.why {
             Some(Why::Done) => {
-                if held.state == HeldState::Running {
-                    self.task_timed(m, k, now - held.running_since);
-                }
-                self.machines.at_mut(m).fails.clear();
+                let machine = self.machines.at_mut(m);
+                machine.successes += 1;
+                machine.fails.clear();
                 self.jobs.at_mut(k.0).failed_on.clear();
                 self.task_done(k);
             }
@@ -305,36 +301,6 @@
         self.requeue(k);
     }
 
-    /// A machine whose tasks take far longer than others of the same jobs is as good
-    /// as faulty: it is emptied and returned.
-    fn task_timed(&mut self, m: MachineIx, k: TaskKey, ran_s: f64) {
-        let timed = &mut self.jobs.at_mut(k.0).timed;
-        let (known, mean) = *timed;
-        timed.0 += 1;
-        timed.1 += (ran_s - mean) / f64::from(timed.0);
-        if known < SLOW_SAMPLES || mean < 1.0 {
-            return;
-        }
-        let machine = self.machines.at_mut(m);
-        machine.pace.0 += 1;
-        machine.pace.1 += (ran_s / mean - machine.pace.1) * 0.3;
-        if machine.pace.0 >= SLOW_SAMPLES && machine.pace.1 > SLOW_TIMES && !machine.faulty() {
-            log::warn!(
-                "machine {} runs its tasks {:.1} times as long as others: set aside",
-                machine.name,
-                machine.pace.1
-            );
-            self.set_aside(m);
-        }
-    }
-
-    fn set_aside(&mut self, m: MachineIx) {
-        let machine = self.machines.at_mut(m);
-        machine.quarantined_until = f64::INFINITY;
-        machine.record_dirty = true;
-        self.records.insert(m);
-    }
-
     /// One machine on which several jobs fail is faulty; one job that fails on
     /// several machines is.
     fn task_failed(&mut self, m: MachineIx, k: TaskKey, now: f64) {
@@ -355,7 +321,9 @@
         jobs.dedup();
         if (jobs.len() >= 2 || machine.fails.len() >= 3 && !jobs.is_empty()) && now >= machine.quarantined_until {
             log::warn!("machine {} fails its tasks: set aside", machine.name);
-            self.set_aside(m);
+            machine.quarantined_until = f64::INFINITY;
+            machine.record_dirty = true;
+            self.records.insert(m);
         }
     }
 
