--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -8,7 +8,7 @@
 pub mod zones;
 
 use crate::intern::{ImageIx, Index, JobIx, MachineIx, Names, TypeIx, ZoneIx};
-use crate::jobs::{TaskKey, TaskMap};
+use crate::jobs::TaskMap;
 use crate::wire::MachineType;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeSet, HashSet};
@@ -116,7 +116,6 @@
     /// Jobs that the stored record names.
     pub stored_jobs: HashSet<JobIx>,
     pub record_stored: bool,
-    pub retiring_stored: bool,
     /// The record must be written before planned starts may go out.
     pub record_dirty: bool,
     pub images: Vec<CachedImage>,
@@ -124,9 +123,7 @@
     pub cordoned: bool,
     /// Part of the on-demand base: services first, batch work only in what they leave.
     pub base: bool,
-    pub idle_since: f64,
     pub fails: Vec<(JobIx, f64)>,
-    pub successes: u32,
     pub quarantined_until: f64,
     /// Starts sent directly that got no answer yet: these attempts may still arrive.
     pub loose: TaskMap<u64>,
@@ -135,7 +132,6 @@
     pub direct_not_before: f64,
     pub listed: bool,
     pub missing: u32,
-    pub probe_failed: u32,
     pub deleting: bool,
 }
 
@@ -163,15 +159,12 @@
             memory_used: 0.0,
             stored_jobs: HashSet::new(),
             record_stored: false,
-            retiring_stored: false,
             record_dirty: false,
             images: Vec::new(),
             notice_until: None,
             cordoned: false,
             base: false,
-            idle_since: now,
             fails: Vec::new(),
-            successes: 0,
             quarantined_until: 0.0,
             loose: TaskMap::new(),
             direct_busy: false,
@@ -179,7 +172,6 @@
             direct_not_before: 0.0,
             listed: false,
             missing: 0,
-            probe_failed: 0,
             deleting: false,
         }
     }
@@ -237,10 +229,6 @@
             None => self.images.push(CachedImage { image, gb, ready: true }),
         }
     }
-
-    pub fn runs(&self, key: &TaskKey) -> bool {
-        self.tasks.contains_key(key)
-    }
 }
 
 /// All machines, by index; gone ones stay as names so that late news is recognised.
--- a/src/shard/mod.rs
+++ b/src/shard/mod.rs
@@ -297,7 +297,6 @@
         machine.stored_jobs = jobs;
         machine.images = images;
         machine.record_stored = true;
-        machine.retiring_stored = r.retiring;
         if r.faulty {
             machine.quarantined_until = f64::INFINITY;
         }
--- a/src/shard/reports.rs
+++ b/src/shard/reports.rs
@@ -90,7 +90,6 @@
         machine.session = r.session;
         machine.seq = r.seq;
         machine.last_heard = now;
-        machine.probe_failed = 0;
         match r.notice_s {
             Some(s) if machine.notice_until.is_none() => {
                 log::info!("machine {} has notice of {s} s", machine.name);
@@ -101,7 +100,6 @@
         let became_ready = machine.phase == MachinePhase::Booting;
         if became_ready {
             machine.phase = MachinePhase::Up;
-            machine.idle_since = now;
             let (ty, zone, spot) = (machine.ty, machine.zone, machine.spot);
             if spot && let Some(p) = self.pools.get_mut(&ty) {
                 p.zones.ready(zone);
@@ -275,7 +273,6 @@
         match t.why {
             Some(Why::Done) => {
                 let machine = self.machines.at_mut(m);
-                machine.successes += 1;
                 machine.fails.clear();
                 self.jobs.at_mut(k.0).failed_on.clear();
                 self.task_done(k);
@@ -506,7 +503,6 @@
             Direct::NotSent | Direct::Unknown => {
                 machine.direct_not_before = now + DIRECT_PAUSE_S;
                 machine.direct_due = !machine.reported_token;
-                machine.probe_failed += 1;
             }
         }
     }
--- a/src/shard/writes.rs
+++ b/src/shard/writes.rs
@@ -226,7 +226,6 @@
             machine.stored_jobs = jobs.into_iter().collect();
         }
         if retiring {
-            machine.retiring_stored = true;
             self.deletes.insert(m);
             return;
         }
@@ -276,8 +275,4 @@
             self.versions.insert(key.to_owned(), version);
         }
     }
-
-    pub fn writes_pending(&self) -> bool {
-        !self.finals.is_empty() || !self.records.is_empty()
-    }
 }
