Say once what was said several times: stopping gently, taking at once, zone counts

Two constants of one name and different values have two names. Placement's log line no longer reads the clock.

--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -1,6 +1,6 @@
 //! Jobs and their tasks: what is kept at the state service, and what is known.
 
-use crate::intern::{ImageIx, Index, JobIx, MachineIx, Names, TeamIx};
+use crate::intern::{ImageIx, Index, JobIx, MachineIx, Names, TeamIx, ZoneIx};
 use crate::wire::{JobRequest, JobState, Kind};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -117,6 +117,11 @@
         if self.spec.spread { self.spec.tasks.div_ceil(2) } else { u32::MAX }
     }
 
+    /// Its tasks held in this zone.
+    pub fn in_zone(&self, z: ZoneIx) -> u32 {
+        self.zone_counts.get(z.ix()).copied().unwrap_or(0)
+    }
+
     pub fn is_service(&self) -> bool {
         self.spec.kind == Kind::Service
     }
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -25,7 +25,7 @@
 
 /// Would one task of this job fit on the machine, all constraints counted?
 pub fn fits(s: &Shard, job: &Job, m: &Machine) -> bool {
-    fits_beside(s, job, m, job.held, job.zone_counts.get(m.zone.ix()).copied().unwrap_or(0))
+    fits_beside(s, job, m, job.held, job.in_zone(m.zone))
 }
 
 /// A machine's record names its jobs, and must fit in one value: a machine full of tiny
@@ -43,12 +43,23 @@
 /// Would a task that leaves a machine in zone `from` fit on this one? It does not
 /// stand in its own way: else replicas that must be spread could not change machines
 /// within their zone.
-pub fn fits_after_leaving(s: &Shard, job: &Job, m: &Machine, from: ZoneIx) -> bool {
-    let in_zone = job.zone_counts.get(m.zone.ix()).copied().unwrap_or(0);
+fn fits_after_leaving(s: &Shard, job: &Job, m: &Machine, from: ZoneIx) -> bool {
+    let in_zone = job.in_zone(m.zone);
     let itself = u32::from(m.zone == from);
     fits_beside(s, job, m, job.held.saturating_sub(1), in_zone.saturating_sub(itself))
 }
 
+/// Could another machine take a task of this job from `leaving`, with no fetch?
+pub fn taken_at_once(s: &Shard, job: &Job, leaving: MachineIx, now: f64) -> bool {
+    let from = s.machines.at(leaving).zone;
+    s.machines.iter().any(|(i, m)| {
+        i != leaving
+            && m.usable(now, s.fresh_s())
+            && job.image.is_none_or(|image| m.has_image(image))
+            && fits_after_leaving(s, job, m, from)
+    })
+}
+
 fn fits_beside(s: &Shard, job: &Job, m: &Machine, held: u32, in_zone: u32) -> bool {
     let t = s.types.get(m.ty);
     let spec = &job.spec;
@@ -89,7 +100,7 @@
 }
 
 fn best(s: &Shard, job: &Job, now: f64) -> Option<MachineIx> {
-    let silent_s = s.report_s * 1.6;
+    let silent_s = s.fresh_s();
     s.machines
         .iter()
         .filter(|(i, m)| {
@@ -130,7 +141,7 @@
 fn turns(s: &mut Shard, now: f64) -> Vec<Turn> {
     let mut by_age: Vec<JobIx> = s.jobs.live.iter().copied().filter(|&j| s.jobs.at(j).open()).collect();
     by_age.sort_by_key(|&j| s.jobs.at(j).at_ms);
-    let now_ms = (s.day_ms + now * 1000.0) as u64;
+    let now_ms = s.day_now_ms(now);
     let mut taken = vec![(0.0f64, 0.0f64); s.teams.len()];
     let mut out = Vec::new();
     for j in by_age {
@@ -196,7 +207,7 @@
     if !urgent || !s.writable {
         return false;
     }
-    let silent_s = s.report_s * 1.6;
+    let silent_s = s.fresh_s();
     let mut options: Vec<(f64, MachineIx, Vec<crate::jobs::TaskKey>)> = Vec::new();
     for (i, m) in s.machines.iter() {
         if !m.usable(now, silent_s)
@@ -205,7 +216,7 @@
         {
             continue;
         }
-        let in_zone = job.zone_counts.get(m.zone.ix()).copied().unwrap_or(0);
+        let in_zone = job.in_zone(m.zone);
         if in_zone >= job.zone_limit() {
             continue;
         }
@@ -242,9 +253,8 @@
     options.sort_by(|a, b| a.0.total_cmp(&b.0));
     let Some((_, m, victims)) = options.into_iter().next() else { return with_image && move_replica(s, turn.job, now) };
     for k in victims {
-        let g = s.grace(k.0);
         log::debug!("{}/{} makes room", s.jobs.at(k.0).id, k.1);
-        s.stop_task(m, k, g);
+        s.stop_gently(m, k);
     }
     true
 }
@@ -252,7 +262,7 @@
 /// Where a service's image is, only services are. One replica that can go on at
 /// once elsewhere leaves its place; true if one does, or is about to.
 fn move_replica(s: &mut Shard, waiting: JobIx, now: f64) -> bool {
-    let silent_s = s.report_s * 1.6;
+    let silent_s = s.fresh_s();
     let job = s.jobs.at(waiting);
     let Some(image) = job.image else { return false };
     let mut choice = None;
@@ -266,12 +276,7 @@
             if !other.is_service() || !enough || k.0 == waiting || h.state != HeldState::Running || !other.open() {
                 continue;
             }
-            let elsewhere = other.image.is_none_or(|im| {
-                s.machines.iter().any(|(o, t)| {
-                    o != i && t.usable(now, silent_s) && t.has_image(im) && fits_after_leaving(s, other, t, m.zone)
-                })
-            });
-            if elsewhere {
+            if taken_at_once(s, other, i, now) {
                 choice = Some((i, *k));
             }
         }
@@ -282,7 +287,6 @@
     let Some((m, k)) = choice else { return false };
     log::debug!("{}/{} moves for {}", s.jobs.at(k.0).id, k.1, s.jobs.at(waiting).id);
     s.jobs.at_mut(k.0).avoid = Some((m, now + 5.0));
-    let g = s.grace(k.0);
-    s.stop_task(m, k, g);
+    s.stop_gently(m, k);
     true
 }
--- a/src/shard/mod.rs
+++ b/src/shard/mod.rs
@@ -364,7 +364,29 @@
         }
     }
 
-    pub(crate) fn grace(&self, j: JobIx) -> f64 {
+    /// Stops a task that is to go on elsewhere: it may save first, if it can.
+    pub(crate) fn stop_gently(&mut self, m: MachineIx, key: TaskKey) {
+        let grace = self.grace(key.0);
+        self.stop_task(m, key, grace);
+    }
+
+    /// The machine's record is to be written again.
+    pub(crate) fn want_record(&mut self, m: MachineIx) {
+        self.machines.at_mut(m).record_dirty = true;
+        self.records.insert(m);
+    }
+
+    /// The time of day by the steady clock, in milliseconds.
+    pub(crate) fn day_now_ms(&self, now: f64) -> u64 {
+        (self.day_ms + now * 1000.0) as u64
+    }
+
+    /// A machine heard within this is surely still there.
+    pub(crate) fn fresh_s(&self) -> f64 {
+        self.report_s * 1.6
+    }
+
+    fn grace(&self, j: JobIx) -> f64 {
         let s = &self.jobs.at(j).spec;
         if s.checkpoint_s > 0.0 { s.save_s + GRACE_EXTRA_S } else { 0.0 }
     }
@@ -382,7 +404,7 @@
             key.1,
             job.spec.class,
             self.machines.at(m).name,
-            crate::clock::wall_ms().saturating_sub(job.at_ms),
+            self.day_now_ms(now).saturating_sub(job.at_ms),
             image.is_none_or(|i| self.machines.at(m).has_image(i.0))
         );
         self.hold(
@@ -410,8 +432,7 @@
             }
             machine.direct_due = true;
         } else {
-            machine.record_dirty = true;
-            self.records.insert(m);
+            self.want_record(m);
         }
     }
 
--- a/src/shard/reports.rs
+++ b/src/shard/reports.rs
@@ -244,9 +244,16 @@
         }
         let job = self.jobs.at_mut(k.0);
         job.running = job.running + u32::from(runs) - u32::from(was_running);
-        if let (true, Some(i)) = (runs, job.image) {
-            let gb = job.spec.image_gb;
-            self.machines.at_mut(m).image_ready(i, gb);
+        if runs {
+            self.image_seen(m, k);
+        }
+    }
+
+    /// The task runs or ran here, and so its image is here.
+    fn image_seen(&mut self, m: MachineIx, k: TaskKey) {
+        let job = self.jobs.at(k.0);
+        if let Some(i) = job.image {
+            self.machines.at_mut(m).image_ready(i, job.spec.image_gb);
         }
     }
 
@@ -265,9 +272,8 @@
 
     fn exited(&mut self, m: MachineIx, k: TaskKey, t: &TaskReport, now: f64) {
         let Some(held) = self.release(m, k) else { return };
-        if let (Some(Why::Done), Some(i)) = (t.why, self.jobs.at(k.0).image) {
-            let gb = self.jobs.at(k.0).spec.image_gb;
-            self.machines.at_mut(m).image_ready(i, gb);
+        if t.why == Some(Why::Done) {
+            self.image_seen(m, k);
         }
         self.machines.at_mut(m).leftovers.insert(k, (t.attempt, Leftover::Ended));
         match t.why {
@@ -319,8 +325,7 @@
         if (jobs.len() >= 2 || machine.fails.len() >= 3 && !jobs.is_empty()) && now >= machine.quarantined_until {
             log::warn!("machine {} fails its tasks: set aside", machine.name);
             machine.quarantined_until = f64::INFINITY;
-            machine.record_dirty = true;
-            self.records.insert(m);
+            self.want_record(m);
         }
     }
 
@@ -333,8 +338,7 @@
         for k in keys {
             let job = self.jobs.at(k.0);
             if job.spec.checkpoint_s > 0.0 || job.is_service() {
-                let g = self.grace(k.0);
-                self.stop_task(m, k, g);
+                self.stop_gently(m, k);
             }
         }
     }
--- a/src/shard/sizing.rs
+++ b/src/shard/sizing.rs
@@ -26,8 +26,8 @@
 const MOST_MOVED: usize = 4;
 /// A start that a command stops sooner than this counts for nothing.
 const COUNTED_S: f64 = 32.0;
-/// Cpu room on on-demand machines kept for services, in tasks of theirs a machine.
-const SERVICE_ROOM: f64 = 2.0;
+/// The base is counted with room for this many more service tasks.
+const SPARE_TASKS: f64 = 2.0;
 
 impl Shard {
     /// A machine is silent once two of its reports are overdue.
@@ -101,8 +101,7 @@
         }
         machine.phase = MachinePhase::Retiring;
         if machine.record_stored || machine.record_dirty {
-            machine.record_dirty = true;
-            self.records.insert(m);
+            self.want_record(m);
         } else {
             self.deletes.insert(m);
         }
@@ -249,7 +248,7 @@
             let (spot_demand, mut base_demand) = demand.get(&ty).copied().unwrap_or_default();
             let size = self.types.get(ty).cpus;
             if base_demand > 0.0 {
-                base_demand = (base_demand + SERVICE_ROOM * self.service_cpus.max(1.0) / size).max(1.5);
+                base_demand = (base_demand + SPARE_TASKS * self.service_cpus.max(1.0) / size).max(1.5);
             }
             let count = |spot: bool, ready: bool| {
                 self.machines
@@ -389,9 +388,8 @@
             let job = s.jobs.at(k.0);
             job.is_service() && job.held == job.spec.tasks && h.state == HeldState::Running
         };
-        if let Some((m, k)) = self.movable(moving, now).first().copied() {
-            let g = self.grace(k.0);
-            self.stop_task(m, k, g);
+        for (m, k) in self.movable(1, moving, now) {
+            self.stop_gently(m, k);
         }
     }
 
@@ -402,26 +400,25 @@
             let spec = &s.jobs.at(k.0).spec;
             spec.checkpoint_s > 0.0 && h.state == HeldState::Running && now - h.running_since > COUNTED_S
         };
-        for (m, k) in self.movable(moving, now).into_iter().take(MOST_MOVED) {
-            let g = self.grace(k.0);
-            self.stop_task(m, k, g);
+        for (m, k) in self.movable(MOST_MOVED, moving, now) {
+            self.stop_gently(m, k);
         }
     }
 
-    /// Tasks on cordoned machines that another machine could take at once.
-    fn movable(&self, moving: impl Fn(&Self, &TaskKey, &Held) -> bool, now: f64) -> Vec<(MachineIx, TaskKey)> {
+    /// Up to `most` tasks on cordoned machines that another machine could take at once.
+    fn movable(
+        &self,
+        most: usize,
+        moving: impl Fn(&Self, &TaskKey, &Held) -> bool,
+        now: f64,
+    ) -> Vec<(MachineIx, TaskKey)> {
         let mut out = Vec::new();
         for (i, m) in self.machines.iter().filter(|(_, m)| m.cordoned && m.phase == MachinePhase::Up) {
             for (k, h) in m.tasks.iter().filter(|(_, h)| h.stop.is_none()) {
                 let job = self.jobs.at(k.0);
-                let takes = |o: &Machine| {
-                    o.usable(now, self.report_s * 1.6)
-                        && job.image.is_none_or(|im| o.has_image(im))
-                        && crate::placement::fits_after_leaving(self, job, o, m.zone)
-                };
-                if moving(self, k, h) && job.open() && self.machines.iter().any(|(_, o)| takes(o)) {
+                if moving(self, k, h) && job.open() && crate::placement::taken_at_once(self, job, i, now) {
                     out.push((i, *k));
-                    if out.len() >= MOST_MOVED {
+                    if out.len() >= most {
                         return out;
                     }
                 }
