--- a/src/http.rs
+++ b/src/http.rs
@@ -149,6 +149,7 @@
 pub struct Incoming {
     pub method: Method,
     pub path: String,
+    pub query: String,
     pub body: Vec<u8>,
 }
 
@@ -228,7 +229,13 @@
             return send(&conn, response(Outgoing::error(413, "body over 64 KiB"), true), method).await;
         }
         let close = req.header("connection").is_some_and(|h| h.as_str().eq_ignore_ascii_case("close"));
-        let out = handler(Incoming { method, path: req.url().path().to_owned(), body }).await;
+        let out = handler(Incoming {
+            method,
+            path: req.url().path().to_owned(),
+            query: req.url().query().unwrap_or_default().to_owned(),
+            body,
+        })
+        .await;
         send(&conn, response(out, close), method).await?;
         if close {
             return Ok(());
--- /dev/null
+++ b/tests/loopback.rs
@@ -0,0 +1,494 @@
+//! The real program over loopback, against stand-ins for the state service, the
+//! cloud and the workers that are written here: starts, bad input, an array, a
+//! service with its cancellation, and the end of the owner in between.
+
+use async_executor::Executor;
+use async_io::{Async, Timer};
+use http_types::Method;
+use lupinspur::http::{Client, Incoming, Outgoing, serve};
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+
+static EX: Executor<'static> = Executor::new();
+const RUN_TIME: Duration = Duration::from_millis(400);
+
+fn lock<T>(m: &Mutex<T>) -> MutexGuard<'_, T> {
+    m.lock().unwrap_or_else(|e| e.into_inner())
+}
+
+fn param(query: &str, name: &str) -> Option<String> {
+    query.split('&').find_map(|p| p.strip_prefix(name)?.strip_prefix('=').map(str::to_owned))
+}
+
+fn body(req: &Incoming) -> Value {
+    serde_json::from_slice(&req.body).unwrap_or_default()
+}
+
+fn server<F, Fut>(handler: F) -> SocketAddr
+where
+    F: Fn(Incoming) -> Fut + Send + Sync + 'static,
+    Fut: Future<Output = Outgoing> + Send + 'static,
+{
+    let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).expect("a port");
+    let addr = listener.get_ref().local_addr().expect("its address");
+    EX.spawn(serve(&EX, listener, 200, Arc::new(handler))).detach();
+    addr
+}
+
+// ---- the state service ----
+
+#[derive(Default)]
+struct Store {
+    keys: BTreeMap<String, (Value, u64, Option<u64>)>,
+    revision: u64,
+    leases: BTreeMap<u64, (Instant, Duration)>,
+    events: Vec<Value>,
+}
+
+impl Store {
+    fn expire(&mut self) {
+        let dead: Vec<u64> = self.leases.iter().filter(|(_, l)| l.0.elapsed() > l.1).map(|(i, _)| *i).collect();
+        for id in dead {
+            self.leases.remove(&id);
+            let gone: Vec<String> = self.keys.iter().filter(|(_, k)| k.2 == Some(id)).map(|(k, _)| k.clone()).collect();
+            for key in gone {
+                self.revision += 1;
+                self.keys.remove(&key);
+                self.events.push(json!({"drop": key, "stamp": self.revision}));
+            }
+        }
+    }
+
+    fn commit(&mut self, txn: &Value) -> Outgoing {
+        let list = |n: &str| txn[n].as_array().cloned().unwrap_or_default();
+        let failed: Vec<String> = list("if")
+            .iter()
+            .filter(|c| {
+                self.keys.get(c["path"].as_str().unwrap_or("")).map_or(0, |k| k.1) != c["stamp"].as_u64().unwrap_or(0)
+            })
+            .map(|c| c["path"].as_str().unwrap_or("").to_owned())
+            .collect();
+        if !failed.is_empty() {
+            return Outgoing::json(409, &json!({"failed": failed, "almanac": self.revision}));
+        }
+        let writes = list("writes");
+        if writes.iter().any(|w| w["tether"].as_u64().is_some_and(|t| !self.leases.contains_key(&t))) {
+            return Outgoing::json(400, &json!({"error": "no such lease"}));
+        }
+        self.revision += 1;
+        for w in writes {
+            if let Some(key) = w["set"].as_str() {
+                self.keys.insert(key.to_owned(), (w["v"].clone(), self.revision, w["tether"].as_u64()));
+                self.events.push(json!({"set": key, "v": w["v"], "stamp": self.revision}));
+            } else if let Some(key) = w["drop"].as_str() {
+                self.keys.remove(key);
+                self.events.push(json!({"drop": key, "stamp": self.revision}));
+            }
+        }
+        Outgoing::json(200, &json!({"almanac": self.revision}))
+    }
+}
+
+async fn state(store: Arc<Mutex<Store>>, req: Incoming) -> Outgoing {
+    lock(&store).expire();
+    let parts: Vec<&str> = req.path.trim_start_matches('/').splitn(2, '/').collect();
+    match (req.method, parts[0], parts.get(1).copied()) {
+        (Method::Get, "kv", Some(key)) => {
+            let s = lock(&store);
+            match s.keys.get(key) {
+                Some((v, n, _)) => Outgoing::json(200, &json!({"path": key, "v": v, "stamp": n})),
+                None => Outgoing::json(404, &json!({"almanac": s.revision})),
+            }
+        }
+        (Method::Get, "kv", None) => {
+            let s = lock(&store);
+            let prefix = param(&req.query, "under").unwrap_or_default();
+            let pairs: Vec<Value> = s
+                .keys
+                .iter()
+                .filter(|(k, _)| k.starts_with(&prefix))
+                .map(|(k, (v, n, _))| json!({"path": k, "v": v, "stamp": n}))
+                .collect();
+            Outgoing::json(200, &json!({"pairs": pairs, "has_next": false, "almanac": s.revision}))
+        }
+        (Method::Post, "commit", None) => lock(&store).commit(&body(&req)),
+        (Method::Post, "grants", None) => {
+            let mut s = lock(&store);
+            let id = s.leases.keys().max().unwrap_or(&0) + 1;
+            let life = Duration::from_millis(body(&req)["life_ms"].as_u64().unwrap_or(5000));
+            s.leases.insert(id, (Instant::now(), life));
+            Outgoing::json(200, &json!({"tether": id}))
+        }
+        (method, "grants", Some(rest)) => {
+            let mut s = lock(&store);
+            let id: u64 = rest.split('/').next().and_then(|i| i.parse().ok()).unwrap_or(0);
+            match s.leases.get_mut(&id) {
+                Some(l) if method == Method::Post => l.0 = Instant::now(),
+                Some(l) => l.1 = Duration::ZERO,
+                None => return Outgoing::json(404, &json!({})),
+            }
+            Outgoing::json(200, &json!({}))
+        }
+        (Method::Get, "follow", None) => {
+            let prefix = param(&req.query, "under").unwrap_or_default();
+            let from: u64 = param(&req.query, "from").and_then(|f| f.parse().ok()).unwrap_or(0);
+            let block: u64 = param(&req.query, "block_ms").and_then(|f| f.parse().ok()).unwrap_or(0);
+            let began = Instant::now();
+            loop {
+                {
+                    let mut s = lock(&store);
+                    s.expire();
+                    let under =
+                        |e: &Value| e["set"].as_str().or(e["drop"].as_str()).is_some_and(|k| k.starts_with(&prefix));
+                    let news: Vec<&Value> =
+                        s.events.iter().filter(|e| e["stamp"].as_u64().unwrap_or(0) > from && under(e)).collect();
+                    if !news.is_empty() || began.elapsed().as_millis() as u64 >= block {
+                        return Outgoing::json(200, &json!({"almanac": s.revision, "news": news}));
+                    }
+                }
+                Timer::after(Duration::from_millis(10)).await;
+            }
+        }
+        _ => Outgoing::json(400, &json!({})),
+    }
+}
+
+// ---- workers ----
+
+struct Task {
+    attempt: u64,
+    began: Instant,
+    stopped: bool,
+    service: bool,
+}
+
+/// A worker; what several of them run at the same time is checked at every start.
+struct Worker {
+    name: String,
+    addr: SocketAddr,
+    seq: u64,
+    token: u64,
+    tasks: BTreeMap<String, Task>,
+}
+
+type Workers = Arc<Mutex<Vec<Worker>>>;
+
+impl Task {
+    fn ended(&self) -> Option<&'static str> {
+        if self.stopped {
+            Some("stopped")
+        } else {
+            (!self.service && self.began.elapsed() > RUN_TIME).then_some("done")
+        }
+    }
+}
+
+impl Worker {
+    fn report(&mut self) -> Value {
+        self.seq += 1;
+        let seeds: Vec<Value> = self
+            .tasks
+            .iter()
+            .map(|(n, t)| match t.ended() {
+                Some(why) => json!({"seed": n, "sowing": t.attempt, "bloom": "ended", "wilt": why}),
+                None => json!({"seed": n, "sowing": t.attempt, "bloom": "running"}),
+            })
+            .collect();
+        json!({"plot": self.name, "addr": self.addr.to_string(), "strain": "m8", "field": "a", "fallow": false,
+            "season": 1, "tally": self.seq, "warrant": self.token, "reclaim_s": null, "seeds": seeds})
+    }
+}
+
+/// Executes commands on the worker at `w`; a start of what runs elsewhere is noted.
+fn obey(all: &Workers, w: usize, reply: &Value, twice: &Mutex<Vec<String>>) -> bool {
+    let mut all = lock(all);
+    let token = reply["warrant"].as_u64().unwrap_or(0);
+    if token < all[w].token {
+        return false;
+    }
+    all[w].token = token;
+    for c in reply["tidings"].as_array().cloned().unwrap_or_default() {
+        let (task, attempt) = (c["seed"].as_str().unwrap_or("").to_owned(), c["sowing"].as_u64().unwrap_or(0));
+        match c["tiding"].as_str() {
+            Some("run") if !all[w].tasks.contains_key(&task) => {
+                let elsewhere = all.iter().any(|o| o.tasks.get(&task).is_some_and(|t| t.ended().is_none()));
+                if elsewhere {
+                    lock(twice).push(task.clone());
+                }
+                let service = task.starts_with("req-0007");
+                all[w].tasks.insert(task, Task { attempt, began: Instant::now(), stopped: false, service });
+            }
+            Some("halt") => {
+                if let Some(t) = all[w].tasks.get_mut(&task).filter(|t| t.attempt == attempt && t.ended().is_none()) {
+                    t.stopped = true;
+                }
+            }
+            Some("forget") => _ = all[w].tasks.remove(&task),
+            _ => {}
+        }
+    }
+    true
+}
+
+async fn work(all: Workers, w: usize, nodes: Vec<SocketAddr>, names: Vec<String>, twice: Arc<Mutex<Vec<String>>>) {
+    let client = Client::new(1);
+    let mut at = w % nodes.len();
+    loop {
+        let report = lock(&all)[w].report();
+        let bytes = serde_json::to_vec(&report).expect("a report");
+        match client.call(nodes[at], Method::Post, "/checkin", Some(bytes), Duration::from_secs(4)).await {
+            Ok((200, b)) => _ = obey(&all, w, &serde_json::from_slice(&b).unwrap_or_default(), &twice),
+            Ok((421, b)) => {
+                let v: Value = serde_json::from_slice(&b).unwrap_or_default();
+                at = names
+                    .iter()
+                    .position(|n| Some(n.as_str()) == v["gardener"].as_str())
+                    .unwrap_or((at + 1) % nodes.len());
+            }
+            _ => at = (at + 1) % nodes.len(),
+        }
+        Timer::after(Duration::from_millis(150)).await;
+    }
+}
+
+// ---- the test ----
+
+struct Nodes(Vec<Option<Child>>);
+
+impl Drop for Nodes {
+    fn drop(&mut self) {
+        for c in self.0.iter_mut().flatten() {
+            let _ = c.kill();
+            let _ = c.wait();
+        }
+    }
+}
+
+fn free_port() -> SocketAddr {
+    TcpListener::bind(("127.0.0.1", 0)).and_then(|l| l.local_addr()).expect("a port")
+}
+
+fn settings(i: usize, listen: &[SocketAddr], peer: &[SocketAddr], cloud: SocketAddr, state: SocketAddr) -> String {
+    let mut peers = String::new();
+    for (j, a) in peer.iter().enumerate().filter(|(j, _)| *j != i) {
+        peers += &format!("[[seeds]]\nhost_name = \"n{j}\"\ndomain = \"a\"\naddress = \"{a}\"\n");
+    }
+    format!(
+        "host_name = \"n{i}\"\ndomain = \"a\"\nbind = \"{}\"\npeer_listen = \"{}\"\n{peers}\
+         [services]\ncloud = \"{cloud}\"\nstate = \"{state}\"\n\
+         [cluster]\nzones = [\"a\"]\n[[cluster.teams]]\nname = \"red\"\ncpus_max = 8.0\n\
+         [cluster.workers]\nreport_s = 0.3\nlease_s = 4.0\ncancel_s = 10.0\n\
+         [cluster.state]\nrps = 500.0\nwrite_rps = 300.0\nvalue_kb = 16.0\ntxn_ops = 16\n\
+         [cluster.cloud]\nrps = 20.0\nlist_lag_s = 0.5\n",
+        listen[i], peer[i]
+    )
+}
+
+fn job(id: &str, habit: &str, tasks: u32) -> Value {
+    json!({"id": id, "breed": "any", "herd": "red", "habit": habit, "precedence": "standard", "seeds": tasks,
+        "cpus": 1.0, "cards": 0.0, "memory_gb": 1.0, "bulb": "img", "pull_gb": 0.1, "strains": null, "field": null,
+        "same_place": false, "scatter": false, "fallow": false, "expected_s": 1.0, "pressing_s": 0.0,
+        "pressing_cost_s": 0.0, "harvest_s": null})
+}
+
+struct User {
+    client: Client,
+}
+
+impl User {
+    fn ask(&self, at: SocketAddr, method: Method, path: &str, b: Option<Vec<u8>>) -> (u16, Value) {
+        let call = self.client.call(at, method, path, b, Duration::from_secs(5));
+        match async_io::block_on(call) {
+            Ok((s, b)) => (s, serde_json::from_slice(&b).unwrap_or_default()),
+            Err(_) => (0, Value::Null),
+        }
+    }
+
+    /// Asks again, at each of these nodes, until the answer is as wanted.
+    fn until(
+        &self,
+        at: &[SocketAddr],
+        method: Method,
+        path: &str,
+        b: Option<&Value>,
+        good: impl Fn(u16, &Value) -> bool,
+    ) -> Value {
+        let began = Instant::now();
+        let mut last = (0, Value::Null);
+        while began.elapsed() < Duration::from_secs(40) {
+            for a in at {
+                last = self.ask(*a, method, path, b.map(|v| serde_json::to_vec(v).expect("JSON")));
+                if good(last.0, &last.1) {
+                    return last.1;
+                }
+            }
+            std::thread::sleep(Duration::from_millis(50));
+        }
+        panic!("{method} {path} never came out as wanted; the last answer was {last:?}");
+    }
+}
+
+#[test]
+fn serves_users_through_the_end_of_its_owner() {
+    std::thread::spawn(|| async_io::block_on(EX.run(std::future::pending::<()>())));
+    let store = Arc::new(Mutex::new(Store::default()));
+    let s = store.clone();
+    let state_addr = server(move |r| state(s.clone(), r));
+    let workers: Workers = Arc::default();
+    let twice = Arc::new(Mutex::new(Vec::new()));
+    let cloud_addr = server(move |r: Incoming| async move {
+        match r.path.as_str() {
+            "/flavors" => Outgoing::json(
+                200,
+                &json!({"strains":[{"name":"m8","cpus":8,"cards":0,"memory_gb":16,"local_gb":10,"pull_gb_per_s":1.0,
+                    "hourly":1.0,"spot_price":0.3,"ready_s":2,"fields":["a"]}]}),
+            ),
+            "/machines" if r.method == Method::Get => Outgoing::json(200, &json!({"plots": [], "has_next": false})),
+            "/machines" => Outgoing::json(503, &json!({"error": "no capacity"})),
+            _ => Outgoing::json(200, &json!({})),
+        }
+    });
+    let listen: Vec<SocketAddr> = (0..2).map(|_| free_port()).collect();
+    let peer: Vec<SocketAddr> = (0..2).map(|_| free_port()).collect();
+    let dir = std::env::temp_dir().join(format!("lupinspur-loopback-{}", std::process::id()));
+    std::fs::create_dir_all(&dir).expect("a folder");
+    let mut nodes = Nodes(Vec::new());
+    for i in 0..2 {
+        let file = dir.join(format!("n{i}.toml"));
+        std::fs::write(&file, settings(i, &listen, &peer, cloud_addr, state_addr)).expect("a settings file");
+        let child = Command::new(env!("CARGO_BIN_EXE_lupinspur"))
+            .arg("--config")
+            .arg(&file)
+            .env("LOG_LEVEL", "error")
+            .stderr(Stdio::inherit())
+            .spawn()
+            .expect("the program starts");
+        nodes.0.push(Some(child));
+    }
+    for w in 0..2 {
+        let (all, t) = (workers.clone(), twice.clone());
+        let addr = server(move |r: Incoming| {
+            let (all, t) = (all.clone(), t.clone());
+            async move {
+                let ok = r.method == Method::Get || obey(&all, w, &body(&r), &t);
+                let report = lock(&all)[w].report();
+                Outgoing::json(if ok { 200 } else { 409 }, &report)
+            }
+        });
+        lock(&workers).push(Worker { name: format!("host-{w}"), addr, seq: 0, token: 0, tasks: BTreeMap::new() });
+        let names = vec!["n0".to_owned(), "n1".to_owned()];
+        EX.spawn(work(workers.clone(), w, listen.clone(), names, twice.clone())).detach();
+    }
+
+    let user = User { client: Client::new(0) };
+    for a in &listen {
+        user.until(&[*a], Method::Get, "/up", None, |s, _| s == 200);
+    }
+
+    // Bad input is answered as such, by either node, and at once.
+    for a in &listen {
+        let post = |b: &[u8]| user.ask(*a, Method::Post, "/work", Some(b.to_vec())).0;
+        assert_eq!(post(b"{"), 400);
+        assert_eq!(post(b"[1]"), 400);
+        assert_eq!(post(b"{\"id\":\"req-1\"}"), 400);
+        let changed = |k: &str, v: Value| {
+            let mut j = job("req-0001", "batch", 1);
+            j[k] = v;
+            post(&serde_json::to_vec(&j).expect("JSON"))
+        };
+        assert_eq!(changed("cpus", json!(-1.0)), 400);
+        assert_eq!(changed("seeds", json!(100_001)), 400);
+        assert_eq!(changed("id", json!("job 1")), 400);
+        assert_eq!(changed("habit", json!("sometimes")), 400);
+        assert_eq!(changed("herd", json!("nobody")), 422);
+        assert_eq!(changed("cpus", json!(9.0)), 422);
+        assert_eq!(post(&vec![b' '; 70_000]), 413);
+        assert_eq!(user.ask(*a, Method::Get, "/nowhere", None).0, 404);
+        assert_eq!(user.ask(*a, Method::Delete, "/work", None).0, 405);
+        assert_eq!(user.ask(*a, Method::Get, "/work/req-0404", None).0, 404);
+        assert_eq!(user.ask(*a, Method::Post, "/work/req-0404/withdraw", None).0, 404);
+        let mut raw = TcpStream::connect(a).expect("a connection");
+        raw.write_all(b"NONSENSE\r\n\r\n").expect("sent");
+        let mut answer = String::new();
+        raw.read_to_string(&mut answer).expect("answered");
+        assert!(answer.starts_with("HTTP/1.1 400"), "{answer}");
+    }
+
+    // An array runs once, wherever it was accepted, and may be submitted again.
+    let array = job("req-0001", "batch", 10);
+    user.until(&listen[1..], Method::Post, "/work", Some(&array), |s, _| s == 201 || s == 200);
+    let done = user.until(&listen, Method::Get, "/work/req-0001", None, |s, v| s == 200 && v["bloom"] == "done");
+    assert_eq!(done["done"], 10);
+    for a in &listen {
+        let again = user.until(&[*a], Method::Post, "/work", Some(&array), |s, _| s == 200);
+        assert_eq!(again["bloom"], "done");
+    }
+
+    // A service goes on while the owner ends, and the other node takes over.
+    user.until(&listen, Method::Post, "/work", Some(&job("req-0007", "standing", 2)), |s, _| s == 201 || s == 200);
+    user.until(&listen, Method::Get, "/work/req-0007", None, |s, v| s == 200 && v["running"] == 2);
+    let owner = lock(&store).keys.get("own/0").expect("a claim").0["node"].as_str() == Some("n1");
+    let (dead, left) = (usize::from(owner), usize::from(!owner));
+    if let Some(mut c) = nodes.0[dead].take() {
+        c.kill().expect("killed");
+        c.wait().expect("ended");
+    }
+    let rest = [listen[left]];
+    user.until(&rest, Method::Get, "/work/req-0007", None, |s, v| s == 200 && v["running"] == 2);
+    user.until(&rest, Method::Get, "/work/req-0001", None, |s, v| s == 200 && v["bloom"] == "done");
+    user.until(&rest, Method::Post, "/work", Some(&job("req-0002", "batch", 6)), |s, _| s == 201 || s == 200);
+    user.until(&rest, Method::Get, "/work/req-0002", None, |s, v| s == 200 && v["bloom"] == "done");
+
+    // After the cancellation no task is left, and the job stays cancelled.
+    user.until(&rest, Method::Post, "/work/req-0007/withdraw", None, |s, v| s == 200 && v["bloom"] == "cancelled");
+    let began = Instant::now();
+    while lock(&workers).iter().any(|w| w.tasks.iter().any(|(n, t)| n.starts_with("req-0007") && t.ended().is_none())) {
+        assert!(began.elapsed() < Duration::from_secs(10), "a task outlived its job");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    user.until(&rest, Method::Get, "/work/req-0007", None, |s, v| s == 200 && v["bloom"] == "cancelled");
+    assert!(lock(&twice).is_empty(), "started twice: {:?}", lock(&twice));
+    let _ = std::fs::remove_dir_all(dir);
+}
+
+/// A wrong settings file ends the program at once, naming the field.
+#[test]
+fn a_wrong_settings_file_is_refused() {
+    let listen = [free_port()];
+    let good = settings(0, &listen, &listen, listen[0], listen[0]);
+    let dir = std::env::temp_dir().join(format!("lupinspur-settings-{}", std::process::id()));
+    std::fs::create_dir_all(&dir).expect("a folder");
+    let file = dir.join("n0.toml");
+    let run = |text: &str, level: &str| {
+        std::fs::write(&file, text).expect("a settings file");
+        let out = Command::new(env!("CARGO_BIN_EXE_lupinspur"))
+            .args(["--check", "--config"])
+            .arg(&file)
+            .env("LOG_LEVEL", level)
+            .output()
+            .expect("it runs");
+        (out.status.success(), String::from_utf8_lossy(&out.stderr).into_owned())
+    };
+    let (ok, err) = run(&format!("unknown = 1\n{good}"), "info");
+    assert!(ok, "{err}");
+    for (from, to, field) in [
+        (format!("bind = \"{}\"", listen[0]), "bind = \"here\"".to_owned(), "bind"),
+        ("rps = 20.0".into(), "rps = 0.0".into(), "cluster.cloud.rps"),
+        ("lease_s = 4.0".into(), String::new(), "lease_s"),
+        ("[cluster.workers]".into(), "[[cluster.teams]]\nname = \"red\"\n[cluster.workers]".into(), "cluster.teams"),
+    ] {
+        let (ok, err) = run(&good.replacen(&from, &to, 1), "info");
+        assert!(!ok && err.contains(field) && err.lines().count() == 1, "{field}: {err}");
+    }
+    let (ok, err) = run(&good, "loud");
+    assert!(!ok && err.contains("LOG_LEVEL"), "{err}");
+    std::fs::remove_file(&file).expect("removed");
+    let out = Command::new(env!("CARGO_BIN_EXE_lupinspur")).arg("--config").arg(&file).output().expect("it runs");
+    assert!(!out.status.success());
+    let _ = std::fs::remove_dir_all(dir);
+}
