A repeated submission hears what the stored record says

A submission that is repeated is answered by the owner's word, then by the stored record; when the first look at the record failed (429 or 503 under overload) and the second did not, the answer was "queued" whatever the record said. Ruled out: polls, which tell only final records without the owner; a late owner, whose lease ends before another may claim.

--- a/src/api.rs
+++ b/src/api.rs
@@ -7,7 +7,7 @@
 use crate::peer::{JobAnswer as PeerAnswer, Outcome, Verb};
 use crate::shard::{Heard, Unfit, judge};
 use crate::state::{Commit, StateError};
-use crate::wire::{self, Change, Condition, JobAnswer, JobRequest, JobState, Redirect, Report};
+use crate::wire::{self, Change, Condition, Item, JobAnswer, JobRequest, JobState, Redirect, Report};
 use http_types::Method;
 use std::time::Duration;
 
@@ -69,6 +69,21 @@
     Outgoing::json(status, &JobAnswer { id, state: t.state, done: count(t.done), running: count(t.running) })
 }
 
+/// What a stored record alone tells of a job. A repeated submission was once answered
+/// with "queued" because the record was there, whatever it said: the job had been
+/// called cancelled before.
+pub fn told_of(r: &JobRecord) -> Told {
+    match r.phase {
+        Phase::Open => Told { state: JobState::Queued, done: 0, running: 0 },
+        Phase::Done => Told { state: JobState::Done, done: u64::from(r.job.tasks), running: 0 },
+        Phase::Cancelled => Told { state: JobState::Cancelled, done: 0, running: 0 },
+    }
+}
+
+fn told_of_item(item: Item) -> Option<Told> {
+    serde_json::from_value(item.value).ok().map(|r| told_of(&r))
+}
+
 fn unable() -> Outgoing {
     Outgoing::error(503, "not able to act now")
 }
@@ -178,10 +193,8 @@
                     return match self.about(Verb::Show, &id).await {
                         Word::Known(t) => job_answer(200, &id, t, false),
                         // It is stored, and so accepted; how far it has come nobody can say now.
-                        _ => match self.state.get(&key).await {
-                            Ok(Some(_)) => {
-                                job_answer(200, &id, Told { state: JobState::Queued, done: 0, running: 0 }, false)
-                            }
+                        _ => match self.state.get(&key).await.map(|i| i.and_then(told_of_item)) {
+                            Ok(Some(t)) => job_answer(200, &id, t, false),
                             _ => unable(),
                         },
                     };
@@ -230,13 +243,8 @@
         }
         match self.state.get(&job_key(id)).await {
             Ok(None) => Word::Absent,
-            Ok(Some(item)) => match serde_json::from_value::<JobRecord>(item.value) {
-                Ok(r) if r.phase != Phase::Open => {
-                    let done = u64::from(r.job.tasks);
-                    let t = match r.phase {
-                        Phase::Done => Told { state: JobState::Done, done, running: 0 },
-                        _ => Told { state: JobState::Cancelled, done: 0, running: 0 },
-                    };
+            Ok(Some(item)) => match told_of_item(item) {
+                Some(t) if t.state != JobState::Queued => {
                     self.note_final(id, t);
                     Word::Known(t)
                 }
@@ -286,3 +294,27 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn stored(phase: &str) -> Item {
+        let value = serde_json::json!({"at_ms": 0, "phase": phase, "job": {
+            "id":"req-000001","breed":"b","herd":"t","habit":"batch","precedence":"idle","seeds":7,
+            "cpus":1.0,"cards":0.0,"memory_gb":1.0,"same_place":false,"scatter":false,"fallow":true,
+            "pull_gb":0.0,"expected_s":1.0,"pressing_s":0.0,"pressing_cost_s":0.0}});
+        Item { key: "job/req-000001".into(), value, version: 3, lease: None }
+    }
+
+    /// Guards against a final state that goes back: a submission that is repeated while
+    /// the owner cannot be asked is answered by the record, and the record says how it ended.
+    #[test]
+    fn a_repeated_submission_hears_what_the_record_says() {
+        let told = |phase| told_of_item(stored(phase)).map(|t| t.state);
+        assert_eq!(told("cancelled"), Some(JobState::Cancelled));
+        assert_eq!(told("done"), Some(JobState::Done));
+        assert_eq!(told("open"), Some(JobState::Queued));
+        assert_eq!(told("something"), None, "what cannot be read is not told");
+    }
+}
