--- a/src/api.rs
+++ b/src/api.rs
@@ -178,13 +178,7 @@
             match self.state.commit(vec![condition], vec![change]).await {
                 Ok(Commit::Applied(version)) => {
                     let now = clock::now();
-                    if self
-                        .with_shard(now, |s| {
-                            s.add_job(record.clone(), version, now);
-                            s.tick(now)
-                        })
-                        .is_some()
-                    {
+                    if self.with_shard(now, |s| s.add_job(record.clone(), version, now)).is_some() {
                         self.wake();
                     }
                     return job_answer(201, &id, Told { state: JobState::Queued, done: 0, running: 0 }, false);
@@ -263,7 +257,6 @@
             let seen = self.with_shard(now, |s| {
                 if verb == Verb::Cancel {
                     s.cancel(id);
-                    s.tick(now);
                 }
                 s.show(id)
             });
--- a/src/cloud.rs
+++ b/src/cloud.rs
@@ -28,7 +28,7 @@
 
 impl CloudClient {
     pub fn new(s: &crate::settings::Settings) -> CloudClient {
-        let c = CloudClient { addr: s.cloud, http: Client::new(3), budget: Mutex::new(Budget::new(1.0, 1.0)) };
+        let c = CloudClient { addr: s.cloud, http: Client::new(3, 3), budget: Mutex::new(Budget::new(1.0, 1.0)) };
         c.set_share(s, false);
         c
     }
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -109,6 +109,8 @@
     pub last_ok: Option<f64>,
     pub last_heard: f64,
     pub tasks: TaskMap<Held>,
+    /// How many of them belong to services.
+    pub services: usize,
     pub leftovers: TaskMap<(u64, Leftover)>,
     pub cpus_used: f64,
     pub cards_used: f64,
@@ -128,7 +130,6 @@
     /// Starts sent directly that got no answer yet: these attempts may still arrive.
     pub loose: TaskMap<u64>,
     pub direct_busy: bool,
-    pub direct_due: bool,
     pub direct_not_before: f64,
     pub listed: bool,
     pub missing: u32,
@@ -153,6 +154,7 @@
             last_ok: None,
             last_heard: now,
             tasks: TaskMap::new(),
+            services: 0,
             leftovers: TaskMap::new(),
             cpus_used: 0.0,
             cards_used: 0.0,
@@ -168,7 +170,6 @@
             quarantined_until: 0.0,
             loose: TaskMap::new(),
             direct_busy: false,
-            direct_due: false,
             direct_not_before: 0.0,
             listed: false,
             missing: 0,
@@ -237,6 +238,9 @@
     pub list: Vec<Machine>,
     pub names: Names<MachineIx>,
     pub present: BTreeSet<MachineIx>,
+    /// Machines that should hear from us directly: at hundreds of machines, looking
+    /// through all of them for each command took most of the time there is.
+    pub direct_due: BTreeSet<MachineIx>,
 }
 
 impl Machines {
--- a/src/http.rs
+++ b/src/http.rs
@@ -74,35 +74,54 @@
 
 /// A client with a small pool of open connections per address.
 pub struct Client {
-    idle: Mutex<HashMap<SocketAddr, Vec<(Conn, Instant)>>>,
+    idle: Mutex<Idle>,
     per_addr: usize,
+    /// Most idle connections in all.
+    most: usize,
+}
+
+#[derive(Default)]
+struct Idle {
+    open: HashMap<SocketAddr, Vec<(Conn, Instant)>>,
+    count: usize,
+    swept: Option<Instant>,
 }
 
 impl Client {
-    pub fn new(per_addr: usize) -> Client {
-        Client { idle: Mutex::default(), per_addr }
+    pub fn new(per_addr: usize, most: usize) -> Client {
+        Client { idle: Mutex::default(), per_addr, most }
     }
 
     fn pooled(&self, addr: SocketAddr) -> Option<Conn> {
         let mut idle = self.idle.lock().unwrap_or_else(|e| e.into_inner());
-        let list = idle.get_mut(&addr)?;
-        while let Some((c, since)) = list.pop() {
+        loop {
+            let (c, since) = idle.open.get_mut(&addr)?.pop()?;
+            idle.count -= 1;
             if since.elapsed() < POOL_IDLE {
                 return Some(c);
             }
         }
-        None
     }
 
     fn keep(&self, addr: SocketAddr, c: Conn) {
         let mut idle = self.idle.lock().unwrap_or_else(|e| e.into_inner());
-        idle.retain(|_, l| {
-            l.retain(|(_, since)| since.elapsed() < POOL_IDLE);
-            !l.is_empty()
-        });
-        let list = idle.entry(addr).or_default();
+        let now = Instant::now();
+        // Now and then, not for each call: there may be hundreds of addresses.
+        if idle.swept.is_none_or(|t| now - t > POOL_IDLE / 4) {
+            idle.swept = Some(now);
+            idle.open.retain(|_, l| {
+                l.retain(|(_, since)| now - *since < POOL_IDLE);
+                !l.is_empty()
+            });
+            idle.count = idle.open.values().map(Vec::len).sum();
+        }
+        if idle.count >= self.most {
+            return;
+        }
+        let list = idle.open.entry(addr).or_default();
         if list.len() < self.per_addr {
-            list.push((c, Instant::now()));
+            list.push((c, now));
+            idle.count += 1;
         }
     }
 
--- a/src/node.rs
+++ b/src/node.rs
@@ -27,8 +27,10 @@
 static EX: Executor<'static> = Executor::new();
 
 const TICK: Duration = Duration::from_millis(100);
+const GATHER: Duration = Duration::from_millis(20);
+const LOOK_AGAIN_S: f64 = 1.0;
 const MOST_COMMITS: usize = 3;
-const MOST_DIRECT: usize = 16;
+const MOST_DIRECT: usize = 64;
 const FINALS_KEPT: usize = 20_000;
 const LIST_EVERY_S: f64 = 3.0;
 const TYPES_EVERY: Duration = Duration::from_secs(20);
@@ -45,6 +47,7 @@
 struct Wakes {
     writer: (Sender<()>, Receiver<()>),
     direct: (Sender<()>, Receiver<()>),
+    pace: (Sender<()>, Receiver<()>),
 }
 
 pub struct Node {
@@ -83,14 +86,18 @@
         Node {
             state: StateClient::new(&settings),
             cloud: CloudClient::new(&settings),
-            workers: WorkerClient::default(),
+            workers: WorkerClient::new(&settings),
             peers: Peers::new(&EX, &settings),
             own: Mutex::new(Ownership::new(me, tuning.claim_s)),
             shard: Mutex::new(None),
             types: Mutex::default(),
             finals: Mutex::default(),
             state_ok: Mutex::new(-100.0),
-            wakes: Wakes { writer: async_channel::bounded(1), direct: async_channel::bounded(1) },
+            wakes: Wakes {
+                writer: async_channel::bounded(1),
+                direct: async_channel::bounded(1),
+                pace: async_channel::bounded(1),
+            },
             claiming: AtomicBool::new(false),
             settings,
             tuning,
@@ -122,7 +129,12 @@
         !lock(&self.types).is_empty() && (now - *lock(&self.state_ok) < 4.0 || self.standing(now) == Standing::Owner)
     }
 
+    /// Something may be there to place: the next tick comes soon.
     pub fn wake(&self) {
+        let _ = self.wakes.pace.0.try_send(());
+    }
+
+    fn carry_out(&self) {
         let _ = self.wakes.writer.0.try_send(());
         let _ = self.wakes.direct.0.try_send(());
     }
@@ -146,10 +158,7 @@
     pub fn take_job(&self, item: Item) {
         let now = clock::now();
         for (_, r, v) in parse_items(vec![item]) {
-            self.with_shard(now, |s| {
-                s.add_job(r, v, now);
-                s.tick(now);
-            });
+            self.with_shard(now, |s| s.add_job(r, v, now));
         }
         self.wake();
     }
@@ -378,13 +387,15 @@
     // ---- the shard's loops ----
 
     async fn ticks(self: Arc<Self>) {
-        let mut round = 0u64;
+        let mut looked_again = 0.0;
         loop {
-            Timer::after(TICK).await;
+            // What reports and submissions bring is placed together, a little later.
+            Timer::after(GATHER).await;
+            Self::woken(&self.wakes.pace.1).await;
             let now = clock::now();
-            round += 1;
             let deaf = self.with_shard(now, |s| {
-                if round.is_multiple_of(10) {
+                if now - looked_again > LOOK_AGAIN_S {
+                    looked_again = now;
                     s.look_again();
                 }
                 s.writable = self.state.answers(now);
@@ -401,7 +412,7 @@
                         let _ = self.state.revoke(l).await;
                     }
                 }
-                Some(_) => self.wake(),
+                Some(_) => self.carry_out(),
                 None => {}
             }
         }
@@ -510,9 +521,9 @@
                     if let Some(s) = lock(&me.shard).as_mut().filter(|s| s.token == send.body.token) {
                         s.on_direct(&send, outcome, now);
                     }
-                    let _ = me.with_shard(now, |s| s.tick(now));
                     let _ = done.send(()).await;
                     me.wake();
+                    let _ = me.wakes.direct.0.try_send(());
                 })
                 .detach();
             }
@@ -568,8 +579,6 @@
             if let Some(s) = lock(&self.shard).as_mut().filter(|s| s.token == token) {
                 if failed { s.on_delete_failed(&machines) } else { s.on_deleted(&machines) }
             }
-            let now = clock::now();
-            self.with_shard(now, |s| s.tick(now));
             self.wake();
             Timer::after(Duration::from_millis(if failed { 700 } else { 0 })).await;
         }
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -22,6 +22,10 @@
 const ROOM_WAIT_S: f64 = 0.6;
 /// Most starts of one pass, so that a huge job cannot hold up the rest.
 const MOST_STARTS: usize = 400;
+/// Most times in one pass that room is looked for by stopping other work.
+const MOST_ROOMS: usize = 12;
+/// Most replicas for which another machine is looked for before one moves.
+const MOST_MOVES_TRIED: usize = 16;
 
 /// Would one task of this job fit on the machine, all constraints counted?
 pub fn fits(s: &Shard, job: &Job, m: &Machine) -> bool {
@@ -54,8 +58,9 @@
     let from = s.machines.at(leaving).zone;
     s.machines.iter().any(|(i, m)| {
         i != leaving
-            && m.usable(now, s.fresh_s())
+            && m.cpus_used + job.spec.cpus <= s.types.get(m.ty).cpus + EPS
             && job.image.is_none_or(|image| m.has_image(image))
+            && m.usable(now, s.fresh_s())
             && fits_after_leaving(s, job, m, from)
     })
 }
@@ -99,19 +104,47 @@
     fetch + dear + base - PACK_WORTH_S * full
 }
 
-fn best(s: &Shard, job: &Job, now: f64) -> Option<MachineIx> {
-    let silent_s = s.fresh_s();
-    s.machines
+/// Machines that could take this job, the best first, of those that have any room.
+fn options(s: &Shard, job: &Job, roomy: &[MachineIx], now: f64) -> Vec<(f64, MachineIx)> {
+    let mut out: Vec<(f64, MachineIx)> = roomy
         .iter()
+        .map(|&i| (i, s.machines.at(i)))
         .filter(|(i, m)| {
-            m.usable(now, silent_s)
+            fits(s, job, m)
+                && leaves_room(s, job, m)
                 && !job.failed_on.contains(i)
                 && job.avoid.is_none_or(|(a, until)| a != *i || now > until)
-                && fits(s, job, m)
-                && leaves_room(s, job, m)
         })
-        .min_by(|(_, a), (_, b)| cost(s, job, a).total_cmp(&cost(s, job, b)))
-        .map(|(i, _)| i)
+        .map(|(i, m)| (cost(s, job, m), i))
+        .collect();
+    out.sort_unstable_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+    out
+}
+
+/// What decides whether a plain job fits anywhere. One that asks for no less than
+/// another that found nothing, and may go nowhere else, finds nothing either: with many
+/// jobs waiting, looking through all machines for each of them took the whole processor.
+struct Hopeless(Vec<(bool, bool, f64, f64, f64)>);
+
+impl Hopeless {
+    fn shape(job: &Job) -> (bool, bool, f64, f64, f64) {
+        let r = &job.spec;
+        (r.spot, r.priority == Priority::Production, r.cpus, r.memory_gb, r.cards)
+    }
+
+    fn covers(&self, job: &Job) -> bool {
+        let j = Self::shape(job);
+        self.0.iter().any(|h| (h.0 || !j.0) && h.1 == j.1 && h.2 <= j.2 && h.3 <= j.3 && h.4 <= j.4)
+    }
+
+    /// This job found nothing. Only if nothing but its size stood in the way.
+    fn note(&mut self, job: &Job) {
+        let r = &job.spec;
+        let plain = r.types.is_none() && r.zone.is_none() && !r.one_zone && !r.spread;
+        if plain && job.failed_on.is_empty() && job.avoid.is_none() && !self.covers(job) {
+            self.0.push(Self::shape(job));
+        }
+    }
 }
 
 /// Cpus that machines with an unknown load may be using of a team's limit.
@@ -168,34 +201,60 @@
         return;
     }
     let shadow = (shadow(s), shadow_cards(s));
-    let mut starts = 0;
-    for turn in turns(s, now) {
-        loop {
+    let turns = turns(s, now);
+    let Some(least) = turns.iter().map(|t| s.jobs.at(t.job).spec.cpus).min_by(f64::total_cmp) else { return };
+    let silent_s = s.fresh_s();
+    let has_room = |s: &Shard, m: &Machine| m.cpus_used + least <= s.types.get(m.ty).cpus + EPS;
+    let mut roomy: Vec<MachineIx> =
+        s.machines.iter().filter(|(_, m)| has_room(s, m) && m.usable(now, silent_s)).map(|(i, _)| i).collect();
+    let mut hopeless = Hopeless(Vec::new());
+    let (mut starts, mut rooms_made) = (0, 0);
+    for turn in turns {
+        let job = s.jobs.at(turn.job);
+        let urgent = job.spec.priority == Priority::Production;
+        if !within_limit(s, job, shadow) || !urgent && (roomy.is_empty() || hopeless.covers(job)) {
+            continue;
+        }
+        s.looked_at += roomy.len() as u64;
+        let options = options(s, s.jobs.at(turn.job), &roomy, now);
+        if options.is_empty() {
+            hopeless.note(s.jobs.at(turn.job));
+        }
+        let before = starts;
+        let mut at = 0;
+        while s.jobs.at_mut(turn.job).has_queued() {
             if starts >= MOST_STARTS {
                 s.look_again();
                 return;
             }
-            let job = s.jobs.at_mut(turn.job);
-            if !job.has_queued() {
-                break;
-            }
-            let Some(&task) = job.queue.front() else { break };
             let job = s.jobs.at(turn.job);
+            let Some(&task) = job.queue.front() else { break };
             if !within_limit(s, job, shadow) {
                 break;
             }
-            let found = best(s, job, now);
+            // A machine is filled before the next: what fitted may be full by now.
+            let takes = |m: MachineIx| fits(s, job, s.machines.at(m)) && leaves_room(s, job, s.machines.at(m));
+            while options.get(at).is_some_and(|o| !takes(o.1)) {
+                at += 1;
+            }
+            let found = options.get(at).map(|o| o.1);
             // A service waits a moment for room where its image is, rather than for the image.
             let fetches = found.is_some_and(|m| job.image.is_some_and(|i| !s.machines.at(m).has_image(i)));
             let patient = now - job.since < ROOM_WAIT_S;
-            if (found.is_none() || fetches && patient) && make_room(s, &turn, fetches, now) {
-                break;
+            if urgent && (found.is_none() || fetches && patient) && rooms_made < MOST_ROOMS {
+                rooms_made += 1;
+                if make_room(s, &turn, fetches, now) {
+                    break;
+                }
             }
             let Some(m) = found else { break };
             s.jobs.at_mut(turn.job).queue.pop_front();
             s.plan(m, (turn.job, task), now);
             starts += 1;
         }
+        if starts > before {
+            roomy.retain(|&i| has_room(s, s.machines.at(i)));
+        }
     }
 }
 
@@ -210,9 +269,11 @@
     let silent_s = s.fresh_s();
     let mut options: Vec<(f64, MachineIx, Vec<crate::jobs::TaskKey>)> = Vec::new();
     for (i, m) in s.machines.iter() {
-        if !m.usable(now, silent_s)
+        // Of services nothing can be stopped; the cheap questions come first.
+        if m.services == m.tasks.len() && s.types.get(m.ty).cpus < m.cpus_used + job.spec.cpus
             || m.spot && !job.spec.spot
             || with_image && !job.image.is_some_and(|i| m.has_image(i))
+            || !m.usable(now, silent_s)
         {
             continue;
         }
@@ -266,7 +327,8 @@
     let job = s.jobs.at(waiting);
     let Some(image) = job.image else { return false };
     let mut choice = None;
-    for (i, m) in s.machines.iter().filter(|(_, m)| m.usable(now, silent_s) && m.has_image(image) && !m.spot) {
+    let mut tried = 0;
+    for (i, m) in s.machines.iter().filter(|(_, m)| !m.spot && m.has_image(image) && m.usable(now, silent_s)) {
         if m.tasks.values().any(|h| h.stop.is_some()) {
             return true;
         }
@@ -276,11 +338,15 @@
             if !other.is_service() || !enough || k.0 == waiting || h.state != HeldState::Running || !other.open() {
                 continue;
             }
+            tried += 1;
             if taken_at_once(s, other, i, now) {
                 choice = Some((i, *k));
             }
+            if choice.is_some() || tried >= MOST_MOVES_TRIED {
+                break;
+            }
         }
-        if choice.is_some() {
+        if choice.is_some() || tried >= MOST_MOVES_TRIED {
             break;
         }
     }
--- a/src/shard/mod.rs
+++ b/src/shard/mod.rs
@@ -144,6 +144,11 @@
     fleet_stored: FleetRecord,
     fleet_at: f64,
     pub(crate) place_due: bool,
+    /// Pairs of a job and a machine that were looked at: what placing costs.
+    pub looked_at: u64,
+    watched_at: f64,
+    /// Where the next search for tasks to move goes on.
+    move_from: MachineIx,
     pub(crate) service_cpus: f64,
     sized_at: f64,
     moved_at: f64,
@@ -156,6 +161,8 @@
 const GRACE_EXTRA_S: f64 = 2.0;
 /// Longer between two ticks, and this owner was not entitled to act in between.
 const PAUSE_S: f64 = 1.0;
+/// Ticks come as often as there is something to place; machines change more slowly.
+const WATCH_EVERY_S: f64 = 0.09;
 
 impl Shard {
     pub fn new(s: &Settings, tuning: Tuning, token: u64, types: Vec<MachineType>, loaded: Loaded, now: f64) -> Shard {
@@ -195,6 +202,9 @@
             fleet_stored: FleetRecord::default(),
             fleet_at: now,
             place_due: true,
+            looked_at: 0,
+            watched_at: f64::MIN,
+            move_from: MachineIx::new(0),
             service_cpus: 0.0,
             sized_at: now - 10.0,
             moved_at: now,
@@ -300,7 +310,7 @@
         if r.faulty {
             machine.quarantined_until = f64::INFINITY;
         }
-        machine.direct_due = true;
+        self.machines.direct_due.insert(m);
         if r.retiring {
             self.deletes.insert(m);
         }
@@ -311,6 +321,9 @@
         let key = crate::jobs::job_key(&r.job.id);
         let known = self.versions.entry(key).or_insert(version);
         *known = (*known).max(version);
+        if let Some(j) = self.jobs.find(&r.job.id) {
+            return Some(j);
+        }
         let Some(team) = self.team_names.find(&r.job.team) else {
             log::error!("job {} names unknown team {}", r.job.id, r.job.team);
             return None;
@@ -360,7 +373,7 @@
         } else if h.stop.is_none_or(|g| grace < g) {
             h.stop = Some(grace);
             h.stop_sent = -1.0;
-            self.machines.at_mut(m).direct_due = true;
+            self.machines.direct_due.insert(m);
         }
     }
 
@@ -430,7 +443,7 @@
             if let Some(h) = machine.tasks.get_mut(&key) {
                 h.state = HeldState::Commanded;
             }
-            machine.direct_due = true;
+            self.machines.direct_due.insert(m);
         } else {
             self.want_record(m);
         }
@@ -444,6 +457,7 @@
         machine.cards_used += job.spec.cards;
         machine.memory_used += job.spec.memory_gb;
         machine.tasks.insert(key, held);
+        machine.services += usize::from(job.is_service());
         job.tasks[key.1 as usize] = Slot::Held(m);
         job.held += 1;
         job.running += u32::from(running);
@@ -463,6 +477,7 @@
         machine.cpus_used -= job.spec.cpus;
         machine.cards_used -= job.spec.cards;
         machine.memory_used -= job.spec.memory_gb;
+        machine.services -= usize::from(job.is_service());
         if machine.tasks.is_empty() {
             machine.cpus_used = 0.0;
             machine.cards_used = 0.0;
@@ -566,13 +581,20 @@
             self.resumed = now;
         }
         self.ticked = now;
-        self.watch_machines(now);
+        if now - self.watched_at >= WATCH_EVERY_S {
+            self.watched_at = now;
+            self.watch_machines(now);
+        }
         if now - self.sized_at >= 0.5 && self.types.known() {
             self.sized_at = now;
             self.size_fleet(now);
         }
-        if self.place_due {
-            self.place_due = false;
+        self.place_waiting(now);
+    }
+
+    /// Places what waits, if anything changed that it could be waiting for.
+    pub fn place_waiting(&mut self, now: f64) {
+        if std::mem::take(&mut self.place_due) {
             crate::placement::place(self, now);
         }
     }
--- a/src/shard/reports.rs
+++ b/src/shard/reports.rs
@@ -33,11 +33,13 @@
 const REPLY_DROPPED_S: f64 = 6.0;
 
 impl Shard {
-    /// A worker's own report, to be answered with 200 when there is a reply.
+    /// A worker's own report, to be answered with 200 when there is a reply. Its cost
+    /// follows what is on this machine: what it frees is placed by the next tick, for
+    /// all reports in between together. Placing in every report once took up the whole
+    /// processor at a few hundred machines.
     pub fn on_report(&mut self, r: &Report, now: f64) -> Heard {
         match self.absorb(r, true, now) {
             Ok(m) => {
-                self.tick_for_reply(now);
                 let commands = self.report_commands(m, r, now);
                 let machine = self.machines.at_mut(m);
                 machine.last_ok = Some(now);
@@ -47,14 +49,6 @@
         }
     }
 
-    /// What a report frees is placed at once, so that it leaves with this very reply.
-    fn tick_for_reply(&mut self, now: f64) {
-        if self.place_due {
-            self.place_due = false;
-            crate::placement::place(self, now);
-        }
-    }
-
     fn machine_of(&mut self, r: &Report, now: f64) -> Option<MachineIx> {
         if let Some(m) = self.machines.find(&r.machine) {
             return Some(m);
@@ -113,7 +107,7 @@
             // It may still obey an earlier owner: ask for a report with our token.
             let machine = self.machines.at_mut(m);
             machine.reported_token = false;
-            machine.direct_due = true;
+            self.machines.direct_due.insert(m);
             return Ok(m);
         }
         let first = !std::mem::replace(&mut self.machines.at_mut(m).reported_token, true);
@@ -414,13 +408,12 @@
 
     /// The next machine that should hear from us directly.
     pub fn next_direct(&mut self, now: f64) -> Option<DirectSend> {
-        let due: Vec<MachineIx> = self
-            .machines
-            .iter()
-            .filter(|(_, m)| m.direct_due && !m.direct_busy && now >= m.direct_not_before)
-            .map(|(i, _)| i)
-            .collect();
-        for m in due {
+        let ready = |s: &Self, m: MachineIx| {
+            let m = s.machines.at(m);
+            !m.direct_busy && now >= m.direct_not_before
+        };
+        while let Some(m) = self.machines.direct_due.iter().copied().find(|&m| ready(self, m)) {
+            self.machines.direct_due.remove(&m);
             if let Some(d) = self.direct_for(m, now) {
                 return Some(d);
             }
@@ -433,10 +426,7 @@
         let probing = !machine.reported_token;
         let addr = machine.addr;
         let fit = matches!(machine.phase, MachinePhase::Up) && (machine.session > 0 || probing);
-        let (Some(addr), true) = (addr, fit) else {
-            self.machines.at_mut(m).direct_due = false;
-            return None;
-        };
+        let (Some(addr), true) = (addr, fit) else { return None };
         let mut commands = Vec::new();
         let mut starts = Vec::new();
         if !probing {
@@ -456,7 +446,6 @@
         let session = machine.session;
         let token = self.token;
         let machine = self.machines.at_mut(m);
-        machine.direct_due = false;
         if commands.is_empty() && !probing {
             return None;
         }
@@ -498,15 +487,17 @@
                 }
                 let machine = self.machines.at_mut(m);
                 if probing && !machine.reported_token {
-                    machine.direct_due = true;
                     machine.direct_not_before = now + if executed { 1.0 } else { 0.05 };
+                    self.machines.direct_due.insert(m);
                 } else if machine.tasks.values().any(|h| h.sent < 0.0 && h.state == HeldState::Commanded) {
-                    machine.direct_due = true;
+                    self.machines.direct_due.insert(m);
                 }
             }
             Direct::NotSent | Direct::Unknown => {
                 machine.direct_not_before = now + DIRECT_PAUSE_S;
-                machine.direct_due = !machine.reported_token;
+                if !machine.reported_token {
+                    self.machines.direct_due.insert(m);
+                }
             }
         }
     }
--- a/src/shard/sizing.rs
+++ b/src/shard/sizing.rs
@@ -24,6 +24,8 @@
 const MOVE_EVERY_S: f64 = 1.0;
 /// Most batch tasks moved at a time.
 const MOST_MOVED: usize = 4;
+/// Most tasks for which a new place is looked for at a time.
+const MOST_TRIED: usize = 24;
 /// A start that a command stops sooner than this counts for nothing.
 const COUNTED_S: f64 = 32.0;
 /// The base is counted with room for this many more service tasks.
@@ -291,7 +293,7 @@
             .machines
             .iter()
             .filter(|(_, m)| m.ty == ty && !m.spot && staying(m, now) && m.phase == MachinePhase::Up)
-            .map(|(i, m)| (m.zone, self.services_on(m), i))
+            .map(|(i, m)| (m.zone, m.services, i))
             .collect();
         up.sort_by_key(|(zone, services, i)| (*zone, std::cmp::Reverse(*services), *i));
         let mut turn = 0;
@@ -308,10 +310,6 @@
         }
     }
 
-    fn services_on(&self, m: &Machine) -> usize {
-        m.tasks.keys().filter(|k| self.jobs.at(k.0).is_service()).count()
-    }
-
     /// Works out the difference between wanted and present machines of one kind.
     fn adjust(&mut self, ty: TypeIx, spot: bool, wanted: usize, there: usize, pending: usize, now: f64) {
         if wanted > there + pending {
@@ -340,7 +338,7 @@
                 .filter(|(_, m)| m.ty == ty && m.spot == spot && staying(m, now) && !m.base)
                 .map(|(i, m)| {
                     let up = m.phase == MachinePhase::Up;
-                    (up, self.services_on(m), if up { m.cpus_used } else { -m.born }, i)
+                    (up, m.services, if up { m.cpus_used } else { -m.born }, i)
                 })
                 .collect();
             spare.sort_by(|a, b| (a.0, a.1).cmp(&(b.0, b.1)).then(a.2.total_cmp(&b.2)));
@@ -406,21 +404,37 @@
     }
 
     /// Up to `most` tasks on cordoned machines that another machine could take at once.
+    /// Each asks all machines, so only so many are tried; the next search goes on there.
     fn movable(
-        &self,
+        &mut self,
         most: usize,
         moving: impl Fn(&Self, &TaskKey, &Held) -> bool,
         now: f64,
     ) -> Vec<(MachineIx, TaskKey)> {
         let mut out = Vec::new();
-        for (i, m) in self.machines.iter().filter(|(_, m)| m.cordoned && m.phase == MachinePhase::Up) {
-            for (k, h) in m.tasks.iter().filter(|(_, h)| h.stop.is_none()) {
+        let mut tried = 0;
+        let from = self.move_from;
+        let leaving: Vec<MachineIx> = {
+            let going = |i: &&MachineIx| {
+                let m = self.machines.at(**i);
+                m.cordoned && m.phase == MachinePhase::Up
+            };
+            let later = self.machines.present.range(from..).filter(going);
+            later.chain(self.machines.present.range(..from).filter(going)).copied().collect()
+        };
+        for i in leaving {
+            for (k, h) in self.machines.at(i).tasks.iter().filter(|(_, h)| h.stop.is_none()) {
                 let job = self.jobs.at(k.0);
-                if moving(self, k, h) && job.open() && crate::placement::taken_at_once(self, job, i, now) {
+                if !moving(self, k, h) || !job.open() {
+                    continue;
+                }
+                tried += 1;
+                if crate::placement::taken_at_once(self, job, i, now) {
                     out.push((i, *k));
-                    if out.len() >= most {
-                        return out;
-                    }
+                }
+                if out.len() >= most || tried >= MOST_TRIED {
+                    self.move_from = i;
+                    return out;
                 }
             }
         }
--- a/src/shard/writes.rs
+++ b/src/shard/writes.rs
@@ -5,7 +5,7 @@
 
 use super::{FleetRecord, Shard};
 use crate::fleet::{FLEET_KEY, HeldState, MachineRecord, Phase as MachinePhase, machine_key};
-use crate::intern::{JobIx, MachineIx};
+use crate::intern::{Index, JobIx, MachineIx};
 use crate::jobs::{JobRecord, Phase, ProgressRecord, job_key, progress_key};
 use crate::wire::Change;
 
@@ -124,13 +124,10 @@
             }
             self.progress_at = now;
         }
-        for key in self.cleanup.clone() {
-            if out.len() + 2 >= spare {
-                break;
-            }
-            if self.in_flight.contains(&key) {
-                continue;
-            }
+        let room_for = spare.saturating_sub(out.len() + 2);
+        let tidy: Vec<String> =
+            self.cleanup.iter().filter(|k| !self.in_flight.contains(*k)).take(room_for).cloned().collect();
+        for key in tidy {
             self.cleanup.remove(&key);
             let version = self.versions.get(&key).copied().unwrap_or(0);
             if version == 0 {
@@ -220,7 +217,7 @@
     }
 
     fn record_applied(&mut self, m: MachineIx, jobs: Vec<JobIx>, retiring: bool) {
-        let machine = self.machines.at_mut(m);
+        let machine = &mut self.machines.list[m.ix()];
         machine.record_stored = true;
         if machine.resolved() {
             machine.stored_jobs = jobs.into_iter().collect();
@@ -234,7 +231,7 @@
             if h.state == HeldState::Planned {
                 if machine.stored_jobs.contains(&k.0) {
                     h.state = HeldState::Commanded;
-                    machine.direct_due = true;
+                    self.machines.direct_due.insert(m);
                 } else {
                     machine.record_dirty = true;
                 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -56,8 +56,8 @@
     pub fn new(s: &crate::settings::Settings) -> StateClient {
         let client = StateClient {
             addr: s.state,
-            http: Client::new(8),
-            watches: Client::new(2),
+            http: Client::new(8, 8),
+            watches: Client::new(2, 2),
             requests: Mutex::new(Budget::new(1.0, 1.0)),
             writes: Mutex::new(Budget::new(1.0, 1.0)),
             heard: Mutex::new((-100.0, -100.0)),
--- a/src/worker.rs
+++ b/src/worker.rs
@@ -21,13 +21,13 @@
     http: Client,
 }
 
-impl Default for WorkerClient {
-    fn default() -> Self {
-        WorkerClient { http: Client::new(1) }
+impl WorkerClient {
+    /// Idle connections take no more than a part of the sockets: the workers' own
+    /// reports and the users need the rest.
+    pub fn new(s: &crate::settings::Settings) -> WorkerClient {
+        WorkerClient { http: Client::new(1, s.sockets / 8) }
     }
-}
 
-impl WorkerClient {
     pub async fn commands(&self, addr: SocketAddr, c: &DirectCommands) -> Direct {
         let Ok(body) = serde_json::to_vec(c) else { return Direct::NotSent };
         match self.http.call(addr, Method::Post, wire::COMMANDS_PATH, Some(body), Duration::from_millis(2500)).await {
--- a/tests/loopback.rs
+++ b/tests/loopback.rs
@@ -236,7 +236,7 @@
 }
 
 async fn work(all: Workers, w: usize, nodes: Vec<SocketAddr>, names: Vec<String>, twice: Arc<Mutex<Vec<String>>>) {
-    let client = Client::new(1);
+    let client = Client::new(1, 1);
     let mut at = w % nodes.len();
     loop {
         let report = lock(&all)[w].report();
@@ -385,7 +385,7 @@
         EX.spawn(work(workers.clone(), w, listen.clone(), names, twice.clone())).detach();
     }
 
-    let user = User { client: Client::new(0) };
+    let user = User { client: Client::new(0, 0) };
     for a in &listen {
         user.until(&[*a], Method::Get, "/up", None, |s, _| s == 200);
     }
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -264,6 +264,8 @@
                     Heard::Reply(reply) => self.commands(&format!("reply, token {}", reply.token), &reply.commands),
                     other => self.say(&format!("no reply: {other:?}")),
                 }
+                // The node's next tick places what the report has freed.
+                self.s().place_waiting(now);
             }
             "write" => self.write(first, now),
             "direct" => {
@@ -410,6 +412,39 @@
     assert!(value.to_string().len() <= 4096, "the record has {} bytes", value.to_string().len());
 }
 
+/// What one machine's report costs, in pairs of a job and a machine that are looked at,
+/// with so many other machines at work and so many other jobs waiting.
+fn work_of_a_report(machines: usize, waiting: usize) -> u64 {
+    let mut w = world();
+    w.event(0.0, "takeover", &["10"]);
+    for i in 0..machines {
+        w.event(0.1, "report", &[&format!("h{i}"), "seq=1"]);
+        w.event(0.6, "report", &[&format!("h{i}"), "seq=2", "token=10"]);
+    }
+    w.event(1.0, "job", &["req-1", "cpus=32", &format!("tasks={machines}")]);
+    w.event(1.0, "write", &[]);
+    w.event(1.0, "direct", &[]);
+    for i in 0..waiting {
+        w.event(1.1, "job", &[&format!("req-{}", i + 2), "cpus=32"]);
+    }
+    let m = w.machine("h0");
+    let (key, held) = w.s().machines.at(m).tasks.iter().next().expect("a task on each machine");
+    let task = format!("req-1/{}@{}:done", key.1, attempt_out(held.attempt));
+    let before = w.s().looked_at;
+    w.event(2.0, "report", &["h0", "seq=3", "token=10", &task]);
+    assert_eq!(w.s().machines.at(m).tasks.len(), 1, "the next job takes the place");
+    w.s().looked_at - before
+}
+
+/// Guards against work that follows jobs times machines: with hundreds of either, each
+/// report once made the owner look through all of them, and it fell minutes behind.
+#[test]
+fn the_work_of_a_report_does_not_grow_with_other_machines_and_jobs() {
+    let few = work_of_a_report(4, 3);
+    assert!(few > 0, "a place was looked for");
+    assert_eq!(work_of_a_report(120, 100), few);
+}
+
 fn play(text: &str) -> String {
     let mut w = world();
     for line in text.lines().filter(|l| !l.starts_with('=')) {
