Machines' records share a value, by racks of one type, zone and kind

Cause: one put for each machine and new job wants far more than the 28 writes a second that the owner has of 30 to 35, with some 200 starts a second. A rack's value holds up to 64 machines (as many as fit 256 bytes each) and is written once for all starts on it that wait. Ruled out: more writes in a transaction, since each put counts.

--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -5,9 +5,10 @@
 
 pub mod launch;
 pub mod mixture;
+pub mod racks;
 pub mod zones;
 
-use crate::intern::{ImageIx, Index, JobIx, MachineIx, Names, TypeIx, ZoneIx};
+use crate::intern::{ImageIx, Index, JobIx, MachineIx, Names, RackIx, TypeIx, ZoneIx};
 use crate::jobs::TaskMap;
 use crate::wire::MachineType;
 use serde::{Deserialize, Serialize};
@@ -21,10 +22,12 @@
     format!("{MACHINE_PREFIX}{name}")
 }
 
-/// A machine as it is kept at the state service: written before the first start
-/// of a job on it, so that a successor knows what it may hold.
+/// What is stored of a machine before the first start of a job on it, so that a
+/// successor knows what it may hold. It stands in its rack's value; a value of its own
+/// is what earlier versions wrote, and is read still.
 #[derive(Serialize, Deserialize, Clone, Debug, PartialEq)]
 pub struct MachineRecord {
+    #[serde(default)]
     pub shard: u32,
     pub addr: String,
     #[serde(rename = "type")]
@@ -118,8 +121,10 @@
     /// Jobs that the stored record names.
     pub stored_jobs: HashSet<JobIx>,
     pub record_stored: bool,
-    /// The record must be written before planned starts may go out.
-    pub record_dirty: bool,
+    /// The rack whose value holds its record.
+    pub rack: Option<RackIx>,
+    /// It has a value of its own, from an earlier version, that is to go.
+    pub own_value: bool,
     pub images: Vec<CachedImage>,
     pub notice_until: Option<f64>,
     pub cordoned: bool,
@@ -161,7 +166,8 @@
             memory_used: 0.0,
             stored_jobs: HashSet::new(),
             record_stored: false,
-            record_dirty: false,
+            rack: None,
+            own_value: false,
             images: Vec::new(),
             notice_until: None,
             cordoned: false,
--- /dev/null
+++ b/src/fleet/racks.rs
@@ -0,0 +1,131 @@
+//! Racks: machines of one type, zone and kind that share one value at the state
+//! service.
+//!
+//! A machine's record has to be stored before the first start of a job on it. With a
+//! value for each machine, hundreds of machines want more writes a second than the
+//! state service takes; a rack's value is written once for all starts on it that wait.
+
+use crate::intern::{Index, JobIx, MachineIx, RackIx, TypeIx, ZoneIx};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet, HashSet};
+
+pub const RACK_PREFIX: &str = "rack/";
+
+pub fn rack_key(r: RackIx) -> String {
+    format!("{RACK_PREFIX}{}", r.ix())
+}
+
+/// A rack as it is kept at the state service. Machines name jobs and images by their
+/// place in the rack's own lists, since neighbours mostly share them.
+#[derive(Serialize, Deserialize, Clone, Debug, PartialEq, Default)]
+pub struct RackRecord {
+    pub shard: u32,
+    #[serde(rename = "type")]
+    pub type_name: String,
+    pub zone: String,
+    pub spot: bool,
+    pub jobs: Vec<String>,
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub images: Vec<(String, f64)>,
+    pub machines: Vec<RackMachine>,
+}
+
+#[derive(Serialize, Deserialize, Clone, Debug, PartialEq, Default)]
+pub struct RackMachine {
+    pub machine: String,
+    #[serde(default, skip_serializing_if = "String::is_empty")]
+    pub addr: String,
+    /// Once set, never used again.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub retiring: bool,
+    /// It fails its tasks: a successor need not learn that again.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub faulty: bool,
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub jobs: Vec<u32>,
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub images: Vec<u32>,
+}
+
+fn is_false(b: &bool) -> bool {
+    !b
+}
+
+#[derive(Debug)]
+pub struct Rack {
+    pub ty: TypeIx,
+    pub zone: ZoneIx,
+    pub spot: bool,
+    pub members: BTreeSet<MachineIx>,
+    /// Bytes that its value takes, with the names planned since it was last made.
+    bytes: usize,
+    /// The jobs that its value names, or will.
+    names: HashSet<JobIx>,
+}
+
+/// Bytes of a value that one machine may want: its own entry, and the names of jobs
+/// that no neighbour has.
+const BYTES_A_MACHINE: usize = 256;
+/// An entry without any job, at the most.
+const BYTES_AN_ENTRY: usize = 160;
+/// A job's place in the rack's list, with its comma.
+const BYTES_A_PLACE: usize = 6;
+
+impl Rack {
+    fn wants(&self, job: JobIx, id: &str) -> usize {
+        BYTES_A_PLACE + if self.names.contains(&job) { 0 } else { id.len() + 3 }
+    }
+
+    /// Can one more machine of it name this job? A value over the limit could never be
+    /// stored, and nothing would start on the whole rack any more.
+    pub fn has_room(&self, job: JobIx, id: &str, value_bytes: usize) -> bool {
+        self.bytes + self.wants(job, id) <= value_bytes
+    }
+
+    pub fn planned(&mut self, job: JobIx, id: &str) {
+        self.bytes += self.wants(job, id);
+        self.names.insert(job);
+    }
+
+    /// Its value was made anew.
+    pub fn made(&mut self, bytes: usize, names: impl Iterator<Item = JobIx>) {
+        self.bytes = bytes;
+        self.names = names.collect();
+    }
+}
+
+#[derive(Debug, Default)]
+pub struct Racks {
+    pub list: BTreeMap<RackIx, Rack>,
+    /// The first number that was never used, here or by an earlier owner.
+    pub next: usize,
+}
+
+impl Racks {
+    /// How many machines share a value.
+    pub fn size(value_bytes: usize) -> usize {
+        (value_bytes / BYTES_A_MACHINE).clamp(1, 64)
+    }
+
+    /// The rack that takes one more machine of this sort: the first with room, else a new one.
+    pub fn join(&mut self, m: MachineIx, (ty, zone, spot): (TypeIx, ZoneIx, bool), value_bytes: usize) -> RackIx {
+        let size = Racks::size(value_bytes);
+        let fits = |r: &Rack| {
+            (r.ty, r.zone, r.spot) == (ty, zone, spot)
+                && r.members.len() < size
+                && r.bytes + BYTES_A_MACHINE <= value_bytes
+        };
+        let found = self.list.iter().find(|(_, r)| fits(r)).map(|(i, _)| *i);
+        let i = found.unwrap_or_else(|| RackIx::new(self.next));
+        let rack = self.open(i, ty, zone, spot);
+        rack.members.insert(m);
+        rack.bytes += BYTES_AN_ENTRY;
+        i
+    }
+
+    pub fn open(&mut self, i: RackIx, ty: TypeIx, zone: ZoneIx, spot: bool) -> &mut Rack {
+        self.next = self.next.max(i.ix() + 1);
+        let new = || Rack { ty, zone, spot, members: BTreeSet::new(), bytes: BYTES_A_MACHINE, names: HashSet::new() };
+        self.list.entry(i).or_insert_with(new)
+    }
+}
--- a/src/intern.rs
+++ b/src/intern.rs
@@ -29,6 +29,7 @@
     ZoneIx;
     TypeIx;
     ImageIx;
+    RackIx;
 }
 
 /// A table of names, each with its index.
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -66,6 +66,7 @@
 
 #[derive(Debug)]
 pub struct Job {
+    pub ix: JobIx,
     pub id: std::sync::Arc<str>,
     pub spec: JobRequest,
     pub team: TeamIx,
@@ -199,6 +200,7 @@
         let n = if open { r.job.tasks } else { 0 };
         let image = r.job.image.as_deref().map(|i| self.images.intern(i));
         self.list.push(Job {
+            ix: j,
             id: self.ids.name(j).clone(),
             team,
             image,
--- a/src/node.rs
+++ b/src/node.rs
@@ -3,7 +3,9 @@
 use crate::api::{Told, Word};
 use crate::clock;
 use crate::cloud::{CloudClient, CloudError};
+use crate::fleet::racks::RACK_PREFIX;
 use crate::fleet::{FLEET_KEY, MACHINE_PREFIX};
+use crate::intern::{Index, RackIx};
 use crate::jobs::{JOB_PREFIX, PROGRESS_PREFIX};
 use crate::ownership::{CLAIM_KEY, CLAIM_PREFIX, Claim, Next, Ownership, SeenClaim};
 use crate::peer::{JobAnswer, JobQuestion, Outcome, Owner, Peers};
@@ -280,20 +282,28 @@
             let (jobs, revision) = self.state.list(JOB_PREFIX).await?;
             let (progress, _) = self.state.list(PROGRESS_PREFIX).await?;
             let (machines, _) = self.state.list(MACHINE_PREFIX).await?;
+            let (racks, _) = self.state.list(RACK_PREFIX).await?;
             let fleet = self.state.get(FLEET_KEY).await?;
-            Ok::<_, StateError>((jobs, revision, progress, machines, fleet))
+            Ok::<_, StateError>((jobs, revision, progress, machines, racks, fleet))
         };
         match loaded.await {
-            Ok((jobs, revision, progress, machines, fleet)) => {
+            Ok((jobs, revision, progress, machines, racks, fleet)) => {
+                let number = |k: &str| k.strip_prefix(RACK_PREFIX).and_then(|n| n.parse::<usize>().ok());
                 let loaded = Loaded {
                     jobs: parse_items(jobs).map(|(_, r, v)| (r, v)).collect(),
                     progress: parse_items(progress).collect(),
                     machines: parse_items(machines)
                         .map(|(k, r, v): (String, _, _)| (k.trim_start_matches(MACHINE_PREFIX).to_owned(), r, v))
                         .collect(),
+                    // A value that cannot be read is left alone: its number is never used again.
+                    racks_from: racks.iter().filter_map(|i| number(&i.key)).max().map_or(0, |n| n + 1),
+                    racks: parse_items(racks)
+                        .filter_map(|(k, r, v)| Some((RackIx::new(number(&k)?), r, v)))
+                        .collect(),
                     fleet: fleet.and_then(|i| parse_items(vec![i]).next()).map(|(_, r, v)| (r, v)),
                 };
-                log::info!("took over: {} jobs, {} machines", loaded.jobs.len(), loaded.machines.len());
+                let machines = loaded.machines.len() + loaded.racks.iter().map(|r| r.1.machines.len()).sum::<usize>();
+                log::info!("took over: {} jobs, {machines} machines", loaded.jobs.len());
                 let now = clock::now();
                 let mut shard =
                     Shard::new(&self.settings, self.tuning.clone(), token, (*self.types()).clone(), loaded, now);
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -32,18 +32,6 @@
     fits_beside(s, job, m, job.held, job.in_zone(m.zone))
 }
 
-/// A machine's record names its jobs, and must fit in one value: a machine full of tiny
-/// jobs would never get its record stored, and start nothing more.
-fn record_has_room(s: &Shard, m: &Machine) -> bool {
-    let most = s.jobs_per_record();
-    if m.tasks.len() < most {
-        return true;
-    }
-    let mut jobs: Vec<JobIx> = m.tasks.keys().map(|k| k.0).collect();
-    jobs.dedup();
-    jobs.len() < most
-}
-
 /// Would a task that leaves a machine in zone `from` fit on this one? It does not
 /// stand in its own way: else replicas that must be spread could not change machines
 /// within their zone.
@@ -80,7 +68,7 @@
     {
         return false;
     }
-    in_zone < job.zone_limit() && record_has_room(s, m) && !(spec.one_zone && held > in_zone)
+    in_zone < job.zone_limit() && s.record_has_room(m, job.ix, &job.id) && !(spec.one_zone && held > in_zone)
 }
 
 /// Does the machine keep enough room for services if batch work takes this?
--- a/src/shard/mod.rs
+++ b/src/shard/mod.rs
@@ -15,9 +15,10 @@
 use crate::clock::stretched;
 use crate::fleet::launch::Launches;
 use crate::fleet::mixture::{Mixture, Target};
+use crate::fleet::racks::{RackMachine, RackRecord, Racks, rack_key};
 use crate::fleet::zones::ZoneLists;
 use crate::fleet::{CachedImage, Held, HeldState, MachineRecord, Machines, Phase as MachinePhase, Types};
-use crate::intern::{Index, JobIx, MachineIx, Names, TeamIx, TypeIx};
+use crate::intern::{Index, JobIx, MachineIx, Names, RackIx, TeamIx, TypeIx};
 use crate::jobs::{JobRecord, Jobs, Phase, ProgressRecord, Slot, TaskKey};
 use crate::settings::{Settings, Team};
 use crate::tuning::Tuning;
@@ -104,7 +105,11 @@
 pub struct Loaded {
     pub jobs: Vec<(JobRecord, u64)>,
     pub progress: Vec<(String, ProgressRecord, u64)>,
+    /// Machines with a value of their own, as earlier versions wrote them.
     pub machines: Vec<(String, MachineRecord, u64)>,
+    pub racks: Vec<(RackIx, RackRecord, u64)>,
+    /// The first number that no stored rack has, readable or not.
+    pub racks_from: usize,
     pub fleet: Option<(FleetRecord, u64)>,
 }
 
@@ -137,7 +142,11 @@
     versions: HashMap<String, u64>,
     in_flight: HashSet<String>,
     finals: BTreeSet<JobIx>,
-    records: BTreeSet<MachineIx>,
+    pub(crate) racks: Racks,
+    /// Racks whose value must be written before planned starts may go out.
+    racks_due: BTreeSet<RackIx>,
+    /// Racks whose value names machines that are gone.
+    racks_untidy: BTreeSet<RackIx>,
     progress_due: BTreeSet<JobIx>,
     progress_at: f64,
     cleanup: BTreeSet<String>,
@@ -155,6 +164,7 @@
     deletes: BTreeSet<MachineIx>,
     fleet_to_restore: Option<FleetRecord>,
     machines_to_restore: Vec<(String, MachineRecord)>,
+    racks_to_restore: Vec<(RackIx, RackRecord, u64)>,
 }
 
 /// Stops a job's tasks gently enough to save.
@@ -185,7 +195,7 @@
             writable: true,
             ticked: now,
             resumed: now,
-            fresh: loaded.machines.is_empty(),
+            fresh: loaded.machines.is_empty() && loaded.racks.is_empty(),
             day_ms: 0.0,
             report_s: s.report_s,
             lease_s: s.lease_s,
@@ -195,7 +205,9 @@
             versions: HashMap::new(),
             in_flight: HashSet::new(),
             finals: BTreeSet::new(),
-            records: BTreeSet::new(),
+            racks: Racks { next: loaded.racks_from, ..Racks::default() },
+            racks_due: BTreeSet::new(),
+            racks_untidy: BTreeSet::new(),
             progress_due: BTreeSet::new(),
             progress_at: now,
             cleanup: BTreeSet::new(),
@@ -211,6 +223,7 @@
             deletes: BTreeSet::new(),
             fleet_to_restore: loaded.fleet.as_ref().map(|f| f.0.clone()),
             machines_to_restore: Vec::new(),
+            racks_to_restore: loaded.racks,
         };
         for z in &s.zones {
             shard.types.zones.intern(z);
@@ -270,22 +283,55 @@
             }
             self.pools.insert(ty, Pool { zones, target, base: Target::default(), mix: Mixture::default() });
         }
+        for (i, r, version) in std::mem::take(&mut self.racks_to_restore) {
+            self.restore_rack(i, r, version, now);
+        }
         for (name, r) in std::mem::take(&mut self.machines_to_restore) {
-            self.restore_machine(&name, r, now);
+            if let Some(m) = self.restore_machine(&name, r, now) {
+                self.machines.at_mut(m).own_value = true;
+                self.want_record(m);
+            }
         }
         self.place_due = true;
     }
 
+    fn restore_rack(&mut self, i: RackIx, r: RackRecord, version: u64, now: f64) {
+        let Some(ty) = self.types.names.find(&r.type_name) else {
+            log::warn!("{} is of unknown type {}", rack_key(i), r.type_name);
+            return;
+        };
+        let zone = self.types.zones.intern(&r.zone);
+        let bytes = serde_json::to_string(&r).map_or(0, |t| t.len());
+        let names: Vec<JobIx> = r.jobs.iter().filter_map(|id| self.jobs.find(id)).collect();
+        self.versions.insert(rack_key(i), version);
+        self.racks.open(i, ty, zone, r.spot).made(bytes, names.into_iter());
+        for RackMachine { machine: name, addr, retiring, faulty, jobs, images } in r.machines {
+            let jobs = jobs.iter().filter_map(|j| r.jobs.get(*j as usize).cloned()).collect();
+            let images = images.iter().filter_map(|x| r.images.get(*x as usize).cloned()).collect();
+            let (type_name, zone_name) = (r.type_name.clone(), r.zone.clone());
+            let own =
+                MachineRecord { shard: 0, addr, type_name, zone: zone_name, spot: r.spot, retiring, faulty, jobs, images };
+            if let Some(m) = self.restore_machine(&name, own, now) {
+                self.machines.at_mut(m).rack = Some(i);
+                self.racks.open(i, ty, zone, r.spot).members.insert(m);
+            }
+        }
+        if self.racks.list.get(&i).is_some_and(|r| r.members.is_empty()) {
+            self.racks_untidy.insert(i);
+        }
+    }
+
     /// A machine that an earlier owner recorded may hold what its record says,
-    /// until it reports with our token or its lease is surely over.
-    fn restore_machine(&mut self, name: &str, r: MachineRecord, now: f64) {
+    /// until it reports with our token or its lease is surely over. One that stands in
+    /// two values, as it does while an earlier version's are being replaced, may hold both.
+    fn restore_machine(&mut self, name: &str, r: MachineRecord, now: f64) -> Option<MachineIx> {
         let Some(ty) = self.types.names.find(&r.type_name) else {
             log::warn!("machine {name} is of unknown type {}", r.type_name);
-            return;
+            return None;
         };
         let zone = self.types.zones.intern(&r.zone);
         let m = self.machines.add(name, ty, zone, r.spot, now);
-        let mut jobs = HashSet::new();
+        let mut jobs = std::mem::take(&mut self.machines.at_mut(m).stored_jobs);
         for id in &r.jobs {
             if let Some(j) = self.jobs.find(id)
                 && self.jobs.at(j).phase == Phase::Open
@@ -301,8 +347,9 @@
             .collect();
         let until = self.began + stretched(self.lease_s);
         let machine = self.machines.at_mut(m);
-        machine.addr = r.addr.parse().ok();
-        machine.phase = if r.retiring { MachinePhase::Retiring } else { MachinePhase::Up };
+        machine.addr = r.addr.parse().ok().or(machine.addr);
+        let retiring = r.retiring || machine.phase == MachinePhase::Retiring;
+        machine.phase = if retiring { MachinePhase::Retiring } else { MachinePhase::Up };
         machine.unresolved_until = Some(until);
         machine.stored_jobs = jobs;
         machine.images = images;
@@ -311,9 +358,10 @@
             machine.quarantined_until = f64::INFINITY;
         }
         self.machines.direct_due.insert(m);
-        if r.retiring {
+        if retiring {
             self.deletes.insert(m);
         }
+        Some(m)
     }
 
     /// Takes in a job that the state service holds.
@@ -383,10 +431,20 @@
         self.stop_task(m, key, grace);
     }
 
-    /// The machine's record is to be written again.
+    /// The machine's record is to be written again, with those of its rack.
     pub(crate) fn want_record(&mut self, m: MachineIx) {
-        self.machines.at_mut(m).record_dirty = true;
-        self.records.insert(m);
+        let value_bytes = self.value_bytes;
+        let machine = &mut self.machines.list[m.ix()];
+        let sort = (machine.ty, machine.zone, machine.spot);
+        let rack = *machine.rack.get_or_insert_with(|| self.racks.join(m, sort, value_bytes));
+        self.racks_due.insert(rack);
+    }
+
+    /// Can this machine's record name one more job?
+    pub(crate) fn record_has_room(&self, m: &crate::fleet::Machine, j: JobIx, id: &str) -> bool {
+        m.stored_jobs.contains(&j)
+            || m.tasks.range((j, 0)..=(j, u32::MAX)).next().is_some()
+            || m.rack.and_then(|r| self.racks.list.get(&r)).is_none_or(|r| r.has_room(j, id, self.value_bytes))
     }
 
     /// The time of day by the steady clock, in milliseconds.
@@ -446,6 +504,10 @@
             self.machines.direct_due.insert(m);
         } else {
             self.want_record(m);
+            let rack = self.machines.at(m).rack;
+            if let Some(r) = rack.and_then(|r| self.racks.list.get_mut(&r)) {
+                r.planned(key.0, &self.jobs.at(key.0).id);
+            }
         }
     }
 
--- a/src/shard/sizing.rs
+++ b/src/shard/sizing.rs
@@ -102,7 +102,7 @@
             return;
         }
         machine.phase = MachinePhase::Retiring;
-        if machine.record_stored || machine.record_dirty {
+        if machine.rack.is_some() || machine.own_value {
             self.want_record(m);
         } else {
             self.deletes.insert(m);
@@ -117,9 +117,15 @@
             let machine = self.machines.at_mut(m);
             machine.phase = MachinePhase::Gone;
             machine.deleting = false;
-            if machine.record_stored {
+            if std::mem::take(&mut machine.own_value) {
                 self.cleanup.insert(crate::fleet::machine_key(&machine.name));
             }
+            if let Some(r) = machine.rack.take() {
+                self.racks_untidy.insert(r);
+                if let Some(rack) = self.racks.list.get_mut(&r) {
+                    rack.members.remove(&m);
+                }
+            }
             self.machines.present.remove(&m);
         }
     }
--- a/src/shard/writes.rs
+++ b/src/shard/writes.rs
@@ -4,15 +4,21 @@
 //! own key, so that a transaction applied late finds either changed and dies.
 
 use super::{FleetRecord, Shard};
-use crate::fleet::{FLEET_KEY, HeldState, MachineRecord, Phase as MachinePhase, machine_key};
-use crate::intern::{Index, JobIx, MachineIx};
-use crate::jobs::{JobRecord, Phase, ProgressRecord, job_key, progress_key};
+use crate::fleet::racks::{RackMachine, RackRecord, rack_key};
+use crate::fleet::{FLEET_KEY, Held, HeldState, Phase as MachinePhase, machine_key};
+use crate::intern::{Index, JobIx, MachineIx, RackIx};
+use crate::jobs::{JobRecord, Phase, ProgressRecord, TaskKey, job_key, progress_key};
 use crate::wire::Change;
+use std::collections::HashMap;
+
+/// What a stored value says of a machine: the jobs that it may hold, and whether it is
+/// to go.
+pub type Content = (MachineIx, Vec<JobIx>, bool);
 
 #[derive(Debug)]
 pub enum What {
     Final(JobIx, Phase),
-    Record(MachineIx, Vec<JobIx>, bool),
+    Rack(RackIx, Vec<Content>),
     Progress(JobIx, u32, ProgressRecord),
     Fleet(FleetRecord),
     Cleanup,
@@ -70,20 +76,10 @@
                 return out;
             }
         }
-        for m in self.records.clone() {
-            let key = machine_key(&self.machines.at(m).name);
-            if self.in_flight.contains(&key) {
-                continue;
-            }
-            let (r, jobs) = self.machine_record(m);
-            self.records.remove(&m);
-            let machine = self.machines.at_mut(m);
-            machine.record_dirty = false;
-            if machine.resolved() {
-                // Until it is known which record stands, only what both name counts as stored.
-                machine.stored_jobs.retain(|j| jobs.contains(j));
-            }
-            let w = self.put(key, What::Record(m, jobs, r.retiring), &r);
+        let due: Vec<RackIx> =
+            self.racks_due.iter().copied().filter(|r| !self.in_flight.contains(&rack_key(*r))).take(ops).collect();
+        for r in due {
+            let w = self.rack_write(r);
             if !take(w, &mut out) {
                 return out;
             }
@@ -124,6 +120,24 @@
             }
             self.progress_at = now;
         }
+        let untidy: Vec<RackIx> =
+            self.racks_untidy.iter().copied().filter(|r| !self.in_flight.contains(&rack_key(*r))).collect();
+        for r in untidy {
+            if out.len() + 2 >= spare {
+                return out;
+            }
+            if self.racks.list.get(&r).is_some_and(|r| r.members.is_empty()) {
+                self.racks_untidy.remove(&r);
+                self.racks_due.remove(&r);
+                self.racks.list.remove(&r);
+                self.cleanup.insert(rack_key(r));
+                continue;
+            }
+            let w = self.rack_write(r);
+            if !take(w, &mut out) {
+                return out;
+            }
+        }
         let room_for = spare.saturating_sub(out.len() + 2);
         let tidy: Vec<String> =
             self.cleanup.iter().filter(|k| !self.in_flight.contains(*k)).take(room_for).cloned().collect();
@@ -143,44 +157,104 @@
         out
     }
 
-    /// How many jobs a machine's record can name, with the longest ids.
-    pub fn jobs_per_record(&self) -> usize {
-        (self.value_bytes.saturating_sub(1024) / 40).max(8)
+    /// The write of a rack's value. Until it is known which value stands, only what
+    /// both name counts as stored.
+    fn rack_write(&mut self, r: RackIx) -> Option<Write> {
+        self.racks_due.remove(&r);
+        self.racks_untidy.remove(&r);
+        let (record, contents) = self.rack_record(r)?;
+        for (m, jobs, _) in &contents {
+            let machine = self.machines.at_mut(*m);
+            if machine.resolved() {
+                machine.stored_jobs.retain(|j| jobs.contains(j));
+            }
+        }
+        self.put(rack_key(r), What::Rack(r, contents), &record)
+    }
+
+    /// The value of a rack, and what it says of each machine. The names of images are a
+    /// help and not a need: they give way to the jobs. So do, at last, starts that were
+    /// planned and can still wait: a value over the limit would never be stored.
+    fn rack_record(&mut self, r: RackIx) -> Option<(RackRecord, Vec<Content>)> {
+        for (with_images, with_planned) in [(true, true), (false, true), (false, false)] {
+            if !with_planned {
+                self.put_off_planned(r);
+            }
+            let (record, contents) = self.make_rack_record(r, with_images)?;
+            let bytes = serde_json::to_string(&record).map_or(usize::MAX, |t| t.len());
+            let names: Vec<JobIx> = contents.iter().flat_map(|c| c.1.iter().copied()).collect();
+            self.racks.list.get_mut(&r)?.made(bytes, names.into_iter());
+            if bytes <= self.value_bytes || !with_planned {
+                return Some((record, contents));
+            }
+        }
+        None
     }
 
-    /// A machine's record names every job that it holds or may come to hold.
-    fn machine_record(&self, m: MachineIx) -> (MachineRecord, Vec<JobIx>) {
-        let machine = self.machines.at(m);
-        let mut jobs: Vec<JobIx> = machine.tasks.keys().map(|k| k.0).collect();
-        if !machine.resolved() {
-            jobs.extend(machine.stored_jobs.iter().copied());
+    fn put_off_planned(&mut self, r: RackIx) {
+        let members: Vec<MachineIx> = self.racks.list.get(&r).into_iter().flat_map(|r| r.members.clone()).collect();
+        for m in members {
+            let machine = self.machines.at(m);
+            let unnamed = |(k, h): &(&TaskKey, &Held)| {
+                h.state == HeldState::Planned && !machine.stored_jobs.contains(&k.0)
+            };
+            let keys: Vec<TaskKey> = machine.tasks.iter().filter(unnamed).map(|(k, _)| *k).collect();
+            for k in keys {
+                self.release(m, k);
+                self.requeue(k);
+            }
         }
-        jobs.extend(machine.loose.keys().map(|k| k.0));
-        jobs.sort_unstable();
-        jobs.dedup();
-        let mut names: Vec<String> = jobs.iter().map(|j| self.jobs.at(*j).id.to_string()).collect();
-        names.sort();
-        let mut images: Vec<(String, f64)> = machine
-            .images
-            .iter()
-            .filter(|i| i.ready)
-            .map(|i| (self.jobs.images.name(i.image).to_string(), i.gb))
-            .collect();
-        // The names of images are a help and not a need: they give way to the jobs.
-        let used: usize = names.iter().map(|n| n.len() + 3).sum();
-        images.truncate((self.value_bytes.saturating_sub(used + 512) / 64).min(16));
-        let r = MachineRecord {
+    }
+
+    /// Every machine with every job that it holds or may come to hold.
+    fn make_rack_record(&self, r: RackIx, with_images: bool) -> Option<(RackRecord, Vec<Content>)> {
+        let rack = self.racks.list.get(&r)?;
+        let mut record = RackRecord {
             shard: 0,
-            addr: machine.addr.map(|a| a.to_string()).unwrap_or_default(),
-            type_name: self.types.names.name(machine.ty).to_string(),
-            zone: self.types.zones.name(machine.zone).to_string(),
-            spot: machine.spot,
-            retiring: machine.phase == MachinePhase::Retiring,
-            faulty: machine.faulty(),
-            jobs: names,
-            images,
+            type_name: self.types.names.name(rack.ty).to_string(),
+            zone: self.types.zones.name(rack.zone).to_string(),
+            spot: rack.spot,
+            ..RackRecord::default()
         };
-        (r, jobs)
+        let mut contents = Vec::with_capacity(rack.members.len());
+        let (mut job_at, mut image_at) = (HashMap::new(), HashMap::new());
+        for &m in &rack.members {
+            let machine = self.machines.at(m);
+            let mut jobs: Vec<JobIx> = machine.tasks.keys().map(|k| k.0).collect();
+            if !machine.resolved() {
+                jobs.extend(machine.stored_jobs.iter().copied());
+            }
+            jobs.extend(machine.loose.keys().map(|k| k.0));
+            jobs.sort_unstable();
+            jobs.dedup();
+            let mut place = |j: &JobIx| {
+                *job_at.entry(*j).or_insert_with(|| {
+                    record.jobs.push(self.jobs.at(*j).id.to_string());
+                    record.jobs.len() as u32 - 1
+                })
+            };
+            let places = jobs.iter().map(&mut place).collect();
+            let ready = machine.images.iter().filter(|i| i.ready && with_images);
+            let images = ready
+                .map(|i| {
+                    *image_at.entry(i.image).or_insert_with(|| {
+                        record.images.push((self.jobs.images.name(i.image).to_string(), i.gb));
+                        record.images.len() as u32 - 1
+                    })
+                })
+                .collect();
+            let retiring = machine.phase == MachinePhase::Retiring;
+            record.machines.push(RackMachine {
+                machine: machine.name.to_string(),
+                addr: machine.addr.map(|a| a.to_string()).unwrap_or_default(),
+                retiring,
+                faulty: machine.faulty(),
+                jobs: places,
+                images,
+            });
+            contents.push((m, jobs, retiring));
+        }
+        Some((record, contents))
     }
 
     /// These writes are applied, all at this revision.
@@ -202,7 +276,11 @@
                     self.progress_due.remove(&j);
                     self.jobs.settled(j, phase);
                 }
-                What::Record(m, jobs, retiring) => self.record_applied(m, jobs, retiring),
+                What::Rack(_, contents) => {
+                    for (m, jobs, retiring) in contents {
+                        self.record_applied(m, jobs, retiring);
+                    }
+                }
                 What::Progress(j, c, r) => {
                     if self.jobs.at(j).phase == Phase::Open {
                         self.jobs.progress_stored(j, c, &r);
@@ -219,26 +297,31 @@
     fn record_applied(&mut self, m: MachineIx, jobs: Vec<JobIx>, retiring: bool) {
         let machine = &mut self.machines.list[m.ix()];
         machine.record_stored = true;
+        if std::mem::take(&mut machine.own_value) {
+            self.cleanup.insert(machine_key(&machine.name));
+        }
         if machine.resolved() {
             machine.stored_jobs = jobs.into_iter().collect();
         }
-        if retiring {
+        if retiring && machine.phase == MachinePhase::Retiring {
             self.deletes.insert(m);
+        }
+        if machine.phase != MachinePhase::Up {
             return;
         }
-        let Some(held) = (machine.phase == MachinePhase::Up).then_some(&mut machine.tasks) else { return };
-        for (k, h) in held {
+        let mut again = false;
+        for (k, h) in &mut machine.tasks {
             if h.state == HeldState::Planned {
                 if machine.stored_jobs.contains(&k.0) {
                     h.state = HeldState::Commanded;
                     self.machines.direct_due.insert(m);
                 } else {
-                    machine.record_dirty = true;
+                    again = true;
                 }
             }
         }
-        if machine.record_dirty {
-            self.records.insert(m);
+        if again {
+            self.want_record(m);
         }
     }
 
@@ -248,10 +331,7 @@
             self.in_flight.remove(&w.key);
             match w.what {
                 What::Final(..) => {}
-                What::Record(m, ..) => {
-                    self.machines.at_mut(m).record_dirty = true;
-                    self.records.insert(m);
-                }
+                What::Rack(r, _) => _ = self.racks_due.insert(r),
                 What::Progress(j, c, _) => {
                     if self.jobs.at(j).phase == Phase::Open {
                         self.jobs.at_mut(j).dirty_chunks.insert(c);
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -9,7 +9,8 @@
 //! `token.number`.
 
 use lupinspur::fleet::launch::Launch;
-use lupinspur::intern::MachineIx;
+use lupinspur::fleet::racks::{RACK_PREFIX, RackMachine, RackRecord};
+use lupinspur::intern::{Index, MachineIx, RackIx};
 use lupinspur::jobs::{JOB_PREFIX, JobRecord, PROGRESS_PREFIX, Phase, job_key};
 use lupinspur::settings::Settings;
 use lupinspur::shard::{CloudCall, DirectSend, Heard, Loaded, Shard, Write};
@@ -98,6 +99,17 @@
     format!("{op} {}@{}{grace}", c.task, attempt_out(c.attempt))
 }
 
+/// Each machine of a stored rack, with the jobs that it may hold.
+fn rack_shown(value: &Value) -> String {
+    let r: RackRecord = serde_json::from_value(value.clone()).expect("a rack");
+    let machine = |m: &RackMachine| {
+        let mut jobs: Vec<&str> = m.jobs.iter().map(|j| r.jobs[*j as usize].as_str()).collect();
+        jobs.sort_unstable();
+        format!("{}{} {jobs:?}", m.machine, if m.retiring { " retiring" } else { "" })
+    };
+    r.machines.iter().map(machine).collect::<Vec<_>>().join(", ")
+}
+
 impl World {
     fn say(&mut self, s: &str) {
         let _ = writeln!(self.out, "= {s}");
@@ -175,10 +187,9 @@
             for w in &writes {
                 let text = match &w.change {
                     Change::Put { value, .. } => {
-                        let brief = match (value.get("phase"), value.get("jobs"), value.get("done")) {
+                        let brief = match (value.get("phase"), value.get("machines"), value.get("done")) {
                             (Some(p), _, _) => format!("phase {}", p.as_str().unwrap_or("?")),
-                            (_, Some(j), _) if value["retiring"] == true => format!("retiring, jobs {j}"),
-                            (_, Some(j), _) => format!("jobs {j}"),
+                            (_, Some(_), _) => rack_shown(value),
                             (_, _, Some(d)) => format!("done {d}"),
                             _ => "counts and lists".into(),
                         };
@@ -233,6 +244,12 @@
                         .into_iter()
                         .map(|(k, r, v)| (k.trim_start_matches("mach/").to_owned(), r, v))
                         .collect(),
+                    racks_from: self.store.keys().filter_map(|k| rack_number(k)).max().map_or(0, |n| n + 1),
+                    racks: self
+                        .load(RACK_PREFIX)
+                        .into_iter()
+                        .map(|(k, r, v)| (RackIx::new(rack_number(&k).expect("a number")), r, v))
+                        .collect(),
                     fleet: self.load("fleet/").into_iter().next().map(|(_, r, v)| (r, v)),
                 };
                 self.sent.clear();
@@ -371,7 +388,7 @@
                 let team = word(args, "team").map(|t| {
                     let s = self.s();
                     let i = s.team_names.find(t).expect("a team");
-                    s.teams[lupinspur::intern::Index::ix(i)].cpus_used
+                    s.teams[i.ix()].cpus_used
                 });
                 let text = team.map_or(String::new(), |c| format!("; the team uses {c} cpus"));
                 self.say(&format!("{first} holds {n} tasks{text}"));
@@ -381,6 +398,10 @@
     }
 }
 
+fn rack_number(key: &str) -> Option<usize> {
+    key.strip_prefix(RACK_PREFIX)?.parse().ok()
+}
+
 fn world() -> World {
     World {
         settings: Settings::parse(SETTINGS).expect("settings"),
@@ -408,7 +429,7 @@
     let m = w.machine("h1");
     let held = w.s().machines.at(m).tasks.len();
     assert!(held > 50, "only {held} tasks were placed");
-    let (value, _) = &w.store["mach/h1"];
+    let (value, _) = &w.store["rack/0"];
     assert!(value.to_string().len() <= 4096, "the record has {} bytes", value.to_string().len());
 }
 
