The machine types are learnt first, and refused callers spread out

Change: nobody claims before knowing the types; the first question waits for no share; refused callers ask again at times of their own. Also a summary line for operators.

--- a/src/cloud.rs
+++ b/src/cloud.rs
@@ -47,6 +47,10 @@
         while !self.lock().try_take(clock::now(), 1) {
             Timer::after(Duration::from_millis(25)).await;
         }
+        self.call_now(method, path, body).await
+    }
+
+    async fn call_now(&self, method: Method, path: &str, body: Option<Vec<u8>>) -> Result<(u16, Vec<u8>), CloudError> {
         match self.http.call(self.addr, method, path, body, Duration::from_secs(4)).await {
             Ok((429, _)) => {
                 self.lock().drain(clock::now());
@@ -58,8 +62,15 @@
         }
     }
 
-    pub async fn types(&self) -> Result<Vec<MachineType>, CloudError> {
-        match self.call(Method::Get, wire::TYPES_PATH, None).await? {
+    /// `first`: nothing can be done before the types are known, so this one does not
+    /// wait for a share.
+    pub async fn types(&self, first: bool) -> Result<Vec<MachineType>, CloudError> {
+        let outcome = if first {
+            self.call_now(Method::Get, wire::TYPES_PATH, None).await
+        } else {
+            self.call(Method::Get, wire::TYPES_PATH, None).await
+        };
+        match outcome? {
             (200, b) => serde_json::from_slice::<Types>(&b).map(|t| t.types).map_err(|_| CloudError::NoAnswer),
             (s, _) => Err(CloudError::Refused(s)),
         }
--- a/src/node.rs
+++ b/src/node.rs
@@ -10,7 +10,7 @@
 use crate::ownership::{CLAIM_KEY, CLAIM_PREFIX, Claim, Next, Ownership, SeenClaim};
 use crate::peer::{JobAnswer, JobQuestion, Outcome, Owner, Peers};
 use crate::settings::Settings;
-use crate::shard::{CloudCall, Loaded, Shard};
+use crate::shard::{CloudCall, Counts, Loaded, Shard};
 use crate::state::{Commit, StateClient, StateError, TXN_BYTES};
 use crate::tuning::Tuning;
 use crate::wire::{Change, Condition, Item, JobState, MachineType, RentRequest};
@@ -31,11 +31,12 @@
 const TICK: Duration = Duration::from_millis(100);
 const GATHER: Duration = Duration::from_millis(20);
 const LOOK_AGAIN_S: f64 = 1.0;
+const SUMMARY_EVERY_S: f64 = 10.0;
 const MOST_COMMITS: usize = 3;
 const MOST_DIRECT: usize = 64;
 const FINALS_KEPT: usize = 20_000;
 const LIST_EVERY_S: f64 = 3.0;
-const TYPES_EVERY: Duration = Duration::from_secs(20);
+const TYPES_EVERY_S: f64 = 20.0;
 const WATCH_WAIT: Duration = Duration::from_millis(1500);
 
 /// Who acts, as far as this node knows.
@@ -217,6 +218,11 @@
     }
 
     async fn claim_once(&self) {
+        // Whoever does not know the machine types cannot act, and must not stand in the
+        // way of those that can.
+        if self.types().is_empty() {
+            return;
+        }
         let next = lock(&self.own).next(clock::now());
         match next {
             Next::Nothing => {}
@@ -273,9 +279,6 @@
 
     /// Reads everything that the shard needs to go on.
     async fn load(&self, token: u64) {
-        if self.types().is_empty() {
-            return;
-        }
         let began = clock::now();
         self.state.set_share(&self.settings, true);
         let loaded = async {
@@ -297,9 +300,7 @@
                         .collect(),
                     // A value that cannot be read is left alone: its number is never used again.
                     racks_from: racks.iter().filter_map(|i| number(&i.key)).max().map_or(0, |n| n + 1),
-                    racks: parse_items(racks)
-                        .filter_map(|(k, r, v)| Some((RackIx::new(number(&k)?), r, v)))
-                        .collect(),
+                    racks: parse_items(racks).filter_map(|(k, r, v)| Some((RackIx::new(number(&k)?), r, v))).collect(),
                     fleet: fleet.and_then(|i| parse_items(vec![i]).next()).map(|(_, r, v)| (r, v)),
                 };
                 let machines = loaded.machines.len() + loaded.racks.iter().map(|r| r.1.machines.len()).sum::<usize>();
@@ -398,6 +399,7 @@
 
     async fn ticks(self: Arc<Self>) {
         let mut looked_again = 0.0;
+        let mut told = (clock::now(), 0, Counts::default());
         loop {
             // What reports and submissions bring is placed together, a little later.
             Timer::after(GATHER).await;
@@ -408,6 +410,12 @@
                     looked_again = now;
                     s.look_again();
                 }
+                if told.1 != s.token {
+                    told = (now, s.token, s.counts);
+                } else if now - told.0 >= SUMMARY_EVERY_S {
+                    log::info!("{:.0} s: {}", now - told.0, s.summary(&told.2));
+                    told = (now, s.token, s.counts);
+                }
                 s.writable = self.state.answers(now);
                 s.tick(now);
                 s.deaf(now)
@@ -608,19 +616,25 @@
         }
     }
 
+    /// All controllers begin at the same moment, and the cloud refuses what is over its
+    /// limit: those that are refused ask again at times of their own. The last of five
+    /// once asked together with the others for ever, and was refused every time.
     async fn learn_types(self: Arc<Self>) {
+        let turn_s = (self.settings.peers.len() + 1) as f64 / self.settings.cloud_rps;
         loop {
-            match self.cloud.types().await {
+            let first = self.types().is_empty();
+            let pause_s = match self.cloud.types(first).await {
                 Ok(t) if !t.is_empty() => {
                     let now = clock::now();
-                    self.with_shard(now, |s| s.on_types(t.clone(), now));
+                    let mine = self.with_shard(now, |s| s.on_types(t.clone(), now)).is_some();
                     *lock(&self.types) = Arc::new(t);
-                    Timer::after(TYPES_EVERY).await;
-                }
-                _ => {
-                    Timer::after(Duration::from_millis(500)).await;
+                    // Prices matter to the owner; the others judge submissions by sizes.
+                    if mine { TYPES_EVERY_S } else { TYPES_EVERY_S * 3.0 }
                 }
-            }
+                _ if first => turn_s.min(2.0),
+                _ => turn_s,
+            };
+            Timer::after(Duration::from_secs_f64(pause_s * (0.5 + fastrand::f64()))).await;
         }
     }
 }
--- a/src/shard/mod.rs
+++ b/src/shard/mod.rs
@@ -155,6 +155,7 @@
     pub(crate) place_due: bool,
     /// Pairs of a job and a machine that were looked at: what placing costs.
     pub looked_at: u64,
+    pub counts: Counts,
     watched_at: f64,
     /// Where the next search for tasks to move goes on.
     move_from: MachineIx,
@@ -167,6 +168,18 @@
     racks_to_restore: Vec<(RackIx, RackRecord, u64)>,
 }
 
+/// What this owner has done so far; operators see the differences in the log.
+#[derive(Debug, Default, Clone, Copy)]
+pub struct Counts {
+    pub reports: u64,
+    pub directs: u64,
+    pub starts: u64,
+    pub finals: u64,
+    pub racks: u64,
+    pub progress: u64,
+    pub other_writes: u64,
+}
+
 /// Stops a job's tasks gently enough to save.
 const GRACE_EXTRA_S: f64 = 2.0;
 /// Longer between two ticks, and this owner was not entitled to act in between.
@@ -215,6 +228,7 @@
             fleet_at: now,
             place_due: true,
             looked_at: 0,
+            counts: Counts::default(),
             watched_at: f64::MIN,
             move_from: MachineIx::new(0),
             service_cpus: 0.0,
@@ -309,8 +323,17 @@
             let jobs = jobs.iter().filter_map(|j| r.jobs.get(*j as usize).cloned()).collect();
             let images = images.iter().filter_map(|x| r.images.get(*x as usize).cloned()).collect();
             let (type_name, zone_name) = (r.type_name.clone(), r.zone.clone());
-            let own =
-                MachineRecord { shard: 0, addr, type_name, zone: zone_name, spot: r.spot, retiring, faulty, jobs, images };
+            let own = MachineRecord {
+                shard: 0,
+                addr,
+                type_name,
+                zone: zone_name,
+                spot: r.spot,
+                retiring,
+                faulty,
+                jobs,
+                images,
+            };
             if let Some(m) = self.restore_machine(&name, own, now) {
                 self.machines.at_mut(m).rack = Some(i);
                 self.racks.open(i, ty, zone, r.spot).members.insert(m);
@@ -465,6 +488,7 @@
     /// Holds a task on a machine: resources and limits count from here on.
     pub(crate) fn plan(&mut self, m: MachineIx, key: TaskKey, now: f64) {
         self.attempts += 1;
+        self.counts.starts += 1;
         // Attempts never repeat across owners: each claim has a range of its own.
         let attempt = (self.token << 24) + self.attempts;
         let job = self.jobs.at(key.0);
@@ -661,6 +685,38 @@
         }
     }
 
+    /// One line for operators: what was done since `before`, and what stands now.
+    pub fn summary(&self, before: &Counts) -> String {
+        let c = &self.counts;
+        let waiting: u32 =
+            self.jobs.live.iter().map(|&j| self.jobs.at(j)).filter(|j| j.open()).map(|j| j.unfinished() - j.held).sum();
+        let up = |spot: bool, cordoned: bool| {
+            let up = |m: &crate::fleet::Machine| m.phase == MachinePhase::Up && m.spot == spot && m.cordoned == cordoned;
+            self.machines.iter().filter(|(_, m)| up(m)).count()
+        };
+        let booting = self.machines.iter().filter(|(_, m)| m.phase == MachinePhase::Booting).count();
+        let unresolved = self.machines.iter().filter(|(_, m)| !m.resolved()).count();
+        let used: f64 = self.machines.iter().map(|(_, m)| m.cpus_used).sum();
+        let mix = self.pools.values().next().map(|p| p.mix).unwrap_or_default();
+        format!(
+            "{} reports, {} direct, {} starts; writes: {} final, {} racks, {} progress, {} other; {} live jobs, \
+             {waiting} tasks wait; machines up {} spot and {} on-demand, {}+{} cordoned, {booting} boot, \
+             {unresolved} unresolved, {used:.0} cpus held; wanted {mix:?}",
+            c.reports - before.reports,
+            c.directs - before.directs,
+            c.starts - before.starts,
+            c.finals - before.finals,
+            c.racks - before.racks,
+            c.progress - before.progress,
+            c.other_writes - before.other_writes,
+            self.jobs.live.len(),
+            up(true, false),
+            up(false, false),
+            up(true, true),
+            up(false, true),
+        )
+    }
+
     /// Backed-off jobs and returning machines deserve another look now and then.
     pub fn look_again(&mut self) {
         self.place_due = true;
--- a/src/shard/reports.rs
+++ b/src/shard/reports.rs
@@ -38,6 +38,7 @@
     /// all reports in between together. Placing in every report once took up the whole
     /// processor at a few hundred machines.
     pub fn on_report(&mut self, r: &Report, now: f64) -> Heard {
+        self.counts.reports += 1;
         match self.absorb(r, true, now) {
             Ok(m) => {
                 let commands = self.report_commands(m, r, now);
@@ -461,6 +462,7 @@
             }
         }
         machine.direct_busy = true;
+        self.counts.directs += 1;
         Some(DirectSend { machine: m, addr, body: DirectCommands { token, session, commands }, starts })
     }
 
--- a/src/shard/writes.rs
+++ b/src/shard/writes.rs
@@ -41,6 +41,12 @@
         let value = serde_json::to_value(value).ok()?;
         let bytes = value.to_string().len() + key.len() * 2 + 64;
         let version = self.versions.get(&key).copied().unwrap_or(0);
+        match &what {
+            What::Final(..) => self.counts.finals += 1,
+            What::Rack(..) => self.counts.racks += 1,
+            What::Progress(..) => self.counts.progress += 1,
+            What::Fleet(_) | What::Cleanup => self.counts.other_writes += 1,
+        }
         self.in_flight.insert(key.clone());
         Some(Write { version, what, change: Change::Put { key: key.clone(), value, lease: None }, bytes, key })
     }
@@ -195,9 +201,8 @@
         let members: Vec<MachineIx> = self.racks.list.get(&r).into_iter().flat_map(|r| r.members.clone()).collect();
         for m in members {
             let machine = self.machines.at(m);
-            let unnamed = |(k, h): &(&TaskKey, &Held)| {
-                h.state == HeldState::Planned && !machine.stored_jobs.contains(&k.0)
-            };
+            let unnamed =
+                |(k, h): &(&TaskKey, &Held)| h.state == HeldState::Planned && !machine.stored_jobs.contains(&k.0);
             let keys: Vec<TaskKey> = machine.tasks.iter().filter(unnamed).map(|(k, _)| *k).collect();
             for k in keys {
                 self.release(m, k);
