--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -52,7 +52,7 @@
     Gone,
 }
 
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug)]
 pub enum HeldState {
     /// Chosen; the machine's record does not name the job yet.
     Planned,
--- a/src/shard/mod.rs
+++ b/src/shard/mod.rs
@@ -24,7 +24,7 @@
 use crate::tuning::Tuning;
 use crate::wire::{JobRequest, JobState, Kind, MachineType};
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 
 /// Why a submission can never run, or cannot be judged yet.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -143,8 +143,10 @@
     in_flight: HashSet<String>,
     finals: BTreeSet<JobIx>,
     pub(crate) racks: Racks,
-    /// Racks whose value must be written before planned starts may go out.
-    racks_due: BTreeSet<RackIx>,
+    /// Racks whose value must be written before planned starts may go out, the one that
+    /// has waited longest first: by number, the later ones once waited for a quarter of
+    /// a minute while the first were written again and again.
+    racks_due: VecDeque<RackIx>,
     /// Racks whose value names machines that are gone.
     racks_untidy: BTreeSet<RackIx>,
     progress_due: BTreeSet<JobIx>,
@@ -219,7 +221,7 @@
             in_flight: HashSet::new(),
             finals: BTreeSet::new(),
             racks: Racks { next: loaded.racks_from, ..Racks::default() },
-            racks_due: BTreeSet::new(),
+            racks_due: VecDeque::new(),
             racks_untidy: BTreeSet::new(),
             progress_due: BTreeSet::new(),
             progress_at: now,
@@ -460,7 +462,13 @@
         let machine = &mut self.machines.list[m.ix()];
         let sort = (machine.ty, machine.zone, machine.spot);
         let rack = *machine.rack.get_or_insert_with(|| self.racks.join(m, sort, value_bytes));
-        self.racks_due.insert(rack);
+        self.rack_due(rack);
+    }
+
+    fn rack_due(&mut self, r: RackIx) {
+        if !self.racks_due.contains(&r) {
+            self.racks_due.push_back(r);
+        }
     }
 
     /// Can this machine's record name one more job?
@@ -691,17 +699,21 @@
         let waiting: u32 =
             self.jobs.live.iter().map(|&j| self.jobs.at(j)).filter(|j| j.open()).map(|j| j.unfinished() - j.held).sum();
         let up = |spot: bool, cordoned: bool| {
-            let up = |m: &crate::fleet::Machine| m.phase == MachinePhase::Up && m.spot == spot && m.cordoned == cordoned;
+            let up =
+                |m: &crate::fleet::Machine| m.phase == MachinePhase::Up && m.spot == spot && m.cordoned == cordoned;
             self.machines.iter().filter(|(_, m)| up(m)).count()
         };
         let booting = self.machines.iter().filter(|(_, m)| m.phase == MachinePhase::Booting).count();
         let unresolved = self.machines.iter().filter(|(_, m)| !m.resolved()).count();
-        let used: f64 = self.machines.iter().map(|(_, m)| m.cpus_used).sum();
+        let mut held = BTreeMap::new();
+        for (k, h) in self.machines.iter().flat_map(|(_, m)| &m.tasks) {
+            *held.entry(h.state).or_insert(0.0) += self.jobs.at(k.0).spec.cpus;
+        }
         let mix = self.pools.values().next().map(|p| p.mix).unwrap_or_default();
         format!(
             "{} reports, {} direct, {} starts; writes: {} final, {} racks, {} progress, {} other; {} live jobs, \
              {waiting} tasks wait; machines up {} spot and {} on-demand, {}+{} cordoned, {booting} boot, \
-             {unresolved} unresolved, {used:.0} cpus held; wanted {mix:?}",
+             {unresolved} unresolved; cpus {held:.0?}; wanted {mix:?}",
             c.reports - before.reports,
             c.directs - before.directs,
             c.starts - before.starts,
--- a/src/shard/writes.rs
+++ b/src/shard/writes.rs
@@ -134,7 +134,7 @@
             }
             if self.racks.list.get(&r).is_some_and(|r| r.members.is_empty()) {
                 self.racks_untidy.remove(&r);
-                self.racks_due.remove(&r);
+                self.racks_due.retain(|d| *d != r);
                 self.racks.list.remove(&r);
                 self.cleanup.insert(rack_key(r));
                 continue;
@@ -166,7 +166,7 @@
     /// The write of a rack's value. Until it is known which value stands, only what
     /// both name counts as stored.
     fn rack_write(&mut self, r: RackIx) -> Option<Write> {
-        self.racks_due.remove(&r);
+        self.racks_due.retain(|d| *d != r);
         self.racks_untidy.remove(&r);
         let (record, contents) = self.rack_record(r)?;
         for (m, jobs, _) in &contents {
@@ -336,7 +336,7 @@
             self.in_flight.remove(&w.key);
             match w.what {
                 What::Final(..) => {}
-                What::Rack(r, _) => _ = self.racks_due.insert(r),
+                What::Rack(r, _) => self.rack_due(r),
                 What::Progress(j, c, _) => {
                     if self.jobs.at(j).phase == Phase::Open {
                         self.jobs.at_mut(j).dirty_chunks.insert(c);
