--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -135,6 +135,12 @@
             .collect()
     }
 
+    /// Only what can be read, as the node does it.
+    fn readable<T: DeserializeOwned>(&self, prefix: &str) -> Vec<(String, T, u64)> {
+        let under = self.store.iter().filter(|(k, _)| k.starts_with(prefix));
+        under.filter_map(|(k, (v, n))| Some((k.clone(), serde_json::from_value(v.clone()).ok()?, *n))).collect()
+    }
+
     fn report(&self, name: &str, args: &[&str]) -> Report {
         let state = |s: &str| match s {
             "fetching" => json!({"bloom":"pulling"}),
@@ -246,7 +252,7 @@
                         .collect(),
                     racks_from: self.store.keys().filter_map(|k| rack_number(k)).max().map_or(0, |n| n + 1),
                     racks: self
-                        .load(RACK_PREFIX)
+                        .readable(RACK_PREFIX)
                         .into_iter()
                         .map(|(k, r, v)| (RackIx::new(rack_number(&k).expect("a number")), r, v))
                         .collect(),
@@ -285,6 +291,13 @@
                 self.s().place_waiting(now);
             }
             "write" => self.write(first, now),
+            "write-one" => {
+                let writes = self.s().next_writes(1, 50_000, 1, now);
+                let keys: Vec<&str> = writes.iter().map(|w| w.key.as_str()).collect();
+                self.say(&format!("write {}", if keys.is_empty() { "nothing".into() } else { keys.join(", ") }));
+                let revision = self.apply(&writes);
+                self.s().on_applied(writes, revision);
+            }
             "direct" => {
                 while let Some(d) = self.s().next_direct(now) {
                     let name = self.s().machines.at(d.machine).name.to_string();
@@ -376,6 +389,19 @@
                 }
                 self.say(&format!("cordoned: {}", names.join(", ")));
             }
+            // A machine's own value, as 0.1.0 wrote it.
+            "old-value" => {
+                let jobs: Vec<&str> = word(args, "jobs").map_or(Vec::new(), |j| j.split(',').collect());
+                let value = json!({"shard":0,"addr":"127.0.0.1:9","type":"m32","zone":"a","spot":false,
+                    "retiring":has(args, "retiring"),"jobs":jobs,"images":[]});
+                self.revision += 1;
+                self.store.insert(format!("mach/{first}"), (value, self.revision));
+            }
+            // Something under a rack's key that no version wrote.
+            "unreadable" => {
+                self.revision += 1;
+                self.store.insert(first.to_owned(), (json!({"what": 1}), self.revision));
+            }
             "outage" => self.s().writable = false,
             "answers" => self.s().writable = true,
             "cordon" => {
