--- a/src/placement.rs
+++ b/src/placement.rs
@@ -18,6 +18,8 @@
 const SPOT_WORTH_S: f64 = 6.0;
 /// Seconds that a full machine is preferred by over an empty one.
 const PACK_WORTH_S: f64 = 3.0;
+/// Seconds that an empty machine of the base is preferred by over a full one, by services.
+const SPREAD_WORTH_S: f64 = 1.0;
 /// Seconds that a service waits for room on a machine that has its image.
 const ROOM_WAIT_S: f64 = 0.6;
 /// Most starts of one pass, so that a huge job cannot hold up the rest.
@@ -89,7 +91,9 @@
         (true, false) => BASE_WORTH_S,
         _ => 0.0,
     };
-    fetch + dear + base - PACK_WORTH_S * full
+    // Services are spread over the base, so that room stays wherever an image is.
+    let pack = if m.base && job.is_service() { SPREAD_WORTH_S } else { -PACK_WORTH_S };
+    fetch + dear + base + pack * full
 }
 
 /// Machines that could take this job, the best first, of those that have any room.
--- a/src/shard/sizing.rs
+++ b/src/shard/sizing.rs
@@ -30,6 +30,8 @@
 const COUNTED_S: f64 = 32.0;
 /// The base is counted with room for this many more service tasks.
 const SPARE_TASKS: f64 = 2.0;
+/// And with this share more: so many more start at a time where there are more of them.
+const SPARE_SHARE: f64 = 0.08;
 
 impl Shard {
     /// A machine is silent once two of its reports are overdue.
@@ -256,7 +258,8 @@
             let (spot_demand, mut base_demand) = demand.get(&ty).copied().unwrap_or_default();
             let size = self.types.get(ty).cpus;
             if base_demand > 0.0 {
-                base_demand = (base_demand + SPARE_TASKS * self.service_cpus.max(1.0) / size).max(1.5);
+                base_demand =
+                    (base_demand * (1.0 + SPARE_SHARE) + SPARE_TASKS * self.service_cpus.max(1.0) / size).max(1.5);
             }
             let count = |spot: bool, ready: bool| {
                 self.machines
