A stray task counts against its team's limit until its end is seen

What was found by reading: after a takeover, a task of a cancelled job that still runs is held by nobody, counted by nobody, and told to stop only in the reply to its machine's next report, up to a report's interval later, while others are started beside it. Ruled out: machines not heard yet, whose cpus all count; late starts, whose attempts are kept. Change: such a task takes room and counts until its end is seen, and is told to stop at once. Also a debug line for each submission's answer.

--- a/src/api.rs
+++ b/src/api.rs
@@ -101,7 +101,12 @@
                     unable()
                 }
             }
-            (Method::Post, wire::JOBS_PATH) => self.submit(&req.body).await,
+            (Method::Post, wire::JOBS_PATH) => {
+                let began = clock::now();
+                let out = self.submit(&req.body).await;
+                log::debug!("a submission was answered with {} after {:.3} s", out.status, clock::now() - began);
+                out
+            }
             (method, _) => {
                 let Some(rest) = path.strip_prefix(wire::JOBS_PATH).and_then(|p| p.strip_prefix('/')) else {
                     let known = [wire::REPORT_PATH, wire::HEALTH_PATH, wire::JOBS_PATH].contains(&path);
--- a/src/shard/mod.rs
+++ b/src/shard/mod.rs
@@ -545,11 +545,9 @@
 
     pub(crate) fn hold(&mut self, m: MachineIx, key: TaskKey, held: Held) {
         let running = held.state == HeldState::Running;
+        self.count_use(m, key.0, 1.0);
         let machine = self.machines.at_mut(m);
         let job = self.jobs.at_mut(key.0);
-        machine.cpus_used += job.spec.cpus;
-        machine.cards_used += job.spec.cards;
-        machine.memory_used += job.spec.memory_gb;
         machine.tasks.insert(key, held);
         machine.services += usize::from(job.is_service());
         job.tasks[key.1 as usize] = Slot::Held(m);
@@ -558,21 +556,30 @@
         if let Some(c) = job.zone_counts.get_mut(machine.zone.ix()) {
             *c += 1;
         }
+    }
+
+    /// One task's use of a machine and of its team's limit begins (1) or ends (-1).
+    pub(crate) fn count_use(&mut self, m: MachineIx, j: JobIx, sign: f64) {
+        let machine = self.machines.at_mut(m);
+        let job = self.jobs.at(j);
+        machine.cpus_used += sign * job.spec.cpus;
+        machine.cards_used += sign * job.spec.cards;
+        machine.memory_used += sign * job.spec.memory_gb;
         let team = &mut self.teams[job.team.ix()];
-        team.cpus_used += job.spec.cpus;
-        team.cards_used += job.spec.cards;
+        team.cpus_used += sign * job.spec.cpus;
+        team.cards_used += sign * job.spec.cards;
     }
 
     /// A held task's end is seen: what it took is free again.
     pub(crate) fn release(&mut self, m: MachineIx, key: TaskKey) -> Option<Held> {
         let machine = self.machines.at_mut(m);
         let held = machine.tasks.remove(&key)?;
+        self.count_use(m, key.0, -1.0);
+        let machine = self.machines.at_mut(m);
         let job = self.jobs.at_mut(key.0);
-        machine.cpus_used -= job.spec.cpus;
-        machine.cards_used -= job.spec.cards;
-        machine.memory_used -= job.spec.memory_gb;
         machine.services -= usize::from(job.is_service());
-        if machine.tasks.is_empty() {
+        // Sums of fractions must not drift for ever.
+        if machine.tasks.is_empty() && machine.leftovers.is_empty() {
             machine.cpus_used = 0.0;
             machine.cards_used = 0.0;
             machine.memory_used = 0.0;
@@ -587,9 +594,6 @@
         if let Some(c) = job.zone_counts.get_mut(machine.zone.ix()) {
             *c -= 1;
         }
-        let team = &mut self.teams[job.team.ix()];
-        team.cpus_used -= job.spec.cpus;
-        team.cards_used -= job.spec.cards;
         self.place_due = true;
         Some(held)
     }
@@ -624,9 +628,9 @@
         }
         let machine = self.machines.at_mut(m);
         machine.dead_session = machine.session;
-        machine.leftovers.clear();
         machine.loose.clear();
         machine.last_ok = None;
+        self.drop_leftovers(m, |_, _| false);
         self.resolve(m);
     }
 
--- a/src/shard/reports.rs
+++ b/src/shard/reports.rs
@@ -129,9 +129,33 @@
             self.release(m, k);
             self.requeue(k);
         }
-        let machine = self.machines.at_mut(m);
-        machine.leftovers.clear();
-        machine.loose.clear();
+        self.drop_leftovers(m, |_, _| false);
+        self.machines.at_mut(m).loose.clear();
+    }
+
+    /// Notes an attempt that is not held, or is no more. One that still runs takes room
+    /// and counts against its team's limit until its end is seen: after a takeover, those
+    /// of cancelled jobs once did not, and others were started beside them.
+    fn leave(&mut self, m: MachineIx, k: TaskKey, attempt: u64, what: Leftover) {
+        self.drop_leftovers(m, |key, _| *key != k);
+        if what == Leftover::Stray {
+            self.count_use(m, k.0, 1.0);
+        }
+        self.machines.at_mut(m).leftovers.insert(k, (attempt, what));
+    }
+
+    /// Forgets all leftovers of a machine but those to be kept.
+    pub(super) fn drop_leftovers(&mut self, m: MachineIx, keep: impl Fn(&TaskKey, u64) -> bool) {
+        let leftovers = &mut self.machines.at_mut(m).leftovers;
+        let gone: Vec<(TaskKey, Leftover)> =
+            leftovers.iter().filter(|(k, (a, _))| !keep(k, *a)).map(|(k, (_, what))| (*k, *what)).collect();
+        for (k, what) in gone {
+            self.machines.at_mut(m).leftovers.remove(&k);
+            if what == Leftover::Stray {
+                self.count_use(m, k.0, -1.0);
+                self.place_due = true;
+            }
+        }
     }
 
     fn key_of(&self, name: &str) -> Option<TaskKey> {
@@ -173,7 +197,7 @@
         // A fetch that no task waits for any more is given up.
         let waited_for: Vec<_> = self.machines.at(m).tasks.keys().filter_map(|k| self.jobs.at(k.0).image).collect();
         self.machines.at_mut(m).images.retain(|i| i.ready || waited_for.contains(&i.image));
-        self.machines.at_mut(m).leftovers.retain(|k, (a, _)| listed.get(k).is_some_and(|t| t.attempt == *a));
+        self.drop_leftovers(m, |k, a| listed.get(k).is_some_and(|t| t.attempt == a));
         for (k, t) in listed {
             let machine = self.machines.at(m);
             if machine.tasks.get(&k).is_some_and(|h| h.attempt == t.attempt) {
@@ -184,7 +208,7 @@
                     self.done_elsewhere(k);
                     self.task_done(k);
                 }
-                self.machines.at_mut(m).leftovers.insert(k, (t.attempt, Leftover::Ended));
+                self.leave(m, k, t.attempt, Leftover::Ended);
                 continue;
             }
             let job = self.jobs.at(k.0);
@@ -193,7 +217,10 @@
                 self.adopt(m, k, t, now);
                 continue;
             }
-            self.machines.at_mut(m).leftovers.insert(k, (t.attempt, Leftover::Stray));
+            if self.machines.at(m).leftovers.get(&k) != Some(&(t.attempt, Leftover::Stray)) {
+                self.leave(m, k, t.attempt, Leftover::Stray);
+                self.machines.direct_due.insert(m);
+            }
         }
     }
 
@@ -270,7 +297,7 @@
         if t.why == Some(Why::Done) {
             self.image_seen(m, k);
         }
-        self.machines.at_mut(m).leftovers.insert(k, (t.attempt, Leftover::Ended));
+        self.leave(m, k, t.attempt, Leftover::Ended);
         match t.why {
             Some(Why::Done) => {
                 let machine = self.machines.at_mut(m);
@@ -444,6 +471,13 @@
                 }
             }
         }
+        if !probing {
+            for (k, (attempt, what)) in &machine.leftovers {
+                if *what == Leftover::Stray {
+                    commands.push(self.command(Op::Stop, *k, *attempt, Some(0.0)));
+                }
+            }
+        }
         let session = machine.session;
         let token = self.token;
         let machine = self.machines.at_mut(m);
