Several tasks at a time leave many machines that are to be returned

Change: one more at a time for every 16 such machines, one on a machine, and room that is promised to one is not promised twice. The design's one at a time stays for each machine, and for a small fleet as it was.

--- a/src/placement.rs
+++ b/src/placement.rs
@@ -9,6 +9,7 @@
 use crate::jobs::Job;
 use crate::shard::{EPS, Shard};
 use crate::wire::Priority;
+use std::collections::HashMap;
 
 /// Cpu room on a machine of the on-demand base that batch work leaves to services, in their tasks.
 const SERVICE_ROOM: f64 = 4.0;
@@ -45,14 +46,24 @@
 
 /// Could another machine take a task of this job from `leaving`, with no fetch?
 pub fn taken_at_once(s: &Shard, job: &Job, leaving: MachineIx, now: f64) -> bool {
+    taken_by(s, job, leaving, &Promised::default(), now).is_some()
+}
+
+/// Cpus that machines are to give to tasks that are about to leave others.
+pub type Promised = HashMap<MachineIx, f64>;
+
+/// The machine that could, besides what was promised already.
+pub fn taken_by(s: &Shard, job: &Job, leaving: MachineIx, promised: &Promised, now: f64) -> Option<MachineIx> {
     let from = s.machines.at(leaving).zone;
-    s.machines.iter().any(|(i, m)| {
+    let takes = |i: MachineIx, m: &Machine| {
+        let promised = promised.get(&i).copied().unwrap_or(0.0);
         i != leaving
-            && m.cpus_used + job.spec.cpus <= s.types.get(m.ty).cpus + EPS
+            && m.cpus_used + promised + job.spec.cpus <= s.types.get(m.ty).cpus + EPS
             && job.image.is_none_or(|image| m.has_image(image))
             && m.usable(now, s.fresh_s())
             && fits_after_leaving(s, job, m, from)
-    })
+    };
+    s.machines.iter().find(|(i, m)| takes(*i, m)).map(|(i, _)| i)
 }
 
 fn fits_beside(s: &Shard, job: &Job, m: &Machine, held: u32, in_zone: u32) -> bool {
--- a/src/shard/sizing.rs
+++ b/src/shard/sizing.rs
@@ -8,6 +8,7 @@
 use crate::fleet::{Held, HeldState, Machine, Phase as MachinePhase};
 use crate::intern::{Index, MachineIx, TypeIx, ZoneIx};
 use crate::jobs::TaskKey;
+use crate::placement::{Promised, taken_by};
 use crate::wire::{ListedMachine, ListedState};
 use std::collections::{BTreeMap, HashMap};
 
@@ -24,6 +25,8 @@
 const MOVE_EVERY_S: f64 = 1.0;
 /// Most batch tasks moved at a time.
 const MOST_MOVED: usize = 4;
+/// So many machines that are left make one more task move at a time.
+const MACHINES_A_MOVE: usize = 16;
 /// Most tasks for which a new place is looked for at a time.
 const MOST_TRIED: usize = 24;
 /// A start that a command stops sooner than this counts for nothing.
@@ -388,14 +391,20 @@
         }
     }
 
+    fn leaving(&self) -> impl Iterator<Item = MachineIx> {
+        self.machines.iter().filter(|(_, m)| m.cordoned && m.phase == MachinePhase::Up).map(|(i, _)| i)
+    }
+
     /// Services leave machines that are to be returned, one task at a time, and
-    /// only where another machine can take them at once.
+    /// only where another machine can take them at once. Of many machines, several are
+    /// left at a time: a hundred waited for minutes otherwise, paid for a few replicas.
     fn move_one_service(&mut self, now: f64) {
         let moving = |s: &Self, k: &TaskKey, h: &Held| {
             let job = s.jobs.at(k.0);
             job.is_service() && job.held == job.spec.tasks && h.state == HeldState::Running
         };
-        for (m, k) in self.movable(1, moving, now) {
+        let most = (self.leaving().count() / MACHINES_A_MOVE).max(1);
+        for (m, k) in self.movable(most, moving, now) {
             self.stop_gently(m, k);
         }
     }
@@ -407,7 +416,8 @@
             let spec = &s.jobs.at(k.0).spec;
             spec.checkpoint_s > 0.0 && h.state == HeldState::Running && now - h.running_since > COUNTED_S
         };
-        for (m, k) in self.movable(MOST_MOVED, moving, now) {
+        let most = (self.leaving().count() / MACHINES_A_MOVE).max(MOST_MOVED);
+        for (m, k) in self.movable(most, moving, now) {
             self.stop_gently(m, k);
         }
     }
@@ -423,14 +433,10 @@
         let mut out = Vec::new();
         let mut tried = 0;
         let from = self.move_from;
-        let leaving: Vec<MachineIx> = {
-            let going = |i: &&MachineIx| {
-                let m = self.machines.at(**i);
-                m.cordoned && m.phase == MachinePhase::Up
-            };
-            let later = self.machines.present.range(from..).filter(going);
-            later.chain(self.machines.present.range(..from).filter(going)).copied().collect()
-        };
+        let mut leaving: Vec<MachineIx> = self.leaving().collect();
+        let first = leaving.partition_point(|i| *i < from);
+        leaving.rotate_left(first);
+        let mut promised = Promised::default();
         for i in leaving {
             for (k, h) in self.machines.at(i).tasks.iter().filter(|(_, h)| h.stop.is_none()) {
                 let job = self.jobs.at(k.0);
@@ -438,13 +444,18 @@
                     continue;
                 }
                 tried += 1;
-                if crate::placement::taken_at_once(self, job, i, now) {
+                let to = taken_by(self, job, i, &promised, now);
+                if let Some(to) = to {
+                    *promised.entry(to).or_default() += job.spec.cpus;
                     out.push((i, *k));
                 }
-                if out.len() >= most || tried >= MOST_TRIED {
+                if out.len() >= most || tried >= MOST_TRIED.max(most * 2) {
                     self.move_from = i;
                     return out;
                 }
+                if to.is_some() && job.is_service() {
+                    break;
+                }
             }
         }
         out
