The owner says nothing of a job whose final state may be stored without its knowing

While the state service is slow, the owner's write of a cancellation is stored and its answer is late. The owner tells nobody, but another node, which the owner could not answer in time, reads the record and tells that the job is cancelled; the next poll goes to the owner, which still says queued. Ruled out: repeated submissions (none for this job), a second owner (one all the time). Change: once that write was sent, the owner waits up to 0.9 s for its answer, then says 503. Submissions that are repeated take the same way. Also debug lines for what users are told.

--- a/src/api.rs
+++ b/src/api.rs
@@ -5,7 +5,7 @@
 use crate::jobs::{JobRecord, Phase, job_key};
 use crate::node::{Node, Standing};
 use crate::peer::{JobAnswer as PeerAnswer, Outcome, Verb};
-use crate::shard::{Heard, Unfit, judge};
+use crate::shard::{Heard, Shown, Unfit, judge};
 use crate::state::{Commit, StateError};
 use crate::wire::{self, Change, Condition, Item, JobAnswer, JobRequest, JobState, Redirect, Report};
 use http_types::Method;
@@ -13,6 +13,9 @@
 
 const MOST_TASKS: u32 = 100_000;
 const ACCEPT_WITHIN_S: f64 = 4.0;
+/// How long a question waits for a final state that is just being stored.
+const SETTLES_WITHIN_S: f64 = 0.9;
+const CANCELS_WITHIN_S: f64 = 3.2;
 
 /// A job as a user is told about it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -104,7 +107,12 @@
             (Method::Post, wire::JOBS_PATH) => {
                 let began = clock::now();
                 let out = self.submit(&req.body).await;
-                log::debug!("a submission was answered with {} after {:.3} s", out.status, clock::now() - began);
+                log::debug!(
+                    "a submission was answered with {} {} after {:.3} s",
+                    out.status,
+                    String::from_utf8_lossy(&out.body),
+                    clock::now() - began
+                );
                 out
             }
             (method, _) => {
@@ -127,7 +135,9 @@
                 if !valid_id(id) {
                     return Outgoing::error(400, "job id is malformed");
                 }
-                match self.about(verb, id).await {
+                let word = self.about(verb, id).await;
+                log::debug!("{verb:?} {id} is answered with {word:?}, standing {:?}", self.standing(clock::now()));
+                match word {
                     Word::Known(t) => job_answer(200, id, t, verb == Verb::Show),
                     Word::Absent => Outgoing::error(404, "no such job"),
                     Word::Unable => unable(),
@@ -167,8 +177,11 @@
             Err(Unfit::CannotTell) => return unable(),
         }
         let began = clock::now();
-        if let Some(Some((state, done, running))) = self.with_shard(began, |s| s.show(&id)) {
-            return job_answer(200, &id, Told { state, done, running }, false);
+        if self.with_shard(began, |s| s.show(&id)).flatten().is_some() {
+            return match self.about_here(Verb::Show, &id).await {
+                Word::Known(t) => job_answer(200, &id, t, false),
+                _ => unable(),
+            };
         }
         let record = JobRecord { job, at_ms: clock::wall_ms(), phase: Phase::Open };
         let key = job_key(&id);
@@ -267,15 +280,17 @@
             });
             match seen {
                 None => return Word::Unable,
-                Some(Some((state, done, running))) => {
-                    let is_final = matches!(state, JobState::Done | JobState::Cancelled);
-                    if verb == Verb::Show || is_final {
-                        return Word::Known(Told { state, done, running });
+                Some(Some(shown)) => {
+                    if let Shown::Told(state, done, running) = shown {
+                        let is_final = matches!(state, JobState::Done | JobState::Cancelled);
+                        if verb == Verb::Show || is_final {
+                            return Word::Known(Told { state, done, running });
+                        }
                     }
-                    if now - began > 3.2 {
+                    if now - began > if verb == Verb::Show { SETTLES_WITHIN_S } else { CANCELS_WITHIN_S } {
                         return Word::Unable;
                     }
-                    // A cancellation is told only once it is stored.
+                    // A final state is told only once it is stored.
                     self.wake();
                     async_io::Timer::after(Duration::from_millis(10)).await;
                 }
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -76,6 +76,8 @@
     pub phase: Phase,
     /// A final phase that is being stored; it is told only afterwards.
     pub wanted: Phase,
+    /// The write of the final phase was sent: it may be stored without our knowing.
+    pub final_sent: bool,
     pub tasks: Vec<Slot>,
     pub queue: VecDeque<u32>,
     pub done: u32,
@@ -207,6 +209,7 @@
             at_ms: r.at_ms,
             phase: r.phase,
             wanted: r.phase,
+            final_sent: false,
             tasks: vec![Slot::Queued; n as usize],
             queue: (0..n).collect(),
             done: if r.phase == Phase::Done { r.job.tasks } else { 0 },
--- a/src/shard/mod.rs
+++ b/src/shard/mod.rs
@@ -26,6 +26,15 @@
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 
+/// What the owner can say of a job that it knows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Shown {
+    /// Its state, tasks done and tasks running.
+    Told(JobState, u64, u64),
+    /// Its final state is being stored, and is stored or not: nothing can be told.
+    Settling,
+}
+
 /// Why a submission can never run, or cannot be judged yet.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Unfit {
@@ -409,9 +418,14 @@
     }
 
     /// What a user may be told of a job, if it is known here.
-    pub fn show(&self, id: &str) -> Option<(JobState, u64, u64)> {
+    pub fn show(&self, id: &str) -> Option<Shown> {
         let j = self.jobs.at(self.jobs.find(id)?);
-        Some((j.state(), u64::from(j.done), u64::from(j.running)))
+        // Another node may have read the final phase already, and told it: a slow answer
+        // to our write once made a cancelled job "queued" again.
+        if j.phase == Phase::Open && j.final_sent {
+            return Some(Shown::Settling);
+        }
+        Some(Shown::Told(j.state(), u64::from(j.done), u64::from(j.running)))
     }
 
     /// A user wants the job cancelled. The answer waits until that is stored.
--- a/src/shard/writes.rs
+++ b/src/shard/writes.rs
@@ -77,6 +77,7 @@
             }
             let phase = job.wanted;
             let r = JobRecord { job: job.spec.clone(), at_ms: job.at_ms, phase };
+            self.jobs.at_mut(j).final_sent = true;
             let w = self.put(key, What::Final(j, phase), &r);
             if !take(w, &mut out) {
                 return out;
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -13,7 +13,7 @@
 use lupinspur::intern::{Index, MachineIx, RackIx};
 use lupinspur::jobs::{JOB_PREFIX, JobRecord, PROGRESS_PREFIX, Phase, job_key};
 use lupinspur::settings::Settings;
-use lupinspur::shard::{CloudCall, DirectSend, Heard, Loaded, Shard, Write};
+use lupinspur::shard::{CloudCall, DirectSend, Heard, Loaded, Shard, Shown, Write};
 use lupinspur::tuning::Tuning;
 use lupinspur::wire::{Change, Command, JobRequest, ListedMachine, MachineType, Op, Report, TaskReport};
 use lupinspur::worker::Direct;
@@ -64,6 +64,7 @@
     store: BTreeMap<String, (Value, u64)>,
     revision: u64,
     sent: HashMap<String, DirectSend>,
+    under_way: Option<(u64, Vec<Write>)>,
     out: String,
 }
 
@@ -291,6 +292,18 @@
                 self.s().place_waiting(now);
             }
             "write" => self.write(first, now),
+            // Sent and applied; the answer is still on its way.
+            "write-slowly" => {
+                let writes = self.s().next_writes(8, 50_000, 8, now);
+                for w in &writes {
+                    self.say(&format!("write {} is under way", w.key));
+                }
+                self.under_way = Some((self.apply(&writes), writes));
+            }
+            "write-answered" => {
+                let (revision, writes) = self.under_way.take().expect("a write under way");
+                self.s().on_applied(writes, revision);
+            }
             "write-one" => {
                 let writes = self.s().next_writes(1, 50_000, 1, now);
                 let keys: Vec<&str> = writes.iter().map(|w| w.key.as_str()).collect();
@@ -327,8 +340,11 @@
             "cancel" => _ = self.s().cancel(first),
             "show" => {
                 let told = self.s().show(first);
-                let text =
-                    told.map_or("unknown".to_owned(), |(s, d, r)| format!("{}, {d} done, {r} running", s.as_str()));
+                let text = match told {
+                    None => "unknown".to_owned(),
+                    Some(Shown::Settling) => "being stored, nothing can be told".to_owned(),
+                    Some(Shown::Told(s, d, r)) => format!("{}, {d} done, {r} running", s.as_str()),
+                };
                 self.say(&format!("{first}: {text}"));
             }
             "rentals" => {
@@ -435,6 +451,7 @@
         store: BTreeMap::new(),
         revision: 0,
         sent: HashMap::new(),
+        under_way: None,
         out: String::new(),
     }
 }
