A machine that died with its owner is given up like any other

Ten seconds after a takeover 159 of 637 machines were unresolved and 3325 tasks waited: machines taken at about the time the owner ended, never heard by the successor, held up their jobs and every team's limit for a whole lease (30 s), since only machines heard before were given up after two overdue reports. Ruled out: workers that have not found the new owner yet (they are asked directly); a cut owner (most machines must be heard, as before).

--- a/src/shard/sizing.rs
+++ b/src/shard/sizing.rs
@@ -48,7 +48,7 @@
         let silent_s = self.silent_s();
         let (mut up, mut recent) = (0usize, 0usize);
         for (_, m) in self.machines.iter() {
-            if m.phase == MachinePhase::Up && m.reported_token {
+            if m.phase == MachinePhase::Up {
                 up += 1;
                 recent += usize::from(self.silence(m, now) < self.report_s * 1.25 + 1.0);
             }
@@ -84,7 +84,10 @@
                     let taken = m.notice_until.is_some_and(|t| now > t + 1.0)
                         && others_heard
                         && quiet > self.report_s * 1.25 + 0.5;
-                    let lost = quiet > silent_s && m.reported_token && others_heard || quiet > lease * 2.0;
+                    // Also one that this owner has never heard: it was asked directly when the
+                    // shard was taken over, and its jobs wait for it everywhere. Machines that
+                    // died with the owner before once held up their jobs for a whole lease.
+                    let lost = quiet > silent_s && others_heard || quiet > lease * 2.0;
                     let faulty = m.faulty() && m.tasks.is_empty() && m.resolved();
                     let emptied = m.cordoned && m.tasks.is_empty() && m.resolved() && now - m.born > LEAST_PAID_S;
                     if taken || lost || faulty || emptied {
