--- a/tests/loopback.rs
+++ b/tests/loopback.rs
@@ -11,6 +11,7 @@
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
@@ -341,16 +342,25 @@
     let state_addr = server(move |r| state(s.clone(), r));
     let workers: Workers = Arc::default();
     let twice = Arc::new(Mutex::new(Vec::new()));
-    let cloud_addr = server(move |r: Incoming| async move {
-        match r.path.as_str() {
-            "/flavors" => Outgoing::json(
-                200,
-                &json!({"strains":[{"name":"m8","cpus":8,"cards":0,"memory_gb":16,"local_gb":10,"pull_gb_per_s":1.0,
+    // The first questions for the machine types are refused, as when all controllers ask at
+    // once: nobody claims the shard without them, and all learn them soon.
+    let (refused, claims) = (Arc::new(AtomicUsize::new(0)), store.clone());
+    let refusals = refused.clone();
+    let cloud_addr = server(move |r: Incoming| {
+        let early = r.path == "/flavors" && refusals.fetch_add(1, Ordering::Relaxed) < 3;
+        assert!(!early || !lock(&claims).keys.contains_key("own/0"), "claimed without knowing the machine types");
+        async move {
+            match r.path.as_str() {
+                "/flavors" if early => Outgoing::json(429, &json!({"error": "too many requests"})),
+                "/flavors" => Outgoing::json(
+                    200,
+                    &json!({"strains":[{"name":"m8","cpus":8,"cards":0,"memory_gb":16,"local_gb":10,"pull_gb_per_s":1.0,
                     "hourly":1.0,"spot_price":0.3,"ready_s":2,"fields":["a"]}]}),
-            ),
-            "/machines" if r.method == Method::Get => Outgoing::json(200, &json!({"plots": [], "has_next": false})),
-            "/machines" => Outgoing::json(503, &json!({"error": "no capacity"})),
-            _ => Outgoing::json(200, &json!({})),
+                ),
+                "/machines" if r.method == Method::Get => Outgoing::json(200, &json!({"plots": [], "has_next": false})),
+                "/machines" => Outgoing::json(503, &json!({"error": "no capacity"})),
+                _ => Outgoing::json(200, &json!({})),
+            }
         }
     });
     let listen: Vec<SocketAddr> = (0..2).map(|_| free_port()).collect();
@@ -390,6 +400,8 @@
         user.until(&[*a], Method::Get, "/up", None, |s, _| s == 200);
     }
 
+    assert!(refused.load(Ordering::Relaxed) > 3, "asked again after the refusals");
+
     // Bad input is answered as such, by either node, and at once.
     for a in &listen {
         let post = |b: &[u8]| user.ask(*a, Method::Post, "/work", Some(b.to_vec())).0;
