A successor counts demand only once the machines were heard

Ruled out: the stored target (260), silent machines (1). Change: no sample and no stored count before the machines were heard; the target of the owner before stands until then.

--- a/src/shard/sizing.rs
+++ b/src/shard/sizing.rs
@@ -257,9 +257,12 @@
     }
 
     pub(super) fn size_fleet(&mut self, now: f64) {
-        let demand = self.demand();
-        let types: Vec<TypeIx> = self.pools.keys().copied().collect();
+        // Until the machines were heard, work that is done and not stored seems to be
+        // wanted still, and what is on machines not heard is unknown. A successor that
+        // took this for demand rented half the fleet again, and held it for the hold.
         let gathered = self.gathered(now);
+        let demand = if gathered { self.demand() } else { HashMap::new() };
+        let types: Vec<TypeIx> = if gathered { self.pools.keys().copied().collect() } else { Vec::new() };
         for ty in types {
             let (spot_demand, mut base_demand) = demand.get(&ty).copied().unwrap_or_default();
             let size = self.types.get(ty).cpus;
@@ -280,10 +283,6 @@
             let target = pool.target.update(now, spot_demand, window, hold);
             let base = pool.base.update(now, base_demand, 1.0, hold);
             pool.mix = mixture(target, extra, spot_up, base);
-            if !gathered {
-                // What a successor has not heard of yet still counts as there.
-                continue;
-            }
             let mix = pool.mix;
             self.choose_base(ty, mix.base, now);
             let spot_pending = self.launches.pending_count(true);
--- a/src/shard/writes.rs
+++ b/src/shard/writes.rs
@@ -91,7 +91,9 @@
                 return out;
             }
         }
-        if out.len() < spare && now - self.fleet_at >= FLEET_EVERY_S && !self.in_flight.contains(FLEET_KEY) {
+        // The counts of the owner before stand until there are new ones.
+        let fleet_due = now - self.fleet_at >= FLEET_EVERY_S && self.gathered(now);
+        if out.len() < spare && fleet_due && !self.in_flight.contains(FLEET_KEY) {
             self.fleet_at = now;
             let r = self.fleet_record();
             if r != self.fleet_stored {
