--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -12,6 +12,7 @@
 use lupinspur::fleet::racks::{RACK_PREFIX, RackMachine, RackRecord};
 use lupinspur::intern::{Index, MachineIx, RackIx};
 use lupinspur::jobs::{JOB_PREFIX, JobRecord, PROGRESS_PREFIX, Phase, job_key};
+use lupinspur::placement::{Promised, taken_by};
 use lupinspur::settings::Settings;
 use lupinspur::shard::{CloudCall, DirectSend, Heard, Loaded, Shard, Shown, Write};
 use lupinspur::tuning::Tuning;
@@ -509,6 +510,47 @@
     assert_eq!(work_of_a_report(120, 100), few);
 }
 
+/// Guards against several tasks that leave their machines for the same room elsewhere: all
+/// but one of them would be down until more is made.
+#[test]
+fn room_that_is_promised_to_one_task_is_not_promised_twice() {
+    let mut w = world();
+    w.event(0.0, "takeover", &["10"]);
+    for h in ["h1", "h2", "h3"] {
+        w.event(0.1, "report", &[h, "seq=1"]);
+        w.event(0.6, "report", &[h, "seq=2", "token=10"]);
+    }
+    w.event(1.0, "job", &["req-1", "cpus=20", "tasks=2", "service", "nospot"]);
+    let leaving: Vec<MachineIx> = w.s().machines.iter().filter(|(_, m)| m.services == 1).map(|(i, _)| i).collect();
+    let empty = w.s().machines.iter().find(|(_, m)| m.tasks.is_empty()).map(|(i, _)| i).expect("an empty machine");
+    assert_eq!(leaving.len(), 2);
+    let s = w.s();
+    let job = s.jobs.at(s.jobs.find("req-1").expect("the job"));
+    let mut promised = Promised::default();
+    assert_eq!(taken_by(s, job, leaving[0], &promised, 1.0), Some(empty));
+    promised.insert(empty, job.spec.cpus);
+    assert_eq!(taken_by(s, job, leaving[1], &promised, 1.0), None);
+}
+
+/// Guards against a base in which only a few machines have room: services wait there for an
+/// image that is on a machine that is full.
+#[test]
+fn services_are_spread_over_the_base() {
+    let mut w = world();
+    w.event(0.0, "takeover", &["10"]);
+    for h in ["h1", "h2"] {
+        w.event(0.1, "report", &[h, "seq=1"]);
+        w.event(0.6, "report", &[h, "seq=2", "token=10"]);
+        let m = w.machine(h);
+        w.s().machines.at_mut(m).base = true;
+    }
+    for i in 1..=8 {
+        w.event(1.0, "job", &[&format!("req-{i}"), "cpus=2", "service", "nospot"]);
+    }
+    let services: Vec<usize> = w.s().machines.iter().map(|(_, m)| m.services).collect();
+    assert_eq!(services, [4, 4]);
+}
+
 fn play(text: &str) -> String {
     let mut w = world();
     for line in text.lines().filter(|l| !l.starts_with('=')) {
