--- a/src/placement.rs
+++ b/src/placement.rs
@@ -23,9 +23,6 @@
 const SPREAD_WORTH_S: f64 = 1.0;
 /// Seconds that a service waits for room on a machine that has its image.
 const ROOM_WAIT_S: f64 = 0.6;
-/// Rates of fetching differ by a third; acceptance, record and command take a moment.
-const SLOW_FETCH: f64 = 1.3;
-const START_TAKES_S: f64 = 0.3;
 /// Most starts of one pass, so that a huge job cannot hold up the rest.
 const MOST_STARTS: usize = 400;
 /// Most times in one pass that room is looked for by stopping other work.
@@ -202,16 +199,6 @@
     out
 }
 
-/// Would a task that fetches its image on this machine start as soon as is expected of its
-/// class?
-fn fetched_in_time(s: &Shard, job: &Job, m: MachineIx, now: f64) -> bool {
-    let Some(within_s) = s.waits.get(&job.spec.class) else { return false };
-    let m = s.machines.at(m);
-    let rate = s.types.get(m.ty).fetch_gb_per_s.max(0.01);
-    let fetch_s = job.image.map_or(0.0, |i| m.to_fetch_gb(i, job.spec.image_gb) / rate * SLOW_FETCH);
-    now - job.since + fetch_s + START_TAKES_S < *within_s
-}
-
 pub fn place(s: &mut Shard, now: f64) {
     if !s.types.known() {
         return;
@@ -256,8 +243,7 @@
             let found = options.get(at).map(|o| o.1);
             // A service waits a moment for room where its image is, rather than for the image.
             let fetches = found.is_some_and(|m| job.image.is_some_and(|i| !s.machines.at(m).has_image(i)));
-            // Not if fetching it lets the task start as soon as is expected of its class.
-            let patient = now - job.since < ROOM_WAIT_S && !found.is_some_and(|m| fetched_in_time(s, job, m, now));
+            let patient = now - job.since < ROOM_WAIT_S;
             if urgent && (found.is_none() || fetches && patient) && rooms_made < MOST_ROOMS {
                 rooms_made += 1;
                 if make_room(s, &turn, fetches, now) {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -1,7 +1,6 @@
 //! The settings file that the platform hands over, read and checked.
 
 use crate::wire;
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::path::Path;
 
@@ -42,8 +41,6 @@
     pub state: SocketAddr,
     pub zones: Vec<String>,
     pub teams: Vec<Team>,
-    /// Seconds within which tasks of a class are expected to start.
-    pub waits: HashMap<String, f64>,
     pub report_s: f64,
     pub lease_s: f64,
     pub cancel_s: f64,
@@ -99,12 +96,6 @@
                 return wrong(wire::SETTINGS_PEERS, format!("{} is named twice", p.node));
             }
         }
-        let mut waits = HashMap::new();
-        for o in f.params.objectives {
-            if let (wire::OBJECTIVE_WAIT, Some(class), Some(s)) = (o.kind.as_str(), o.class, o.within_s) {
-                waits.insert(class, amount("cluster.objectives.within_s", s)?);
-            }
-        }
         let mut teams: Vec<Team> = Vec::new();
         for t in f.params.teams {
             if teams.iter().any(|o| o.name == t.name) {
@@ -146,7 +137,6 @@
             state: addr("services.state", &f.services.state)?,
             zones: f.params.zones,
             teams,
-            waits,
             report_s: positive("cluster.workers.report_s", f.params.workers.report_s)?,
             lease_s: positive("cluster.workers.lease_s", f.params.workers.lease_s)?,
             cancel_s: positive("cluster.workers.cancel_s", f.params.workers.cancel_s)?,
--- a/src/shard/mod.rs
+++ b/src/shard/mod.rs
@@ -146,8 +146,6 @@
     pub report_s: f64,
     pub lease_s: f64,
     pub list_lag_s: f64,
-    /// Seconds within which tasks of a class are expected to start.
-    pub waits: HashMap<String, f64>,
     value_bytes: usize,
     attempts: u64,
     versions: HashMap<String, u64>,
@@ -226,7 +224,6 @@
             report_s: s.report_s,
             lease_s: s.lease_s,
             list_lag_s: s.list_lag_s,
-            waits: s.waits.clone(),
             value_bytes,
             attempts: 0,
             versions: HashMap::new(),
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -88,23 +88,11 @@
     pub zones: Vec<String>,
     #[serde(default)]
     pub teams: Vec<SettingsTeam>,
-    #[serde(default)]
-    pub objectives: Vec<SettingsObjective>,
     pub workers: SettingsWorkers,
     pub state: SettingsState,
     pub cloud: SettingsCloud,
 }
 
-/// What is expected of a class; other kinds have other fields, which are ignored.
-#[derive(Deserialize)]
-pub struct SettingsObjective {
-    pub kind: String,
-    pub class: Option<String>,
-    pub within_s: Option<f64>,
-}
-
-pub const OBJECTIVE_WAIT: &str = "wait";
-
 #[derive(Deserialize)]
 pub struct SettingsTeam {
     pub name: String,
