Polls leave the state service's requests to submissions, claims and leases

Submissions waited 2.5 s behind polls and were answered 503, and the nodes could not read who the new owner was ("reading the claim: 429"), so that they went on asking: twelve seconds in all. Now leases, claims and watches go ahead, polls take only what is to spare and are refused at once otherwise. Tests take ports that no connection is given.

--- a/src/api.rs
+++ b/src/api.rs
@@ -6,7 +6,7 @@
 use crate::node::{Node, Standing};
 use crate::peer::{JobAnswer as PeerAnswer, Outcome, Verb};
 use crate::shard::{Heard, Shown, Unfit, judge};
-use crate::state::{Commit, StateError};
+use crate::state::{Commit, StateError, Turn};
 use crate::wire::{self, Change, Condition, Item, JobAnswer, JobRequest, JobState, Kind, Redirect, Report};
 use http_types::Method;
 use std::time::Duration;
@@ -104,6 +104,11 @@
     CannotTell,
 }
 
+/// A poll comes again anyway; a cancellation is what its user waits for.
+fn turn(verb: Verb) -> Turn {
+    if verb == Verb::Show { Turn::Spare } else { Turn::InTurn }
+}
+
 fn unable() -> Outgoing {
     Outgoing::error(503, "not able to act now")
 }
@@ -242,7 +247,7 @@
             Word::Known(t) => job_answer(200, id, t, false),
             // It is stored, and so accepted; how far it has come nobody can say now. A job
             // that needs others may be cancelled with them by now, whatever its record says.
-            _ => match self.state.get(&job_key(id)).await {
+            _ => match self.state.get(&job_key(id), Turn::InTurn).await {
                 Ok(Some(i)) if !may_be_doomed(&i) => {
                     told_of_item(i).map_or_else(unable, |t| job_answer(200, id, t, false))
                 }
@@ -254,7 +259,7 @@
     /// A submission that can never run, unless it was accepted already: then a repetition
     /// must not hear that it was refused, whatever has become of limits since.
     async fn never(&self, id: &str, why: &str) -> Outgoing {
-        match self.state.get(&job_key(id)).await {
+        match self.state.get(&job_key(id), Turn::InTurn).await {
             Ok(None) => Outgoing::error(422, why),
             Ok(Some(_)) => self.accepted_before(id).await,
             Err(_) => unable(),
@@ -278,7 +283,7 @@
         if let Some(kind) = here.flatten().or_else(|| self.accepted_kind(need)) {
             return of_kind(kind);
         }
-        match self.state.get(&job_key(need)).await {
+        match self.state.get(&job_key(need), Turn::InTurn).await {
             Ok(None) => Need::Wrong("no such job was accepted"),
             Ok(Some(item)) => match serde_json::from_value::<JobRecord>(item.value) {
                 Ok(r) => {
@@ -302,10 +307,10 @@
                 let limit = (verb == Verb::Cancel).then_some(Duration::from_millis(3500));
                 match self.peers.ask(&node, verb, id, limit).await {
                     Some(a) => self.heard_from_peer(id, &a),
-                    None => self.about_stored(id).await,
+                    None => self.about_stored(verb, id).await,
                 }
             }
-            Standing::Nobody => self.about_stored(id).await,
+            Standing::Nobody => self.about_stored(verb, id).await,
         }
     }
 
@@ -322,11 +327,11 @@
     }
 
     /// Without the owner, only what is final or absent can be told.
-    async fn about_stored(&self, id: &str) -> Word {
+    async fn about_stored(&self, verb: Verb, id: &str) -> Word {
         if let Some(t) = self.final_known(id) {
             return Word::Known(t);
         }
-        match self.state.get(&job_key(id)).await {
+        match self.state.get(&job_key(id), turn(verb)).await {
             Ok(None) => Word::Absent,
             Ok(Some(item)) => match told_of_item(item) {
                 Some(t) if t.state != JobState::Queued => {
@@ -368,7 +373,7 @@
                     async_io::Timer::after(Duration::from_millis(10)).await;
                 }
                 Some(None) if looked => return Word::Unable,
-                Some(None) => match self.state.get(&job_key(id)).await {
+                Some(None) => match self.state.get(&job_key(id), turn(verb)).await {
                     Ok(None) => return Word::Absent,
                     Ok(Some(item)) => {
                         looked = true;
--- a/src/budget.rs
+++ b/src/budget.rs
@@ -45,6 +45,22 @@
         }
     }
 
+    /// Takes what may not wait, if need be of what comes.
+    pub fn take_ahead(&mut self, now: f64, n: usize) {
+        self.refill(now);
+        self.level -= n as f64;
+    }
+
+    /// Takes only while at least half of a burst is left for others.
+    pub fn take_spare(&mut self, now: f64) -> bool {
+        self.refill(now);
+        let spare = self.level >= (self.burst / 2.0).max(1.0);
+        if spare {
+            self.level -= 1.0;
+        }
+        spare
+    }
+
     /// The service said that its limit is reached: someone else spent our share.
     pub fn drain(&mut self, now: f64) {
         self.refill(now);
@@ -64,4 +80,17 @@
         b.drain(1.0);
         assert!(!b.try_take(1.05, 1));
     }
+
+    /// Guards against polls that keep leases, watches and submissions from their turn.
+    #[test]
+    fn what_can_wait_leaves_half_and_what_cannot_goes_ahead() {
+        let mut b = Budget::new(10.0, 10.0);
+        let spare = (0..100).filter(|_| b.take_spare(0.0)).count();
+        assert_eq!(spare, 6, "down to half of a burst");
+        assert!(b.try_take(0.0, 4), "the rest is there for others");
+        b.take_ahead(0.0, 1);
+        b.take_ahead(0.0, 1);
+        assert!(!b.try_take(0.15, 1), "paid back first");
+        assert!(b.try_take(0.35, 1) && !b.take_spare(0.35));
+    }
 }
--- a/src/node.rs
+++ b/src/node.rs
@@ -11,7 +11,7 @@
 use crate::peer::{JobAnswer, JobQuestion, Outcome, Owner, Peers};
 use crate::settings::Settings;
 use crate::shard::{CloudCall, Counts, Loaded, Shard};
-use crate::state::{Commit, StateClient, StateError, TXN_BYTES};
+use crate::state::{Commit, StateClient, StateError, TXN_BYTES, Turn};
 use crate::tuning::Tuning;
 use crate::wire::{Change, Condition, Item, JobState, Kind, MachineType, RentRequest};
 use crate::worker::WorkerClient;
@@ -277,7 +277,7 @@
     }
 
     async fn look_at_claim(&self) {
-        if let Ok(item) = self.state.get(CLAIM_KEY).await {
+        if let Ok(item) = self.state.get(CLAIM_KEY, Turn::First).await {
             self.state_answered();
             self.saw_claim(item);
         }
@@ -297,12 +297,12 @@
         let began = clock::now();
         self.state.set_share(&self.settings, true);
         let loaded = async {
-            let (jobs, revision) = self.state.list(JOB_PREFIX).await?;
-            let (mut progress, _) = self.state.list(PROGRESS_PREFIX).await?;
-            progress.extend(self.state.list(PART_PREFIX).await?.0);
-            let (machines, _) = self.state.list(MACHINE_PREFIX).await?;
-            let (racks, _) = self.state.list(RACK_PREFIX).await?;
-            let fleet = self.state.get(FLEET_KEY).await?;
+            let (jobs, revision) = self.state.list(JOB_PREFIX, Turn::InTurn).await?;
+            let (mut progress, _) = self.state.list(PROGRESS_PREFIX, Turn::InTurn).await?;
+            progress.extend(self.state.list(PART_PREFIX, Turn::InTurn).await?.0);
+            let (machines, _) = self.state.list(MACHINE_PREFIX, Turn::InTurn).await?;
+            let (racks, _) = self.state.list(RACK_PREFIX, Turn::InTurn).await?;
+            let fleet = self.state.get(FLEET_KEY, Turn::InTurn).await?;
             Ok::<_, StateError>((jobs, revision, progress, machines, racks, fleet))
         };
         match loaded.await {
@@ -342,7 +342,7 @@
         let mut from: Option<u64> = None;
         loop {
             let Some(revision) = from else {
-                match self.state.list(CLAIM_PREFIX).await {
+                match self.state.list(CLAIM_PREFIX, Turn::First).await {
                     Ok((items, revision)) => {
                         self.state_answered();
                         self.saw_claim(items.into_iter().find(|i| i.key == CLAIM_KEY));
@@ -399,7 +399,7 @@
                     }
                 }
                 Err(StateError::TooOld) => {
-                    if let Ok((items, revision)) = self.state.list(JOB_PREFIX).await {
+                    if let Ok((items, revision)) = self.state.list(JOB_PREFIX, Turn::InTurn).await {
                         from = revision;
                         items.into_iter().for_each(|i| self.take_job(i));
                     }
@@ -515,7 +515,7 @@
                 // Some version is not what was thought, or nobody knows: ask for each key.
                 for w in &writes {
                     let item = loop {
-                        match self.state.get(&w.key).await {
+                        match self.state.get(&w.key, Turn::InTurn).await {
                             Ok(i) => break i,
                             Err(_) => Timer::after(Duration::from_millis(200)).await,
                         };
--- a/src/shard/pipelines.rs
+++ b/src/shard/pipelines.rs
@@ -50,6 +50,14 @@
                 self.jobs.live.insert(j);
                 self.count_from_needs(j);
                 self.place_due = true;
+                let (job, day) = (self.jobs.at(j), self.day_now_ms(now) as f64);
+                log::debug!(
+                    "{} ({}) waits for nothing any more, {:.1} s after its acceptance and {:.1} s before it is due",
+                    job.id,
+                    job.spec.class,
+                    (day - job.at_ms as f64) / 1000.0,
+                    (job.deadline_ms() as f64 - day) / 1000.0
+                );
             }
         }
         let since = if self.loading { f64::MIN } else { now };
--- a/src/state.rs
+++ b/src/state.rs
@@ -26,6 +26,18 @@
     TooOld,
 }
 
+/// Who goes first where requests are short. Polls once took all of a node's share while
+/// there was no owner: submissions waited behind them, and the node could not read who the
+/// new owner was, so that it went on asking the state service for every poll.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Turn {
+    /// Leases, claims and watches: they cannot wait.
+    First,
+    InTurn,
+    /// What is asked again anyway: it is refused at once rather than kept waiting.
+    Spare,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Commit {
     Applied(u64),
@@ -182,14 +194,26 @@
         }
     }
 
+    async fn take_request(&self, turn: Turn, limit: Duration) -> Result<(), StateError> {
+        let now = clock::now();
+        match turn {
+            Turn::First => lock(&self.requests).take_ahead(now, 1),
+            Turn::InTurn => self.take(&self.requests, 1, limit).await?,
+            Turn::Spare if lock(&self.requests).take_spare(now) => {}
+            Turn::Spare => return Err(StateError::NotExecuted(429)),
+        }
+        Ok(())
+    }
+
     async fn call(
         &self,
+        turn: Turn,
         method: Method,
         path: &str,
         body: Option<Vec<u8>>,
         limit: Duration,
     ) -> Result<(u16, Vec<u8>), StateError> {
-        self.take(&self.requests, 1, limit).await?;
+        self.take_request(turn, limit).await?;
         let outcome = self.http.call(self.addr, method, path, body, limit).await;
         match &outcome {
             Ok((503, _)) | Err(_) => lock(&self.heard).1 = clock::now(),
@@ -207,8 +231,9 @@
         }
     }
 
-    pub async fn get(&self, key: &str) -> Result<Option<Item>, StateError> {
-        match self.call(Method::Get, &format!("{}/{key}", wire::KV_PATH), None, Duration::from_millis(1500)).await? {
+    pub async fn get(&self, key: &str, turn: Turn) -> Result<Option<Item>, StateError> {
+        let path = format!("{}/{key}", wire::KV_PATH);
+        match self.call(turn, Method::Get, &path, None, Duration::from_millis(1500)).await? {
             (200, b) => Ok(Some(parse(&b)?)),
             (404, _) => Ok(None),
             (s, _) => Err(StateError::NotExecuted(s)),
@@ -216,13 +241,13 @@
     }
 
     /// All items under a prefix, and a revision from which a watch misses nothing.
-    pub async fn list(&self, prefix: &str) -> Result<(Vec<Item>, u64), StateError> {
+    pub async fn list(&self, prefix: &str, turn: Turn) -> Result<(Vec<Item>, u64), StateError> {
         let mut all = Vec::new();
         let mut after = String::new();
         let mut from = None;
         loop {
             let q = wire::list_query(prefix, &after, 1000);
-            let (s, b) = self.call(Method::Get, &q, None, Duration::from_secs(4)).await?;
+            let (s, b) = self.call(turn, Method::Get, &q, None, Duration::from_secs(4)).await?;
             if s != 200 {
                 return Err(StateError::NotExecuted(s));
             }
@@ -243,7 +268,10 @@
         let until = clock::now() + 2.5;
         loop {
             self.take(&self.writes, n, Duration::from_secs(3)).await?;
-            match self.call(Method::Post, wire::TXN_PATH, Some(body.clone()), Duration::from_millis(2500)).await {
+            match self
+                .call(Turn::InTurn, Method::Post, wire::TXN_PATH, Some(body.clone()), Duration::from_millis(2500))
+                .await
+            {
                 Ok((200, b)) => return Ok(Commit::Applied(parse::<Revision>(&b)?.revision)),
                 Ok((409, b)) => return Ok(Commit::Failed(parse::<Revision>(&b)?.failed)),
                 Ok((400, b)) if b.windows(13).any(|w| w == b"no such lease") => return Err(StateError::NoSuchLease),
@@ -265,7 +293,7 @@
 
     pub async fn grant(&self, ttl_ms: u64) -> Result<u64, StateError> {
         let body = serde_json::to_vec(&LeaseRequest { ttl_ms }).map_err(|_| StateError::Unknown)?;
-        match self.call(Method::Post, wire::LEASES_PATH, Some(body), Duration::from_secs(2)).await? {
+        match self.call(Turn::First, Method::Post, wire::LEASES_PATH, Some(body), Duration::from_secs(2)).await? {
             (200, b) => Ok(parse::<LeaseAnswer>(&b)?.lease),
             (s, _) => Err(StateError::NotExecuted(s)),
         }
@@ -273,7 +301,7 @@
 
     pub async fn renew(&self, lease: u64, limit: Duration) -> Result<(), StateError> {
         let path = format!("{}/{lease}/{}", wire::LEASES_PATH, wire::RENEW_END);
-        match self.call(Method::Post, &path, Some(b"{}".to_vec()), limit).await? {
+        match self.call(Turn::First, Method::Post, &path, Some(b"{}".to_vec()), limit).await? {
             (200, _) => Ok(()),
             (404, _) => Err(StateError::NoSuchLease),
             (s, _) => Err(StateError::NotExecuted(s)),
@@ -283,11 +311,11 @@
     /// Ends a lease at once; its keys go with it.
     pub async fn revoke(&self, lease: u64) -> Result<(), StateError> {
         let path = format!("{}/{lease}", wire::LEASES_PATH);
-        self.call(Method::Delete, &path, None, Duration::from_secs(1)).await.map(|_| ())
+        self.call(Turn::First, Method::Delete, &path, None, Duration::from_secs(1)).await.map(|_| ())
     }
 
     pub async fn watch(&self, prefix: &str, from: u64, wait: Duration) -> Result<Events, StateError> {
-        self.take(&self.requests, 1, Duration::from_secs(2)).await?;
+        self.take_request(Turn::First, Duration::ZERO).await?;
         let q = wire::watch_query(prefix, from, wait.as_millis() as u64);
         match self.watches.call(self.addr, Method::Get, &q, None, wait + Duration::from_secs(3)).await {
             Ok((200, b)) => parse(&b),
--- a/tests/loopback.rs
+++ b/tests/loopback.rs
@@ -275,8 +275,17 @@
     }
 }
 
+/// A port for a program that is started later. Below those that the system hands out by
+/// itself: one of them was taken by somebody's connection before the program was there.
 fn free_port() -> SocketAddr {
-    TcpListener::bind(("127.0.0.1", 0)).and_then(|l| l.local_addr()).expect("a port")
+    static NEXT: AtomicUsize = AtomicUsize::new(0);
+    let first = std::process::id() as usize * 16;
+    loop {
+        let port = 10_000 + (first + NEXT.fetch_add(1, Ordering::Relaxed)) % 20_000;
+        if let Ok(l) = TcpListener::bind(("127.0.0.1", port as u16)) {
+            return l.local_addr().expect("its address");
+        }
+    }
 }
 
 fn settings(i: usize, listen: &[SocketAddr], peer: &[SocketAddr], cloud: SocketAddr, state: SocketAddr) -> String {
