--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -172,6 +172,11 @@
         self.spec.kind == Kind::Service
     }
 
+    /// Do others wait for it, or did it wait for others?
+    pub fn in_pipeline(&self) -> bool {
+        self.due_ms.is_some() || !self.spec.needs().is_empty()
+    }
+
     /// When its user wants it done, in milliseconds of the day.
     /// A stated deadline counts from the submission, however long it waited for others;
     /// everything else from the moment when it could start.
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -96,7 +96,13 @@
     let t = s.types.get(m.ty);
     let fetch = job.image.map_or(0.0, |i| m.to_fetch_gb(i, job.spec.image_gb) / t.fetch_gb_per_s.max(0.01));
     let full = m.cpus_used / t.cpus.max(EPS);
-    let dear = if job.spec.spot && !m.spot { SPOT_WORTH_S } else { 0.0 };
+    // Of an array that others wait for, one task that is lost with its spot machine holds
+    // up the whole pipeline: on-demand machines that are there anyway are preferred.
+    let dear = match job.spec.spot && !m.spot {
+        true if job.in_pipeline() => -SPOT_WORTH_S,
+        true => SPOT_WORTH_S,
+        false => 0.0,
+    };
     let base = match (m.base, job.spec.priority == Priority::Production) {
         (true, true) => -BASE_WORTH_S,
         (true, false) => BASE_WORTH_S,
