Racks take as many machines as their entries need, and images give way when they fill

Cause: at 2 KB a rack took 7 machines, counted with 256 bytes each, and a rack's put served 8 starts. An entry is 60 to 100 bytes, and a machine's new jobs about as much again. Also a rack counted as full with the images that give way anyway when it is written.

--- a/src/fleet/racks.rs
+++ b/src/fleet/racks.rs
@@ -52,13 +52,22 @@
     !b
 }
 
+impl RackRecord {
+    /// What the images take of its value, about: they give way to jobs.
+    pub fn image_bytes(&self) -> usize {
+        let names: usize = self.images.iter().map(|(name, _)| name.len() + 9).sum();
+        let places = |m: &RackMachine| if m.images.is_empty() { 0 } else { 11 + 3 * m.images.len() };
+        names + self.machines.iter().map(places).sum::<usize>()
+    }
+}
+
 #[derive(Debug)]
 pub struct Rack {
     pub ty: TypeIx,
     pub zone: ZoneIx,
     pub spot: bool,
     pub members: BTreeSet<MachineIx>,
-    /// Bytes that its value takes, with the names planned since it was last made.
+    /// Bytes that its value takes without images, with the names planned since it was last made.
     bytes: usize,
     /// The jobs that its value names, or will.
     names: HashSet<JobIx>,
@@ -71,9 +80,9 @@
 
 /// Bytes of a value that one machine may want: its own entry, and the names of jobs
 /// that no neighbour has.
-const BYTES_A_MACHINE: usize = 256;
+const BYTES_A_MACHINE: usize = 160;
 /// An entry without any job, at the most.
-const BYTES_AN_ENTRY: usize = 160;
+const BYTES_AN_ENTRY: usize = 100;
 /// A rack counts as having waited for this at least, so that many starts weigh at once.
 const LEAST_WAIT_S: f64 = 0.1;
 /// A job's place in the rack's list, with its comma.
--- a/src/shard/mod.rs
+++ b/src/shard/mod.rs
@@ -361,7 +361,7 @@
         let old = bytes > self.value_bytes || r.machines.iter().any(names_another);
         if !old {
             let names: Vec<JobIx> = r.jobs.iter().filter_map(|id| self.jobs.find(id)).collect();
-            self.racks.open(i, ty, zone, r.spot).made(bytes, names.into_iter());
+            self.racks.open(i, ty, zone, r.spot).made(bytes.saturating_sub(r.image_bytes()), names.into_iter());
         }
         if old && r.machines.is_empty() {
             self.cleanup.insert(key.to_string());
--- a/src/shard/writes.rs
+++ b/src/shard/writes.rs
@@ -232,7 +232,7 @@
             let value = sized(&record)?;
             let bytes = value.1;
             let names: Vec<JobIx> = contents.iter().flat_map(|c| c.1.iter().copied()).collect();
-            self.racks.list.get_mut(&r)?.made(bytes, names.into_iter());
+            self.racks.list.get_mut(&r)?.made(bytes.saturating_sub(record.image_bytes()), names.into_iter());
             if bytes <= self.value_bytes {
                 return Some((value, contents));
             }
