--- a/src/api.rs
+++ b/src/api.rs
@@ -225,7 +225,7 @@
             // If absent: of a submission and its repetitions, on any nodes, one is accepted.
             let condition = Condition { key: key.clone(), version: 0 };
             let change = Change::Put { key: key.clone(), value: value.clone(), lease: None };
-            match self.state.commit(vec![condition], vec![change]).await {
+            match self.state.commit(vec![condition], vec![change], Turn::First).await {
                 Ok(Commit::Applied(version)) => {
                     let now = clock::now();
                     if self.with_shard(now, |s| s.add_job(record.clone(), version, now)).is_some() {
--- a/src/budget.rs
+++ b/src/budget.rs
@@ -1,5 +1,7 @@
 //! Token buckets that keep this controller within its share of a service's limits.
 
+const FIRST_SHARE: f64 = 4.0;
+
 /// Allows `rate` units a second, with bursts of `burst` units.
 #[derive(Debug, Clone)]
 pub struct Budget {
@@ -61,6 +63,17 @@
         spare
     }
 
+    /// Takes before the others: up to a quarter of a burst that is yet to come, which they
+    /// then wait for.
+    pub fn try_take_first(&mut self, now: f64, n: usize) -> bool {
+        self.refill(now);
+        let first = self.level + self.burst / FIRST_SHARE >= (n as f64).min(self.burst);
+        if first {
+            self.level -= n as f64;
+        }
+        first
+    }
+
     /// The service said that its limit is reached: someone else spent our share.
     pub fn drain(&mut self, now: f64) {
         self.refill(now);
@@ -92,5 +105,9 @@
         b.take_ahead(0.0, 1);
         assert!(!b.try_take(0.15, 1), "paid back first");
         assert!(b.try_take(0.35, 1) && !b.take_spare(0.35));
+        // A writer that takes whatever there is does not keep an acceptance waiting.
+        assert!(!b.try_take(0.36, 1));
+        assert_eq!((0..9).filter(|_| b.try_take_first(0.36, 1)).count(), 3, "a quarter of a burst and what there was");
+        assert!(!b.try_take(0.5, 1), "the writer waits until that is paid back");
     }
 }
--- a/src/node.rs
+++ b/src/node.rs
@@ -257,7 +257,7 @@
                 let Ok(value) = serde_json::to_value(&me) else { return };
                 let condition = Condition { key: CLAIM_KEY.into(), version: over };
                 let change = Change::Put { key: CLAIM_KEY.into(), value, lease: Some(lease) };
-                match self.state.commit(vec![condition], vec![change]).await {
+                match self.state.commit(vec![condition], vec![change], Turn::First).await {
                     Ok(Commit::Applied(version)) => {
                         log::info!("claimed the shard with token {version}");
                         lock(&self.own).claimed(version);
@@ -496,7 +496,7 @@
         let mut conditions = vec![Condition { key: CLAIM_KEY.into(), version: token }];
         conditions.extend(writes.iter().map(|w| Condition { key: w.key.clone(), version: w.version }));
         let changes = writes.iter().map(|w| w.change.clone()).collect();
-        let outcome = self.state.commit(conditions, changes).await;
+        let outcome = self.state.commit(conditions, changes, Turn::InTurn).await;
         let mine = |f: &mut dyn FnMut(&mut Shard)| {
             if let Some(s) = lock(&self.shard).as_mut().filter(|s| s.token == token) {
                 f(s);
--- a/src/state.rs
+++ b/src/state.rs
@@ -80,6 +80,9 @@
 const REFUSALS: usize = 4;
 const REFUSALS_WITHIN_S: f64 = 2.0;
 const LOWERED_FOR_S: f64 = 20.0;
+const CONFIRMED_FOR_S: f64 = 900.0;
+/// Refusals so soon after the higher limits were tried again confirm the lower ones.
+const TRIED_FOR_S: f64 = 8.0;
 
 impl Limits {
     fn new(s: &crate::settings::Settings) -> Limits {
@@ -94,7 +97,11 @@
         self.refused.retain(|t| now - t < REFUSALS_WITHIN_S);
         self.refused.push_back(now);
         if self.refused.len() >= REFUSALS && self.next != self.now {
-            self.lowered_until = now + LOWERED_FOR_S;
+            // Trying the higher ones costs everybody's submissions some refusals each time:
+            // once it has shown that they are gone, it is not done again soon.
+            let confirmed = !self.lowered && now - self.lowered_until < TRIED_FOR_S;
+            let keep_s = if confirmed { CONFIRMED_FOR_S } else { LOWERED_FOR_S };
+            self.lowered_until = self.lowered_until.max(now + keep_s);
             self.refused.clear();
         }
     }
@@ -181,10 +188,14 @@
         lock(&self.writes).available(now)
     }
 
-    async fn take(&self, which: &Mutex<Budget>, n: usize, limit: Duration) -> Result<(), StateError> {
+    async fn take(&self, which: &Mutex<Budget>, turn: Turn, n: usize, limit: Duration) -> Result<(), StateError> {
         let until = clock::now() + limit.as_secs_f64();
         loop {
-            if lock(which).try_take(clock::now(), n) {
+            let taken = {
+                let (mut budget, now) = (lock(which), clock::now());
+                if turn == Turn::First { budget.try_take_first(now, n) } else { budget.try_take(now, n) }
+            };
+            if taken {
                 return Ok(());
             }
             if clock::now() > until {
@@ -198,7 +209,7 @@
         let now = clock::now();
         match turn {
             Turn::First => lock(&self.requests).take_ahead(now, 1),
-            Turn::InTurn => self.take(&self.requests, 1, limit).await?,
+            Turn::InTurn => self.take(&self.requests, turn, 1, limit).await?,
             Turn::Spare if lock(&self.requests).take_spare(now) => {}
             Turn::Spare => return Err(StateError::NotExecuted(429)),
         }
@@ -262,12 +273,19 @@
         }
     }
 
-    pub async fn commit(&self, conditions: Vec<Condition>, changes: Vec<Change>) -> Result<Commit, StateError> {
+    /// Acceptances and claims go first; the owner's own writes, of which there are always
+    /// more, take what those leave.
+    pub async fn commit(
+        &self,
+        conditions: Vec<Condition>,
+        changes: Vec<Change>,
+        turn: Turn,
+    ) -> Result<Commit, StateError> {
         let n = changes.len();
         let body = serde_json::to_vec(&Txn { conditions, changes }).map_err(|_| StateError::NotExecuted(400))?;
         let until = clock::now() + 2.5;
         loop {
-            self.take(&self.writes, n, Duration::from_secs(3)).await?;
+            self.take(&self.writes, turn, n, Duration::from_secs(3)).await?;
             match self
                 .call(Turn::InTurn, Method::Post, wire::TXN_PATH, Some(body.clone()), Duration::from_millis(2500))
                 .await
@@ -350,6 +368,9 @@
         assert_eq!(l.changed(101.0), Some(Rates { requests: 100.0, writes: 10.0 }));
         assert_eq!(l.changed(110.0), None, "said once");
         assert_eq!(l.changed(125.0), Some(Rates { requests: 100.0, writes: 30.0 }), "tried again later");
+        (0..4).for_each(|i| l.refused(126.0 + f64::from(i) * 0.3));
+        assert_eq!(l.changed(127.0), Some(Rates { requests: 100.0, writes: 10.0 }), "and still refused");
+        assert_eq!(l.changed(900.0), None, "so that it is not tried again every few seconds");
         let mut same = Limits::new(&settings(text));
         (0..9).for_each(|i| same.refused(100.0 + f64::from(i) * 0.1));
         assert_eq!(same.changed(101.0), None);
