A silent zone is told by the others; racks of lost machines do not wait behind starts

Fewer than three in five of all machines were heard, as spot machines had been taken too; and racks that call a machine retiring, for which no start waits, came last since racks are written by the starts that wait.

--- a/src/fleet/racks.rs
+++ b/src/fleet/racks.rs
@@ -106,6 +106,12 @@
         self.pressing |= service;
     }
 
+    /// So many tasks can start elsewhere once this value calls their machine retiring.
+    pub fn held_up(&mut self, tasks: usize, services: bool) {
+        self.waiting += tasks as u32;
+        self.pressing |= services;
+    }
+
     pub fn due(&mut self, now: f64) {
         self.due_since.get_or_insert(now);
     }
--- a/src/shard/sizing.rs
+++ b/src/shard/sizing.rs
@@ -19,6 +19,8 @@
     Delete(Vec<MachineIx>, Vec<String>),
 }
 
+/// So many machines of other zones can tell that a zone is silent, and not this owner.
+const LEAST_WITNESSES: usize = 4;
 /// A machine that was deleted costs at least this long.
 const LEAST_PAID_S: f64 = 60.0;
 const MOST_DELETED: usize = 100;
@@ -47,15 +49,27 @@
         let lease = stretched(self.lease_s);
         let silent_s = self.silent_s();
         let (mut up, mut recent) = (0usize, 0usize);
+        let mut by_zone: BTreeMap<ZoneIx, (usize, usize)> = BTreeMap::new();
         for (_, m) in self.machines.iter() {
             if m.phase == MachinePhase::Up {
+                let heard = usize::from(self.silence(m, now) < self.report_s * 1.25 + 1.0);
                 up += 1;
-                recent += usize::from(self.silence(m, now) < self.report_s * 1.25 + 1.0);
+                recent += heard;
+                let zone = by_zone.entry(m.zone).or_default();
+                *zone = (zone.0 + 1, zone.1 + heard);
             }
         }
         // Only while most others are heard is a silent machine to blame. An owner that was
-        // cut off from the workers once deleted the third of them that it missed first.
-        let others_heard = recent * 5 >= (up - 1.min(up)) * 3;
+        // cut off from the workers once deleted the third of them that it missed first. The
+        // machines of other zones are enough: when a zone was cut off and spot machines were
+        // taken at the same time, too few were heard in all, and everything in that zone
+        // waited for the end of its lease.
+        let most_heard = recent * 5 >= (up - 1.min(up)) * 3;
+        let blamed = |zone: ZoneIx| {
+            let here = by_zone.get(&zone).copied().unwrap_or_default();
+            let (elsewhere, heard) = (up - here.0, recent - here.1);
+            most_heard || elsewhere >= LEAST_WITNESSES && heard * 5 >= elsewhere * 4
+        };
         let all: Vec<MachineIx> = self.machines.present.iter().copied().collect();
         for i in all {
             let m = self.machines.at(i);
@@ -66,6 +80,7 @@
             }
             let m = self.machines.at(i);
             let quiet = self.silence(m, now);
+            let others_heard = blamed(m.zone);
             match m.phase {
                 MachinePhase::Booting => {
                     let boot = self.types.get(m.ty).boot_s;
@@ -112,6 +127,13 @@
         machine.phase = MachinePhase::Retiring;
         if machine.rack.is_some() || !machine.old_values.is_empty() {
             self.want_record(m);
+            // What was on a machine that is lost waits for its deletion, and that for this: by
+            // starts alone, such racks once stood behind all others until the leases were over.
+            let machine = self.machines.at(m);
+            let (tasks, services) = (machine.tasks.len(), machine.services > 0);
+            if let Some(rack) = machine.rack.and_then(|r| self.racks.list.get_mut(&r)) {
+                rack.held_up(tasks, services);
+            }
         } else {
             self.deletes.insert(m);
         }
