Values that name machines which are gone have their turn among the racks

Racks without machines and replaced large ones were deleted only out of writes that could be spared, and at 2 KB there are none.

--- a/src/shard/mod.rs
+++ b/src/shard/mod.rs
@@ -339,7 +339,7 @@
         let elsewhere: BTreeSet<MachineIx> = self.racks.old_values.values().flatten().copied().collect();
         for m in elsewhere {
             let rack = self.rack_of(m);
-            self.racks_untidy.insert(rack);
+            self.rack_untidy(rack);
         }
         self.place_due = true;
     }
@@ -391,7 +391,7 @@
             }
         }
         if self.racks.list.get(&i).is_some_and(|r| r.members.is_empty()) {
-            self.racks_untidy.insert(i);
+            self.rack_untidy(i);
         }
     }
 
@@ -571,6 +571,15 @@
         }
     }
 
+    /// The rack's value says something that is no longer so. Starts go first, but not for
+    /// ever: a successor takes machines that are gone for machines that may hold anything.
+    pub(crate) fn rack_untidy(&mut self, r: RackIx) {
+        self.racks_untidy.insert(r);
+        if let Some(rack) = self.racks.list.get_mut(&r) {
+            rack.due(self.ticked);
+        }
+    }
+
     /// Can this machine's record name one more job?
     pub(crate) fn record_has_room(&self, m: &crate::fleet::Machine, j: JobIx, id: &str) -> bool {
         m.stored_jobs.contains(&j)
--- a/src/shard/sizing.rs
+++ b/src/shard/sizing.rs
@@ -150,10 +150,10 @@
             let rack = machine.rack.take();
             self.recorded_or_gone(m);
             if let Some(r) = rack {
-                self.racks_untidy.insert(r);
                 if let Some(rack) = self.racks.list.get_mut(&r) {
                     rack.members.remove(&m);
                 }
+                self.rack_untidy(r);
             }
             self.machines.present.remove(&m);
         }
--- a/src/shard/writes.rs
+++ b/src/shard/writes.rs
@@ -7,7 +7,7 @@
 use crate::fleet::racks::{RackMachine, RackRecord, rack_key};
 use crate::fleet::{FLEET_KEY, Held, HeldState, Phase as MachinePhase};
 use crate::intern::{Index, JobIx, MachineIx, RackIx};
-use crate::jobs::{JobRecord, Phase, ProgressRecord, TaskKey, job_key};
+use crate::jobs::{JobRecord, PART_PREFIX, PROGRESS_PREFIX, Phase, ProgressRecord, TaskKey, job_key};
 use crate::wire::Change;
 use std::collections::HashMap;
 
@@ -112,16 +112,27 @@
                 return out;
             }
         }
+        // Values that name machines which are recorded elsewhere, or gone: one at a time, since
+        // what can be spared is nothing where the starts take all there is. A successor once
+        // found twice as many machines as there were, and waited for the others.
+        let stale = self.cleanup.iter().find(|k| !k.starts_with(PROGRESS_PREFIX) && !k.starts_with(PART_PREFIX));
+        if let Some(key) = stale.filter(|k| !self.in_flight.contains(*k)).cloned() {
+            let w = self.delete_write(key);
+            if !take(w, &mut out) {
+                return out;
+            }
+        }
         let mut due: Vec<((bool, f64), RackIx)> = self
             .racks_due
-            .iter()
+            .union(&self.racks_untidy)
             .filter(|r| !self.in_flight.contains(&rack_key(**r)))
             .map(|r| (self.racks.list.get(r).map_or((false, 0.0), |rack| rack.turn(now)), *r))
             .collect();
         due.sort_by(|(a, i), (b, j)| b.0.cmp(&a.0).then(b.1.total_cmp(&a.1)).then(i.cmp(j)));
         due.truncate(ops);
         for (_, r) in due {
-            let w = self.rack_write(r);
+            let empty = self.racks.list.get(&r).is_none_or(|r| r.members.is_empty());
+            let w = if empty { self.rack_gone(r) } else { self.rack_write(r) };
             if !take(w, &mut out) {
                 return out;
             }
@@ -166,42 +177,33 @@
             }
             self.progress_at = now;
         }
-        let untidy: Vec<RackIx> =
-            self.racks_untidy.iter().copied().filter(|r| !self.in_flight.contains(&rack_key(*r))).collect();
-        for r in untidy {
-            if out.len() + 2 >= spare {
-                return out;
-            }
-            if self.racks.list.get(&r).is_some_and(|r| r.members.is_empty()) {
-                self.racks_untidy.remove(&r);
-                self.racks_due.remove(&r);
-                self.racks.list.remove(&r);
-                self.cleanup.insert(rack_key(r));
-                continue;
-            }
-            let w = self.rack_write(r);
-            if !take(w, &mut out) {
-                return out;
-            }
-        }
         let room_for = spare.saturating_sub(out.len() + 2);
         let tidy: Vec<String> =
             self.cleanup.iter().filter(|k| !self.in_flight.contains(*k)).take(room_for).cloned().collect();
         for key in tidy {
-            self.cleanup.remove(&key);
-            let version = self.versions.get(&key).copied().unwrap_or(0);
-            if version == 0 {
-                continue;
-            }
-            let change = Change::Delete { key: key.clone() };
-            let w = self.under_way(Write { version, what: What::Cleanup, change, bytes: 256, key });
-            if !take(Some(w), &mut out) {
+            let w = self.delete_write(key);
+            if !take(w, &mut out) {
                 return out;
             }
         }
         out
     }
 
+    fn delete_write(&mut self, key: String) -> Option<Write> {
+        self.cleanup.remove(&key);
+        let version = self.versions.get(&key).copied().filter(|v| *v > 0)?;
+        let change = Change::Delete { key: key.clone() };
+        Some(self.under_way(Write { version, what: What::Cleanup, change, bytes: 256, key }))
+    }
+
+    /// No machine is left in this rack.
+    fn rack_gone(&mut self, r: RackIx) -> Option<Write> {
+        self.racks_due.remove(&r);
+        self.racks_untidy.remove(&r);
+        self.racks.list.remove(&r);
+        self.delete_write(rack_key(r))
+    }
+
     /// The write of a rack's value. Until it is known which value stands, only what
     /// both name counts as stored.
     fn rack_write(&mut self, r: RackIx) -> Option<Write> {
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -423,6 +423,11 @@
                 self.s().add_job(record, version, now);
                 self.s().tick(now);
             }
+            "stored" => {
+                let keys: Vec<&str> = self.store.keys().filter(|k| k.starts_with(first)).map(String::as_str).collect();
+                let text = format!("stored: {}", keys.join(", "));
+                self.say(&text);
+            }
             "waiting" => {
                 let n = self.s().graph.waiting();
                 let live = self.s().jobs.live.len();
