--- a/src/shard/pipelines.rs
+++ b/src/shard/pipelines.rs
@@ -104,9 +104,6 @@
     /// What a job has from those that need it, and so on up to the first of them, as far
     /// as something changes.
     fn inherit(&mut self, j: JobIx) {
-        if !j_inherits() {
-            return;
-        }
         let mut due: BTreeSet<JobIx> = BTreeSet::from([j]);
         while let Some(j) = due.pop_first() {
             self.graph.looked_at += 1;
@@ -128,8 +125,3 @@
         }
     }
 }
-
-/// Measured once without.
-fn j_inherits() -> bool {
-    false
-}
