--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -449,6 +449,15 @@
                 self.revision += 1;
                 self.store.insert(format!("mach/{first}"), (value, self.revision));
             }
+            // A rack of one machine, as an owner of the version in production leaves it.
+            "old-rack" => {
+                let jobs: Vec<&str> = word(args, "jobs").map_or(Vec::new(), |j| j.split(',').collect());
+                let places: Vec<usize> = (0..jobs.len()).collect();
+                let value = json!({"shard":0,"type":"m32","zone":"a","spot":false,"jobs":jobs,
+                    "machines":[{"machine":word(args, "machine"),"addr":"127.0.0.1:9","jobs":places}]});
+                self.revision += 1;
+                self.store.insert(first.to_owned(), (value, self.revision));
+            }
             // Something under a rack's key that no version wrote.
             "unreadable" => {
                 self.revision += 1;
