A cascade takes no more than four writes a second until it presses

Cause, by reading: the writer takes each write as soon as there is one, so that a quarter of a transaction, rounded up, was all of it, and three hundred cancellations that follow from one would have kept starts waiting for a quarter of a minute.

--- a/src/shard/mod.rs
+++ b/src/shard/mod.rs
@@ -158,6 +158,8 @@
     versions: HashMap<String, u64>,
     in_flight: HashSet<String>,
     finals: BTreeSet<JobIx>,
+    /// When a cancellation that follows from another one was last written in its turn.
+    eased_at: f64,
     pub(crate) racks: Racks,
     /// Racks whose value must be written before planned starts may go out. By number, the
     /// later ones once waited for a quarter of a minute while the first were written again
@@ -240,6 +242,7 @@
             versions: HashMap::new(),
             in_flight: HashSet::new(),
             finals: BTreeSet::new(),
+            eased_at: f64::MIN,
             racks: Racks { next: loaded.racks_from, ..Racks::default() },
             racks_due: BTreeSet::new(),
             racks_untidy: BTreeSet::new(),
@@ -551,7 +554,7 @@
     }
 
     /// The machine's record is to be written again, with those of its rack.
-    pub(crate) fn want_record(&mut self, m: MachineIx) {
+    pub fn want_record(&mut self, m: MachineIx) {
         let rack = self.rack_of(m);
         self.rack_due(rack);
     }
--- a/src/shard/writes.rs
+++ b/src/shard/writes.rs
@@ -33,6 +33,9 @@
     pub bytes: usize,
 }
 
+/// Besides what can be spared, one cancellation that follows from another each so often,
+/// until they press.
+const EASED_EVERY_S: f64 = 0.25;
 const PROGRESS_EVERY_S: f64 = 4.0;
 const FLEET_EVERY_S: f64 = 5.0;
 
@@ -92,7 +95,13 @@
             let mut f: Vec<_> = self.finals.iter().map(|j| (turn(j), *j)).collect();
             f.sort();
             let at_ease = f.iter().position(|((follows, ..), _)| *follows).unwrap_or(f.len());
-            f.truncate(at_ease + (ops / 4).max(1));
+            // The writer takes each write as soon as there is one to take, so that a share of
+            // a transaction would be all of it.
+            let in_turn = usize::from(now - self.eased_at >= EASED_EVERY_S);
+            f.truncate(at_ease + in_turn.max(spare));
+            if in_turn > 0 && f.len() > at_ease {
+                self.eased_at = now;
+            }
             f.into_iter().map(|(_, j)| j).collect()
         };
         for j in finals {
