One set of racks to be written instead of two; one walk over what inherits

Reading the change again: racks with stale values had been given their turn by the same rule as racks for which starts wait, so that two sets of them meant the same and were joined at each look. What a job passes on is worked out by one walk from all that it needs instead of one walk each. All traces are as they were.

--- a/src/shard/mod.rs
+++ b/src/shard/mod.rs
@@ -161,12 +161,12 @@
     /// When a cancellation that follows from another one was last written in its turn.
     eased_at: f64,
     pub(crate) racks: Racks,
-    /// Racks whose value must be written before planned starts may go out. By number, the
+    /// Racks whose value is to be written: before planned starts may go out, or because it
+    /// names machines that are gone, which a successor would take for machines that may
+    /// hold anything. By number, the
     /// later ones once waited for a quarter of a minute while the first were written again
     /// and again: see [`crate::fleet::racks::Rack::turn`].
     racks_due: BTreeSet<RackIx>,
-    /// Racks whose value names machines that are gone.
-    racks_untidy: BTreeSet<RackIx>,
     progress_due: BTreeSet<JobIx>,
     progress_at: f64,
     cleanup: BTreeSet<String>,
@@ -245,7 +245,6 @@
             eased_at: f64::MIN,
             racks: Racks { next: loaded.racks_from, ..Racks::default() },
             racks_due: BTreeSet::new(),
-            racks_untidy: BTreeSet::new(),
             progress_due: BTreeSet::new(),
             progress_at: now,
             cleanup: BTreeSet::new(),
@@ -342,7 +341,7 @@
         let elsewhere: BTreeSet<MachineIx> = self.racks.old_values.values().flatten().copied().collect();
         for m in elsewhere {
             let rack = self.rack_of(m);
-            self.rack_untidy(rack);
+            self.rack_due(rack);
         }
         self.place_due = true;
     }
@@ -394,7 +393,7 @@
             }
         }
         if self.racks.list.get(&i).is_some_and(|r| r.members.is_empty()) {
-            self.rack_untidy(i);
+            self.rack_due(i);
         }
     }
 
@@ -418,7 +417,6 @@
     fn split_rack(&mut self, r: RackIx) {
         let Some(rack) = self.racks.list.remove(&r) else { return };
         self.racks_due.remove(&r);
-        self.racks_untidy.remove(&r);
         let key: Arc<str> = rack_key(r).into();
         let stored = self.versions.contains_key(&*key);
         let members: Vec<MachineIx> = rack.members.iter().copied().collect();
@@ -567,22 +565,13 @@
         *machine.rack.get_or_insert_with(|| self.racks.join(m, sort, value_bytes))
     }
 
-    fn rack_due(&mut self, r: RackIx) {
+    pub(crate) fn rack_due(&mut self, r: RackIx) {
         self.racks_due.insert(r);
         if let Some(rack) = self.racks.list.get_mut(&r) {
             rack.due(self.ticked);
         }
     }
 
-    /// The rack's value says something that is no longer so. Starts go first, but not for
-    /// ever: a successor takes machines that are gone for machines that may hold anything.
-    pub(crate) fn rack_untidy(&mut self, r: RackIx) {
-        self.racks_untidy.insert(r);
-        if let Some(rack) = self.racks.list.get_mut(&r) {
-            rack.due(self.ticked);
-        }
-    }
-
     /// Can this machine's record name one more job?
     pub(crate) fn record_has_room(&self, m: &crate::fleet::Machine, j: JobIx, id: &str) -> bool {
         m.stored_jobs.contains(&j)
--- a/src/shard/pipelines.rs
+++ b/src/shard/pipelines.rs
@@ -25,10 +25,10 @@
             } else {
                 self.count_from_needs(j);
             }
-            self.inherit_above(j);
+            self.inherit(self.graph.needs(j).to_vec());
         }
         if !self.graph.after(j).is_empty() {
-            self.inherit(j);
+            self.inherit(vec![j]);
         }
         self.follow(news, now);
     }
@@ -38,9 +38,7 @@
         let before: Vec<JobIx> = self.graph.needs(j).to_vec();
         let news = self.graph.ended(j, phase);
         // What it needed inherits from it no more.
-        for n in before {
-            self.inherit(n);
-        }
+        self.inherit(before);
         self.follow(news, now);
     }
 
@@ -95,16 +93,10 @@
         job.spec.estimate_s + fetch
     }
 
-    fn inherit_above(&mut self, j: JobIx) {
-        for n in self.graph.needs(j).to_vec() {
-            self.inherit(n);
-        }
-    }
-
-    /// What a job has from those that need it, and so on up to the first of them, as far
+    /// What these jobs have from those that need it, and so on up to the first of them, as far
     /// as something changes.
-    fn inherit(&mut self, j: JobIx) {
-        let mut due: BTreeSet<JobIx> = BTreeSet::from([j]);
+    fn inherit(&mut self, jobs: Vec<JobIx>) {
+        let mut due: BTreeSet<JobIx> = BTreeSet::from_iter(jobs);
         while let Some(j) = due.pop_first() {
             self.graph.looked_at += 1;
             let job = self.jobs.at(j);
--- a/src/shard/sizing.rs
+++ b/src/shard/sizing.rs
@@ -153,7 +153,7 @@
                 if let Some(rack) = self.racks.list.get_mut(&r) {
                     rack.members.remove(&m);
                 }
-                self.rack_untidy(r);
+                self.rack_due(r);
             }
             self.machines.present.remove(&m);
         }
--- a/src/shard/writes.rs
+++ b/src/shard/writes.rs
@@ -133,7 +133,7 @@
         }
         let mut due: Vec<((bool, f64), RackIx)> = self
             .racks_due
-            .union(&self.racks_untidy)
+            .iter()
             .filter(|r| !self.in_flight.contains(&rack_key(**r)))
             .map(|r| (self.racks.list.get(r).map_or((false, 0.0), |rack| rack.turn(now)), *r))
             .collect();
@@ -208,7 +208,6 @@
     /// No machine is left in this rack.
     fn rack_gone(&mut self, r: RackIx) -> Option<Write> {
         self.racks_due.remove(&r);
-        self.racks_untidy.remove(&r);
         self.racks.list.remove(&r);
         self.delete_write(rack_key(r))
     }
@@ -217,7 +216,6 @@
     /// both name counts as stored.
     fn rack_write(&mut self, r: RackIx) -> Option<Write> {
         self.racks_due.remove(&r);
-        self.racks_untidy.remove(&r);
         if let Some(rack) = self.racks.list.get_mut(&r) {
             rack.being_written();
         }
@@ -253,7 +251,7 @@
         if self.racks.list.get(&r).is_some_and(|r| r.members.len() > 1) {
             self.split_rack(r);
         } else {
-            self.racks_untidy.insert(r);
+            self.racks_due.insert(r);
         }
         None
     }
