--- a/tests/loopback.rs
+++ b/tests/loopback.rs
@@ -16,6 +16,8 @@
 use std::time::{Duration, Instant};
 
 static EX: Executor<'static> = Executor::new();
+/// A job of which the stand-in for the state service does not speak.
+const UNREADABLE: &str = "req-0888";
 const RUN_TIME: Duration = Duration::from_millis(400);
 
 fn lock<T>(m: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -99,6 +101,9 @@
     lock(&store).expire();
     let parts: Vec<&str> = req.path.trim_start_matches('/').splitn(2, '/').collect();
     match (req.method, parts[0], parts.get(1).copied()) {
+        (Method::Get, "kv", Some(key)) if key.ends_with(UNREADABLE) => {
+            Outgoing::json(503, &json!({"error": "not now"}))
+        }
         (Method::Get, "kv", Some(key)) => {
             let s = lock(&store);
             match s.keys.get(key) {
@@ -441,8 +446,66 @@
         assert_eq!(again["bloom"], "done");
     }
 
-    // A service goes on while the owner ends, and the other node takes over.
+    // A job may name others that have to be done first: only accepted ones, by the state
+    // service's own word, and no services. Whoever cannot be told asks again.
     user.until(&listen, Method::Post, "/work", Some(&job("req-0007", "standing", 2)), |s, _| s == 201 || s == 200);
+    let after = |id: &str, needs: Value| {
+        let mut j = job(id, "batch", 2);
+        j["awaits"] = needs;
+        j
+    };
+    for a in &listen {
+        let post = |needs: Value| {
+            let b = serde_json::to_vec(&after("req-0300", needs)).expect("JSON");
+            user.ask(*a, Method::Post, "/work", Some(b)).0
+        };
+        assert_eq!(post(json!("req-0001")), 400);
+        assert_eq!(post(json!([1])), 400);
+        assert_eq!(post(json!(["req-0001", "req-0404"])), 422, "never accepted");
+        assert_eq!(post(json!(["req-0300"])), 422, "itself");
+        assert_eq!(post(json!(["req-0007"])), 422, "a service");
+        assert_eq!(post(json!([UNREADABLE])), 503, "nobody can tell now");
+        let many: Vec<String> = (0..3000).map(|i| format!("req-9{i:06}")).collect();
+        assert_eq!(post(json!(many)), 422, "its record would not fit");
+    }
+    let chain = [
+        job("req-0301", "batch", 3),
+        after("req-0302", json!(["req-0301", "req-0301", "req-0001"])),
+        after("req-0303", json!(["req-0302"])),
+    ];
+    for (i, j) in chain.iter().enumerate() {
+        user.until(&[listen[i % 2]], Method::Post, "/work", Some(j), |s, _| s == 201 || s == 200);
+    }
+    user.until(&listen, Method::Get, "/work/req-0303", None, |s, v| s == 200 && v["bloom"] == "done");
+    for id in ["req-0301", "req-0302"] {
+        user.until(&listen, Method::Get, &format!("/work/{id}"), None, |s, v| s == 200 && v["bloom"] == "done");
+    }
+    // Whatever a repeated submission names, it hears what became of the job.
+    for needs in [json!([]), json!(["req-0404"]), json!([UNREADABLE, "req-0404"])] {
+        let again = after("req-0303", needs);
+        for a in &listen {
+            user.until(&[*a], Method::Post, "/work", Some(&again), |s, v| {
+                assert!(s == 200 || s == 503, "{s} {v}");
+                s == 200 && v["bloom"] == "done" || again["awaits"][0] == UNREADABLE && s == 503
+            });
+        }
+    }
+    // Cancelling one dooms those after it; one that names it later is accepted, and doomed.
+    // The first wants all that its team may use, and waits for the service's part of it.
+    let cancelled = |s: u16, v: &Value| s == 200 && v["bloom"] == "cancelled";
+    let mut first = job("req-0311", "batch", 1);
+    first["cpus"] = json!(8.0);
+    for j in [first, after("req-0312", json!(["req-0311"])), after("req-0313", json!(["req-0312", "req-0001"]))] {
+        user.until(&listen, Method::Post, "/work", Some(&j), |s, _| s == 201 || s == 200);
+    }
+    user.until(&listen, Method::Post, "/work/req-0311/withdraw", None, cancelled);
+    let late = after("req-0314", json!(["req-0311"]));
+    user.until(&listen, Method::Post, "/work", Some(&late), |s, _| s == 201 || s == 200);
+    for id in ["req-0312", "req-0313", "req-0314"] {
+        user.until(&listen, Method::Get, &format!("/work/{id}"), None, cancelled);
+    }
+
+    // A service goes on while the owner ends, and the other node takes over.
     user.until(&listen, Method::Get, "/work/req-0007", None, |s, v| s == 200 && v["running"] == 2);
     let owner = lock(&store).keys.get("own/0").expect("a claim").0["node"].as_str() == Some("n1");
     let (dead, left) = (usize::from(owner), usize::from(!owner));
--- /dev/null
+++ b/tests/production.rs
@@ -0,0 +1,298 @@
+//! Versions side by side: what the version that the upgrade starts from stores is read by
+//! the present code, and what the present code stores is read by that version.
+//!
+//! The structs in `frozen` are that version's, to the letter where serde looks at them.
+//! They are never to be changed with the code: they say what an old node understands.
+
+use lupinspur::fleet::racks::{RackMachine, RackRecord};
+use lupinspur::fleet::{FLEET_KEY, MachineRecord};
+use lupinspur::intern::{Index, TeamIx};
+use lupinspur::jobs::{self, JobRecord, Jobs, Phase, ProgressRecord, Slot};
+use lupinspur::ownership::Claim;
+use lupinspur::shard::{FleetRecord, PoolRecord};
+use lupinspur::wire::JobRequest;
+use serde::de::DeserializeOwned;
+use serde_json::{Value, json};
+
+mod frozen {
+    use serde::{Deserialize, Serialize};
+
+    #[derive(Deserialize, Serialize, Clone, Copy, PartialEq, Eq, Debug)]
+    pub enum Kind {
+        #[serde(rename = "batch")]
+        Array,
+        #[serde(rename = "standing")]
+        Service,
+    }
+
+    #[derive(Deserialize, Serialize, Clone, Copy, PartialEq, Eq, Debug)]
+    pub enum Priority {
+        #[serde(rename = "critical")]
+        Production,
+        #[serde(rename = "urgent")]
+        High,
+        #[serde(rename = "standard")]
+        Normal,
+        #[serde(rename = "idle")]
+        Low,
+    }
+
+    #[derive(Deserialize, Serialize, Clone, Debug)]
+    pub struct JobRequest {
+        pub id: String,
+        pub breed: String,
+        pub herd: String,
+        pub habit: Kind,
+        pub precedence: Priority,
+        pub seeds: u32,
+        pub cpus: f64,
+        pub cards: f64,
+        pub memory_gb: f64,
+        #[serde(default)]
+        pub strains: Option<Vec<String>>,
+        #[serde(default)]
+        pub field: Option<String>,
+        pub same_place: bool,
+        pub scatter: bool,
+        pub fallow: bool,
+        #[serde(default)]
+        pub bulb: Option<String>,
+        pub pull_gb: f64,
+        pub expected_s: f64,
+        pub pressing_s: f64,
+        pub pressing_cost_s: f64,
+        #[serde(default)]
+        pub harvest_s: Option<f64>,
+    }
+
+    #[derive(Serialize, Deserialize, Clone, Copy, PartialEq, Eq, Debug)]
+    #[serde(rename_all = "lowercase")]
+    pub enum Phase {
+        Open,
+        Done,
+        Cancelled,
+    }
+
+    #[derive(Serialize, Deserialize, Clone, Debug)]
+    pub struct JobRecord {
+        pub job: JobRequest,
+        pub at_ms: u64,
+        pub phase: Phase,
+    }
+
+    #[derive(Serialize, Deserialize, Clone, Debug)]
+    pub struct ProgressRecord {
+        pub done: String,
+    }
+
+    #[derive(Serialize, Deserialize, Clone, Debug)]
+    pub struct RackRecord {
+        pub shard: u32,
+        #[serde(rename = "type")]
+        pub type_name: String,
+        pub zone: String,
+        pub spot: bool,
+        pub jobs: Vec<String>,
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        pub images: Vec<(String, f64)>,
+        pub machines: Vec<RackMachine>,
+    }
+
+    #[derive(Serialize, Deserialize, Clone, Debug)]
+    pub struct RackMachine {
+        pub machine: String,
+        #[serde(default)]
+        pub addr: String,
+        #[serde(default)]
+        pub retiring: bool,
+        #[serde(default)]
+        pub faulty: bool,
+        #[serde(default)]
+        pub jobs: Vec<u32>,
+        #[serde(default)]
+        pub images: Vec<u32>,
+    }
+
+    #[derive(Serialize, Deserialize, Clone, Debug)]
+    pub struct PoolRecord {
+        #[serde(rename = "type")]
+        pub type_name: String,
+        pub active: Vec<String>,
+        pub preemptive: Vec<String>,
+        pub target: usize,
+        pub spot: usize,
+        pub on_demand: usize,
+    }
+
+    #[derive(Serialize, Deserialize, Clone, Debug)]
+    pub struct FleetRecord {
+        pub pools: Vec<PoolRecord>,
+    }
+
+    #[derive(Serialize, Deserialize, Clone, Debug)]
+    pub struct Claim {
+        pub node: String,
+        pub nonce: String,
+    }
+
+    /// Tasks in one chunk of progress: that version knows only the limit that holds today.
+    pub fn chunk_tasks(value_bytes: usize) -> u32 {
+        (value_bytes * 2).next_power_of_two().clamp(1024, 1 << 16) as u32
+    }
+
+    /// The key of a chunk as that version reads it: nothing else under `prog/` is kept.
+    pub fn chunk_of(key: &str) -> Option<u32> {
+        key.strip_prefix("prog/")?.rsplit_once('/')?.1.parse().ok()
+    }
+}
+
+fn read<T: DeserializeOwned>(v: &Value) -> T {
+    serde_json::from_value(v.clone()).unwrap_or_else(|e| panic!("cannot be read: {e}: {v}"))
+}
+
+fn job(tasks: u32) -> Value {
+    json!({"id":"req-000412","breed":"train","herd":"vision","habit":"batch","precedence":"urgent","seeds":tasks,
+        "cpus":8.0,"cards":1.0,"memory_gb":64.0,"bulb":"img-07","pull_gb":6.2,"strains":["g8"],"field":null,
+        "same_place":true,"scatter":false,"fallow":true,"expected_s":240.0,"pressing_s":30.0,
+        "pressing_cost_s":4.0,"harvest_s":900.0})
+}
+
+/// Kept examples of every value that production stores, as they stand in its state service.
+#[test]
+fn the_present_version_reads_what_production_stored() {
+    let open: JobRecord = read(&json!({"job": job(16), "at_ms": 1764590000123u64, "phase": "open"}));
+    assert_eq!((open.phase, open.at_ms, open.ended_ms), (Phase::Open, 1_764_590_000_123, None));
+    assert!(open.job.needs().is_empty());
+    let done: JobRecord = read(&json!({"job": job(16), "at_ms": 0, "phase": "done"}));
+    assert_eq!(done.phase, Phase::Done);
+    let progress: ProgressRecord = read(&json!({"done": "f07"}));
+    assert_eq!(progress.done, "f07");
+    let rack: RackRecord = read(&json!({"shard":0,"type":"g8","zone":"a","spot":true,"jobs":["req-1","req-2"],
+        "images":[["img-07",6.2]],"machines":[{"machine":"host-000231","addr":"10.1.0.232:9000","jobs":[0,1],
+        "images":[0]},{"machine":"host-000232","retiring":true}]}));
+    assert_eq!(rack.machines[0].jobs, [0, 1]);
+    assert!(rack.machines[1].retiring && rack.machines[1].jobs.is_empty());
+    let own: MachineRecord = read(&json!({"shard":0,"addr":"10.1.0.232:9000","type":"g8","zone":"a","spot":true,
+        "retiring":false,"jobs":["req-1"],"images":[["img-07",6.2]]}));
+    assert_eq!(own.jobs, ["req-1"]);
+    let fleet: FleetRecord = read(&json!({"pools":[{"type":"g8","active":["a"],"preemptive":["b"],"target":4,
+        "spot":6,"on_demand":1}]}));
+    assert_eq!(fleet.pools[0].preemptive, ["b"]);
+    let claim: Claim = read(&json!({"node":"n1","nonce":"00c0ffee"}));
+    assert_eq!(claim.node, "n1");
+    assert_eq!((FLEET_KEY, jobs::JOB_PREFIX, jobs::PROGRESS_PREFIX), ("fleet/0", "job/", "prog/"));
+}
+
+/// A job that needs nothing is stored to the letter as production stores it, and nothing
+/// that is added keeps production from reading a value.
+#[test]
+fn production_reads_what_the_present_version_stores() {
+    let request: JobRequest = read(&job(16));
+    let open = serde_json::to_value(JobRecord::accepted(request.clone(), 5)).expect("JSON");
+    let there: frozen::JobRecord = read(&open);
+    assert_eq!(serde_json::to_value(&there).expect("JSON"), open, "an open job has the same value in both");
+
+    let mut waiting = request.clone();
+    waiting.needs = Some(vec!["req-000398".into()]);
+    let ended = JobRecord::ended(&waiting, 5, Phase::Cancelled, 77, 4096);
+    let there: frozen::JobRecord = read(&serde_json::to_value(&ended).expect("JSON"));
+    assert_eq!((there.phase, there.job.seeds), (frozen::Phase::Cancelled, 16));
+    // An old owner never writes a final record again, so that nothing is lost by the fields
+    // that it drops; and a job that needs others is not submitted while there is one.
+
+    let rack = RackRecord {
+        shard: 0,
+        type_name: "g8".into(),
+        zone: "a".into(),
+        spot: true,
+        jobs: vec!["req-1".into()],
+        images: vec![("img-07".into(), 6.2)],
+        machines: vec![
+            RackMachine {
+                machine: "host-000231".into(),
+                addr: "10.1.0.232:9000".into(),
+                jobs: vec![0],
+                images: vec![0],
+                ..RackMachine::default()
+            },
+            RackMachine { machine: "host-000232".into(), retiring: true, faulty: true, ..RackMachine::default() },
+        ],
+    };
+    let there: frozen::RackRecord = read(&serde_json::to_value(&rack).expect("JSON"));
+    assert_eq!(there.machines[0].jobs, [0]);
+    assert!(there.machines[1].retiring && there.machines[1].faulty);
+
+    let pool = PoolRecord {
+        type_name: "g8".into(),
+        active: vec!["a".into()],
+        preemptive: vec![],
+        target: 4,
+        spot: 6,
+        on_demand: 1,
+    };
+    let there: frozen::FleetRecord = read(&serde_json::to_value(FleetRecord { pools: vec![pool] }).expect("JSON"));
+    assert_eq!(there.pools[0].target, 4);
+    let claim = Claim { node: "n1".into(), nonce: "0".into() };
+    let there: frozen::Claim = read(&serde_json::to_value(claim).expect("JSON"));
+    assert_eq!(there.node, "n1");
+}
+
+/// Production takes the number in `prog/ID/N` for a chunk of its own size. A job of one
+/// present chunk stands there with the same meaning in both; pieces of a larger one go to
+/// keys that production does not look at, and a chunk that production stored is read by
+/// production's size.
+#[test]
+fn no_version_misreads_the_others_progress() {
+    let (today, tomorrow) = (16 * 1024, 2 * 1024);
+    let production = frozen::chunk_tasks(today);
+    let jobs_of = |tasks: u32| {
+        let mut jobs = Jobs::new(jobs::chunk_tasks(tomorrow), jobs::chunk_tasks(today), 3);
+        let j = jobs.add(JobRecord::accepted(read(&job(tasks)), 0), TeamIx::new(0), 0.0);
+        (jobs, j)
+    };
+    for tasks in [1, 700, 4096, 4097, 100_000] {
+        let (mut jobs, j) = jobs_of(tasks);
+        jobs.mark_done(j, tasks - 1, false);
+        let chunks: Vec<u32> = jobs.at(j).dirty_chunks.iter().copied().collect();
+        for c in chunks {
+            let (key, value) = (jobs.progress_key(j, c), jobs.progress(j, c));
+            assert!(serde_json::to_string(&value).expect("JSON").len() <= tomorrow, "{tasks} tasks: too large");
+            match frozen::chunk_of(&key) {
+                Some(chunk) => {
+                    // The place of the last mark, as production would read it.
+                    let at = value.done.len() as u32 * 4;
+                    assert!(chunk == 0 && at >= tasks && tasks <= 4096, "{tasks} tasks under {key}");
+                    let there: frozen::ProgressRecord = read(&serde_json::to_value(&value).expect("JSON"));
+                    assert_eq!(there.done, value.done);
+                }
+                None => assert!(key.starts_with(jobs::PART_PREFIX) && tasks > 4096, "{tasks} tasks under {key}"),
+            }
+        }
+    }
+    // The other way round: production's second chunk, and a piece of ours, of the same job.
+    let (mut jobs, j) = jobs_of(100_000);
+    jobs.load_progress(j, production, &ProgressRecord { done: "1".into() });
+    jobs.load_progress(j, 8192, &ProgressRecord { done: "8".into() });
+    let done: Vec<usize> = (0..100_000).filter(|t| jobs.at(j).tasks[*t] == Slot::Done { stored: true }).collect();
+    assert_eq!(done, [8195, 32768]);
+    let keys: Vec<String> = jobs.progress_keys(j).collect();
+    assert!(keys.contains(&"prog/req-000412/1".into()) && keys.contains(&"part/req-000412/8192".into()));
+}
+
+/// A record that was accepted under a larger limit can still be finished and cancelled: what
+/// is stored of its end fits, and either version can read it.
+#[test]
+fn a_job_whose_record_is_too_large_can_still_end() {
+    let mut large = job(7);
+    large["strains"] = json!(vec!["g8"; 900]);
+    large["breed"] = json!("x".repeat(3000));
+    let request: JobRequest = read(&large);
+    for phase in [Phase::Done, Phase::Cancelled] {
+        let value = serde_json::to_value(JobRecord::ended(&request, 5, phase, 77, 1984)).expect("JSON");
+        assert!(value.to_string().len() <= 1984);
+        let there: frozen::JobRecord = read(&value);
+        assert_eq!((there.job.id.as_str(), there.job.herd.as_str(), there.job.seeds), ("req-000412", "vision", 7));
+        let here: JobRecord = read(&value);
+        assert_eq!((here.phase, here.ended_ms), (phase, Some(77)));
+    }
+}
