The limit of sockets is read from where the platform writes it

Cause: the settings have it under [cluster.limits], and it was looked for under [limits]. Ruled out: the open-files limit of the process (20,000), the processor, the accept queue.

--- a/src/settings.rs
+++ b/src/settings.rs
@@ -163,7 +163,7 @@
         if state_next.txn_ops == 0 {
             return wrong("cluster.state.next.txn_ops", "must be above zero");
         }
-        let sockets = f.limits.max_connections.unwrap_or(1000);
+        let sockets = f.params.limits.max_connections.unwrap_or(1000);
         if sockets < 16 {
             return wrong("cluster.limits.sockets", "at least 16 are needed");
         }
@@ -227,6 +227,18 @@
         Settings::parse(&EXAMPLE.replace("[cluster.cloud]", &format!("[cluster.state.next]\n{next}\n[cluster.cloud]")))
     }
 
+    /// Guards against a field that is looked for where it does not stand: every controller
+    /// once kept to the 1,000 sockets that are assumed where none are named, and so no owner
+    /// heard more than 800 machines, users included.
+    #[test]
+    fn the_sockets_are_those_of_the_platform_s_limits() {
+        let with = |sockets: &str| Settings::parse(&format!("{EXAMPLE}[cluster.limits]\ncores = 0.3\n{sockets}\n"));
+        assert_eq!(with("sockets = 3571").expect("settings").sockets, 3571);
+        assert_eq!(with("").expect("settings").sockets, 1000);
+        let e = with("sockets = 3").expect_err("too few").to_string();
+        assert!(e.contains("cluster.limits.sockets") && !e.contains('\n'), "{e}");
+    }
+
     /// The limits that will hold are optional, each of them, and no value or transaction is
     /// ever made larger than either set allows.
     #[test]
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -63,8 +63,6 @@
     pub services: SettingsServices,
     #[serde(rename = "cluster")]
     pub params: SettingsParams,
-    #[serde(default)]
-    pub limits: SettingsLimits,
 }
 
 #[derive(Deserialize)]
@@ -91,6 +89,8 @@
     pub workers: SettingsWorkers,
     pub state: SettingsState,
     pub cloud: SettingsCloud,
+    #[serde(default)]
+    pub limits: SettingsLimits,
 }
 
 #[derive(Deserialize)]
