More workers than sockets take turns, and bodies have a part of the memory

Need: with more machines than sockets, those that came first held their connections for ever and the rest were never heard; bodies of 64 KiB on all connections at once were more than the memory. Now, from three quarters of the connections on, each answer gives its connection back; bodies that are read or handled take an eighth of the memory, and over that 503 is said at once. Both follow from the settings. Tests: 24 workers on 8 sockets are all heard; slow bodies.

--- a/src/http.rs
+++ b/src/http.rs
@@ -221,9 +221,47 @@
     Ok(())
 }
 
+/// What all connections to one listener may take together.
+#[derive(Debug, Clone, Copy)]
+pub struct Bounds {
+    pub connections: usize,
+    /// Bytes of the bodies that are being read or handled.
+    pub body_bytes: usize,
+}
+
+#[derive(Debug)]
+struct Door {
+    bounds: Bounds,
+    open: AtomicUsize,
+    body_bytes: AtomicUsize,
+}
+
+/// A part of what the door has, given back when dropped.
+struct Part<'a>(&'a AtomicUsize, usize);
+
+impl Drop for Part<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(self.1, Ordering::Relaxed);
+    }
+}
+
+fn take(of: &AtomicUsize, n: usize, most: usize) -> Option<Part<'_>> {
+    let part = (of.fetch_add(n, Ordering::Relaxed) + n <= most, Part(of, n));
+    part.0.then_some(part.1)
+}
+
+impl Door {
+    /// Connections run short: they are given back after each answer, so that more workers
+    /// than there are sockets can take turns. Whoever held one once kept it for ever, and
+    /// the machines that came last were never heard.
+    fn crowded(&self) -> bool {
+        self.open.load(Ordering::Relaxed) > self.bounds.connections / 4 * 3
+    }
+}
+
 /// Serves one connection until it closes. Returns when the peer is done, too
 /// slow or malformed.
-async fn serve_conn<F, Fut>(conn: Conn, handler: &F) -> io::Result<()>
+async fn serve_conn<F, Fut>(conn: Conn, door: &Door, handler: &F) -> io::Result<()>
 where
     F: Fn(Incoming) -> Fut,
     Fut: Future<Output = Outgoing>,
@@ -236,17 +274,19 @@
                 return Ok(None);
             };
             let too_big = req.len().is_some_and(|n| n > MAX_BODY);
+            // Of a body that does not say how long it is, the most is assumed.
+            let room = take(&door.body_bytes, req.len().unwrap_or(MAX_BODY), door.bounds.body_bytes);
             let mut body = Vec::new();
-            if !too_big {
+            if !too_big && room.is_some() {
                 req.take_body().take(MAX_BODY as u64 + 1).read_to_end(&mut body).await?;
                 // The decoder's own copy of the body's end must be read before the next request.
                 if body.len() <= MAX_BODY {
                     io::copy(&mut rest, &mut io::sink()).await?;
                 }
             }
-            Ok::<_, http_types::Error>(Some((req, body, too_big)))
+            Ok::<_, http_types::Error>(Some((req, body, too_big, room)))
         };
-        let (req, body, too_big) = match timed(HEAD_AND_BODY, begun).await {
+        let (req, body, too_big, room) = match timed(HEAD_AND_BODY, begun).await {
             Ok(Ok(Some(r))) => r,
             Ok(Ok(None)) => return Ok(()),
             Ok(Err(_)) => {
@@ -259,6 +299,10 @@
             send(&conn, response(Outgoing::error(413, "body over 64 KiB"), true), method).await?;
             return linger(&conn).await;
         }
+        let Some(_room) = room else {
+            send(&conn, response(Outgoing::error(503, "too much at once"), true), method).await?;
+            return linger(&conn).await;
+        };
         let close = req.header("connection").is_some_and(|h| h.as_str().eq_ignore_ascii_case("close"));
         let out = handler(Incoming {
             method,
@@ -267,6 +311,7 @@
             body,
         })
         .await;
+        let close = close || door.crowded();
         send(&conn, response(out, close), method).await?;
         if close {
             return Ok(());
@@ -274,25 +319,18 @@
     }
 }
 
-struct Slot(Arc<AtomicUsize>);
-
-impl Drop for Slot {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
-/// Accepts connections for ever, at most `most` open at once.
+/// Accepts connections for ever. One over the bound is closed at once: its peer asks
+/// another controller.
 pub async fn serve<F, Fut>(
     ex: &'static async_executor::Executor<'static>,
     listener: Async<TcpListener>,
-    most: usize,
+    bounds: Bounds,
     handler: Arc<F>,
 ) where
     F: Fn(Incoming) -> Fut + Send + Sync + 'static,
     Fut: Future<Output = Outgoing> + Send,
 {
-    let open = Arc::new(AtomicUsize::new(0));
+    let door = Arc::new(Door { bounds, open: AtomicUsize::new(0), body_bytes: AtomicUsize::new(0) });
     loop {
         let stream = match listener.accept().await {
             Ok((s, _)) => s,
@@ -302,17 +340,76 @@
                 continue;
             }
         };
-        if open.fetch_add(1, Ordering::Relaxed) >= most {
-            open.fetch_sub(1, Ordering::Relaxed);
-            continue;
-        }
-        let slot = Slot(open.clone());
-        let handler = handler.clone();
+        let (door, handler) = (door.clone(), handler.clone());
         ex.spawn(async move {
-            let _slot = slot;
+            let Some(_slot) = take(&door.open, 1, door.bounds.connections) else { return };
             let _ = stream.get_ref().set_nodelay(true);
-            let _ = serve_conn(Conn(Arc::new(stream)), &*handler).await;
+            let _ = serve_conn(Conn(Arc::new(stream)), &door, &*handler).await;
         })
         .detach();
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    static EX: async_executor::Executor<'static> = async_executor::Executor::new();
+
+    fn listening(bounds: Bounds) -> SocketAddr {
+        let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).expect("a port");
+        let addr = listener.get_ref().local_addr().expect("its address");
+        let handler = |req: Incoming| async move { Outgoing::json(200, &req.body.len()) };
+        EX.spawn(serve(&EX, listener, bounds, Arc::new(handler))).detach();
+        addr
+    }
+
+    /// Guards against machines that are never heard: with more of them than sockets, those
+    /// that came first once held their connections for ever.
+    #[test]
+    fn more_workers_than_sockets_take_turns() {
+        let addr = listening(Bounds { connections: 8, body_bytes: 1 << 20 });
+        let clients: Vec<Client> = (0..24).map(|_| Client::new(1, 1)).collect();
+        async_io::block_on(EX.run(async {
+            for _round in 0..3 {
+                for c in &clients {
+                    let limit = Duration::from_secs(2);
+                    let call = || c.call(addr, Method::Post, "/", Some(b"{}".to_vec()), limit);
+                    let mut heard = call().await;
+                    // A connection that was given back meanwhile is opened anew.
+                    for _ in 0..3 {
+                        if heard.is_err() {
+                            heard = call().await;
+                        }
+                    }
+                    assert_eq!(heard.map(|h| h.0), Ok(200));
+                }
+            }
+        }));
+    }
+
+    /// Bodies that are sent slowly, or by many at once, cost no more than their part: who
+    /// comes then hears 503 at once, and who has no body is served.
+    #[test]
+    fn bodies_take_no_more_than_their_part() {
+        let addr = listening(Bounds { connections: 64, body_bytes: 2 * MAX_BODY });
+        async_io::block_on(EX.run(async {
+            let mut slow = Vec::new();
+            for _ in 0..2 {
+                let mut c = Conn::open(addr, Duration::from_secs(2)).await.expect("open");
+                let head = format!("POST / HTTP/1.1\r\nhost: x\r\ncontent-length: {MAX_BODY}\r\n\r\n{{");
+                futures_lite::AsyncWriteExt::write_all(&mut c, head.as_bytes()).await.expect("sent");
+                slow.push(c);
+            }
+            Timer::after(Duration::from_millis(100)).await;
+            let client = Client::new(1, 1);
+            let limit = Duration::from_secs(2);
+            let refused = client.call(addr, Method::Post, "/", Some(b"{}".to_vec()), limit).await;
+            assert_eq!(refused.map(|h| h.0), Ok(503));
+            assert_eq!(client.call(addr, Method::Get, "/", None, limit).await.map(|h| h.0), Ok(200));
+            drop(slow);
+            Timer::after(Duration::from_millis(100)).await;
+            assert_eq!(client.call(addr, Method::Post, "/", Some(b"{}".to_vec()), limit).await.map(|h| h.0), Ok(200));
+        }));
+    }
+}
--- a/src/node.rs
+++ b/src/node.rs
@@ -694,7 +694,7 @@
     clock::now();
     let listener = Async::<TcpListener>::bind(settings.listen)?;
     let peer_listener = Async::<TcpListener>::bind(settings.peer_listen)?;
-    let most = settings.sockets.saturating_sub(settings.sockets / 5).max(8);
+    let bounds = settings.door();
     log::info!("{} in {} listens on {}", settings.node, settings.zone, settings.listen);
     let node = NODE.get_or_init(|| Arc::new(Node::new(settings, tuning))).clone();
     let n = || node.clone();
@@ -712,6 +712,6 @@
         let me = node.clone();
         async move { me.handle(req).await }
     });
-    async_io::block_on(EX.run(crate::http::serve(&EX, listener, most, handler)));
+    async_io::block_on(EX.run(crate::http::serve(&EX, listener, bounds, handler)));
     Ok(())
 }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -62,8 +62,14 @@
     pub cloud_rps: f64,
     pub list_lag_s: f64,
     pub sockets: usize,
+    pub memory_mb: f64,
 }
 
+/// The part of the sockets that workers and users may hold; the rest is for our own calls.
+const SOCKETS_IN: (usize, usize) = (4, 5);
+/// The part of the memory that bodies of requests may take.
+const BODIES_OF_MEMORY: f64 = 0.125;
+
 fn wrong<T>(field: &str, reason: impl Into<String>) -> Result<T, SettingsError> {
     Err(SettingsError::Wrong { field: field.into(), reason: reason.into() })
 }
@@ -94,6 +100,15 @@
         bytes - bytes / VALUE_SLACK
     }
 
+    /// What workers and users may take of this controller.
+    pub fn door(&self) -> crate::http::Bounds {
+        let body_bytes = (self.memory_mb * 1024.0 * 1024.0 * BODIES_OF_MEMORY) as usize;
+        crate::http::Bounds {
+            connections: (self.sockets * SOCKETS_IN.0 / SOCKETS_IN.1).max(8),
+            body_bytes: body_bytes.max(4 * crate::http::MAX_BODY),
+        }
+    }
+
     /// What every transaction fits.
     pub fn least_txn_ops(&self) -> usize {
         self.txn_ops.min(self.state_next.txn_ops)
@@ -188,6 +203,7 @@
             cloud_rps: positive("cluster.cloud.rps", f.params.cloud.rps)?,
             list_lag_s: amount("cluster.cloud.list_lag_s", f.params.cloud.list_lag_s)?,
             sockets,
+            memory_mb: positive("cluster.limits.ram_mb", f.params.limits.memory_mb.unwrap_or(100.0))?,
         })
     }
 }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -143,6 +143,8 @@
 pub struct SettingsLimits {
     #[serde(rename = "sockets")]
     pub max_connections: Option<usize>,
+    #[serde(rename = "ram_mb")]
+    pub memory_mb: Option<f64>,
 }
 
 // ---- users ----
--- a/tests/loopback.rs
+++ b/tests/loopback.rs
@@ -5,7 +5,7 @@
 use async_executor::Executor;
 use async_io::{Async, Timer};
 use http_types::Method;
-use lupinspur::http::{Client, Incoming, Outgoing, serve};
+use lupinspur::http::{Bounds, Client, Incoming, Outgoing, serve};
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
 use std::io::{Read, Write};
@@ -20,6 +20,8 @@
 const UNREADABLE: &str = "req-0888";
 const RUN_TIME: Duration = Duration::from_millis(400);
 
+const ROOM: Bounds = Bounds { connections: 2000, body_bytes: 16 << 20 };
+
 fn lock<T>(m: &Mutex<T>) -> MutexGuard<'_, T> {
     m.lock().unwrap_or_else(|e| e.into_inner())
 }
@@ -39,7 +41,7 @@
 {
     let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).expect("a port");
     let addr = listener.get_ref().local_addr().expect("its address");
-    EX.spawn(serve(&EX, listener, 200, Arc::new(handler))).detach();
+    EX.spawn(serve(&EX, listener, ROOM, Arc::new(handler))).detach();
     addr
 }
 
