A successor learns from the cloud's list how old its machines are

Cause: a machine that a successor finds recorded counted as born at the takeover, and nothing is returned before its first paid minute.

--- a/src/shard/sizing.rs
+++ b/src/shard/sizing.rs
@@ -217,6 +217,10 @@
             let machine = self.machines.at_mut(m);
             machine.listed = true;
             machine.missing = 0;
+            // A successor does not know how old a machine is that it found recorded: until it
+            // counted it from the cloud's word, every takeover kept what was not needed for
+            // another minute, hundreds of machines of it.
+            machine.born = machine.born.min(now - l.age_s);
             if machine.addr.is_none() {
                 machine.addr = l.addr.parse().ok();
             }
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -381,7 +381,10 @@
                 let list: Vec<ListedMachine> = args
                     .iter()
                     .map(|n| {
-                        let v = json!({"id":n,"addr":"127.0.0.1:9","strain":"m32","field":"a","fallow":false,"bloom":"running"});
+                        let (n, age) = n.split_once(":age=").unwrap_or((n, "0"));
+                        let age: f64 = age.parse().expect("seconds");
+                        let v = json!({"id":n,"addr":"127.0.0.1:9","strain":"m32","field":"a","fallow":false,
+                            "bloom":"running","held_s":age});
                         serde_json::from_value(v).expect("a machine")
                     })
                     .collect();
