A zone with mute machines is asked as a whole, and only who was heard just now bears witness

Change: a mute machine goes only while two in five of all, or of other zones, were heard within half a report's interval, and ticks came in time. Three mute ones, and one in twenty of a zone, make the owner ask the rest of it: a zone is given up 4 s after its cut instead of up to 8, and nothing more is started there meanwhile.

--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -204,6 +204,7 @@
         self.phase == Phase::Up
             && self.resolved()
             && self.reported_token
+            && !self.suspect
             && !self.cordoned
             && self.notice_until.is_none()
             && now >= self.quarantined_until
--- a/src/shard/mod.rs
+++ b/src/shard/mod.rs
@@ -19,7 +19,7 @@
 use crate::fleet::racks::{RackMachine, RackRecord, Racks, rack_key};
 use crate::fleet::zones::ZoneLists;
 use crate::fleet::{CachedImage, Held, HeldState, MachineRecord, Machines, Phase as MachinePhase, Types};
-use crate::intern::{Index, JobIx, MachineIx, Names, RackIx, TeamIx, TypeIx};
+use crate::intern::{Index, JobIx, MachineIx, Names, RackIx, TeamIx, TypeIx, ZoneIx};
 use crate::jobs::{JobRecord, Jobs, PART_PREFIX, PROGRESS_PREFIX, Phase, ProgressRecord, Slot, TaskKey};
 use crate::pipeline::Graph;
 use crate::settings::{Settings, Team};
@@ -147,6 +147,10 @@
     ticked: f64,
     /// When it last began to act again after a pause.
     resumed: f64,
+    /// When a tick last came late: the processor had more to do than it could.
+    late_at: f64,
+    /// When all machines of a zone were last asked whether they are there.
+    zones_asked: BTreeMap<ZoneIx, f64>,
     /// The time of day at the steady clock's zero, in milliseconds.
     pub day_ms: f64,
     pub report_s: f64,
@@ -204,6 +208,8 @@
 const GRACE_EXTRA_S: f64 = 2.0;
 /// Longer between two ticks, and this owner was not entitled to act in between.
 const PAUSE_S: f64 = 1.0;
+/// Ticks come ten times a second and more often: one so late waited for the processor.
+const LATE_S: f64 = 0.6;
 /// Ticks come as often as there is something to place; machines change more slowly.
 const WATCH_EVERY_S: f64 = 0.09;
 
@@ -231,6 +237,8 @@
             writable: true,
             ticked: now,
             resumed: now,
+            late_at: f64::MIN,
+            zones_asked: BTreeMap::new(),
             fresh: loaded.machines.is_empty() && loaded.racks.is_empty(),
             day_ms: 0.0,
             report_s: s.report_s,
@@ -777,6 +785,9 @@
     }
 
     pub fn tick(&mut self, now: f64) {
+        if now - self.ticked > LATE_S {
+            self.late_at = now;
+        }
         if now - self.ticked > PAUSE_S {
             self.resumed = now;
         }
--- a/src/shard/sizing.rs
+++ b/src/shard/sizing.rs
@@ -23,6 +23,13 @@
 const REPORT_SPREAD: f64 = 1.25;
 /// A machine that is there answers a direct question sooner than this.
 const ANSWERS_WITHIN_S: f64 = 1.25;
+/// Beyond half a report's interval, what counts as just now.
+const FRESH_EXTRA_S: f64 = 0.25;
+/// So long after ticks came late, an answer that is missing may stand in our own queue.
+const LATE_COUNTS_S: f64 = 2.5;
+/// So many mute machines, and one in so many of a zone, make the rest of it suspect.
+const LEAST_MUTE: usize = 3;
+const MUTE_SHARE: usize = 20;
 /// So many machines of other zones can tell that a zone is silent, and not this owner.
 const LEAST_WITNESSES: usize = 4;
 /// A machine that was deleted costs at least this long.
@@ -42,6 +49,33 @@
 /// And with this share more: so many more start at a time where there are more of them.
 const SPARE_SHARE: f64 = 0.08;
 
+/// How many machines of some sort are up and were heard.
+#[derive(Debug, Clone, Copy, Default)]
+struct Heard {
+    up: usize,
+    lately: usize,
+    just_now: usize,
+    mute: usize,
+}
+
+impl Heard {
+    fn add(&mut self, o: &Heard) {
+        self.up += o.up;
+        self.lately += o.lately;
+        self.just_now += o.just_now;
+        self.mute += o.mute;
+    }
+
+    fn less(&self, o: &Heard) -> Heard {
+        Heard {
+            up: self.up - o.up,
+            lately: self.lately - o.lately,
+            just_now: self.just_now - o.just_now,
+            mute: self.mute - o.mute,
+        }
+    }
+}
+
 impl Shard {
     /// A report is overdue: its machine is asked directly whether it is there.
     fn overdue_s(&self) -> f64 {
@@ -57,35 +91,65 @@
     pub(super) fn watch_machines(&mut self, now: f64) {
         let lease = stretched(self.lease_s);
         let (silent_s, overdue_s) = (self.silent_s(), self.overdue_s());
-        let (mut up, mut recent) = (0usize, 0usize);
-        let mut by_zone: BTreeMap<ZoneIx, (usize, usize)> = BTreeMap::new();
-        for (_, m) in self.machines.iter() {
-            if m.phase == MachinePhase::Up {
-                // One that is recorded and was never heard by this owner tells nothing.
-                let heard = usize::from(m.session > 0 && self.silence(m, now) < self.report_s * REPORT_SPREAD + 1.0);
-                up += 1;
-                recent += heard;
-                let zone = by_zone.entry(m.zone).or_default();
-                *zone = (zone.0 + 1, zone.1 + heard);
-            }
+        let fresh_s = self.report_s / 2.0 + FRESH_EXTRA_S;
+        let mut whole = Heard::default();
+        let mut by_zone: BTreeMap<ZoneIx, Heard> = BTreeMap::new();
+        for (_, m) in self.machines.iter().filter(|(_, m)| m.phase == MachinePhase::Up) {
+            // One that is recorded and was never heard by this owner tells nothing.
+            let heard_within = |s: f64| usize::from(m.session > 0 && self.silence(m, now) < s);
+            let one = Heard {
+                up: 1,
+                lately: heard_within(self.report_s * REPORT_SPREAD + 1.0),
+                just_now: heard_within(fresh_s),
+                mute: usize::from(m.suspect && m.unanswered > 0),
+            };
+            whole.add(&one);
+            by_zone.entry(m.zone).or_default().add(&one);
         }
         // Only while most others are heard is a silent machine to blame. An owner that was
         // cut off from the workers once deleted the third of them that it missed first. The
         // machines of other zones are enough: when a zone was cut off and spot machines were
         // taken at the same time, too few were heard in all, and everything in that zone
         // waited for the end of its lease.
-        let most_heard = recent * 5 >= (up - 1.min(up)) * 3;
-        let blamed = |zone: ZoneIx| {
+        let elsewhere = |zone: ZoneIx| {
             let here = by_zone.get(&zone).copied().unwrap_or_default();
-            let (elsewhere, heard) = (up - here.0, recent - here.1);
-            most_heard || elsewhere >= LEAST_WITNESSES && heard * 5 >= elsewhere * 4
+            whole.less(&here)
+        };
+        let blamed = |zone: ZoneIx| {
+            let others = elsewhere(zone);
+            whole.lately * 5 >= (whole.up - 1.min(whole.up)) * 3
+                || others.up >= LEAST_WITNESSES && others.lately * 5 >= others.up * 4
         };
+        // A machine that is mute is given up sooner than others would be missed by an owner
+        // that is cut off itself: there it counts who was heard just now. Reports come in
+        // turn, so that half of all are heard in half of their interval.
+        let heard_just_now = |h: &Heard| h.up >= LEAST_WITNESSES && h.just_now * 5 >= h.up * 2;
+        let punctual = now - self.late_at > LATE_COUNTS_S;
+        let believed = |zone: ZoneIx| punctual && (heard_just_now(&whole) || heard_just_now(&elsewhere(zone)));
+        // Where several are mute the others of that zone are asked at once: a zone that is cut
+        // off is known as a whole then, before more is started there.
+        for (&zone, h) in &by_zone {
+            let asked = self.zones_asked.get(&zone).is_some_and(|t| now - t < self.report_s);
+            if !asked && h.mute >= LEAST_MUTE && h.mute * MUTE_SHARE >= h.up {
+                log::info!("{} of {} machines in zone {} are mute", h.mute, h.up, self.types.zones.name(zone));
+                self.zones_asked.insert(zone, now);
+                let here: Vec<MachineIx> = self
+                    .machines
+                    .iter()
+                    .filter(|(_, m)| m.zone == zone && m.phase == MachinePhase::Up && !m.suspect)
+                    .filter(|(_, m)| m.session > 0 && self.silence(m, now) > ANSWERS_WITHIN_S)
+                    .map(|(i, _)| i)
+                    .collect();
+                for i in here {
+                    self.ask(i);
+                }
+            }
+        }
         let all: Vec<MachineIx> = self.machines.present.iter().copied().collect();
         for i in all {
             let m = self.machines.at(i);
             if !m.suspect && m.phase == MachinePhase::Up && self.silence(m, now) > overdue_s {
-                self.machines.at_mut(i).suspect = true;
-                self.machines.direct_due.insert(i);
+                self.ask(i);
             }
             let m = self.machines.at(i);
             let over = m.last_ok.map_or(f64::MIN, |t| t + lease).max(m.unresolved_until.unwrap_or(f64::MIN));
@@ -120,8 +184,10 @@
                     // One that does not answer when it is asked need not be waited for until a
                     // second report is overdue: what hangs or is cut off counts as down from its
                     // first moment, and was replaced after 11 to 18 s.
-                    let mute = m.suspect && m.unanswered > 0 && quiet > overdue_s + ANSWERS_WITHIN_S;
-                    let lost = (quiet > silent_s || mute) && others_heard || quiet > lease * 2.0;
+                    let zone_asked = self.zones_asked.get(&m.zone).is_some_and(|t| now - t < self.report_s);
+                    let asked_s = if zone_asked { ANSWERS_WITHIN_S } else { overdue_s };
+                    let mute = m.suspect && m.unanswered > 0 && quiet > asked_s + ANSWERS_WITHIN_S;
+                    let lost = quiet > silent_s && others_heard || mute && believed(m.zone) || quiet > lease * 2.0;
                     let faulty = m.faulty() && m.tasks.is_empty() && m.resolved();
                     let emptied = m.cordoned && m.tasks.is_empty() && m.resolved() && now - m.born > LEAST_PAID_S;
                     if taken || lost || faulty || emptied {
@@ -137,6 +203,12 @@
         }
     }
 
+    /// Asks a machine directly whether it is there. Until it answers, nothing is started on it.
+    fn ask(&mut self, m: MachineIx) {
+        self.machines.at_mut(m).suspect = true;
+        self.machines.direct_due.insert(m);
+    }
+
     /// Marked in the state service first, then deleted; never used again.
     pub(super) fn retire(&mut self, m: MachineIx) {
         let machine = self.machines.at_mut(m);
