Racks without room for names are written anew, and parted if need be

Cause: what a machine takes is also bounded by what its rack's value can name; 24 machines share 4 KB, which does not name a dozen services on each. Change: a rack with less than an eighth of its value free, of which a machine has room, is written anew without the jobs that are over, and parted if that is not enough.

--- a/src/fleet/racks.rs
+++ b/src/fleet/racks.rs
@@ -76,8 +76,12 @@
     due_since: Option<f64>,
     waiting: u32,
     pressing: bool,
+    /// Its value was found nearly full, and is made anew: names of jobs that are over go.
+    looked_through: bool,
 }
 
+/// The part of a value that is to stay free for names to come.
+const FREE_SHARE: usize = 8;
 /// Bytes of a value that one machine may want: its own entry, and the names of jobs
 /// that no neighbour has.
 const BYTES_A_MACHINE: usize = 160;
@@ -128,6 +132,21 @@
         (self.pressing, (waited + LEAST_WAIT_S) * (f64::from(self.waiting) + 1.0))
     }
 
+    /// Has its value no room left for more names? Machines stood half empty beside services
+    /// that waited for room, because the racks of those with many services were full.
+    pub fn cramped(&self, value_bytes: usize) -> bool {
+        self.members.len() > 1 && self.bytes <= value_bytes && self.bytes > value_bytes - value_bytes / FREE_SHARE
+    }
+
+    pub fn at_ease(&mut self, value_bytes: usize) {
+        self.looked_through &= self.cramped(value_bytes);
+    }
+
+    /// Once for each time that it becomes cramped; true if that was done already.
+    pub fn look_through(&mut self) -> bool {
+        std::mem::replace(&mut self.looked_through, true)
+    }
+
     /// Its value was made anew.
     pub fn made(&mut self, bytes: usize, names: impl Iterator<Item = JobIx>) {
         self.bytes = bytes;
@@ -199,6 +218,7 @@
             due_since: None,
             waiting: 0,
             pressing: false,
+            looked_through: false,
         };
         self.list.entry(i).or_insert_with(new)
     }
--- a/src/shard/mod.rs
+++ b/src/shard/mod.rs
@@ -440,6 +440,33 @@
         }
     }
 
+    /// Makes room for names where machines have room for tasks: a rack that is nearly full is
+    /// written anew, without the jobs that are over, and parted if that was not enough.
+    fn ease_racks(&mut self) {
+        let mut crowded = Vec::new();
+        let value_bytes = self.value_bytes;
+        self.racks.list.values_mut().for_each(|r| r.at_ease(value_bytes));
+        for (&i, rack) in &self.racks.list {
+            let waits = self.racks_due.contains(&i) || self.in_flight.contains(&rack_key(i));
+            let takes = |m: &MachineIx| {
+                let m = self.machines.at(*m);
+                let free = self.types.get(m.ty).cpus - m.cpus_used;
+                m.phase == MachinePhase::Up && m.resolved() && !m.cordoned && free + EPS >= self.service_cpus
+            };
+            if rack.cramped(self.value_bytes) && !waits && rack.members.iter().any(takes) {
+                crowded.push(i);
+            }
+        }
+        for i in crowded {
+            if self.racks.list.get_mut(&i).is_some_and(|r| r.look_through()) {
+                log::debug!("{} has no room for more names: parted", rack_key(i));
+                self.split_rack(i);
+            } else {
+                self.rack_due(i);
+            }
+        }
+    }
+
     /// A machine that an earlier owner recorded may hold what its record says,
     /// until it reports with our token or its lease is surely over. One that stands in
     /// two values, as it does while an earlier version's are being replaced, may hold both.
@@ -799,6 +826,7 @@
         if now - self.sized_at >= 0.5 && self.types.known() {
             self.sized_at = now;
             self.size_fleet(now);
+            self.ease_racks();
         }
         self.place_waiting(now);
     }
--- a/src/shard/writes.rs
+++ b/src/shard/writes.rs
@@ -340,6 +340,8 @@
                     self.after_end(j, phase, now);
                 }
                 What::Rack(_, contents) => {
+                    // Its value may have room for names again.
+                    self.place_due = true;
                     for (m, jobs, retiring) in contents {
                         self.record_applied(m, jobs, retiring);
                     }
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -10,7 +10,8 @@
 
 use lupinspur::fleet::launch::Launch;
 use lupinspur::fleet::racks::{RACK_PREFIX, RackMachine, RackRecord};
-use lupinspur::intern::{Index, MachineIx, RackIx};
+use lupinspur::fleet::{Held, HeldState};
+use lupinspur::intern::{Index, JobIx, MachineIx, RackIx};
 use lupinspur::jobs::{JOB_PREFIX, JobRecord, PART_PREFIX, PROGRESS_PREFIX, job_key};
 use lupinspur::placement::{Promised, taken_by};
 use lupinspur::settings::Settings;
@@ -524,6 +525,58 @@
     assert!(value.to_string().len() <= 4096, "the record has {} bytes", value.to_string().len());
 }
 
+/// Guards against services that wait beside machines with room: 24 machines share a value of
+/// 4 KB, which cannot name sixteen services on each. Such racks are parted in time, and no
+/// value is over its limit on the way.
+#[test]
+fn many_small_services_fill_their_machines_whatever_a_value_can_name() {
+    let mut w = world();
+    w.event(0.0, "takeover", &["10"]);
+    for i in 0..24 {
+        w.event(0.1, "report", &[&format!("host-{i:06}"), "seq=1"]);
+        w.event(0.6, "report", &[&format!("host-{i:06}"), "seq=2", "token=10"]);
+    }
+    // One large array has been on all of them, so that they share one value.
+    w.event(0.7, "job", &["req-1", "cpus=32", "tasks=24"]);
+    w.event(0.7, "write", &[]);
+    w.event(0.7, "direct", &[]);
+    for i in 0..24 {
+        let m = w.machine(&format!("host-{i:06}"));
+        let (key, held) = w.s().machines.at(m).tasks.iter().next().expect("a task on each machine");
+        let task = format!("req-1/{}@{}:done", key.1, attempt_out(held.attempt));
+        w.event(0.8, "report", &[&format!("host-{i:06}"), "seq=3", "token=10", &task]);
+    }
+    w.event(0.8, "write", &[]);
+    for i in 0..350 {
+        w.event(0.9, "job", &[&format!("req-{i:06}"), "cpus=2", "service", "nospot"]);
+    }
+    let mut held = 0;
+    for step in 0..16 {
+        let now = 1.0 + f64::from(step) * 0.6;
+        w.event(now, "tick", &[]);
+        w.event(now, "write", &[]);
+        for i in 0..24 {
+            let seq = format!("seq={}", step + 4);
+            // What it holds is not said: only starts that were never sent stay planned.
+            let name = format!("host-{i:06}");
+            let m = w.machine(&name);
+            let shard = w.s();
+            let started = shard.machines.at(m).tasks.iter().filter(|(_, h)| h.state > HeldState::Planned);
+            let running = |(k, h): (&(JobIx, u32), &Held)| {
+                format!("{}/{}@{}:running", shard.jobs.at(k.0).id, k.1, attempt_out(h.attempt))
+            };
+            let tasks: Vec<String> = started.map(running).collect();
+            let mut args = vec![name.as_str(), seq.as_str(), "token=10"];
+            args.extend(tasks.iter().map(String::as_str));
+            w.event(now + 0.1, "report", &args);
+        }
+        held = w.s().machines.iter().map(|(_, m)| m.tasks.len()).sum();
+    }
+    assert_eq!(held, 350, "all of them have a place");
+    let (_, _, most) = recorded(&w);
+    assert!(most <= 4096, "a value has {most} bytes");
+}
+
 /// What one machine's report costs, in pairs of a job and a machine that are looked at,
 /// with so many other machines at work and so many other jobs waiting.
 fn work_of_a_report(machines: usize, waiting: usize) -> u64 {
