--- a/src/node.rs
+++ b/src/node.rs
@@ -319,8 +319,8 @@
                     fleet: fleet.and_then(|i| parse_items(vec![i]).next()).map(|(_, r, v)| (r, v)),
                 };
                 let machines = loaded.machines.len() + loaded.racks.iter().map(|r| r.1.machines.len()).sum::<usize>();
-                log::info!("took over: {} jobs, {machines} machines", loaded.jobs.len());
                 let now = clock::now();
+                log::info!("took over: {} jobs, {machines} machines, read in {:.2} s", loaded.jobs.len(), now - began);
                 let mut shard =
                     Shard::new(&self.settings, self.tuning.clone(), token, (*self.types()).clone(), loaded, now);
                 shard.day_ms = clock::wall_ms() as f64 - now * 1000.0;
--- a/src/shard/mod.rs
+++ b/src/shard/mod.rs
@@ -149,6 +149,11 @@
     resumed: f64,
     /// When a tick last came late: the processor had more to do than it could.
     late_at: f64,
+    /// The stages of this takeover that were not told yet: when all was known, when the first
+    /// task was started.
+    stages: Stages,
+    /// Most machines were asked whether they are there, and did not answer.
+    pub(crate) all_mute: bool,
     /// When all machines of a zone were last asked whether they are there.
     zones_asked: BTreeMap<ZoneIx, f64>,
     /// The time of day at the steady clock's zero, in milliseconds.
@@ -192,6 +197,14 @@
     racks_to_restore: Vec<(RackIx, RackRecord, u64)>,
 }
 
+/// How long after its beginning an owner came so far. Operators read it in the log.
+#[derive(Debug, Default, Clone, Copy)]
+struct Stages {
+    resolved: Option<f64>,
+    first_start: Option<f64>,
+    told: bool,
+}
+
 /// What this owner has done so far; operators see the differences in the log.
 #[derive(Debug, Default, Clone, Copy)]
 pub struct Counts {
@@ -238,6 +251,8 @@
             ticked: now,
             resumed: now,
             late_at: f64::MIN,
+            stages: Stages::default(),
+            all_mute: false,
             zones_asked: BTreeMap::new(),
             fresh: loaded.machines.is_empty() && loaded.racks.is_empty(),
             day_ms: 0.0,
@@ -633,6 +648,7 @@
     pub(crate) fn plan(&mut self, m: MachineIx, key: TaskKey, now: f64) {
         self.attempts += 1;
         self.counts.starts += 1;
+        self.stages.first_start.get_or_insert(now - self.began);
         // Attempts never repeat across owners: each claim has a range of its own.
         let attempt = (self.token << 24) + self.attempts;
         let job = self.jobs.at(key.0);
@@ -800,7 +816,9 @@
 
     /// Is no worker heard at all, though several should report?
     pub fn deaf(&self, now: f64) -> bool {
-        let limit = self.report_s * 1.25 + 2.0;
+        // Those that were asked because their reports are overdue say nothing, and nobody else
+        // said anything just now either: that tells sooner than the last one's silence.
+        let limit = if self.all_mute { self.report_s / 2.0 + 1.0 } else { self.report_s * 1.25 + 2.0 };
         let mut known = 0;
         for (_, m) in self.machines.iter().filter(|(_, m)| m.phase == MachinePhase::Up) {
             known += 1;
@@ -808,7 +826,7 @@
                 return false;
             }
         }
-        known >= 3 && now - self.began > limit
+        known >= 3 && now - self.began > self.report_s * 1.25 + 2.0
     }
 
     pub fn tick(&mut self, now: f64) {
@@ -827,10 +845,25 @@
             self.sized_at = now;
             self.size_fleet(now);
             self.ease_racks();
+            self.tell_stages(now);
         }
         self.place_waiting(now);
     }
 
+    /// Tells once how long each stage of the takeover took.
+    fn tell_stages(&mut self, now: f64) {
+        let s = &mut self.stages;
+        if s.told || !self.machines.present.iter().all(|m| self.machines.list[m.ix()].resolved()) {
+            return;
+        }
+        let resolved = *s.resolved.get_or_insert(now - self.began);
+        let Some(first) = s.first_start else { return };
+        s.told = true;
+        log::info!(
+            "after the takeover the first start took {first:.2} s, and all machines were known after {resolved:.2} s"
+        );
+    }
+
     /// Places what waits, if anything changed that it could be waiting for.
     pub fn place_waiting(&mut self, now: f64) {
         if std::mem::take(&mut self.place_due) {
--- a/src/shard/sizing.rs
+++ b/src/shard/sizing.rs
@@ -30,6 +30,8 @@
 /// So many mute machines, and one in so many of a zone, make the rest of it suspect.
 const LEAST_MUTE: usize = 3;
 const MUTE_SHARE: usize = 20;
+/// So many mute machines of all, and it is rather this owner that is cut off.
+const MUTE_OWNER: (usize, usize) = (4, 5);
 /// So many machines of other zones can tell that a zone is silent, and not this owner.
 const LEAST_WITNESSES: usize = 4;
 /// A machine that was deleted costs at least this long.
@@ -124,6 +126,7 @@
         // that is cut off itself: there it counts who was heard just now. Reports come in
         // turn, so that half of all are heard in half of their interval.
         let heard_just_now = |h: &Heard| h.up >= LEAST_WITNESSES && h.just_now * 5 >= h.up * 2;
+        self.all_mute = whole.up > 0 && whole.mute * MUTE_OWNER.1 >= whole.up * MUTE_OWNER.0;
         let punctual = now - self.late_at > LATE_COUNTS_S;
         let believed = |zone: ZoneIx| punctual && (heard_just_now(&whole) || heard_just_now(&elsewhere(zone)));
         // Where several are mute the others of that zone are asked at once: a zone that is cut
