--- /dev/null
+++ b/crates/quota/tests/lending.rs
@@ -0,0 +1,94 @@
+//! How long lending and taking back take where nothing is stopped for it: one machine park,
+//! tasks that end by themselves, places given in the ledger's order.
+
+use hdrhistogram::Histogram;
+use lupinspur_quota::{Amount, Ledger, Plan, TeamIx, TeamLimits, Tree};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed, TestRunner};
+
+const CPUS: usize = 60;
+const ONE: Amount = Amount { cpus: 1.0, gpus: 0.0 };
+const A: TeamIx = TeamIx(0);
+const B: TeamIx = TeamIx(1);
+const C: TeamIx = TeamIx(2);
+
+/// a and b are siblings, c is a stranger; each is guaranteed a third.
+fn ledger() -> Ledger {
+    let text = "generation = 1\n[[organisation]]\nname = \"north\"\nteams = [\"a\", \"b\"]\n\
+                [[organisation]]\nname = \"south\"\nteams = [\"c\"]\n";
+    let team = |n: &str| TeamLimits { name: n.into(), guarantee: Amount::new(20.0, 0.0), limit: Amount::NONE };
+    let plan = Plan::parse(text).expect("TOML");
+    Ledger::new(Tree::of(&plan, &["a", "b", "c"].map(team)).expect("a tree").0)
+}
+
+struct Park {
+    ledger: Ledger,
+    /// The end of each task that runs, in tenths of a second.
+    held: Vec<(u64, TeamIx)>,
+    lengths: Vec<u64>,
+    started: usize,
+}
+
+impl Park {
+    /// Gives what is free to those that ask, in order.
+    fn place(&mut self, now: u64, asking: &[TeamIx]) {
+        while self.held.len() < CPUS {
+            let stands = |t: &TeamIx| self.ledger.standing(*t, ONE);
+            let first = asking.iter().min_by(|a, b| stands(a).partial_cmp(&stands(b)).expect("numbers"));
+            let Some(&t) = first else { return };
+            self.ledger.count(t, ONE);
+            self.held.push((now + self.lengths[self.started % self.lengths.len()], t));
+            self.started += 1;
+        }
+    }
+
+    fn end_by(&mut self, now: u64) {
+        for (_, t) in self.held.extract_if(.., |h| h.0 <= now) {
+            self.ledger.count(t, ONE.times(-1.0));
+        }
+    }
+
+    fn has(&self, t: TeamIx) -> usize {
+        self.held.iter().filter(|h| h.1 == t).count()
+    }
+}
+
+/// While a asks for nothing its third is b's, its sibling's, and none of it c's. When a comes
+/// back it has all of it no later than the longest task takes.
+#[test]
+fn a_lender_has_its_guarantee_back_within_the_longest_task() {
+    let mut lent = Histogram::<u64>::new(3).expect("a histogram");
+    let mut back = Histogram::<u64>::new(3).expect("a histogram");
+    let config = Config { cases: 128, rng_seed: RngSeed::Fixed(11), failure_persistence: None, ..Config::default() };
+    let (lent_in, back_in) = (std::cell::RefCell::new(&mut lent), std::cell::RefCell::new(&mut back));
+    let run = |(lengths, idle_at): (Vec<u64>, u64)| {
+        let longest = *lengths.iter().max().expect("some");
+        let mut park = Park { ledger: ledger(), held: Vec::new(), lengths, started: 0 };
+        let comes_back = idle_at + 2 * longest;
+        let (mut all_lent, mut all_back) = (None, None);
+        for now in 0..=comes_back + longest + 1 {
+            park.end_by(now);
+            let a_asks = now < idle_at || now >= comes_back;
+            park.place(now, if a_asks { &[A, B, C] } else { &[B, C] });
+            prop_assert!(park.has(C) <= 20, "a stranger has {}", park.has(C));
+            if (idle_at..comes_back).contains(&now) && park.has(B) == 40 {
+                all_lent.get_or_insert(now - idle_at);
+            }
+            if now >= comes_back && park.has(A) == 20 {
+                all_back.get_or_insert(now - comes_back);
+            }
+        }
+        let (l, b) = (all_lent.unwrap_or(u64::MAX), all_back.unwrap_or(u64::MAX));
+        prop_assert!(l <= longest && b <= longest, "lent after {l}, back after {b}, longest {longest}");
+        lent_in.borrow_mut().saturating_record(100 * l / longest);
+        back_in.borrow_mut().saturating_record(100 * b / longest);
+        Ok(())
+    };
+    let lengths = prop::collection::vec(1u64..200, 40..90);
+    TestRunner::new(config).run(&(lengths, 1u64..300), run).expect("within the longest task");
+    for (what, h) in [("lent", &lent), ("taken back", &back)] {
+        let at = |q| h.value_at_quantile(q);
+        println!("{what}: p10 {} %, p50 {} %, p90 {} % of the longest task", at(0.1), at(0.5), at(0.9));
+    }
+    assert_eq!(lent.len(), back.len());
+}
