--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -137,6 +137,10 @@
     pub loose: TaskMap<u64>,
     pub direct_busy: bool,
     pub direct_not_before: f64,
+    /// Direct calls that it left unanswered since it was last heard.
+    pub unanswered: u32,
+    /// A report is overdue: it is asked directly whether it is there.
+    pub suspect: bool,
     pub listed: bool,
     pub missing: u32,
     pub deleting: bool,
@@ -178,6 +182,8 @@
             loose: TaskMap::new(),
             direct_busy: false,
             direct_not_before: 0.0,
+            unanswered: 0,
+            suspect: false,
             listed: false,
             missing: 0,
             deleting: false,
--- a/src/node.rs
+++ b/src/node.rs
@@ -33,7 +33,6 @@
 const LOOK_AGAIN_S: f64 = 1.0;
 const SUMMARY_EVERY_S: f64 = 10.0;
 const MOST_COMMITS: usize = 3;
-const MOST_DIRECT: usize = 64;
 const FINALS_KEPT: usize = 20_000;
 const LIST_EVERY_S: f64 = 3.0;
 const TYPES_EVERY_S: f64 = 20.0;
@@ -538,14 +537,16 @@
     }
 
     async fn direct(self: Arc<Self>) {
-        let (done_tx, done_rx) = async_channel::bounded::<()>(MOST_DIRECT);
+        // Machines that are silent keep a call for a second and more each, hundreds at once.
+        let most = (self.settings.sockets / 8).clamp(8, 512);
+        let (done_tx, done_rx) = async_channel::bounded::<()>(most);
         let mut running = 0;
         loop {
             Self::woken(&self.wakes.direct.1).await;
             while done_rx.try_recv().is_ok() {
                 running -= 1;
             }
-            while running < MOST_DIRECT {
+            while running < most {
                 let now = clock::now();
                 let Some(Some(send)) = self.with_shard(now, |s| s.next_direct(now)) else { break };
                 running += 1;
--- a/src/shard/reports.rs
+++ b/src/shard/reports.rs
@@ -28,6 +28,8 @@
 }
 
 const DIRECT_PAUSE_S: f64 = 4.0;
+/// A machine whose report is overdue is asked again sooner.
+const ASKED_AGAIN_S: f64 = 0.3;
 const MOST_COMMANDS: usize = 200;
 /// Workers drop a reply that takes 4 s.
 const REPLY_DROPPED_S: f64 = 6.0;
@@ -85,6 +87,7 @@
         machine.session = r.session;
         machine.seq = r.seq;
         machine.last_heard = now;
+        (machine.suspect, machine.unanswered) = (false, 0);
         match r.notice_s {
             Some(s) if machine.notice_until.is_none() => {
                 log::info!("machine {} has notice of {s} s", machine.name);
@@ -483,7 +486,8 @@
         let session = machine.session;
         let token = self.token;
         let machine = self.machines.at_mut(m);
-        if commands.is_empty() && !probing {
+        // With nothing to be told, a machine whose report is overdue shows whether it is there.
+        if commands.is_empty() && !probing && !machine.suspect {
             return None;
         }
         for (k, a) in &starts {
@@ -532,8 +536,9 @@
                 }
             }
             Direct::NotSent | Direct::Unknown => {
-                machine.direct_not_before = now + DIRECT_PAUSE_S;
-                if !machine.reported_token {
+                machine.unanswered += 1;
+                machine.direct_not_before = now + if machine.suspect { ASKED_AGAIN_S } else { DIRECT_PAUSE_S };
+                if !machine.reported_token || machine.suspect {
                     self.machines.direct_due.insert(m);
                 }
             }
--- a/src/shard/sizing.rs
+++ b/src/shard/sizing.rs
@@ -19,6 +19,10 @@
     Delete(Vec<MachineIx>, Vec<String>),
 }
 
+/// Reports come at intervals of up to this many times the usual one.
+const REPORT_SPREAD: f64 = 1.25;
+/// A machine that is there answers a direct question sooner than this.
+const ANSWERS_WITHIN_S: f64 = 1.25;
 /// So many machines of other zones can tell that a zone is silent, and not this owner.
 const LEAST_WITNESSES: usize = 4;
 /// A machine that was deleted costs at least this long.
@@ -39,20 +43,26 @@
 const SPARE_SHARE: f64 = 0.08;
 
 impl Shard {
-    /// A machine is silent once two of its reports are overdue.
+    /// A report is overdue: its machine is asked directly whether it is there.
+    fn overdue_s(&self) -> f64 {
+        self.report_s * REPORT_SPREAD + 0.5
+    }
+
+    /// A machine is silent once two of its reports are overdue, asked directly or not.
     pub fn silent_s(&self) -> f64 {
-        self.report_s * 1.25 * 2.0 + 1.5
+        self.report_s * REPORT_SPREAD * 2.0 + 1.5
     }
 
     /// Leases that ran out, machines that fell silent, boots that take too long.
     pub(super) fn watch_machines(&mut self, now: f64) {
         let lease = stretched(self.lease_s);
-        let silent_s = self.silent_s();
+        let (silent_s, overdue_s) = (self.silent_s(), self.overdue_s());
         let (mut up, mut recent) = (0usize, 0usize);
         let mut by_zone: BTreeMap<ZoneIx, (usize, usize)> = BTreeMap::new();
         for (_, m) in self.machines.iter() {
             if m.phase == MachinePhase::Up {
-                let heard = usize::from(self.silence(m, now) < self.report_s * 1.25 + 1.0);
+                // One that is recorded and was never heard by this owner tells nothing.
+                let heard = usize::from(m.session > 0 && self.silence(m, now) < self.report_s * REPORT_SPREAD + 1.0);
                 up += 1;
                 recent += heard;
                 let zone = by_zone.entry(m.zone).or_default();
@@ -72,6 +82,11 @@
         };
         let all: Vec<MachineIx> = self.machines.present.iter().copied().collect();
         for i in all {
+            let m = self.machines.at(i);
+            if !m.suspect && m.phase == MachinePhase::Up && self.silence(m, now) > overdue_s {
+                self.machines.at_mut(i).suspect = true;
+                self.machines.direct_due.insert(i);
+            }
             let m = self.machines.at(i);
             let over = m.last_ok.map_or(f64::MIN, |t| t + lease).max(m.unresolved_until.unwrap_or(f64::MIN));
             if over > f64::MIN && now > over {
@@ -98,11 +113,15 @@
                 MachinePhase::Up => {
                     let taken = m.notice_until.is_some_and(|t| now > t + 1.0)
                         && others_heard
-                        && quiet > self.report_s * 1.25 + 0.5;
+                        && quiet > self.report_s * REPORT_SPREAD + 0.5;
                     // Also one that this owner has never heard: it was asked directly when the
                     // shard was taken over, and its jobs wait for it everywhere. Machines that
                     // died with the owner before once held up their jobs for a whole lease.
-                    let lost = quiet > silent_s && others_heard || quiet > lease * 2.0;
+                    // One that does not answer when it is asked need not be waited for until a
+                    // second report is overdue: what hangs or is cut off counts as down from its
+                    // first moment, and was replaced after 11 to 18 s.
+                    let mute = m.suspect && m.unanswered > 0 && quiet > overdue_s + ANSWERS_WITHIN_S;
+                    let lost = (quiet > silent_s || mute) && others_heard || quiet > lease * 2.0;
                     let faulty = m.faulty() && m.tasks.is_empty() && m.resolved();
                     let emptied = m.cordoned && m.tasks.is_empty() && m.resolved() && now - m.born > LEAST_PAID_S;
                     if taken || lost || faulty || emptied {
@@ -234,7 +253,7 @@
             let m = self.machines.at_mut(i);
             m.missing += 1;
             // Gone from two lists and silent: a deletion says for certain that it is gone.
-            if m.missing >= 2 && now - m.last_heard > self.report_s * 1.25 + 0.5 {
+            if m.missing >= 2 && now - m.last_heard > self.report_s * REPORT_SPREAD + 0.5 {
                 self.retire(i);
             }
         }
--- a/src/worker.rs
+++ b/src/worker.rs
@@ -17,6 +17,9 @@
     Unknown,
 }
 
+const QUESTION: Duration = Duration::from_millis(1200);
+const COMMAND: Duration = Duration::from_millis(2500);
+
 pub struct WorkerClient {
     http: Client,
 }
@@ -30,7 +33,9 @@
 
     pub async fn commands(&self, addr: SocketAddr, c: &DirectCommands) -> Direct {
         let Ok(body) = serde_json::to_vec(c) else { return Direct::NotSent };
-        match self.http.call(addr, Method::Post, wire::COMMANDS_PATH, Some(body), Duration::from_millis(2500)).await {
+        // A mere question is asked again; a command that is given up may still arrive.
+        let limit = if c.commands.is_empty() { QUESTION } else { COMMAND };
+        match self.http.call(addr, Method::Post, wire::COMMANDS_PATH, Some(body), limit).await {
             Ok((s, b)) => Direct::Answered { executed: s == 200, report: serde_json::from_slice(&b).ok() },
             Err(CallError::NotSent) => Direct::NotSent,
             Err(CallError::NoAnswer) => Direct::Unknown,
