--- /dev/null
+++ b/crates/quota/src/plan.rs
@@ -0,0 +1,261 @@
+//! The operators' file: what may be written in it, and everything that is wrong with it.
+
+use crate::Amount;
+use garde::Validate;
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+
+/// Most organisations in a tree, and most levels of them above a team.
+pub const MOST_ORGANISATIONS: usize = 20_000;
+pub const MOST_DEPTH: usize = 16;
+
+/// A tree of organisations above the teams of the platform's settings.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema, Validate)]
+#[serde(deny_unknown_fields)]
+pub struct Plan {
+    /// Counts up: of two trees, the one with the higher number holds.
+    #[garde(range(min = 1))]
+    pub generation: u64,
+    /// In any order; a team or an organisation stands within one other at the most.
+    #[serde(default, rename = "organisation")]
+    #[garde(dive, length(max = MOST_ORGANISATIONS))]
+    pub organisations: Vec<Organisation>,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema, Validate)]
+#[serde(deny_unknown_fields)]
+pub struct Organisation {
+    #[garde(length(min = 1, max = 100))]
+    pub name: String,
+    /// The organisation that contains it; none: it stands at the top.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[garde(skip)]
+    pub within: Option<String>,
+    /// Guaranteed cpus. Left out: as much as what it contains has together.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[garde(inner(custom(an_amount)))]
+    pub cpus: Option<f64>,
+    /// Guaranteed accelerator cards. Left out: as much as what it contains has together.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[garde(inner(custom(an_amount)))]
+    pub gpus: Option<f64>,
+    /// Cpus that all its tasks may use at the same time; 0: no limit.
+    #[serde(default)]
+    #[garde(custom(an_amount))]
+    pub cpus_max: f64,
+    /// Accelerator cards that all its tasks may use at the same time; 0: no limit.
+    #[serde(default)]
+    #[garde(custom(an_amount))]
+    pub gpus_max: f64,
+    /// Its part of what is lent, against those of its siblings that ask as well.
+    #[serde(default = "one")]
+    #[garde(custom(a_weight))]
+    pub weight: f64,
+    /// The teams directly below it.
+    #[serde(default)]
+    #[garde(skip)]
+    pub teams: Vec<String>,
+}
+
+fn one() -> f64 {
+    1.0
+}
+
+fn an_amount(v: &f64, _: &()) -> garde::Result {
+    if v.is_finite() && *v >= 0.0 { Ok(()) } else { Err(garde::Error::new("must be a finite number, not below zero")) }
+}
+
+fn a_weight(v: &f64, _: &()) -> garde::Result {
+    let fits = v.is_finite() && *v >= 0.001 && *v <= 1000.0;
+    if fits { Ok(()) } else { Err(garde::Error::new("must be from 0.001 to 1000")) }
+}
+
+/// A team as the platform's settings have it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct TeamLimits {
+    pub name: String,
+    pub guarantee: Amount,
+    pub limit: Amount,
+}
+
+/// Something wrong with a plan, and where.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Fault {
+    pub path: String,
+    pub what: String,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.path, self.what)
+    }
+}
+
+impl Plan {
+    /// Reads a plan from TOML. What is no plan at all is one fault.
+    pub fn parse(text: &str) -> Result<Plan, Fault> {
+        toml::from_str(text).map_err(|e| {
+            let before = e.span().and_then(|s| text.get(..s.start)).unwrap_or("");
+            let path = format!("line {}", before.matches('\n').count() + 1);
+            Fault { path, what: e.message().replace('\n', " ") }
+        })
+    }
+
+    /// Everything that is wrong, in the order of the file; empty if nothing is.
+    pub fn faults(&self, teams: &[TeamLimits]) -> Vec<Fault> {
+        let mut out: Vec<Fault> = Vec::new();
+        let mut fault = |path: String, what: String| out.push(Fault { path, what });
+        if let Err(report) = self.validate() {
+            for (path, e) in report.iter() {
+                fault(path.to_string().replace("organisations[", "organisation["), e.message().to_owned());
+            }
+        }
+        let at = |i: usize, field: &str| format!("organisation[{i}].{field}");
+        let mut by_name: BTreeMap<&str, usize> = BTreeMap::new();
+        for (i, o) in self.organisations.iter().enumerate() {
+            if let Some(first) = by_name.get(o.name.as_str()) {
+                fault(at(i, "name"), format!("{:?} is the name of organisation[{first}] already", o.name));
+            } else {
+                by_name.insert(&o.name, i);
+            }
+        }
+        let known: BTreeSet<&str> = teams.iter().map(|t| t.name.as_str()).collect();
+        let mut placed: BTreeMap<&str, usize> = BTreeMap::new();
+        for (i, o) in self.organisations.iter().enumerate() {
+            if let Some(parent) = o.within.as_deref().filter(|p| !by_name.contains_key(p)) {
+                fault(at(i, "within"), format!("there is no organisation {parent:?}"));
+            }
+            for (name, guarantee, limit) in [("cpus", o.cpus, o.cpus_max), ("gpus", o.gpus, o.gpus_max)] {
+                if limit > 0.0 && guarantee.is_some_and(|g| g > limit) {
+                    fault(at(i, &format!("{name}_max")), format!("{limit} is under the guarantee"));
+                }
+            }
+            for (k, t) in o.teams.iter().enumerate() {
+                let path = at(i, &format!("teams[{k}]"));
+                if !known.contains(t.as_str()) {
+                    fault(path, format!("there is no team {t:?} in the settings"));
+                } else if let Some(first) = placed.get(t.as_str()) {
+                    fault(path, format!("{t:?} stands in organisation[{first}] already"));
+                } else {
+                    placed.insert(t, i);
+                }
+            }
+        }
+        for t in teams.iter().filter(|t| !placed.contains_key(t.name.as_str())) {
+            fault("organisation".into(), format!("team {:?} of the settings stands in none", t.name));
+        }
+        // Each is followed upwards once: a way that comes back to itself is a cycle, one that
+        // meets what was followed before is not.
+        let parent = |i: usize| self.organisations[i].within.as_deref().and_then(|p| by_name.get(p)).copied();
+        let mut depth: Vec<Option<usize>> = vec![None; self.organisations.len()];
+        for i in 0..self.organisations.len() {
+            let (mut way, mut on_way) = (Vec::new(), BTreeSet::new());
+            let mut next = Some(i);
+            while let Some(j) = next.filter(|&j| depth[j].is_none() && on_way.insert(j)) {
+                way.push(j);
+                next = parent(j);
+            }
+            if let Some(j) = next.filter(|j| on_way.contains(j)) {
+                fault(at(j, "within"), format!("{:?} contains itself", self.organisations[j].name));
+            }
+            let mut below = next.and_then(|j| depth[j]).unwrap_or(0);
+            for j in way.into_iter().rev() {
+                below += 1;
+                depth[j] = Some(below);
+                if below == MOST_DEPTH + 1 {
+                    fault(at(j, "within"), format!("more than {MOST_DEPTH} levels"));
+                }
+            }
+        }
+        out
+    }
+
+    /// The published schema of the file.
+    pub fn schema() -> schemars::Schema {
+        schemars::schema_for!(Plan)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    pub fn teams(names: &[&str]) -> Vec<TeamLimits> {
+        let team = |n: &&str| TeamLimits {
+            name: (*n).into(),
+            guarantee: Amount::new(10.0, 0.0),
+            limit: Amount::new(20.0, 0.0),
+        };
+        names.iter().map(team).collect()
+    }
+
+    /// All that is wrong is said at once, each with its place.
+    #[test]
+    fn every_fault_is_told_with_its_path() {
+        let text = r#"
+            generation = 0
+            [[organisation]]
+            name = "county"
+            within = "ward"
+            cpus = 50.0
+            cpus_max = 40.0
+            teams = ["red", "nobody"]
+            [[organisation]]
+            name = "trust"
+            within = "county"
+            gpus = -1.0
+            weight = 0.0
+            [[organisation]]
+            name = "ward"
+            within = "trust"
+            cpus_max = inf
+            teams = ["red"]
+            [[organisation]]
+            name = "ward"
+            within = "nowhere"
+        "#;
+        let faults = Plan::parse(text).expect("TOML").faults(&teams(&["red", "blue"]));
+        let mut paths: Vec<&str> = faults.iter().map(|f| f.path.as_str()).collect();
+        paths.sort_unstable();
+        let expected = [
+            "generation",
+            "organisation",
+            "organisation[0].cpus_max",
+            "organisation[0].teams[1]",
+            "organisation[0].within",
+            "organisation[1].gpus",
+            "organisation[1].weight",
+            "organisation[2].cpus_max",
+            "organisation[2].teams[0]",
+            "organisation[3].name",
+            "organisation[3].within",
+        ];
+        assert_eq!(paths, expected, "{faults:#?}");
+        assert!(faults.iter().all(|f| !f.to_string().contains('\n')));
+    }
+
+    #[test]
+    fn what_is_no_plan_is_told_by_its_line() {
+        let e = Plan::parse("generation = 1\n[[organisation]]\nname = 3\n").expect_err("a number");
+        assert_eq!(e.path, "line 3", "{e}");
+        let e = Plan::parse("generation = 1\nlimits = 3\n").expect_err("unknown");
+        assert!(e.what.contains("limits"), "{e}");
+    }
+
+    #[test]
+    fn a_tree_has_a_bounded_depth() {
+        let chain = |n: usize| {
+            let one = |i: usize| {
+                let within = if i == 0 { String::new() } else { format!("within = \"o{}\"\n", i - 1) };
+                let teams = if i + 1 == n { "teams = [\"red\"]\n" } else { "" };
+                format!("[[organisation]]\nname = \"o{i}\"\n{within}{teams}")
+            };
+            let text: String = (0..n).map(one).collect();
+            Plan::parse(&format!("generation = 1\n{text}")).expect("TOML").faults(&teams(&["red"]))
+        };
+        assert_eq!(chain(MOST_DEPTH), []);
+        assert_eq!(chain(MOST_DEPTH + 2).len(), 1, "said once, where it begins");
+    }
+}
--- /dev/null
+++ b/crates/quota/tests/properties.rs
@@ -0,0 +1,200 @@
+//! Properties of the ledger over random trees and histories; what fails is shrunk to a
+//! readable case.
+
+use lupinspur_quota::plan::Organisation;
+use lupinspur_quota::{Amount, EPS, Held, Ledger, LevelIx, Plan, TeamIx, TeamLimits, Tree};
+use proptest::prelude::*;
+use std::collections::BTreeMap;
+
+/// A tree as numbers: each organisation's parent among those before it, if any, and each
+/// team's organisation.
+#[derive(Debug, Clone)]
+struct Shape {
+    organisations: Vec<(Option<usize>, Option<u32>, u32)>,
+    teams: Vec<(usize, u32, u32)>,
+}
+
+fn shapes() -> impl Strategy<Value = Shape> {
+    (1usize..7, 1usize..6).prop_flat_map(|(orgs, teams)| {
+        let org = (any::<prop::sample::Index>(), any::<bool>(), prop::option::of(0u32..40), 0u32..40);
+        let team = (0..orgs, 0u32..20, 0u32..30);
+        (prop::collection::vec(org, orgs), prop::collection::vec(team, teams)).prop_map(|(orgs, teams)| Shape {
+            organisations: orgs
+                .into_iter()
+                .enumerate()
+                .map(|(i, (p, top, g, l))| ((i > 0 && !top).then(|| p.index(i)), g.filter(|g| l == 0 || *g <= l), l))
+                .collect(),
+            teams,
+        })
+    })
+}
+
+fn plan(s: &Shape, generation: u64) -> (Plan, Vec<TeamLimits>) {
+    let organisation = |(i, (parent, guarantee, limit)): (usize, &(Option<usize>, Option<u32>, u32))| Organisation {
+        name: format!("o{i}"),
+        within: parent.map(|p| format!("o{p}")),
+        cpus: guarantee.map(f64::from),
+        gpus: None,
+        cpus_max: f64::from(*limit),
+        gpus_max: 0.0,
+        weight: 1.0,
+        teams: s.teams.iter().enumerate().filter(|(_, t)| t.0 == i).map(|(t, _)| format!("t{t}")).collect(),
+    };
+    let team = |(i, (_, g, l)): (usize, &(usize, u32, u32))| TeamLimits {
+        name: format!("t{i}"),
+        guarantee: Amount::new(f64::from(*g), 0.0),
+        limit: Amount::new(f64::from(*l), 0.0),
+    };
+    let organisations = s.organisations.iter().enumerate().map(organisation).collect();
+    (Plan { generation, organisations }, s.teams.iter().enumerate().map(team).collect())
+}
+
+fn tree(s: &Shape) -> Tree {
+    let (plan, teams) = plan(s, 1);
+    Tree::of(&plan, &teams).expect("a tree").0
+}
+
+/// Counted anew from what is held, as nobody would do it at work.
+fn counted(tree: &Tree, held: &BTreeMap<usize, (TeamIx, f64)>) -> Vec<f64> {
+    let mut used = vec![0.0; tree.levels.len()];
+    for (t, cpus) in held.values() {
+        tree.path(*t).iter().for_each(|l| used[l.0 as usize] += cpus);
+    }
+    used
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 192, failure_persistence: None, rng_seed: prop::test_runner::RngSeed::Fixed(7), ..ProptestConfig::default() })]
+
+    /// No level is ever over its limit, whatever starts and ends in whatever order, with part
+    /// of the machines unseen; and what the ledger says is used is what is held.
+    #[test]
+    fn no_level_is_over_its_limit(
+        s in shapes(),
+        steps in prop::collection::vec((any::<prop::sample::Index>(), 1u32..9, 0u32..4, any::<bool>()), 1..60),
+    ) {
+        let tree = tree(&s);
+        let mut ledger = Ledger::new(tree.clone());
+        let mut held = BTreeMap::new();
+        for (i, (who, cpus, unseen, start)) in steps.into_iter().enumerate() {
+            ledger.unseen = Amount::new(f64::from(unseen), 0.0);
+            if start || held.is_empty() {
+                let (team, need) = (TeamIx(who.index(s.teams.len()) as u32), Amount::new(f64::from(cpus), 0.0));
+                if ledger.may_start(team, need).is_ok() {
+                    ledger.count(team, need);
+                    held.insert(i, (team, need.cpus));
+                    for l in tree.path(team) {
+                        let limit = tree.at(*l).limit.cpus;
+                        let used = ledger.used(*l).cpus + ledger.unseen.cpus;
+                        prop_assert!(limit <= 0.0 || used <= limit + EPS, "{} uses {used}", tree.at(*l).name);
+                    }
+                }
+            } else {
+                let key = *held.keys().nth(who.index(held.len())).expect("one that is held");
+                let (team, cpus) = held.remove(&key).expect("held");
+                ledger.count(team, Amount::new(-cpus, 0.0));
+            }
+            for (l, used) in counted(&tree, &held).into_iter().enumerate() {
+                prop_assert!((ledger.used(LevelIx(l as u32)).cpus - used).abs() < EPS);
+            }
+        }
+    }
+
+    /// Scaled guarantees of children are never more than their parent's, and a level whose
+    /// children fit leaves them as they were stated.
+    #[test]
+    fn guarantees_fit_into_their_parents(s in shapes()) {
+        let tree = tree(&s);
+        for (i, l) in tree.levels.iter().enumerate() {
+            let below: Vec<_> = tree.levels.iter().filter(|c| c.parent == Some(LevelIx(i as u32))).collect();
+            let (sum, stated): (f64, f64) =
+                below.iter().fold((0.0, 0.0), |a, c| (a.0 + c.guarantee.cpus, a.1 + c.stated.cpus));
+            prop_assert!(sum <= l.guarantee.cpus + EPS, "{} guarantees less than it contains", l.name);
+            if stated <= l.guarantee.cpus {
+                prop_assert!(below.iter().all(|c| (c.guarantee.cpus - c.stated.cpus).abs() < EPS));
+            }
+        }
+    }
+
+    /// A start within the team's own guarantee stands before any that borrows, and one that a
+    /// nearer level lends before one from farther away.
+    #[test]
+    fn what_is_near_is_lent_first(s in shapes(), uses in prop::collection::vec((any::<prop::sample::Index>(), 1u32..9), 0..20)) {
+        let tree = tree(&s);
+        let mut ledger = Ledger::new(tree.clone());
+        for (who, cpus) in uses {
+            ledger.count(TeamIx(who.index(s.teams.len()) as u32), Amount::new(f64::from(cpus), 0.0));
+        }
+        let need = Amount::new(1.0, 0.0);
+        for t in (0..s.teams.len() as u32).map(TeamIx) {
+            let standing = ledger.standing(t, need);
+            let path = tree.path(t);
+            for (h, l) in path.iter().enumerate() {
+                let lends = ledger.used(*l).cpus + 1.0 <= tree.at(*l).guarantee.cpus + EPS;
+                prop_assert!(!lends || usize::from(standing.distance) <= h);
+            }
+            prop_assert!(usize::from(standing.distance) <= path.len());
+        }
+    }
+
+    /// After any change of tree, what gives way is enough, is needed, and is a service only
+    /// where nothing else is left; from then on the excess only falls.
+    #[test]
+    fn a_shrunk_parent_s_excess_gives_way(
+        before in shapes(),
+        limits in prop::collection::vec(0u32..12, 7),
+        starts in prop::collection::vec((any::<prop::sample::Index>(), 1u32..5, 0u32..100, any::<bool>()), 1..40),
+    ) {
+        let mut ledger = Ledger::new(tree(&before));
+        let mut held = Vec::new();
+        for (i, (who, cpus, loses, service)) in starts.into_iter().enumerate() {
+            let (team, need) = (TeamIx(who.index(before.teams.len()) as u32), Amount::new(f64::from(cpus), 0.0));
+            if ledger.may_start(team, need).is_ok() {
+                ledger.count(team, need);
+                held.push(Held { task: i, team, need, loses: f64::from(loses), service });
+            }
+        }
+        let mut after = before.clone();
+        for (o, l) in after.organisations.iter_mut().zip(limits) {
+            (o.1, o.2) = (None, l);
+        }
+        ledger.change(tree(&after));
+        let gone = ledger.give_way(&held, &[]);
+        for h in held.iter().filter(|h| gone.contains(&h.task)) {
+            ledger.count(h.team, h.need.times(-1.0));
+        }
+        prop_assert!(ledger.over().is_empty(), "{:?} are still over", ledger.over());
+        // Whoever is a service gave way only where all else below some level had to go.
+        let kept: Vec<_> = held.iter().filter(|h| !gone.contains(&h.task)).collect();
+        for s in held.iter().filter(|h| h.service && gone.contains(&h.task)) {
+            let levels = ledger.tree().path(s.team);
+            let spared = |l: &LevelIx| kept.iter().any(|k| !k.service && ledger.tree().path(k.team).contains(l));
+            prop_assert!(levels.iter().any(|l| !spared(l)), "a service went before other work");
+        }
+        prop_assert!(gone.is_empty() || held.iter().any(|h| gone.contains(&h.task)));
+    }
+}
+
+/// A start and an end touch their path in the tree, however many teams there are.
+#[test]
+fn a_start_costs_its_path() {
+    let cost = |teams: usize| {
+        let names: Vec<String> = (0..teams).map(|i| format!("t{i}")).collect();
+        let limits = |n: &String| TeamLimits { name: n.clone(), guarantee: Amount::NONE, limit: Amount::NONE };
+        let text: String = names.chunks(10).enumerate().fold("generation = 1\n".to_owned(), |mut s, (i, c)| {
+            s += &format!("[[organisation]]\nname = \"o{i}\"\nteams = {c:?}\n");
+            s
+        });
+        let all: Vec<TeamLimits> = names.iter().map(limits).collect();
+        let mut ledger = Ledger::new(Tree::of(&Plan::parse(&text).expect("TOML"), &all).expect("a tree").0);
+        let (t, need) = (TeamIx(teams as u32 / 2), Amount::new(1.0, 0.0));
+        let before = ledger.touched.get();
+        assert!(ledger.may_start(t, need).is_ok());
+        ledger.standing(t, need);
+        ledger.count(t, need);
+        ledger.count(t, need.times(-1.0));
+        ledger.touched.get() - before
+    };
+    assert_eq!(cost(10), 12, "three levels, four times");
+    assert_eq!([cost(1_000), cost(10_000)], [12, 12]);
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod peer;
 pub mod pipeline;
 pub mod placement;
+pub mod query;
 pub mod settings;
 pub mod shard;
 pub mod state;
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,41 +1,73 @@
 //! The program: reads its command line and settings, then runs the node.
 
 use clap::Parser;
-use std::path::PathBuf;
+use lupinspur::settings::Settings;
+use lupinspur_quota::{Plan, Tree};
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 /// Cluster scheduler for services and batch work on spot machines.
 #[derive(Parser)]
-#[command(version, about)]
+#[command(version, about, args_conflicts_with_subcommands = true, subcommand_negates_reqs = true)]
 struct Args {
     /// Settings file (TOML).
-    #[arg(long)]
-    config: PathBuf,
-    /// Check the settings file and exit without starting anything.
+    #[arg(long, required = true)]
+    config: Option<PathBuf>,
+    /// Check the settings and other files and exit without starting anything.
     #[arg(long)]
     check: bool,
     /// How much is logged to standard error: error, warn, info, debug or off.
-    #[arg(long, env = "LOG_LEVEL", default_value = "info")]
+    #[arg(long, env = "LOG_LEVEL", default_value = "info", global = true)]
     log_level: String,
+    /// File of organisations whose quotas nest (TOML); without it teams stand side by side.
+    #[arg(long, env = "LUPINSPUR_QUOTAS", value_name = "FILE")]
+    quotas: Option<PathBuf>,
     #[command(flatten)]
     tuning: lupinspur::tuning::Tuning,
+    #[command(subcommand)]
+    query: Option<lupinspur::query::Query>,
+}
+
+/// The quota file, if nothing in it is wrong; or each fault on a line of its own.
+fn quotas(path: &Path, settings: &Settings) -> Result<Plan, String> {
+    let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
+    let teams = lupinspur::shard::team_limits(&settings.teams);
+    let checked = Plan::parse(&text).map_err(|f| vec![f]).and_then(|p| Ok((Tree::of(&p, &teams)?.1, p)));
+    let (warnings, plan) = checked.map_err(|faults| {
+        let lines: Vec<String> = faults.iter().map(|f| format!("{}: {f}", path.display())).collect();
+        lines.join("\n")
+    })?;
+    for w in warnings {
+        log::warn!("{}: {w}", path.display());
+    }
+    lupinspur::shard::fits_values(&plan, settings.value_bytes())
+        .map_err(|e| format!("{}: {e}", path.display()))
+        .map(|()| plan)
 }
 
 fn run(args: Args) -> Result<(), String> {
     lupinspur::logging::init(&args.log_level).map_err(|e| format!("LOG_LEVEL: {e}"))?;
+    if let Some(q) = &args.query {
+        print!("{}", lupinspur::query::run(q)?);
+        return Ok(());
+    }
     args.tuning.check()?;
-    let settings = lupinspur::settings::Settings::load(&args.config).map_err(|e| e.to_string())?;
+    let Some(config) = &args.config else { return Err("--config is needed".into()) };
+    let settings = Settings::load(config).map_err(|e| e.to_string())?;
+    let plan = args.quotas.as_deref().map(|p| quotas(p, &settings)).transpose()?;
     if args.check {
         return Ok(());
     }
-    lupinspur::node::run(settings, args.tuning).map_err(|e| e.to_string())
+    lupinspur::node::run(settings, args.tuning, plan).map_err(|e| e.to_string())
 }
 
 fn main() -> ExitCode {
     match run(Args::parse()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
-            eprintln!("lupinspur: {e}");
+            for line in e.lines() {
+                eprintln!("lupinspur: {line}");
+            }
             ExitCode::FAILURE
         }
     }
--- a/src/node.rs
+++ b/src/node.rs
@@ -8,9 +8,9 @@
 use crate::intern::{Index, RackIx};
 use crate::jobs::{JOB_PREFIX, PART_PREFIX, PROGRESS_PREFIX};
 use crate::ownership::{CLAIM_KEY, CLAIM_PREFIX, Claim, Next, Ownership, SeenClaim};
-use crate::peer::{JobAnswer, JobQuestion, Outcome, Owner, Peers};
+use crate::peer::{JobAnswer, JobQuestion, Outcome, Owner, Peers, QuotaAnswer, QuotaQuestion};
 use crate::settings::Settings;
-use crate::shard::{CloudCall, Counts, Loaded, Shard};
+use crate::shard::{CloudCall, Counts, Loaded, LoadedQuotas, Shard};
 use crate::state::{Commit, StateClient, StateError, TXN_BYTES, Turn};
 use crate::tuning::Tuning;
 use crate::wire::{Change, Condition, Item, JobState, Kind, MachineType, RentRequest};
@@ -19,6 +19,8 @@
 use async_executor::Executor;
 use async_io::{Async, Timer};
 use futures_lite::FutureExt;
+use lupinspur_quota::Plan;
+use lupinspur_quota::stored::{HEAD, PREFIX};
 use serde::de::DeserializeOwned;
 use std::collections::HashMap;
 use std::net::TcpListener;
@@ -55,6 +57,8 @@
 pub struct Node {
     pub settings: Settings,
     pub tuning: Tuning,
+    /// The operators' file of quotas that nest.
+    quotas: Option<Plan>,
     pub state: StateClient,
     pub cloud: CloudClient,
     pub workers: WorkerClient,
@@ -85,7 +89,7 @@
 }
 
 impl Node {
-    fn new(settings: Settings, tuning: Tuning) -> Node {
+    fn new(settings: Settings, tuning: Tuning, quotas: Option<Plan>) -> Node {
         let me = Claim { node: settings.node.clone(), nonce: format!("{:016x}", fastrand::u64(..)) };
         Node {
             state: StateClient::new(&settings),
@@ -106,6 +110,7 @@
             claiming: AtomicBool::new(false),
             settings,
             tuning,
+            quotas,
         }
     }
 
@@ -302,10 +307,14 @@
             let (machines, _) = self.state.list(MACHINE_PREFIX, Turn::InTurn).await?;
             let (racks, _) = self.state.list(RACK_PREFIX, Turn::InTurn).await?;
             let fleet = self.state.get(FLEET_KEY, Turn::InTurn).await?;
-            Ok::<_, StateError>((jobs, revision, progress, machines, racks, fleet))
+            let quotas = match &self.quotas {
+                Some(_) => self.state.list(PREFIX, Turn::InTurn).await?.0,
+                None => Vec::new(),
+            };
+            Ok::<_, StateError>((jobs, revision, progress, machines, racks, fleet, quotas))
         };
         match loaded.await {
-            Ok((jobs, revision, progress, machines, racks, fleet)) => {
+            Ok((jobs, revision, progress, machines, racks, fleet, quotas)) => {
                 let number = |k: &str| k.strip_prefix(RACK_PREFIX).and_then(|n| n.parse::<usize>().ok());
                 let loaded = Loaded {
                     jobs: parse_items(jobs).map(|(_, r, v)| (r, v)).collect(),
@@ -317,6 +326,11 @@
                     racks_from: racks.iter().filter_map(|i| number(&i.key)).max().map_or(0, |n| n + 1),
                     racks: parse_items(racks).filter_map(|(k, r, v)| Some((RackIx::new(number(&k)?), r, v))).collect(),
                     fleet: fleet.and_then(|i| parse_items(vec![i]).next()).map(|(_, r, v)| (r, v)),
+                    quotas: self.quotas.clone().map(|file| {
+                        let (head, parts): (Vec<Item>, Vec<Item>) = quotas.into_iter().partition(|i| i.key == HEAD);
+                        let head = parse_items(head).next().map(|(_, h, v)| (h, v));
+                        LoadedQuotas { file, head, parts: parse_items(parts).collect() }
+                    }),
                 };
                 let machines = loaded.machines.len() + loaded.racks.iter().map(|r| r.1.machines.len()).sum::<usize>();
                 let now = clock::now();
@@ -663,6 +677,32 @@
 
 #[tonic::async_trait]
 impl Owner for OwnerSide {
+    async fn quotas(
+        &self,
+        request: tonic::Request<QuotaQuestion>,
+    ) -> Result<tonic::Response<QuotaAnswer>, tonic::Status> {
+        let q = request.into_inner();
+        if !q.job.is_empty() && !crate::api::valid_id(&q.job) {
+            return Err(tonic::Status::invalid_argument("job id is malformed"));
+        }
+        let now = clock::now();
+        let told = match self.0.standing(now) {
+            Standing::Owner => self.0.with_shard(now, |s| s.quotas_told(&q.job)),
+            Standing::Other(node) if !q.passed_on => {
+                let passed_on = QuotaQuestion { passed_on: true, ..q };
+                return match self.0.peers.ask_quotas(&node, passed_on).await {
+                    Some(a) => Ok(tonic::Response::new(a)),
+                    None => Err(tonic::Status::unavailable("the owner does not answer")),
+                };
+            }
+            _ => None,
+        };
+        let Some(told) = told else { return Err(tonic::Status::unavailable("nobody owns the shard now")) };
+        let json = told.map(|t| serde_json::to_string(&t)).transpose();
+        let json = json.map_err(|e| tonic::Status::internal(e.to_string()))?;
+        Ok(tonic::Response::new(QuotaAnswer { enabled: json.is_some(), json: json.unwrap_or_default() }))
+    }
+
     async fn ask(&self, request: tonic::Request<JobQuestion>) -> Result<tonic::Response<JobAnswer>, tonic::Status> {
         let q = request.into_inner();
         if !crate::api::valid_id(&q.job) {
@@ -691,13 +731,13 @@
 static NODE: std::sync::OnceLock<Arc<Node>> = std::sync::OnceLock::new();
 
 /// Runs the node until the process ends.
-pub fn run(settings: Settings, tuning: Tuning) -> std::io::Result<()> {
+pub fn run(settings: Settings, tuning: Tuning, quotas: Option<Plan>) -> std::io::Result<()> {
     clock::now();
     let listener = Async::<TcpListener>::bind(settings.listen)?;
     let peer_listener = Async::<TcpListener>::bind(settings.peer_listen)?;
     let bounds = settings.door();
     log::info!("{} in {} listens on {}", settings.node, settings.zone, settings.listen);
-    let node = NODE.get_or_init(|| Arc::new(Node::new(settings, tuning))).clone();
+    let node = NODE.get_or_init(|| Arc::new(Node::new(settings, tuning, quotas))).clone();
     let n = || node.clone();
     EX.spawn(n().learn_types()).detach();
     EX.spawn(n().watch_claim()).detach();
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -22,7 +22,7 @@
 
 use proto::owner_client::OwnerClient;
 pub use proto::owner_server::{Owner, OwnerServer};
-pub use proto::{JobAnswer, JobQuestion, Outcome, Verb};
+pub use proto::{JobAnswer, JobQuestion, Outcome, QuotaAnswer, QuotaQuestion, Verb};
 
 #[derive(Clone, Copy)]
 struct Spawn(&'static Executor<'static>);
@@ -64,6 +64,34 @@
 const CONNECT: Duration = Duration::from_millis(700);
 const ASK: Duration = Duration::from_millis(1300);
 
+fn origin() -> http::Uri {
+    http::Uri::from_static("http://owner")
+}
+
+async fn connect(ex: &'static Executor<'static>, addr: SocketAddr) -> Option<Channel> {
+    let stream = timed(CONNECT, Async::<TcpStream>::connect(addr)).await.ok()?.ok()?;
+    let _ = stream.get_ref().set_nodelay(true);
+    let shake = hyper::client::conn::http2::handshake(Spawn(ex), FuturesIo::new(stream));
+    let (send, conn) = timed(CONNECT, shake).await.ok()?.ok()?;
+    ex.spawn(async move {
+        let _ = conn.await;
+    })
+    .detach();
+    Some(Channel(send))
+}
+
+/// One question of an operator to any controller.
+pub async fn query_quotas(ex: &'static Executor<'static>, addr: SocketAddr, job: &str) -> Result<QuotaAnswer, String> {
+    let channel = connect(ex, addr).await.ok_or_else(|| format!("{addr} cannot be reached"))?;
+    let mut client = OwnerClient::with_origin(channel, origin());
+    let q = QuotaQuestion { job: job.to_owned(), passed_on: false };
+    match timed(ASK * 2, client.quotas(q)).await {
+        Ok(Ok(a)) => Ok(a.into_inner()),
+        Ok(Err(s)) => Err(s.message().to_owned()),
+        Err(_) => Err(format!("{addr} does not answer")),
+    }
+}
+
 impl Peers {
     pub fn new(ex: &'static Executor<'static>, s: &crate::settings::Settings) -> Peers {
         Peers { ex, addrs: s.peers.iter().map(|p| (p.node.clone(), p.addr)).collect(), open: Mutex::default() }
@@ -75,26 +103,25 @@
         {
             return Some(c.clone());
         }
-        let addr = *self.addrs.get(node)?;
-        let stream = timed(CONNECT, Async::<TcpStream>::connect(addr)).await.ok()?.ok()?;
-        let _ = stream.get_ref().set_nodelay(true);
-        let shake = hyper::client::conn::http2::handshake(Spawn(self.ex), FuturesIo::new(stream));
-        let (send, conn) = timed(CONNECT, shake).await.ok()?.ok()?;
-        self.ex
-            .spawn(async move {
-                let _ = conn.await;
-            })
-            .detach();
-        let c = Channel(send);
+        let c = connect(self.ex, *self.addrs.get(node)?).await?;
         self.open.lock().unwrap_or_else(|e| e.into_inner()).insert(node.to_owned(), c.clone());
         Some(c)
     }
 
+    /// Asks the owner about quotas.
+    pub async fn ask_quotas(&self, node: &str, q: QuotaQuestion) -> Option<QuotaAnswer> {
+        let mut client = OwnerClient::with_origin(self.channel(node).await?, origin());
+        let answer = timed(ASK, client.quotas(q)).await;
+        if !matches!(answer, Ok(Ok(_))) {
+            self.drop_channel(node);
+        }
+        Some(answer.ok()?.ok()?.into_inner())
+    }
+
     /// Asks the owner about a job. None when it cannot be reached or cannot act.
     pub async fn ask(&self, node: &str, verb: Verb, job: &str, limit: Option<Duration>) -> Option<JobAnswer> {
         let c = self.channel(node).await?;
-        let uri = http::Uri::from_static("http://owner");
-        let mut client = OwnerClient::with_origin(c, uri);
+        let mut client = OwnerClient::with_origin(c, origin());
         let q = JobQuestion { verb: verb.into(), job: job.to_owned() };
         match timed(limit.unwrap_or(ASK), client.ask(q)).await {
             Ok(Ok(a)) => Some(a.into_inner()).filter(|a| a.outcome() != Outcome::Unable),
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -9,7 +9,7 @@
 use crate::jobs::Job;
 use crate::shard::{EPS, Shard};
 use crate::wire::Priority;
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 
 /// Cpu room on a machine of the on-demand base that batch work leaves to services, in their tasks.
 const SERVICE_ROOM: f64 = 4.0;
@@ -23,6 +23,8 @@
 const SPREAD_WORTH_S: f64 = 1.0;
 /// Seconds that a service waits for room on a machine that has its image.
 const ROOM_WAIT_S: f64 = 0.6;
+/// The class of what is not within a guarantee, after services and guarantees.
+const BORROWS: u8 = 2;
 /// Most starts of one pass, so that a huge job cannot hold up the rest.
 const MOST_STARTS: usize = 400;
 /// Most times in one pass that room is looked for by stopping other work.
@@ -167,6 +169,9 @@
 
 /// Does one more task stay within the team's limit?
 fn within_limit(s: &Shard, job: &Job, shadow: (f64, f64)) -> bool {
+    if !s.quota_allows(job) {
+        return false;
+    }
     let team = &s.teams[job.team.ix()];
     let ok =
         |max: f64, used: f64, need: f64, shadow: f64| max <= 0.0 || need <= 0.0 || used + need + shadow <= max + EPS;
@@ -174,9 +179,10 @@
         && ok(team.spec.cards_max, team.cards_used, job.spec.cards, shadow.1)
 }
 
+#[derive(Clone, Copy)]
 struct Turn {
     job: JobIx,
-    rank: (u8, Priority, u64),
+    rank: (u8, u8, Priority, u16, u64),
 }
 
 /// The order in which jobs get machines.
@@ -187,29 +193,52 @@
     let mut taken = vec![(0.0f64, 0.0f64); s.teams.len()];
     let mut out = Vec::new();
     for j in by_age {
+        let team = s.jobs.at(j).team;
+        let guarantee = s.guaranteed(team);
         let job = s.jobs.at_mut(j);
         let n = f64::from(job.unfinished());
-        let team = &s.teams[job.team.ix()].spec;
-        let t = &mut taken[job.team.ix()];
+        let t = &mut taken[team.ix()];
         let (c, g) = (n * job.spec.cpus, n * job.spec.cards);
-        let guaranteed = t.0 + c <= team.cpus + EPS && t.1 + g <= team.cards + EPS;
+        let guaranteed = t.0 + c <= guarantee.0 + EPS && t.1 + g <= guarantee.1 + EPS;
         t.0 += c;
         t.1 += g;
         if job.shadowed_by > 0 || now < job.not_before || !job.has_queued() {
             continue;
         }
-        let class = if job.spec.priority == Priority::Production { 0 } else { 1 + u8::from(!guaranteed) };
-        out.push(Turn { job: j, rank: (class, job.priority, job.urgency_ms(now_ms)) });
+        let class = if job.spec.priority == Priority::Production {
+            0
+        } else if guaranteed {
+            1
+        } else {
+            BORROWS
+        };
+        let (priority, urgency) = (job.priority, job.urgency_ms(now_ms));
+        // Of what borrows, siblings go before strangers.
+        let (distance, share) = if class == BORROWS { s.borrowing(s.jobs.at(j)) } else { (0, 0) };
+        out.push(Turn { job: j, rank: (class, distance, priority, share, urgency) });
     }
     out.sort_by_key(|t| t.rank);
     out
 }
 
+/// With each task that a job borrows, those of nearer lenders and of lesser shares may come
+/// to stand before its next one: its turn after those, if so.
+fn gives_way(s: &Shard, turn: &Turn, others: &VecDeque<Turn>) -> Option<Turn> {
+    let (class, distance, priority, share, urgency) = turn.rank;
+    if class < BORROWS {
+        return None;
+    }
+    let now = s.borrowing(s.jobs.at(turn.job));
+    let later = Turn { rank: (class, now.0, priority, now.1, urgency), ..*turn };
+    (now > (distance, share) && others.front().is_some_and(|o| o.rank < later.rank)).then_some(later)
+}
+
 pub fn place(s: &mut Shard, now: f64) {
     if !s.types.known() {
         return;
     }
     let shadow = (shadow(s), shadow_cards(s));
+    s.quota_unseen(shadow);
     let turns = turns(s, now);
     let Some(least) = turns.iter().map(|t| s.jobs.at(t.job).spec.cpus).min_by(f64::total_cmp) else { return };
     let silent_s = s.fresh_s();
@@ -218,7 +247,8 @@
         s.machines.iter().filter(|(_, m)| has_room(s, m) && m.usable(now, silent_s)).map(|(i, _)| i).collect();
     let mut hopeless = Hopeless(Vec::new());
     let (mut starts, mut rooms_made) = (0, 0);
-    for turn in turns {
+    let mut turns = VecDeque::from(turns);
+    while let Some(turn) = turns.pop_front() {
         let job = s.jobs.at(turn.job);
         let urgent = job.spec.priority == Priority::Production;
         if !within_limit(s, job, shadow) || !urgent && (roomy.is_empty() || hopeless.covers(job)) {
@@ -260,6 +290,11 @@
             s.jobs.at_mut(turn.job).queue.pop_front();
             s.plan(m, (turn.job, task), now);
             starts += 1;
+            if let Some(later) = gives_way(s, &turn, &turns) {
+                let at = turns.partition_point(|t| t.rank <= later.rank);
+                turns.insert(at, later);
+                break;
+            }
         }
         if starts > before {
             roomy.retain(|&i| has_room(s, s.machines.at(i)));
--- /dev/null
+++ b/src/query.rs
@@ -0,0 +1,77 @@
+//! What operators ask a running controller, by the command line.
+
+use crate::shard::{QuotaRow, QuotasTold};
+use async_executor::Executor;
+use clap::Subcommand;
+use std::fmt::Write as _;
+use std::net::SocketAddr;
+
+#[derive(Subcommand, Debug)]
+pub enum Query {
+    /// Shows what each level of the quotas has, uses, lends, borrows and waits for.
+    Quotas {
+        /// Where any controller listens for its peers (peer_listen in its settings).
+        #[arg(long, value_name = "ADDRESS")]
+        peer: SocketAddr,
+        /// Also say why this job waits.
+        #[arg(long, default_value = "")]
+        job: String,
+        /// JSON instead of a table.
+        #[arg(long)]
+        json: bool,
+    },
+}
+
+static EX: Executor<'static> = Executor::new();
+
+/// Asks, and returns what is to be printed.
+pub fn run(q: &Query) -> Result<String, String> {
+    let Query::Quotas { peer, job, json } = q;
+    let answer = async_io::block_on(EX.run(crate::peer::query_quotas(&EX, *peer, job)))?;
+    if !answer.enabled {
+        return Err("quotas do not nest here: the controllers run without --quotas".into());
+    }
+    if *json {
+        return Ok(answer.json);
+    }
+    let told: QuotasTold = serde_json::from_str(&answer.json).map_err(|e| format!("the answer is malformed: {e}"))?;
+    Ok(table(&told))
+}
+
+fn amount(v: f64, none: &str) -> String {
+    if v <= 0.0 { none.to_owned() } else { format!("{:.1}", v).trim_end_matches(".0").to_owned() }
+}
+
+/// Cpus, level by level; cards too where there are any.
+pub fn table(told: &QuotasTold) -> String {
+    let cards = told.levels.iter().any(|r| r.guarantee_gpus + r.limit_gpus + r.used_gpus > 0.0);
+    let mut head = vec!["level", "guaranteed", "limit", "used", "lends", "borrows", "waits"];
+    if cards {
+        head.extend(["cards guaranteed", "limit", "used"]);
+    }
+    let cells = |r: &QuotaRow| {
+        let name = r.level.rsplit('.').next().unwrap_or(&r.level);
+        let mut c = vec![format!("{}{name}", "  ".repeat(r.depth))];
+        c.extend([amount(r.guarantee_cpus, "0"), amount(r.limit_cpus, "none"), amount(r.used_cpus, "0")]);
+        c.extend([amount(r.lends_cpus, "-"), amount(r.borrows_cpus, "-"), amount(r.waits_cpus, "-")]);
+        if cards {
+            c.extend([amount(r.guarantee_gpus, "0"), amount(r.limit_gpus, "none"), amount(r.used_gpus, "0")]);
+        }
+        c
+    };
+    let mut rows: Vec<Vec<String>> = vec![head.into_iter().map(str::to_owned).collect()];
+    rows.extend(told.levels.iter().map(cells));
+    let widths: Vec<usize> = (0..rows[0].len()).map(|i| rows.iter().map(|r| r[i].len()).max().unwrap_or(0)).collect();
+    let mut out = format!("quotas of generation {}, in cpus\n", told.generation);
+    for r in rows {
+        let mut line = format!("{:<w$}", r[0], w = widths[0]);
+        for (c, w) in r.iter().zip(&widths).skip(1) {
+            let _ = write!(line, "  {c:>w$}");
+        }
+        let _ = writeln!(out, "{}", line.trim_end());
+    }
+    if let Some(why) = &told.job {
+        let _ = writeln!(out, "the job: {why}");
+    }
+    out
+}
--- a/src/shard/mod.rs
+++ b/src/shard/mod.rs
@@ -5,10 +5,12 @@
 //! node's loops carry out. Traces in tests/ drive it directly.
 
 mod pipelines;
+mod quotas;
 mod reports;
 mod sizing;
 mod writes;
 
+pub use quotas::{LoadedQuotas, Quotas, Row as QuotaRow, Told as QuotasTold, fits_values, team_limits};
 pub use reports::{DirectSend, Heard};
 pub use sizing::CloudCall;
 pub use writes::{What, Write};
@@ -123,6 +125,8 @@
     /// The first number that no stored rack has, readable or not.
     pub racks_from: usize,
     pub fleet: Option<(FleetRecord, u64)>,
+    /// Where quotas nest.
+    pub quotas: Option<LoadedQuotas>,
 }
 
 pub struct Shard {
@@ -135,6 +139,7 @@
     pub machines: Machines,
     pub types: Types,
     pub teams: Vec<TeamState>,
+    pub quotas: Option<Quotas>,
     pub team_names: Names<TeamIx>,
     pub pools: BTreeMap<TypeIx, Pool>,
     pub launches: Launches,
@@ -243,6 +248,7 @@
             machines: Machines::default(),
             types: Types::default(),
             teams: s.teams.iter().map(|t| TeamState { spec: t.clone(), cpus_used: 0.0, cards_used: 0.0 }).collect(),
+            quotas: loaded.quotas.as_ref().map(|q| Quotas::new(&s.teams, q, value_bytes)),
             team_names,
             pools: BTreeMap::new(),
             launches: Launches::new(token),
@@ -308,6 +314,12 @@
                 _ => _ = shard.cleanup.insert(key),
             }
         }
+        for (key, version) in loaded.quotas.iter().flat_map(|q| {
+            let head = q.head.iter().map(|(_, v)| (lupinspur_quota::stored::HEAD.to_owned(), *v));
+            head.chain(q.parts.iter().map(|(k, _, v)| (k.clone(), *v)))
+        }) {
+            shard.versions.insert(key, version);
+        }
         for (name, r, v) in loaded.machines {
             shard.versions.insert(crate::fleet::machine_key(&name), v);
             shard.machines_to_restore.push((name, r));
@@ -721,6 +733,7 @@
         let team = &mut self.teams[job.team.ix()];
         team.cpus_used += sign * job.spec.cpus;
         team.cards_used += sign * job.spec.cards;
+        self.count_quota(j, sign);
     }
 
     /// A held task's end is seen: what it took is free again.
@@ -845,6 +858,7 @@
             self.sized_at = now;
             self.size_fleet(now);
             self.ease_racks();
+            self.quota_gives_way();
             self.tell_stages(now);
         }
         self.place_waiting(now);
@@ -897,7 +911,7 @@
         format!(
             "{} reports, {} direct, {} starts; writes: {} final, {} racks, {} progress, {} other; {} live jobs, \
              {waiting} tasks wait; machines up {} spot and {} on-demand, {}+{} cordoned, {booting} boot, \
-             {unresolved} unresolved; cpus {held:.0?}; wanted {mix:?}",
+             {unresolved} unresolved; cpus {held:.0?}; wanted {mix:?}{}",
             c.reports - before.reports,
             c.directs - before.directs,
             c.starts - before.starts,
@@ -910,6 +924,7 @@
             up(false, false),
             up(true, true),
             up(false, true),
+            self.quotas_summary(),
         )
     }
 
--- /dev/null
+++ b/src/shard/quotas.rs
@@ -0,0 +1,355 @@
+//! Quotas that nest: what this shard tells the ledger, and what it asks it.
+//!
+//! The tree that holds is the one that the state service has. An owner whose file has a
+//! higher generation stores that first, in as many values as it takes, and follows it from
+//! the write on that switches the head. One whose file is older follows what is stored.
+
+use super::{Shard, What, Write};
+use crate::fleet::HeldState;
+use crate::intern::{Index, JobIx, MachineIx, TeamIx};
+use crate::jobs::TaskKey;
+use crate::settings::Team;
+use lupinspur_quota as quota;
+use quota::stored::{HEAD, Head, PREFIX, Part, generation_of, part_key};
+use quota::{Amount, Held, Ledger, LevelIx, Plan, TeamLimits, Tree};
+use serde::{Deserialize, Serialize};
+use std::collections::HashMap;
+
+/// Most levels that the summary line names.
+const MOST_IN_SUMMARY: usize = 8;
+
+/// What the state service holds, and the operators' file.
+#[derive(Debug, Clone)]
+pub struct LoadedQuotas {
+    pub file: Plan,
+    pub head: Option<(Head, u64)>,
+    pub parts: Vec<(String, Part, u64)>,
+}
+
+/// A step on the way to another tree.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Step {
+    Part(usize),
+    Head,
+}
+
+#[derive(Debug)]
+pub struct Quotas {
+    pub ledger: Ledger,
+    /// Does the ledger's tree stand at the state service? Before the first one does, nothing
+    /// is placed: what starts under no tree might be more than the tree allows.
+    in_force: bool,
+    next: Option<(Plan, Tree, Vec<Part>)>,
+    stored_parts: usize,
+}
+
+/// One level as people are told about it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Row {
+    pub level: String,
+    pub depth: usize,
+    pub team: bool,
+    pub guarantee_cpus: f64,
+    pub limit_cpus: f64,
+    pub used_cpus: f64,
+    pub guarantee_gpus: f64,
+    pub limit_gpus: f64,
+    pub used_gpus: f64,
+    /// What others use of its guarantee, at the most, and what it uses beyond it.
+    pub lends_cpus: f64,
+    pub borrows_cpus: f64,
+    /// What its tasks that wait would take.
+    pub waits_cpus: f64,
+}
+
+/// Everything that a query is answered with.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Told {
+    pub generation: u64,
+    pub levels: Vec<Row>,
+    /// Why the job that was asked for waits, if it does.
+    pub job: Option<String>,
+}
+
+/// The settings' teams as a plan is checked against them.
+pub fn team_limits(teams: &[Team]) -> Vec<TeamLimits> {
+    let limits = |t: &Team| TeamLimits {
+        name: t.name.clone(),
+        guarantee: Amount::new(t.cpus, t.cards),
+        limit: Amount::new(t.cpus_max, t.cards_max),
+    };
+    teams.iter().map(limits).collect()
+}
+
+fn length(p: &impl Serialize) -> usize {
+    serde_json::to_string(p).map_or(usize::MAX, |t| t.len())
+}
+
+/// Can this plan be kept in values of this size?
+pub fn fits_values(plan: &Plan, value_bytes: usize) -> Result<(), String> {
+    match quota::stored::parts(plan, value_bytes, length) {
+        Some(_) => Ok(()),
+        None => Err(format!("one organisation takes more than the {value_bytes} bytes of a value")),
+    }
+}
+
+fn of_team(t: TeamIx) -> quota::TeamIx {
+    quota::TeamIx(t.ix() as u32)
+}
+
+impl Quotas {
+    pub fn new(teams: &[Team], loaded: &LoadedQuotas, value_bytes: usize) -> Quotas {
+        let teams = team_limits(teams);
+        let tree = |p: &Plan| {
+            let made = Tree::of(p, &teams);
+            if let Err(faults) = &made {
+                let told: Vec<String> = faults.iter().map(ToString::to_string).collect();
+                log::error!("quotas of generation {}: {}", p.generation, told.join("; "));
+            }
+            made.ok().map(|m| m.0)
+        };
+        let part = |head: Head, n: usize| {
+            let key = part_key(head.generation, n);
+            loaded.parts.iter().find(|p| p.0 == key).map(|p| p.1.clone())
+        };
+        let stored = loaded.head.and_then(|(h, _)| quota::stored::join(h, |n| part(h, n)));
+        let stored = stored.and_then(|p| Some((tree(&p)?, p)));
+        let file = &loaded.file;
+        let newer = stored.as_ref().is_none_or(|(_, p)| p.generation < file.generation);
+        match &stored {
+            Some((_, p)) if p.generation > file.generation => log::warn!(
+                "the quota file's generation {} is older than the stored one, {}, which holds",
+                file.generation,
+                p.generation
+            ),
+            Some((_, p)) if p.generation == file.generation && p != file => {
+                log::warn!(
+                    "the quota file differs from the stored one of the same generation {}, which holds",
+                    p.generation
+                )
+            }
+            _ => {}
+        }
+        let next = newer
+            .then(|| Some((file.clone(), tree(file)?, quota::stored::parts(file, value_bytes, length)?)))
+            .flatten();
+        if newer && next.is_none() {
+            log::error!("the quota file cannot be stored: one organisation is too long for a value, or it is wrong");
+        }
+        // A file that cannot be stored was refused at the start; the flat tree is then what is left.
+        let in_force = stored.is_some() || next.is_none();
+        let tree = stored.map_or_else(|| Tree::flat(&teams), |s| s.0);
+        Quotas { ledger: Ledger::new(tree), in_force, next, stored_parts: 0 }
+    }
+
+    pub fn in_force(&self) -> bool {
+        self.in_force
+    }
+}
+
+/// What is wanted, counted against the limits of every level.
+pub(super) struct Demand(Ledger);
+
+impl Demand {
+    /// So many of these tasks may run beside what was taken before; they are taken.
+    pub(super) fn take(&mut self, job: &crate::jobs::Job, n: f64) -> f64 {
+        let (team, need) = (of_team(job.team), Amount::new(job.spec.cpus, job.spec.cards));
+        let n = n.min(self.0.room(team, need));
+        self.0.count(team, need.times(n));
+        n
+    }
+}
+
+impl Shard {
+    pub(super) fn quota_demand(&self) -> Option<Demand> {
+        self.quotas.as_ref().map(|q| Demand(q.ledger.empty()))
+    }
+
+    /// One task's use begins (1) or ends (-1) at every level above it.
+    pub(super) fn count_quota(&mut self, j: JobIx, sign: f64) {
+        let Some(q) = &mut self.quotas else { return };
+        let job = self.jobs.at(j);
+        q.ledger.count(of_team(job.team), Amount::new(job.spec.cpus, job.spec.cards).times(sign));
+    }
+
+    /// What unseen machines may hold counts at every level.
+    pub(crate) fn quota_unseen(&mut self, (cpus, cards): (f64, f64)) {
+        if let Some(q) = &mut self.quotas {
+            q.ledger.unseen = Amount::new(cpus, cards);
+        }
+    }
+
+    pub(crate) fn quota_allows(&self, j: &crate::jobs::Job) -> bool {
+        let need = Amount::new(j.spec.cpus, j.spec.cards);
+        self.quotas.as_ref().is_none_or(|q| q.in_force && q.ledger.may_start(of_team(j.team), need).is_ok())
+    }
+
+    /// What a team is guaranteed: as the settings say, or what the levels above leave of it.
+    pub(crate) fn guaranteed(&self, t: TeamIx) -> (f64, f64) {
+        match &self.quotas {
+            None => (self.teams[t.ix()].spec.cpus, self.teams[t.ix()].spec.cards),
+            Some(q) => {
+                let own = q.ledger.tree().path(of_team(t)).first();
+                let g = own.map_or(Amount::NONE, |l| q.ledger.tree().at(*l).guarantee);
+                (g.cpus, g.gpus)
+            }
+        }
+    }
+
+    /// Where a job stands among those that are not within a guarantee as a whole: how far away
+    /// the lender of its next task is, and in what twentieth of what that lends. Without a tree
+    /// all stand alike.
+    pub(crate) fn borrowing(&self, j: &crate::jobs::Job) -> (u8, u16) {
+        let Some(q) = &self.quotas else { return (0, 0) };
+        let s = q.ledger.standing(of_team(j.team), Amount::new(j.spec.cpus, j.spec.cards));
+        (s.distance, (s.share * 20.0).min(60_000.0) as u16)
+    }
+
+    /// The next write on the way to the file's tree.
+    pub(super) fn quota_write(&mut self) -> Option<Write> {
+        let q = self.quotas.as_ref()?;
+        let (plan, _, parts) = q.next.as_ref()?;
+        let head = Head { generation: plan.generation, parts: parts.len() };
+        let (key, step) = match parts.get(q.stored_parts) {
+            Some(_) => (part_key(plan.generation, q.stored_parts), Step::Part(q.stored_parts)),
+            None => (HEAD.to_owned(), Step::Head),
+        };
+        if self.in_flight.contains(&key) {
+            return None;
+        }
+        match parts.get(q.stored_parts).cloned() {
+            Some(part) => self.put(key, What::Quota(step), &part),
+            None => self.put(key, What::Quota(step), &head),
+        }
+    }
+
+    pub(super) fn quota_applied(&mut self, step: Step) {
+        let Some(q) = &mut self.quotas else { return };
+        match step {
+            Step::Part(n) => q.stored_parts = n + 1,
+            Step::Head => {
+                if let Some((plan, tree, _)) = q.next.take() {
+                    log::info!("quotas of generation {} hold", plan.generation);
+                    q.ledger.change(tree);
+                    q.in_force = true;
+                    self.place_due = true;
+                    let old: Vec<String> = self
+                        .versions
+                        .keys()
+                        .filter(|k| k.starts_with(PREFIX) && generation_of(k).is_some_and(|g| g != plan.generation))
+                        .cloned()
+                        .collect();
+                    self.cleanup.extend(old);
+                    // Starts that were chosen and not sent yet are withdrawn at once.
+                    self.quota_gives_way();
+                }
+            }
+        }
+    }
+
+    /// After a parent shrank: what is over its limit gives way. Each is told once; until its
+    /// end is seen it counts, and nothing else is stopped in its place.
+    pub(super) fn quota_gives_way(&mut self) {
+        let Some(q) = &self.quotas else { return };
+        if !self.writable || q.ledger.over().is_empty() {
+            return;
+        }
+        let mut held: Vec<Held<(MachineIx, TaskKey)>> = Vec::new();
+        let mut leaving: Vec<(quota::TeamIx, Amount)> = Vec::new();
+        for (m, machine) in self.machines.iter() {
+            for (k, h) in &machine.tasks {
+                let job = self.jobs.at(k.0);
+                let (team, need) = (of_team(job.team), Amount::new(job.spec.cpus, job.spec.cards));
+                if h.stop.is_some() || h.state == HeldState::Saving {
+                    leaving.push((team, need));
+                    continue;
+                }
+                let loses = if h.state == HeldState::Running && job.spec.checkpoint_s <= 0.0 {
+                    self.ticked - h.running_since
+                } else {
+                    0.0
+                };
+                held.push(Held { task: (m, *k), team, need, loses, service: job.is_service() });
+            }
+        }
+        for (m, k) in q.ledger.give_way(&held, &leaving) {
+            log::info!("{}/{} gives way to a lower quota", self.jobs.at(k.0).id, k.1);
+            self.stop_gently(m, k);
+        }
+    }
+
+    /// What people are told: every level, and why a job waits.
+    pub fn quotas_told(&self, job: &str) -> Option<Told> {
+        let q = self.quotas.as_ref()?;
+        let tree = q.ledger.tree();
+        let mut waits: HashMap<LevelIx, f64> = HashMap::new();
+        for &j in &self.jobs.live {
+            let job = self.jobs.at(j);
+            let n = if job.open() { job.unfinished().saturating_sub(job.held) } else { 0 };
+            for l in tree.path(of_team(job.team)) {
+                *waits.entry(*l).or_default() += f64::from(n) * job.spec.cpus;
+            }
+        }
+        let row = |(i, l): (usize, &quota::Level)| {
+            let ix = LevelIx(i as u32);
+            let used = q.ledger.used(ix);
+            Row {
+                level: if l.name.is_empty() { "(all)".into() } else { l.name.clone() },
+                depth: if l.name.is_empty() { 0 } else { l.name.matches('.').count() + 1 },
+                team: l.team.is_some(),
+                guarantee_cpus: l.guarantee.cpus,
+                limit_cpus: l.limit.cpus,
+                used_cpus: used.cpus,
+                guarantee_gpus: l.guarantee.gpus,
+                limit_gpus: l.limit.gpus,
+                used_gpus: used.gpus,
+                lends_cpus: (l.guarantee.cpus - used.cpus).max(0.0),
+                borrows_cpus: (used.cpus - l.guarantee.cpus).max(0.0),
+                waits_cpus: waits.get(&ix).copied().unwrap_or(0.0),
+            }
+        };
+        let mut levels: Vec<Row> = tree.levels.iter().enumerate().map(row).collect();
+        levels.sort_by(|a, b| (a.depth > 0).cmp(&(b.depth > 0)).then(a.level.cmp(&b.level)));
+        let job = (!job.is_empty()).then(|| self.why_waits(job));
+        Some(Told { generation: tree.generation, levels, job })
+    }
+
+    /// For operators' summary line: the levels below the whole that use anything, as they stand.
+    pub(super) fn quotas_summary(&self) -> String {
+        let Some(q) = &self.quotas else { return String::new() };
+        let tree = q.ledger.tree();
+        let top = tree.levels.iter().enumerate().filter(|(_, l)| l.parent == Some(quota::tree::WHOLE));
+        let used = |(i, l): (usize, &quota::Level)| {
+            let used = q.ledger.used(LevelIx(i as u32)).cpus;
+            (used > 0.0).then(|| format!("{} {used:.0}/{:.0}/{:.0}", l.name, l.guarantee.cpus, l.limit.cpus))
+        };
+        let told: Vec<String> = top.filter_map(used).take(MOST_IN_SUMMARY).collect();
+        format!("; quotas {} used/guaranteed/limit: {}", tree.generation, told.join(", "))
+    }
+
+    fn why_waits(&self, id: &str) -> String {
+        let (Some(j), Some(q)) = (self.jobs.find(id), self.quotas.as_ref()) else { return "no such job here".into() };
+        let job = self.jobs.at(j);
+        if !job.open() {
+            return "it is over".into();
+        }
+        if self.graph.waits(j) {
+            return "it waits for jobs that it needs".into();
+        }
+        if job.unfinished() <= job.held {
+            return "it does not wait".into();
+        }
+        if !q.in_force {
+            return "the quotas are being stored".into();
+        }
+        let need = Amount::new(job.spec.cpus, job.spec.cards);
+        match q.ledger.may_start(of_team(job.team), need) {
+            Err(l) => format!("{} is at its limit", q.ledger.tree().at(l).name),
+            Ok(()) if job.shadowed_by > 0 => "machines that may hold its tasks were not heard yet".into(),
+            Ok(()) => match q.ledger.standing(of_team(job.team), need).distance {
+                0 => "it is within its guarantee and waits for room".into(),
+                d => format!("it would borrow, from {d} levels up, and waits for room"),
+            },
+        }
+    }
+}
--- a/src/shard/sizing.rs
+++ b/src/shard/sizing.rs
@@ -356,6 +356,7 @@
         let mut out: HashMap<TypeIx, (f64, f64)> = HashMap::new();
         let mut room: Vec<f64> =
             self.teams.iter().map(|t| if t.spec.cpus_max > 0.0 { t.spec.cpus_max } else { f64::INFINITY }).collect();
+        let mut above = self.quota_demand();
         for &j in &self.jobs.live {
             let job = self.jobs.at(j);
             if !job.open() || job.failed_on.len() >= 3 {
@@ -368,6 +369,7 @@
                 n = n.min((*left / job.spec.cpus).max(0.0));
                 *left -= n * job.spec.cpus;
             }
+            n = above.as_mut().map_or(n, |a| a.take(job, n));
             let d = out.entry(ty).or_default();
             let size = n * self.share(&job.spec, ty);
             if job.spec.spot { d.0 += size } else { d.1 += size }
--- a/src/shard/writes.rs
+++ b/src/shard/writes.rs
@@ -3,6 +3,7 @@
 //! Every write is conditional on the claim and on the last known version of its
 //! own key, so that a transaction applied late finds either changed and dies.
 
+use super::quotas::Step;
 use super::{FleetRecord, Shard};
 use crate::fleet::racks::{RackMachine, RackRecord, rack_key};
 use crate::fleet::{FLEET_KEY, Held, HeldState, Phase as MachinePhase};
@@ -21,6 +22,7 @@
     Rack(RackIx, Vec<Content>),
     Progress(JobIx, u32, ProgressRecord),
     Fleet(FleetRecord),
+    Quota(Step),
     Cleanup,
 }
 
@@ -47,7 +49,7 @@
 }
 
 impl Shard {
-    fn put(&mut self, key: String, what: What, value: &impl serde::Serialize) -> Option<Write> {
+    pub(super) fn put(&mut self, key: String, what: What, value: &impl serde::Serialize) -> Option<Write> {
         Some(self.put_sized(key, what, sized(value)?))
     }
 
@@ -64,7 +66,7 @@
             What::Final(..) => self.counts.finals += 1,
             What::Rack(..) => self.counts.racks += 1,
             What::Progress(..) => self.counts.progress += 1,
-            What::Fleet(_) | What::Cleanup => self.counts.other_writes += 1,
+            What::Fleet(_) | What::Quota(_) | What::Cleanup => self.counts.other_writes += 1,
         }
         self.in_flight.insert(w.key.clone());
         w
@@ -131,6 +133,12 @@
                 return out;
             }
         }
+        // Another tree of quotas: it holds once it is stored.
+        if let Some(w) = self.quota_write()
+            && !take(Some(w), &mut out)
+        {
+            return out;
+        }
         let mut due: Vec<((bool, f64), RackIx)> = self
             .racks_due
             .iter()
@@ -354,6 +362,7 @@
                     }
                 }
                 What::Fleet(r) => self.fleet_stored = r,
+                What::Quota(step) => self.quota_applied(step),
             }
             self.versions.insert(w.key, revision);
         }
@@ -401,7 +410,7 @@
                         self.progress_due.insert(j);
                     }
                 }
-                What::Fleet(_) => {}
+                What::Fleet(_) | What::Quota(_) => {}
                 What::Cleanup => _ = self.cleanup.insert(w.key),
             }
         }
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -14,11 +14,12 @@
 use lupinspur::intern::{Index, JobIx, MachineIx, RackIx};
 use lupinspur::jobs::{JOB_PREFIX, JobRecord, PART_PREFIX, PROGRESS_PREFIX, job_key};
 use lupinspur::placement::{Promised, taken_by};
-use lupinspur::settings::Settings;
-use lupinspur::shard::{CloudCall, DirectSend, Heard, Loaded, Shard, Shown, Write};
+use lupinspur::settings::{Settings, Team};
+use lupinspur::shard::{CloudCall, DirectSend, Heard, Loaded, LoadedQuotas, Shard, Shown, Write};
 use lupinspur::tuning::Tuning;
 use lupinspur::wire::{Change, Command, JobRequest, ListedMachine, MachineType, Op, Report, TaskReport};
 use lupinspur::worker::Direct;
+use lupinspur_quota::Plan;
 use serde::de::DeserializeOwned;
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -68,6 +69,7 @@
     sent: HashMap<String, DirectSend>,
     under_way: Option<(u64, Vec<Write>)>,
     out: String,
+    quotas: Option<Plan>,
 }
 
 /// `key=value` words of an event.
@@ -200,6 +202,7 @@
                             (Some(p), _, _) => format!("phase {}", p.as_str().unwrap_or("?")),
                             (_, Some(_), _) => rack_shown(value),
                             (_, _, Some(d)) => format!("done {d}"),
+                            _ if w.key.starts_with(lupinspur_quota::stored::PREFIX) => "quotas".into(),
                             _ => "counts and lists".into(),
                         };
                         format!("{}: {brief}", w.key)
@@ -267,7 +270,14 @@
             "takeover" => {
                 let token: u64 = first.parse().expect("a token");
                 self.revision = self.revision.max(token);
+                let parts = self.readable(lupinspur_quota::stored::PREFIX);
+                let quotas = self.quotas.clone().map(|file| LoadedQuotas {
+                    file,
+                    head: self.readable("quota/head").pop().map(|(_, h, v)| (h, v)),
+                    parts,
+                });
                 let loaded = Loaded {
+                    quotas,
                     jobs: self.load(JOB_PREFIX).into_iter().map(|(_, r, v)| (r, v)).collect(),
                     progress: self.load(PROGRESS_PREFIX).into_iter().chain(self.load(PART_PREFIX)).collect(),
                     machines: self
@@ -467,6 +477,52 @@
                 self.revision += 1;
                 self.store.insert(first.to_owned(), (json!({"what": 1}), self.revision));
             }
+            // Teams with a guarantee each, in place of those of the settings.
+            "teams" => {
+                let team = |a: &&str| {
+                    let (name, cpus) = a.split_once('=').expect("team=cpus");
+                    let cpus = cpus.parse().expect("cpus");
+                    Team { name: name.into(), cpus, cpus_max: 0.0, cards: 0.0, cards_max: 0.0 }
+                };
+                self.settings.teams = args.iter().map(team).collect();
+            }
+            // The operators' file: its generation, then organisations as
+            // name[<within][/cpus=N][/max=N][/teams=a,b].
+            "quotas" => {
+                let mut text = format!("generation = {}\n", args[0]);
+                for o in &args[1..] {
+                    let mut words = o.split('/');
+                    let (name, within) = words.next().map(|n| n.split_once('<').unwrap_or((n, ""))).expect("a name");
+                    let _ = writeln!(text, "[[organisation]]\nname = \"{name}\"");
+                    if !within.is_empty() {
+                        let _ = writeln!(text, "within = \"{within}\"");
+                    }
+                    for (k, v) in words.filter_map(|w| w.split_once('=')) {
+                        let _ = match k {
+                            "teams" => writeln!(text, "teams = {:?}", v.split(',').collect::<Vec<_>>()),
+                            "max" => writeln!(text, "cpus_max = {v}.0"),
+                            _ => writeln!(text, "{k} = {v}.0"),
+                        };
+                    }
+                }
+                self.quotas = Some(Plan::parse(&text).expect("a plan"));
+            }
+            // What each level uses, of what it has, and why a job waits.
+            "levels" => {
+                let Some(told) = self.s().quotas_told(word(args, "job").unwrap_or("")) else {
+                    return self.say("no quotas");
+                };
+                for l in told.levels.iter().filter(|l| l.used_cpus + l.waits_cpus > 0.0) {
+                    let limit = if l.limit_cpus > 0.0 { format!(", limit {}", l.limit_cpus) } else { String::new() };
+                    self.say(&format!(
+                        "{}: uses {} of {}{limit}, waits for {}",
+                        l.level, l.used_cpus, l.guarantee_cpus, l.waits_cpus
+                    ));
+                }
+                if let Some(why) = told.job {
+                    self.say(&format!("the job: {why}"));
+                }
+            }
             "outage" => self.s().writable = false,
             "answers" => self.s().writable = true,
             "cordon" => {
@@ -502,6 +558,7 @@
         sent: HashMap::new(),
         under_way: None,
         out: String::new(),
+        quotas: None,
     }
 }
 
