--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -614,7 +614,7 @@
         w.event(now, "write", &[]);
         for i in 0..24 {
             let seq = format!("seq={}", step + 4);
-            // What it holds is not said: only starts that were never sent stay planned.
+            // It runs whatever it was told to start.
             let name = format!("host-{i:06}");
             let m = w.machine(&name);
             let shard = w.s();
