--- /dev/null
+++ b/crates/accounts/src/book.rs
@@ -0,0 +1,355 @@
+//! The accounts, fed job by job.
+
+use crate::terms::Terms;
+use crate::window::{Share, Span, Sums};
+use crate::{MOST_CLASSES, MOST_TEAMS, OTHERS, READINGS, Reading, Side};
+use hdrhistogram::Histogram;
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap, HashSet};
+
+/// Waits are kept in milliseconds up to a day, to one part in a hundred.
+const MOST_WAIT_MS: u64 = 86_400_000;
+
+/// An open job in the book. Valid until [`Book::ended`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct TicketIx(u32);
+
+/// One account, dense, classes and teams apart.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct AccountIx(u32);
+
+impl AccountIx {
+    pub fn ix(self) -> usize {
+        self.0 as usize
+    }
+}
+
+/// A job as it enters the book. Times are seconds of the day.
+#[derive(Debug, Clone)]
+pub struct Entry<'a> {
+    pub class: &'a str,
+    pub team: &'a str,
+    pub service: bool,
+    /// Tasks that count: no more than its team's limit lets run at one time.
+    pub tasks: u32,
+    /// From when its times count, its deadline aside.
+    pub from: f64,
+    /// The submission, from which the deadline counts, and its deadline in seconds after it.
+    pub submitted: f64,
+    pub deadline_s: Option<f64>,
+    /// Whether all its tasks ran before this book was opened cannot be told.
+    pub may_have_started: bool,
+    /// Nothing is known of its replicas before this.
+    pub seen_from: f64,
+}
+
+#[derive(Debug)]
+pub struct Account {
+    pub name: String,
+    pub side: Side,
+    sums: [Sums; READINGS.len()],
+    /// Jobs of which a reading is not known, after a takeover.
+    pub unknown: [u64; READINGS.len()],
+    /// How long jobs waited until all their tasks ran, in milliseconds.
+    pub waits: Histogram<u32>,
+    /// Replicas asked for and up, beyond the time that their class grants.
+    replicas: Share,
+    since: f64,
+}
+
+impl Account {
+    fn new(name: &str, side: Side, now: f64) -> Account {
+        let waits = Histogram::new_with_max(MOST_WAIT_MS, 2).unwrap_or_else(|_| {
+            // The bounds are constants for which the library has a histogram.
+            unreachable!("a histogram of a day in milliseconds")
+        });
+        Account {
+            name: name.to_owned(),
+            side,
+            sums: std::array::from_fn(|_| Sums::default()),
+            unknown: [0; READINGS.len()],
+            waits,
+            replicas: Share::default(),
+            since: now,
+        }
+    }
+
+    pub fn sums(&self, r: Reading) -> &Sums {
+        &self.sums[r as usize]
+    }
+
+    fn add(&mut self, r: Reading, now: f64, asked: f64, served: f64) {
+        self.sums[r as usize].add(now, asked, served);
+    }
+
+    /// Brings the replica time up to now.
+    fn integrate(&mut self, now: f64) {
+        let dt = now - self.since;
+        if dt > 0.0 && self.replicas.asked > 0.0 {
+            let Share { asked, served } = self.replicas;
+            self.add(Reading::Up, now, asked * dt, served.clamp(0.0, asked) * dt);
+        }
+        self.since = self.since.max(now);
+    }
+}
+
+#[derive(Debug)]
+struct Ticket {
+    accounts: [AccountIx; 2],
+    service: bool,
+    tasks: u32,
+    from: f64,
+    start_due: Option<f64>,
+    done_due: Option<f64>,
+    running: u32,
+    /// Its replicas count by now.
+    counted: bool,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    Start,
+    Done,
+    Count,
+}
+
+/// Milliseconds of the day, ordered.
+type At = u64;
+
+fn at(s: f64) -> At {
+    (s.max(0.0) * 1000.0) as At
+}
+
+/// How a job ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum End {
+    Done,
+    Cancelled,
+}
+
+#[derive(Debug, Default)]
+pub struct Book {
+    terms: HashMap<String, Terms>,
+    pub accounts: Vec<Account>,
+    by_name: [HashMap<String, AccountIx>; 2],
+    tickets: Vec<Option<Ticket>>,
+    /// Guards against a moment that belongs to an earlier job under the same number.
+    generations: Vec<u32>,
+    free: Vec<u32>,
+    due: BinaryHeap<Reverse<(At, Due, u32, u32)>>,
+    /// Readings that were under a half at the last look, by account and window.
+    pub(crate) low: HashSet<(usize, Reading, bool)>,
+}
+
+impl Book {
+    pub fn new(terms: HashMap<String, Terms>) -> Book {
+        Book { terms, ..Book::default() }
+    }
+
+    pub fn terms(&self, class: &str) -> Option<&Terms> {
+        self.terms.get(class)
+    }
+
+    /// The account of this name; one for all others once there are too many.
+    pub fn account(&mut self, side: Side, name: &str, now: f64) -> AccountIx {
+        let most = if side == Side::Class { MOST_CLASSES } else { MOST_TEAMS };
+        let names = &mut self.by_name[side as usize];
+        let name = if names.len() < most || names.contains_key(name) { name } else { OTHERS };
+        if let Some(&a) = names.get(name) {
+            return a;
+        }
+        let a = AccountIx(self.accounts.len() as u32);
+        names.insert(name.to_owned(), a);
+        self.accounts.push(Account::new(name, side, now));
+        a
+    }
+
+    /// The accounts of an open job's class and team.
+    pub fn of(&self, t: TicketIx) -> Option<[AccountIx; 2]> {
+        Some(self.tickets.get(t.0 as usize)?.as_ref()?.accounts)
+    }
+
+    pub fn find(&self, side: Side, name: &str) -> Option<AccountIx> {
+        self.by_name[side as usize].get(name).copied()
+    }
+
+    fn of_job(&mut self, class: &str, team: &str, now: f64) -> [AccountIx; 2] {
+        [self.account(Side::Class, class, now), self.account(Side::Team, team, now)]
+    }
+
+    /// One job's outcome in a reading, for its class and its team.
+    fn count(&mut self, accounts: [AccountIx; 2], r: Reading, now: f64, served: bool) {
+        for a in accounts {
+            self.accounts[a.ix()].add(r, now, 1.0, f64::from(u8::from(served)));
+        }
+    }
+
+    fn cannot_tell(&mut self, accounts: [AccountIx; 2], r: Reading) {
+        for a in accounts {
+            self.accounts[a.ix()].unknown[r as usize] += 1;
+        }
+    }
+
+    /// A job whose time begins, or began under an earlier owner.
+    pub fn enter(&mut self, e: &Entry, now: f64) -> TicketIx {
+        let accounts = self.of_job(e.class, e.team, now);
+        let terms = self.terms.get(e.class).cloned().unwrap_or_default();
+        let wait = terms.wait_s.map(|w| e.from + w);
+        let deadline = (!e.service).then(|| terms.latest(e.submitted, e.from, e.deadline_s)).flatten();
+        let grace = terms.grace_s.or(terms.wait_s).unwrap_or(0.0);
+        if wait.is_some() && e.may_have_started {
+            self.cannot_tell(accounts, Reading::Started);
+        }
+        let n = self.free.pop().unwrap_or_else(|| {
+            self.tickets.push(None);
+            self.generations.push(0);
+            self.tickets.len() as u32 - 1
+        });
+        self.tickets[n as usize] = Some(Ticket {
+            accounts,
+            service: e.service,
+            tasks: e.tasks,
+            from: e.from,
+            start_due: wait.filter(|_| !e.may_have_started),
+            done_due: deadline,
+            running: 0,
+            counted: false,
+        });
+        let generation = self.generations[n as usize];
+        let mut due = |t: Option<f64>, what: Due| {
+            if let Some(t) = t {
+                self.due.push(Reverse((at(t), what, n, generation)));
+            }
+        };
+        due(wait.filter(|_| !e.may_have_started), Due::Start);
+        due(deadline, Due::Done);
+        due(e.service.then_some((e.from + grace).max(e.seen_from)), Due::Count);
+        TicketIx(n)
+    }
+
+    /// So many of a job's tasks run now, and so many are done.
+    pub fn runs(&mut self, t: TicketIx, running: u32, done: u32, now: f64) {
+        let Some(ticket) = self.tickets.get_mut(t.0 as usize).and_then(Option::as_mut) else { return };
+        let before = std::mem::replace(&mut ticket.running, running);
+        let accounts = ticket.accounts;
+        let started = ticket.start_due.is_some() && running + done >= ticket.tasks;
+        let waited = now - ticket.from;
+        let in_time = started && ticket.start_due.take().is_some_and(|due| now <= due);
+        if ticket.counted && before != running {
+            for a in accounts {
+                let account = &mut self.accounts[a.ix()];
+                account.integrate(now);
+                account.replicas.served += f64::from(running) - f64::from(before);
+            }
+        }
+        if started {
+            self.count(accounts, Reading::Started, now, in_time);
+            for a in accounts {
+                self.accounts[a.ix()].waits.saturating_record((waited.max(0.0) * 1000.0) as u64);
+            }
+        }
+    }
+
+    /// A job is over, and its number is free for another. A start or an end that is not due
+    /// yet counts for nothing where its user cancelled it.
+    pub fn ended(&mut self, t: TicketIx, end: End, ended: f64, now: f64) {
+        let Some(ticket) = self.tickets.get_mut(t.0 as usize).and_then(Option::take) else { return };
+        self.generations[t.0 as usize] = self.generations[t.0 as usize].wrapping_add(1);
+        self.free.push(t.0);
+        self.leave(&ticket, now);
+        if end == End::Done {
+            if let Some(due) = ticket.start_due {
+                // All of it was done before all of it was seen to run at one time.
+                self.count(ticket.accounts, Reading::Started, now, ended <= due);
+            }
+            if let Some(due) = ticket.done_due {
+                self.count(ticket.accounts, Reading::Done, now, ended <= due);
+            }
+        }
+    }
+
+    fn leave(&mut self, ticket: &Ticket, now: f64) {
+        for a in ticket.accounts.into_iter().filter(|_| ticket.counted) {
+            let account = &mut self.accounts[a.ix()];
+            account.integrate(now);
+            account.replicas.asked -= f64::from(ticket.tasks);
+            account.replicas.served -= f64::from(ticket.running);
+        }
+    }
+
+    /// A job of which only the record is left: when it was submitted and how it ended. Whether
+    /// it started in time nobody can say.
+    pub fn from_record(&mut self, e: &Entry, end: End, ended: Option<f64>, now: f64) {
+        let accounts = self.of_job(e.class, e.team, now);
+        let terms = self.terms.get(e.class).cloned().unwrap_or_default();
+        if terms.wait_s.is_some() && end == End::Done {
+            self.cannot_tell(accounts, Reading::Started);
+        }
+        let latest = terms.latest(e.submitted, e.from, e.deadline_s);
+        let (Some(latest), End::Done, false) = (latest, end, e.service) else { return };
+        match ended {
+            None => self.cannot_tell(accounts, Reading::Done),
+            Some(ended) => {
+                for a in accounts {
+                    let sums = &mut self.accounts[a.ix()].sums[Reading::Done as usize];
+                    sums.add_at(ended.min(now), now, 1.0, f64::from(u8::from(ended <= latest)));
+                }
+            }
+        }
+    }
+
+    /// Of what a team asked for within its guarantee, what it held, in cpu-seconds.
+    pub fn held(&mut self, team: &str, asked: f64, held: f64, now: f64) {
+        let a = self.account(Side::Team, team, now);
+        self.accounts[a.ix()].add(Reading::Held, now, asked, held.min(asked));
+    }
+
+    /// A submission or a cancellation that a user waited for at this controller's door.
+    pub fn answered(&mut self, class: &str, team: &str, r: Reading, served: bool, now: f64) {
+        let accounts = self.of_job(class, team, now);
+        self.count(accounts, r, now, served);
+    }
+
+    /// What has become due since: jobs that were not started or not done in their time, and
+    /// replicas that count from now on. Costs what is due.
+    pub fn advance(&mut self, now: f64) {
+        while self.due.peek().is_some_and(|Reverse(d)| d.0 < at(now)) {
+            let Some(Reverse((_, what, n, generation))) = self.due.pop() else { break };
+            if self.generations[n as usize] != generation {
+                continue;
+            }
+            let Some(ticket) = self.tickets[n as usize].as_mut() else { continue };
+            let accounts = ticket.accounts;
+            match what {
+                Due::Start if ticket.start_due.take().is_some() => {
+                    self.count(accounts, Reading::Started, now, false);
+                }
+                Due::Done if ticket.done_due.take().is_some() => {
+                    self.count(accounts, Reading::Done, now, false);
+                }
+                Due::Count if ticket.service && !ticket.counted => {
+                    ticket.counted = true;
+                    let (tasks, running) = (f64::from(ticket.tasks), f64::from(ticket.running));
+                    for a in accounts {
+                        let account = &mut self.accounts[a.ix()];
+                        account.integrate(now);
+                        account.replicas.asked += tasks;
+                        account.replicas.served += running;
+                    }
+                }
+                _ => {}
+            }
+        }
+        self.accounts.iter_mut().for_each(|a| a.integrate(now));
+    }
+
+    /// A reading over a window, if anything was asked for.
+    pub fn part(&self, a: AccountIx, r: Reading, span: Span, now: f64) -> Share {
+        self.accounts[a.ix()].sums(r).over(span, now)
+    }
+
+    /// Open jobs in the book.
+    pub fn open(&self) -> usize {
+        self.tickets.len() - self.free.len()
+    }
+}
--- /dev/null
+++ b/crates/accounts/src/gate.rs
@@ -0,0 +1,143 @@
+//! Readings of a played day that lie under a half.
+//!
+//! Three sources, each as it is written by whoever measured: the report of one run (its
+//! targets, by class), a journal entry of a score (each aim as a line of text), and the
+//! accounts that the owner logs (by class and by team).
+
+use crate::told::{HALF, Told};
+use crate::{Reading, Side};
+use serde::Deserialize;
+
+/// What comes before the accounts in a line of the log.
+pub const LOG_MARK: &str = "service accounts: ";
+/// Kinds of targets that are shares of what a class was served.
+const SHARES: [&str; 6] = ["up", "wait", "deadline", "finished", "guarantee", "submit"];
+
+/// One reading under a half.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Under {
+    pub source: String,
+    pub reading: String,
+    pub share: f64,
+}
+
+impl std::fmt::Display for Under {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{}: {}: {:.3}", self.source, self.reading, self.share)
+    }
+}
+
+/// What a source says.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct Judged {
+    pub readings: usize,
+    pub lowest: Option<(String, f64)>,
+    pub under: Vec<Under>,
+}
+
+impl Judged {
+    fn take(&mut self, source: &str, reading: String, share: f64) {
+        self.readings += 1;
+        if self.lowest.as_ref().is_none_or(|l| share < l.1) {
+            self.lowest = Some((reading.clone(), share));
+        }
+        if share < HALF {
+            self.under.push(Under { source: source.to_owned(), reading, share });
+        }
+    }
+}
+
+/// A reading that says nothing: a file that is no report must not pass for a good day.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Nothing(pub String);
+
+#[derive(Deserialize)]
+pub struct Target {
+    kind: String,
+    #[serde(default)]
+    class: Option<String>,
+    #[serde(default)]
+    within_s: Option<f64>,
+    #[serde(default)]
+    times: Option<f64>,
+    #[serde(default)]
+    worst_s: Option<f64>,
+    #[serde(default)]
+    of: Option<f64>,
+    #[serde(default)]
+    value: Option<f64>,
+}
+
+#[derive(Deserialize)]
+pub struct Report {
+    targets: Vec<Target>,
+}
+
+#[derive(Deserialize)]
+pub struct Day {
+    name: String,
+    #[serde(default)]
+    aims: Vec<(String, f64)>,
+}
+
+#[derive(Deserialize)]
+pub struct Entry {
+    #[serde(default)]
+    site: Option<String>,
+    #[serde(default)]
+    days: Vec<Day>,
+}
+
+/// The report of one run.
+pub fn report(source: &str, r: &Report) -> Result<Judged, Nothing> {
+    let mut out = Judged::default();
+    for t in r.targets.iter().filter(|t| SHARES.contains(&t.kind.as_str())) {
+        let (Some(value), true) = (t.value, t.of.is_none_or(|n| n > 0.0)) else { continue };
+        let more = |what: &str, v: Option<f64>| v.map(|v| format!(" {what}{v}")).unwrap_or_default();
+        let name = format!(
+            "{}{}{}{}{}",
+            t.kind,
+            t.class.as_deref().map(|c| format!(" {c}")).unwrap_or_default(),
+            more("within ", t.within_s),
+            more("times ", t.times),
+            more("worst ", t.worst_s)
+        );
+        out.take(source, name, value);
+    }
+    some(source, out)
+}
+
+/// The days of a journal entry.
+pub fn entry(source: &str, e: &Entry) -> Result<Judged, Nothing> {
+    let mut out = Judged::default();
+    for d in &e.days {
+        let from = format!("{source}: {} {}", e.site.as_deref().unwrap_or("?"), d.name);
+        for (text, _) in &d.aims {
+            let Some((name, rest)) = text.split_once(": ") else { continue };
+            let kind = name.split(' ').next().unwrap_or("");
+            let value = rest.split(' ').next().and_then(|v| v.parse::<f64>().ok());
+            if let (Some(v), true) = (value, SHARES.contains(&kind)) {
+                out.take(&from, name.to_owned(), v);
+            }
+        }
+    }
+    some(source, out)
+}
+
+/// The last accounts that an owner logged.
+pub fn accounts(source: &str, told: &Told) -> Result<Judged, Nothing> {
+    let mut out = Judged::default();
+    for r in &told.rows {
+        // What few asked for says little: a single job would be none or all.
+        let least = if matches!(r.reading, Reading::Up | Reading::Held) { 60.0 } else { 8.0 };
+        if let Some(share) = r.share.filter(|_| r.asked >= least) {
+            let side = if r.side == Side::Class { "class" } else { "team" };
+            out.take(source, format!("{side} {} {}", r.name, r.reading.name()), share);
+        }
+    }
+    some(source, out)
+}
+
+fn some(source: &str, out: Judged) -> Result<Judged, Nothing> {
+    if out.readings == 0 { Err(Nothing(format!("{source}: no reading in it"))) } else { Ok(out) }
+}
--- /dev/null
+++ b/crates/accounts/src/lib.rs
@@ -0,0 +1,73 @@
+//! Accounts of service: what each class of jobs and each team asked for, and what it was
+//! served, in total and over the last minute and ten minutes.
+//!
+//! Everything here decides and nothing waits: no sockets, no files, no clock; times are
+//! seconds of the caller's steady clock. An event costs the same however many classes and
+//! teams there are, and what is kept is bounded: names beyond [`MOST_CLASSES`] and
+//! [`MOST_TEAMS`] share one account each.
+//!
+//! - [`terms`]: what a class was promised
+//! - [`window`]: sums over the last minutes
+//! - [`book`]: the accounts, fed job by job
+//! - [`floor`]: who has sunk, and who must not be pushed under
+//! - [`told`]: rows for people, and the warnings
+//! - [`gate`]: readings of a played day that lie under a half
+
+pub mod book;
+pub mod floor;
+pub mod gate;
+pub mod terms;
+pub mod told;
+pub mod window;
+
+pub use book::{Book, Entry, TicketIx};
+pub use terms::{Milestone, Terms};
+pub use told::{Alarm, Row, Told};
+
+/// Classes and teams with accounts of their own; the others share one.
+pub const MOST_CLASSES: usize = 64;
+pub const MOST_TEAMS: usize = 128;
+/// The name under which the others are told.
+pub const OTHERS: &str = "(others)";
+
+/// What is read of an account. Each is a share: of what was asked for, what was served.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Reading {
+    /// Jobs all of whose tasks ran within the stated wait.
+    Started,
+    /// Arrays done within the latest stated time.
+    Done,
+    /// Replica time of services that was up.
+    Up,
+    /// Of a team's cpu-time asked for within its guarantee, what it held.
+    Held,
+    /// Submissions accepted in time, by this controller.
+    Accepted,
+    /// Cancellations answered.
+    Cancelled,
+}
+
+pub const READINGS: [Reading; 6] =
+    [Reading::Started, Reading::Done, Reading::Up, Reading::Held, Reading::Accepted, Reading::Cancelled];
+
+impl Reading {
+    pub fn name(self) -> &'static str {
+        match self {
+            Reading::Started => "started",
+            Reading::Done => "done",
+            Reading::Up => "up",
+            Reading::Held => "held",
+            Reading::Accepted => "accepted",
+            Reading::Cancelled => "cancelled",
+        }
+    }
+}
+
+/// Whose account: a class of jobs or a team.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Side {
+    Class,
+    Team,
+}
--- /dev/null
+++ b/crates/accounts/tests/book.rs
@@ -0,0 +1,209 @@
+//! The accounts, by small stories; and properties over random lives of jobs.
+
+use lupinspur_accounts::book::{Book, End, Entry};
+use lupinspur_accounts::floor::Sunk;
+use lupinspur_accounts::terms::{Milestone, Terms};
+use lupinspur_accounts::window::Span;
+use lupinspur_accounts::{MOST_CLASSES, MOST_TEAMS, OTHERS, Reading, Side};
+use proptest::prelude::*;
+use std::collections::HashMap;
+
+fn terms() -> HashMap<String, Terms> {
+    let done = vec![Milestone::Deadline(1.0), Milestone::Deadline(1.5), Milestone::Within(300.0)];
+    let array = Terms { wait_s: Some(30.0), done, grace_s: None };
+    let done = vec![Milestone::Within(100.0), Milestone::Within(200.0)];
+    let letters = Terms { wait_s: None, done, grace_s: None };
+    let desk = Terms { wait_s: Some(2.0), ..Terms::default() };
+    HashMap::from([("match".into(), array), ("letters".into(), letters), ("desk".into(), desk)])
+}
+
+fn entry<'a>(class: &'a str, team: &'a str, from: f64) -> Entry<'a> {
+    Entry {
+        class,
+        team,
+        service: class == "desk",
+        tasks: 4,
+        from,
+        submitted: from,
+        deadline_s: (class == "match").then_some(40.0),
+        may_have_started: false,
+        seen_from: from,
+    }
+}
+
+fn share(b: &Book, side: Side, name: &str, r: Reading) -> (f64, f64) {
+    let a = b.find(side, name).expect("an account");
+    let s = b.accounts[a.ix()].sums(r).total;
+    (s.asked, s.served)
+}
+
+#[test]
+fn each_job_counts_once_in_each_reading() {
+    let mut b = Book::new(terms());
+    let one = b.enter(&entry("match", "red", 100.0), 100.0);
+    let two = b.enter(&entry("match", "red", 100.0), 100.0);
+    let three = b.enter(&entry("letters", "blue", 100.0), 100.0);
+    b.runs(one, 3, 0, 110.0);
+    assert_eq!(share(&b, Side::Class, "match", Reading::Started), (0.0, 0.0), "three of four tasks run");
+    b.runs(one, 2, 2, 120.0);
+    b.runs(one, 4, 0, 121.0);
+    assert_eq!(share(&b, Side::Class, "match", Reading::Started), (1.0, 1.0));
+    b.advance(131.0);
+    assert_eq!(share(&b, Side::Class, "match", Reading::Started), (2.0, 1.0), "the second had waited for 30 s");
+    b.runs(two, 4, 0, 140.0);
+    b.ended(one, End::Done, 150.0, 151.0);
+    b.ended(two, End::Done, 161.0, 161.0);
+    b.ended(three, End::Cancelled, 161.0, 161.0);
+    b.advance(900.0);
+    assert_eq!(share(&b, Side::Class, "match", Reading::Started), (2.0, 1.0));
+    assert_eq!(share(&b, Side::Team, "red", Reading::Done), (2.0, 1.0), "within 1.5 times its deadline, and after");
+    assert_eq!(share(&b, Side::Team, "blue", Reading::Done), (0.0, 0.0), "nobody wanted it any more");
+    assert_eq!(b.open(), 0);
+}
+
+/// Replica time counts from the wait that the class is granted, and only while it is asked for.
+#[test]
+fn replicas_that_are_down_count_against_their_service() {
+    let mut b = Book::new(terms());
+    let t = b.enter(&entry("desk", "red", 10.0), 10.0);
+    b.runs(t, 4, 0, 11.0);
+    b.advance(12.001);
+    b.runs(t, 2, 0, 22.001);
+    b.runs(t, 4, 0, 32.001);
+    b.ended(t, End::Cancelled, 42.001, 42.001);
+    b.advance(60.0);
+    let (asked, served) = share(&b, Side::Class, "desk", Reading::Up);
+    assert!((asked - 120.0).abs() < 0.1 && (served - 100.0).abs() < 0.1, "{served} of {asked}");
+}
+
+/// What a successor cannot know is told as such: neither served nor missed.
+#[test]
+fn after_a_takeover_only_what_the_records_tell_is_known() {
+    let mut b = Book::new(terms());
+    b.from_record(&entry("match", "red", 100.0), End::Done, Some(130.0), 400.0);
+    b.from_record(&entry("match", "red", 100.0), End::Done, Some(190.0), 400.0);
+    b.from_record(&entry("match", "red", 100.0), End::Done, None, 400.0);
+    b.from_record(&entry("match", "red", 100.0), End::Cancelled, Some(130.0), 400.0);
+    let open = Entry { may_have_started: true, ..entry("match", "red", 380.0) };
+    let t = b.enter(&open, 400.0);
+    b.runs(t, 4, 0, 401.0);
+    assert_eq!(share(&b, Side::Class, "match", Reading::Done), (2.0, 1.0));
+    assert_eq!(share(&b, Side::Class, "match", Reading::Started), (0.0, 0.0));
+    let a = b.find(Side::Class, "match").expect("an account");
+    assert_eq!(b.accounts[a.ix()].unknown[Reading::Started as usize], 4);
+    assert_eq!(b.accounts[a.ix()].unknown[Reading::Done as usize], 1);
+    assert_eq!(b.part(a, Reading::Done, Span::TenMinutes, 400.0).asked, 2.0, "they ended within ten minutes");
+    assert_eq!(b.part(a, Reading::Done, Span::Minute, 400.0).asked, 0.0);
+}
+
+#[test]
+fn an_alarm_is_told_once_and_taken_back_once() {
+    let mut b = Book::new(terms());
+    for i in 0..10 {
+        b.answered("match", "red", Reading::Accepted, i < 4, 100.0);
+    }
+    let told: Vec<String> = b.alarms(101.0).iter().map(ToString::to_string).collect();
+    assert_eq!(told.len(), 4, "a class and a team, over a minute and ten: {told:?}");
+    assert_eq!(told[0], "class match is served under a half: accepted 0.40 over a minute");
+    assert!(b.alarms(102.0).is_empty());
+    for _ in 0..10 {
+        b.answered("match", "red", Reading::Accepted, true, 103.0);
+    }
+    let back = b.alarms(104.0);
+    assert!(back.len() == 4 && back.iter().all(|a| !a.under), "{back:?}");
+    let (name, r, low) = b.lowest(Side::Team, 104.0).expect("a team");
+    assert_eq!((name, r, low), ("red", Reading::Accepted, 0.7));
+}
+
+/// Guards against memory that grows with the names that users invent.
+#[test]
+fn beyond_so_many_names_the_rest_share_an_account() {
+    let mut b = Book::new(terms());
+    for i in 0..1000 {
+        b.answered(&format!("c{i}"), &format!("t{i}"), Reading::Accepted, true, 1.0);
+    }
+    assert!(b.accounts.len() <= MOST_CLASSES + MOST_TEAMS + 2);
+    assert_eq!(share(&b, Side::Class, OTHERS, Reading::Accepted).0, (1000 - MOST_CLASSES) as f64);
+}
+
+/// A class sinks where enough of its jobs were not served; few say nothing.
+#[test]
+fn who_sinks_is_told_by_enough_jobs() {
+    let mut b = Book::new(terms());
+    for i in 0..10 {
+        for class in ["match", "letters"] {
+            let t = b.enter(&entry(class, class, 100.0), 100.0);
+            b.runs(t, 4, 0, 101.0);
+            let late = class == "letters" && i < 4;
+            b.ended(t, End::Done, if late { 400.0 } else { 120.0 }, 121.0);
+        }
+    }
+    let t = b.enter(&entry("match", "few", 100.0), 100.0);
+    let few = b.of(t).expect("an open job");
+    b.ended(t, End::Done, 500.0, 122.0);
+    let of = |class: &str| [b.find(Side::Class, class).expect("a class"), few[1]];
+    let sunk = Sunk::look(&b, 123.0);
+    assert!(sunk.either(of("letters")) && sunk.any());
+    assert!(!sunk.either(of("match")) && !sunk.either(few));
+}
+
+#[derive(Debug, Clone)]
+enum Step {
+    Enter(usize, usize),
+    Runs(usize, u32),
+    End(usize, bool),
+    Wait(u32),
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let one = prop_oneof![
+        (0..3usize, 0..2usize).prop_map(|(c, t)| Step::Enter(c, t)),
+        (0..20usize, 0..=4u32).prop_map(|(j, n)| Step::Runs(j, n)),
+        (0..20usize, any::<bool>()).prop_map(|(j, d)| Step::End(j, d)),
+        (1..90u32).prop_map(Step::Wait),
+    ];
+    proptest::collection::vec(one, 1..120)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 200, rng_seed: proptest::test_runner::RngSeed::Fixed(7), ..ProptestConfig::default() })]
+
+    /// Whatever jobs do: nothing is served that was not asked for, each job counts at most
+    /// once, classes and teams have the same sums, and a number is free again afterwards.
+    #[test]
+    fn sums_are_shares(steps in steps()) {
+        let mut b = Book::new(terms());
+        let mut now = 1000.0;
+        let mut open = Vec::new();
+        let mut entered = 0.0;
+        for s in steps {
+            match s {
+                Step::Enter(c, t) => {
+                    let e = entry(["match", "letters", "desk"][c], ["red", "blue"][t], now);
+                    open.push(b.enter(&e, now));
+                    entered += 1.0;
+                }
+                Step::Runs(j, n) => if let Some(t) = open.get(j) { b.runs(*t, n, 0, now) },
+                Step::End(j, done) => if j < open.len() {
+                    b.ended(open.remove(j), if done { End::Done } else { End::Cancelled }, now, now);
+                },
+                Step::Wait(s) => { now += f64::from(s); b.advance(now); }
+            }
+            prop_assert_eq!(b.open(), open.len());
+        }
+        now += 10_000.0;
+        b.advance(now);
+        let mut sums = [[0.0; 2]; 3];
+        for a in &b.accounts {
+            for (i, r) in [Reading::Started, Reading::Done, Reading::Up].into_iter().enumerate() {
+                let s = a.sums(r).total;
+                prop_assert!(s.served >= -1e-6 && s.served <= s.asked + 1e-6);
+                sums[i][a.side as usize] += s.asked;
+            }
+        }
+        for (i, of) in sums.iter().enumerate() {
+            prop_assert!((of[0] - of[1]).abs() < 1e-6 * of[0].max(1.0));
+            prop_assert!(i == 2 || of[0] <= entered);
+        }
+    }
+}
--- a/src/api.rs
+++ b/src/api.rs
@@ -9,6 +9,7 @@
 use crate::state::{Commit, StateError, Turn};
 use crate::wire::{self, Change, Condition, Item, JobAnswer, JobRequest, JobState, Kind, Redirect, Report};
 use http_types::Method;
+use lupinspur_accounts::Reading;
 use std::time::Duration;
 
 const MOST_TASKS: u32 = 100_000;
@@ -128,7 +129,7 @@
             }
             (Method::Post, wire::JOBS_PATH) => {
                 let began = clock::now();
-                let out = self.submit(&req.body).await;
+                let out = self.submit_counted(&req.body, began).await;
                 log::debug!(
                     "a submission was answered with {} {} after {:.3} s",
                     out.status,
@@ -157,7 +158,15 @@
                 if !valid_id(id) {
                     return Outgoing::error(400, "job id is malformed");
                 }
+                let began = clock::now();
                 let word = self.about(verb, id).await;
+                if verb == Verb::Cancel && word != Word::Absent {
+                    let job = |s: &mut crate::shard::Shard| s.whose(id);
+                    // Elsewhere than at the owner nobody knows whose job it is.
+                    let unknown = || ("(unknown)".to_owned(), "(unknown)".to_owned());
+                    let (class, team) = self.with_shard(began, job).flatten().unwrap_or_else(unknown);
+                    self.note_answer(&class, &team, Reading::Cancelled, word != Word::Unable, began);
+                }
                 log::debug!("{verb:?} {id} is answered with {word:?}, standing {:?}", self.standing(clock::now()));
                 match word {
                     Word::Known(t) => job_answer(200, id, t, verb == Verb::Show),
@@ -187,11 +196,21 @@
         }
     }
 
-    async fn submit(&self, body: &[u8]) -> Outgoing {
+    async fn submit_counted(&self, body: &[u8], began: f64) -> Outgoing {
         let job = match parse_job(body) {
             Ok(j) => j,
             Err(e) => return Outgoing::error(400, &e),
         };
+        let (class, team) = (job.class.clone(), job.team.clone());
+        let out = self.submit(job).await;
+        // What can never run was answered rightly, and was not asked of the cluster.
+        if out.status != 422 {
+            self.note_answer(&class, &team, Reading::Accepted, matches!(out.status, 200 | 201), began);
+        }
+        out
+    }
+
+    async fn submit(&self, job: JobRequest) -> Outgoing {
         let id = job.id.clone();
         match judge(&job, &self.settings.teams, &self.types()) {
             Ok(()) => {}
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -2,6 +2,8 @@
 
 use crate::intern::{ImageIx, Index, JobIx, MachineIx, Names, TeamIx, ZoneIx};
 use crate::wire::{JobRequest, JobState, Kind, Priority};
+use lupinspur_accounts::TicketIx;
+use lupinspur_accounts::book::AccountIx;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -137,6 +139,13 @@
     /// When this owner learnt of it.
     pub since: f64,
     pub zone_counts: Vec<u32>,
+    /// Its place in the accounts, from when its time begins until its end is stored.
+    pub ticket: Option<TicketIx>,
+    pub accounts: Option<[AccountIx; 2]>,
+    /// Until when, in milliseconds of the day, it can be served in time, and until when any
+    /// promise to it can be kept; none were made where these are missing.
+    pub serves_until: Option<u64>,
+    pub useful_until: Option<u64>,
 }
 
 impl Job {
@@ -286,6 +295,10 @@
             avoid: None,
             since: now,
             zone_counts: vec![0; if open { self.zones } else { 0 }],
+            ticket: None,
+            accounts: None,
+            serves_until: None,
+            useful_until: None,
             spec: r.job,
         });
         if open {
--- a/src/node.rs
+++ b/src/node.rs
@@ -8,7 +8,9 @@
 use crate::intern::{Index, RackIx};
 use crate::jobs::{JOB_PREFIX, PART_PREFIX, PROGRESS_PREFIX};
 use crate::ownership::{CLAIM_KEY, CLAIM_PREFIX, Claim, Next, Ownership, SeenClaim};
-use crate::peer::{JobAnswer, JobQuestion, Outcome, Owner, Peers, QuotaAnswer, QuotaQuestion};
+use crate::peer::{
+    JobAnswer, JobQuestion, Outcome, Owner, Peers, QuotaAnswer, QuotaQuestion, ServiceAnswer, ServiceQuestion,
+};
 use crate::settings::Settings;
 use crate::shard::{CloudCall, Counts, Loaded, LoadedQuotas, Shard};
 use crate::state::{Commit, StateClient, StateError, TXN_BYTES, Turn};
@@ -19,6 +21,8 @@
 use async_executor::Executor;
 use async_io::{Async, Timer};
 use futures_lite::FutureExt;
+use lupinspur_accounts::gate::LOG_MARK;
+use lupinspur_accounts::{Alarm, Book, Reading, Told as ServiceTold};
 use lupinspur_quota::Plan;
 use lupinspur_quota::stored::{HEAD, PREFIX};
 use serde::de::DeserializeOwned;
@@ -34,6 +38,11 @@
 const GATHER: Duration = Duration::from_millis(20);
 const LOOK_AGAIN_S: f64 = 1.0;
 const SUMMARY_EVERY_S: f64 = 10.0;
+/// The accounts as a whole go to the log this often; the gate reads the last ones.
+const ACCOUNTS_EVERY_S: f64 = 30.0;
+const ALARMS_EVERY_S: f64 = 1.0;
+/// A submission that is answered later than this was not accepted in time.
+const ACCEPTED_WITHIN_S: f64 = 1.0;
 const MOST_COMMITS: usize = 3;
 const FINALS_KEPT: usize = 20_000;
 const LIST_EVERY_S: f64 = 3.0;
@@ -69,6 +78,8 @@
     finals: Mutex<HashMap<String, Told>>,
     /// Jobs that this node has seen to be accepted: they stay so.
     accepted: Mutex<HashMap<String, Kind>>,
+    /// What users were answered at this controller's door, by class and team.
+    door: Mutex<Book>,
     state_ok: Mutex<f64>,
     wakes: Wakes,
     claiming: AtomicBool,
@@ -101,6 +112,7 @@
             types: Mutex::default(),
             finals: Mutex::default(),
             accepted: Mutex::default(),
+            door: Mutex::new(Book::new(settings.terms.clone())),
             state_ok: Mutex::new(-100.0),
             wakes: Wakes {
                 writer: async_channel::bounded(1),
@@ -176,6 +188,19 @@
         accepted.insert(id.to_owned(), kind);
     }
 
+    /// A user waited for this answer from `began` on.
+    pub fn note_answer(&self, class: &str, team: &str, what: Reading, served: bool, began: f64) {
+        let now = clock::now();
+        let in_time = what != Reading::Accepted || now - began <= ACCEPTED_WITHIN_S;
+        lock(&self.door).answered(class, team, what, served && in_time, now);
+    }
+
+    fn tell_alarms(&self, alarms: &[Alarm], whose: &str) {
+        for a in alarms {
+            if a.under { log::warn!("{whose}: {a}") } else { log::info!("{whose}: {a}") }
+        }
+    }
+
     /// A stored job that the shard did not know of yet.
     pub fn take_job(&self, item: Item) {
         let now = clock::now();
@@ -429,6 +454,7 @@
     async fn ticks(self: Arc<Self>) {
         let mut looked_again = 0.0;
         let mut told = (clock::now(), 0, Counts::default());
+        let (mut alarmed, mut accounts, mut door_at) = (0.0, (0.0, 0), 0.0);
         loop {
             // What reports and submissions bring is placed together, a little later.
             Timer::after(GATHER).await;
@@ -439,6 +465,19 @@
                     looked_again = now;
                     s.look_again();
                 }
+                if now - alarmed > ALARMS_EVERY_S {
+                    alarmed = now;
+                    self.tell_alarms(&s.service_alarms(now), "service");
+                }
+                if accounts.1 != s.token {
+                    accounts = (now, s.token);
+                } else if now - accounts.0 >= ACCOUNTS_EVERY_S {
+                    accounts = (now, s.token);
+                    match serde_json::to_string(&s.service_told(now)) {
+                        Ok(text) => log::info!("{LOG_MARK}{text}"),
+                        Err(e) => log::error!("the accounts cannot be told: {e}"),
+                    }
+                }
                 if told.1 != s.token {
                     told = (now, s.token, s.counts);
                 } else if now - told.0 >= SUMMARY_EVERY_S {
@@ -449,6 +488,11 @@
                 s.tick(now);
                 s.deaf(now)
             });
+            if now - door_at > ALARMS_EVERY_S {
+                door_at = now;
+                let alarms = lock(&self.door).alarms(now);
+                self.tell_alarms(&alarms, "this controller's door");
+            }
             match deaf {
                 Some(true) if !self.settings.peers.is_empty() => {
                     // The workers cannot reach us, though the state service can: others may do better.
@@ -703,6 +747,27 @@
         Ok(tonic::Response::new(QuotaAnswer { enabled: json.is_some(), json: json.unwrap_or_default() }))
     }
 
+    async fn service(
+        &self,
+        request: tonic::Request<ServiceQuestion>,
+    ) -> Result<tonic::Response<ServiceAnswer>, tonic::Status> {
+        let now = clock::now();
+        let told = match self.0.standing(now) {
+            Standing::Owner => self.0.with_shard(now, |s| s.service_told(now)),
+            Standing::Other(node) if !request.into_inner().passed_on => {
+                let answer = self.0.peers.ask_service(&node).await;
+                answer.and_then(|a| serde_json::from_str::<ServiceTold>(&a.json).ok())
+            }
+            _ => None,
+        };
+        let Some(mut told) = told else { return Err(tonic::Status::unavailable("nobody owns the shard now")) };
+        // What users were answered is known to whoever answered them.
+        told.rows.retain(|r| !matches!(r.reading, Reading::Accepted | Reading::Cancelled));
+        told.rows.extend(lock(&self.0.door).told(now).rows);
+        let json = serde_json::to_string(&told).map_err(|e| tonic::Status::internal(e.to_string()))?;
+        Ok(tonic::Response::new(ServiceAnswer { json }))
+    }
+
     async fn ask(&self, request: tonic::Request<JobQuestion>) -> Result<tonic::Response<JobAnswer>, tonic::Status> {
         let q = request.into_inner();
         if !crate::api::valid_id(&q.job) {
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -22,7 +22,7 @@
 
 use proto::owner_client::OwnerClient;
 pub use proto::owner_server::{Owner, OwnerServer};
-pub use proto::{JobAnswer, JobQuestion, Outcome, QuotaAnswer, QuotaQuestion, Verb};
+pub use proto::{JobAnswer, JobQuestion, Outcome, QuotaAnswer, QuotaQuestion, ServiceAnswer, ServiceQuestion, Verb};
 
 #[derive(Clone, Copy)]
 struct Spawn(&'static Executor<'static>);
@@ -80,18 +80,32 @@
     Some(Channel(send))
 }
 
-/// One question of an operator to any controller.
-pub async fn query_quotas(ex: &'static Executor<'static>, addr: SocketAddr, job: &str) -> Result<QuotaAnswer, String> {
+/// A connection for one question of an operator to any controller.
+async fn operator(ex: &'static Executor<'static>, addr: SocketAddr) -> Result<OwnerClient<Channel>, String> {
     let channel = connect(ex, addr).await.ok_or_else(|| format!("{addr} cannot be reached"))?;
-    let mut client = OwnerClient::with_origin(channel, origin());
-    let q = QuotaQuestion { job: job.to_owned(), passed_on: false };
-    match timed(ASK * 2, client.quotas(q)).await {
+    Ok(OwnerClient::with_origin(channel, origin()))
+}
+
+async fn answer<A>(
+    addr: SocketAddr,
+    asked: impl Future<Output = Result<tonic::Response<A>, tonic::Status>>,
+) -> Result<A, String> {
+    match timed(ASK * 2, asked).await {
         Ok(Ok(a)) => Ok(a.into_inner()),
         Ok(Err(s)) => Err(s.message().to_owned()),
         Err(_) => Err(format!("{addr} does not answer")),
     }
 }
 
+pub async fn query_quotas(ex: &'static Executor<'static>, addr: SocketAddr, job: &str) -> Result<QuotaAnswer, String> {
+    let q = QuotaQuestion { job: job.to_owned(), passed_on: false };
+    answer(addr, operator(ex, addr).await?.quotas(q)).await
+}
+
+pub async fn query_service(ex: &'static Executor<'static>, addr: SocketAddr) -> Result<ServiceAnswer, String> {
+    answer(addr, operator(ex, addr).await?.service(ServiceQuestion { passed_on: false })).await
+}
+
 impl Peers {
     pub fn new(ex: &'static Executor<'static>, s: &crate::settings::Settings) -> Peers {
         Peers { ex, addrs: s.peers.iter().map(|p| (p.node.clone(), p.addr)).collect(), open: Mutex::default() }
@@ -118,6 +132,16 @@
         Some(answer.ok()?.ok()?.into_inner())
     }
 
+    /// Asks the owner about the accounts of service.
+    pub async fn ask_service(&self, node: &str) -> Option<ServiceAnswer> {
+        let mut client = OwnerClient::with_origin(self.channel(node).await?, origin());
+        let answer = timed(ASK, client.service(ServiceQuestion { passed_on: true })).await;
+        if !matches!(answer, Ok(Ok(_))) {
+            self.drop_channel(node);
+        }
+        Some(answer.ok()?.ok()?.into_inner())
+    }
+
     /// Asks the owner about a job. None when it cannot be reached or cannot act.
     pub async fn ask(&self, node: &str, verb: Verb, job: &str, limit: Option<Duration>) -> Option<JobAnswer> {
         let c = self.channel(node).await?;
--- a/src/query.rs
+++ b/src/query.rs
@@ -3,6 +3,7 @@
 use crate::shard::{QuotaRow, QuotasTold};
 use async_executor::Executor;
 use clap::Subcommand;
+use lupinspur_accounts::{Side, Told};
 use std::fmt::Write as _;
 use std::net::SocketAddr;
 
@@ -20,18 +21,43 @@
         #[arg(long)]
         json: bool,
     },
+    /// Shows what each class of jobs and each team asked for, and what it was served.
+    Service {
+        /// Where any controller listens for its peers (peer_listen in its settings). Submissions
+        /// and cancellations are those that this controller answered.
+        #[arg(long, value_name = "ADDRESS")]
+        peer: SocketAddr,
+        /// JSON instead of a table.
+        #[arg(long)]
+        json: bool,
+    },
 }
 
 static EX: Executor<'static> = Executor::new();
 
 /// Asks, and returns what is to be printed.
 pub fn run(q: &Query) -> Result<String, String> {
-    let Query::Quotas { peer, job, json } = q;
-    let answer = async_io::block_on(EX.run(crate::peer::query_quotas(&EX, *peer, job)))?;
+    match q {
+        Query::Quotas { peer, job, json } => quotas(*peer, job, *json),
+        Query::Service { peer, json } => service(*peer, *json),
+    }
+}
+
+fn service(peer: SocketAddr, json: bool) -> Result<String, String> {
+    let answer = async_io::block_on(EX.run(crate::peer::query_service(&EX, peer)))?;
+    if json {
+        return Ok(answer.json);
+    }
+    let told: Told = serde_json::from_str(&answer.json).map_err(|e| format!("the answer is malformed: {e}"))?;
+    Ok(service_table(&told))
+}
+
+fn quotas(peer: SocketAddr, job: &str, json: bool) -> Result<String, String> {
+    let answer = async_io::block_on(EX.run(crate::peer::query_quotas(&EX, peer, job)))?;
     if !answer.enabled {
         return Err("quotas do not nest here: the controllers run without --quotas".into());
     }
-    if *json {
+    if json {
         return Ok(answer.json);
     }
     let told: QuotasTold = serde_json::from_str(&answer.json).map_err(|e| format!("the answer is malformed: {e}"))?;
@@ -42,6 +68,36 @@
     if v <= 0.0 { none.to_owned() } else { format!("{:.1}", v).trim_end_matches(".0").to_owned() }
 }
 
+/// Rows under one another, of which so many first columns are text.
+fn lay_out(out: &mut String, rows: &[Vec<String>], text: usize) {
+    let widths: Vec<usize> = (0..rows[0].len()).map(|i| rows.iter().map(|r| r[i].len()).max().unwrap_or(0)).collect();
+    for r in rows {
+        let mut line = String::new();
+        for (i, (c, w)) in r.iter().zip(&widths).enumerate() {
+            let _ = if i < text { write!(line, "{c:<w$}  ") } else { write!(line, "{c:>w$}  ") };
+        }
+        let _ = writeln!(out, "{}", line.trim_end());
+    }
+}
+
+/// Shares, class by class and team by team.
+pub fn service_table(told: &Told) -> String {
+    let head = ["", "", "reading", "asked", "served", "minute", "10 minutes", "unknown", "waits p50/p90/max s"];
+    let mut rows = vec![head.map(str::to_owned).to_vec()];
+    let share = |s: Option<f64>| s.map_or("-".to_owned(), |s| format!("{s:.3}"));
+    for r in &told.rows {
+        let side = if r.side == Side::Class { "class" } else { "team" };
+        let waits = r.waits_s.map_or(String::new(), |(a, b, c)| format!("{a:.1}/{b:.1}/{c:.1}"));
+        let unknown = if r.unknown > 0 { r.unknown.to_string() } else { "-".into() };
+        let mut row = vec![side.to_owned(), r.name.clone(), r.reading.name().to_owned(), format!("{:.0}", r.asked)];
+        row.extend([share(r.share), share(r.minute), share(r.ten_minutes), unknown, waits]);
+        rows.push(row);
+    }
+    let mut out = String::from("shares of what was asked for, since this owner began\n");
+    lay_out(&mut out, &rows, 3);
+    out
+}
+
 /// Cpus, level by level; cards too where there are any.
 pub fn table(told: &QuotasTold) -> String {
     let cards = told.levels.iter().any(|r| r.guarantee_gpus + r.limit_gpus + r.used_gpus > 0.0);
@@ -61,15 +117,8 @@
     };
     let mut rows: Vec<Vec<String>> = vec![head.into_iter().map(str::to_owned).collect()];
     rows.extend(told.levels.iter().map(cells));
-    let widths: Vec<usize> = (0..rows[0].len()).map(|i| rows.iter().map(|r| r[i].len()).max().unwrap_or(0)).collect();
     let mut out = format!("quotas of generation {}, in cpus\n", told.generation);
-    for r in rows {
-        let mut line = format!("{:<w$}", r[0], w = widths[0]);
-        for (c, w) in r.iter().zip(&widths).skip(1) {
-            let _ = write!(line, "  {c:>w$}");
-        }
-        let _ = writeln!(out, "{}", line.trim_end());
-    }
+    lay_out(&mut out, &rows, 1);
     if let Some(why) = &told.job {
         let _ = writeln!(out, "the job: {why}");
     }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -1,6 +1,8 @@
 //! The settings file that the platform hands over, read and checked.
 
 use crate::wire;
+use lupinspur_accounts::{Milestone, Terms};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::path::Path;
 
@@ -51,6 +53,8 @@
     pub state: SocketAddr,
     pub zones: Vec<String>,
     pub teams: Vec<Team>,
+    /// What each class of jobs is promised.
+    pub terms: HashMap<String, Terms>,
     pub report_s: f64,
     pub lease_s: f64,
     pub cancel_s: f64,
@@ -90,6 +94,28 @@
     if v.is_empty() { wrong(field, "must not be empty") } else { Ok(v) }
 }
 
+/// What the objectives promise each class. One that names no class, or is of a kind that is
+/// not known, promises nothing that can be counted by class.
+fn terms(objectives: &[wire::SettingsObjective]) -> Result<HashMap<String, Terms>, SettingsError> {
+    let mut out: HashMap<String, Terms> = HashMap::new();
+    for o in objectives {
+        let Some(class) = &o.class else { continue };
+        let of = |what: &str, v: Option<f64>| {
+            v.map(|v| positive(&format!("cluster.objectives.{what} of {class}"), v)).transpose()
+        };
+        let (within, times, after) = (of("within_s", o.within_s)?, of("times", o.times)?, of("after_s", o.after_s)?);
+        let t = out.entry(class.clone()).or_default();
+        match (o.kind.as_str(), within) {
+            ("wait", Some(s)) => t.wait(s),
+            ("finished", Some(s)) => t.done.push(Milestone::Within(s)),
+            ("deadline", _) => t.done.push(Milestone::Deadline(times.unwrap_or(1.0))),
+            ("up", _) => t.grace_s = after,
+            _ => {}
+        }
+    }
+    Ok(out)
+}
+
 /// Of a value's limit, the part left free: for how the service may count what we do not see.
 const VALUE_SLACK: usize = 32;
 
@@ -192,6 +218,7 @@
             state: addr("services.state", &f.services.state)?,
             zones: f.params.zones,
             teams,
+            terms: terms(&f.params.objectives)?,
             report_s: positive("cluster.workers.report_s", f.params.workers.report_s)?,
             lease_s: positive("cluster.workers.lease_s", f.params.workers.lease_s)?,
             cancel_s: positive("cluster.workers.cancel_s", f.params.workers.cancel_s)?,
--- a/src/shard/mod.rs
+++ b/src/shard/mod.rs
@@ -7,6 +7,7 @@
 mod pipelines;
 mod quotas;
 mod reports;
+mod service;
 mod sizing;
 mod writes;
 
@@ -27,6 +28,8 @@
 use crate::settings::{Settings, Team};
 use crate::tuning::Tuning;
 use crate::wire::{JobRequest, JobState, Kind, MachineType};
+use lupinspur_accounts::Book;
+use lupinspur_accounts::floor::Sunk;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
@@ -140,6 +143,11 @@
     pub types: Types,
     pub teams: Vec<TeamState>,
     pub quotas: Option<Quotas>,
+    /// What each class and team asked for and was served.
+    pub book: Book,
+    /// Who has sunk below the floor, as of the last look.
+    pub sunk: Sunk,
+    accounts: service::Glue,
     pub team_names: Names<TeamIx>,
     pub pools: BTreeMap<TypeIx, Pool>,
     pub launches: Launches,
@@ -248,6 +256,9 @@
             machines: Machines::default(),
             types: Types::default(),
             teams: s.teams.iter().map(|t| TeamState { spec: t.clone(), cpus_used: 0.0, cards_used: 0.0 }).collect(),
+            book: Book::new(s.terms.clone()),
+            sunk: Sunk::default(),
+            accounts: service::Glue::default(),
             quotas: loaded.quotas.as_ref().map(|q| Quotas::new(&s.teams, q, value_bytes)),
             team_names,
             pools: BTreeMap::new(),
@@ -555,6 +566,7 @@
         self.place_due = true;
         let j = self.jobs.add(r, team, now);
         self.enter(j, now);
+        self.account_due(j);
         Some(j)
     }
 
@@ -760,6 +772,9 @@
         if let Some(c) = job.zone_counts.get_mut(machine.zone.ix()) {
             *c -= 1;
         }
+        if held.state == HeldState::Running {
+            self.account_runs(key.0, self.ticked);
+        }
         self.place_due = true;
         Some(held)
     }
@@ -777,6 +792,7 @@
             return;
         }
         if self.jobs.mark_done(key.0, key.1, false) {
+            self.account_runs(key.0, self.ticked);
             self.progress_due.insert(key.0);
             if self.jobs.at(key.0).wanted != Phase::Open {
                 self.finals.insert(key.0);
@@ -850,6 +866,7 @@
             self.resumed = now;
         }
         self.ticked = now;
+        self.keep_accounts(now);
         if now - self.watched_at >= WATCH_EVERY_S {
             self.watched_at = now;
             self.watch_machines(now);
@@ -911,7 +928,7 @@
         format!(
             "{} reports, {} direct, {} starts; writes: {} final, {} racks, {} progress, {} other; {} live jobs, \
              {waiting} tasks wait; machines up {} spot and {} on-demand, {}+{} cordoned, {booting} boot, \
-             {unresolved} unresolved; cpus {held:.0?}; wanted {mix:?}{}",
+             {unresolved} unresolved; cpus {held:.0?}; wanted {mix:?}{}{}",
             c.reports - before.reports,
             c.directs - before.directs,
             c.starts - before.starts,
@@ -925,6 +942,7 @@
             up(true, true),
             up(false, true),
             self.quotas_summary(),
+            self.service_summary(),
         )
     }
 
--- a/src/shard/pipelines.rs
+++ b/src/shard/pipelines.rs
@@ -47,6 +47,7 @@
             if self.jobs.at(j).open() {
                 self.jobs.live.insert(j);
                 self.count_from_needs(j);
+                self.account_due(j);
                 self.place_due = true;
                 let (job, day) = (self.jobs.at(j), self.day_now_ms(now) as f64);
                 log::debug!(
--- a/src/shard/reports.rs
+++ b/src/shard/reports.rs
@@ -271,6 +271,9 @@
         }
         let job = self.jobs.at_mut(k.0);
         job.running = job.running + u32::from(runs) - u32::from(was_running);
+        if runs != was_running {
+            self.account_runs(k.0, now);
+        }
         if runs {
             self.image_seen(m, k);
         }
--- /dev/null
+++ b/src/shard/service.rs
@@ -0,0 +1,160 @@
+//! The accounts of service: what this shard tells them, and what it asks them.
+//!
+//! Times in the accounts are seconds of the day, by the steady clock since this owner began.
+
+use super::Shard;
+use crate::intern::{Index, JobIx, TeamIx};
+use crate::jobs::{Phase, Slot};
+use lupinspur_accounts::book::{End, Entry};
+use lupinspur_accounts::floor::Sunk;
+use lupinspur_accounts::{Alarm, Side, Told};
+
+/// What is due is counted, and who has sunk is looked at, this often.
+const LOOK_EVERY_S: f64 = 1.0;
+/// What stands between the shard and its accounts.
+#[derive(Debug, Default)]
+pub(super) struct Glue {
+    /// Jobs whose time begins or that are over, not entered yet.
+    due: Vec<JobIx>,
+    looked_at: f64,
+}
+
+impl Shard {
+    /// Seconds of the day, as the accounts count them.
+    fn account_now(&self, now: f64) -> f64 {
+        self.day_ms / 1000.0 + now
+    }
+
+    /// A job's time begins, or it is over by its record: the next tick enters it.
+    pub(super) fn account_due(&mut self, j: JobIx) {
+        if self.jobs.at(j).phase != Phase::Open || self.jobs.live.contains(&j) {
+            self.accounts.due.push(j);
+        }
+    }
+
+    fn enter_account(&mut self, j: JobIx, now: f64) {
+        let t = self.account_now(now);
+        let job = self.jobs.at(j);
+        let spec = &job.spec;
+        let limit = self.teams[job.team.ix()].spec.cpus_max;
+        let at_once = if limit > 0.0 && spec.cpus > 0.0 { (limit / spec.cpus) as u32 } else { u32::MAX };
+        let (from, submitted) = (job.freed_ms as f64 / 1000.0, job.at_ms as f64 / 1000.0);
+        let began = self.account_now(self.began);
+        // A machine that may hold it is named with it before its first start.
+        let seen = job.shadowed_by > 0 || job.done > 0 || job.tasks.iter().any(|s| matches!(s, Slot::Held(_)));
+        let entry = Entry {
+            class: &spec.class,
+            team: &spec.team,
+            service: job.is_service(),
+            tasks: spec.tasks.min(at_once).max(1),
+            from,
+            submitted,
+            deadline_s: spec.deadline_s,
+            may_have_started: submitted < began && seen,
+            seen_from: if submitted < began { began + self.silent_s() } else { from },
+        };
+        let end = match job.phase {
+            Phase::Done => End::Done,
+            Phase::Cancelled => End::Cancelled,
+            Phase::Open => {
+                let ms = |s: f64| (s * 1000.0) as u64;
+                let terms = self.book.terms(&spec.class).filter(|_| !entry.service);
+                let until = terms.and_then(|p| p.latest(submitted, from, spec.deadline_s)).map(ms);
+                let useful = terms.and_then(|p| p.last(submitted, from, spec.deadline_s)).map(ms);
+                let (running, done) = (job.running, job.done);
+                let ticket = self.book.enter(&entry, t);
+                self.book.runs(ticket, running, done, t);
+                let accounts = self.book.of(ticket);
+                let job = self.jobs.at_mut(j);
+                (job.ticket, job.accounts) = (Some(ticket), accounts);
+                (job.serves_until, job.useful_until) = (until, useful);
+                return;
+            }
+        };
+        let ended = (job.ended_ms > 0).then_some(job.ended_ms as f64 / 1000.0);
+        self.book.from_record(&entry, end, ended, t);
+    }
+
+    /// The number of its tasks that run, or are done, has changed.
+    pub(super) fn account_runs(&mut self, j: JobIx, now: f64) {
+        let t = self.account_now(now);
+        let job = self.jobs.at(j);
+        if let Some(ticket) = job.ticket {
+            self.book.runs(ticket, job.running, job.done, t);
+        }
+    }
+
+    pub(super) fn account_end(&mut self, j: JobIx, phase: Phase, now: f64) {
+        let t = self.account_now(now);
+        let job = self.jobs.at_mut(j);
+        let ended = if job.ended_ms > 0 { job.ended_ms as f64 / 1000.0 } else { t };
+        if let Some(ticket) = job.ticket.take() {
+            self.book.ended(ticket, if phase == Phase::Done { End::Done } else { End::Cancelled }, ended, t);
+        }
+    }
+
+    /// Enters what is due, and looks now and then at who has sunk.
+    pub(super) fn keep_accounts(&mut self, now: f64) {
+        for j in std::mem::take(&mut self.accounts.due) {
+            if self.jobs.at(j).ticket.is_none() {
+                self.enter_account(j, now);
+            }
+        }
+        if now - self.accounts.looked_at < LOOK_EVERY_S {
+            return;
+        }
+        let since = now - self.accounts.looked_at;
+        self.accounts.looked_at = now;
+        let t = self.account_now(now);
+        if self.gathered(now) && since < 4.0 * LOOK_EVERY_S {
+            self.account_held(since, t);
+        }
+        self.book.advance(t);
+        self.sunk = Sunk::look(&self.book, t);
+    }
+
+    /// Of what each team asks for within its guarantee, what it holds.
+    fn account_held(&mut self, since: f64, t: f64) {
+        let mut asked = vec![0.0; self.teams.len()];
+        for &j in &self.jobs.live {
+            let job = self.jobs.at(j);
+            if job.open() {
+                asked[job.team.ix()] += f64::from(job.unfinished()) * job.spec.cpus;
+            }
+        }
+        for (i, asked) in asked.into_iter().enumerate() {
+            let asked = asked.min(self.guaranteed(TeamIx::new(i)).0);
+            if asked > 0.0 {
+                let team = &self.teams[i];
+                self.book.held(&team.spec.name, asked * since, team.cpus_used * since, t);
+            }
+        }
+    }
+
+    /// What fell under a half since the last call, or is back.
+    pub fn service_alarms(&mut self, now: f64) -> Vec<Alarm> {
+        let t = self.account_now(now);
+        self.book.alarms(t)
+    }
+
+    pub fn service_told(&self, now: f64) -> Told {
+        self.book.told(self.account_now(now))
+    }
+
+    /// The class and team of a job that is known here.
+    pub fn whose(&self, id: &str) -> Option<(String, String)> {
+        let spec = &self.jobs.at(self.jobs.find(id)?).spec;
+        Some((spec.class.clone(), spec.team.clone()))
+    }
+
+    /// For operators' summary line: the class and the team that are served least.
+    pub(super) fn service_summary(&self) -> String {
+        let t = self.account_now(self.ticked);
+        let least = |side: Side, what: &str| {
+            let l = self.book.lowest(side, t);
+            l.map_or(String::new(), |(name, r, share)| format!(" {what} {name} {} {share:.2}", r.name()))
+        };
+        let (class, team) = (least(Side::Class, "class"), least(Side::Team, "team"));
+        if class.is_empty() && team.is_empty() { String::new() } else { format!("; least served:{class}{team}") }
+    }
+}
--- a/src/shard/writes.rs
+++ b/src/shard/writes.rs
@@ -345,6 +345,7 @@
                     self.finals.remove(&j);
                     self.progress_due.remove(&j);
                     self.jobs.settled(j, phase);
+                    self.account_end(j, phase, now);
                     self.after_end(j, phase, now);
                 }
                 What::Rack(_, contents) => {
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -86,6 +86,8 @@
     pub zones: Vec<String>,
     #[serde(default)]
     pub teams: Vec<SettingsTeam>,
+    #[serde(default)]
+    pub objectives: Vec<SettingsObjective>,
     pub workers: SettingsWorkers,
     pub state: SettingsState,
     pub cloud: SettingsCloud,
@@ -106,6 +108,20 @@
     pub gpus_max: f64,
 }
 
+/// What users expect on starting and finishing. Kinds that are not known say nothing here.
+#[derive(Deserialize)]
+pub struct SettingsObjective {
+    pub kind: String,
+    #[serde(default)]
+    pub class: Option<String>,
+    #[serde(default)]
+    pub within_s: Option<f64>,
+    #[serde(default)]
+    pub after_s: Option<f64>,
+    #[serde(default)]
+    pub times: Option<f64>,
+}
+
 #[derive(Deserialize)]
 pub struct SettingsWorkers {
     pub report_s: f64,
