Small work first the more waits; a guarantee's first part to what can be in time

Cause: beyond the machines' capacity not all can be served, and large jobs took what many small ones needed; within a guarantee the oldest stood first, whether they could be in time or not. Change: remaining work weighs as many times more as what waits would fill the machines (1 to 6); a guarantee is taken in the order of turns, and by age for what is in time. The accounts count starts by task, since the owner sees the last of a job's replicas half a second late.

--- a/crates/accounts/src/book.rs
+++ b/crates/accounts/src/book.rs
@@ -102,10 +102,21 @@
     start_due: Option<f64>,
     done_due: Option<f64>,
     running: u32,
+    /// The most of its tasks that ran or were done, as long as a start was in time.
+    best: u32,
+    /// All of it was seen to run once, or that cannot be told.
+    waited: bool,
     /// Its replicas count by now.
     counted: bool,
 }
 
+impl Ticket {
+    /// Of its tasks, those that were begun in time.
+    fn begun(&self) -> f64 {
+        f64::from(self.best.min(self.tasks)) / f64::from(self.tasks.max(1))
+    }
+}
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Due {
     Start,
@@ -179,8 +190,12 @@
 
     /// One job's outcome in a reading, for its class and its team.
     fn count(&mut self, accounts: [AccountIx; 2], r: Reading, now: f64, served: bool) {
+        self.count_part(accounts, r, now, f64::from(u8::from(served)));
+    }
+
+    fn count_part(&mut self, accounts: [AccountIx; 2], r: Reading, now: f64, part: f64) {
         for a in accounts {
-            self.accounts[a.ix()].add(r, now, 1.0, f64::from(u8::from(served)));
+            self.accounts[a.ix()].add(r, now, 1.0, part);
         }
     }
 
@@ -213,6 +228,8 @@
             start_due: wait.filter(|_| !e.may_have_started),
             done_due: deadline,
             running: 0,
+            best: 0,
+            waited: e.may_have_started,
             counted: false,
         });
         let generation = self.generations[n as usize];
@@ -232,9 +249,19 @@
         let Some(ticket) = self.tickets.get_mut(t.0 as usize).and_then(Option::as_mut) else { return };
         let before = std::mem::replace(&mut ticket.running, running);
         let accounts = ticket.accounts;
-        let started = ticket.start_due.is_some() && running + done >= ticket.tasks;
+        let in_time = ticket.start_due.is_some_and(|due| now <= due);
+        if in_time {
+            ticket.best = ticket.best.max(running + done);
+        }
+        // All of it runs, or whatever began in time is known.
+        let started = ticket.start_due.is_some() && (running + done >= ticket.tasks || !in_time);
+        let part = ticket.begun();
         let waited = now - ticket.from;
-        let in_time = started && ticket.start_due.take().is_some_and(|due| now <= due);
+        if started {
+            ticket.start_due = None;
+        }
+        let all = running + done >= ticket.tasks && !ticket.waited;
+        ticket.waited |= all;
         if ticket.counted && before != running {
             for a in accounts {
                 let account = &mut self.accounts[a.ix()];
@@ -243,7 +270,9 @@
             }
         }
         if started {
-            self.count(accounts, Reading::Started, now, in_time);
+            self.count_part(accounts, Reading::Started, now, part);
+        }
+        if all {
             for a in accounts {
                 self.accounts[a.ix()].waits.saturating_record((waited.max(0.0) * 1000.0) as u64);
             }
@@ -260,7 +289,8 @@
         if end == End::Done {
             if let Some(due) = ticket.start_due {
                 // All of it was done before all of it was seen to run at one time.
-                self.count(ticket.accounts, Reading::Started, now, ended <= due);
+                let part = if ended <= due { 1.0 } else { ticket.begun() };
+                self.count_part(ticket.accounts, Reading::Started, now, part);
             }
             if let Some(due) = ticket.done_due {
                 self.count(ticket.accounts, Reading::Done, now, ended <= due);
@@ -322,7 +352,8 @@
             let accounts = ticket.accounts;
             match what {
                 Due::Start if ticket.start_due.take().is_some() => {
-                    self.count(accounts, Reading::Started, now, false);
+                    let part = ticket.begun();
+                    self.count_part(accounts, Reading::Started, now, part);
                 }
                 Due::Done if ticket.done_due.take().is_some() => {
                     self.count(accounts, Reading::Done, now, false);
--- a/crates/accounts/src/lib.rs
+++ b/crates/accounts/src/lib.rs
@@ -34,7 +34,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Reading {
-    /// Jobs all of whose tasks ran within the stated wait.
+    /// Of a job's tasks, those that began within the stated wait.
     Started,
     /// Arrays done within the latest stated time.
     Done,
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -31,7 +31,7 @@
 const UNSTATED_DEADLINE_S: f64 = 100.0;
 /// Milliseconds that a cpu-second of remaining work puts a job back, and at most.
 const WORK_WEIGHS_MS: f64 = 10.0;
-const MOST_WORK_MS: u64 = 120_000;
+const MOST_WORK_MS: f64 = 120_000.0;
 /// How long a late job gives way to those that may still be in time.
 const LATE_GIVES_WAY_MS: u64 = 60_000;
 
@@ -201,13 +201,14 @@
 
     /// What decides between jobs of equal standing: the earlier deadline, with
     /// little remaining work put forward, since a short job kept waiting costs as
-    /// many users as a long one. A job that is late already gives way for a while,
-    /// but no longer: nobody starves.
-    pub fn urgency_ms(&self, now_ms: u64) -> u64 {
+    /// many users as a long one. The more waits for what there is (`pressure`, 1 or more),
+    /// the more that counts: not all can be served, and of small ones many more are. A job
+    /// that is late already gives way for a while, but no longer: nobody starves.
+    pub fn urgency_ms(&self, now_ms: u64, pressure: f64) -> u64 {
         let work_s = f64::from(self.unfinished()) * self.spec.cpus * self.spec.estimate_s.max(1.0);
         let deadline = self.deadline_ms();
         let late = if now_ms > deadline { LATE_GIVES_WAY_MS } else { 0 };
-        deadline + late + ((work_s * WORK_WEIGHS_MS) as u64).min(MOST_WORK_MS)
+        deadline + late + ((work_s * WORK_WEIGHS_MS).min(MOST_WORK_MS) * pressure) as u64
     }
 
     pub fn has_queued(&mut self) -> bool {
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -5,11 +5,11 @@
 //! the image are preferred.
 
 use crate::fleet::{HeldState, Machine};
-use crate::intern::{Index, JobIx, MachineIx, ZoneIx};
+use crate::intern::{Index, JobIx, MachineIx, TeamIx, ZoneIx};
 use crate::jobs::Job;
 use crate::shard::{EPS, Prospect, Shard};
 use crate::wire::Priority;
-use std::collections::{HashMap, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 
 /// Cpu room on a machine of the on-demand base that batch work leaves to services, in their tasks.
 const SERVICE_ROOM: f64 = 4.0;
@@ -194,27 +194,45 @@
     set_apart: bool,
 }
 
+/// What is taken of each team's guarantee.
+struct Guarantees(Vec<((f64, f64), (f64, f64))>);
+
+impl Guarantees {
+    fn new(s: &Shard) -> Guarantees {
+        Guarantees((0..s.teams.len()).map(|t| ((0.0, 0.0), s.guaranteed(TeamIx::new(t)))).collect())
+    }
+
+    /// Takes a job's part; does it fit beside what was taken before?
+    fn take(&mut self, job: &Job) -> bool {
+        let n = f64::from(job.unfinished());
+        let (taken, all) = &mut self.0[job.team.ix()];
+        let (c, g) = (n * job.spec.cpus, n * job.spec.cards);
+        let fits = taken.0 + c <= all.0 + EPS && taken.1 + g <= all.1 + EPS;
+        *taken = (taken.0 + c, taken.1 + g);
+        fits
+    }
+}
+
 /// The order in which jobs get machines.
 fn turns(s: &mut Shard, now: f64) -> Vec<Turn> {
     let now_ms = s.day_now_ms(now);
+    let pressure = s.pressure();
     let open = s.jobs.live.iter().map(|&j| s.jobs.at(j)).filter(|j| j.open());
-    let mut by_age: Vec<(Prospect, u64, JobIx)> = open.map(|j| (s.prospect(j, now_ms), j.freed_ms, j.ix)).collect();
-    // Of a team's guarantee, what can still be served in time has the first part: after a
-    // flood the oldest held all of it otherwise, and each job in turn waited until it was late
-    // itself. A job that fits with all earlier ones fits still, and none of it is lost.
-    by_age.sort_unstable();
-    let mut taken = vec![(0.0f64, 0.0f64); s.teams.len()];
+    let mut open: Vec<(Prospect, u64, u64, JobIx)> =
+        open.map(|j| (s.prospect(j, now_ms), j.urgency_ms(now_ms, pressure), j.freed_ms, j.ix)).collect();
+    // By age, as users count what is within a guarantee, and in the order of turns: of a team's
+    // guarantee, what can still be served in time has the first part. By age alone the oldest
+    // held all of it after a flood, and each job in turn waited until it was late itself.
+    open.sort_unstable_by_key(|o| (o.2, o.3));
+    let mut by_age = Guarantees::new(s);
+    let older: HashSet<JobIx> =
+        open.iter().filter(|o| by_age.take(s.jobs.at(o.3)) && o.0 == Prospect::InTime).map(|o| o.3).collect();
+    open.sort_unstable();
+    let mut in_turn = Guarantees::new(s);
     let mut out = Vec::new();
-    for (prospect, _, j) in by_age {
-        let team = s.jobs.at(j).team;
-        let guarantee = s.guaranteed(team);
+    for (prospect, urgency, _, j) in open {
+        let guaranteed = in_turn.take(s.jobs.at(j)) || older.contains(&j);
         let job = s.jobs.at_mut(j);
-        let n = f64::from(job.unfinished());
-        let t = &mut taken[team.ix()];
-        let (c, g) = (n * job.spec.cpus, n * job.spec.cards);
-        let guaranteed = t.0 + c <= guarantee.0 + EPS && t.1 + g <= guarantee.1 + EPS;
-        t.0 += c;
-        t.1 += g;
         if job.shadowed_by > 0 || now < job.not_before || !job.has_queued() {
             continue;
         }
@@ -225,7 +243,7 @@
         } else {
             BORROWS
         };
-        let (mut priority, urgency, accounts) = (job.priority, job.urgency_ms(now_ms), job.accounts);
+        let (mut priority, accounts) = (job.priority, job.accounts);
         // Whose class or team has sunk below the floor stands with the best of batch work, as
         // long as it can be served in time. Where all have sunk nobody gains by it.
         if prospect == Prospect::InTime && accounts.is_some_and(|a| s.sunk.either(a)) {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -63,6 +63,8 @@
     pub value_kb: f64,
     pub txn_ops: usize,
     pub state_next: StateNext,
+    /// Seconds by which the time of day of any controller may be wrong.
+    pub time_bound_s: f64,
     pub cloud_rps: f64,
     pub list_lag_s: f64,
     pub sockets: usize,
@@ -227,6 +229,7 @@
             value_kb,
             txn_ops,
             state_next,
+            time_bound_s: amount("cluster.time_bound_ms", f.params.time_bound_ms)? / 1000.0,
             cloud_rps: positive("cluster.cloud.rps", f.params.cloud.rps)?,
             list_lag_s: amount("cluster.cloud.list_lag_s", f.params.cloud.list_lag_s)?,
             sockets,
--- a/src/shard/mod.rs
+++ b/src/shard/mod.rs
@@ -176,6 +176,8 @@
     pub lease_s: f64,
     pub cancel_s: f64,
     pub list_lag_s: f64,
+    /// The time of day of any controller is within this of the true one.
+    time_bound_s: f64,
     value_bytes: usize,
     attempts: u64,
     versions: HashMap<String, u64>,
@@ -280,6 +282,7 @@
             lease_s: s.lease_s,
             cancel_s: s.cancel_s,
             list_lag_s: s.list_lag_s,
+            time_bound_s: s.time_bound_s,
             value_bytes,
             attempts: 0,
             versions: HashMap::new(),
--- a/src/shard/service.rs
+++ b/src/shard/service.rs
@@ -3,8 +3,9 @@
 //! Times in the accounts are seconds of the day, by the steady clock since this owner began.
 
 use super::Shard;
+use crate::fleet::Phase as MachinePhase;
 use crate::intern::{Index, JobIx, TeamIx};
-use crate::jobs::{Phase, Slot};
+use crate::jobs::{Job, Phase, Slot};
 use lupinspur_accounts::book::{End, Entry};
 use lupinspur_accounts::floor::Sunk;
 use lupinspur_accounts::{Alarm, Side, Told};
@@ -15,6 +16,10 @@
 /// by half.
 const SURELY_TAKES: f64 = 0.5;
 
+/// A worker tells of a start no later than this.
+const REPORTED_WITHIN_S: f64 = 0.5;
+const MOST_PRESSURE: f64 = 6.0;
+
 /// What stands between the shard and its accounts.
 #[derive(Debug, Default)]
 pub(super) struct Glue {
@@ -47,6 +52,15 @@
         }
     }
 
+    /// How much later than it happens a start is seen here, or seems to be: workers report at
+    /// most every half second, and the time of day of whoever accepted a job is not ours. Of a
+    /// job that this owner saw come, the moment when it came is known.
+    fn sees_late_s(&self, job: &Job, now: f64) -> f64 {
+        let came = self.account_now(job.since) - job.freed_ms as f64 / 1000.0;
+        let clocks_differ = job.since > self.began && came.abs() <= 2.0 * self.time_bound_s && now >= job.since;
+        REPORTED_WITHIN_S + if clocks_differ { came } else { 0.0 }
+    }
+
     fn enter_account(&mut self, j: JobIx, now: f64) {
         let t = self.account_now(now);
         let job = self.jobs.at(j);
@@ -62,7 +76,7 @@
             team: &spec.team,
             service: job.is_service(),
             tasks: spec.tasks.min(at_once).max(1),
-            from,
+            from: from + self.sees_late_s(job, now),
             submitted,
             deadline_s: spec.deadline_s,
             may_have_started: submitted < began && seen,
@@ -173,6 +187,20 @@
         if class.is_empty() && team.is_empty() { String::new() } else { format!("; least served:{class}{team}") }
     }
 
+    /// How many times over the batch work that waits would fill the machines, from 1 to
+    /// [`MOST_PRESSURE`].
+    pub(crate) fn pressure(&self) -> f64 {
+        let there: f64 = self
+            .machines
+            .iter()
+            .filter(|(_, m)| m.phase == MachinePhase::Up)
+            .map(|(_, m)| self.types.get(m.ty).cpus)
+            .sum();
+        let waits = self.jobs.live.iter().map(|&j| self.jobs.at(j)).filter(|j| j.open() && !j.is_service());
+        let waits: f64 = waits.map(|j| f64::from(j.unfinished().saturating_sub(j.held)) * j.spec.cpus).sum();
+        if there > 0.0 { (waits / there).clamp(1.0, MOST_PRESSURE) } else { 1.0 }
+    }
+
     /// What can still become of a job that has tasks waiting.
     pub(crate) fn prospect(&self, j: &crate::jobs::Job, now_ms: u64) -> Prospect {
         let done_ms = now_ms + (j.spec.estimate_s * SURELY_TAKES * 1000.0) as u64;
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -85,6 +85,8 @@
 pub struct SettingsParams {
     pub zones: Vec<String>,
     #[serde(default)]
+    pub time_bound_ms: f64,
+    #[serde(default)]
     pub teams: Vec<SettingsTeam>,
     #[serde(default)]
     pub objectives: Vec<SettingsObjective>,
