--- /dev/null
+++ b/crates/recovery/src/index.rs
@@ -0,0 +1,79 @@
+//! Which chunks hold, and which of their records are over.
+//!
+//! The index stands in two places in turn, so that the one that the head means is never
+//! written over; the head names the place, and one conditional write switches it.
+
+use crate::PREFIX;
+use serde::{Deserialize, Serialize};
+
+/// One chunk: its number, the round that wrote it, and which of its records are over, four to
+/// a digit.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Line(pub u32, pub u64, #[serde(default, skip_serializing_if = "String::is_empty")] pub String);
+
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, Default)]
+pub struct Part {
+    pub round: u64,
+    pub chunks: Vec<Line>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Head {
+    /// The form of everything here; a reader that does not know it reads the records.
+    pub form: u32,
+    pub round: u64,
+    /// In which of two places the index stands, and in how many values.
+    pub place: u32,
+    pub parts: u32,
+    /// Every record that is open as of this revision, and not over since, is in the chunks.
+    pub at: u64,
+    /// How many records are open by the index.
+    pub open: u64,
+}
+
+/// To be raised with every field that is added to a job's record: an owner packs what it
+/// understands of a record, and whoever understands more must not take that for all of it.
+pub const FORM: u32 = 1;
+
+pub fn part_key(place: u32, n: u32) -> String {
+    format!("{PREFIX}i/{place}/{n}")
+}
+
+/// Marks of a chunk's records, true where one is over.
+pub fn marks(over: impl Iterator<Item = bool>) -> String {
+    let over: Vec<bool> = over.collect();
+    if !over.contains(&true) {
+        return String::new();
+    }
+    let digit = |four: &[bool]| {
+        let d = four.iter().enumerate().fold(0, |d, (i, o)| d | (u32::from(*o) << i));
+        char::from_digit(d, 16).unwrap_or('f')
+    };
+    over.chunks(4).map(digit).collect()
+}
+
+/// Is the record at this place over? None where a mark is no digit.
+pub fn marked(marks: &str, place: usize) -> Option<bool> {
+    match marks.as_bytes().get(place / 4) {
+        None => Some(false),
+        Some(d) => Some(char::from(*d).to_digit(16)? & (1 << (place % 4)) != 0),
+    }
+}
+
+/// Lines in as many parts as fit `limit` bytes each.
+pub fn parts(round: u64, lines: Vec<Line>, limit: usize) -> Vec<Part> {
+    let mut out = vec![Part { round, chunks: Vec::new() }];
+    let mut used = 64;
+    for l in lines {
+        let more = 32 + l.2.len();
+        if used + more > limit {
+            out.push(Part { round, chunks: Vec::new() });
+            used = 64;
+        }
+        used += more;
+        if let Some(p) = out.last_mut() {
+            p.chunks.push(l);
+        }
+    }
+    out
+}
--- /dev/null
+++ b/crates/recovery/src/known.rs
@@ -0,0 +1,35 @@
+//! Up to which revision everything is known.
+
+use std::collections::HashMap;
+
+/// What a checkpoint may claim. An owner hears of others' acceptances by a watch; of its own
+/// ends it knows when they are answered. An end that is under way may be stored at a revision
+/// that the watch has passed already: until it is settled, nothing after the moment when it
+/// was sent is claimed. Otherwise a successor would not be told of that end, and would take
+/// the job for open.
+#[derive(Debug, Default)]
+pub struct Known {
+    watched: u64,
+    sent: HashMap<String, u64>,
+}
+
+impl Known {
+    /// All changes up to this revision were taken in.
+    pub fn watched(&mut self, revision: u64) {
+        self.watched = self.watched.max(revision);
+    }
+
+    /// The end of this record was sent, for the first time or again.
+    pub fn sent(&mut self, id: &str) {
+        self.sent.entry(id.to_owned()).or_insert(self.watched);
+    }
+
+    /// Its end is stored, and known here.
+    pub fn settled(&mut self, id: &str) {
+        self.sent.remove(id);
+    }
+
+    pub fn revision(&self) -> u64 {
+        self.sent.values().copied().fold(self.watched, u64::min)
+    }
+}
--- /dev/null
+++ b/crates/recovery/src/writer.rs
@@ -0,0 +1,326 @@
+//! What to write next, and what each outcome means.
+//!
+//! A *round* begins with a revision of which everything is known here. What is open and in no
+//! chunk is packed into new ones; then the index is written to the place that the head does
+//! not mean, then the head. A chunk is never written over while the stored head means it, so
+//! that a round may end between any two writes.
+
+use crate::chunk::{Chunk, Packer, Stored, key};
+use crate::index::{FORM, Head, Line, marks, part_key, parts};
+use crate::reader::Read;
+use crate::{CHANGES_KEPT, HEAD, PREFIX};
+use serde_json::Value;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+/// A chunk of which less than this part is open still is dissolved: one of so many.
+const DISSOLVED_BELOW: usize = 3;
+/// A round begins after so many changes, or so many seconds if there are fewer.
+const CHANGES_A_ROUND: u64 = CHANGES_KEPT / 5;
+const SECONDS_A_ROUND: f64 = 60.0;
+const LEAST_SECONDS: f64 = 5.0;
+/// After so many changes without a new head it no longer waits for writes that can be spared.
+const CHANGES_PRESS: u64 = CHANGES_KEPT / 3;
+/// Numbers of chunks that are free and kept for use again; the others' values are deleted.
+const KEPT_FREE: usize = 4;
+
+/// One value to be put. Its outcome is told by [`Writer::applied`] or [`Writer::failed`].
+#[derive(Debug, Clone, PartialEq)]
+pub struct Put {
+    pub key: String,
+    pub value: Value,
+}
+
+#[derive(Debug, Clone)]
+struct Held {
+    round: u64,
+    /// Its records in their order, and whether each is over.
+    records: Vec<(String, bool)>,
+    open: usize,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq)]
+enum Step {
+    Chunks,
+    Index { parts: Vec<(String, Value)>, written: usize, head: Head },
+    Head(Head),
+}
+
+#[derive(Debug)]
+struct Round {
+    at: u64,
+    step: Step,
+    /// Chunks that the next head will no longer mean.
+    dissolved: BTreeSet<u32>,
+    /// The value of the put under way, so that a repeated one is the same.
+    under_way: Option<(Put, Option<(u32, Chunk)>)>,
+}
+
+#[derive(Debug, Default)]
+pub struct Writer {
+    limit: usize,
+    round: u64,
+    chunks: BTreeMap<u32, Held>,
+    place: HashMap<String, (u32, usize)>,
+    /// Open, and in no chunk.
+    fresh: BTreeSet<String>,
+    /// What the stored head means, if there is one.
+    head: Option<Head>,
+    meant: BTreeSet<u32>,
+    current: Option<Round>,
+    began_at: f64,
+    /// Values that hold nothing any more.
+    free: BTreeSet<u32>,
+    /// A record was found that fits no chunk.
+    too_large: bool,
+    pub counts: Counts,
+}
+
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub struct Counts {
+    pub puts: u64,
+    pub rounds: u64,
+}
+
+impl Writer {
+    /// A writer whose values are no larger than `limit` bytes, beginning with nothing stored.
+    pub fn new(limit: usize, now: f64) -> Writer {
+        Writer { limit, began_at: now, ..Writer::default() }
+    }
+
+    /// Goes on with what was read. `keys`: all that stands under the prefix.
+    pub fn resume(limit: usize, now: f64, read: Option<&Read>, keys: &[String]) -> Writer {
+        let mut w = Writer::new(limit, now);
+        let number = |k: &String| k.strip_prefix(PREFIX)?.strip_prefix("c/")?.parse::<u32>().ok();
+        w.free = keys.iter().filter_map(number).collect();
+        let Some(r) = read else { return w };
+        (w.head, w.round) = (Some(r.head), r.head.round);
+        for (n, round, records) in &r.chunks {
+            w.free.remove(n);
+            w.meant.insert(*n);
+            let open = records.iter().filter(|(_, over)| !over).count();
+            for (i, (id, _)) in records.iter().enumerate().filter(|(_, (_, over))| !over) {
+                w.place.insert(id.clone(), (*n, i));
+            }
+            w.chunks.insert(*n, Held { round: *round, records: records.clone(), open });
+        }
+        w
+    }
+
+    /// A record is open: it belongs into the checkpoint.
+    pub fn opened(&mut self, id: &str) {
+        if !self.place.contains_key(id) {
+            self.fresh.insert(id.to_owned());
+        }
+    }
+
+    /// A record is over, and that is stored.
+    pub fn ended(&mut self, id: &str) {
+        self.fresh.remove(id);
+        if let Some((n, i)) = self.place.remove(id)
+            && let Some(c) = self.chunks.get_mut(&n)
+            && let Some((_, over)) = c.records.get_mut(i)
+        {
+            *over = true;
+            c.open -= 1;
+        }
+    }
+
+    /// Records in it or due for it.
+    pub fn open(&self) -> usize {
+        self.place.len() + self.fresh.len()
+    }
+
+    fn behind(&self, revision: u64) -> u64 {
+        self.head.map_or(u64::MAX, |h| revision.saturating_sub(h.at))
+    }
+
+    /// Is a put wanted now? `known`: a revision up to which every change is known here;
+    /// `revision`: the newest that was seen. A round that is under way goes on.
+    pub fn due(&self, known: u64, revision: u64, now: f64) -> bool {
+        let waited = now - self.began_at;
+        let enough = self.behind(revision) >= CHANGES_A_ROUND || waited >= SECONDS_A_ROUND;
+        // Where nothing is known there is nothing to claim.
+        let new = known > self.head.map_or(0, |h| h.at);
+        self.current.is_some() || enough && waited >= LEAST_SECONDS && new
+    }
+
+    /// May it take a write that cannot be spared? Only where the changes since the last head
+    /// would soon be gone.
+    pub fn presses(&self, revision: u64) -> bool {
+        self.head.is_some() && self.behind(revision) >= CHANGES_PRESS
+    }
+
+    /// The next value to be put, none while one is under way. `record` gives a record's
+    /// version and value as they are stored; one that it does not know is over.
+    pub fn next(&mut self, known: u64, now: f64, record: impl Fn(&str) -> Option<(u64, Value)>) -> Option<Put> {
+        if self.current.is_none() {
+            self.begin(known, now);
+        }
+        let mut round = self.current.take()?;
+        let put = if round.under_way.is_some() { None } else { self.step(&mut round, record) };
+        self.current = Some(round);
+        self.counts.puts += u64::from(put.is_some());
+        put
+    }
+
+    fn begin(&mut self, at: u64, now: f64) {
+        self.round += 1;
+        self.began_at = now;
+        let sparse = |c: &Held| c.open * DISSOLVED_BELOW < c.records.len();
+        let dissolved: BTreeSet<u32> = self.chunks.iter().filter(|(_, c)| sparse(c)).map(|(n, _)| *n).collect();
+        for n in &dissolved {
+            let Some(c) = self.chunks.remove(n) else { continue };
+            for (id, _) in c.records.into_iter().filter(|(_, over)| !over) {
+                self.place.remove(&id);
+                self.fresh.insert(id);
+            }
+        }
+        self.current = Some(Round { at, step: Step::Chunks, dissolved, under_way: None });
+    }
+
+    /// A number that no head means, stored or to come.
+    fn number(&mut self) -> u32 {
+        let taken = |n: &u32| self.meant.contains(n) || self.chunks.contains_key(n);
+        let n = self.free.iter().copied().find(|n| !taken(n));
+        let n = n.or_else(|| (0..).find(|n| !taken(n) && !self.free.contains(n))).unwrap_or(u32::MAX);
+        self.free.remove(&n);
+        n
+    }
+
+    fn step(&mut self, round: &mut Round, record: impl Fn(&str) -> Option<(u64, Value)>) -> Option<Put> {
+        if round.step == Step::Chunks {
+            if let Some((n, chunk)) = self.pack(&record) {
+                let value = serde_json::to_value(&chunk).ok()?;
+                let put = Put { key: key(n), value };
+                round.under_way = Some((put.clone(), Some((n, chunk))));
+                return Some(put);
+            }
+            if !self.fresh.is_empty() {
+                return None;
+            }
+            round.step = self.index(round.at);
+        }
+        if let Step::Index { parts, written, head } = &round.step {
+            if let Some((key, value)) = parts.get(*written) {
+                let put = Put { key: key.clone(), value: value.clone() };
+                round.under_way = Some((put.clone(), None));
+                return Some(put);
+            }
+            round.step = Step::Head(*head);
+        }
+        let Step::Head(head) = &round.step else { return None };
+        let put = Put { key: HEAD.into(), value: serde_json::to_value(head).ok()? };
+        round.under_way = Some((put.clone(), None));
+        Some(put)
+    }
+
+    /// A chunk of what is in none. A record that is larger than a value may be is left out of
+    /// the checkpoint, and the checkpoint with it: it would not be complete.
+    fn pack(&mut self, record: &impl Fn(&str) -> Option<(u64, Value)>) -> Option<(u32, Chunk)> {
+        let mut packer = Packer::new(self.limit, self.round);
+        let mut taken = Vec::new();
+        let mut over = Vec::new();
+        for id in &self.fresh {
+            let Some((version, value)) = record(id) else {
+                over.push(id.clone());
+                continue;
+            };
+            match packer.push(Stored { id: id.clone(), version, value }) {
+                Ok(()) => taken.push(id.clone()),
+                Err(_) if taken.is_empty() => {}
+                Err(_) => break,
+            }
+        }
+        for id in over.iter().chain(&taken) {
+            self.fresh.remove(id);
+        }
+        self.too_large = taken.is_empty() && !self.fresh.is_empty();
+        if packer.is_empty() {
+            return None;
+        }
+        let n = self.number();
+        for (i, id) in taken.iter().enumerate() {
+            self.place.insert(id.clone(), (n, i));
+        }
+        let records = taken.into_iter().map(|id| (id, false)).collect::<Vec<_>>();
+        let open = records.len();
+        self.chunks.insert(n, Held { round: self.round, records, open });
+        Some((n, packer.finish()))
+    }
+
+    fn index(&self, at: u64) -> Step {
+        let line = |(n, c): (&u32, &Held)| Line(*n, c.round, marks(c.records.iter().map(|r| r.1)));
+        let lines: Vec<Line> = self.chunks.iter().filter(|(_, c)| c.open > 0).map(line).collect();
+        let open = self.chunks.values().map(|c| c.open as u64).sum();
+        let parts = parts(self.round, lines, self.limit);
+        let place = self.head.map_or(0, |h| 1 - h.place.min(1));
+        let head = Head { form: FORM, round: self.round, place, parts: parts.len() as u32, at, open };
+        let value =
+            |(i, p): (usize, &crate::index::Part)| serde_json::to_value(p).ok().map(|v| (part_key(place, i as u32), v));
+        Step::Index { parts: parts.iter().enumerate().filter_map(value).collect(), written: 0, head }
+    }
+
+    /// A record that is too large for any chunk keeps a checkpoint from being written.
+    pub fn stuck(&self) -> bool {
+        self.too_large
+    }
+
+    /// The put under way is stored. Returns keys whose values are of no more use.
+    pub fn applied(&mut self, key: &str) -> Vec<String> {
+        let Some(round) = &mut self.current else { return Vec::new() };
+        if round.under_way.as_ref().is_none_or(|(p, _)| p.key != key) {
+            return Vec::new();
+        }
+        round.under_way = None;
+        match &mut round.step {
+            Step::Chunks => {}
+            Step::Index { written, .. } => *written += 1,
+            Step::Head(head) => {
+                let head = *head;
+                let dissolved = std::mem::take(&mut round.dissolved);
+                self.current = None;
+                self.counts.rounds += 1;
+                self.head = Some(head);
+                // Empty chunks are in no index, and nothing points at them any more.
+                let empty: Vec<u32> = self.chunks.iter().filter(|(_, c)| c.open == 0).map(|(n, _)| *n).collect();
+                for n in &empty {
+                    self.chunks.remove(n);
+                }
+                self.free.extend(empty);
+                self.free.extend(dissolved);
+                self.free.extend(self.meant.iter().filter(|n| !self.chunks.contains_key(n)));
+                self.meant = self.chunks.keys().copied().collect();
+                let drop: Vec<u32> =
+                    self.free.iter().rev().copied().take(self.free.len().saturating_sub(KEPT_FREE)).collect();
+                for n in &drop {
+                    self.free.remove(n);
+                }
+                return drop.into_iter().map(crate::chunk::key).collect();
+            }
+        }
+        Vec::new()
+    }
+
+    /// The put under way was not applied, or nobody knows: it is wanted again. A chunk is made
+    /// anew, since some of it may be over.
+    pub fn failed(&mut self, key: &str) {
+        let Some(round) = &mut self.current else { return };
+        if round.under_way.as_ref().is_none_or(|(p, _)| p.key != key) {
+            return;
+        }
+        if let Some((_, Some((n, _)))) = round.under_way.take()
+            && let Some(c) = self.chunks.remove(&n)
+        {
+            for (id, _) in c.records.into_iter().filter(|(_, over)| !over) {
+                self.place.remove(&id);
+                self.fresh.insert(id);
+            }
+            self.free.insert(n);
+        }
+    }
+
+    /// The round in which the stored head was written, for people; 0: none.
+    pub fn stored_round(&self) -> u64 {
+        self.head.map_or(0, |h| h.round)
+    }
+}
--- a/src/api.rs
+++ b/src/api.rs
@@ -83,8 +83,8 @@
 /// What a stored record alone tells of a job. A repeated submission was once answered
 /// with "queued" because the record was there, whatever it said: the job had been
 /// called cancelled before.
-fn told_of_item(item: Item) -> Option<Told> {
-    let r: JobRecord = serde_json::from_value(item.value).ok()?;
+fn told_of_item(item: &Item) -> Option<Told> {
+    let r: JobRecord = serde::Deserialize::deserialize(&item.value).ok()?;
     Some(match r.phase {
         Phase::Open => Told { state: JobState::Queued, done: 0, running: 0 },
         Phase::Done => Told { state: JobState::Done, done: u64::from(r.job.tasks), running: 0 },
@@ -268,7 +268,7 @@
             // that needs others may be cancelled with them by now, whatever its record says.
             _ => match self.state.get(&job_key(id), Turn::InTurn).await {
                 Ok(Some(i)) if !may_be_doomed(&i) => {
-                    told_of_item(i).map_or_else(unable, |t| job_answer(200, id, t, false))
+                    told_of_item(&i).map_or_else(unable, |t| job_answer(200, id, t, false))
                 }
                 _ => unable(),
             },
@@ -352,7 +352,7 @@
         }
         match self.state.get(&job_key(id), turn(verb)).await {
             Ok(None) => Word::Absent,
-            Ok(Some(item)) => match told_of_item(item) {
+            Ok(Some(item)) => match told_of_item(&item) {
                 Some(t) if t.state != JobState::Queued => {
                     self.note_final(id, t);
                     Word::Known(t)
@@ -392,14 +392,26 @@
                     async_io::Timer::after(Duration::from_millis(10)).await;
                 }
                 Some(None) if looked => return Word::Unable,
-                Some(None) => match self.state.get(&job_key(id), turn(verb)).await {
-                    Ok(None) => return Word::Absent,
-                    Ok(Some(item)) => {
-                        looked = true;
-                        self.take_job(item);
+                Some(None) => {
+                    if let Some(t) = self.final_known(id) {
+                        return Word::Known(t);
                     }
-                    Err(_) => return Word::Unable,
-                },
+                    match self.state.get(&job_key(id), turn(verb)).await {
+                        Ok(None) => return Word::Absent,
+                        // What is over need not be known here: its record says it all.
+                        Ok(Some(item)) => match told_of_item(&item) {
+                            Some(t) if t.state != JobState::Queued => {
+                                self.note_final(id, t);
+                                return Word::Known(t);
+                            }
+                            _ => {
+                                looked = true;
+                                self.take_job(&item);
+                            }
+                        },
+                        Err(_) => return Word::Unable,
+                    }
+                }
             }
         }
     }
@@ -421,7 +433,7 @@
     /// the owner cannot be asked is answered by the record, and the record says how it ended.
     #[test]
     fn a_repeated_submission_hears_what_the_record_says() {
-        let told = |phase| told_of_item(stored(phase)).map(|t| t.state);
+        let told = |phase| told_of_item(&stored(phase)).map(|t| t.state);
         assert_eq!(told("cancelled"), Some(JobState::Cancelled));
         assert_eq!(told("done"), Some(JobState::Done));
         assert_eq!(told("open"), Some(JobState::Queued));
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -8,11 +8,11 @@
 pub mod racks;
 pub mod zones;
 
-use crate::intern::{ImageIx, Index, JobIx, MachineIx, Names, RackIx, TypeIx, ZoneIx};
+use crate::intern::{ImageIx, Index, JobIx, MachineIx, Names, Pages, RackIx, TypeIx, ZoneIx};
 use crate::jobs::TaskMap;
 use crate::wire::MachineType;
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeSet, HashSet};
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -249,8 +249,8 @@
 /// All machines, by index; gone ones stay as names so that late news is recognised.
 #[derive(Debug, Default)]
 pub struct Machines {
-    pub list: Vec<Machine>,
-    pub names: Names<MachineIx>,
+    pub list: Pages<MachineIx, Machine>,
+    by_name: HashMap<Arc<str>, MachineIx>,
     pub present: BTreeSet<MachineIx>,
     /// Machines that should hear from us directly: at hundreds of machines, looking
     /// through all of them for each command took most of the time there is.
@@ -267,15 +267,29 @@
     }
 
     pub fn find(&self, name: &str) -> Option<MachineIx> {
-        self.names.find(name)
+        self.by_name.get(name).copied()
+    }
+
+    /// A machine that may have been given back.
+    pub fn get_mut(&mut self, m: MachineIx) -> Option<&mut Machine> {
+        self.list.get_mut(m)
+    }
+
+    /// A machine that is long gone leaves, with its name.
+    pub fn give_back(&mut self, m: MachineIx) {
+        self.direct_due.remove(&m);
+        if let Some(machine) = self.list.remove(m) {
+            self.by_name.remove(&machine.name);
+        }
     }
 
     pub fn add(&mut self, name: &str, ty: TypeIx, zone: ZoneIx, spot: bool, now: f64) -> MachineIx {
-        if let Some(m) = self.names.find(name) {
+        if let Some(m) = self.find(name) {
             return m;
         }
-        let m = self.names.intern(name);
-        self.list.push(Machine::new(self.names.name(m).clone(), ty, zone, spot, now));
+        let shared: Arc<str> = name.into();
+        let m = self.list.push(Machine::new(shared.clone(), ty, zone, spot, now));
+        self.by_name.insert(shared, m);
         self.present.insert(m);
         m
     }
--- a/src/fleet/racks.rs
+++ b/src/fleet/racks.rs
@@ -147,6 +147,11 @@
         std::mem::replace(&mut self.looked_through, true)
     }
 
+    /// These jobs are over: their names need no place here any more.
+    pub fn forget(&mut self, jobs: &HashSet<JobIx>) {
+        self.names.retain(|j| !jobs.contains(j));
+    }
+
     /// Its value was made anew.
     pub fn made(&mut self, bytes: usize, names: impl Iterator<Item = JobIx>) {
         self.bytes = bytes;
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -1,11 +1,11 @@
 //! Jobs and their tasks: what is kept at the state service, and what is known.
 
-use crate::intern::{ImageIx, Index, JobIx, MachineIx, Names, TeamIx, ZoneIx};
+use crate::intern::{ImageIx, Index, JobIx, MachineIx, Names, Pages, TeamIx, ZoneIx};
 use crate::wire::{JobRequest, JobState, Kind, Priority};
 use lupinspur_accounts::TicketIx;
 use lupinspur_accounts::book::AccountIx;
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
 pub const JOB_PREFIX: &str = "job/";
 pub const PROGRESS_PREFIX: &str = "prog/";
@@ -66,9 +66,11 @@
     /// none of what is left out.
     pub fn ended(job: &JobRequest, at_ms: u64, phase: Phase, ended_ms: u64, value_bytes: usize) -> JobRecord {
         let mut r = JobRecord { job: job.clone(), at_ms, phase, ended_ms: Some(ended_ms) };
+        // It is kept for ever: where it might have run is asked by nobody afterwards.
+        let j = &mut r.job;
+        (j.types, j.zone, j.image, j.needs) = (None, None, None, None);
         if serde_json::to_string(&r).is_ok_and(|t| t.len() > value_bytes) {
-            let j = &mut r.job;
-            (j.class, j.types, j.zone, j.image, j.needs) = (String::new(), None, None, None, None);
+            r.job.class = String::new();
         }
         r
     }
@@ -225,8 +227,8 @@
 /// All jobs that this owner knows.
 #[derive(Debug, Default)]
 pub struct Jobs {
-    pub list: Vec<Job>,
-    pub ids: Names<JobIx>,
+    pub list: Pages<JobIx, Job>,
+    by_id: HashMap<std::sync::Arc<str>, JobIx>,
     pub images: Names<ImageIx>,
     /// Jobs that have something to do now. Those that wait for others are not among them:
     /// they cost nothing.
@@ -250,7 +252,19 @@
     }
 
     pub fn find(&self, id: &str) -> Option<JobIx> {
-        self.ids.find(id)
+        self.by_id.get(id).copied()
+    }
+
+    /// A job that may have been given back.
+    pub fn get(&self, j: JobIx) -> Option<&Job> {
+        self.list.get(j)
+    }
+
+    /// A job that is over leaves, with its name.
+    pub fn give_back(&mut self, j: JobIx) {
+        if let Some(job) = self.list.remove(j) {
+            self.by_id.remove(&job.id);
+        }
     }
 
     pub fn at(&self, j: JobIx) -> &Job {
@@ -263,16 +277,18 @@
 
     /// Takes in a stored job. A job that is known already is left as it is.
     pub fn add(&mut self, r: JobRecord, team: TeamIx, now: f64) -> JobIx {
-        if let Some(j) = self.ids.find(&r.job.id) {
+        if let Some(j) = self.find(&r.job.id) {
             return j;
         }
-        let j = self.ids.intern(&r.job.id);
+        let j = self.list.next();
+        let id: std::sync::Arc<str> = r.job.id.as_str().into();
+        self.by_id.insert(id.clone(), j);
         let open = r.phase == Phase::Open;
         let n = if open { r.job.tasks } else { 0 };
         let image = r.job.image.as_deref().map(|i| self.images.intern(i));
         self.list.push(Job {
             ix: j,
-            id: self.ids.name(j).clone(),
+            id,
             team,
             image,
             at_ms: r.at_ms,
--- a/src/node.rs
+++ b/src/node.rs
@@ -6,13 +6,13 @@
 use crate::fleet::racks::RACK_PREFIX;
 use crate::fleet::{FLEET_KEY, MACHINE_PREFIX};
 use crate::intern::{Index, RackIx};
-use crate::jobs::{JOB_PREFIX, PART_PREFIX, PROGRESS_PREFIX};
+use crate::jobs::{JOB_PREFIX, JobRecord, PART_PREFIX, PROGRESS_PREFIX, Phase};
 use crate::ownership::{CLAIM_KEY, CLAIM_PREFIX, Claim, Next, Ownership, SeenClaim};
 use crate::peer::{
     JobAnswer, JobQuestion, Outcome, Owner, Peers, QuotaAnswer, QuotaQuestion, ServiceAnswer, ServiceQuestion,
 };
 use crate::settings::Settings;
-use crate::shard::{CloudCall, Counts, Loaded, LoadedQuotas, Shard};
+use crate::shard::{CloudCall, Counts, Found, Loaded, LoadedQuotas, Shard, job_of};
 use crate::state::{Commit, StateClient, StateError, TXN_BYTES, Turn};
 use crate::tuning::Tuning;
 use crate::wire::{Change, Condition, Item, JobState, Kind, MachineType, RentRequest};
@@ -21,6 +21,7 @@
 use async_executor::Executor;
 use async_io::{Async, Timer};
 use futures_lite::FutureExt;
+use lru::LruCache;
 use lupinspur_accounts::gate::LOG_MARK;
 use lupinspur_accounts::{Alarm, Book, Reading, Told as ServiceTold};
 use lupinspur_quota::Plan;
@@ -28,6 +29,7 @@
 use serde::de::DeserializeOwned;
 use std::collections::HashMap;
 use std::net::TcpListener;
+use std::num::NonZeroUsize;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
@@ -44,9 +46,11 @@
 /// A submission that is answered later than this was not accepted in time.
 const ACCEPTED_WITHIN_S: f64 = 1.0;
 const MOST_COMMITS: usize = 3;
-const FINALS_KEPT: usize = 20_000;
+/// Jobs that are over, and jobs that were accepted, that a node remembers; the others it asks for.
+const MOST_KEPT: NonZeroUsize = NonZeroUsize::new(10_000).unwrap();
 const LIST_EVERY_S: f64 = 3.0;
 const TYPES_EVERY_S: f64 = 20.0;
+const LOOK_UP_EVERY: Duration = Duration::from_secs(1);
 const WATCH_WAIT: Duration = Duration::from_millis(1500);
 
 /// Who acts, as far as this node knows.
@@ -75,9 +79,9 @@
     own: Mutex<Ownership>,
     shard: Mutex<Option<Shard>>,
     types: Mutex<Arc<Vec<MachineType>>>,
-    finals: Mutex<HashMap<String, Told>>,
+    finals: Mutex<LruCache<String, Told>>,
     /// Jobs that this node has seen to be accepted: they stay so.
-    accepted: Mutex<HashMap<String, Kind>>,
+    accepted: Mutex<LruCache<String, Kind>>,
     /// What users were answered at this controller's door, by class and team.
     door: Mutex<Book>,
     state_ok: Mutex<f64>,
@@ -99,6 +103,42 @@
     })
 }
 
+/// Takes a job's record in. Knowing of it needs no right to act: what came while the lease was
+/// in doubt would be missing afterwards.
+fn take_into(s: &mut Shard, item: &Item, now: f64) {
+    match job_of(&item.key, &item.value) {
+        Ok(r) => _ = s.add_job(r, item.version, now),
+        Err(e) => {
+            log::error!("{e}");
+            s.cannot_take_in(&item.key);
+        }
+    }
+}
+
+/// The records that a successor needs, of all that the state service has.
+#[derive(Default)]
+struct Records {
+    jobs: HashMap<String, (JobRecord, u64)>,
+    over: u64,
+    found: Found,
+}
+
+impl Records {
+    /// One record; one that is over is dropped, unless it ended since the checkpoint.
+    fn take(&mut self, key: &str, value: &serde_json::Value, version: u64, keep_over: bool) {
+        match job_of(key, value) {
+            Ok(r) if r.phase == Phase::Open || keep_over => {
+                self.jobs.insert(r.job.id.clone(), (r, version));
+            }
+            Ok(_) => self.over += 1,
+            Err(e) => {
+                log::error!("{e}");
+                self.found.incomplete = true;
+            }
+        }
+    }
+}
+
 impl Node {
     fn new(settings: Settings, tuning: Tuning, quotas: Option<Plan>) -> Node {
         let me = Claim { node: settings.node.clone(), nonce: format!("{:016x}", fastrand::u64(..)) };
@@ -110,8 +150,8 @@
             own: Mutex::new(Ownership::new(me, tuning.claim_s)),
             shard: Mutex::new(None),
             types: Mutex::default(),
-            finals: Mutex::default(),
-            accepted: Mutex::default(),
+            finals: Mutex::new(LruCache::new(MOST_KEPT)),
+            accepted: Mutex::new(LruCache::new(MOST_KEPT)),
             door: Mutex::new(Book::new(settings.terms.clone())),
             state_ok: Mutex::new(-100.0),
             wakes: Wakes {
@@ -168,11 +208,7 @@
 
     pub fn note_final(&self, id: &str, t: Told) {
         if matches!(t.state, JobState::Done | JobState::Cancelled) {
-            let mut finals = lock(&self.finals);
-            if finals.len() >= FINALS_KEPT {
-                finals.clear();
-            }
-            finals.insert(id.to_owned(), t);
+            lock(&self.finals).put(id.to_owned(), t);
         }
     }
 
@@ -181,11 +217,7 @@
     }
 
     pub fn note_accepted(&self, id: &str, kind: Kind) {
-        let mut accepted = lock(&self.accepted);
-        if accepted.len() >= FINALS_KEPT {
-            accepted.clear();
-        }
-        accepted.insert(id.to_owned(), kind);
+        lock(&self.accepted).put(id.to_owned(), kind);
     }
 
     /// A user waited for this answer from `began` on.
@@ -202,10 +234,11 @@
     }
 
     /// A stored job that the shard did not know of yet.
-    pub fn take_job(&self, item: Item) {
+    pub fn take_job(&self, item: &Item) {
         let now = clock::now();
-        for (_, r, v) in parse_items(vec![item]) {
-            self.with_shard(now, |s| s.add_job(r, v, now));
+        let token = lock(&self.own).token();
+        if let Some(s) = lock(&self.shard).as_mut().filter(|s| Some(s.token) == token) {
+            take_into(s, item, now);
         }
         self.wake();
     }
@@ -326,7 +359,7 @@
         let began = clock::now();
         self.state.set_share(&self.settings, true);
         let loaded = async {
-            let (jobs, revision) = self.state.list(JOB_PREFIX, Turn::InTurn).await?;
+            let (records, revision) = self.read_jobs().await?;
             let (mut progress, _) = self.state.list(PROGRESS_PREFIX, Turn::InTurn).await?;
             progress.extend(self.state.list(PART_PREFIX, Turn::InTurn).await?.0);
             let (machines, _) = self.state.list(MACHINE_PREFIX, Turn::InTurn).await?;
@@ -336,13 +369,14 @@
                 Some(_) => self.state.list(PREFIX, Turn::InTurn).await?.0,
                 None => Vec::new(),
             };
-            Ok::<_, StateError>((jobs, revision, progress, machines, racks, fleet, quotas))
+            Ok::<_, StateError>((records, revision, progress, machines, racks, fleet, quotas))
         };
         match loaded.await {
-            Ok((jobs, revision, progress, machines, racks, fleet, quotas)) => {
+            Ok((records, revision, progress, machines, racks, fleet, quotas)) => {
                 let number = |k: &str| k.strip_prefix(RACK_PREFIX).and_then(|n| n.parse::<usize>().ok());
                 let loaded = Loaded {
-                    jobs: parse_items(jobs).map(|(_, r, v)| (r, v)).collect(),
+                    jobs: records.jobs.into_values().collect(),
+                    checkpoint: records.found,
                     progress: parse_items(progress).collect(),
                     machines: parse_items(machines)
                         .map(|(k, r, v): (String, _, _)| (k.trim_start_matches(MACHINE_PREFIX).to_owned(), r, v))
@@ -376,6 +410,47 @@
         }
     }
 
+    /// The jobs that are open, by the checkpoint and the changes since; or, where that cannot
+    /// be used, by every record there is, page by page.
+    async fn read_jobs(&self) -> Result<(Records, u64), StateError> {
+        let mut records = Records::default();
+        let (items, _) = self.state.list(lupinspur_recovery::PREFIX, Turn::InTurn).await?;
+        records.found.keys = items.iter().map(|i| (i.key.clone(), i.version)).collect();
+        let read = lupinspur_recovery::read(items.iter().map(|i| (i.key.as_str(), &i.value)));
+        drop(items);
+        match read {
+            Ok(mut read) => match self.state.watch(JOB_PREFIX, read.head.at, Duration::ZERO).await {
+                Ok(since) => {
+                    for o in std::mem::take(&mut read.open) {
+                        records.take(&format!("{JOB_PREFIX}{}", o.id), &o.value, o.version, false);
+                    }
+                    let (at, changes) = (read.head.at, since.events.len());
+                    for e in since.events {
+                        if let (Some(key), Some(value)) = (&e.put, &e.value) {
+                            records.take(key, value, e.version, true);
+                        }
+                    }
+                    log::info!("read the checkpoint of revision {at} and {changes} changes since");
+                    records.found.read = Some(read);
+                    let revision = since.revision.max(at);
+                    records.found.revision = revision;
+                    return Ok((records, revision));
+                }
+                Err(StateError::TooOld) => {
+                    log::warn!("the changes since the checkpoint of revision {} are gone", read.head.at)
+                }
+                Err(e) => return Err(e),
+            },
+            Err(lupinspur_recovery::Unusable::None) => log::info!("there is no checkpoint yet"),
+            Err(e) => log::warn!("the checkpoint cannot be used: {e}"),
+        }
+        let revision =
+            self.state.each(JOB_PREFIX, Turn::InTurn, |i| records.take(&i.key, &i.value, i.version, false)).await?;
+        log::info!("read every job's record: {} are open, {} are over", records.jobs.len(), records.over);
+        records.found.revision = revision;
+        Ok((records, revision))
+    }
+
     async fn watch_claim(self: Arc<Self>) {
         let mut from: Option<u64> = None;
         loop {
@@ -432,14 +507,22 @@
                     from = ev.revision.max(from);
                     for e in ev.events {
                         if let (Some(key), Some(value)) = (e.put, e.value) {
-                            self.take_job(Item { key, value, version: e.version, lease: None });
+                            self.take_job(&Item { key, value, version: e.version, lease: None });
                         }
                     }
+                    self.caught_up(token, from);
                 }
                 Err(StateError::TooOld) => {
-                    if let Ok((items, revision)) = self.state.list(JOB_PREFIX, Turn::InTurn).await {
+                    log::warn!("changes of jobs were missed: reading every record");
+                    let take = |i: Item| {
+                        // What is over and not known here changes nothing.
+                        if job_of(&i.key, &i.value).map_or(true, |r| r.phase == Phase::Open) {
+                            self.take_job(&i);
+                        }
+                    };
+                    if let Ok(revision) = self.state.each(JOB_PREFIX, Turn::InTurn, take).await {
                         from = revision;
-                        items.into_iter().for_each(|i| self.take_job(i));
+                        self.caught_up(token, from);
                     }
                 }
                 Err(_) => {
@@ -449,6 +532,28 @@
         }
     }
 
+    fn caught_up(&self, token: u64, revision: u64) {
+        if let Some(s) = lock(&self.shard).as_mut().filter(|s| s.token == token) {
+            s.watched(revision);
+        }
+    }
+
+    /// Jobs that others here need and that nobody has told of: mostly they ended long ago.
+    async fn look_up_needs(self: Arc<Self>) {
+        let mut before: Vec<String> = Vec::new();
+        loop {
+            Timer::after(LOOK_UP_EVERY).await;
+            let wanted = self.with_shard(clock::now(), |s| s.to_look_up()).unwrap_or_default();
+            // One that is new here may only be late by the watch.
+            for id in wanted.iter().filter(|id| before.contains(id)) {
+                if let Ok(Some(item)) = self.state.get(&crate::jobs::job_key(id), Turn::Spare).await {
+                    self.take_job(&item);
+                }
+            }
+            before = wanted;
+        }
+    }
+
     // ---- the shard's loops ----
 
     async fn ticks(self: Arc<Self>) {
@@ -813,6 +918,7 @@
     EX.spawn(n().rentals()).detach();
     EX.spawn(n().deletions()).detach();
     EX.spawn(n().lists()).detach();
+    EX.spawn(n().look_up_needs()).detach();
     EX.spawn(crate::peer::serve(&EX, peer_listener, Arc::new(OwnerSide(n())))).detach();
     let handler = Arc::new(move |req| {
         let me = node.clone();
--- a/src/pipeline.rs
+++ b/src/pipeline.rs
@@ -151,6 +151,11 @@
         self.nodes.get(&j).map_or(&[], |n| &n.needs)
     }
 
+    /// Needs that were not heard of here yet.
+    pub fn strangers(&self) -> impl Iterator<Item = &str> {
+        self.strangers.keys().map(String::as_str)
+    }
+
     pub fn waiting(&self) -> usize {
         self.nodes.values().filter(|n| n.left > 0).count()
     }
--- a/src/shard/mod.rs
+++ b/src/shard/mod.rs
@@ -6,12 +6,14 @@
 
 mod pipelines;
 mod quotas;
+mod recovery;
 mod reports;
 mod service;
 mod sizing;
 mod writes;
 
 pub use quotas::{LoadedQuotas, Quotas, Row as QuotaRow, Told as QuotasTold, fits_values, team_limits};
+pub use recovery::{Found, job_of};
 pub use reports::{DirectSend, Heard};
 pub use service::Prospect;
 pub use sizing::CloudCall;
@@ -131,6 +133,8 @@
     pub fleet: Option<(FleetRecord, u64)>,
     /// Where quotas nest.
     pub quotas: Option<LoadedQuotas>,
+    /// What was found of a checkpoint.
+    pub checkpoint: Found,
 }
 
 pub struct Shard {
@@ -149,6 +153,7 @@
     /// Who has sunk below the floor, as of the last look.
     pub sunk: Sunk,
     accounts: service::Glue,
+    recovery: recovery::Glue,
     pub team_names: Names<TeamIx>,
     pub pools: BTreeMap<TypeIx, Pool>,
     pub launches: Launches,
@@ -232,6 +237,7 @@
     pub finals: u64,
     pub racks: u64,
     pub progress: u64,
+    pub checkpoint: u64,
     pub other_writes: u64,
 }
 
@@ -264,6 +270,7 @@
             book: Book::new(s.terms.clone()),
             sunk: Sunk::default(),
             accounts: service::Glue::default(),
+            recovery: recovery::Glue::new(value_bytes, &loaded.checkpoint, now),
             quotas: loaded.quotas.as_ref().map(|q| Quotas::new(&s.teams, q, value_bytes)),
             team_names,
             pools: BTreeMap::new(),
@@ -314,6 +321,7 @@
             shard.types.zones.intern(z);
         }
         shard.jobs.zones = shard.types.zones.len().max(16);
+        shard.versions.extend(loaded.checkpoint.keys);
         if let Some((_, v)) = loaded.fleet {
             shard.versions.insert(crate::fleet::FLEET_KEY.into(), v);
         }
@@ -329,6 +337,8 @@
                         shard.finals.insert(j);
                     }
                 }
+                // Of a record that could not be read nobody knows whether it is over.
+                _ if shard.recovery_incomplete() => {}
                 _ => _ = shard.cleanup.insert(key),
             }
         }
@@ -565,6 +575,7 @@
         }
         let Some(team) = self.team_names.find(&r.job.team) else {
             log::error!("job {} names unknown team {}", r.job.id, r.job.team);
+            self.cannot_take_in(&crate::jobs::job_key(&r.job.id));
             return None;
         };
         if r.job.kind == Kind::Service {
@@ -572,6 +583,7 @@
         }
         self.place_due = true;
         let j = self.jobs.add(r, team, now);
+        self.remember(j, now);
         self.enter(j, now);
         self.account_due(j);
         Some(j)
@@ -883,6 +895,7 @@
             self.size_fleet(now);
             self.ease_racks();
             self.quota_gives_way();
+            self.sweep(now);
             self.tell_stages(now);
         }
         self.place_waiting(now);
@@ -933,7 +946,7 @@
         }
         let mix = self.pools.values().next().map(|p| p.mix).unwrap_or_default();
         format!(
-            "{} reports, {} direct, {} starts; writes: {} final, {} racks, {} progress, {} other; {} live jobs, \
+            "{} reports, {} direct, {} starts; writes: {} final, {} racks, {} progress, {} checkpoint, {} other; {} live jobs, \
              {waiting} tasks wait; machines up {} spot and {} on-demand, {}+{} cordoned, {booting} boot, \
              {unresolved} unresolved; cpus {held:.0?}; wanted {mix:?}{}{}",
             c.reports - before.reports,
@@ -942,6 +955,7 @@
             c.finals - before.finals,
             c.racks - before.racks,
             c.progress - before.progress,
+            c.checkpoint - before.checkpoint,
             c.other_writes - before.other_writes,
             self.jobs.live.len(),
             up(true, false),
--- /dev/null
+++ b/src/shard/recovery.rs
@@ -0,0 +1,234 @@
+//! What this shard gives a successor, and what it gives back itself.
+//!
+//! The checkpoint of open jobs is written in rounds (`crates/recovery`), out of the writes that
+//! can be spared. Jobs that are over and machines that are gone leave the memory after a while;
+//! what is asked about them afterwards is answered by the state service's records.
+
+use super::{Shard, What, Write};
+use crate::fleet::Phase as MachinePhase;
+use crate::intern::{ImageIx, JobIx, MachineIx};
+use crate::jobs::{JOB_PREFIX, JobRecord, Phase, job_key};
+use lupinspur_recovery::{Known, Put, Read, Writer};
+use serde_json::Value;
+use std::collections::{HashSet, VecDeque};
+
+/// A job that is over stays known for so long, in seconds: its user polls once more.
+const OVER_FOR_S: f64 = 60.0;
+/// A machine that is gone stays known for so long: what it sent may arrive minutes late.
+const GONE_FOR_S: f64 = 900.0;
+const SWEEP_EVERY_S: f64 = 10.0;
+/// Beyond the writes that can be spared, one for the checkpoint each so often, once the changes
+/// since the last would soon be gone.
+const PRESSING_EVERY_S: f64 = 1.0;
+/// A need that nobody has told of is looked up, so many at a time.
+const MOST_LOOKED_UP: usize = 10;
+
+/// What a takeover found of a checkpoint.
+#[derive(Debug, Default)]
+pub struct Found {
+    pub read: Option<Read>,
+    /// All that stands under its prefix, with versions.
+    pub keys: Vec<(String, u64)>,
+    /// A revision up to which all changes of jobs were taken in.
+    pub revision: u64,
+    /// Some record could not be read or taken in: a checkpoint would leave it out.
+    pub incomplete: bool,
+}
+
+#[derive(Debug, Default)]
+pub(super) struct Glue {
+    writer: Writer,
+    known: Known,
+    /// The newest revision that was seen.
+    newest: u64,
+    /// Some job that is stored could not be taken in: no checkpoint would be complete.
+    incomplete: bool,
+    pressed_at: f64,
+    swept_at: f64,
+    over: VecDeque<(f64, JobIx)>,
+    gone: VecDeque<(f64, MachineIx)>,
+}
+
+impl Glue {
+    pub(super) fn new(value_bytes: usize, found: &Found, now: f64) -> Glue {
+        let keys: Vec<String> = found.keys.iter().map(|k| k.0.clone()).collect();
+        let mut g = Glue {
+            writer: Writer::resume(value_bytes, now, found.read.as_ref(), &keys),
+            newest: found.revision,
+            incomplete: found.incomplete,
+            swept_at: now,
+            ..Glue::default()
+        };
+        g.known.watched(found.revision);
+        g
+    }
+}
+
+impl Shard {
+    /// A job that was taken in: it belongs into the checkpoint, or is over already.
+    pub(super) fn remember(&mut self, j: JobIx, now: f64) {
+        let job = self.jobs.at(j);
+        if job.phase == Phase::Open {
+            self.recovery.writer.opened(&job.id);
+        } else {
+            self.recovery.writer.ended(&job.id);
+            self.recovery.over.push_back((now, j));
+        }
+    }
+
+    /// A record that no owner can take in as it is: until it can, successors read everything.
+    pub fn cannot_take_in(&mut self, key: &str) {
+        if !std::mem::replace(&mut self.recovery.incomplete, true) {
+            log::error!("{key} cannot be taken in: no checkpoint is written beside it");
+        }
+    }
+
+    pub(super) fn recovery_incomplete(&self) -> bool {
+        self.recovery.incomplete
+    }
+
+    /// All changes of jobs up to this revision were taken in.
+    pub fn watched(&mut self, revision: u64) {
+        self.recovery.known.watched(revision);
+        self.recovery.newest = self.recovery.newest.max(revision);
+    }
+
+    /// The write of its end goes out.
+    pub(super) fn end_sent(&mut self, j: JobIx) {
+        let id = self.jobs.at(j).id.clone();
+        self.recovery.known.sent(&id);
+    }
+
+    /// Its end is stored.
+    pub(super) fn end_stored(&mut self, j: JobIx, now: f64) {
+        let id = self.jobs.at(j).id.clone();
+        self.recovery.known.settled(&id);
+        self.recovery.writer.ended(&id);
+        self.recovery.over.push_back((now, j));
+    }
+
+    pub(super) fn revision_seen(&mut self, revision: u64) {
+        self.recovery.newest = self.recovery.newest.max(revision);
+    }
+
+    pub(super) fn machine_gone(&mut self, m: MachineIx) {
+        self.recovery.gone.push_back((self.ticked, m));
+    }
+
+    /// The checkpoint's next put, if one is due and may be made.
+    pub(super) fn checkpoint_write(&mut self, spare: bool, now: f64) -> Option<Write> {
+        let r = &self.recovery;
+        let (known, newest) = (r.known.revision(), r.newest);
+        let pressing = r.writer.presses(newest) && now - r.pressed_at >= PRESSING_EVERY_S;
+        if r.incomplete || !(spare || pressing) || !r.writer.due(known, newest, now) {
+            return None;
+        }
+        let mut writer = std::mem::take(&mut self.recovery.writer);
+        let record = |id: &str| {
+            let job = self.jobs.get(self.jobs.find(id)?).filter(|j| j.phase == Phase::Open)?;
+            let version = *self.versions.get(&job_key(id))?;
+            let record = JobRecord::accepted(job.spec.clone(), job.at_ms);
+            Some((version, serde_json::to_value(&record).ok()?))
+        };
+        let put = writer.next(known, now, record);
+        self.recovery.writer = writer;
+        if !spare {
+            self.recovery.pressed_at = now;
+        }
+        let Put { key, value } = put?;
+        self.put(key, What::Checkpoint, &value)
+    }
+
+    pub(super) fn checkpoint_applied(&mut self, key: &str) {
+        let before = self.recovery.writer.stored_round();
+        let gone = self.recovery.writer.applied(key);
+        self.cleanup.extend(gone);
+        let round = self.recovery.writer.stored_round();
+        if round != before {
+            log::debug!("checkpoint {round}: {} open jobs", self.recovery.writer.open());
+        }
+    }
+
+    pub(super) fn checkpoint_failed(&mut self, key: &str) {
+        self.recovery.writer.failed(key);
+    }
+
+    /// What checkpoints have cost so far, in puts.
+    pub fn checkpoint_puts(&self) -> u64 {
+        self.recovery.writer.counts.puts
+    }
+
+    /// Needs of jobs here that nobody has told of: they ended long ago, or come yet.
+    pub fn to_look_up(&self) -> Vec<String> {
+        self.graph.strangers().take(MOST_LOOKED_UP).map(str::to_owned).collect()
+    }
+
+    /// Gives back what is over and gone, now and then. Costs what is held, and that only where
+    /// something may go.
+    pub(super) fn sweep(&mut self, now: f64) {
+        if now - self.recovery.swept_at < SWEEP_EVERY_S {
+            return;
+        }
+        self.recovery.swept_at = now;
+        self.sweep_jobs(now);
+        while self.recovery.gone.front().is_some_and(|(t, _)| now - t > GONE_FOR_S) {
+            let Some((_, m)) = self.recovery.gone.pop_front() else { break };
+            let machine = self.machines.at(m);
+            if machine.phase == MachinePhase::Gone && !machine.direct_busy && machine.tasks.is_empty() {
+                self.machines.give_back(m);
+            } else {
+                self.recovery.gone.push_back((now, m));
+            }
+        }
+    }
+
+    fn sweep_jobs(&mut self, now: f64) {
+        let mut over: HashSet<JobIx> = HashSet::new();
+        while self.recovery.over.front().is_some_and(|(t, _)| now - t > OVER_FOR_S) {
+            over.extend(self.recovery.over.pop_front().map(|o| o.1));
+        }
+        if over.is_empty() {
+            return;
+        }
+        // What a machine may still hold, or start late, is counted by its job.
+        let mut kept: HashSet<JobIx> = HashSet::new();
+        for (_, m) in self.machines.iter() {
+            let keys = m.tasks.keys().chain(m.leftovers.keys()).chain(m.loose.keys());
+            kept.extend(keys.map(|k| k.0).filter(|j| over.contains(j)));
+        }
+        kept.extend(self.finals.iter().chain(&self.progress_due).filter(|j| over.contains(j)));
+        self.recovery.over.extend(kept.iter().map(|j| (now, *j)));
+        over.retain(|j| !kept.contains(j));
+        for m in self.machines.present.clone() {
+            let m = self.machines.at_mut(m);
+            m.stored_jobs.retain(|j| !over.contains(j));
+            m.fails.retain(|f| !over.contains(&f.0));
+        }
+        self.racks.list.values_mut().for_each(|r| r.forget(&over));
+        for j in over {
+            if let Some(job) = self.jobs.get(j) {
+                self.versions.remove(&job_key(&job.id));
+            }
+            self.jobs.give_back(j);
+        }
+        let mut images: HashSet<ImageIx> = self.jobs.list.iter().filter_map(|(_, j)| j.image).collect();
+        images.extend(self.machines.iter().flat_map(|(_, m)| m.images.iter().map(|i| i.image)));
+        let unused: Vec<ImageIx> = self.jobs.images.indices().filter(|i| !images.contains(i)).collect();
+        unused.into_iter().for_each(|i| self.jobs.images.release(i));
+    }
+
+    /// How much this owner holds, for tests and the log: jobs, machines, images, versions.
+    pub fn held_in_memory(&self) -> [usize; 4] {
+        [self.jobs.list.len(), self.machines.list.len(), self.jobs.images.len(), self.versions.len()]
+    }
+}
+
+/// A record as the state service has it, or its key where it is none.
+pub fn job_of(key: &str, value: &Value) -> Result<JobRecord, String> {
+    let r: JobRecord =
+        serde::Deserialize::deserialize(value).map_err(|e| format!("{key} holds something unknown: {e}"))?;
+    match key.strip_prefix(JOB_PREFIX) {
+        Some(id) if id == r.job.id => Ok(r),
+        _ => Err(format!("{key} holds the record of another job, {}", r.job.id)),
+    }
+}
--- a/src/shard/reports.rs
+++ b/src/shard/reports.rs
@@ -119,7 +119,12 @@
             self.place_due = true;
         }
         self.take_tasks(m, r, own, now);
-        self.resolve(m);
+        // What runs here and is no job known here is one that ended before this owner began:
+        // nobody knows its team, so that the machine counts in full until it is gone.
+        let unknown = |t: &TaskReport| t.state != TaskState::Exited && self.key_of(&t.task).is_none();
+        if !r.tasks.iter().any(unknown) {
+            self.resolve(m);
+        }
         self.drain_on_notice(m);
         Ok(m)
     }
--- a/src/shard/sizing.rs
+++ b/src/shard/sizing.rs
@@ -250,6 +250,7 @@
                 self.rack_due(r);
             }
             self.machines.present.remove(&m);
+            self.machine_gone(m);
         }
     }
 
--- a/src/shard/writes.rs
+++ b/src/shard/writes.rs
@@ -23,6 +23,7 @@
     Progress(JobIx, u32, ProgressRecord),
     Fleet(FleetRecord),
     Quota(Step),
+    Checkpoint,
     Cleanup,
 }
 
@@ -66,6 +67,7 @@
             What::Final(..) => self.counts.finals += 1,
             What::Rack(..) => self.counts.racks += 1,
             What::Progress(..) => self.counts.progress += 1,
+            What::Checkpoint => self.counts.checkpoint += 1,
             What::Fleet(_) | What::Quota(_) | What::Cleanup => self.counts.other_writes += 1,
         }
         self.in_flight.insert(w.key.clone());
@@ -118,6 +120,7 @@
             let job = self.jobs.at_mut(j);
             job.final_sent = true;
             job.ended_ms = ended_ms;
+            self.end_sent(j);
             let w = self.put(key, What::Final(j, phase), &r);
             if !take(w, &mut out) {
                 return out;
@@ -194,6 +197,11 @@
             }
             self.progress_at = now;
         }
+        // What a successor would read instead of everything comes after all that must be stored.
+        let w = self.checkpoint_write(out.len() < spare, now);
+        if !take(w, &mut out) {
+            return out;
+        }
         let room_for = spare.saturating_sub(out.len() + 2);
         let tidy: Vec<String> =
             self.cleanup.iter().filter(|k| !self.in_flight.contains(*k)).take(room_for).cloned().collect();
@@ -331,9 +339,11 @@
 
     /// These writes are applied, all at this revision.
     pub fn on_applied(&mut self, writes: Vec<Write>, revision: u64, now: f64) {
+        self.revision_seen(revision);
         for w in writes {
             self.in_flight.remove(&w.key);
             match w.what {
+                What::Checkpoint => self.checkpoint_applied(&w.key),
                 What::Cleanup => {
                     self.versions.remove(&w.key);
                     continue;
@@ -346,6 +356,7 @@
                     self.progress_due.remove(&j);
                     self.jobs.settled(j, phase);
                     self.account_end(j, phase, now);
+                    self.end_stored(j, now);
                     self.after_end(j, phase, now);
                 }
                 What::Rack(_, contents) => {
@@ -356,7 +367,7 @@
                     }
                 }
                 What::Progress(j, c, r) => {
-                    if self.jobs.at(j).phase == Phase::Open {
+                    if self.jobs.get(j).is_some_and(|j| j.phase == Phase::Open) {
                         self.jobs.progress_stored(j, c, &r);
                     } else {
                         self.cleanup.insert(w.key.clone());
@@ -370,11 +381,15 @@
     }
 
     fn record_applied(&mut self, m: MachineIx, jobs: Vec<JobIx>, retiring: bool) {
+        if self.machines.get_mut(m).is_none() {
+            return;
+        }
         self.recorded_or_gone(m);
         let machine = &mut self.machines.list[m.ix()];
         machine.record_stored = true;
         if machine.resolved() {
-            machine.stored_jobs = jobs.into_iter().collect();
+            // What is over may have been given back since this write was made.
+            machine.stored_jobs = jobs.into_iter().filter(|j| self.jobs.get(*j).is_some()).collect();
         }
         if retiring && machine.phase == MachinePhase::Retiring {
             self.deletes.insert(m);
@@ -404,9 +419,10 @@
             self.in_flight.remove(&w.key);
             match w.what {
                 What::Final(..) => {}
+                What::Checkpoint => self.checkpoint_failed(&w.key),
                 What::Rack(r, _) => self.rack_due(r),
                 What::Progress(j, c, _) => {
-                    if self.jobs.at(j).phase == Phase::Open {
+                    if self.jobs.get(j).is_some_and(|j| j.phase == Phase::Open) {
                         self.jobs.at_mut(j).dirty_chunks.insert(c);
                         self.progress_due.insert(j);
                     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -254,6 +254,12 @@
     /// All items under a prefix, and a revision from which a watch misses nothing.
     pub async fn list(&self, prefix: &str, turn: Turn) -> Result<(Vec<Item>, u64), StateError> {
         let mut all = Vec::new();
+        let revision = self.each(prefix, turn, |i| all.push(i)).await?;
+        Ok((all, revision))
+    }
+
+    /// The same, item by item: no more than a page of them is held at a time.
+    pub async fn each(&self, prefix: &str, turn: Turn, mut take: impl FnMut(Item)) -> Result<u64, StateError> {
         let mut after = String::new();
         let mut from = None;
         loop {
@@ -266,9 +272,9 @@
             from.get_or_insert(page.revision);
             after = page.items.last().map(|i| i.key.clone()).unwrap_or_default();
             let more = page.more && !page.items.is_empty();
-            all.extend(page.items);
+            page.items.into_iter().for_each(&mut take);
             if !more {
-                return Ok((all, from.unwrap_or(0)));
+                return Ok(from.unwrap_or(0));
             }
         }
     }
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -15,7 +15,7 @@
 use lupinspur::jobs::{JOB_PREFIX, JobRecord, PART_PREFIX, PROGRESS_PREFIX, job_key};
 use lupinspur::placement::{Promised, taken_by};
 use lupinspur::settings::{Settings, Team};
-use lupinspur::shard::{CloudCall, DirectSend, Heard, Loaded, LoadedQuotas, Shard, Shown, Write};
+use lupinspur::shard::{CloudCall, DirectSend, Found, Heard, Loaded, LoadedQuotas, Shard, Shown, Write};
 use lupinspur::tuning::Tuning;
 use lupinspur::wire::{Change, Command, JobRequest, ListedMachine, MachineType, Op, Report, TaskReport};
 use lupinspur::worker::Direct;
@@ -298,6 +298,7 @@
                     parts,
                 });
                 let loaded = Loaded {
+                    checkpoint: Found::default(),
                     quotas,
                     jobs: self.load(JOB_PREFIX).into_iter().map(|(_, r, v)| (r, v)).collect(),
                     progress: self.load(PROGRESS_PREFIX).into_iter().chain(self.load(PART_PREFIX)).collect(),
