Checkpoints are written in busy minutes too; traces of what recovery must not miss

Change: once a third of what the service keeps has passed, or none was stored for a minute, one put a second goes before the racks.

--- a/crates/recovery/src/writer.rs
+++ b/crates/recovery/src/writer.rs
@@ -18,7 +18,7 @@
 const CHANGES_A_ROUND: u64 = CHANGES_KEPT / 5;
 const SECONDS_A_ROUND: f64 = 60.0;
 const LEAST_SECONDS: f64 = 5.0;
-/// After so many changes without a new head it no longer waits for writes that can be spared.
+/// After so many changes without a new head it does not wait for writes that can be spared.
 const CHANGES_PRESS: u64 = CHANGES_KEPT / 3;
 /// Numbers of chunks that are free and kept for use again; the others' values are deleted.
 const KEPT_FREE: usize = 4;
@@ -68,6 +68,7 @@
     meant: BTreeSet<u32>,
     current: Option<Round>,
     began_at: f64,
+    since: f64,
     /// Values that hold nothing any more.
     free: BTreeSet<u32>,
     /// A record was found that fits no chunk.
@@ -84,7 +85,7 @@
 impl Writer {
     /// A writer whose values are no larger than `limit` bytes, beginning with nothing stored.
     pub fn new(limit: usize, now: f64) -> Writer {
-        Writer { limit, began_at: now, ..Writer::default() }
+        Writer { limit, began_at: now, since: now, ..Writer::default() }
     }
 
     /// Goes on with what was read. `keys`: all that stands under the prefix.
@@ -145,9 +146,12 @@
     }
 
     /// May it take a write that cannot be spared? Only where the changes since the last head
-    /// would soon be gone.
-    pub fn presses(&self, revision: u64) -> bool {
-        self.head.is_some() && self.behind(revision) >= CHANGES_PRESS
+    /// would soon be gone, or none was ever stored for a while.
+    pub fn presses(&self, revision: u64, now: f64) -> bool {
+        match self.head {
+            Some(_) => self.behind(revision) >= CHANGES_PRESS,
+            None => now - self.since >= SECONDS_A_ROUND,
+        }
     }
 
     /// The next value to be put, none while one is under way. `record` gives a record's
--- a/src/shard/recovery.rs
+++ b/src/shard/recovery.rs
@@ -115,12 +115,17 @@
         self.recovery.gone.push_back((self.ticked, m));
     }
 
+    /// May the checkpoint take a write that others could use?
+    pub(super) fn checkpoint_presses(&self, now: f64) -> bool {
+        let r = &self.recovery;
+        r.writer.presses(r.newest, now) && now - r.pressed_at >= PRESSING_EVERY_S
+    }
+
     /// The checkpoint's next put, if one is due and may be made.
     pub(super) fn checkpoint_write(&mut self, spare: bool, now: f64) -> Option<Write> {
         let r = &self.recovery;
         let (known, newest) = (r.known.revision(), r.newest);
-        let pressing = r.writer.presses(newest) && now - r.pressed_at >= PRESSING_EVERY_S;
-        if r.incomplete || !(spare || pressing) || !r.writer.due(known, newest, now) {
+        if r.incomplete || !(spare || self.checkpoint_presses(now)) || !r.writer.due(known, newest, now) {
             return None;
         }
         let mut writer = std::mem::take(&mut self.recovery.writer);
--- a/src/shard/writes.rs
+++ b/src/shard/writes.rs
@@ -136,6 +136,14 @@
                 return out;
             }
         }
+        // Racks take all there is for minutes at a time, and a checkpoint that is too old is none:
+        // one put a second goes before them then.
+        if self.checkpoint_presses(now) {
+            let w = self.checkpoint_write(false, now);
+            if !take(w, &mut out) {
+                return out;
+            }
+        }
         // Another tree of quotas: it holds once it is stored.
         if let Some(w) = self.quota_write()
             && !take(Some(w), &mut out)
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -12,10 +12,10 @@
 use lupinspur::fleet::racks::{RACK_PREFIX, RackMachine, RackRecord};
 use lupinspur::fleet::{Held, HeldState};
 use lupinspur::intern::{Index, JobIx, MachineIx, RackIx};
-use lupinspur::jobs::{JOB_PREFIX, JobRecord, PART_PREFIX, PROGRESS_PREFIX, job_key};
+use lupinspur::jobs::{JOB_PREFIX, JobRecord, PART_PREFIX, PROGRESS_PREFIX, Phase, job_key};
 use lupinspur::placement::{Promised, taken_by};
 use lupinspur::settings::{Settings, Team};
-use lupinspur::shard::{CloudCall, DirectSend, Found, Heard, Loaded, LoadedQuotas, Shard, Shown, Write};
+use lupinspur::shard::{CloudCall, DirectSend, Found, Heard, Loaded, LoadedQuotas, Shard, Shown, Write, job_of};
 use lupinspur::tuning::Tuning;
 use lupinspur::wire::{Change, Command, JobRequest, ListedMachine, MachineType, Op, Report, TaskReport};
 use lupinspur::worker::Direct;
@@ -161,6 +161,36 @@
             .collect()
     }
 
+    /// The records that a successor reads: by the checkpoint and what has changed since, or all.
+    fn records(&mut self) -> (Vec<(JobRecord, u64)>, Found) {
+        let under = self.store.iter().filter(|(k, _)| k.starts_with(lupinspur_recovery::PREFIX));
+        let keys = under.map(|(k, (_, n))| (k.clone(), *n)).collect();
+        let mut found = Found { keys, ..Found::default() };
+        let read = lupinspur_recovery::read(self.store.iter().map(|(k, (v, _))| (k.as_str(), v)));
+        let mut jobs: BTreeMap<String, (JobRecord, u64)> = BTreeMap::new();
+        match read {
+            Ok(r) => {
+                for o in &r.open {
+                    let record = job_of(&job_key(&o.id), &o.value).expect("a record");
+                    jobs.insert(o.id.clone(), (record, o.version));
+                }
+                let since = self.load(JOB_PREFIX).into_iter().filter(|j: &(_, JobRecord, _)| j.2 > r.head.at);
+                jobs.extend(since.map(|(_, j, v)| (j.job.id.clone(), (j, v))));
+                self.say(&format!("read the checkpoint: {} open, {} known with what came since", r.open.len(), jobs.len()));
+                (found.read, found.revision) = (Some(r), self.revision);
+            }
+            Err(lupinspur_recovery::Unusable::None) => {
+                jobs.extend(self.load(JOB_PREFIX).into_iter().map(|(_, j, v): (_, JobRecord, _)| (j.job.id.clone(), (j, v))));
+            }
+            Err(e) => {
+                self.say(&format!("the checkpoint cannot be used: {e}"));
+                let open = self.load(JOB_PREFIX).into_iter().filter(|j: &(_, JobRecord, _)| j.1.phase == Phase::Open);
+                jobs.extend(open.map(|(_, j, v)| (j.job.id.clone(), (j, v))));
+            }
+        }
+        (jobs.into_values().collect(), found)
+    }
+
     /// Only what can be read, as the node does it.
     fn readable<T: DeserializeOwned>(&self, prefix: &str) -> Vec<(String, T, u64)> {
         let under = self.store.iter().filter(|(k, _)| k.starts_with(prefix));
@@ -224,6 +254,8 @@
                             (_, Some(_), _) => rack_shown(value),
                             (_, _, Some(d)) => format!("done {d}"),
                             _ if w.key.starts_with(lupinspur_quota::stored::PREFIX) => "quotas".into(),
+                            _ if w.key == lupinspur_recovery::HEAD => format!("{} open", value["open"]),
+                            _ if w.key.starts_with(lupinspur_recovery::PREFIX) => "of the checkpoint".into(),
                             _ => "counts and lists".into(),
                         };
                         format!("{}: {brief}", w.key)
@@ -297,10 +329,11 @@
                     head: self.readable("quota/head").pop().map(|(_, h, v)| (h, v)),
                     parts,
                 });
+                let (jobs, checkpoint) = self.records();
                 let loaded = Loaded {
-                    checkpoint: Found::default(),
+                    jobs,
+                    checkpoint,
                     quotas,
-                    jobs: self.load(JOB_PREFIX).into_iter().map(|(_, r, v)| (r, v)).collect(),
                     progress: self.load(PROGRESS_PREFIX).into_iter().chain(self.load(PART_PREFIX)).collect(),
                     machines: self
                         .load("mach/")
@@ -563,6 +596,31 @@
                 let ids = self.s().order_of_turns(now);
                 self.say(&format!("turns: {}", ids.join(", ")));
             }
+            // The watch has brought all there is.
+            "watched" => {
+                let revision = self.revision;
+                self.s().watched(revision);
+            }
+            "lookups" => {
+                let ids = self.s().to_look_up();
+                self.say(&format!("to be looked up: {}", ids.join(", ")));
+            }
+            "memory" => {
+                let [jobs, machines, ..] = self.s().held_in_memory();
+                self.say(&format!("{jobs} jobs and {machines} machines in memory"));
+            }
+            // An owner of the version in production ends a job, and knows of no checkpoint.
+            "old-end" => {
+                let (mut value, _) = self.store[&job_key(first)].clone();
+                value["phase"] = json!("done");
+                self.revision += 1;
+                self.store.insert(job_key(first), (value, self.revision));
+            }
+            // Somebody's hand, or a fault.
+            "damage" => {
+                let (value, _) = self.store.get_mut(first).expect("a stored value");
+                *value = json!({"what": 1});
+            }
             "outage" => self.s().writable = false,
             "answers" => self.s().writable = true,
             "cordon" => {
@@ -881,3 +939,44 @@
     }
     assert!(wrong.is_empty(), "\n{wrong}");
 }
+
+/// Guards against an owner that grows with all that ever was: thousands of jobs and machines
+/// come and go, and what it holds in the end is what is open, with what was over just now.
+#[test]
+fn an_owner_holds_what_is_open_however_much_has_come_and_gone() {
+    let mut w = world();
+    w.event(0.0, "takeover", &["10"]);
+    let mut held = Vec::new();
+    for round in 0..60 {
+        let now = 20.0 * f64::from(round) + 1.0;
+        let (name, token) = (format!("h{round}"), "token=10");
+        w.event(now, "report", &[&name, "seq=1"]);
+        w.event(now + 0.6, "report", &[&name, "seq=2", token]);
+        for i in 0..16 {
+            let image = format!("image=img-{round}-{i}");
+            w.event(now + 0.7, "job", &[&format!("req-{}", round * 100 + i), &image]);
+        }
+        w.event(now + 0.8, "write", &[]);
+        w.event(now + 0.9, "watched", &[]);
+        let m = w.machine(&name);
+        let shard = w.s();
+        let done = |(k, h): (&(JobIx, u32), &Held)| {
+            format!("{}/{}@{}:done", shard.jobs.at(k.0).id, k.1, attempt_out(h.attempt))
+        };
+        let tasks: Vec<String> = shard.machines.at(m).tasks.iter().map(done).collect();
+        assert_eq!(tasks.len(), 16, "round {round}: all of it goes to the new machine");
+        let mut args = vec![name.as_str(), "seq=3", token];
+        args.extend(tasks.iter().map(String::as_str));
+        w.event(now + 5.0, "report", &args);
+        w.event(now + 5.1, "write", &[]);
+        w.event(now + 5.6, "report", &[&name, "seq=4", token]);
+        w.s().on_deleted(&[m]);
+        w.event(now + 6.0, "write", &[]);
+        w.event(now + 10.0, "tick", &[]);
+        held.push(w.s().held_in_memory());
+    }
+    let (early, last) = (held[9], held[59]);
+    assert_eq!(early[0], last[0], "jobs: {held:?}");
+    assert!(last[0] <= 16 * 5 && last[2] <= 16 * 5 && last[3] <= early[3] + 8, "{last:?} after {early:?}");
+    assert!(last[1] <= 50, "machines gone for a quarter of an hour are given back: {last:?}");
+}
