--- a/crates/accounts/src/book.rs
+++ b/crates/accounts/src/book.rs
@@ -2,7 +2,7 @@
 
 use crate::terms::Terms;
 use crate::window::{Share, Span, Sums};
-use crate::{MOST_CLASSES, MOST_TEAMS, OTHERS, READINGS, Reading, Side};
+use crate::{MOST_CLASSES, MOST_LEVELS, MOST_TEAMS, OTHERS, READINGS, Reading, Side};
 use hdrhistogram::Histogram;
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, HashSet};
@@ -142,7 +142,7 @@
 pub struct Book {
     terms: HashMap<String, Terms>,
     pub accounts: Vec<Account>,
-    by_name: [HashMap<String, AccountIx>; 2],
+    by_name: [HashMap<String, AccountIx>; 3],
     tickets: Vec<Option<Ticket>>,
     /// Guards against a moment that belongs to an earlier job under the same number.
     generations: Vec<u32>,
@@ -163,7 +163,11 @@
 
     /// The account of this name; one for all others once there are too many.
     pub fn account(&mut self, side: Side, name: &str, now: f64) -> AccountIx {
-        let most = if side == Side::Class { MOST_CLASSES } else { MOST_TEAMS };
+        let most = match side {
+            Side::Class => MOST_CLASSES,
+            Side::Team => MOST_TEAMS,
+            Side::Level => MOST_LEVELS,
+        };
         let names = &mut self.by_name[side as usize];
         let name = if names.len() < most || names.contains_key(name) { name } else { OTHERS };
         if let Some(&a) = names.get(name) {
@@ -328,9 +332,10 @@
         }
     }
 
-    /// Of what a team asked for within its guarantee, what it held, in cpu-seconds.
-    pub fn held(&mut self, team: &str, asked: f64, held: f64, now: f64) {
-        let a = self.account(Side::Team, team, now);
+    /// Of what a team, or a level of nested quotas, asked for within its guarantee, what it held,
+    /// in cpu-seconds.
+    pub fn held(&mut self, side: Side, name: &str, asked: f64, held: f64, now: f64) {
+        let a = self.account(side, name, now);
         self.accounts[a.ix()].add(Reading::Held, now, asked, held.min(asked));
     }
 
--- a/crates/accounts/src/gate.rs
+++ b/crates/accounts/src/gate.rs
@@ -188,8 +188,7 @@
         // What few asked for says little: a single job would be none or all.
         let least = if matches!(r.reading, Reading::Up | Reading::Held) { 60.0 } else { 8.0 };
         if let Some(share) = r.share.filter(|_| r.asked >= least) {
-            let side = if r.side == Side::Class { "class" } else { "team" };
-            out.take(source, format!("{side} {} {}", r.name, r.reading.name()), share);
+            out.take(source, format!("{} {} {}", r.side.name(), r.name, r.reading.name()), share);
         }
     }
     some(source, out)
--- a/crates/accounts/src/lib.rs
+++ b/crates/accounts/src/lib.rs
@@ -27,6 +27,7 @@
 /// Classes and teams with accounts of their own; the others share one.
 pub const MOST_CLASSES: usize = 64;
 pub const MOST_TEAMS: usize = 128;
+pub const MOST_LEVELS: usize = 128;
 /// The name under which the others are told.
 pub const OTHERS: &str = "(others)";
 
@@ -64,10 +65,21 @@
     }
 }
 
-/// Whose account: a class of jobs or a team.
+/// Whose account: a class of jobs, a team, or a level of quotas that nest.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Side {
     Class,
     Team,
+    Level,
+}
+
+impl Side {
+    pub fn name(self) -> &'static str {
+        match self {
+            Side::Class => "class",
+            Side::Team => "team",
+            Side::Level => "level",
+        }
+    }
 }
--- a/crates/accounts/src/told.rs
+++ b/crates/accounts/src/told.rs
@@ -130,7 +130,7 @@
 
 impl std::fmt::Display for Alarm {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        let side = if self.side == Side::Class { "class" } else { "team" };
+        let side = self.side.name();
         let span = if self.span == Span::Minute { "a minute" } else { "ten minutes" };
         let (name, reading) = (&self.name, self.reading.name());
         if self.under {
--- a/src/query.rs
+++ b/src/query.rs
@@ -4,7 +4,7 @@
 use crate::shard::{QuotaRow, QuotasTold};
 use async_executor::Executor;
 use clap::Subcommand;
-use lupinspur_accounts::{Side, Told};
+use lupinspur_accounts::Told;
 use std::fmt::Write as _;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -119,10 +119,10 @@
     let mut rows = vec![head.map(str::to_owned).to_vec()];
     let share = |s: Option<f64>| s.map_or("-".to_owned(), |s| format!("{s:.3}"));
     for r in &told.rows {
-        let side = if r.side == Side::Class { "class" } else { "team" };
         let waits = r.waits_s.map_or(String::new(), |(a, b, c)| format!("{a:.1}/{b:.1}/{c:.1}"));
         let unknown = if r.unknown > 0 { r.unknown.to_string() } else { "-".into() };
-        let mut row = vec![side.to_owned(), r.name.clone(), r.reading.name().to_owned(), format!("{:.0}", r.asked)];
+        let mut row =
+            vec![r.side.name().to_owned(), r.name.clone(), r.reading.name().to_owned(), format!("{:.0}", r.asked)];
         row.extend([share(r.share), share(r.minute), share(r.ten_minutes), unknown, waits]);
         rows.push(row);
     }
--- a/src/shard/service.rs
+++ b/src/shard/service.rs
@@ -155,7 +155,14 @@
             let asked = asked.min(self.guaranteed(TeamIx::new(i)).0);
             if asked > 0.0 {
                 let team = &self.teams[i];
-                self.book.held(&team.spec.name, asked * since, team.cpus_used * since, t);
+                self.book.held(Side::Team, &team.spec.name, asked * since, team.cpus_used * since, t);
+            }
+        }
+        // Where quotas nest, each level's use over time stands beside its teams'.
+        for l in self.quotas_told("").iter().flat_map(|q| &q.levels).filter(|l| !l.team && l.depth > 0) {
+            let asked = (l.used_cpus + l.waits_cpus).min(l.guarantee_cpus);
+            if asked > 0.0 {
+                self.book.held(Side::Level, &l.level, asked * since, l.used_cpus * since, t);
             }
         }
     }
--- a/tests/production.rs
+++ b/tests/production.rs
@@ -11,6 +11,7 @@
 use lupinspur::ownership::Claim;
 use lupinspur::shard::{FleetRecord, PoolRecord};
 use lupinspur::wire::JobRequest;
+use proptest::strategy::Strategy;
 use serde::de::DeserializeOwned;
 use serde_json::{Value, json};
 
@@ -296,3 +297,68 @@
         assert_eq!((here.phase, here.ended_ms), (phase, Some(77)));
     }
 }
+
+/// A checkpoint holds what the version in production stored of a job to the letter, whatever it
+/// left out, and that version's reader takes it.
+#[test]
+fn a_checkpoint_tells_production_s_records_as_they_were_stored() {
+    let record = |i: u32| {
+        json!({"job": {"id": format!("req-{i:06}"), "breed": "match", "herd": "red", "habit": "batch",
+            "precedence": "idle", "seeds": i, "cpus": 1.5, "cards": 0.0, "memory_gb": 2.0, "strains": null,
+            "field": null, "same_place": false, "scatter": true, "fallow": true, "bulb": "img-1", "pull_gb": 0.5,
+            "expected_s": 20.0, "pressing_s": 0.0, "pressing_cost_s": 0.0, "harvest_s": if i.is_multiple_of(2) { json!(50.0) } else { json!(null) }},
+            "at_ms": 1_700_000_000_000u64 + u64::from(i), "phase": "open"})
+    };
+    let number = |id: &str| id.trim_start_matches("req-").parse::<u32>().expect("a number");
+    let mut w = lupinspur_recovery::Writer::new(2000, 0.0);
+    (0..30).for_each(|i| w.opened(&format!("req-{i:06}")));
+    let mut stored: Vec<(String, Value)> = Vec::new();
+    while w.due(9, 9, 100.0) {
+        let Some(p) = w.next(9, 100.0, |id| Some((u64::from(number(id)) + 1, record(number(id))))) else { break };
+        assert!(p.value.to_string().len() <= 2000, "{} fits the smaller value", p.key);
+        w.applied(&p.key);
+        stored.push((p.key, p.value));
+    }
+    let read = lupinspur_recovery::read(stored.iter().map(|(k, v)| (k.as_str(), v))).expect("a checkpoint");
+    assert_eq!(read.open.len(), 30);
+    for o in read.open {
+        assert_eq!((&o.value, o.version), (&record(number(&o.id)), u64::from(number(&o.id)) + 1));
+        let old: frozen::JobRecord = serde_json::from_value(o.value.clone()).expect("production reads it");
+        assert_eq!(old.job.id, o.id);
+        lupinspur::shard::job_of(&jobs::job_key(&o.id), &o.value).expect("so does this version");
+    }
+}
+
+proptest::proptest! {
+    #![proptest_config(proptest::prelude::ProptestConfig {
+        cases: 400, rng_seed: proptest::test_runner::RngSeed::Fixed(3), ..Default::default()
+    })]
+
+    /// Whatever stands under a job's key: its record, or an error; never a panic, and never
+    /// another job's record in its place.
+    #[test]
+    fn any_bytes_under_a_job_s_key_are_its_record_or_an_error(
+        field in 0..23usize,
+        with in proptest::prop_oneof![
+            proptest::prelude::Just(json!(null)),
+            proptest::prelude::any::<i64>().prop_map(|n| json!(n)),
+            proptest::prelude::any::<f64>().prop_map(|n| json!(n)),
+            ".*".prop_map(|s| json!(s)),
+            proptest::collection::vec(".*", 0..3).prop_map(|v| json!(v)),
+        ],
+        top in proptest::prelude::any::<bool>(),
+    ) {
+        let mut v = json!({"job": {"id": "req-1", "breed": "match", "herd": "red", "habit": "batch",
+            "precedence": "idle", "seeds": 3, "cpus": 1.5, "cards": 0.0, "memory_gb": 2.0, "strains": null,
+            "field": null, "same_place": false, "scatter": true, "fallow": true, "bulb": "img-1", "pull_gb": 0.5,
+            "expected_s": 20.0, "pressing_s": 0.0, "pressing_cost_s": 0.0, "harvest_s": 5.0, "awaits": ["req-2"]},
+            "at_ms": 17, "phase": "open", "ended_ms": 3});
+        let at = if top { &mut v } else { &mut v["job"] };
+        let names: Vec<String> = at.as_object().expect("an object").keys().cloned().collect();
+        at[&names[field % names.len()]] = with;
+        match lupinspur::shard::job_of("job/req-1", &v) {
+            Ok(r) => proptest::prop_assert_eq!(r.job.id.as_str(), "req-1"),
+            Err(e) => proptest::prop_assert!(!e.is_empty()),
+        }
+    }
+}
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -19,7 +19,6 @@
 use lupinspur::tuning::Tuning;
 use lupinspur::wire::{Change, Command, JobRequest, ListedMachine, MachineType, Op, Report, TaskReport};
 use lupinspur::worker::Direct;
-use lupinspur_accounts::Side;
 use lupinspur_quota::Plan;
 use serde::de::DeserializeOwned;
 use serde_json::{Value, json};
@@ -587,11 +586,16 @@
             // What each class and team asked for and was served, those with enough of it.
             "service" => {
                 for r in self.s().service_told(now).rows {
-                    let side = if r.side == Side::Class { "class" } else { "team" };
                     let part = |s: Option<f64>| s.map_or("nothing known".to_owned(), |s| format!("{s:.2}"));
                     let unknown = if r.unknown > 0 { format!(", {} unknown", r.unknown) } else { String::new() };
                     if first.is_empty() || first == r.name {
-                        self.say(&format!("{side} {} {}: {}{unknown}", r.name, r.reading.name(), part(r.share)));
+                        self.say(&format!(
+                            "{} {} {}: {}{unknown}",
+                            r.side.name(),
+                            r.name,
+                            r.reading.name(),
+                            part(r.share)
+                        ));
                     }
                 }
                 let alarms = self.s().service_alarms(now);
