--- a/src/shard/mod.rs
+++ b/src/shard/mod.rs
@@ -886,6 +886,7 @@
         }
         self.ticked = now;
         self.keep_accounts(now);
+        self.sweep(now);
         if now - self.watched_at >= WATCH_EVERY_S {
             self.watched_at = now;
             self.watch_machines(now);
@@ -895,7 +896,6 @@
             self.size_fleet(now);
             self.ease_racks();
             self.quota_gives_way();
-            self.sweep(now);
             self.tell_stages(now);
         }
         self.place_waiting(now);
