Ends are remembered where they were told; needs are looked up in turn

Cause: found by reading: a poll for a job that the owner had given back asked the state service out of spare requests, which a busy minute may refuse; a cancelled need that was looked up late would leave its jobs queued. Change: an end that was just stored joins what the node remembers, a repetition is answered from there, and lookups take their turn. Work of the same priority gives way to no service at a limit.

--- a/src/api.rs
+++ b/src/api.rs
@@ -85,11 +85,15 @@
 /// called cancelled before.
 fn told_of_item(item: &Item) -> Option<Told> {
     let r: JobRecord = serde::Deserialize::deserialize(&item.value).ok()?;
-    Some(match r.phase {
+    Some(told_of(&r))
+}
+
+pub fn told_of(r: &JobRecord) -> Told {
+    match r.phase {
         Phase::Open => Told { state: JobState::Queued, done: 0, running: 0 },
         Phase::Done => Told { state: JobState::Done, done: u64::from(r.job.tasks), running: 0 },
         Phase::Cancelled => Told { state: JobState::Cancelled, done: 0, running: 0 },
-    })
+    }
 }
 
 /// Is this an open record of a job that waits or waited for others?
@@ -224,6 +228,9 @@
                 _ => unable(),
             };
         }
+        if let Some(t) = self.final_known(&id) {
+            return job_answer(200, &id, t, false);
+        }
         let record = JobRecord::accepted(job, clock::wall_ms());
         let key = job_key(&id);
         let Ok(value) = serde_json::to_value(&record) else { return unable() };
--- a/src/node.rs
+++ b/src/node.rs
@@ -409,6 +409,9 @@
                 }
                 let now = clock::now();
                 log::info!("took over: {} jobs, {machines} machines, read in {:.2} s", loaded.jobs.len(), now - began);
+                for (r, _) in loaded.jobs.iter().filter(|(r, _)| r.phase != Phase::Open) {
+                    self.note_final(&r.job.id, crate::api::told_of(r));
+                }
                 let mut shard =
                     Shard::new(&self.settings, self.tuning.clone(), token, (*self.types()).clone(), loaded, now);
                 shard.day_ms = clock::wall_ms() as f64 - now * 1000.0;
@@ -561,7 +564,7 @@
             let wanted = self.with_shard(clock::now(), |s| s.to_look_up()).unwrap_or_default();
             // One that is new here may only be late by the watch.
             for id in wanted.iter().filter(|id| before.contains(id)) {
-                if let Ok(Some(item)) = self.state.get(&crate::jobs::job_key(id), Turn::Spare).await {
+                if let Ok(Some(item)) = self.state.get(&crate::jobs::job_key(id), Turn::InTurn).await {
                     self.take_job(&item);
                 }
             }
@@ -683,7 +686,16 @@
             Ok(Commit::Applied(revision)) => {
                 let mut writes = Some(writes);
                 let now = clock::now();
-                mine(&mut |s| s.on_applied(writes.take().unwrap_or_default(), revision, now));
+                let mut ended = Vec::new();
+                mine(&mut |s| {
+                    let writes = writes.take().unwrap_or_default();
+                    ended = s.ends_of(&writes);
+                    s.on_applied(writes, revision, now);
+                });
+                // Told from here on without the state service, when the shard has given them back.
+                for (id, state, done) in ended {
+                    self.note_final(&id, Told { state, done, running: 0 });
+                }
                 let _ = self.wakes.direct.0.try_send(());
                 // What waited for a job that is stored as done may start.
                 self.wake();
--- a/src/shard/quotas.rs
+++ b/src/shard/quotas.rs
@@ -316,6 +316,8 @@
             waiting.iter().flat_map(|j| ledger.tree().path(of_team(self.jobs.at(*j).team)).to_vec()).collect();
         let below = |t: TeamIx| ledger.tree().path(of_team(t)).iter().any(|l| above.contains(l));
         let (mut held, mut leaving) = self.held_and_leaving(below);
+        // Work of the same priority is stopped by nobody.
+        held.retain(|h| h.priority > crate::wire::Priority::Production as u8);
         let mut out = Vec::new();
         let waits = |&j: &JobIx| {
             let job = self.jobs.at(j);
--- a/src/shard/recovery.rs
+++ b/src/shard/recovery.rs
@@ -8,6 +8,7 @@
 use crate::fleet::Phase as MachinePhase;
 use crate::intern::{ImageIx, JobIx, MachineIx};
 use crate::jobs::{JOB_PREFIX, JobRecord, Phase, job_key};
+use crate::wire::JobState;
 use lupinspur_recovery::{Known, Put, Read, Writer};
 use serde_json::Value;
 use std::collections::{HashSet, VecDeque};
@@ -111,6 +112,19 @@
         self.recovery.newest = self.recovery.newest.max(revision);
     }
 
+    /// The ends among these writes, as users are told of them once they are stored.
+    pub fn ends_of(&self, writes: &[Write]) -> Vec<(String, JobState, u64)> {
+        let end = |w: &Write| match w.what {
+            What::Final(j, Phase::Done) => {
+                let job = self.jobs.get(j)?;
+                Some((job.id.to_string(), JobState::Done, u64::from(job.spec.tasks)))
+            }
+            What::Final(j, Phase::Cancelled) => Some((self.jobs.get(j)?.id.to_string(), JobState::Cancelled, 0)),
+            _ => None,
+        };
+        writes.iter().filter_map(end).collect()
+    }
+
     pub(super) fn machine_gone(&mut self, m: MachineIx) {
         self.recovery.gone.push_back((self.ticked, m));
     }
