--- /dev/null
+++ b/crates/elastic/src/lib.rs
@@ -0,0 +1,20 @@
+//! Elastic arrays: between a smallest and a largest number of tasks held at one time, they grow
+//! into what is idle and give it back to services within a bound that is known beforehand.
+//!
+//! Everything here decides and nothing waits: no sockets, no clock. Where tasks go, and whether a
+//! quota allows one, is asked of others.
+//!
+//! - [`plan`]: the operators' file, its schema, and everything that can be wrong with it
+//! - [`sizes`]: what one job declares
+//! - [`pool`]: every elastic job's wanted size; growing, shrinking, the second step
+//! - [`bound`]: the longest that a shrink takes, from the settings
+
+pub mod bound;
+pub mod plan;
+pub mod pool;
+pub mod sizes;
+
+pub use bound::{Bound, Timing};
+pub use plan::{Fault, Plan};
+pub use pool::{Held, Pool};
+pub use sizes::Sizes;
--- /dev/null
+++ b/crates/elastic/tests/model.rs
@@ -0,0 +1,292 @@
+//! A model of jobs, machines and an owner that may end: commands are lost and late, machines hang
+//! and are deaf, services come and go. Whatever happens: never over the largest, never under the
+//! smallest by choice, capacity given back within the bound, and no endless swing.
+
+use lupinspur_elastic::{Held, Plan, Pool, Sizes, Timing};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use std::collections::BTreeMap;
+
+const TIMING: Timing =
+    Timing { report_s: 3.75, lease_s: 20.3, answer_s: 4.0, grace_s: 6.0, claim_s: 4.0, read_s: 1.0, look_s: 0.5 };
+
+fn plan() -> Plan {
+    Plan::parse("settle_s = 2.0\nrest_s = 10.0\ngrace_s = 6.0\nstep = 0.5\n").expect("a plan")
+}
+
+/// A task on a machine, as it is and as the owner knows it.
+#[derive(Debug, Clone)]
+struct Task {
+    job: usize,
+    /// Seconds that it takes to save; longer than its mercy: it ignores the request.
+    saves_s: f64,
+    /// When its machine will have ended it, if it was told.
+    ends_at: Option<f64>,
+    told: bool,
+    deaf: bool,
+    /// When the owner's last answer to it was sent.
+    renewed: f64,
+    asked: Option<f64>,
+}
+
+struct World {
+    now: f64,
+    pool: Pool<usize, u32>,
+    tasks: BTreeMap<u32, Task>,
+    next: u32,
+    capacity: u32,
+    services: u32,
+    sizes: Vec<Sizes>,
+    took: Vec<(f64, bool)>,
+    /// The last takeover: what was asked before it is asked anew.
+    took_over: f64,
+}
+
+impl World {
+    fn new(sizes: &[Sizes], capacity: u32) -> World {
+        let mut pool = Pool::new(plan());
+        sizes.iter().enumerate().for_each(|(j, s)| pool.enter(j, *s));
+        World {
+            now: 0.0,
+            pool,
+            tasks: BTreeMap::new(),
+            next: 0,
+            capacity,
+            services: 0,
+            sizes: sizes.to_vec(),
+            took: Vec::new(),
+            took_over: f64::MIN,
+        }
+    }
+
+    fn held(&self, j: usize) -> Held {
+        let of = self.tasks.values().filter(|t| t.job == j);
+        let (held, leaving) = of.fold((0, 0), |(h, l), t| (h + 1, l + u32::from(t.asked.is_some())));
+        Held { unfinished: 1000, held, leaving }
+    }
+
+    fn free(&self) -> u32 {
+        self.capacity.saturating_sub(self.tasks.len() as u32 + self.services)
+    }
+
+    fn start(&mut self, j: usize, saves_s: f64, deaf: bool) {
+        let t = Task { job: j, saves_s, ends_at: None, told: false, deaf, renewed: self.now, asked: None };
+        self.tasks.insert(self.next, t);
+        self.next += 1;
+    }
+
+    /// Half a second: starts, growth, the second step, and what the machines do.
+    fn tick(&mut self, saves: &[f64], deaf: bool) {
+        self.now += 0.5;
+        for j in 0..self.sizes.len() {
+            let (own, _) = self.pool.more(j, self.held(j));
+            // A job starts when its smallest size fits.
+            if self.held(j).held > 0 || self.free() >= own {
+                for _ in 0..own.min(self.free()) {
+                    self.start(j, saves[j % saves.len()], deaf);
+                }
+            }
+        }
+        let free = self.free();
+        let waiting = (0..self.sizes.len()).any(|j| self.pool.more(j, self.held(j)).0 > 0);
+        let free = if waiting { 0 } else { free };
+        let room: Vec<(usize, u32, Held)> = (0..self.sizes.len()).map(|j| (j, free, self.held(j))).collect();
+        self.pool.idle(&room, self.now);
+        for j in 0..self.sizes.len() {
+            let (_, beyond) = self.pool.more(j, self.held(j));
+            for _ in 0..beyond.min(if waiting { 0 } else { self.free() }) {
+                self.start(j, saves[j % saves.len()], deaf);
+            }
+        }
+        for t in self.pool.due(self.now) {
+            let now = self.now;
+            if let Some(t) = self.tasks.get_mut(&t).filter(|t| !t.deaf) {
+                t.ends_at = Some(t.ends_at.map_or(now, |e| e.min(now)).max(now) + TIMING.answer_s / 2.0);
+            }
+        }
+        let now = self.now;
+        for t in self.tasks.values_mut() {
+            if !t.deaf {
+                t.renewed = now;
+                if t.asked.is_some() && !t.told {
+                    // The first step reaches it, with the reply to a report at the latest.
+                    (t.told, t.ends_at) = (true, Some(now + TIMING.report_s + t.saves_s));
+                }
+            }
+        }
+        let over = |t: &Task| t.ends_at.is_some_and(|e| now >= e) || now - t.renewed > TIMING.lease_s;
+        let gone: Vec<u32> = self.tasks.iter().filter(|(_, t)| over(t)).map(|(i, _)| *i).collect();
+        for i in gone {
+            let t = self.tasks.remove(&i).expect("it was there");
+            if let Some(took) = self.pool.gone(i, now) {
+                self.took.push((took, t.deaf));
+            }
+        }
+    }
+
+    /// A service wants so much room: of each job's surplus the latest starts go.
+    fn service(&mut self, n: u32) -> u32 {
+        let mut short = n.saturating_sub(self.free());
+        let ids: Vec<u32> = self.tasks.keys().rev().copied().collect();
+        for i in ids {
+            let t = &self.tasks[&i];
+            let (j, h) = (t.job, self.held(t.job));
+            if short == 0 || t.asked.is_some() || self.pool.surplus(j, h) == 0 {
+                continue;
+            }
+            let mercy = self.pool.mercy(t.saves_s);
+            self.pool.shrink(j, i, mercy, h.held - h.leaving - 1, self.now);
+            self.tasks.get_mut(&i).expect("it is there").asked = Some(self.now);
+            short -= 1;
+        }
+        short
+    }
+
+    /// A successor knows the tasks, and of no shrink.
+    fn take_over(&mut self) {
+        let mut pool = Pool::new(plan());
+        self.sizes.iter().enumerate().for_each(|(j, s)| pool.enter(j, *s));
+        self.pool = pool;
+        self.took_over = self.now;
+        for t in self.tasks.values_mut().filter(|t| !t.told) {
+            t.asked = None;
+        }
+    }
+}
+
+#[derive(Debug, Clone)]
+enum Step {
+    Ticks(u8),
+    Service(u32),
+    ServiceGone(u32),
+    Deaf,
+    Ends(prop::sample::Index),
+    TakeOver,
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let one = prop_oneof![
+        6 => (1u8..30).prop_map(Step::Ticks),
+        4 => (1u32..12).prop_map(Step::Service),
+        2 => (1u32..12).prop_map(Step::ServiceGone),
+        1 => Just(Step::Deaf),
+        2 => any::<prop::sample::Index>().prop_map(Step::Ends),
+        1 => Just(Step::TakeOver),
+    ];
+    prop::collection::vec(one, 1..60)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 300, rng_seed: RngSeed::Fixed(15), ..ProptestConfig::default() })]
+
+    #[test]
+    fn sizes_and_the_bound_hold(
+        sizes in prop::collection::vec((1u32..8, 0u32..20), 1..4),
+        capacity in 8u32..60,
+        saves in prop::collection::vec(prop_oneof![Just(0.0), 0.0..5.0f64, Just(1000.0)], 1..4),
+        steps in steps(),
+    ) {
+        let sizes: Vec<Sizes> = sizes.iter().map(|(s, more)| Sizes { smallest: *s, largest: s + more }).collect();
+        let mut w = World::new(&sizes, capacity);
+        let bound = TIMING.bound();
+        for step in steps {
+            let before: Vec<Held> = (0..sizes.len()).map(|j| w.held(j)).collect();
+            match step {
+                Step::Ticks(n) => (0..n).for_each(|_| w.tick(&saves, false)),
+                Step::Service(n) => {
+                    w.service(n);
+                    for (j, s) in sizes.iter().enumerate() {
+                        let h = w.held(j);
+                        let floor = s.smallest.min(before[j].held - before[j].leaving);
+                        prop_assert!(h.held - h.leaving >= floor, "under its smallest by choice");
+                    }
+                    // Room is taken only once it is there.
+                    w.services += n.min(w.free());
+                }
+                Step::ServiceGone(n) => w.services = w.services.saturating_sub(n),
+                Step::Deaf => w.tasks.values_mut().for_each(|t| t.deaf = true),
+                Step::Ends(which) => {
+                    let ids: Vec<u32> = w.tasks.keys().copied().collect();
+                    if !ids.is_empty() {
+                        let i = *which.get(&ids);
+                        w.tasks.remove(&i);
+                        w.pool.gone(i, w.now);
+                    }
+                }
+                Step::TakeOver => w.take_over(),
+            }
+            for (j, s) in sizes.iter().enumerate() {
+                prop_assert!(w.held(j).held <= s.largest, "over its largest");
+            }
+            prop_assert!(w.tasks.len() as u32 + w.services <= capacity.max(w.services));
+            for (took, deaf) in w.took.drain(..) {
+                let most = if deaf { bound.deaf_s } else { bound.reachable_s };
+                prop_assert!(took <= most, "{took} s of {most}, deaf {deaf}");
+            }
+        }
+    }
+
+    /// With nothing else going on, what is idle is used and the sizes come to rest.
+    #[test]
+    fn sizes_come_to_rest(sizes in prop::collection::vec((1u32..8, 0u32..20), 1..4), capacity in 30u32..80) {
+        let sizes: Vec<Sizes> = sizes.iter().map(|(s, more)| Sizes { smallest: *s, largest: s + more }).collect();
+        let mut w = World::new(&sizes, capacity);
+        (0..400).for_each(|_| w.tick(&[0.0], false));
+        let held: Vec<u32> = (0..sizes.len()).map(|j| w.held(j).held).collect();
+        let all: u32 = sizes.iter().map(|s| s.largest).sum();
+        prop_assert_eq!(held.iter().sum::<u32>(), all.min(capacity), "{:?}", held);
+        let started = w.next;
+        (0..200).for_each(|_| w.tick(&[0.0], false));
+        prop_assert_eq!(w.next, started, "a swing");
+    }
+}
+
+/// A job that was shrunk rests before it grows again, so that a service that comes and goes does
+/// not make it swing.
+#[test]
+fn after_a_shrink_a_job_rests() {
+    let mut w = World::new(&[Sizes { smallest: 2, largest: 10 }], 12);
+    (0..40).for_each(|_| w.tick(&[0.0], false));
+    assert_eq!(w.held(0).held, 10);
+    assert_eq!(w.service(6), 0);
+    assert_eq!((w.held(0).leaving, w.pool.wanted(0)), (4, Some(6)), "there were two free");
+    (0..10).for_each(|_| w.tick(&[0.0], false));
+    assert_eq!(w.held(0).held, 6, "it gave four back, and does not take them again at once");
+    (0..40).for_each(|_| w.tick(&[0.0], false));
+    assert_eq!(w.held(0).held, 10, "the service never came: after a rest it grows again");
+}
+
+/// Of two that may grow, the one with the least of its span goes first: none starves the other.
+#[test]
+fn those_with_least_grow_first() {
+    let sizes = [Sizes { smallest: 1, largest: 20 }, Sizes { smallest: 1, largest: 20 }];
+    let mut w = World::new(&sizes, 22);
+    (0..100).for_each(|_| w.tick(&[0.0], false));
+    let held = [w.held(0).held, w.held(1).held];
+    assert!(held[0].abs_diff(held[1]) <= 1 && held.iter().sum::<u32>() == 22, "{held:?}");
+}
+
+#[test]
+fn a_file_s_faults_are_told_with_their_paths() {
+    let text = "settle_s = -1.0\nstep = 2.0\n[[class]]\nname = \"a\"\nsmallest = 5\nlargest = 4\n\
+        [[class]]\nname = \"a\"\nsmallest = 0\nlargest = 4\n";
+    let paths: Vec<String> = Plan::parse(text).expect_err("faults").into_iter().map(|f| f.path).collect();
+    assert_eq!(paths, ["class[0].smallest", "class[1].name", "class[1].smallest", "settle_s", "step"]);
+    assert_eq!(Plan::parse("grace = 3\n").expect_err("unknown")[0].path, "line 1");
+    let p = Plan::parse("[[class]]\nname = \"a\"\nsmallest = 5\nlargest = 40\n").expect("a plan");
+    assert_eq!(p.default_of("a", 12), Some(Sizes { smallest: 5, largest: 12 }));
+    assert_eq!(p.default_of("a", 3), Some(Sizes { smallest: 3, largest: 3 }));
+    assert_eq!(p.default_of("b", 3), None);
+}
+
+/// `UPDATE_SCHEMA=1 cargo test -p lupinspur-elastic` writes it anew.
+#[test]
+fn the_published_schema_is_that_of_the_program() {
+    let at = |n: &str| [env!("CARGO_MANIFEST_DIR"), "..", "..", "deploy", n].iter().collect::<std::path::PathBuf>();
+    let schema = serde_json::to_string_pretty(&Plan::schema()).expect("JSON") + "\n";
+    if std::env::var_os("UPDATE_SCHEMA").is_some() {
+        std::fs::write(at("elastic.schema.json"), &schema).expect("written");
+    }
+    assert_eq!(std::fs::read_to_string(at("elastic.schema.json")).expect("a schema"), schema);
+    Plan::parse(&std::fs::read_to_string(at("elastic.toml")).expect("an example")).expect("a plan");
+}
--- a/src/api.rs
+++ b/src/api.rs
@@ -10,6 +10,7 @@
 use crate::wire::{self, Change, Condition, Item, JobAnswer, JobRequest, JobState, Kind, Redirect, Report};
 use http_types::Method;
 use lupinspur_accounts::Reading;
+use lupinspur_elastic::Sizes;
 use std::time::Duration;
 
 const MOST_TASKS: u32 = 100_000;
@@ -40,12 +41,28 @@
         .is_some_and(|n| !n.is_empty() && n.len() <= 32 && n.bytes().all(|b| b.is_ascii_digit()))
 }
 
-fn parse_job(body: &[u8]) -> Result<JobRequest, String> {
-    let v: serde_json::Value = serde_json::from_slice(body).map_err(|_| "not JSON".to_owned())?;
-    if !v.is_object() {
-        return Err("not a JSON object".into());
+/// The sizes that a submission declares, if it does.
+fn sizes_of(v: &serde_json::Value) -> Result<Option<Sizes>, String> {
+    let field = wire::ELASTIC_FIELD;
+    if v.is_null() {
+        return Ok(None);
     }
+    let o = v.as_object().ok_or_else(|| format!("{field} is not an object"))?;
+    let whole = |name: &str| {
+        let n = o.get(name).and_then(serde_json::Value::as_u64).and_then(|n| u32::try_from(n).ok());
+        n.ok_or_else(|| format!("{field}.{name} is not a whole number"))
+    };
+    Ok(Some(Sizes { smallest: whole("smallest")?, largest: whole("largest")? }))
+}
+
+fn parse_job(body: &[u8], elastic: bool) -> Result<JobRequest, String> {
+    let mut v: serde_json::Value = serde_json::from_slice(body).map_err(|_| "not JSON".to_owned())?;
+    let Some(o) = v.as_object_mut() else { return Err("not a JSON object".into()) };
+    // Where the feature is off this is a field like any that is not known.
+    let declared = o.remove(wire::ELASTIC_FIELD).filter(|_| elastic);
+    let sizes = declared.map(|v| sizes_of(&v)).transpose()?.flatten();
     let mut r: JobRequest = serde_json::from_value(v).map_err(|e| e.to_string())?;
+    r.elastic = sizes;
     if !valid_id(&r.id) {
         return Err("id is malformed".into());
     }
@@ -62,6 +79,12 @@
         ("saving time", r.save_s),
         ("deadline", r.deadline_s.unwrap_or(0.0)),
     ];
+    if let Some(s) = r.elastic {
+        if r.kind == Kind::Service {
+            return Err(format!("{}: a service keeps all its replicas", wire::ELASTIC_FIELD));
+        }
+        s.check(r.tasks).map_err(|e| format!("{}: {e}", wire::ELASTIC_FIELD))?;
+    }
     // A name given twice counts once, and an empty list is as none.
     let mut seen = std::collections::HashSet::new();
     r.needs = r.needs.take().map(|mut n| {
@@ -201,7 +224,7 @@
     }
 
     async fn submit_counted(&self, body: &[u8], began: f64) -> Outgoing {
-        let job = match parse_job(body) {
+        let job = match parse_job(body, self.elastic.is_some()) {
             Ok(j) => j,
             Err(e) => return Outgoing::error(400, &e),
         };
--- a/src/main.rs
+++ b/src/main.rs
@@ -22,6 +22,9 @@
     /// File of organisations whose quotas nest (TOML); without it teams stand side by side.
     #[arg(long, env = "LUPINSPUR_QUOTAS", value_name = "FILE")]
     quotas: Option<PathBuf>,
+    /// File of elastic jobs (TOML); without it every array is as large as there is room.
+    #[arg(long, env = "LUPINSPUR_ELASTIC", value_name = "FILE")]
+    elastic: Option<PathBuf>,
     #[command(flatten)]
     tuning: lupinspur::tuning::Tuning,
     #[command(subcommand)]
@@ -45,6 +48,15 @@
         .map(|()| plan)
 }
 
+/// The file of elastic jobs, if nothing in it is wrong; or each fault on a line of its own.
+fn elastic(path: &Path) -> Result<lupinspur_elastic::Plan, String> {
+    let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
+    lupinspur_elastic::Plan::parse(&text).map_err(|faults| {
+        let lines: Vec<String> = faults.iter().map(|f| format!("{}: {f}", path.display())).collect();
+        lines.join("\n")
+    })
+}
+
 fn run(args: Args) -> Result<(), String> {
     lupinspur::logging::init(&args.log_level).map_err(|e| format!("LOG_LEVEL: {e}"))?;
     if let Some(q) = &args.query {
@@ -56,10 +68,15 @@
     let Some(config) = &args.config else { return Err("--config is needed".into()) };
     let settings = Settings::load(config).map_err(|e| e.to_string())?;
     let plan = args.quotas.as_deref().map(|p| quotas(p, &settings)).transpose()?;
+    let elastic = args.elastic.as_deref().map(elastic).transpose()?;
     if args.check {
+        if let Some(e) = &elastic {
+            println!("{}", lupinspur::shard::elastic_bound(&settings, args.tuning.claim_s, e).told());
+        }
         return Ok(());
     }
-    lupinspur::node::run(settings, args.tuning, plan).map_err(|e| e.to_string())
+    let features = lupinspur::node::Features { quotas: plan, elastic };
+    lupinspur::node::run(settings, args.tuning, features).map_err(|e| e.to_string())
 }
 
 fn main() -> ExitCode {
--- a/src/node.rs
+++ b/src/node.rs
@@ -53,6 +53,13 @@
 const LOOK_UP_EVERY: Duration = Duration::from_secs(1);
 const WATCH_WAIT: Duration = Duration::from_millis(1500);
 
+/// What files of the operators enable.
+#[derive(Debug, Default)]
+pub struct Features {
+    pub quotas: Option<Plan>,
+    pub elastic: Option<lupinspur_elastic::Plan>,
+}
+
 /// Who acts, as far as this node knows.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Standing {
@@ -72,6 +79,8 @@
     pub tuning: Tuning,
     /// The operators' file of quotas that nest.
     quotas: Option<Plan>,
+    /// The operators' file of elastic jobs.
+    pub elastic: Option<lupinspur_elastic::Plan>,
     pub state: StateClient,
     pub cloud: CloudClient,
     pub workers: WorkerClient,
@@ -141,7 +150,7 @@
 }
 
 impl Node {
-    fn new(settings: Settings, tuning: Tuning, quotas: Option<Plan>) -> Node {
+    fn new(settings: Settings, tuning: Tuning, features: Features) -> Node {
         let me = Claim { node: settings.node.clone(), nonce: format!("{:016x}", fastrand::u64(..)) };
         Node {
             state: StateClient::new(&settings),
@@ -164,7 +173,8 @@
             loading: AtomicBool::new(false),
             settings,
             tuning,
-            quotas,
+            quotas: features.quotas,
+            elastic: features.elastic,
         }
     }
 
@@ -387,6 +397,7 @@
                 let loaded = Loaded {
                     jobs: records.jobs.into_values().collect(),
                     checkpoint: records.found,
+                    elastic: self.elastic.clone(),
                     progress: parse_items(progress).collect(),
                     machines: parse_items(machines)
                         .map(|(k, r, v): (String, _, _)| (k.trim_start_matches(MACHINE_PREFIX).to_owned(), r, v))
@@ -900,6 +911,28 @@
         Ok(tonic::Response::new(ServiceAnswer { json }))
     }
 
+    async fn elastic(
+        &self,
+        request: tonic::Request<ServiceQuestion>,
+    ) -> Result<tonic::Response<ServiceAnswer>, tonic::Status> {
+        let now = clock::now();
+        let json = match self.0.standing(now) {
+            Standing::Owner => self
+                .0
+                .with_shard(now, |s| s.elastic_told())
+                .map(|t| t.map(|t| serde_json::to_string(&t)).transpose().map(Option::unwrap_or_default)),
+            Standing::Other(node) if !request.into_inner().passed_on => {
+                self.0.peers.ask_elastic(&node).await.map(|a| Ok(a.json))
+            }
+            _ => None,
+        };
+        match json {
+            Some(Ok(json)) => Ok(tonic::Response::new(ServiceAnswer { json })),
+            Some(Err(e)) => Err(tonic::Status::internal(e.to_string())),
+            None => Err(tonic::Status::unavailable("nobody owns the shard now")),
+        }
+    }
+
     async fn ask(&self, request: tonic::Request<JobQuestion>) -> Result<tonic::Response<JobAnswer>, tonic::Status> {
         let q = request.into_inner();
         if !crate::api::valid_id(&q.job) {
@@ -928,13 +961,13 @@
 static NODE: std::sync::OnceLock<Arc<Node>> = std::sync::OnceLock::new();
 
 /// Runs the node until the process ends.
-pub fn run(settings: Settings, tuning: Tuning, quotas: Option<Plan>) -> std::io::Result<()> {
+pub fn run(settings: Settings, tuning: Tuning, features: Features) -> std::io::Result<()> {
     clock::now();
     let listener = Async::<TcpListener>::bind(settings.listen)?;
     let peer_listener = Async::<TcpListener>::bind(settings.peer_listen)?;
     let bounds = settings.door();
     log::info!("{} in {} listens on {}", settings.node, settings.zone, settings.listen);
-    let node = NODE.get_or_init(|| Arc::new(Node::new(settings, tuning, quotas))).clone();
+    let node = NODE.get_or_init(|| Arc::new(Node::new(settings, tuning, features))).clone();
     let n = || node.clone();
     EX.spawn(n().learn_types()).detach();
     EX.spawn(n().watch_claim()).detach();
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -102,6 +102,10 @@
     answer(addr, operator(ex, addr).await?.quotas(q)).await
 }
 
+pub async fn query_elastic(ex: &'static Executor<'static>, addr: SocketAddr) -> Result<ServiceAnswer, String> {
+    answer(addr, operator(ex, addr).await?.elastic(ServiceQuestion { passed_on: false })).await
+}
+
 pub async fn query_service(ex: &'static Executor<'static>, addr: SocketAddr) -> Result<ServiceAnswer, String> {
     answer(addr, operator(ex, addr).await?.service(ServiceQuestion { passed_on: false })).await
 }
@@ -132,6 +136,16 @@
         Some(answer.ok()?.ok()?.into_inner())
     }
 
+    /// Asks the owner about elastic jobs.
+    pub async fn ask_elastic(&self, node: &str) -> Option<ServiceAnswer> {
+        let mut client = OwnerClient::with_origin(self.channel(node).await?, origin());
+        let answer = timed(ASK, client.elastic(ServiceQuestion { passed_on: true })).await;
+        if !matches!(answer, Ok(Ok(_))) {
+            self.drop_channel(node);
+        }
+        Some(answer.ok()?.ok()?.into_inner())
+    }
+
     /// Asks the owner about the accounts of service.
     pub async fn ask_service(&self, node: &str) -> Option<ServiceAnswer> {
         let mut client = OwnerClient::with_origin(self.channel(node).await?, origin());
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -29,6 +29,10 @@
 /// borrows and is late; and so many at the most at a time.
 const LATE_SHARE: f64 = 0.1;
 const MOST_LATE_CREDIT: f64 = 128.0;
+/// Seconds that a task of a surplus counts for where room is made; any other counts for one.
+const SURPLUS_WORTH_S: f64 = 0.1;
+/// After everything else: elastic jobs that grow into what is idle.
+const GROWS: u8 = 3;
 /// Most starts of one pass, so that a huge job cannot hold up the rest.
 const MOST_STARTS: usize = 400;
 /// Most times in one pass that room is looked for by stopping other work.
@@ -192,6 +196,10 @@
     rank: Rank,
     /// Only so much as is set apart for those that are late.
     set_apart: bool,
+    /// Tasks that may be started in this turn.
+    most: u32,
+    /// It begins only with all of these at once.
+    together: bool,
 }
 
 /// What is taken of each team's guarantee.
@@ -251,7 +259,16 @@
         }
         // Of what borrows, siblings go before strangers.
         let (distance, share) = if class == BORROWS { s.borrowing(s.jobs.at(j)) } else { (0, 0) };
-        out.push(Turn { job: j, rank: (class, distance, prospect, priority, share, urgency), set_apart: false });
+        let rank = (class, distance, prospect, priority, share, urgency);
+        let (own, beyond) = s.may_hold_more(s.jobs.at(j));
+        let together = own != u32::MAX && s.jobs.at(j).held == 0;
+        if own > 0 {
+            out.push(Turn { job: j, rank, set_apart: false, most: own, together });
+        }
+        if beyond > 0 {
+            let rank = (GROWS, distance, prospect, priority, share, urgency);
+            out.push(Turn { job: j, rank, set_apart: false, most: beyond, together: false });
+        }
     }
     out.sort_by_key(|t| t.rank);
     set_apart(s, &mut out);
@@ -284,7 +301,7 @@
 /// to stand before its next one: its turn after those, if so.
 fn gives_way(s: &Shard, turn: &Turn, others: &VecDeque<Turn>) -> Option<Turn> {
     let (class, distance, prospect, priority, share, urgency) = turn.rank;
-    if class < BORROWS || turn.set_apart {
+    if class != BORROWS || turn.set_apart {
         return None;
     }
     let now = s.borrowing(s.jobs.at(turn.job));
@@ -293,6 +310,7 @@
 }
 
 pub fn place(s: &mut Shard, now: f64) {
+    s.others_wait = false;
     if !s.types.known() {
         return;
     }
@@ -315,7 +333,11 @@
             at_limits.extend(urgent.then_some(turn.job));
             continue;
         }
+        if turn.rank.0 == GROWS && s.others_wait {
+            break;
+        }
         if !urgent && (roomy.is_empty() || hopeless.covers(job)) {
+            s.others_wait |= turn.rank.0 != GROWS;
             continue;
         }
         s.looked_at += roomy.len() as u64;
@@ -325,7 +347,14 @@
         }
         let before = starts;
         let mut at = 0;
+        if turn.together && !fits_at_once(s, s.jobs.at(turn.job), &options, turn.most, shadow) {
+            s.others_wait = true;
+            continue;
+        }
         while s.jobs.at_mut(turn.job).has_queued() {
+            if (starts - before) as u32 >= turn.most {
+                break;
+            }
             if starts >= MOST_STARTS {
                 s.look_again();
                 return;
@@ -348,10 +377,14 @@
             if urgent && (found.is_none() || fetches && patient) && rooms_made < MOST_ROOMS {
                 rooms_made += 1;
                 if make_room(s, &turn, fetches, now) {
+                    s.others_wait = true;
                     break;
                 }
             }
-            let Some(m) = found else { break };
+            let Some(m) = found else {
+                s.others_wait |= turn.rank.0 != GROWS;
+                break;
+            };
             if turn.set_apart && s.late_credit < cpus {
                 break;
             }
@@ -363,6 +396,10 @@
             s.jobs.at_mut(turn.job).queue.pop_front();
             s.plan(m, (turn.job, task), now);
             starts += 1;
+            let turn = Turn { most: turn.most.saturating_sub((starts - before) as u32), together: false, ..turn };
+            if turn.most == 0 {
+                break;
+            }
             if let Some(later) = gives_way(s, &turn, &turns) {
                 let at = turns.partition_point(|t| t.rank <= later.rank);
                 turns.insert(at, later);
@@ -376,6 +413,26 @@
     s.room_within_limits(&at_limits);
 }
 
+/// Would so many tasks of this job find room on these machines together, within its limits?
+fn fits_at_once(s: &Shard, job: &Job, options: &[(f64, MachineIx)], n: u32, shadow: (f64, f64)) -> bool {
+    let r = &job.spec;
+    let many = |free: f64, need: f64| if need > 0.0 { (free + EPS) / need } else { f64::from(n) };
+    let team = &s.teams[job.team.ix()];
+    let left = |max: f64, used: f64, unseen: f64| if max > 0.0 { max - used - unseen } else { f64::INFINITY };
+    let within = many(left(team.spec.cpus_max, team.cpus_used, shadow.0), r.cpus)
+        .min(many(left(team.spec.cards_max, team.cards_used, shadow.1), r.cards))
+        .min(s.quota_room(job));
+    if within.floor() < f64::from(n) {
+        return false;
+    }
+    let on = |&(_, i): &(f64, MachineIx)| {
+        let (m, t) = (s.machines.at(i), s.types.get(s.machines.at(i).ty));
+        let most = many(t.cpus - m.cpus_used, r.cpus).min(many(t.memory_gb - m.memory_used, r.memory_gb));
+        most.min(many(t.cards - m.cards_used, r.cards)).max(0.0).floor()
+    };
+    options.iter().map(on).sum::<f64>() >= f64::from(n)
+}
+
 /// Stops work of lower priority where that lets a task of this job start, on one
 /// machine a pass; `with_image`: only where its image is. True if room is coming.
 fn make_room(s: &mut Shard, turn: &Turn, with_image: bool, now: f64) -> bool {
@@ -384,6 +441,7 @@
         return false;
     }
     let silent_s = s.fresh_s();
+    let surpluses = s.surpluses();
     let mut options: Vec<(f64, MachineIx, Vec<crate::jobs::TaskKey>)> = Vec::new();
     for (i, m) in s.machines.iter() {
         // Of services nothing can be stopped; the cheap questions come first.
@@ -416,23 +474,39 @@
             let (ja, jb) = (s.jobs.at(a.0.0), s.jobs.at(b.0.0));
             jb.spec.priority.cmp(&ja.spec.priority).then(b.1.since.total_cmp(&a.1.since))
         });
-        for (k, _) in stoppable {
+        // What elastic jobs hold beyond their smallest size is the first to go.
+        let mut left = surpluses.clone();
+        let mut beyond = |k: &crate::jobs::TaskKey| {
+            let n = left.get_mut(&k.0).filter(|n| **n > 0);
+            n.map(|n| *n -= 1).is_some()
+        };
+        let mut kept = 0.0;
+        let order: Vec<(bool, crate::jobs::TaskKey)> = match surpluses.is_empty() {
+            true => stoppable.iter().map(|(k, _)| (false, **k)).collect(),
+            false => {
+                let (first, then): (Vec<_>, Vec<_>) =
+                    stoppable.iter().map(|(k, _)| (beyond(k), **k)).partition(|(surplus, _)| *surplus);
+                first.into_iter().chain(then).collect()
+            }
+        };
+        for (surplus, k) in order {
             if free + EPS >= job.spec.cpus && memory + EPS >= job.spec.memory_gb {
                 break;
             }
             free += s.jobs.at(k.0).spec.cpus;
             memory += s.jobs.at(k.0).spec.memory_gb;
-            victims.push(*k);
+            kept += if surplus { SURPLUS_WORTH_S } else { 1.0 };
+            victims.push(k);
         }
         if free + EPS >= job.spec.cpus && (memory + EPS >= job.spec.memory_gb || coming > 0.0) {
-            options.push((cost(s, job, m) + victims.len() as f64, i, victims));
+            options.push((cost(s, job, m) + kept, i, victims));
         }
     }
     options.sort_by(|a, b| a.0.total_cmp(&b.0));
     let Some((_, m, victims)) = options.into_iter().next() else { return with_image && move_replica(s, turn.job, now) };
     for k in victims {
         log::debug!("{}/{} makes room", s.jobs.at(k.0).id, k.1);
-        s.stop_gently(m, k);
+        s.give_room(m, k);
     }
     true
 }
--- a/src/query.rs
+++ b/src/query.rs
@@ -1,7 +1,7 @@
 //! What operators ask a running controller, by the command line.
 
 use crate::settings::Settings;
-use crate::shard::{QuotaRow, QuotasTold};
+use crate::shard::{ElasticTold, QuotaRow, QuotasTold};
 use async_executor::Executor;
 use clap::Subcommand;
 use lupinspur_accounts::Told;
@@ -23,6 +23,15 @@
         #[arg(long)]
         json: bool,
     },
+    /// Shows each elastic job's sizes, the shrinks under way, and how long shrinks took.
+    Elastic {
+        /// Where any controller listens for its peers (peer_listen in its settings).
+        #[arg(long, value_name = "ADDRESS")]
+        peer: SocketAddr,
+        /// JSON instead of a table.
+        #[arg(long)]
+        json: bool,
+    },
     /// Looks at what the state service holds, without the controllers.
     #[command(subcommand)]
     State(StateQuery),
@@ -62,6 +71,7 @@
     match q {
         Query::Quotas { peer, job, json } => Ok((quotas(*peer, job, *json)?, true)),
         Query::Service { peer, json } => Ok((service(*peer, *json)?, true)),
+        Query::Elastic { peer, json } => Ok((elastic(*peer, *json)?, true)),
         Query::State(StateQuery::Check { config, rate, json }) => check_state(config, *rate, *json),
     }
 }
@@ -85,6 +95,43 @@
     Ok(service_table(&told))
 }
 
+fn elastic(peer: SocketAddr, json: bool) -> Result<String, String> {
+    let answer = async_io::block_on(EX.run(crate::peer::query_elastic(&EX, peer)))?;
+    if answer.json.is_empty() {
+        return Err("no job is elastic here: the controllers run without --elastic".into());
+    }
+    if json {
+        return Ok(answer.json);
+    }
+    let told: ElasticTold = serde_json::from_str(&answer.json).map_err(|e| format!("the answer is malformed: {e}"))?;
+    Ok(elastic_table(&told))
+}
+
+/// Sizes job by job, then the shrinks.
+pub fn elastic_table(told: &ElasticTold) -> String {
+    let mut rows = vec![["job", "smallest", "largest", "wanted", "held", "shrinks"].map(str::to_owned).to_vec()];
+    for r in &told.jobs {
+        let mut row = vec![r.job.clone()];
+        row.extend([r.smallest, r.largest, r.wanted, r.held].map(|n| n.to_string()));
+        row.push(r.shrinks.to_string());
+        rows.push(row);
+    }
+    let mut out = String::new();
+    lay_out(&mut out, &rows, 1);
+    let t = &told.times;
+    let _ = writeln!(
+        out,
+        "{} shrinks took {:.1} s (half), {:.1} s (19 in 20), {:.1} s (the longest); {} under way\n{}",
+        t.shrinks,
+        t.half,
+        t.most,
+        t.longest,
+        t.under_way,
+        told.bound.told()
+    );
+    out
+}
+
 fn quotas(peer: SocketAddr, job: &str, json: bool) -> Result<String, String> {
     let answer = async_io::block_on(EX.run(crate::peer::query_quotas(&EX, peer, job)))?;
     if !answer.enabled {
--- /dev/null
+++ b/src/shard/elastic.rs
@@ -0,0 +1,232 @@
+//! Elastic jobs: what this shard tells the pool, and what it asks it.
+//!
+//! Without the operators' file there is no pool, and every array is as large as there is room.
+
+use super::{Shard, type_fits};
+use crate::clock::stretched;
+use crate::fleet::{HeldState, Machine};
+use crate::intern::{Index, JobIx, MachineIx};
+use crate::jobs::{Job, Phase, Slot, TaskKey};
+use crate::settings::Settings;
+use lupinspur_elastic::pool::{Row, Times};
+use lupinspur_elastic::{Bound, Held, Plan, Pool, Sizes, Timing};
+use serde::{Deserialize, Serialize};
+use std::collections::HashMap;
+
+/// What is idle is looked at this often.
+const LOOK_EVERY_S: f64 = 1.0;
+/// What a successor needs to read what is open, at the fleets' size ten times over.
+const READ_WITHIN_S: f64 = 2.0;
+/// Reports come at intervals of up to this many times the usual one.
+const REPORT_SPREAD: f64 = 1.25;
+/// Workers drop a reply after this, and a direct call is given up sooner.
+const ANSWER_S: f64 = 4.0;
+const MOST_ROWS: usize = 500;
+
+pub type ElasticPool = Pool<JobIx, TaskKey>;
+
+/// Everything that a query is answered with.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Told {
+    pub jobs: Vec<Row>,
+    pub times: Times,
+    /// The last shrinks, by task, with the seconds that each took.
+    pub recent: Vec<(String, f64)>,
+    pub bound: Bound,
+}
+
+/// The bound of a shrink under these settings.
+pub fn bound(s: &Settings, claim_s: f64, plan: &Plan) -> Bound {
+    timing(s.report_s, s.lease_s, claim_s, plan).bound()
+}
+
+fn timing(report_s: f64, lease_s: f64, claim_s: f64, plan: &Plan) -> Timing {
+    Timing {
+        report_s: report_s * REPORT_SPREAD,
+        lease_s: stretched(lease_s),
+        answer_s: ANSWER_S,
+        grace_s: plan.grace_s,
+        claim_s,
+        read_s: READ_WITHIN_S,
+        look_s: 0.5,
+    }
+}
+
+impl Shard {
+    /// An open array that declares sizes, or whose class has some.
+    pub(super) fn elastic_enter(&mut self, j: JobIx) {
+        let Some(pool) = &mut self.elastic else { return };
+        let job = self.jobs.at(j);
+        if job.phase != Phase::Open || job.is_service() {
+            return;
+        }
+        let sizes = job.spec.elastic.or_else(|| pool.plan().default_of(&job.spec.class, job.spec.tasks));
+        // A class's default may be more than a team may ever hold.
+        let limit = self.teams[job.team.ix()].spec.cpus_max;
+        let most = if limit > 0.0 && job.spec.cpus > 0.0 { (limit / job.spec.cpus) as u32 } else { u32::MAX };
+        if let Some(s) = sizes {
+            pool.enter(j, Sizes { smallest: s.smallest.min(most.max(1)), ..s });
+        }
+    }
+
+    pub(super) fn elastic_leave(&mut self, j: JobIx) {
+        if let Some(pool) = &mut self.elastic {
+            pool.leave(j);
+        }
+    }
+
+    pub(crate) fn elastic_sizes(&self, j: JobIx) -> Option<Sizes> {
+        self.elastic.as_ref()?.sizes(j)
+    }
+
+    /// One elastic job as it stands. What was told to stop, by whomever, is leaving.
+    fn elastic_held(&self, job: &Job) -> Held {
+        let leaves = |(t, s): (u32, &Slot)| match s {
+            Slot::Held(m) => self
+                .machines
+                .at(*m)
+                .tasks
+                .get(&(job.ix, t))
+                .is_some_and(|h| h.stop.is_some() || h.state == HeldState::Saving),
+            _ => false,
+        };
+        let leaving = (0u32..).zip(&job.tasks).filter(|(t, s)| leaves((*t, s))).count() as u32;
+        Held { unfinished: job.unfinished(), held: job.held, leaving }
+    }
+
+    /// Tasks of a job that may be started: at its own standing, and beyond that with what is idle.
+    pub(crate) fn may_hold_more(&self, job: &Job) -> (u32, u32) {
+        match &self.elastic {
+            Some(pool) if pool.sizes(job.ix).is_some() => pool.more(job.ix, self.elastic_held(job)),
+            _ => (u32::MAX, 0),
+        }
+    }
+
+    /// Tasks of each elastic job that may be stopped to make room.
+    pub(crate) fn surpluses(&self) -> HashMap<JobIx, u32> {
+        let Some(pool) = &self.elastic else { return HashMap::new() };
+        let of = |(j, _): (JobIx, Sizes)| {
+            let job = self.jobs.get(j).filter(|job| job.held > 0)?;
+            Some((j, pool.surplus(j, self.elastic_held(job)))).filter(|(_, n)| *n > 0)
+        };
+        pool.jobs().filter_map(of).collect()
+    }
+
+    /// A task makes room: one of a surplus in two steps, with a deadline; any other as it may.
+    pub(crate) fn give_room(&mut self, m: MachineIx, k: TaskKey) {
+        let job = self.jobs.at(k.0);
+        let planned = self.machines.at(m).tasks.get(&k).is_none_or(|h| h.state == HeldState::Planned);
+        let held = self.elastic_held(job);
+        let surplus = self.elastic.as_ref().is_some_and(|p| p.surplus(k.0, held) > 0);
+        if !surplus || planned {
+            return self.stop_gently(m, k);
+        }
+        let (grace, now) = (self.grace(k.0), self.ticked);
+        let Some(pool) = &mut self.elastic else { return };
+        let mercy = pool.mercy(grace);
+        pool.shrink(k.0, k, mercy, held.held - held.leaving - 1, now);
+        log::debug!("{}/{} gives room back, with {mercy:.1} s to save", self.jobs.at(k.0).id, k.1);
+        self.stop_task(m, k, mercy);
+    }
+
+    /// A task is gone for certain.
+    pub(super) fn elastic_gone(&mut self, k: TaskKey) {
+        let now = self.ticked;
+        if let Some(took) = self.elastic.as_mut().and_then(|p| p.gone(k, now)) {
+            log::debug!("{}/{} gave its room back after {took:.2} s", self.jobs.at(k.0).id, k.1);
+        }
+    }
+
+    /// The second step where the first was not enough; and growth, into what nobody waits for.
+    pub(super) fn keep_elastic(&mut self, now: f64) {
+        let Some(pool) = &mut self.elastic else { return };
+        for k in pool.due(now) {
+            let Some(Slot::Held(m)) = self.jobs.get(k.0).and_then(|j| j.tasks.get(k.1 as usize)).copied() else {
+                continue;
+            };
+            log::info!("{}/{} did not save in time: stopped without", self.jobs.at(k.0).id, k.1);
+            self.stop_task(m, k, 0.0);
+        }
+        if now - self.elastic_looked < LOOK_EVERY_S {
+            return;
+        }
+        self.elastic_looked = now;
+        let room = if self.others_wait || !self.writable { Vec::new() } else { self.idle_room(now) };
+        if self.elastic.as_mut().is_some_and(|p| p.idle(&room, now)) {
+            self.place_due = true;
+        }
+    }
+
+    /// For each elastic job, how many of its tasks the machines would take now.
+    fn idle_room(&self, now: f64) -> Vec<(JobIx, u32, Held)> {
+        let Some(pool) = &self.elastic else { return Vec::new() };
+        let fresh = self.fresh_s();
+        let free: Vec<(crate::intern::TypeIx, bool, f64, f64, f64)> = self
+            .machines
+            .iter()
+            .filter(|(_, m)| m.usable(now, fresh))
+            .map(|(_, m)| {
+                let t = self.types.get(m.ty);
+                (m.ty, m.spot, t.cpus - m.cpus_used, t.memory_gb - m.memory_used, t.cards - m.cards_used)
+            })
+            .filter(|f| f.2 > super::EPS)
+            .collect();
+        let room = |(j, _): (JobIx, Sizes)| {
+            let job = self.jobs.get(j).filter(|job| job.open() && job.shadowed_by == 0)?;
+            let r = &job.spec;
+            let many = |free: f64, need: f64| if need > 0.0 { (free + super::EPS) / need } else { f64::from(u32::MAX) };
+            let n: f64 = free
+                .iter()
+                .filter(|f| (r.spot || !f.1) && type_fits(r, self.types.get(f.0)))
+                .map(|f| many(f.2, r.cpus).min(many(f.3, r.memory_gb)).min(many(f.4, r.cards)).max(0.0).floor())
+                .sum();
+            Some((j, n.min(f64::from(u32::MAX)) as u32, self.elastic_held(job)))
+        };
+        pool.jobs().filter_map(room).collect()
+    }
+
+    /// Has an elastic job grown here? Nothing is rented for growth, but what it uses is not
+    /// returned under it: the work is the same, and only sooner done.
+    pub(super) fn grown_on(&self, m: &Machine) -> bool {
+        self.elastic.as_ref().is_some_and(|p| m.tasks.keys().any(|k| p.sizes(k.0).is_some()))
+    }
+
+    /// What people are told: every elastic job, and the shrinks.
+    pub fn elastic_told(&self) -> Option<Told> {
+        let pool = self.elastic.as_ref()?;
+        let row = |(j, s): (JobIx, Sizes)| {
+            let job = self.jobs.get(j)?;
+            Some(Row {
+                job: job.id.to_string(),
+                smallest: s.smallest,
+                largest: s.largest,
+                wanted: pool.wanted(j).unwrap_or(0),
+                held: job.held,
+                shrinks: pool.under_way(j),
+            })
+        };
+        let bound = timing(self.report_s, self.lease_s, self.tuning.claim_s, pool.plan()).bound();
+        let named = |(k, took): (TaskKey, f64)| Some((format!("{}/{}", self.jobs.get(k.0)?.id, k.1), took));
+        let recent = pool.recent().filter_map(named).collect();
+        Some(Told { jobs: pool.jobs().filter_map(row).take(MOST_ROWS).collect(), times: pool.times(), recent, bound })
+    }
+
+    /// For operators' summary line.
+    pub(super) fn elastic_summary(&self) -> String {
+        let Some(pool) = &self.elastic else { return String::new() };
+        let (mut held, mut smallest, mut wanted, mut n) = (0, 0, 0, 0);
+        for (j, s) in pool.jobs() {
+            let Some(job) = self.jobs.get(j) else { continue };
+            n += 1;
+            held += job.held;
+            smallest += s.smallest.min(job.unfinished());
+            wanted += pool.wanted(j).unwrap_or(0).min(job.unfinished());
+        }
+        let t = pool.times();
+        format!(
+            "; elastic {n} jobs hold {held} tasks, {smallest} smallest and {wanted} wanted, {} shrinks under way, {} over, \
+             the longest {:.1} s",
+            t.under_way, t.shrinks, t.longest
+        )
+    }
+}
--- a/src/shard/mod.rs
+++ b/src/shard/mod.rs
@@ -4,6 +4,7 @@
 //! and what is wanted comes out as writes, commands and cloud calls that the
 //! node's loops carry out. Traces in tests/ drive it directly.
 
+mod elastic;
 mod pipelines;
 mod quotas;
 mod recovery;
@@ -12,6 +13,7 @@
 mod sizing;
 mod writes;
 
+pub use elastic::{Told as ElasticTold, bound as elastic_bound};
 pub use quotas::{LoadedQuotas, Quotas, Row as QuotaRow, Told as QuotasTold, fits_values, team_limits};
 pub use recovery::{Found, job_of};
 pub use reports::{DirectSend, Heard};
@@ -59,7 +61,10 @@
     let Some(team) = teams.iter().find(|t| t.name == r.team) else {
         return never(format!("unknown team {}", r.team));
     };
-    let n = if r.kind == Kind::Service { f64::from(r.tasks) } else { 1.0 };
+    let n = match r.kind {
+        Kind::Service => f64::from(r.tasks),
+        Kind::Array => r.elastic.map_or(1.0, |s| f64::from(s.smallest)),
+    };
     for (what, need, most) in [("cpus", r.cpus * n, team.cpus_max), ("cards", r.cards * n, team.cards_max)] {
         if most > 0.0 && need > most + EPS {
             return never(format!("needs {need} {what}, the team's limit is {most}"));
@@ -135,6 +140,8 @@
     pub quotas: Option<LoadedQuotas>,
     /// What was found of a checkpoint.
     pub checkpoint: Found,
+    /// Where arrays may be elastic.
+    pub elastic: Option<lupinspur_elastic::Plan>,
 }
 
 pub struct Shard {
@@ -152,6 +159,11 @@
     pub book: Book,
     /// Who has sunk below the floor, as of the last look.
     pub sunk: Sunk,
+    /// Where arrays may be elastic: their sizes.
+    elastic: Option<elastic::ElasticPool>,
+    elastic_looked: f64,
+    /// Something that was to be placed found no place in the last pass.
+    pub(crate) others_wait: bool,
     accounts: service::Glue,
     recovery: recovery::Glue,
     pub team_names: Names<TeamIx>,
@@ -269,6 +281,9 @@
             teams: s.teams.iter().map(|t| TeamState { spec: t.clone(), cpus_used: 0.0, cards_used: 0.0 }).collect(),
             book: Book::new(s.terms.clone()),
             sunk: Sunk::default(),
+            elastic: loaded.elastic.clone().map(elastic::ElasticPool::new),
+            elastic_looked: now,
+            others_wait: false,
             accounts: service::Glue::default(),
             recovery: recovery::Glue::new(value_bytes, &loaded.checkpoint, now),
             quotas: loaded.quotas.as_ref().map(|q| Quotas::new(&s.teams, q, value_bytes)),
@@ -584,6 +599,7 @@
         self.place_due = true;
         let j = self.jobs.add(r, team, now);
         self.remember(j, now);
+        self.elastic_enter(j);
         self.enter(j, now);
         self.account_due(j);
         Some(j)
@@ -794,6 +810,7 @@
         if held.state == HeldState::Running {
             self.account_runs(key.0, self.ticked);
         }
+        self.elastic_gone(key);
         self.place_due = true;
         Some(held)
     }
@@ -887,6 +904,7 @@
         self.ticked = now;
         self.keep_accounts(now);
         self.sweep(now);
+        self.keep_elastic(now);
         if now - self.watched_at >= WATCH_EVERY_S {
             self.watched_at = now;
             self.watch_machines(now);
@@ -948,7 +966,7 @@
         format!(
             "{} reports, {} direct, {} starts; writes: {} final, {} racks, {} progress, {} checkpoint, {} other; {} live jobs, \
              {waiting} tasks wait; machines up {} spot and {} on-demand, {}+{} cordoned, {booting} boot, \
-             {unresolved} unresolved; cpus {held:.0?}; wanted {mix:?}{}{}",
+             {unresolved} unresolved; cpus {held:.0?}; wanted {mix:?}{}{}{}",
             c.reports - before.reports,
             c.directs - before.directs,
             c.starts - before.starts,
@@ -964,6 +982,7 @@
             up(false, true),
             self.quotas_summary(),
             self.service_summary(),
+            self.elastic_summary(),
         )
     }
 
--- a/src/shard/quotas.rs
+++ b/src/shard/quotas.rs
@@ -189,6 +189,11 @@
         self.quotas.as_ref().is_none_or(|q| q.in_force && q.ledger.may_start(of_team(j.team), need).is_ok())
     }
 
+    /// How many of its tasks fit under all limits above a job's team.
+    pub(crate) fn quota_room(&self, j: &Job) -> f64 {
+        self.quotas.as_ref().map_or(f64::INFINITY, |q| q.ledger.room(of_team(j.team), need_of(j)))
+    }
+
     /// What a team is guaranteed: as the settings say, or what the levels above leave of it.
     pub(crate) fn guaranteed(&self, t: TeamIx) -> (f64, f64) {
         match &self.quotas {
--- a/src/shard/recovery.rs
+++ b/src/shard/recovery.rs
@@ -104,6 +104,7 @@
     pub(super) fn end_stored(&mut self, j: JobIx, now: f64) {
         let id = self.jobs.at(j).id.clone();
         self.recovery.known.settled(&id);
+        self.elastic_leave(j);
         self.recovery.writer.ended(&id);
         self.recovery.over.push_back((now, j));
     }
--- a/src/shard/sizing.rs
+++ b/src/shard/sizing.rs
@@ -364,7 +364,9 @@
                 continue;
             }
             let Some(ty) = self.pool_of(&job.spec) else { continue };
-            let mut n = f64::from(job.unfinished());
+            // Beyond its smallest size a job grows into what is there, and nothing is rented for it.
+            let smallest = self.elastic_sizes(j).map_or(u32::MAX, |s| s.smallest);
+            let mut n = f64::from(job.unfinished().min(smallest));
             let left = &mut room[job.team.ix()];
             if job.spec.cpus > 0.0 {
                 n = n.min((*left / job.spec.cpus).max(0.0));
@@ -471,7 +473,7 @@
             let mut spare: Vec<(bool, usize, f64, MachineIx)> = self
                 .machines
                 .iter()
-                .filter(|(_, m)| m.ty == ty && m.spot == spot && staying(m, now) && !m.base)
+                .filter(|(_, m)| m.ty == ty && m.spot == spot && staying(m, now) && !m.base && !self.grown_on(m))
                 .map(|(i, m)| {
                     let up = m.phase == MachinePhase::Up;
                     (up, m.services, if up { m.cpus_used } else { -m.born }, i)
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -3,6 +3,7 @@
 //! Elsewhere the program uses the field's own terms (job, task, team, zone,
 //! machine, attempt, token, lease); serde renames them here.
 
+use lupinspur_elastic::Sizes;
 use serde::{Deserialize, Serialize};
 
 pub const SETTINGS_NODE: &str = "host_name";
@@ -230,8 +231,14 @@
     /// none, so that such a job's record is to the letter what earlier versions wrote.
     #[serde(rename = "awaits", default, skip_serializing_if = "Option::is_none")]
     pub needs: Option<Vec<String>>,
+    /// Tasks held at one time, where elastic jobs are enabled. Left out where there are none.
+    #[serde(rename = "elastic", default, skip_serializing_if = "Option::is_none")]
+    pub elastic: Option<Sizes>,
 }
 
+/// The field of a submission that is read only where elastic jobs are enabled.
+pub const ELASTIC_FIELD: &str = "elastic";
+
 impl JobRequest {
     pub fn needs(&self) -> &[String] {
         self.needs.as_deref().unwrap_or_default()
--- a/tests/loopback.rs
+++ b/tests/loopback.rs
@@ -222,6 +222,8 @@
     attempt: u64,
     began: Instant,
     stopped: bool,
+    /// It saves, and will have done so then.
+    saves_until: Option<Instant>,
     service: bool,
 }
 
@@ -238,6 +240,8 @@
     /// It says and does nothing for now; it was deleted, and never will again.
     hangs: bool,
     deleted: bool,
+    /// How long its tasks take to save when they may.
+    saves: Duration,
     tasks: BTreeMap<String, Task>,
 }
 
@@ -245,7 +249,7 @@
 
 impl Task {
     fn ended(&self) -> Option<&'static str> {
-        if self.stopped {
+        if self.stopped || self.saves_until.is_some_and(|t| Instant::now() >= t) {
             Some("stopped")
         } else {
             (!self.service && self.began.elapsed() > RUN_TIME).then_some("done")
@@ -276,6 +280,7 @@
             .iter()
             .map(|(n, t)| match t.ended() {
                 Some(why) => json!({"seed": n, "sowing": t.attempt, "bloom": "ended", "wilt": why}),
+                None if t.saves_until.is_some() => json!({"seed": n, "sowing": t.attempt, "bloom": "flushing"}),
                 None => json!({"seed": n, "sowing": t.attempt, "bloom": "running"}),
             })
             .collect();
@@ -301,11 +306,18 @@
                     lock(twice).push(task.clone());
                 }
                 let service = task.starts_with(SERVICES) || task.starts_with(LONG);
-                all[w].tasks.insert(task, Task { attempt, began: Instant::now(), stopped: false, service });
+                let began = Instant::now();
+                all[w].tasks.insert(task, Task { attempt, began, stopped: false, saves_until: None, service });
             }
             Some("halt") => {
+                let saves = all[w].saves;
                 if let Some(t) = all[w].tasks.get_mut(&task).filter(|t| t.attempt == attempt && t.ended().is_none()) {
-                    t.stopped = true;
+                    let mercy = c["mercy_s"].as_f64().unwrap_or(0.0);
+                    match t.saves_until {
+                        None if mercy > 0.0 => t.saves_until = Some(Instant::now() + saves),
+                        Some(_) if mercy > 0.0 => {}
+                        _ => t.stopped = true,
+                    }
                 }
             }
             Some("forget") => _ = all[w].tasks.remove(&task),
@@ -465,6 +477,8 @@
     cpus_max: f64,
     /// The operators' file of quotas, if quotas nest.
     quotas: Option<String>,
+    /// The operators' file of elastic jobs, if there are some.
+    elastic: Option<String>,
 }
 
 /// Real controllers in front of stand-ins for everything else.
@@ -542,6 +556,9 @@
         if let Some(text) = &size.quotas {
             std::fs::write(dir.join("quotas.toml"), text).expect("a quota file");
         }
+        if let Some(text) = &size.elastic {
+            std::fs::write(dir.join("elastic.toml"), text).expect("a file of elastic jobs");
+        }
         for w in 0..size.workers {
             let (all, t) = (workers.clone(), twice.clone());
             let addr = server(move |r: Incoming| {
@@ -573,6 +590,7 @@
                 lease,
                 hangs: false,
                 deleted: false,
+                saves: Duration::ZERO,
                 tasks,
             };
             lock(&workers).push(worker);
@@ -585,8 +603,13 @@
     }
 
     fn begin(&mut self, i: usize) {
-        let quotas = self.dir.join("quotas.toml");
-        let flag = if quotas.exists() { vec![OsString::from("--quotas"), quotas.into()] } else { Vec::new() };
+        let mut flag = Vec::new();
+        for (name, file) in [("--quotas", "quotas.toml"), ("--elastic", "elastic.toml")] {
+            let path = self.dir.join(file);
+            if path.exists() {
+                flag.extend([OsString::from(name), path.into()]);
+            }
+        }
         let child = Command::new(env!("CARGO_BIN_EXE_lupinspur"))
             .arg("--config")
             .arg(self.dir.join(format!("n{i}.toml")))
@@ -636,7 +659,7 @@
 
 #[test]
 fn serves_users_through_the_end_of_its_owner() {
-    let size = Size { nodes: 2, workers: 2, lease: Duration::from_secs(4), cpus_max: 8.0, quotas: None };
+    let size = Size { nodes: 2, workers: 2, lease: Duration::from_secs(4), cpus_max: 8.0, quotas: None, elastic: None };
     let mut cluster = Cluster::start("loopback", size);
     let listen = cluster.listen.clone();
     let user = User { client: Client::new(0, 0) };
@@ -772,7 +795,8 @@
 /// way; either is right.
 #[test]
 fn all_controllers_come_back_at_once_in_front_of_many_workers() {
-    let size = Size { nodes: 5, workers: 48, lease: Duration::from_secs(9), cpus_max: 0.0, quotas: None };
+    let size =
+        Size { nodes: 5, workers: 48, lease: Duration::from_secs(9), cpus_max: 0.0, quotas: None, elastic: None };
     let mut cluster = Cluster::start("restart", size);
     let listen = cluster.listen.clone();
     let user = User { client: Client::new(0, 0) };
@@ -814,7 +838,7 @@
 /// answered all the same: polls, repetitions, cancellations, and jobs that name it.
 #[test]
 fn a_takeover_costs_nothing_for_two_hundred_thousand_jobs_that_are_over() {
-    let size = Size { nodes: 2, workers: 2, lease: Duration::from_secs(4), cpus_max: 8.0, quotas: None };
+    let size = Size { nodes: 2, workers: 2, lease: Duration::from_secs(4), cpus_max: 8.0, quotas: None, elastic: None };
     let mut cluster = Cluster::start_with("history", size, 20_000);
     let listen = cluster.listen.clone();
     let user = User { client: Client::new(0, 0) };
@@ -856,6 +880,89 @@
     assert!(lock(&cluster.twice).is_empty(), "started twice: {:?}", lock(&cluster.twice));
 }
 
+/// An array of forty long tasks has grown over six workers when a service of 34 replicas comes.
+/// Two workers obey at once, one takes a moment to save, one longer than its mercy, one hangs for
+/// good and one comes back within its lease. Every shrink is listed with the time that it took, and
+/// is over within the bound that the settings give beforehand; the service is whole, and the array
+/// keeps its smallest size.
+#[test]
+fn an_elastic_array_gives_its_room_back_within_the_bound() {
+    let elastic = "settle_s = 0.5\nrest_s = 2.0\ngrace_s = 1.0\nstep = 1.0\n".to_owned();
+    let lease = Duration::from_secs(6);
+    let size = Size { nodes: 2, workers: 6, lease, cpus_max: 0.0, quotas: None, elastic: Some(elastic) };
+    let cluster = Cluster::start("elastic", size);
+    let listen = cluster.listen.clone();
+    let user = User { client: Client::new(0, 0) };
+    let with = |id: &str, sizes: Value| {
+        let mut j = job(id, "batch", 40);
+        (j["elastic"], j["pressing_s"], j["pressing_cost_s"]) = (sizes, json!(1.0), json!(0.5));
+        j
+    };
+    user.until(&listen, Method::Get, "/up", None, |s, _| s == 200);
+    for wrong in [
+        json!(3),
+        json!({"smallest": 0, "largest": 3}),
+        json!({"smallest": 2}),
+        json!({"smallest": 5, "largest": 4}),
+        json!({"smallest": 1, "largest": 41}),
+        json!({"smallest": 1.5, "largest": 3}),
+    ] {
+        let b = serde_json::to_vec(&with(LONG, wrong.clone())).expect("JSON");
+        let (status, body) = user.ask(listen[0], Method::Post, "/work", Some(b));
+        assert_eq!(status, 400, "{wrong}: {body}");
+    }
+    // Another array brings all machines into use; what it leaves idle is there to be grown into.
+    user.until(&listen, Method::Post, "/work", Some(&job("req-0101", "batch", 200)), |s, _| s == 201 || s == 200);
+    let array = with(LONG, json!({"smallest": 4, "largest": 40}));
+    user.until(&listen, Method::Post, "/work", Some(&array), |s, _| s == 201 || s == 200);
+    let until = |what: &str, f: &dyn Fn() -> bool| {
+        let began = Instant::now();
+        while !f() {
+            assert!(began.elapsed() < Duration::from_secs(40), "{what}: the array runs {}", cluster.running(LONG));
+            assert!(cluster.running(LONG) <= 40, "over its largest size");
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        began.elapsed()
+    };
+    until("it never grows", &|| cluster.running(LONG) == 40);
+    {
+        let mut w = lock(&cluster.workers);
+        w[2].saves = Duration::from_millis(300);
+        w[3].saves = Duration::from_secs(60);
+        (w[4].hangs, w[5].hangs) = (true, true);
+    }
+    let mut service = job("req-000750", "standing", 34);
+    service["precedence"] = json!("critical");
+    user.until(&listen, Method::Post, "/work", Some(&service), |s, _| s == 201 || s == 200);
+    std::thread::sleep(Duration::from_millis(1200));
+    lock(&cluster.workers)[5].hangs = false;
+    let whole = until("the service is not whole", &|| cluster.running("req-000750") == 34);
+    println!("the service was whole {:.2} s after the worker came back", whole.as_secs_f64());
+    assert!(cluster.running(LONG) >= 4, "under its smallest size: {}", cluster.running(LONG));
+    let told = |json: bool| {
+        let mut args = vec!["elastic".to_owned(), "--peer".into(), cluster.peer[0].to_string()];
+        args.extend(json.then(|| "--json".to_owned()));
+        let out = Command::new(env!("CARGO_BIN_EXE_lupinspur")).args(&args).output().expect("it runs");
+        assert!(out.status.success(), "{}", String::from_utf8_lossy(&out.stderr));
+        String::from_utf8_lossy(&out.stdout).into_owned()
+    };
+    let v: Value = serde_json::from_str(&told(true)).expect("JSON");
+    let [reachable, deaf] = ["reachable_s", "deaf_s"].map(|b| v["bound"][b].as_f64().expect("a bound"));
+    let recent = v["recent"].as_array().expect("shrinks");
+    assert!(recent.len() >= 20, "of 40 tasks on 48 cpus: {v}");
+    for r in recent {
+        let took = r[1].as_f64().expect("seconds");
+        println!("{} gave its room back after {took:.2} s, bound {reachable:.1} s, deaf {deaf:.1} s", r[0]);
+        assert!(took <= deaf, "{r} of {deaf}");
+    }
+    // Those that saved for too long were stopped without mercy: sooner than they would have saved.
+    assert!(recent.iter().any(|r| r[1].as_f64().is_some_and(|t| (0.9..reachable).contains(&t))), "{v}");
+    let text = told(false);
+    assert!(text.contains(LONG) && text.contains("a shrink takes"), "{text}");
+    // What was told to stop goes on elsewhere, or later; nothing ever ran twice.
+    assert!(lock(&cluster.twice).is_empty(), "started twice: {:?}", lock(&cluster.twice));
+}
+
 /// The quotas of the test below: county over north and south, which together could use more.
 fn county(generation: u64, limit: u32) -> String {
     let org = |name: &str, within: &str, max: u32, teams: &str| {
@@ -894,7 +1001,7 @@
     const BEFORE: [usize; 3] = [20, 14, 14];
     const AFTER: [usize; 3] = [8, 8, 8];
     let quotas = Some(county(1, 20));
-    let size = Size { nodes: 3, workers: 6, lease: Duration::from_secs(6), cpus_max: 0.0, quotas };
+    let size = Size { nodes: 3, workers: 6, lease: Duration::from_secs(6), cpus_max: 0.0, quotas, elastic: None };
     let mut cluster = Cluster::start("quotas", size);
     let listen = cluster.listen.clone();
     let user = User { client: Client::new(0, 0) };
@@ -1015,7 +1122,7 @@
 #[test]
 fn a_wrong_settings_file_is_refused() {
     let listen = [free_port()];
-    let size = Size { nodes: 1, workers: 0, lease: Duration::from_secs(4), cpus_max: 8.0, quotas: None };
+    let size = Size { nodes: 1, workers: 0, lease: Duration::from_secs(4), cpus_max: 8.0, quotas: None, elastic: None };
     let good = settings(0, &listen, &listen, listen[0], listen[0], &size);
     let dir = std::env::temp_dir().join(format!("lupinspur-settings-{}", std::process::id()));
     std::fs::create_dir_all(&dir).expect("a folder");
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -90,6 +90,7 @@
     under_way: Option<(u64, Vec<Write>)>,
     out: String,
     quotas: Option<Plan>,
+    elastic: Option<lupinspur_elastic::Plan>,
 }
 
 /// `key=value` words of an event.
@@ -312,8 +313,12 @@
             "fallow": !has(args, "nospot"), "bulb": word(args, "image"), "pull_gb": 1.0,
             "expected_s": if service { 0.0 } else { num(args, "estimate", 20.0) },
             "harvest_s": word(args, "deadline").map(|d| d.parse::<f64>().expect("seconds")),
+            "elastic": word(args, "elastic").map(|e| {
+                let (s, l) = e.split_once('-').expect("smallest-largest");
+                json!({"smallest": s.parse::<u32>().expect("a number"), "largest": l.parse::<u32>().expect("a number")})
+            }),
             "awaits": word(args, "needs").map(|n| n.split(',').collect::<Vec<_>>()),
-            "pressing_s": 0.0, "pressing_cost_s": 0.0}))
+            "pressing_s": num(args, "saves", 0.0), "pressing_cost_s": num(args, "saves", 0.0)}))
         .expect("a job");
         let record = JobRecord::accepted(job, (now * 1000.0) as u64);
         self.revision += 1;
@@ -338,6 +343,7 @@
                 let loaded = Loaded {
                     jobs,
                     checkpoint,
+                    elastic: self.elastic.clone(),
                     quotas,
                     progress: self.load(PROGRESS_PREFIX).into_iter().chain(self.load(PART_PREFIX)).collect(),
                     machines: self
@@ -606,6 +612,8 @@
                 let ids = self.s().order_of_turns(now);
                 self.say(&format!("turns: {}", ids.join(", ")));
             }
+            // What changed outside is looked at again now and then.
+            "look" => self.s().look_again(),
             // The watch has brought all there is.
             "watched" => {
                 let revision = self.revision;
@@ -631,6 +639,24 @@
                 let (value, _) = self.store.get_mut(first).expect("a stored value");
                 *value = json!({"what": 1});
             }
+            // The operators' file of elastic jobs, by key=value.
+            "elastic" => {
+                let text: String = args.iter().map(|a| a.replace('=', " = ") + "\n").collect();
+                self.elastic = Some(lupinspur_elastic::Plan::parse(&text).expect("a plan"));
+            }
+            // Each elastic job: what it may have, wants and holds; and the shrinks.
+            "sizes" => {
+                let Some(told) = self.s().elastic_told() else { return self.say("no job is elastic") };
+                for r in &told.jobs {
+                    self.say(&format!(
+                        "{}: {} to {}, wants {}, holds {}, {} shrinks under way",
+                        r.job, r.smallest, r.largest, r.wanted, r.held, r.shrinks
+                    ));
+                }
+                if told.times.shrinks > 0 {
+                    self.say(&format!("{} shrinks over, the longest {:.1} s", told.times.shrinks, told.times.longest));
+                }
+            }
             "outage" => self.s().writable = false,
             "answers" => self.s().writable = true,
             "cordon" => {
@@ -667,6 +693,7 @@
         under_way: None,
         out: String::new(),
         quotas: None,
+        elastic: None,
     }
 }
 
