--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,6 +2,7 @@
 //! with on-demand machines for the gap. See docs/design.md.
 
 pub mod api;
+pub mod audit;
 pub mod budget;
 pub mod clock;
 pub mod cloud;
--- a/src/main.rs
+++ b/src/main.rs
@@ -48,8 +48,9 @@
 fn run(args: Args) -> Result<(), String> {
     lupinspur::logging::init(&args.log_level).map_err(|e| format!("LOG_LEVEL: {e}"))?;
     if let Some(q) = &args.query {
-        print!("{}", lupinspur::query::run(q)?);
-        return Ok(());
+        let (text, good) = lupinspur::query::run(q)?;
+        print!("{text}");
+        return if good { Ok(()) } else { Err("there are faults".into()) };
     }
     args.tuning.check()?;
     let Some(config) = &args.config else { return Err("--config is needed".into()) };
--- a/src/node.rs
+++ b/src/node.rs
@@ -87,6 +87,7 @@
     state_ok: Mutex<f64>,
     wakes: Wakes,
     claiming: AtomicBool,
+    loading: AtomicBool,
 }
 
 fn lock<T>(m: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -109,7 +110,7 @@
     match job_of(&item.key, &item.value) {
         Ok(r) => _ = s.add_job(r, item.version, now),
         Err(e) => {
-            log::error!("{e}");
+            log::error!("{} {e}", item.key);
             s.cannot_take_in(&item.key);
         }
     }
@@ -132,7 +133,7 @@
             }
             Ok(_) => self.over += 1,
             Err(e) => {
-                log::error!("{e}");
+                log::error!("{key} {e}");
                 self.found.incomplete = true;
             }
         }
@@ -160,6 +161,7 @@
                 pace: async_channel::bounded(1),
             },
             claiming: AtomicBool::new(false),
+            loading: AtomicBool::new(false),
             settings,
             tuning,
             quotas,
@@ -333,8 +335,16 @@
         }
         let token = lock(&self.own).token();
         let have = lock(&self.shard).as_ref().map(|s| s.token);
-        if let (Some(t), true) = (token, have != token) {
-            self.load(t).await;
+        if let (Some(t), true, Some(me)) = (token, have != token, NODE.get().cloned())
+            && !self.loading.swap(true, Ordering::Relaxed)
+        {
+            // Reading may take longer than the lease lasts: it goes on being renewed meanwhile. A
+            // reading that had to be over within a lease would never be over with a long history.
+            EX.spawn(async move {
+                me.load(t).await;
+                me.loading.store(false, Ordering::Relaxed);
+            })
+            .detach();
         }
     }
 
@@ -392,6 +402,11 @@
                     }),
                 };
                 let machines = loaded.machines.len() + loaded.racks.iter().map(|r| r.1.machines.len()).sum::<usize>();
+                if lock(&self.own).token() != Some(token) {
+                    log::warn!("the claim was lost while everything was read");
+                    self.state.set_share(&self.settings, false);
+                    return;
+                }
                 let now = clock::now();
                 log::info!("took over: {} jobs, {machines} machines, read in {:.2} s", loaded.jobs.len(), now - began);
                 let mut shard =
--- a/src/query.rs
+++ b/src/query.rs
@@ -1,11 +1,13 @@
 //! What operators ask a running controller, by the command line.
 
+use crate::settings::Settings;
 use crate::shard::{QuotaRow, QuotasTold};
 use async_executor::Executor;
 use clap::Subcommand;
 use lupinspur_accounts::{Side, Told};
 use std::fmt::Write as _;
 use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
 
 #[derive(Subcommand, Debug)]
 pub enum Query {
@@ -21,6 +23,9 @@
         #[arg(long)]
         json: bool,
     },
+    /// Looks at what the state service holds, without the controllers.
+    #[command(subcommand)]
+    State(StateQuery),
     /// Shows what each class of jobs and each team asked for, and what it was served.
     Service {
         /// Where any controller listens for its peers (peer_listen in its settings). Submissions
@@ -33,14 +38,42 @@
     },
 }
 
+#[derive(Subcommand, Debug)]
+pub enum StateQuery {
+    /// Reads everything and tells every value that is malformed, out of place or contradicts
+    /// another, with counts and sizes by kind. Writes nothing; fails where there is a fault.
+    Check {
+        /// Settings file (TOML) of any controller.
+        #[arg(long)]
+        config: PathBuf,
+        /// Requests a second, of up to a thousand values each.
+        #[arg(long, default_value_t = 2.0)]
+        rate: f64,
+        /// JSON instead of a table.
+        #[arg(long)]
+        json: bool,
+    },
+}
+
 static EX: Executor<'static> = Executor::new();
 
-/// Asks, and returns what is to be printed.
-pub fn run(q: &Query) -> Result<String, String> {
+/// Asks, and returns what is to be printed, and whether all is well.
+pub fn run(q: &Query) -> Result<(String, bool), String> {
     match q {
-        Query::Quotas { peer, job, json } => quotas(*peer, job, *json),
-        Query::Service { peer, json } => service(*peer, *json),
+        Query::Quotas { peer, job, json } => Ok((quotas(*peer, job, *json)?, true)),
+        Query::Service { peer, json } => Ok((service(*peer, *json)?, true)),
+        Query::State(StateQuery::Check { config, rate, json }) => check_state(config, *rate, *json),
+    }
+}
+
+fn check_state(config: &Path, rate: f64, json: bool) -> Result<(String, bool), String> {
+    if !(rate.is_finite() && rate > 0.0) {
+        return Err(format!("--rate: {rate} must be above zero"));
     }
+    let settings = Settings::load(config).map_err(|e| e.to_string())?;
+    let f = async_io::block_on(EX.run(crate::audit::run(&settings, rate)))?;
+    let text = if json { serde_json::to_string(&f).map_err(|e| e.to_string())? } else { crate::audit::table(&f) };
+    Ok((text, f.faults.is_empty()))
 }
 
 fn service(peer: SocketAddr, json: bool) -> Result<String, String> {
--- a/src/shard/recovery.rs
+++ b/src/shard/recovery.rs
@@ -228,12 +228,11 @@
     }
 }
 
-/// A record as the state service has it, or its key where it is none.
+/// A record as the state service has it, or what is wrong with the value under this key.
 pub fn job_of(key: &str, value: &Value) -> Result<JobRecord, String> {
-    let r: JobRecord =
-        serde::Deserialize::deserialize(value).map_err(|e| format!("{key} holds something unknown: {e}"))?;
+    let r: JobRecord = serde::Deserialize::deserialize(value).map_err(|e| format!("holds something unknown: {e}"))?;
     match key.strip_prefix(JOB_PREFIX) {
         Some(id) if id == r.job.id => Ok(r),
-        _ => Err(format!("{key} holds the record of another job, {}", r.job.id)),
+        _ => Err(format!("holds the record of another job, {}", r.job.id)),
     }
 }
