Sockets: polls give way first, then what else users ask, machines' reports never

At twice the fleet a door has fewer connections than machines and users want. It gave back every connection beyond three quarters, machines' too, and closed whoever came beyond the bound. Test: with machines on 57 and 61 of 64 connections.

--- a/src/http.rs
+++ b/src/http.rs
@@ -22,6 +22,8 @@
 const LINGER: Duration = Duration::from_millis(500);
 const LINGER_BYTES: u64 = 256 * 1024;
 const IDLE: Duration = Duration::from_secs(90);
+/// A connection that is no machine's is looked at this often while it is idle.
+const IDLE_LOOK: Duration = Duration::from_secs(5);
 const HEAD_AND_BODY: Duration = Duration::from_secs(5);
 const POOL_IDLE: Duration = Duration::from_secs(20);
 
@@ -234,8 +236,12 @@
     bounds: Bounds,
     open: AtomicUsize,
     body_bytes: AtomicUsize,
+    /// Requests of users that were refused, and since when.
+    refused: Mutex<(u64, Option<Instant>)>,
 }
 
+const REFUSALS_TOLD_EVERY: Duration = Duration::from_secs(10);
+
 /// A part of what the door has, given back when dropped.
 struct Part<'a>(&'a AtomicUsize, usize);
 
@@ -250,12 +256,92 @@
     part.0.then_some(part.1)
 }
 
+/// What a request is, to the door.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Use {
+    /// A machine's report.
+    Report,
+    /// A question for a job's state: it comes again anyway.
+    Poll,
+    /// Another request of a user.
+    User,
+    /// The load balancer's question: without an answer users are sent elsewhere for minutes.
+    Health,
+}
+
+impl Use {
+    fn of(method: Method, path: &str) -> Use {
+        match path {
+            crate::wire::REPORT_PATH => Use::Report,
+            crate::wire::HEALTH_PATH => Use::Health,
+            _ if method == Method::Get => Use::Poll,
+            _ => Use::User,
+        }
+    }
+}
+
+/// How short connections are. What comes first here is given up first; machines' reports never
+/// are: a machine that is not heard is lost with all that runs on it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Short {
+    No,
+    /// Users' connections are given back after each answer.
+    GivenBack,
+    /// Polls are refused.
+    NoPolls,
+    /// Whatever users ask is refused, and machines take turns. Whoever held a connection once
+    /// kept it for ever, and the machines that came last were never heard.
+    NoUsers,
+}
+
 impl Door {
-    /// Connections run short: they are given back after each answer, so that more workers
-    /// than there are sockets can take turns. Whoever held one once kept it for ever, and
-    /// the machines that came last were never heard.
-    fn crowded(&self) -> bool {
-        self.open.load(Ordering::Relaxed) > self.bounds.connections / 4 * 3
+    fn short(&self) -> Short {
+        let (open, most) = (self.open.load(Ordering::Relaxed), self.bounds.connections);
+        let over = |part: usize| open > most - (most / part).max(1);
+        match () {
+            () if over(16) => Short::NoUsers,
+            () if over(8) => Short::NoPolls,
+            () if over(4) => Short::GivenBack,
+            () => Short::No,
+        }
+    }
+
+    /// Is a request of this kind refused now?
+    fn refuses(&self, what: Use) -> bool {
+        let refused = match what {
+            Use::Report | Use::Health => false,
+            Use::Poll => self.short() >= Short::NoPolls,
+            Use::User => self.short() >= Short::NoUsers,
+        };
+        if refused {
+            let mut told = self.refused.lock().unwrap_or_else(|e| e.into_inner());
+            told.0 += 1;
+            if told.1.is_none_or(|t| t.elapsed() >= REFUSALS_TOLD_EVERY) {
+                log::warn!("connections run short: {} requests of users refused since this was last said", told.0);
+                *told = (0, Some(Instant::now()));
+            }
+        }
+        refused
+    }
+
+    /// Is a connection given back after the answer to such a request?
+    fn gives_back(&self, what: Use) -> bool {
+        self.short() >= if what == Use::Report { Short::NoUsers } else { Short::GivenBack }
+    }
+}
+
+/// Waits for the next request on a connection. One of a user goes early where they are short.
+async fn next_request(conn: &Conn, door: &Door, machine: bool) -> io::Result<()> {
+    if machine {
+        return timed(IDLE, conn.0.readable()).await?;
+    }
+    let began = Instant::now();
+    loop {
+        match timed(IDLE_LOOK, conn.0.readable()).await {
+            Ok(r) => return r,
+            Err(e) if began.elapsed() >= IDLE || door.short() > Short::No => return Err(e),
+            Err(_) => {}
+        }
     }
 }
 
@@ -266,9 +352,10 @@
     F: Fn(Incoming) -> Fut,
     Fut: Future<Output = Outgoing>,
 {
+    let mut machine = false;
     loop {
         // Waiting for a next request is cheap and may last; a request once begun may not.
-        timed(IDLE, conn.0.readable()).await??;
+        next_request(&conn, door, machine).await?;
         let begun = async {
             let Some((mut req, mut rest)) = async_h1::server::decode(conn.clone()).await? else {
                 return Ok(None);
@@ -304,6 +391,11 @@
             return linger(&conn).await;
         };
         let close = req.header("connection").is_some_and(|h| h.as_str().eq_ignore_ascii_case("close"));
+        let what = Use::of(method, req.url().path());
+        machine = what == Use::Report;
+        if door.refuses(what) {
+            return send(&conn, response(Outgoing::error(503, "connections run short"), true), method).await;
+        }
         let out = handler(Incoming {
             method,
             path: req.url().path().to_owned(),
@@ -311,7 +403,7 @@
             body,
         })
         .await;
-        let close = close || door.crowded();
+        let close = close || door.gives_back(what);
         send(&conn, response(out, close), method).await?;
         if close {
             return Ok(());
@@ -330,7 +422,12 @@
     F: Fn(Incoming) -> Fut + Send + Sync + 'static,
     Fut: Future<Output = Outgoing> + Send,
 {
-    let door = Arc::new(Door { bounds, open: AtomicUsize::new(0), body_bytes: AtomicUsize::new(0) });
+    let door = Arc::new(Door {
+        bounds,
+        open: AtomicUsize::new(0),
+        body_bytes: AtomicUsize::new(0),
+        refused: Mutex::default(),
+    });
     loop {
         let stream = match listener.accept().await {
             Ok((s, _)) => s,
@@ -374,7 +471,8 @@
             for _round in 0..3 {
                 for c in &clients {
                     let limit = Duration::from_secs(2);
-                    let call = || c.call(addr, Method::Post, "/", Some(b"{}".to_vec()), limit);
+                    let report = crate::wire::REPORT_PATH;
+                    let call = || c.call(addr, Method::Post, report, Some(b"{}".to_vec()), limit);
                     let mut heard = call().await;
                     // A connection that was given back meanwhile is opened anew.
                     for _ in 0..3 {
@@ -388,6 +486,38 @@
         }));
     }
 
+    /// Where sockets run short, polls are refused first, then whatever else users ask; reports
+    /// are heard all the while, and the load balancer is answered.
+    #[test]
+    fn polls_go_first_then_users_and_reports_never() {
+        use crate::wire::{HEALTH_PATH, JOBS_PATH, REPORT_PATH};
+        let addr = listening(Bounds { connections: 64, body_bytes: 1 << 20 });
+        async_io::block_on(EX.run(async {
+            let limit = Duration::from_secs(2);
+            let ask = async |method, path: &str| {
+                Client::new(0, 0).call(addr, method, path, None, limit).await.map(|h| h.0).unwrap_or(0)
+            };
+            let poll = format!("{JOBS_PATH}/req-1");
+            let mut machines = Vec::new();
+            let mut seen = Vec::new();
+            for held in [40, 57, 61] {
+                while machines.len() < held {
+                    let c = Client::new(1, 1);
+                    assert_eq!(c.call(addr, Method::Post, REPORT_PATH, None, limit).await.map(|h| h.0), Ok(200));
+                    machines.push(c);
+                }
+                let all = [(Method::Get, poll.as_str()), (Method::Post, JOBS_PATH), (Method::Get, HEALTH_PATH)];
+                for (method, path) in all {
+                    seen.push(ask(method, path).await);
+                }
+                for m in &machines {
+                    assert_eq!(m.call(addr, Method::Post, REPORT_PATH, None, limit).await.map(|h| h.0), Ok(200));
+                }
+            }
+            assert_eq!(seen, [200, 200, 200, 503, 200, 200, 503, 503, 200]);
+        }));
+    }
+
     /// Bodies that are sent slowly, or by many at once, cost no more than their part: who
     /// comes then hears 503 at once, and who has no body is served.
     #[test]
