A machine that a successor never heard and that answers nothing twice is given up

Change: one that an earlier owner recorded is asked again as a suspect, and goes after two questions while witnesses were heard.

--- a/crates/accounts/examples/gate.rs
+++ b/crates/accounts/examples/gate.rs
@@ -2,16 +2,38 @@
 //! under a half, and a failure if there is one, or if a file says nothing.
 //!
 //!     cargo run -q -p lupinspur-accounts --example gate -- FILE...
+//!     cargo run -q -p lupinspur-accounts --example gate -- --agreement REPORT LOG
+//!
+//! The second shows by class how far the owners' accounts agree with what was measured.
 
 use lupinspur_accounts::gate::{self, Judged, LOG_MARK, Nothing};
 use lupinspur_accounts::told::Told;
 use std::process::ExitCode;
 
+fn text(path: &str) -> Result<String, Nothing> {
+    std::fs::read_to_string(path).map_err(|e| Nothing(format!("{path}: {e}")))
+}
+
+/// The program's own log, as the bench prints it.
+fn logged(path: &str, text: &str) -> Result<Vec<Told>, Nothing> {
+    let all = text.lines().filter_map(|l| l.split_once(LOG_MARK)).map(|l| serde_json::from_str(l.1));
+    all.collect::<Result<_, _>>().map_err(|e| Nothing(format!("{path}: accounts: {e}")))
+}
+
+fn agreement(report: &str, log: &str) -> Result<bool, Nothing> {
+    let r = serde_json::from_str(&text(report)?).map_err(|e| Nothing(format!("{report}: {e}")))?;
+    let all = gate::agreement(&r, &logged(log, &text(log)?)?);
+    for a in &all {
+        let said = a.accounts.map_or("nothing".to_owned(), |s| format!("{s:.3}"));
+        let (class, reading, agrees) = (&a.class, a.reading.name(), if a.agrees() { "" } else { "  APART" });
+        println!("{class} {reading}: measured {:.3}, accounts {said}, unknown {:.2}{agrees}", a.measured, a.unknown);
+    }
+    Ok(!all.is_empty() && all.iter().all(gate::Agreement::agrees))
+}
+
 fn judge(path: &str) -> Result<Judged, Nothing> {
-    let text = std::fs::read_to_string(path).map_err(|e| Nothing(format!("{path}: {e}")))?;
-    // The program's own log, as the bench prints it.
-    let logged = text.lines().filter_map(|l| l.split_once(LOG_MARK)).map(|l| serde_json::from_str(l.1));
-    let lines: Vec<Told> = logged.collect::<Result<_, _>>().map_err(|e| Nothing(format!("{path}: accounts: {e}")))?;
+    let text = text(path)?;
+    let lines = logged(path, &text)?;
     if !lines.is_empty() {
         return gate::accounts(path, &lines);
     }
@@ -29,6 +51,18 @@
         eprintln!("give the reports, journal entries or logs to be judged");
         return ExitCode::from(2);
     }
+    if let [flag, report, log] = &files[..]
+        && flag == "--agreement"
+    {
+        return match agreement(report, log) {
+            Ok(true) => ExitCode::SUCCESS,
+            Ok(false) => ExitCode::FAILURE,
+            Err(Nothing(why)) => {
+                eprintln!("nothing to compare: {why}");
+                ExitCode::FAILURE
+            }
+        };
+    }
     for f in files {
         match judge(&f) {
             Ok(j) => {
--- a/crates/accounts/src/gate.rs
+++ b/crates/accounts/src/gate.rs
@@ -171,20 +171,28 @@
 
 /// The accounts of a day: the last that was logged, and with it the last of each chain of owners
 /// that was not handed over. What was lost between owners is unknown, and judged by nobody.
-pub fn accounts(source: &str, lines: &[Told]) -> Result<Judged, Nothing> {
-    let mut out = Judged::default();
+fn together(lines: &[Told]) -> Vec<Row> {
     let mut last: BTreeMap<u64, &Told> = BTreeMap::new();
     last.extend(lines.iter().map(|t| (if t.chain > 0 { t.chain } else { t.owner }, t)));
     let mut rows: BTreeMap<(Side, &str, u8), Row> = BTreeMap::new();
     for r in last.values().flat_map(|t| &t.rows) {
-        let Some(share) = r.share else { continue };
-        let of =
-            rows.entry((r.side, &r.name, r.reading as u8)).or_insert(Row { asked: 0.0, share: Some(0.0), ..r.clone() });
-        let served = of.share.unwrap_or(0.0) * of.asked + share * r.asked;
+        let of = rows.entry((r.side, &r.name, r.reading as u8)).or_insert(Row {
+            asked: 0.0,
+            share: None,
+            unknown: 0,
+            ..r.clone()
+        });
+        let served = of.share.unwrap_or(0.0) * of.asked + r.share.unwrap_or(0.0) * r.asked;
         of.asked += r.asked;
+        of.unknown += r.unknown;
         of.share = (of.asked > 0.0).then(|| served / of.asked);
     }
-    for r in rows.values() {
+    rows.into_values().collect()
+}
+
+pub fn accounts(source: &str, lines: &[Told]) -> Result<Judged, Nothing> {
+    let mut out = Judged::default();
+    for r in &together(lines) {
         // What few asked for says little: a single job would be none or all.
         let least = if matches!(r.reading, Reading::Up | Reading::Held) { 60.0 } else { 8.0 };
         if let Some(share) = r.share.filter(|_| r.asked >= least) {
@@ -194,6 +202,55 @@
     some(source, out)
 }
 
+/// Readings of a class that lie further apart than this do not agree.
+const AGREES_WITHIN: f64 = 0.05;
+/// Of what was asked for, a part that is unknown and above this says that the reading is.
+const UNKNOWN_ABOVE: f64 = 0.25;
+
+/// One reading of a class by those who measured the day, and by the owners' accounts.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Agreement {
+    pub class: String,
+    pub reading: Reading,
+    pub measured: f64,
+    /// None where nothing was asked for.
+    pub accounts: Option<f64>,
+    /// The part of which the accounts say that they do not know.
+    pub unknown: f64,
+}
+
+impl Agreement {
+    pub fn agrees(&self) -> bool {
+        self.unknown > UNKNOWN_ABOVE || self.accounts.is_some_and(|a| (a - self.measured).abs() <= AGREES_WITHIN)
+    }
+}
+
+/// How far the accounts of a day agree with its report. Accounts judge an array once, by the
+/// latest of its promises: of several readings of the report the best is its nearest.
+pub fn agreement(r: &Report, lines: &[Told]) -> Vec<Agreement> {
+    let mut measured: BTreeMap<(String, u8), (Reading, f64)> = BTreeMap::new();
+    for t in r.targets.iter().filter(|t| t.worst_s.is_none() && t.of.is_none_or(|n| n > 0.0)) {
+        let reading = match t.kind.as_str() {
+            "wait" => Reading::Started,
+            "deadline" | "finished" => Reading::Done,
+            "up" => Reading::Up,
+            _ => continue,
+        };
+        if let (Some(class), Some(v)) = (&t.class, t.value) {
+            let best = measured.entry((class.clone(), reading as u8)).or_insert((reading, v));
+            best.1 = best.1.max(v);
+        }
+    }
+    let rows = together(lines);
+    let of = |((class, _), (reading, measured)): ((String, u8), (Reading, f64))| {
+        let row = rows.iter().find(|r| r.side == Side::Class && r.name == class && r.reading == reading);
+        let (asked, unknown) = row.map_or((0.0, 0.0), |r| (r.asked, r.unknown as f64));
+        let unknown = if asked + unknown > 0.0 { unknown / (asked + unknown) } else { 0.0 };
+        Agreement { class, reading, measured, accounts: row.and_then(|r| r.share), unknown }
+    };
+    measured.into_iter().map(of).collect()
+}
+
 fn some(source: &str, out: Judged) -> Result<Judged, Nothing> {
     if out.readings == 0 { Err(Nothing(format!("{source}: no reading in it"))) } else { Ok(out) }
 }
--- a/crates/accounts/tests/gate.rs
+++ b/crates/accounts/tests/gate.rs
@@ -49,6 +49,55 @@
     assert_eq!((lines(&j), j.lowest.map(|l| l.1 > 0.6)), (vec![], Some(true)), "13 of 21");
 }
 
+/// Guards against accounts that cannot be believed: those of one chain of owners count once, the
+/// last that was logged, and they are held against what was measured, or say that they do not know.
+#[test]
+fn accounts_agree_with_what_was_measured_or_say_unknown() {
+    let report = r#"{"targets":[
+        {"kind":"wait","class":"desk","within_s":1.0,"value":0.9,"of":100},
+        {"kind":"deadline","class":"match","times":1.0,"value":0.5,"of":100},
+        {"kind":"finished","class":"match","within_s":180.0,"value":0.8,"of":100},
+        {"kind":"up","class":"desk","value":0.99,"of":100},
+        {"kind":"up","class":"desk","worst_s":30.0,"value":0.2,"of":100},
+        {"kind":"price","value":2.0}]}"#;
+    let row = |name: &str, reading, asked, share, unknown| {
+        let (side, waits_s) = (lupinspur_accounts::Side::Class, None);
+        let share = Some(share);
+        lupinspur_accounts::Row {
+            side,
+            name: String::from(name),
+            reading,
+            asked,
+            share,
+            minute: None,
+            ten_minutes: None,
+            unknown,
+            waits_s,
+        }
+    };
+    let told = |owner, rows| Told { owner, chain: 5, at_s: 0.0, rows };
+    let early = told(5, vec![row("desk", Reading::Started, 50.0, 0.1, 0)]);
+    let late = |unknown| {
+        told(
+            9,
+            vec![
+                row("desk", Reading::Started, 100.0, 0.7, unknown),
+                row("desk", Reading::Up, 1000.0, 0.97, 0),
+                row("match", Reading::Done, 100.0, 0.82, 3),
+            ],
+        )
+    };
+    let r = serde_json::from_str(report).expect("a report");
+    let of = |unknown| -> Vec<(String, bool)> {
+        let all = gate::agreement(&r, &[early.clone(), late(unknown)]);
+        all.iter().map(|a| (format!("{} {}", a.class, a.reading.name()), a.agrees())).collect()
+    };
+    let expected =
+        |desk| [("desk started", desk), ("desk up", true), ("match done", true)].map(|(n, a)| (n.to_owned(), a));
+    assert_eq!(of(10), expected(false), "0.7 is not 0.9");
+    assert_eq!(of(60), expected(true), "it says that it does not know");
+}
+
 /// A file that is something else must not pass for a good day.
 #[test]
 fn what_says_nothing_does_not_pass() {
--- a/src/shard/reports.rs
+++ b/src/shard/reports.rs
@@ -545,6 +545,8 @@
             }
             Direct::NotSent | Direct::Unknown => {
                 machine.unanswered += 1;
+                // One that an earlier owner recorded is asked as one whose report is overdue.
+                machine.suspect |= machine.session == 0;
                 machine.direct_not_before = now + if machine.suspect { ASKED_AGAIN_S } else { DIRECT_PAUSE_S };
                 if !machine.reported_token || machine.suspect {
                     self.machines.direct_due.insert(m);
--- a/src/shard/sizing.rs
+++ b/src/shard/sizing.rs
@@ -188,8 +188,15 @@
                     // second report is overdue: what hangs or is cut off counts as down from its
                     // first moment, and was replaced after 11 to 18 s.
                     let zone_asked = self.zones_asked.get(&m.zone).is_some_and(|t| now - t < self.report_s);
-                    let asked_s = if zone_asked { ANSWERS_WITHIN_S } else { overdue_s };
-                    let mute = m.suspect && m.unanswered > 0 && quiet > asked_s + ANSWERS_WITHIN_S;
+                    // One that this owner has never heard was asked at once, and again: it owes
+                    // no report first. After all controllers had ended in a zone's cut, what ran
+                    // there once waited for 9 s.
+                    let (asked_s, questions) = match () {
+                        () if m.session == 0 => (ANSWERS_WITHIN_S, 2),
+                        () if zone_asked => (ANSWERS_WITHIN_S, 1),
+                        () => (overdue_s, 1),
+                    };
+                    let mute = m.suspect && m.unanswered >= questions && quiet > asked_s + ANSWERS_WITHIN_S;
                     let lost = quiet > silent_s && others_heard || mute && believed(m.zone) || quiet > lease * 2.0;
                     let faulty = m.faulty() && m.tasks.is_empty() && m.resolved();
                     let emptied = m.cordoned && m.tasks.is_empty() && m.resolved() && now - m.born > LEAST_PAID_S;
