What a cancelled task runs on is asked first after a takeover, and unknown tasks are stopped at once

Change: machines whose record names a cancelled job, then a job that is over, are asked first; a task of a job that nobody knows is stopped directly, where the reply to its machine's next report had to do.

--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -133,6 +133,8 @@
     pub base: bool,
     pub fails: Vec<(JobIx, f64)>,
     pub quarantined_until: f64,
+    /// What runs there of jobs that nobody here knows: they are over, and it is to go.
+    pub unknown: Vec<(String, u64)>,
     /// Starts sent directly that got no answer yet: these attempts may still arrive.
     pub loose: TaskMap<u64>,
     pub direct_busy: bool,
@@ -179,6 +181,7 @@
             base: false,
             fails: Vec::new(),
             quarantined_until: 0.0,
+            unknown: Vec::new(),
             loose: TaskMap::new(),
             direct_busy: false,
             direct_not_before: 0.0,
@@ -255,6 +258,17 @@
     /// Machines that should hear from us directly: at hundreds of machines, looking
     /// through all of them for each command took most of the time there is.
     pub direct_due: BTreeSet<MachineIx>,
+    /// Those among them that go before all others, by rank.
+    direct_first: BTreeSet<(First, MachineIx)>,
+}
+
+/// Why a machine hears from us before others do.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum First {
+    /// Something of a job that was cancelled runs there, or may by its record.
+    Cancelled,
+    /// Its record names a job that is over, nobody knows how.
+    Over,
 }
 
 impl Machines {
@@ -275,9 +289,31 @@
         self.list.get_mut(m)
     }
 
+    /// This machine should hear from us directly, before others do. A cancellation has
+    /// its time from when its user was told, whoever owns meanwhile: owners that ended within a
+    /// second, sixty in a row, each began with the same machines and never came to the one where
+    /// a cancelled task ran on.
+    pub fn direct_first(&mut self, m: MachineIx, why: First) {
+        self.direct_due.insert(m);
+        self.direct_first.insert((why, m));
+    }
+
+    /// The next machine that should hear from us directly, of those that may.
+    pub fn next_direct(&mut self, ready: impl Fn(&Machine) -> bool) -> Option<MachineIx> {
+        let first = self.direct_first.iter().copied().find(|f| ready(self.at(f.1)));
+        if let Some(f) = first {
+            self.direct_first.remove(&f);
+            return Some(f.1);
+        }
+        let m = self.direct_due.iter().copied().find(|&m| ready(self.at(m)))?;
+        self.direct_due.remove(&m);
+        Some(m)
+    }
+
     /// A machine that is long gone leaves, with its name.
     pub fn give_back(&mut self, m: MachineIx) {
         self.direct_due.remove(&m);
+        self.direct_first.retain(|f| f.1 != m);
         if let Some(machine) = self.list.remove(m) {
             self.by_name.remove(&machine.name);
         }
--- a/src/shard/mod.rs
+++ b/src/shard/mod.rs
@@ -26,7 +26,7 @@
 use crate::fleet::mixture::{Mixture, Target};
 use crate::fleet::racks::{RackMachine, RackRecord, Racks, rack_key};
 use crate::fleet::zones::ZoneLists;
-use crate::fleet::{CachedImage, Held, HeldState, MachineRecord, Machines, Phase as MachinePhase, Types};
+use crate::fleet::{CachedImage, First, Held, HeldState, MachineRecord, Machines, Phase as MachinePhase, Types};
 use crate::intern::{Index, JobIx, MachineIx, Names, RackIx, TeamIx, TypeIx, ZoneIx};
 use crate::jobs::{JobRecord, Jobs, PART_PREFIX, PROGRESS_PREFIX, Phase, ProgressRecord, Slot, TaskKey};
 use crate::pipeline::Graph;
@@ -548,12 +548,16 @@
         let zone = self.types.zones.intern(&r.zone);
         let m = self.machines.add(name, ty, zone, r.spot, now);
         let mut jobs = std::mem::take(&mut self.machines.at_mut(m).stored_jobs);
+        let mut first = None;
         for id in &r.jobs {
-            if let Some(j) = self.jobs.find(id)
-                && self.jobs.at(j).phase == Phase::Open
-                && jobs.insert(j)
-            {
-                self.jobs.at_mut(j).shadowed_by += 1;
+            match self.jobs.find(id) {
+                Some(j) if self.jobs.at(j).phase == Phase::Open => {
+                    if jobs.insert(j) {
+                        self.jobs.at_mut(j).shadowed_by += 1;
+                    }
+                }
+                Some(j) if self.jobs.at(j).phase == Phase::Cancelled => first = Some(First::Cancelled),
+                _ => first = first.or(Some(First::Over)),
             }
         }
         let images = r
@@ -573,7 +577,10 @@
         if r.faulty {
             machine.quarantined_until = f64::INFINITY;
         }
-        self.machines.direct_due.insert(m);
+        match first {
+            Some(why) => self.machines.direct_first(m, why),
+            None => _ = self.machines.direct_due.insert(m),
+        }
         if retiring {
             self.deletes.insert(m);
         }
@@ -650,7 +657,11 @@
         } else if h.stop.is_none_or(|g| grace < g) {
             h.stop = Some(grace);
             h.stop_sent = -1.0;
-            self.machines.direct_due.insert(m);
+            if self.jobs.at(key.0).wanted == Phase::Cancelled {
+                self.machines.direct_first(m, First::Cancelled);
+            } else {
+                self.machines.direct_due.insert(m);
+            }
         }
     }
 
--- a/src/shard/reports.rs
+++ b/src/shard/reports.rs
@@ -1,7 +1,7 @@
 //! What workers say, and what they are told.
 
 use super::Shard;
-use crate::fleet::{Held, HeldState, Leftover, Phase as MachinePhase};
+use crate::fleet::{First, Held, HeldState, Leftover, Phase as MachinePhase};
 use crate::intern::MachineIx;
 use crate::jobs::{Phase, Slot, TaskKey, split_task};
 use crate::wire::{Command, DirectCommands, Op, Report, ReportReply, TaskReport, TaskState, Why};
@@ -138,7 +138,9 @@
             self.requeue(k);
         }
         self.drop_leftovers(m, |_, _| false);
-        self.machines.at_mut(m).loose.clear();
+        let machine = self.machines.at_mut(m);
+        machine.loose.clear();
+        machine.unknown.clear();
     }
 
     /// Notes an attempt that is not held, or is no more. One that still runs takes room
@@ -183,6 +185,12 @@
                 log::warn!("machine {} reports {}, which is no task known here", r.machine, t.task);
             }
         }
+        let unknown = r.tasks.iter().filter(|t| t.state != TaskState::Exited && self.key_of(&t.task).is_none());
+        let unknown: Vec<(String, u64)> = unknown.map(|t| (t.task.clone(), t.attempt)).collect();
+        let before = std::mem::replace(&mut self.machines.at_mut(m).unknown, unknown);
+        if self.machines.at(m).unknown.iter().any(|u| !before.contains(u)) {
+            self.machines.direct_first(m, First::Cancelled);
+        }
         let held: Vec<(TaskKey, u64, HeldState)> =
             self.machines.at(m).tasks.iter().map(|(k, h)| (*k, h.attempt, h.state)).collect();
         for (k, attempt, state) in held {
@@ -229,7 +237,11 @@
             }
             if self.machines.at(m).leftovers.get(&k) != Some(&(t.attempt, Leftover::Stray)) {
                 self.leave(m, k, t.attempt, Leftover::Stray);
-                self.machines.direct_due.insert(m);
+                if self.jobs.at(k.0).wanted == Phase::Cancelled {
+                    self.machines.direct_first(m, First::Cancelled);
+                } else {
+                    self.machines.direct_due.insert(m);
+                }
             }
         }
     }
@@ -449,12 +461,8 @@
 
     /// The next machine that should hear from us directly.
     pub fn next_direct(&mut self, now: f64) -> Option<DirectSend> {
-        let ready = |s: &Self, m: MachineIx| {
-            let m = s.machines.at(m);
-            !m.direct_busy && now >= m.direct_not_before
-        };
-        while let Some(m) = self.machines.direct_due.iter().copied().find(|&m| ready(self, m)) {
-            self.machines.direct_due.remove(&m);
+        let ready = |m: &crate::fleet::Machine| !m.direct_busy && now >= m.direct_not_before;
+        while let Some(m) = self.machines.next_direct(ready) {
             if let Some(d) = self.direct_for(m, now) {
                 return Some(d);
             }
@@ -490,6 +498,9 @@
                     commands.push(self.command(Op::Stop, *k, *attempt, Some(0.0)));
                 }
             }
+            for (task, attempt) in &machine.unknown {
+                commands.push(Command { op: Op::Stop, task: task.clone(), attempt: *attempt, grace_s: Some(0.0) });
+            }
         }
         let session = machine.session;
         let token = self.token;
