The house: decisions in crates/scheduler, published names in crates/wire

Moves alone, nothing decided differently: what needs no sockets and no clock (jobs, pipelines, the fleet, placement, the shard, ownership) is a package that cannot have them; published names are a package of their own. Placement stands within the shard, so that the circle between the two is gone. What a shard needs of settings and flags is named (params).

--- /dev/null
+++ b/crates/scheduler/src/lib.rs
@@ -0,0 +1,21 @@
+//! What a controller decides, with no sockets and no clock: events come in with the time, and
+//! what is wanted comes out as writes, commands and calls that the shell carries out.
+//!
+//! - [`params`]: what the platform and the operators say
+//! - [`intern`]: names to dense indices
+//! - [`ownership`]: when a controller may act
+//! - [`jobs`], [`pipeline`]: what was submitted, and who waits for whom
+//! - [`fleet`]: machines, zone lists, the mixture
+//! - [`shard`]: one owner's jobs and machines; a process may hold several
+//! - [`times`]: how far clocks may be trusted
+
+pub mod fleet;
+pub mod intern;
+pub mod jobs;
+pub mod ownership;
+pub mod params;
+pub mod pipeline;
+pub mod shard;
+pub mod times;
+
+pub use lupinspur_wire as wire;
--- a/src/shard/elastic.rs
+++ b/crates/scheduler/src/shard/elastic.rs
@@ -4,11 +4,11 @@
 
 use super::sizing::REPORT_SPREAD;
 use super::{Shard, type_fits};
-use crate::clock::stretched;
 use crate::fleet::{HeldState, Machine};
 use crate::intern::{JobIx, MachineIx};
 use crate::jobs::{Job, Phase, Slot, TaskKey};
-use crate::settings::Settings;
+use crate::params::Params;
+use crate::times::stretched;
 use lupinspur_elastic::pool::{Row, Times};
 use lupinspur_elastic::{Bound, Held, Plan, Pool, Sizes, Timing};
 use serde::{Deserialize, Serialize};
@@ -35,7 +35,7 @@
 }
 
 /// The bound of a shrink under these settings.
-pub fn bound(s: &Settings, claim_s: f64, plan: &Plan) -> Bound {
+pub fn bound(s: &Params, claim_s: f64, plan: &Plan) -> Bound {
     timing(s.report_s, s.lease_s, claim_s, plan).bound()
 }
 
--- a/src/shard/mod.rs
+++ b/crates/scheduler/src/shard/mod.rs
@@ -6,6 +6,7 @@
 
 mod elastic;
 mod pipelines;
+pub mod placement;
 mod quotas;
 mod recovery;
 mod reports;
@@ -16,12 +17,11 @@
 pub use elastic::{Told as ElasticTold, bound as elastic_bound};
 pub use quotas::{LoadedQuotas, Quotas, Row as QuotaRow, Told as QuotasTold, fits_values, team_limits};
 pub use recovery::{Found, job_of};
-pub use reports::{DirectSend, Heard};
+pub use reports::{Direct, DirectSend, Heard};
 pub use service::{ACCOUNTS_PREFIX, Prospect, handed};
 pub use sizing::CloudCall;
 pub use writes::{What, Write};
 
-use crate::clock::stretched;
 use crate::fleet::launch::Launches;
 use crate::fleet::mixture::{Mixture, Target};
 use crate::fleet::racks::{RackMachine, RackRecord, Racks, rack_key};
@@ -29,9 +29,9 @@
 use crate::fleet::{CachedImage, First, Held, HeldState, MachineRecord, Machines, Phase as MachinePhase, Types};
 use crate::intern::{Index, JobIx, MachineIx, Names, RackIx, TeamIx, TypeIx, ZoneIx};
 use crate::jobs::{JobRecord, Jobs, PART_PREFIX, PROGRESS_PREFIX, Phase, ProgressRecord, Slot, TaskKey};
+use crate::params::{Params, Team, Tuning};
 use crate::pipeline::Graph;
-use crate::settings::{Settings, Team};
-use crate::tuning::Tuning;
+use crate::times::stretched;
 use crate::wire::{JobRequest, JobState, Kind, MachineType};
 use lupinspur_accounts::Book;
 use lupinspur_accounts::floor::Sunk;
@@ -263,12 +263,12 @@
 const WATCH_EVERY_S: f64 = 0.09;
 
 impl Shard {
-    pub fn new(s: &Settings, tuning: Tuning, token: u64, types: Vec<MachineType>, loaded: Loaded, now: f64) -> Shard {
+    pub fn new(s: &Params, tuning: Tuning, token: u64, types: Vec<MachineType>, loaded: Loaded, now: f64) -> Shard {
         let mut team_names = Names::default();
         for t in &s.teams {
             team_names.intern(&t.name);
         }
-        let value_bytes = s.value_bytes();
+        let value_bytes = s.value_bytes;
         let earlier_chunk = crate::jobs::chunk_tasks((s.value_kb * 1024.0) as usize);
         let mut shard = Shard {
             token,
@@ -947,7 +947,7 @@
     /// Places what waits, if anything changed that it could be waiting for.
     pub fn place_waiting(&mut self, now: f64) {
         if std::mem::take(&mut self.place_due) {
-            crate::placement::place(self, now);
+            crate::shard::placement::place(self, now);
         }
     }
 
--- a/src/shard/quotas.rs
+++ b/crates/scheduler/src/shard/quotas.rs
@@ -8,7 +8,7 @@
 use crate::fleet::HeldState;
 use crate::intern::{Index, JobIx, MachineIx, TeamIx};
 use crate::jobs::{Job, TaskKey};
-use crate::settings::Team;
+use crate::params::Team;
 use lupinspur_quota as quota;
 use quota::stored::{HEAD, Head, PREFIX, Part, generation_of, part_key};
 use quota::{Amount, Held, Ledger, LevelIx, Plan, TeamLimits, Tree};
--- a/src/shard/reports.rs
+++ b/crates/scheduler/src/shard/reports.rs
@@ -18,6 +18,17 @@
     Superseded,
 }
 
+/// What became of commands sent straight to a worker.
+#[derive(Debug)]
+pub enum Direct {
+    /// Executed, or refused as a whole; the report says what is on the machine.
+    Answered { executed: bool, report: Option<Report> },
+    /// Never left this controller.
+    NotSent,
+    /// May have been executed, and may still be, minutes from now.
+    Unknown,
+}
+
 /// Commands to be sent straight to a worker.
 #[derive(Debug)]
 pub struct DirectSend {
@@ -526,8 +537,7 @@
     }
 
     /// What became of commands sent directly.
-    pub fn on_direct(&mut self, sent: &DirectSend, outcome: crate::worker::Direct, now: f64) {
-        use crate::worker::Direct;
+    pub fn on_direct(&mut self, sent: &DirectSend, outcome: Direct, now: f64) {
         let m = sent.machine;
         let machine = self.machines.at_mut(m);
         machine.direct_busy = false;
--- a/src/shard/sizing.rs
+++ b/crates/scheduler/src/shard/sizing.rs
@@ -2,13 +2,13 @@
 //! and which have been silent for too long.
 
 use super::{EPS, FleetRecord, PoolRecord, Shard, type_fits};
-use crate::clock::stretched;
 use crate::fleet::launch::Launch;
 use crate::fleet::mixture::mixture;
 use crate::fleet::{Held, HeldState, Machine, Phase as MachinePhase};
 use crate::intern::{Index, MachineIx, TypeIx, ZoneIx};
 use crate::jobs::TaskKey;
-use crate::placement::{Promised, taken_by};
+use crate::shard::placement::{Promised, taken_by};
+use crate::times::stretched;
 use crate::wire::{ListedMachine, ListedState};
 use std::collections::{BTreeMap, HashMap};
 
--- a/examples/history.rs
+++ b/examples/history.rs
@@ -71,7 +71,7 @@
 
 fn owner(loaded: Loaded) -> Shard {
     let settings = Settings::parse(SETTINGS).expect("settings");
-    Shard::new(&settings, Tuning::default(), 10, Vec::new(), loaded, 0.0)
+    Shard::new(&settings.params(), Tuning::default(), 10, Vec::new(), loaded, 0.0)
 }
 
 /// Requests, bytes, seconds of reading and taking in, and what is held then.
--- a/src/clock.rs
+++ b/src/clock.rs
@@ -13,9 +13,3 @@
 pub fn wall_ms() -> u64 {
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64)
 }
-
-/// Steady clocks of two machines drift apart by up to 0.05%; safety waits are
-/// stretched by twice that, plus a margin for the steps of timers.
-pub fn stretched(s: f64) -> f64 {
-    s * 1.001 + 0.25
-}
--- a/src/main.rs
+++ b/src/main.rs
@@ -26,7 +26,7 @@
     #[arg(long, env = "LUPINSPUR_ELASTIC", value_name = "FILE")]
     elastic: Option<PathBuf>,
     #[command(flatten)]
-    tuning: lupinspur::tuning::Tuning,
+    tuning: lupinspur::tuning::Flags,
     #[command(subcommand)]
     query: Option<lupinspur::query::Query>,
 }
@@ -71,12 +71,12 @@
     let elastic = args.elastic.as_deref().map(elastic).transpose()?;
     if args.check {
         if let Some(e) = &elastic {
-            println!("{}", lupinspur::shard::elastic_bound(&settings, args.tuning.claim_s, e).told());
+            println!("{}", lupinspur::shard::elastic_bound(&settings.params(), args.tuning.claim_s, e).told());
         }
         return Ok(());
     }
     let features = lupinspur::node::Features { quotas: plan, elastic };
-    lupinspur::node::run(settings, args.tuning, features).map_err(|e| e.to_string())
+    lupinspur::node::run(settings, args.tuning.tuning(), features).map_err(|e| e.to_string())
 }
 
 fn main() -> ExitCode {
--- a/src/node.rs
+++ b/src/node.rs
@@ -520,8 +520,14 @@
                 for (r, _) in loaded.jobs.iter().filter(|(r, _)| r.phase != Phase::Open) {
                     self.note_final(&r.job.id, crate::api::told_of(r));
                 }
-                let mut shard =
-                    Shard::new(&self.settings, self.tuning.clone(), token, (*self.types()).clone(), loaded, now);
+                let mut shard = Shard::new(
+                    &self.settings.params(),
+                    self.tuning.clone(),
+                    token,
+                    (*self.types()).clone(),
+                    loaded,
+                    now,
+                );
                 shard.day_ms = clock::wall_ms() as f64 - now * 1000.0;
                 shard.carry_accounts(handed, now);
                 shard.tick(now);
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -2,6 +2,8 @@
 
 use crate::wire;
 use lupinspur_accounts::{Milestone, Terms};
+use lupinspur_scheduler::params::Params;
+pub use lupinspur_scheduler::params::Team;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -23,15 +25,6 @@
     pub addr: SocketAddr,
 }
 
-#[derive(Debug, Clone)]
-pub struct Team {
-    pub name: String,
-    pub cpus: f64,
-    pub cpus_max: f64,
-    pub cards: f64,
-    pub cards_max: f64,
-}
-
 /// The state service's limits from some moment on, which comes without notice. What the
 /// platform does not name stays as it is.
 #[derive(Debug, Clone)]
@@ -128,6 +121,22 @@
         bytes - bytes / VALUE_SLACK
     }
 
+    /// What a shard needs to know.
+    pub fn params(&self) -> Params {
+        Params {
+            teams: self.teams.clone(),
+            zones: self.zones.clone(),
+            terms: self.terms.clone(),
+            report_s: self.report_s,
+            lease_s: self.lease_s,
+            cancel_s: self.cancel_s,
+            list_lag_s: self.list_lag_s,
+            time_bound_s: self.time_bound_s,
+            value_kb: self.value_kb,
+            value_bytes: self.value_bytes(),
+        }
+    }
+
     /// What workers and users may take of this controller.
     pub fn door(&self) -> crate::http::Bounds {
         let body_bytes = (self.memory_mb * 1024.0 * 1024.0 * BODIES_OF_MEMORY) as usize;
--- a/src/tuning.rs
+++ b/src/tuning.rs
@@ -1,9 +1,10 @@
 //! The operators' own settings: flags and environment variables only.
 
 use clap::Args;
+pub use lupinspur_scheduler::params::Tuning;
 
 #[derive(Args, Clone, Debug)]
-pub struct Tuning {
+pub struct Flags {
     /// Spot machines held beyond the target.
     #[arg(long, env = "LUPINSPUR_EXTRA", default_value_t = 2)]
     pub extra: usize,
@@ -18,13 +19,11 @@
     pub claim_s: f64,
 }
 
-impl Default for Tuning {
-    fn default() -> Self {
-        Tuning { extra: 2, window_s: 4.0, hold_s: 15.0, claim_s: 4.0 }
+impl Flags {
+    pub fn tuning(&self) -> Tuning {
+        Tuning { extra: self.extra, window_s: self.window_s, hold_s: self.hold_s, claim_s: self.claim_s }
     }
-}
 
-impl Tuning {
     pub fn check(&self) -> Result<(), String> {
         for (name, v, least) in
             [("window-s", self.window_s, 0.0), ("hold-s", self.hold_s, 0.0), ("claim-s", self.claim_s, 1.0)]
--- a/src/worker.rs
+++ b/src/worker.rs
@@ -1,22 +1,12 @@
 //! Client of the workers' direct interface.
 
 use crate::http::{CallError, Client};
+use crate::shard::Direct;
 use crate::wire::{self, DirectCommands, Report};
 use http_types::Method;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// What became of commands sent straight to a worker.
-#[derive(Debug)]
-pub enum Direct {
-    /// Executed, or refused as a whole; the report says what is on the machine.
-    Answered { executed: bool, report: Option<Report> },
-    /// Never left this controller.
-    NotSent,
-    /// May have been executed, and may still be, minutes from now.
-    Unknown,
-}
-
 const QUESTION: Duration = Duration::from_millis(1200);
 const COMMAND: Duration = Duration::from_millis(2500);
 
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -13,14 +13,14 @@
 use lupinspur::fleet::{Held, HeldState};
 use lupinspur::intern::{Index, JobIx, MachineIx, RackIx};
 use lupinspur::jobs::{JOB_PREFIX, JobRecord, PART_PREFIX, PROGRESS_PREFIX, Phase, job_key};
-use lupinspur::placement::{Promised, taken_by};
 use lupinspur::settings::{Settings, Team};
+use lupinspur::shard::Direct;
+use lupinspur::shard::placement::{Promised, taken_by};
 use lupinspur::shard::{
     ACCOUNTS_PREFIX, CloudCall, DirectSend, Found, Heard, Loaded, LoadedQuotas, Shard, Shown, Write, handed, job_of,
 };
 use lupinspur::tuning::Tuning;
 use lupinspur::wire::{Change, Command, JobRequest, ListedMachine, MachineType, Op, Report, TaskReport};
-use lupinspur::worker::Direct;
 use lupinspur_quota::Plan;
 use serde::de::DeserializeOwned;
 use serde_json::{Value, json};
@@ -364,7 +364,7 @@
                 };
                 self.sent.clear();
                 let tuning = Tuning { extra: 2, window_s: 10.0, hold_s: 30.0, claim_s: 6.0 };
-                let mut shard = Shard::new(&self.settings, tuning, token, types(), loaded, now);
+                let mut shard = Shard::new(&self.settings.params(), tuning, token, types(), loaded, now);
                 shard.carry_accounts(handed(self.store.iter().map(|(k, v)| (k.as_str(), &v.0))), now);
                 self.shard = Some(shard);
             }
