A wait ends when the machine has taken the start; accounts by class believed

Cause: the accounts counted a start when its task ran, image and all; users count it when its machine has taken it. Change: tasks whose start is taken are counted by job; deadlines are counted from the moment when a job was seen to come, as its wait was, since the acceptor's time of day may be a second off.

--- a/crates/accounts/src/book.rs
+++ b/crates/accounts/src/book.rs
@@ -43,6 +43,17 @@
     pub seen_from: f64,
 }
 
+/// How many of a job's tasks are how far.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Tasks {
+    /// Their machines have taken the start: users' waits end here, though an image may have to
+    /// be fetched yet.
+    pub begun: u32,
+    /// They have their image and run.
+    pub running: u32,
+    pub done: u32,
+}
+
 #[derive(Debug)]
 pub struct Account {
     pub name: String,
@@ -50,7 +61,7 @@
     sums: [Sums; READINGS.len()],
     /// Jobs of which a reading is not known, after a takeover.
     pub unknown: [u64; READINGS.len()],
-    /// How long jobs waited until all their tasks ran, in milliseconds.
+    /// How long jobs waited until all their tasks were begun, in milliseconds.
     pub waits: Histogram<u32>,
     /// Replicas asked for and up, beyond the time that their class grants.
     replicas: Share,
@@ -110,9 +121,9 @@
     start_due: Option<f64>,
     done_due: Option<f64>,
     running: u32,
-    /// The most of its tasks that ran or were done, as long as a start was in time.
+    /// The most of its tasks that were begun or done, as long as a start was in time.
     best: u32,
-    /// All of it was seen to run once, or that cannot be told.
+    /// All of it was begun once, or that cannot be told.
     waited: bool,
     /// Its replicas count by now.
     counted: bool,
@@ -305,23 +316,24 @@
         TicketIx(n)
     }
 
-    /// So many of a job's tasks run now, and so many are done.
-    pub fn runs(&mut self, t: TicketIx, running: u32, done: u32, now: f64) {
+    /// So many of a job's tasks were begun, run, and are done.
+    pub fn runs(&mut self, t: TicketIx, tasks: Tasks, now: f64) {
+        let Tasks { begun, running, done } = tasks;
         let Some(ticket) = self.tickets.get_mut(t.0 as usize).and_then(Option::as_mut) else { return };
         let before = std::mem::replace(&mut ticket.running, running);
         let accounts = ticket.accounts;
         let in_time = ticket.start_due.is_some_and(|due| now <= due);
         if in_time {
-            ticket.best = ticket.best.max(running + done);
+            ticket.best = ticket.best.max(begun + done);
         }
         // All of it runs, or whatever began in time is known.
-        let started = ticket.start_due.is_some() && (running + done >= ticket.tasks || !in_time);
+        let started = ticket.start_due.is_some() && (begun + done >= ticket.tasks || !in_time);
         let part = ticket.begun();
         let waited = now - ticket.from;
         if started {
             ticket.start_due = None;
         }
-        let all = running + done >= ticket.tasks && !ticket.waited;
+        let all = begun + done >= ticket.tasks && !ticket.waited;
         ticket.waited |= all;
         if ticket.counted && before != running {
             for a in accounts {
--- a/crates/accounts/src/gate.rs
+++ b/crates/accounts/src/gate.rs
@@ -225,24 +225,29 @@
     }
 }
 
-/// How far the accounts of a day agree with its report. Accounts judge an array once, by the
-/// latest of its promises: of several readings of the report the best is its nearest.
+/// How far the accounts of a day agree with its report. Accounts judge an array once, by the last
+/// multiple of its deadline, or where its class has none by the longest time.
 pub fn agreement(r: &Report, lines: &[Told]) -> Vec<Agreement> {
-    let mut measured: BTreeMap<(String, u8), (Reading, f64)> = BTreeMap::new();
+    let mut measured: BTreeMap<(String, u8), (Reading, bool, f64, f64)> = BTreeMap::new();
     for t in r.targets.iter().filter(|t| t.worst_s.is_none() && t.of.is_none_or(|n| n > 0.0)) {
-        let reading = match t.kind.as_str() {
-            "wait" => Reading::Started,
-            "deadline" | "finished" => Reading::Done,
-            "up" => Reading::Up,
+        let (reading, deadline) = match t.kind.as_str() {
+            "wait" => (Reading::Started, false),
+            "deadline" => (Reading::Done, true),
+            "finished" => (Reading::Done, false),
+            "up" => (Reading::Up, false),
             _ => continue,
         };
+        let reach = t.times.or(t.within_s).unwrap_or(0.0);
         if let (Some(class), Some(v)) = (&t.class, t.value) {
-            let best = measured.entry((class.clone(), reading as u8)).or_insert((reading, v));
-            best.1 = best.1.max(v);
+            let this = (reading, deadline, reach, v);
+            let last = measured.entry((class.clone(), reading as u8)).or_insert(this);
+            if (deadline, reach) > (last.1, last.2) {
+                *last = this;
+            }
         }
     }
     let rows = together(lines);
-    let of = |((class, _), (reading, measured)): ((String, u8), (Reading, f64))| {
+    let of = |((class, _), (reading, _, _, measured))| {
         let row = rows.iter().find(|r| r.side == Side::Class && r.name == class && r.reading == reading);
         let (asked, unknown) = row.map_or((0.0, 0.0), |r| (r.asked, r.unknown as f64));
         let unknown = if asked + unknown > 0.0 { unknown / (asked + unknown) } else { 0.0 };
--- a/crates/accounts/src/told.rs
+++ b/crates/accounts/src/told.rs
@@ -29,7 +29,7 @@
     pub ten_minutes: Option<f64>,
     /// Jobs, or seconds of replicas, of which nobody knows since the takeovers so far.
     pub unknown: u64,
-    /// Seconds until all tasks ran: half, nine in ten, the longest. Of started only.
+    /// Seconds until all tasks were begun: half, nine in ten, the longest. Of started only.
     pub waits_s: Option<(f64, f64, f64)>,
 }
 
--- a/crates/scheduler/src/fleet/mod.rs
+++ b/crates/scheduler/src/fleet/mod.rs
@@ -63,6 +63,13 @@
     Saving,
 }
 
+impl HeldState {
+    /// Has its machine taken the start?
+    pub fn begun(self) -> bool {
+        matches!(self, HeldState::Fetching | HeldState::Running | HeldState::Saving)
+    }
+}
+
 #[derive(Clone, Debug)]
 pub struct Held {
     pub attempt: u64,
--- a/crates/scheduler/src/jobs.rs
+++ b/crates/scheduler/src/jobs.rs
@@ -130,6 +130,8 @@
     pub done: u32,
     pub held: u32,
     pub running: u32,
+    /// Tasks whose start a machine has taken: they fetch their image, run or save.
+    pub begun: u32,
     pub dirty_chunks: BTreeSet<u32>,
     /// Unresolved machines that may hold tasks of this job.
     pub shadowed_by: u32,
@@ -305,6 +307,7 @@
             done: if r.phase == Phase::Done { r.job.tasks } else { 0 },
             held: 0,
             running: 0,
+            begun: 0,
             dirty_chunks: BTreeSet::new(),
             shadowed_by: 0,
             failed_on: Vec::new(),
--- a/crates/scheduler/src/shard/mod.rs
+++ b/crates/scheduler/src/shard/mod.rs
@@ -767,7 +767,7 @@
     }
 
     pub(crate) fn hold(&mut self, m: MachineIx, key: TaskKey, held: Held) {
-        let running = held.state == HeldState::Running;
+        let (running, begun) = (held.state == HeldState::Running, held.state.begun());
         self.count_use(m, key.0, 1.0);
         let machine = self.machines.at_mut(m);
         let job = self.jobs.at_mut(key.0);
@@ -776,6 +776,7 @@
         job.tasks[key.1 as usize] = Slot::Held(m);
         job.held += 1;
         job.running += u32::from(running);
+        job.begun += u32::from(begun);
         if let Some(c) = job.zone_counts.get_mut(machine.zone.ix()) {
             *c += 1;
         }
@@ -815,10 +816,11 @@
         if held.state == HeldState::Running {
             job.running -= 1;
         }
+        job.begun -= u32::from(held.state.begun());
         if let Some(c) = job.zone_counts.get_mut(machine.zone.ix()) {
             *c -= 1;
         }
-        if held.state == HeldState::Running {
+        if held.state.begun() {
             self.account_runs(key.0, self.ticked);
         }
         self.elastic_gone(key);
--- a/crates/scheduler/src/shard/reports.rs
+++ b/crates/scheduler/src/shard/reports.rs
@@ -285,7 +285,7 @@
 
     fn seen(&mut self, m: MachineIx, k: TaskKey, state: TaskState, now: f64) {
         let Some(h) = self.machines.at_mut(m).tasks.get_mut(&k) else { return };
-        let was_running = h.state == HeldState::Running;
+        let (was_running, had_begun) = (h.state == HeldState::Running, h.state.begun());
         h.state = match state {
             TaskState::Running => HeldState::Running,
             TaskState::Saving => HeldState::Saving,
@@ -299,7 +299,8 @@
         }
         let job = self.jobs.at_mut(k.0);
         job.running = job.running + u32::from(runs) - u32::from(was_running);
-        if runs != was_running {
+        job.begun += u32::from(!had_begun);
+        if runs != was_running || !had_begun {
             self.account_runs(k.0, now);
         }
         if runs {
--- a/crates/scheduler/src/shard/service.rs
+++ b/crates/scheduler/src/shard/service.rs
@@ -6,7 +6,7 @@
 use crate::fleet::Phase as MachinePhase;
 use crate::intern::{Index, JobIx, TeamIx};
 use crate::jobs::{Job, Phase, Slot};
-use lupinspur_accounts::book::{End, Entry};
+use lupinspur_accounts::book::{End, Entry, Tasks};
 use lupinspur_accounts::floor::Sunk;
 use lupinspur_accounts::handed::{Carried, Part, newest};
 use lupinspur_accounts::{Alarm, Side, Told};
@@ -162,13 +162,14 @@
         let began = self.account_now(self.began);
         // A machine that may hold it is named with it before its first start.
         let seen = job.shadowed_by > 0 || job.done > 0 || job.tasks.iter().any(|s| matches!(s, Slot::Held(_)));
+        let late = self.sees_late_s(job, now);
         let entry = Entry {
             class: &spec.class,
             team: &spec.team,
             service: job.is_service(),
             tasks: spec.tasks.min(self.most_at_once(job)).max(1),
-            from: from + self.sees_late_s(job, now),
-            submitted,
+            from: from + late,
+            submitted: submitted + late,
             deadline_s: spec.deadline_s,
             may_have_started: submitted < began && seen,
             seen_from: if submitted < began { began + self.silent_s() } else { from },
@@ -181,9 +182,9 @@
                 let terms = self.book.terms(&spec.class).filter(|_| !entry.service);
                 let until = terms.and_then(|p| p.latest(submitted, from, spec.deadline_s)).map(ms);
                 let useful = terms.and_then(|p| p.last(submitted, from, spec.deadline_s)).map(ms);
-                let (running, done) = (job.running, job.done);
+                let tasks = Tasks { begun: job.begun, running: job.running, done: job.done };
                 let ticket = self.book.enter(&entry, t);
-                self.book.runs(ticket, running, done, t);
+                self.book.runs(ticket, tasks, t);
                 let accounts = self.book.of(ticket);
                 let job = self.jobs.at_mut(j);
                 (job.ticket, job.accounts) = (Some(ticket), accounts);
@@ -200,7 +201,7 @@
         let t = self.account_now(now);
         let job = self.jobs.at(j);
         if let Some(ticket) = job.ticket {
-            self.book.runs(ticket, job.running, job.done, t);
+            self.book.runs(ticket, Tasks { begun: job.begun, running: job.running, done: job.done }, t);
         }
     }
 
