--- a/crates/accounts/tests/book.rs
+++ b/crates/accounts/tests/book.rs
@@ -77,6 +77,7 @@
     let t = b.enter(&entry("desk", "red", 100.0), 100.0);
     b.runs(t, Tasks { begun: 3, ..Tasks::default() }, 100.5);
     b.runs(t, Tasks { begun: 4, ..Tasks::default() }, 101.0);
+    b.advance(102.001);
     b.advance(112.0);
     b.runs(t, tasks(4, 0), 112.0);
     b.advance(122.0);
