--- a/src/http.rs
+++ b/src/http.rs
@@ -297,7 +297,8 @@
 impl Door {
     fn short(&self) -> Short {
         let (open, most) = (self.open.load(Ordering::Relaxed), self.bounds.connections);
-        let over = |part: usize| open > most - (most / part).max(1);
+        // A few take turns, however few there are.
+        let over = |part: usize| open > most - (most / part).max(2);
         match () {
             () if over(16) => Short::NoUsers,
             () if over(8) => Short::NoPolls,
