The floor sees what open jobs will come to; first jobs and pauses in the accounts

Change: where more waits than the machines can take, what a class's or team's open jobs come to at the rate at which it is served now counts as well, and where all have sunk those gain that are served clearly less. Accounts: in a fresh cluster waits count from when its first machines can be up; whoever is accepted after a pause in which nobody could be reached is unknown.

--- a/crates/accounts/src/book.rs
+++ b/crates/accounts/src/book.rs
@@ -19,6 +19,10 @@
 pub struct AccountIx(u32);
 
 impl AccountIx {
+    pub(crate) fn of(i: usize) -> AccountIx {
+        AccountIx(i as u32)
+    }
+
     pub fn ix(self) -> usize {
         self.0 as usize
     }
@@ -34,6 +38,12 @@
     pub tasks: u32,
     /// From when its times count, its deadline aside.
     pub from: f64,
+    /// From when its wait counts, where that is later: a cluster that has only just begun has
+    /// nothing to start anything on.
+    pub waits_from: f64,
+    /// Its user may have asked long before it was accepted: whether it waited cannot be told
+    /// where its class is promised less than so many seconds.
+    pub may_have_waited_s: f64,
     /// The submission, from which the deadline counts, and its deadline in seconds after it.
     pub submitted: f64,
     pub deadline_s: Option<f64>,
@@ -265,20 +275,21 @@
     pub fn enter(&mut self, e: &Entry, now: f64) -> TicketIx {
         let accounts = self.of_job(e.class, e.team, now);
         let terms = self.terms.get(e.class).cloned().unwrap_or_default();
-        let wait = terms.wait_s.map(|w| e.from + w);
+        let wait = terms.wait_s.map(|w| e.from.max(e.waits_from) + w);
         let deadline = (!e.service).then(|| terms.latest(e.submitted, e.from, e.deadline_s)).flatten();
         let grace = terms.grace_s.or(terms.wait_s).unwrap_or(0.0);
         // A start or an end that fell due under an earlier owner is in its accounts, or lost.
         let start = wait.map(|due| self.whose(due));
         let unknown = |w: Option<Whose>| w == Some(Whose::Nobody);
-        if start.is_some_and(|w| w != Whose::Earlier) && e.may_have_started || unknown(start) {
+        let doubted = terms.wait_s.is_some_and(|w| w < e.may_have_waited_s);
+        if start.is_some_and(|w| w != Whose::Earlier) && (e.may_have_started || doubted) || unknown(start) {
             self.cannot_tell(accounts, Reading::Started);
         }
         let done = deadline.map(|due| self.whose(due));
         if unknown(done) {
             self.cannot_tell(accounts, Reading::Done);
         }
-        let wait = wait.filter(|_| start == Some(Whose::Ours));
+        let wait = wait.filter(|_| start == Some(Whose::Ours) && !doubted);
         let deadline = deadline.filter(|_| done == Some(Whose::Ours));
         let counts_from = e.from + grace;
         if e.service && e.seen_from > counts_from {
@@ -301,7 +312,7 @@
             done_due: deadline,
             running: 0,
             best: 0,
-            waited: e.may_have_started || start.is_some_and(|w| w != Whose::Ours),
+            waited: e.may_have_started || doubted || start.is_some_and(|w| w != Whose::Ours),
             counted: false,
         });
         let generation = self.generations[n as usize];
@@ -385,7 +396,7 @@
     pub fn from_record(&mut self, e: &Entry, end: End, ended: Option<f64>, now: f64) {
         let accounts = self.of_job(e.class, e.team, now);
         let terms = self.terms.get(e.class).cloned().unwrap_or_default();
-        let start = terms.wait_s.map(|w| self.whose(e.from + w));
+        let start = terms.wait_s.map(|w| self.whose(e.from.max(e.waits_from) + w));
         if start.is_some_and(|w| w != Whose::Earlier) && end == End::Done {
             self.cannot_tell(accounts, Reading::Started);
         }
--- a/crates/accounts/src/floor.rs
+++ b/crates/accounts/src/floor.rs
@@ -2,12 +2,13 @@
 //!
 //! The floor is a share of service over ten minutes. A class or team below it has *sunk*;
 //! work of it that can still be of use gains standing, up to that of the best batch work,
-//! as long as somebody else is above the floor: where all have sunk nobody gains anything
-//! over the others.
+//! as long as somebody else is above the floor. Where all have sunk, those gain that are served
+//! clearly less than the best of them.
 
 use crate::Reading;
 use crate::book::{AccountIx, Book};
 use crate::window::Span;
+use std::collections::HashMap;
 
 /// Below this share an account has sunk. Above a half, since what is to be kept over a half
 /// must be helped before it is there.
@@ -18,21 +19,68 @@
 /// The readings that the order of starts can mend.
 const MENDABLE: [Reading; 2] = [Reading::Started, Reading::Done];
 
+/// Whoever has sunk gains only over those that are served better by this much.
+const APART: f64 = 0.1;
+
+/// Jobs of an account that are open and not counted yet, and how many of them will be done in
+/// time if it goes on being served as it is.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Ahead {
+    pub open: f64,
+    pub will: f64,
+}
+
+/// How many of an account's open jobs will be done in time, the most urgent first: each has its
+/// work in cpu-seconds and the seconds that are left. `cpus`: what the account holds now.
+pub fn ahead(mut jobs: Vec<(f64, f64)>, cpus: f64) -> Ahead {
+    jobs.sort_by(|a, b| a.1.total_cmp(&b.1));
+    let (mut work, mut will) = (0.0, 0.0);
+    for (own, left_s) in &jobs {
+        // One that cannot be in time any more takes nothing from those after it.
+        if work + own <= cpus * left_s {
+            (work, will) = (work + own, will + 1.0);
+        }
+    }
+    Ahead { open: jobs.len() as f64, will }
+}
+
 /// Which accounts have sunk, as of the last look.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Sunk(Vec<bool>);
 
 impl Sunk {
-    /// Looks at every account once.
-    pub fn look(book: &Book, now: f64) -> Sunk {
-        let sunk = |i: usize| {
+    /// Looks at every account once. `ahead`: what its open jobs will come to; a class of the
+    /// lowest priority was once seen to sink only when its first jobs had waited in vain.
+    pub fn look(book: &Book, ahead: &HashMap<AccountIx, Ahead>, now: f64) -> Sunk {
+        let share = |i: usize| {
             let a = &book.accounts[i];
-            MENDABLE.iter().any(|r| {
-                let s = a.sums(*r).over(Span::TenMinutes, now);
-                s.asked >= LEAST_ASKED && s.part().is_some_and(|p| p < FLOOR)
-            })
+            let of = |r: &Reading| {
+                let mut s = a.sums(*r).over(Span::TenMinutes, now);
+                if let (Reading::Done, Some(x)) = (r, ahead.get(&AccountIx::of(i))) {
+                    s.add(x.open, x.will);
+                }
+                s.part().filter(|_| s.asked >= LEAST_ASKED)
+            };
+            MENDABLE.iter().filter_map(of).min_by(f64::total_cmp)
+        };
+        let shares: Vec<Option<f64>> = (0..book.accounts.len()).map(share).collect();
+        // Where all have sunk, those that are served least are helped. Of each side the two best:
+        // an account is held against the others.
+        let mut best = [[None; 2]; 3];
+        for (a, s) in book.accounts.iter().zip(&shares) {
+            let [first, second] = &mut best[a.side as usize];
+            if s.is_some_and(|s| first.is_none_or(|f| s > f)) {
+                (*second, *first) = (*first, *s);
+            } else if s.is_some_and(|s| second.is_none_or(|f| s > f)) {
+                *second = *s;
+            }
+        }
+        let sunk = |(a, s): (&crate::book::Account, &Option<f64>)| {
+            let [first, second] = best[a.side as usize];
+            let others = if *s == first { second } else { first };
+            s.is_some_and(|s| s < FLOOR && others.is_none_or(|o| o >= FLOOR || s < o - APART))
         };
-        Sunk((0..book.accounts.len()).map(sunk).collect())
+        Sunk(book.accounts.iter().zip(&shares).map(sunk).collect())
     }
 
     pub fn has(&self, a: AccountIx) -> bool {
--- a/crates/accounts/src/gate.rs
+++ b/crates/accounts/src/gate.rs
@@ -204,8 +204,6 @@
 
 /// Readings of a class that lie further apart than this do not agree.
 const AGREES_WITHIN: f64 = 0.05;
-/// Of what was asked for, a part that is unknown and above this says that the reading is.
-const UNKNOWN_ABOVE: f64 = 0.25;
 
 /// One reading of a class by those who measured the day, and by the owners' accounts.
 #[derive(Debug, Clone, PartialEq)]
@@ -220,8 +218,12 @@
 }
 
 impl Agreement {
+    /// Does what was measured lie where the accounts say that the reading can lie, given the part
+    /// that they do not know?
     pub fn agrees(&self) -> bool {
-        self.unknown > UNKNOWN_ABOVE || self.accounts.is_some_and(|a| (a - self.measured).abs() <= AGREES_WITHIN)
+        let known = self.accounts.unwrap_or(0.0) * (1.0 - self.unknown);
+        let can_be = known - AGREES_WITHIN..=known + self.unknown + AGREES_WITHIN;
+        (self.accounts.is_some() || self.unknown > 0.0) && can_be.contains(&self.measured)
     }
 }
 
--- a/crates/accounts/tests/handed.rs
+++ b/crates/accounts/tests/handed.rs
@@ -27,6 +27,8 @@
         service: class == "desk",
         tasks: 4,
         from,
+        waits_from: 0.0,
+        may_have_waited_s: 0.0,
         submitted: from,
         deadline_s: None,
         may_have_started: false,
--- a/crates/scheduler/src/shard/service.rs
+++ b/crates/scheduler/src/shard/service.rs
@@ -6,12 +6,13 @@
 use crate::fleet::Phase as MachinePhase;
 use crate::intern::{Index, JobIx, TeamIx};
 use crate::jobs::{Job, Phase, Slot};
+use lupinspur_accounts::book::AccountIx;
 use lupinspur_accounts::book::{End, Entry, Tasks};
-use lupinspur_accounts::floor::Sunk;
+use lupinspur_accounts::floor::{Ahead, Sunk, ahead};
 use lupinspur_accounts::handed::{Carried, Part, newest};
 use lupinspur_accounts::{Alarm, Side, Told};
 use serde::Deserialize;
-use std::collections::VecDeque;
+use std::collections::{HashMap, VecDeque};
 
 /// What is due is counted, and who has sunk is looked at, this often.
 const LOOK_EVERY_S: f64 = 1.0;
@@ -22,6 +23,11 @@
 /// A worker tells of a start no later than this.
 const REPORTED_WITHIN_S: f64 = 0.5;
 const MOST_PRESSURE: f64 = 6.0;
+/// What waits would fill the machines so many times over: not all of it will be in time.
+const PRESSED: f64 = 1.2;
+/// Of the time that a job has, one in so many parts is over before it is foreseen what becomes
+/// of it.
+const WAITED_PART: u64 = 4;
 
 /// Where the accounts stand for the next owner: two places, in turn.
 pub const ACCOUNTS_PREFIX: &str = "ckpt/a/";
@@ -33,12 +39,51 @@
     format!("{ACCOUNTS_PREFIX}{place}/{n}")
 }
 
+/// Of a type's usual time to boot, so much is enough for most machines.
+const BOOTS_WITHIN: f64 = 1.5;
+
+/// A pause in which nothing was accepted, so many times the usual and so many seconds at least,
+/// is one in which nobody could be reached: whoever is accepted in the seconds after it may have
+/// asked all the while.
+const PAUSE_TIMES: f64 = 8.0;
+const PAUSE_S: f64 = 4.0;
+const AFTER_PAUSE_S: f64 = 6.0;
+/// So many acceptances tell what is usual.
+const USUAL_AFTER: u32 = 10;
+
+/// When jobs were accepted, to tell pauses. Times are seconds of the day.
+#[derive(Debug, Default)]
+struct Arrivals {
+    seen: u32,
+    last: f64,
+    usual_s: f64,
+    pause_s: f64,
+    doubted_until: f64,
+}
+
+impl Arrivals {
+    /// How long before its acceptance this job's user may have asked first, in seconds. Jobs
+    /// come in the order of their acceptance, more or less.
+    fn take(&mut self, at: f64) -> f64 {
+        let gap = (at - self.last).max(0.0);
+        if self.seen >= USUAL_AFTER && gap > PAUSE_S.max(PAUSE_TIMES * self.usual_s) {
+            (self.pause_s, self.doubted_until) = (gap, at + AFTER_PAUSE_S);
+        } else if self.seen > 0 {
+            let part = 1.0 / f64::from(self.seen.min(50));
+            self.usual_s += (gap - self.usual_s) * part;
+        }
+        (self.seen, self.last) = (self.seen.saturating_add(1), self.last.max(at));
+        if at <= self.doubted_until && at >= self.doubted_until - AFTER_PAUSE_S { self.pause_s } else { 0.0 }
+    }
+}
+
 /// What stands between the shard and its accounts.
 #[derive(Debug, Default)]
 pub(super) struct Glue {
     /// Jobs whose time begins or that are over, not entered yet.
     due: Vec<JobIx>,
     looked_at: f64,
+    arrivals: Arrivals,
     /// The first owner of these accounts.
     chain: u64,
     round: u64,
@@ -156,6 +201,7 @@
 
     fn enter_account(&mut self, j: JobIx, now: f64) {
         let t = self.account_now(now);
+        let may_have_waited_s = self.accounts.arrivals.take(self.jobs.at(j).at_ms as f64 / 1000.0);
         let job = self.jobs.at(j);
         let spec = &job.spec;
         let (from, submitted) = (job.freed_ms as f64 / 1000.0, job.at_ms as f64 / 1000.0);
@@ -163,12 +209,17 @@
         // A machine that may hold it is named with it before its first start.
         let seen = job.shadowed_by > 0 || job.done > 0 || job.tasks.iter().any(|s| matches!(s, Slot::Held(_)));
         let late = self.sees_late_s(job, now);
+        // What a fresh cluster's first jobs could start on has to be rented first.
+        let boots = self.types.list.iter().map(|t| t.boot_s).fold(0.0, f64::max) * BOOTS_WITHIN;
+        let waits_from = if self.fresh { began + boots + self.report_s } else { 0.0 };
         let entry = Entry {
             class: &spec.class,
             team: &spec.team,
             service: job.is_service(),
             tasks: spec.tasks.min(self.most_at_once(job)).max(1),
             from: from + late,
+            waits_from,
+            may_have_waited_s,
             submitted: submitted + late,
             deadline_s: spec.deadline_s,
             may_have_started: submitted < began && seen,
@@ -216,7 +267,9 @@
 
     /// Enters what is due, and looks now and then at who has sunk.
     pub(super) fn keep_accounts(&mut self, now: f64) {
-        for j in std::mem::take(&mut self.accounts.due) {
+        let mut due = std::mem::take(&mut self.accounts.due);
+        due.sort_by_key(|j| self.jobs.at(*j).at_ms);
+        for j in due {
             if self.jobs.at(j).ticket.is_none() {
                 self.enter_account(j, now);
             }
@@ -231,7 +284,37 @@
             self.account_held(since, t);
         }
         self.book.advance(t);
-        self.sunk = Sunk::look(&self.book, t);
+        self.sunk = Sunk::look(&self.book, &self.ahead(t), t);
+    }
+
+    /// What becomes of the arrays that are open and in time, by class and team, where more waits
+    /// than the machines can take.
+    fn ahead(&self, t: f64) -> HashMap<AccountIx, Ahead> {
+        if self.pressure() <= PRESSED {
+            return HashMap::new();
+        }
+        let now_ms = (t * 1000.0) as u64;
+        let mut open: HashMap<AccountIx, (Vec<(f64, f64)>, f64)> = HashMap::new();
+        for &j in &self.jobs.live {
+            let job = self.jobs.at(j);
+            let (Some(accounts), false, true) = (job.accounts, job.is_service(), job.open()) else { continue };
+            let held = f64::from(job.held) * job.spec.cpus;
+            for a in accounts {
+                open.entry(a).or_default().1 += held;
+            }
+            let Some(until) = job.serves_until.filter(|u| *u > now_ms) else { continue };
+            // It has only just come: nobody knows yet how soon it will have its turn.
+            let window = until.saturating_sub(job.freed_ms);
+            if now_ms < job.freed_ms + window / WAITED_PART {
+                continue;
+            }
+            let tasks = f64::from(job.unfinished()) - f64::from(job.held) / 2.0;
+            let work = tasks * job.spec.estimate_s * job.spec.cpus;
+            for a in accounts {
+                open.entry(a).or_default().0.push((work, (until - now_ms) as f64 / 1000.0));
+            }
+        }
+        open.into_iter().map(|(a, (jobs, cpus))| (a, ahead(jobs, cpus))).collect()
     }
 
     /// Of what each team asks for within its guarantee, what it holds.
@@ -311,3 +394,22 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against waits that nobody saw: users whose submissions reached nobody for half a
+    /// minute seemed to be served at once.
+    #[test]
+    fn who_is_accepted_after_a_pause_may_have_asked_all_the_while() {
+        let mut a = Arrivals::default();
+        assert!((0..40).all(|i| a.take(1000.0 + f64::from(i) * 0.5) == 0.0));
+        assert_eq!(a.take(1050.0), 30.5);
+        assert_eq!(a.take(1053.0), 30.5);
+        assert_eq!(a.take(1019.0), 0.0, "of an earlier moment, by another clock");
+        assert_eq!(a.take(1056.5), 0.0);
+        let mut seldom = Arrivals::default();
+        assert!((0..40).all(|i| seldom.take(f64::from(i) * 7.0) == 0.0), "a job now and then");
+    }
+}
