crates/cells: homes, membership, limits in escrow, spilling; decisions alone

Need: several owners in one deployment. What lies between them is decided without I/O: the plan of the operators' file with every fault by its path and a schema; a team's home by the highest draw (xxHash, as stored it must never change); the plan in force as the value of own/0, which a version without cells takes for another owner's claim; who claims which cell; a team's limit in escrow, from which only a cell itself gives; pictures; which waiting work goes where, twice at the most. Property: whatever is lost, late or ends, the cells never use more than a team's limit. Not wired yet.

--- /dev/null
+++ b/crates/cells/src/escrow.rs
@@ -0,0 +1,157 @@
+//! A team's limit, parted among the cells.
+//!
+//! One stored value holds what of each team's limit each cell may use. Only a cell itself gives:
+//! it lowers its own share and raises another's in one write, conditional on the value and on its
+//! claim, after it has stopped counting on what it gives. So in every stored state the shares sum
+//! to the limit, nobody has to be asked, and what a cell believes of itself is never more than
+//! what is stored: it learns late of what it was given, and never late of what it gave.
+
+use crate::{CellIx, EPS};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// Cpus and cards.
+#[derive(Debug, Clone, Copy, PartialEq, Default, Serialize, Deserialize)]
+pub struct Amount {
+    pub cpus: f64,
+    pub cards: f64,
+}
+
+impl Amount {
+    pub fn new(cpus: f64, cards: f64) -> Amount {
+        Amount { cpus, cards }
+    }
+
+    pub fn plus(self, o: Amount) -> Amount {
+        Amount::new(self.cpus + o.cpus, self.cards + o.cards)
+    }
+
+    pub fn less(self, o: Amount) -> Amount {
+        Amount::new((self.cpus - o.cpus).max(0.0), (self.cards - o.cards).max(0.0))
+    }
+
+    pub fn fits(self, o: Amount) -> bool {
+        self.cpus <= o.cpus + EPS && self.cards <= o.cards + EPS
+    }
+
+    fn least(self, o: Amount) -> Amount {
+        Amount::new(self.cpus.min(o.cpus), self.cards.min(o.cards))
+    }
+
+    fn is_none(self) -> bool {
+        self.cpus <= EPS && self.cards <= EPS
+    }
+}
+
+/// The shares of every limited team, by cell.
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+pub struct Ledger {
+    pub teams: BTreeMap<String, Vec<Amount>>,
+}
+
+/// One cell gives another a part of its share of a team's limit.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Gift {
+    pub team: String,
+    pub from: CellIx,
+    pub to: CellIx,
+    pub amount: Amount,
+}
+
+/// What a cell uses of a team's limit, what it may yet use without a further word, and what it
+/// wants altogether.
+#[derive(Debug, Clone, Copy, PartialEq, Default, Serialize, Deserialize)]
+pub struct Use {
+    pub held: Amount,
+    pub wanted: Amount,
+}
+
+impl Ledger {
+    /// All of every limit is `cell`'s. Teams without a limit do not stand in the ledger.
+    pub fn begin(limits: &[(String, Amount)], cells: u32, cell: CellIx) -> Ledger {
+        let shares = |limit: Amount| {
+            let mut all = vec![Amount::default(); cells as usize];
+            if let Some(s) = all.get_mut(cell.ix()) {
+                *s = limit;
+            }
+            all
+        };
+        Ledger { teams: limits.iter().map(|(t, l)| (t.clone(), shares(*l))).collect() }
+    }
+
+    pub fn share(&self, team: &str, cell: CellIx) -> Option<Amount> {
+        Some(self.teams.get(team)?.get(cell.ix()).copied().unwrap_or_default())
+    }
+
+    /// Do the shares of each team sum to no more than its limit?
+    pub fn within(&self, limits: &[(String, Amount)]) -> bool {
+        limits.iter().all(|(t, l)| {
+            let sum = self.teams.get(t).into_iter().flatten().fold(Amount::default(), |s, a| s.plus(*a));
+            sum.fits(Amount::new(l.cpus * (1.0 + EPS), l.cards * (1.0 + EPS)))
+        })
+    }
+
+    /// The ledger after these gifts; none where somebody would give what is not theirs.
+    pub fn after(&self, gifts: &[Gift]) -> Option<Ledger> {
+        let mut next = self.clone();
+        for g in gifts {
+            let shares = next.teams.get_mut(&g.team)?;
+            let own = shares.get(g.from.ix()).copied().unwrap_or_default();
+            if g.from == g.to || !g.amount.fits(own) {
+                return None;
+            }
+            let most = g.from.ix().max(g.to.ix());
+            if shares.len() <= most {
+                shares.resize(most + 1, Amount::default());
+            }
+            shares[g.from.ix()] = own.less(g.amount);
+            shares[g.to.ix()] = shares[g.to.ix()].plus(g.amount);
+        }
+        Some(next)
+    }
+}
+
+/// What a cell keeps beyond what it uses and wants: a part of the limit, so that every new task
+/// does not need a gift.
+const KEPT_PART: f64 = 0.05;
+
+/// What `me` gives of one team: what it neither uses nor wants goes to those that want more than
+/// they have, in the proportion of what they lack; the rest to the team's home. `uses`: of every
+/// cell that told of itself lately, by cell; those without one get nothing.
+pub fn gifts(me: CellIx, team: &str, ledger: &Ledger, uses: &[Option<Use>], home: CellIx) -> Vec<Gift> {
+    let Some(shares) = ledger.teams.get(team) else { return Vec::new() };
+    let own = shares.get(me.ix()).copied().unwrap_or_default();
+    let Some(mine) = uses.get(me.ix()).copied().flatten() else { return Vec::new() };
+    let limit = shares.iter().fold(Amount::default(), |s, a| s.plus(*a));
+    let kept = Amount::new(limit.cpus * KEPT_PART, limit.cards * KEPT_PART);
+    let needs = Amount::new(mine.held.cpus.max(mine.wanted.cpus), mine.held.cards.max(mine.wanted.cards));
+    let lacks: Vec<(CellIx, Amount)> = uses
+        .iter()
+        .enumerate()
+        .filter(|(c, _)| *c != me.ix())
+        .filter_map(|(c, u)| Some((CellIx(c as u32), u.as_ref()?)))
+        .map(|(c, u)| (c, u.wanted.less(shares.get(c.ix()).copied().unwrap_or_default())))
+        .filter(|(_, l)| !l.is_none())
+        .collect();
+    let lacking = lacks.iter().fold(Amount::default(), |s, l| s.plus(l.1));
+    // Somebody waits: what is kept for later is given, too, except at home.
+    let spare = own.less(needs);
+    let spare = if lacks.is_empty() || me == home { spare.less(kept) } else { spare };
+    let given = spare.least(lacking);
+    let part = |l: f64, of: f64, all: f64| if of > EPS { all * l / of } else { 0.0 };
+    let mut out: Vec<Gift> = lacks
+        .iter()
+        .map(|(c, l)| Gift {
+            team: team.to_owned(),
+            from: me,
+            to: *c,
+            amount: Amount::new(part(l.cpus, lacking.cpus, given.cpus), part(l.cards, lacking.cards, given.cards)),
+        })
+        .collect();
+    let rest = own.less(needs).less(kept).less(given);
+    if me != home && lacks.is_empty() && rest.cpus + rest.cards > kept.cpus.max(kept.cards) {
+        out.push(Gift { team: team.to_owned(), from: me, to: home, amount: rest });
+    }
+    out.retain(|g| !g.amount.is_none());
+    out
+}
--- /dev/null
+++ b/crates/cells/src/lib.rs
@@ -0,0 +1,34 @@
+//! What lies between cells. A cell is a fenced owner with machines, home teams and a share of
+//! every limit; one deployment has one or several.
+//!
+//! Everything here decides and nothing waits: no sockets, no files, no clock.
+//!
+//! - [`plan`]: the operators' file, and which cell is a team's home
+//! - [`member`]: which controllers understand the plan, when it comes into force, who claims what
+//! - [`escrow`]: a team's limit, parted among the cells
+//! - [`picture`]: what each cell tells the others now and then
+//! - [`spill`]: which waiting work goes where
+
+pub mod escrow;
+pub mod member;
+pub mod picture;
+pub mod plan;
+pub mod spill;
+
+pub use plan::{Fault, Plan};
+
+use serde::{Deserialize, Serialize};
+
+/// A cell's number, from 0. Cell 0 is the one that there always is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Default, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct CellIx(pub u32);
+
+impl CellIx {
+    pub fn ix(self) -> usize {
+        self.0 as usize
+    }
+}
+
+/// Room for what is rounded.
+pub(crate) const EPS: f64 = 1e-6;
--- /dev/null
+++ b/crates/cells/src/member.rs
@@ -0,0 +1,60 @@
+//! Which controllers understand the plan, when it comes into force, and who claims which cell.
+//!
+//! A version that knows nothing of cells claims `own/0` when nobody holds it, and would then start
+//! what other cells own. So the plan in force *is* the value of `own/0`: a claim of nobody, on no
+//! lease. Such a version takes it for another owner's: it never claims, sends machines on to a
+//! controller that does not exist, so that they ask the next one, and answers questions for jobs by
+//! their records, which stand where they always stood.
+
+use crate::{CellIx, Plan};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeSet;
+
+/// The name that stands in the plan's claim in a controller's place.
+pub const NOBODY: &str = "(cells)";
+
+/// The plan in force, as it stands in `own/0`. The first two fields are those of a claim.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct InForce {
+    node: String,
+    nonce: String,
+    pub cells: Plan,
+}
+
+impl InForce {
+    pub fn new(plan: Plan) -> InForce {
+        InForce { node: NOBODY.into(), nonce: "plan".into(), cells: plan }
+    }
+}
+
+/// What a controller says of itself while it lives, under a key on its lease.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Presence {
+    pub node: String,
+    /// The plan of its file, if it has one.
+    pub plan: Option<Plan>,
+}
+
+/// May the plan of this controller come into force? Only when all controllers of the settings
+/// live, understand cells, and have the same plan.
+pub fn comes_into_force(mine: &Plan, nodes: &[&str], present: &[Presence]) -> bool {
+    let agrees = |n: &&str| present.iter().any(|p| p.node == **n && p.plan.as_ref() == Some(mine));
+    mine.cells > 1 && nodes.iter().all(agrees)
+}
+
+/// Seconds that a controller waits before it claims a cell that has no owner. `nodes`: all
+/// controllers of the settings, in any order; `owned`: how many cells it owns. The preferred one
+/// goes at once; one that owns others already comes after those that own none.
+pub fn claims_after_s(me: &str, nodes: &[&str], cell: CellIx, owned: usize) -> f64 {
+    let mut all: Vec<&str> = nodes.iter().copied().collect::<BTreeSet<_>>().into_iter().collect();
+    // In turn, so that the cells of a deployment that begins are not all one controller's.
+    all.sort_unstable();
+    let first = cell.ix() % all.len().max(1);
+    let at = all.iter().position(|n| *n == me).unwrap_or(all.len());
+    let rank = (at + all.len() - first) % all.len().max(1);
+    rank as f64 * RANK_S + owned as f64 * OWNED_S
+}
+
+/// An owner that ends and is back in a moment retakes its own claim, which never goes through here.
+const RANK_S: f64 = 0.3;
+const OWNED_S: f64 = 1.5;
--- /dev/null
+++ b/crates/cells/src/spill.rs
@@ -0,0 +1,56 @@
+//! Which waiting work goes where. A cell gives its own work away; nobody takes any, so that
+//! what is offered to several is started by one.
+
+use crate::picture::Picture;
+use crate::{CellIx, Plan};
+
+/// A job goes to another cell so often at the most; then it is started where it is.
+pub const MOST_MOVES: u8 = 2;
+/// In one look, work for no more than this part of the room that another cell tells: its picture
+/// may be seconds old.
+const PART_OF_ROOM: f64 = 0.5;
+const MOST_AT_ONCE: usize = 16;
+
+/// A job of this cell that waits and was never started anywhere.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Waiting<J> {
+    pub job: J,
+    /// Of all its tasks together.
+    pub cpus: f64,
+    pub waited_s: f64,
+    pub moves: u8,
+}
+
+/// Where each of these jobs goes, the ones that have waited longest first. `pictures`: of the
+/// others, fresh ones only; `mine`: this cell's own.
+pub fn spills<J: Clone>(
+    plan: &Plan,
+    mine: &Picture,
+    pictures: &[Picture],
+    waiting: &[Waiting<J>],
+    boot_s: f64,
+) -> Vec<(J, CellIx)> {
+    let mut room: Vec<(CellIx, f64, &Picture)> = pictures
+        .iter()
+        // Who is short himself takes nothing.
+        .filter(|p| p.cell != mine.cell && p.room > p.waits)
+        .map(|p| (p.cell, (p.room - p.waits) * PART_OF_ROOM, p))
+        .collect();
+    let mut due: Vec<&Waiting<J>> =
+        waiting.iter().filter(|w| w.waited_s >= plan.spill_after_s && w.moves < MOST_MOVES).collect();
+    due.sort_by(|a, b| b.waited_s.total_cmp(&a.waited_s));
+    let mut out = Vec::new();
+    for w in due {
+        if out.len() >= MOST_AT_ONCE {
+            break;
+        }
+        let here_s = mine.expected_start_s(w.cpus, boot_s);
+        let best = room.iter_mut().filter(|r| r.1 >= w.cpus).max_by(|a, b| a.1.total_cmp(&b.1));
+        let Some((cell, left, p)) = best else { continue };
+        if p.expected_start_s(w.cpus, boot_s) + plan.spill_gain_s <= here_s {
+            *left -= w.cpus;
+            out.push((w.job.clone(), *cell));
+        }
+    }
+    out
+}
--- /dev/null
+++ b/crates/cells/tests/cells.rs
@@ -0,0 +1,242 @@
+//! Small stories of what lies between cells, and properties over random ones.
+
+use lupinspur_cells::escrow::{Amount, Gift, Ledger, Use, gifts};
+use lupinspur_cells::member::{InForce, NOBODY, Presence, claims_after_s, comes_into_force};
+use lupinspur_cells::picture::Picture;
+use lupinspur_cells::spill::{MOST_MOVES, Waiting, spills};
+use lupinspur_cells::{CellIx, Plan};
+use proptest::prelude::*;
+use std::collections::BTreeSet;
+
+fn teams() -> Vec<String> {
+    (0..40).map(|i| format!("team-{i:02}")).collect()
+}
+
+#[test]
+fn every_fault_of_a_plan_is_told_by_its_path() {
+    let good = Plan::parse("cells = 3\n[[team]]\nname = \"team-01\"\ncell = 2\n", &teams()).expect("a plan");
+    assert_eq!((good.home("team-01"), good.picture_s), (CellIx(2), 2.0));
+    let text = "cells = 99\nspill_after_s = 0.0\n[[team]]\nname = \"nobody\"\ncell = 99\n[[team]]\nname = \"nobody\"\ncell = 1\n";
+    let faults = Plan::parse(text, &teams()).expect_err("faults");
+    let paths: Vec<&str> = faults.iter().map(|f| f.path.as_str()).collect();
+    assert_eq!(paths, ["cells", "spill_after_s", "team[0].cell", "team[0].name", "team[1].name", "team[1].name"]);
+    assert_eq!(Plan::parse("cells = 2\nrooms = 1\n", &teams()).expect_err("a fault")[0].path, "line 2");
+    let schema = serde_json::to_string_pretty(&schemars::schema_for!(Plan)).expect("JSON") + "\n";
+    let file = concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy/cells.schema.json");
+    if std::env::var_os("UPDATE_SCHEMA").is_some() {
+        std::fs::write(file, &schema).expect("written");
+    }
+    assert_eq!(std::fs::read_to_string(file).expect("the schema"), schema, "deploy/cells.schema.json is old");
+    let example = include_str!("../../../deploy/cells.toml");
+    assert!(Plan::parse(example, &["foglalas".into(), "beutalo".into()]).is_ok(), "the example is a plan");
+}
+
+/// One cell more moves no team but those that go to it.
+#[test]
+fn a_team_s_home_is_the_same_everywhere_and_moves_seldom() {
+    let (three, four) = (Plan::of(3), Plan::of(4));
+    let used: BTreeSet<CellIx> = teams().iter().map(|t| three.home(t)).collect();
+    assert_eq!(used.len(), 3);
+    let moved: Vec<String> = teams().into_iter().filter(|t| three.home(t) != four.home(t)).collect();
+    assert!(!moved.is_empty() && moved.len() < 20 && moved.iter().all(|t| four.home(t) == CellIx(3)), "{moved:?}");
+    // The draw decides who owns what is stored: it must never change.
+    let first: Vec<u32> = teams().iter().take(8).map(|t| three.home(t).0).collect();
+    assert_eq!(first, [1, 0, 1, 0, 0, 1, 0, 1]);
+}
+
+/// The value of `own/0` while cells are in force, read by a version that knows of none: a claim
+/// of somebody else, which it must not take over.
+#[test]
+fn a_version_without_cells_sees_another_owner() {
+    #[derive(serde::Deserialize)]
+    struct Before {
+        node: String,
+        nonce: String,
+    }
+    let text = serde_json::to_string(&InForce::new(Plan::of(3))).expect("JSON");
+    let seen: Before = serde_json::from_str(&text).expect("a claim");
+    assert_eq!((seen.node.as_str(), seen.nonce.as_str()), (NOBODY, "plan"));
+    assert_eq!(serde_json::from_str::<InForce>(&text).expect("the plan").cells, Plan::of(3));
+    assert!(serde_json::from_str::<InForce>(r#"{"node":"sprig-1","nonce":"77"}"#).is_err(), "a claim is no plan");
+}
+
+#[test]
+fn a_plan_comes_into_force_when_all_understand_it() {
+    let says = |node: &str, plan: Option<Plan>| Presence { node: node.into(), plan };
+    let mine = Plan::of(3);
+    let all = [says("a", Some(Plan::of(3))), says("b", Some(Plan::of(3))), says("c", Some(Plan::of(3)))];
+    assert!(comes_into_force(&mine, &["a", "b", "c"], &all));
+    assert!(!comes_into_force(&mine, &["a", "b", "c", "d"], &all), "one is missing, or of a version before");
+    assert!(!comes_into_force(&mine, &["a", "b", "c"], &[all[0].clone(), all[1].clone(), says("c", None)]));
+    assert!(!comes_into_force(
+        &mine,
+        &["a", "b", "c"],
+        &[all[0].clone(), all[1].clone(), says("c", Some(Plan::of(2)))]
+    ));
+    assert!(!comes_into_force(&Plan::of(1), &["a"], &[says("a", Some(Plan::of(1)))]), "one cell is no cells");
+}
+
+/// Cells' claims are spread over the controllers; who has one already lets others go first, and
+/// one that lives alone claims all in the end.
+#[test]
+fn cells_are_claimed_by_different_controllers() {
+    let nodes = ["n0", "n1", "n2", "n3", "n4"];
+    for cell in 0..7 {
+        let at_once: Vec<&str> =
+            nodes.iter().filter(|n| claims_after_s(n, &nodes, CellIx(cell), 0) == 0.0).copied().collect();
+        assert_eq!(at_once, [nodes[cell as usize % 5]]);
+    }
+    assert!(claims_after_s("n1", &nodes, CellIx(1), 1) > claims_after_s("n0", &nodes, CellIx(1), 0));
+    assert!(claims_after_s("n4", &nodes, CellIx(3), 6) < 15.0);
+}
+
+fn cpus(c: f64) -> Amount {
+    Amount::new(c, 0.0)
+}
+
+fn usage(held: f64, wanted: f64) -> Option<Use> {
+    Some(Use { held: cpus(held), wanted: cpus(wanted) })
+}
+
+/// What nobody uses follows demand: to the cell that waits, as far as it lacks, and home again.
+#[test]
+fn shares_follow_demand_and_go_home() {
+    let limits = vec![("red".to_owned(), cpus(100.0))];
+    let l = Ledger::begin(&limits, 3, CellIx(0));
+    let home = CellIx(1);
+    let given = gifts(CellIx(0), "red", &l, &[usage(10.0, 20.0), usage(0.0, 60.0), None], home);
+    assert_eq!(given, [Gift { team: "red".into(), from: CellIx(0), to: CellIx(1), amount: cpus(60.0) }]);
+    let l = l.after(&given).expect("its own");
+    assert_eq!((l.share("red", CellIx(0)), l.share("red", CellIx(1))), (Some(cpus(40.0)), Some(cpus(60.0))));
+    assert!(l.within(&limits));
+    // What is held is never given, whoever waits.
+    let given = gifts(CellIx(0), "red", &l, &[usage(38.0, 0.0), usage(60.0, 100.0), None], home);
+    assert_eq!(given[0].amount, cpus(2.0));
+    // Nobody waits: all but a little goes home.
+    let given = gifts(CellIx(0), "red", &l, &[usage(0.0, 0.0), usage(10.0, 10.0), None], home);
+    assert_eq!(given, [Gift { team: "red".into(), from: CellIx(0), to: home, amount: cpus(35.0) }]);
+    // Who told nothing of himself gives and gets nothing; home keeps a little of its own.
+    assert!(gifts(CellIx(2), "red", &l, &[None, usage(0.0, 90.0), None], home).is_empty());
+    let given = gifts(home, "red", &l, &[usage(40.0, 500.0), usage(0.0, 0.0), None], home);
+    assert_eq!(given[0].amount, cpus(55.0));
+    assert_eq!(l.after(&[Gift { amount: cpus(61.0), ..given[0].clone() }]), None, "more than it has");
+}
+
+fn picture(cell: u32, room: f64, waits: f64) -> Picture {
+    Picture { cell: CellIx(cell), room, waits, held: 100.0, longest_s: 30.0, ..Picture::default() }
+}
+
+#[test]
+fn what_waits_goes_where_it_starts_sooner_and_not_round_and_round() {
+    let plan = Plan::of(3);
+    let w = |job: &'static str, cpus: f64, waited_s: f64, moves: u8| Waiting { job, cpus, waited_s, moves };
+    let mine = picture(0, 5.0, 400.0);
+    let others = [picture(1, 100.0, 20.0), picture(2, 30.0, 0.0)];
+    let waiting =
+        [w("new", 10.0, 1.0, 0), w("long", 10.0, 20.0, 0), w("big", 39.0, 10.0, 0), w("moved", 1.0, 99.0, MOST_MOVES)];
+    let out = spills(&plan, &mine, &others, &waiting, 15.0);
+    assert_eq!(out, [("long", CellIx(1))], "half of the room that another tells, and the longest first");
+    let out = spills(&plan, &mine, &others, &waiting[2..3], 15.0);
+    assert_eq!(out, [("big", CellIx(1))]);
+    // Where it would start at once, or no sooner elsewhere, it stays.
+    assert!(spills(&plan, &picture(0, 500.0, 400.0), &others, &waiting, 15.0).is_empty());
+    assert!(spills(&plan, &mine, &[picture(1, 50.0, 60.0)], &waiting, 15.0).is_empty(), "who is short takes nothing");
+    let moved = Picture { boots: 900.0, ..mine.clone() };
+    assert!(spills(&plan, &moved, &others, &waiting, 5.0).is_empty(), "machines of its own are there sooner");
+}
+
+/// A cell as the property knows it.
+#[derive(Debug, Clone, Default)]
+struct Cell {
+    /// What it believes that it may use: never more than what is stored is its own.
+    believes: f64,
+    used: f64,
+    wanted: f64,
+    /// A write that was sent: the version it is conditional on, what it would store, what is given.
+    sent: Option<(u64, Ledger, f64)>,
+}
+
+#[derive(Debug, Clone)]
+enum Step {
+    Want(usize, f64),
+    /// Uses as much as it wants and may.
+    Start(usize),
+    End(usize, f64),
+    Look(usize),
+    Give(usize),
+    /// A write reaches the store; or is lost; or its answer is lost, and the cell asks later.
+    Applied(usize),
+    Lost(usize),
+    /// The owner ends; its successor reads what is stored, and what runs goes on.
+    Ends(usize),
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let c = 0..4usize;
+    let one = prop_oneof![
+        3 => (c.clone(), 0.0..150.0).prop_map(|(c, w)| Step::Want(c, w)),
+        3 => c.clone().prop_map(Step::Start),
+        2 => (c.clone(), 0.0..1.0).prop_map(|(c, p)| Step::End(c, p)),
+        3 => c.clone().prop_map(Step::Look),
+        4 => c.clone().prop_map(Step::Give),
+        3 => c.clone().prop_map(Step::Applied),
+        1 => c.clone().prop_map(Step::Lost),
+        1 => c.prop_map(Step::Ends),
+    ];
+    proptest::collection::vec(one, 1..200)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 400, rng_seed: proptest::test_runner::RngSeed::Fixed(5), ..ProptestConfig::default() })]
+
+    /// Whatever is lost, late or ends: the cells together never use more than the team's limit.
+    /// A late write is one that reaches the store after its cell has ended: it finds another claim.
+    #[test]
+    fn a_limit_holds_over_all_cells(steps in steps()) {
+        const LIMIT: f64 = 100.0;
+        let limits = vec![("red".to_owned(), cpus(LIMIT))];
+        let (mut store, mut version) = (Ledger::begin(&limits, 4, CellIx(0)), 1u64);
+        let mut cells = vec![Cell::default(); 4];
+        cells[0].believes = LIMIT;
+        let share = |l: &Ledger, c: usize| l.share("red", CellIx(c as u32)).unwrap_or_default().cpus;
+        for s in steps {
+            match s {
+                Step::Want(c, w) => cells[c].wanted = w,
+                Step::Start(c) => {
+                    let me = &mut cells[c];
+                    me.used = me.used.max(me.wanted.min(me.believes));
+                }
+                Step::End(c, part) => cells[c].used *= part,
+                Step::Look(c) => if cells[c].sent.is_none() { cells[c].believes = share(&store, c) },
+                Step::Give(c) => if cells[c].sent.is_none() {
+                    let uses: Vec<Option<Use>> = cells.iter().map(|x| usage(x.used, x.wanted)).collect();
+                    let given = gifts(CellIx(c as u32), "red", &store, &uses, CellIx(1));
+                    let sum: f64 = given.iter().map(|g| g.amount.cpus).sum();
+                    if sum > 0.0 {
+                        let next = store.after(&given).expect("its own");
+                        // It stops counting on it before the write is sent.
+                        let left = share(&next, c);
+                        prop_assert!(cells[c].used <= left + 1e-3);
+                        cells[c].believes = left;
+                        cells[c].sent = Some((version, next, sum));
+                    }
+                }
+                Step::Applied(c) => if let Some((v, next, _)) = cells[c].sent.take() {
+                    if v == version { (store, version) = (next, version + 1); }
+                    cells[c].believes = share(&store, c);
+                },
+                Step::Lost(c) => if cells[c].sent.take().is_some() { cells[c].believes = share(&store, c) },
+                Step::Ends(c) => {
+                    cells[c].sent = None;
+                    cells[c].believes = share(&store, c);
+                }
+            }
+            prop_assert!(store.within(&limits));
+            let used: f64 = cells.iter().map(|c| c.used).sum();
+            prop_assert!(used <= LIMIT + 1e-3, "{used}");
+            for (c, cell) in cells.iter().enumerate() {
+                prop_assert!(cell.used <= share(&store, c) + 1e-3);
+            }
+        }
+    }
+}
