--- a/crates/accounts/src/gate.rs
+++ b/crates/accounts/src/gate.rs
@@ -107,6 +107,9 @@
     name: String,
     #[serde(default)]
     aims: Vec<(String, f64)>,
+    /// Each class and team, its part of the work, and what of it was served, where that was measured.
+    #[serde(default)]
+    served: Vec<(String, f64, f64)>,
 }
 
 #[derive(Deserialize)]
@@ -165,6 +168,9 @@
             }
         }
         out.day(&from, all);
+        for (name, _, share) in &d.served {
+            out.take(&from, format!("served {name}"), *share);
+        }
     }
     some(source, out)
 }
--- a/crates/accounts/tests/gate.rs
+++ b/crates/accounts/tests/gate.rs
@@ -27,6 +27,10 @@
     let e = serde_json::from_str(include_str!("gate/bad-entry.json")).expect("an entry");
     let j = gate::entry("journal", &e).expect("readings");
     assert_eq!((j.readings, lines(&j)), (3, vec!["journal: by-hand rough: wait match 80 s: 0.410".to_owned()]));
+    // What was measured of each class and team as a whole is judged, too.
+    let text = r#"{"site":"s","days":[{"name":"d","served":[["match",0.7,0.9],["team red",0.3,0.49]]}]}"#;
+    let j = gate::entry("journal", &serde_json::from_str(text).expect("an entry")).expect("readings");
+    assert_eq!((j.readings, lines(&j)), (2, vec!["journal: s d: served team red: 0.490".to_owned()]));
 }
 
 /// The owner's own accounts, as they stand in its log.
