--- a/src/node/takeover.rs
+++ b/src/node/takeover.rs
@@ -106,7 +106,6 @@
                 shard.carry_accounts(handed, now);
                 shard.tick(now);
                 *lock(&self.shard) = Some(shard);
-                self.share_out();
                 self.wake();
                 EX.spawn(self.clone().watch_jobs(token, revision)).detach();
             }
