--- a/src/node/between.rs
+++ b/src/node/between.rs
@@ -28,8 +28,8 @@
         let present = Presence { node: self.settings.node.clone(), plan: Some(plan.clone()) };
         let Ok(value) = serde_json::to_value(&present) else { return };
         let mut lease = None;
+        // At once, and before submissions: a deployment that begins is parted before its first flood.
         while lock(&self.in_force).is_none() {
-            Timer::after(OFFER_EVERY).await;
             let renewed = match lease {
                 Some(l) => self.state.renew(l, Duration::from_secs(1)).await.is_ok(),
                 None => false,
@@ -38,27 +38,28 @@
                 lease = self.state.grant(PRESENT_MS).await.ok();
                 let key = format!("{PRESENT_PREFIX}{}", self.settings.node);
                 let change = Change::Put { key, value: value.clone(), lease };
-                if lease.is_some() && self.state.commit(vec![], vec![change], Turn::InTurn).await.is_err() {
+                if lease.is_some() && self.state.commit(vec![], vec![change], Turn::First).await.is_err() {
                     lease = None;
                 }
             }
             if self.owns_some(clock::now()) {
                 self.bring_into_force(&plan).await;
             }
+            Timer::after(OFFER_EVERY).await;
         }
     }
 
     /// The owner of the one cell that there is puts the plan in its claim's place, once everybody
     /// understands it.
     async fn bring_into_force(self: &Arc<Self>, plan: &lupinspur_cells::Plan) {
-        let Ok((items, _)) = self.state.list(PRESENT_PREFIX, Turn::InTurn).await else { return };
+        let Ok((items, _)) = self.state.list(PRESENT_PREFIX, Turn::First).await else { return };
         let present: Vec<Presence> = parse_items(items).map(|(_, p, _)| p).collect();
         let nodes: Vec<&str> =
             self.settings.peers.iter().map(|p| p.node.as_str()).chain([self.settings.node.as_str()]).collect();
         if !comes_into_force(plan, &nodes, &present) {
             return;
         }
-        let Ok(before) = self.state.get(LEDGER_KEY, Turn::InTurn).await else { return };
+        let Ok(before) = self.state.get(LEDGER_KEY, Turn::First).await else { return };
         let cells = self.cells();
         let Some(cell) = cells.first().filter(|_| cells.len() == 1) else { return };
         let now = clock::now();
