A job that went to another cell leaves the checkpoint with its next owner

A successor took the checkpoint over as it was: a job that had gone to another cell since stood in it as open for ever, and once the checkpoint's revision had passed its move the owner after that started it again. Change: the successor's writer is told of what has gone.

--- a/crates/scheduler/src/shard/recovery.rs
+++ b/crates/scheduler/src/shard/recovery.rs
@@ -32,6 +32,8 @@
     pub keys: Vec<(String, u64)>,
     /// A revision up to which all changes of jobs were taken in.
     pub revision: u64,
+    /// Jobs that the checkpoint may call open, and that have become another cell's since.
+    pub gone: Vec<String>,
     /// Some record could not be read or taken in: a checkpoint would leave it out.
     pub incomplete: bool,
 }
@@ -60,6 +62,10 @@
             swept_at: now,
             ..Glue::default()
         };
+        // Whoever goes on with a checkpoint has to know all that is not open any more: one that had
+        // gone to another cell once stood in it for ever, and was started here again by the second
+        // owner after, long after it was done there.
+        found.gone.iter().for_each(|id| g.writer.ended(id));
         g.known.watched(found.revision);
         g
     }
--- a/src/node/takeover.rs
+++ b/src/node/takeover.rs
@@ -17,7 +17,12 @@
     fn take(&mut self, cell: &Cell, key: &str, value: &serde_json::Value, version: u64, keep_over: bool) {
         match job_of(key, value) {
             // Another cell's, or another's by now.
-            Ok(r) if !cell.concerns(&r) => _ = self.jobs.remove(&r.job.id),
+            Ok(r) if !cell.concerns(&r) => {
+                self.jobs.remove(&r.job.id);
+                if keep_over {
+                    self.found.gone.push(r.job.id);
+                }
+            }
             Ok(r) if r.phase == Phase::Open || keep_over => {
                 self.jobs.insert(r.job.id.clone(), (r, version));
             }
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -344,7 +344,12 @@
                     head: self.readable("quota/head").pop().map(|(_, h, v)| (h, v)),
                     parts,
                 });
-                let (jobs, checkpoint) = self.records();
+                let (mut jobs, mut checkpoint) = self.records();
+                // One that has become another cell's since the checkpoint.
+                if let Some(id) = word(args, "gone") {
+                    jobs.retain(|(r, _)| r.job.id != id);
+                    checkpoint.gone.push(id.into());
+                }
                 let loaded = Loaded {
                     jobs,
                     checkpoint,
