--- a/src/node/between.rs
+++ b/src/node/between.rs
@@ -154,6 +154,7 @@
                 Ok((items, revision)) => {
                     items.into_iter().for_each(|i| self.saw_between(i));
                     from = Some(revision);
+                    Timer::after(WATCH_PAUSE * 4).await;
                 }
                 Err(_) => {
                     from = None;
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -59,6 +59,8 @@
 const TYPES_EVERY_S: f64 = 20.0;
 const KEEP_TYPES_EVERY: Duration = Duration::from_secs(1);
 const LOOK_UP_EVERY: Duration = Duration::from_secs(1);
+/// Where there are several cells, what changes is read together.
+const WATCH_PAUSE: Duration = Duration::from_millis(150);
 const WATCH_WAIT: Duration = Duration::from_millis(1500);
 
 /// What files of the operators enable.
--- a/src/node/takeover.rs
+++ b/src/node/takeover.rs
@@ -175,6 +175,11 @@
                         }
                     }
                     self.caught_up(token, from);
+                    // Every owner watches, and each change ends all their watches: requests are for
+                    // all cells together.
+                    if self.cells().len() > 1 {
+                        Timer::after(WATCH_PAUSE).await;
+                    }
                 }
                 Err(StateError::TooOld) => {
                     log::warn!("changes of jobs were missed: reading every record");
