Said once: the controllers' names, how far a job's tasks are, what a left-out field stands for

Found on the last reading: the list of all controllers was made in two places of the cells, a job's counts were put together twice for the accounts, and two functions said which value a field that is left out has. No behaviour changes; all tests as they were.

--- a/crates/scheduler/src/jobs.rs
+++ b/crates/scheduler/src/jobs.rs
@@ -3,7 +3,7 @@
 use crate::intern::{ImageIx, Index, JobIx, MachineIx, Names, Pages, TeamIx, ZoneIx};
 use crate::wire::{JobRequest, JobState, Kind, Priority};
 use lupinspur_accounts::TicketIx;
-use lupinspur_accounts::book::AccountIx;
+use lupinspur_accounts::book::{AccountIx, Tasks};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
@@ -58,14 +58,10 @@
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub cell: Option<u32>,
     /// How often it has gone from one cell to another.
-    #[serde(default, skip_serializing_if = "none")]
+    #[serde(default, skip_serializing_if = "crate::ownership::none")]
     pub moves: u8,
 }
 
-fn none(n: &u8) -> bool {
-    *n == 0
-}
-
 impl JobRecord {
     pub fn accepted(job: JobRequest, at_ms: u64) -> JobRecord {
         JobRecord { job, at_ms, phase: Phase::Open, ended_ms: None, cell: None, moves: 0 }
@@ -181,6 +177,11 @@
         }
     }
 
+    /// How far its tasks are, as the accounts count them.
+    pub fn progress(&self) -> Tasks {
+        Tasks { begun: self.begun, running: self.running, done: self.done }
+    }
+
     /// Tasks that still want a machine or have one.
     pub fn unfinished(&self) -> u32 {
         self.spec.tasks - self.done.min(self.spec.tasks)
--- a/crates/scheduler/src/ownership.rs
+++ b/crates/scheduler/src/ownership.rs
@@ -24,7 +24,8 @@
     format!("{CLAIM_PREFIX}away/{node}")
 }
 
-fn none<T: Default + PartialEq>(v: &T) -> bool {
+/// Is this what a field that is left out stands for?
+pub(crate) fn none<T: Default + PartialEq>(v: &T) -> bool {
     *v == T::default()
 }
 
--- a/crates/scheduler/src/shard/service.rs
+++ b/crates/scheduler/src/shard/service.rs
@@ -7,7 +7,7 @@
 use crate::intern::{Index, JobIx, TeamIx};
 use crate::jobs::{Job, Phase, Slot};
 use lupinspur_accounts::book::AccountIx;
-use lupinspur_accounts::book::{End, Entry, Tasks};
+use lupinspur_accounts::book::{End, Entry};
 use lupinspur_accounts::floor::{Ahead, Sunk, ahead};
 use lupinspur_accounts::handed::{Carried, Part, newest};
 use lupinspur_accounts::{Alarm, Side, Told};
@@ -233,7 +233,7 @@
                 let terms = self.book.terms(&spec.class).filter(|_| !entry.service);
                 let until = terms.and_then(|p| p.latest(submitted, from, spec.deadline_s)).map(ms);
                 let useful = terms.and_then(|p| p.last(submitted, from, spec.deadline_s)).map(ms);
-                let tasks = Tasks { begun: job.begun, running: job.running, done: job.done };
+                let tasks = job.progress();
                 let ticket = self.book.enter(&entry, t);
                 self.book.runs(ticket, tasks, t);
                 let accounts = self.book.of(ticket);
@@ -252,7 +252,7 @@
         let t = self.account_now(now);
         let job = self.jobs.at(j);
         if let Some(ticket) = job.ticket {
-            self.book.runs(ticket, Tasks { begun: job.begun, running: job.running, done: job.done }, t);
+            self.book.runs(ticket, job.progress(), t);
         }
     }
 
--- a/src/node/between.rs
+++ b/src/node/between.rs
@@ -54,9 +54,7 @@
     async fn bring_into_force(self: &Arc<Self>, plan: &lupinspur_cells::Plan) {
         let Ok((items, _)) = self.state.list(PRESENT_PREFIX, Turn::First).await else { return };
         let present: Vec<Presence> = parse_items(items).map(|(_, p, _)| p).collect();
-        let nodes: Vec<&str> =
-            self.settings.peers.iter().map(|p| p.node.as_str()).chain([self.settings.node.as_str()]).collect();
-        if !comes_into_force(plan, &nodes, &present) {
+        if !comes_into_force(plan, &self.settings.nodes(), &present) {
             return;
         }
         let Ok(before) = self.state.get(LEDGER_KEY, Turn::First).await else { return };
--- a/src/node/claim.rs
+++ b/src/node/claim.rs
@@ -112,9 +112,7 @@
         if of < 2 {
             return 0.0;
         }
-        let nodes: Vec<&str> =
-            self.settings.peers.iter().map(|p| p.node.as_str()).chain([self.settings.node.as_str()]).collect();
-        claims_after_s(&self.settings.node, &nodes, self.ix, self.owned())
+        claims_after_s(&self.settings.node, &self.settings.nodes(), self.ix, self.owned())
     }
 
     /// Leaves the claim of an earlier self to the other controllers, and a word of it for later
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -121,6 +121,11 @@
         bytes - bytes / VALUE_SLACK
     }
 
+    /// The names of all controllers, this one's last.
+    pub fn nodes(&self) -> Vec<&str> {
+        self.peers.iter().map(|p| p.node.as_str()).chain([self.node.as_str()]).collect()
+    }
+
     /// What a shard needs to know.
     pub fn params(&self) -> Params {
         Params {
