--- a/crates/accounts/src/book.rs
+++ b/crates/accounts/src/book.rs
@@ -1,7 +1,7 @@
 //! The accounts, fed job by job.
 
 use crate::terms::Terms;
-use crate::window::{Share, Span, Sums};
+use crate::window::{Share, Span, Sums, TEN_MINUTES_S};
 use crate::{MOST_CLASSES, MOST_LEVELS, MOST_TEAMS, OTHERS, READINGS, Reading, Side};
 use hdrhistogram::Histogram;
 use std::cmp::Reverse;
@@ -78,6 +78,14 @@
         &self.sums[r as usize]
     }
 
+    /// What an earlier owner counted in all, and in ten minutes.
+    pub(crate) fn carried(&mut self, r: Reading, all: Share, unknown: u64, ten: Share, as_of: f64, now: f64) {
+        let sums = &mut self.sums[r as usize];
+        sums.add_at(as_of - TEN_MINUTES_S / 2.0, now, ten.asked, ten.served);
+        sums.total.add(all.asked - ten.asked, all.served - ten.served);
+        self.unknown[r as usize] += unknown;
+    }
+
     fn add(&mut self, r: Reading, now: f64, asked: f64, served: f64) {
         self.sums[r as usize].add(now, asked, served);
     }
@@ -138,7 +146,7 @@
     Cancelled,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Book {
     terms: HashMap<String, Terms>,
     pub accounts: Vec<Account>,
@@ -148,13 +156,46 @@
     generations: Vec<u32>,
     free: Vec<u32>,
     due: BinaryHeap<Reverse<(At, Due, u32, u32)>>,
+    /// What fell due before this an earlier owner has counted; what did between the two it may
+    /// have counted or not. Seconds of the day.
+    pub(crate) settled_before: f64,
+    pub(crate) lost_until: f64,
     /// Readings that were under a half at the last look, by account and window.
     pub(crate) low: HashSet<(usize, Reading, bool)>,
 }
 
+/// Who counts what fell due at some moment.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Whose {
+    Earlier,
+    Nobody,
+    Ours,
+}
+
 impl Book {
     pub fn new(terms: HashMap<String, Terms>) -> Book {
-        Book { terms, ..Book::default() }
+        Book {
+            terms,
+            accounts: Vec::new(),
+            by_name: Default::default(),
+            tickets: Vec::new(),
+            generations: Vec::new(),
+            free: Vec::new(),
+            due: BinaryHeap::new(),
+            settled_before: f64::NEG_INFINITY,
+            lost_until: f64::NEG_INFINITY,
+            low: HashSet::new(),
+        }
+    }
+
+    fn whose(&self, due: f64) -> Whose {
+        if due < self.settled_before {
+            Whose::Earlier
+        } else if due < self.lost_until {
+            Whose::Nobody
+        } else {
+            Whose::Ours
+        }
     }
 
     pub fn terms(&self, class: &str) -> Option<&Terms> {
@@ -216,9 +257,25 @@
         let wait = terms.wait_s.map(|w| e.from + w);
         let deadline = (!e.service).then(|| terms.latest(e.submitted, e.from, e.deadline_s)).flatten();
         let grace = terms.grace_s.or(terms.wait_s).unwrap_or(0.0);
-        if wait.is_some() && e.may_have_started {
+        // A start or an end that fell due under an earlier owner is in its accounts, or lost.
+        let start = wait.map(|due| self.whose(due));
+        let unknown = |w: Option<Whose>| w == Some(Whose::Nobody);
+        if start.is_some_and(|w| w != Whose::Earlier) && e.may_have_started || unknown(start) {
             self.cannot_tell(accounts, Reading::Started);
         }
+        let done = deadline.map(|due| self.whose(due));
+        if unknown(done) {
+            self.cannot_tell(accounts, Reading::Done);
+        }
+        let wait = wait.filter(|_| start == Some(Whose::Ours));
+        let deadline = deadline.filter(|_| done == Some(Whose::Ours));
+        let counts_from = e.from + grace;
+        if e.service && e.seen_from > counts_from {
+            let lost = (e.seen_from - counts_from.max(self.settled_before).max(0.0)).max(0.0);
+            for a in accounts {
+                self.accounts[a.ix()].unknown[Reading::Up as usize] += (lost * f64::from(e.tasks)) as u64;
+            }
+        }
         let n = self.free.pop().unwrap_or_else(|| {
             self.tickets.push(None);
             self.generations.push(0);
@@ -233,7 +290,7 @@
             done_due: deadline,
             running: 0,
             best: 0,
-            waited: e.may_have_started,
+            waited: e.may_have_started || start.is_some_and(|w| w != Whose::Ours),
             counted: false,
         });
         let generation = self.generations[n as usize];
@@ -244,7 +301,7 @@
         };
         due(wait.filter(|_| !e.may_have_started), Due::Start);
         due(deadline, Due::Done);
-        due(e.service.then_some((e.from + grace).max(e.seen_from)), Due::Count);
+        due(e.service.then_some(counts_from.max(e.seen_from)), Due::Count);
         TicketIx(n)
     }
 
@@ -316,14 +373,17 @@
     pub fn from_record(&mut self, e: &Entry, end: End, ended: Option<f64>, now: f64) {
         let accounts = self.of_job(e.class, e.team, now);
         let terms = self.terms.get(e.class).cloned().unwrap_or_default();
-        if terms.wait_s.is_some() && end == End::Done {
+        let start = terms.wait_s.map(|w| self.whose(e.from + w));
+        if start.is_some_and(|w| w != Whose::Earlier) && end == End::Done {
             self.cannot_tell(accounts, Reading::Started);
         }
         let latest = terms.latest(e.submitted, e.from, e.deadline_s);
         let (Some(latest), End::Done, false) = (latest, end, e.service) else { return };
-        match ended {
-            None => self.cannot_tell(accounts, Reading::Done),
-            Some(ended) => {
+        // It was counted when it ended, or when it fell due.
+        match ended.map(|ended| (ended, self.whose(ended.min(latest)))) {
+            Some((_, Whose::Earlier)) => {}
+            None | Some((_, Whose::Nobody)) => self.cannot_tell(accounts, Reading::Done),
+            Some((ended, Whose::Ours)) => {
                 for a in accounts {
                     let sums = &mut self.accounts[a.ix()].sums[Reading::Done as usize];
                     sums.add_at(ended.min(now), now, 1.0, f64::from(u8::from(ended <= latest)));
--- a/crates/accounts/src/gate.rs
+++ b/crates/accounts/src/gate.rs
@@ -169,12 +169,12 @@
     some(source, out)
 }
 
-/// The accounts of a day: of each owner the last that it logged, taken together. What an owner
-/// counted after that, and what ran before it was seen, is in nobody's accounts.
+/// The accounts of a day: the last that was logged, and with it the last of each chain of owners
+/// that was not handed over. What was lost between owners is unknown, and judged by nobody.
 pub fn accounts(source: &str, lines: &[Told]) -> Result<Judged, Nothing> {
     let mut out = Judged::default();
     let mut last: BTreeMap<u64, &Told> = BTreeMap::new();
-    last.extend(lines.iter().map(|t| (t.owner, t)));
+    last.extend(lines.iter().map(|t| (if t.chain > 0 { t.chain } else { t.owner }, t)));
     let mut rows: BTreeMap<(Side, &str, u8), Row> = BTreeMap::new();
     for r in last.values().flat_map(|t| &t.rows) {
         let Some(share) = r.share else { continue };
--- /dev/null
+++ b/crates/accounts/src/handed.rs
@@ -0,0 +1,136 @@
+//! What a book hands to the book of the next owner: the sums of every account, in values of a
+//! bounded size, written in rounds.
+//!
+//! A round is complete or it is nothing: its values name it, and how many there are. Rounds stand
+//! in two places in turn, so that one that was begun and never ended leaves the one before whole.
+//!
+//! The sums of the last ten minutes come along as one: who has sunk has sunk for the next owner
+//! as well. They fade in the middle of the ten minutes after.
+//!
+//! What the earlier book counted up to [`Carried::as_of`] is in the sums and must not be counted
+//! again; what it counted after that is lost, and told as unknown.
+
+use crate::book::Book;
+use crate::window::{Share, Span};
+use crate::{READINGS, Side};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+const FORM: u32 = 1;
+/// Room for what frames the lines of a value.
+const FRAME: usize = 120;
+
+/// One account: its readings, in their order.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Line(pub Side, pub String, pub Vec<Handed>);
+
+/// One reading: asked and served in all, the number unknown, asked and served in ten minutes.
+#[derive(Debug, Clone, Copy, PartialEq, Default, Serialize, Deserialize)]
+pub struct Handed(pub f64, pub f64, pub u64, pub f64, pub f64);
+
+/// One value of a round.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Part {
+    form: u32,
+    round: u64,
+    /// This value's number among those of its round, and how many those are.
+    n: u32,
+    of: u32,
+    /// Seconds of the day up to which everything was counted.
+    as_of: f64,
+    /// The first owner whose accounts these are.
+    chain: u64,
+    lines: Vec<Line>,
+}
+
+impl Part {
+    pub fn round(&self) -> u64 {
+        self.round
+    }
+}
+
+/// What a successor goes on with.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct Carried {
+    pub round: u64,
+    pub as_of: f64,
+    pub chain: u64,
+    pub lines: Vec<Line>,
+}
+
+/// To a tenth: what is added up are jobs and seconds.
+fn tenth(v: f64) -> f64 {
+    (v * 10.0).round() / 10.0
+}
+
+impl Book {
+    /// The values of one round, each no longer than `limit` bytes as JSON. An account whose own
+    /// line is longer than that is left out.
+    pub fn hand_over(&mut self, round: u64, chain: u64, limit: usize, now: f64) -> Vec<Part> {
+        self.advance(now);
+        let mut values: Vec<Vec<Line>> = vec![Vec::new()];
+        let mut room = limit.saturating_sub(FRAME);
+        for a in &self.accounts {
+            let of = |r| {
+                let (all, ten) = (a.sums(r).total, a.sums(r).over(Span::TenMinutes, now));
+                let unknown = a.unknown[r as usize];
+                Handed(tenth(all.asked), tenth(all.served), unknown, tenth(ten.asked), tenth(ten.served))
+            };
+            let mut sums: Vec<Handed> = READINGS.map(of).to_vec();
+            while sums.last().is_some_and(|s| *s == Handed::default()) {
+                sums.pop();
+            }
+            if sums.is_empty() {
+                continue;
+            }
+            let line = Line(a.side, a.name.clone(), sums);
+            // A name may need escapes; nothing in a line is longer than this.
+            let text = a.name.escape_default().count() + 24 + line.2.len() * 72;
+            if text > limit.saturating_sub(FRAME) {
+                continue;
+            }
+            if text > room {
+                values.push(Vec::new());
+                room = limit.saturating_sub(FRAME);
+            }
+            room -= text;
+            if let Some(v) = values.last_mut() {
+                v.push(line);
+            }
+        }
+        let of = values.len() as u32;
+        let part = |(n, lines)| Part { form: FORM, round, n, of, as_of: now, chain, lines };
+        (0..).zip(values).map(part).collect()
+    }
+
+    /// Goes on with an earlier owner's sums. `within_s`: how far the two owners' times of day may
+    /// lie apart; what fell due around the end of the earlier accounts is unknown.
+    pub fn carry(&mut self, c: &Carried, within_s: f64, now: f64) {
+        (self.settled_before, self.lost_until) = (c.as_of - within_s, c.as_of + within_s);
+        for Line(side, name, sums) in &c.lines {
+            let a = self.account(*side, name, now);
+            let account = &mut self.accounts[a.ix()];
+            for (r, &Handed(asked, served, unknown, ten_asked, ten_served)) in READINGS.into_iter().zip(sums) {
+                let ten = Share { asked: ten_asked, served: ten_served };
+                account.carried(r, Share { asked, served }, unknown, ten, c.as_of, now);
+            }
+        }
+    }
+}
+
+/// The newest complete round among these values. None where there is none that can be read.
+pub fn newest(parts: impl IntoIterator<Item = Part>) -> Option<Carried> {
+    let mut rounds: BTreeMap<u64, BTreeMap<u32, Part>> = BTreeMap::new();
+    for p in parts.into_iter().filter(|p| p.form == FORM) {
+        rounds.entry(p.round).or_default().insert(p.n, p);
+    }
+    for (round, parts) in rounds.into_iter().rev() {
+        let Some(first) = parts.get(&0).cloned() else { continue };
+        let whole = (0..first.of).all(|n| parts.get(&n).is_some_and(|p| p.of == first.of && p.chain == first.chain));
+        if whole {
+            let lines = parts.into_values().filter(|p| p.n < first.of).flat_map(|p| p.lines).collect();
+            return Some(Carried { round, as_of: first.as_of, chain: first.chain, lines });
+        }
+    }
+    None
+}
--- a/crates/accounts/src/lib.rs
+++ b/crates/accounts/src/lib.rs
@@ -10,12 +10,14 @@
 //! - [`window`]: sums over the last minutes
 //! - [`book`]: the accounts, fed job by job
 //! - [`floor`]: who has sunk, and who must not be pushed under
+//! - [`handed`]: what a book hands to the next owner's
 //! - [`told`]: rows for people, and the warnings
 //! - [`gate`]: readings of a played day that lie under a half
 
 pub mod book;
 pub mod floor;
 pub mod gate;
+pub mod handed;
 pub mod terms;
 pub mod told;
 pub mod window;
--- a/crates/accounts/src/told.rs
+++ b/crates/accounts/src/told.rs
@@ -27,7 +27,7 @@
     pub share: Option<f64>,
     pub minute: Option<f64>,
     pub ten_minutes: Option<f64>,
-    /// Jobs of which nobody knows since the last takeover.
+    /// Jobs, or seconds of replicas, of which nobody knows since the takeovers so far.
     pub unknown: u64,
     /// Seconds until all tasks ran: half, nine in ten, the longest. Of started only.
     pub waits_s: Option<(f64, f64, f64)>,
@@ -35,9 +35,16 @@
 
 #[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
 pub struct Told {
-    /// Whose accounts these are: each owner begins new ones.
+    /// Who counted last.
     #[serde(default)]
     pub owner: u64,
+    /// The owner that began these accounts: those after it went on with its sums. 0: not told,
+    /// as by a version in which each owner began anew.
+    #[serde(default)]
+    pub chain: u64,
+    /// Seconds of the day.
+    #[serde(default)]
+    pub at_s: f64,
     pub rows: Vec<Row>,
 }
 
@@ -82,7 +89,7 @@
             }
         }
         rows.sort_by(|a, b| (a.side, &a.name, a.reading as u8).cmp(&(b.side, &b.name, b.reading as u8)));
-        Told { owner: 0, rows }
+        Told { owner: 0, chain: 0, at_s: now, rows }
     }
 
     /// The lowest reading over ten minutes of one side, where enough was asked for.
--- a/crates/accounts/src/window.rs
+++ b/crates/accounts/src/window.rs
@@ -4,6 +4,7 @@
 const SLOT_S: f64 = 10.0;
 const SLOTS: usize = 60;
 const MINUTE: usize = 6;
+pub(crate) const TEN_MINUTES_S: f64 = SLOT_S * SLOTS as f64;
 
 /// Served of asked.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
--- a/src/api.rs
+++ b/src/api.rs
@@ -216,9 +216,9 @@
                 Outgoing::json(200, &reply)
             }
             Some(Heard::Stale) => unable(),
-            Some(Heard::Superseded) | None => match self.standing(now) {
-                Standing::Other(node) => Outgoing::json(421, &Redirect { report_to: Some(node) }),
-                _ => unable(),
+            Some(Heard::Superseded) | None => match self.elsewhere(now) {
+                Some(node) => Outgoing::json(421, &Redirect { report_to: Some(node) }),
+                None => unable(),
             },
         }
     }
--- a/src/audit.rs
+++ b/src/audit.rs
@@ -7,7 +7,7 @@
 use crate::fleet::{FLEET_KEY, MACHINE_PREFIX, MachineRecord};
 use crate::http::Client;
 use crate::jobs::{JOB_PREFIX, PART_PREFIX, PROGRESS_PREFIX, Phase, ProgressRecord};
-use crate::ownership::{CLAIM_PREFIX, Claim};
+use crate::ownership::{CLAIM_PREFIX, Claim, TYPES_KEY};
 use crate::settings::Settings;
 use crate::shard::{FleetRecord, job_of};
 use crate::wire::{self, Item, Items};
@@ -75,6 +75,7 @@
         (PART_PREFIX, "progress"),
         (RACK_PREFIX, "racks"),
         (MACHINE_PREFIX, "machines of an earlier version"),
+        (TYPES_KEY, "machine types"),
         (CLAIM_PREFIX, "claims"),
         (lupinspur_recovery::PREFIX, "checkpoint"),
         (QUOTA_PREFIX, "quotas"),
@@ -128,6 +129,7 @@
                 let name = i.key.trim_start_matches(MACHINE_PREFIX).to_owned();
                 self.machine(name, &i.key);
             }
+            "machine types" => _ = self.read::<Vec<wire::MachineType>>(&i),
             "claims" => _ = self.read::<Claim>(&i),
             "fleet" => _ = self.read::<FleetRecord>(&i),
             "checkpoint" => self.values.push(i),
--- a/src/budget.rs
+++ b/src/budget.rs
@@ -16,6 +16,12 @@
         Budget { rate, burst: burst.max(1.0), level: burst.max(1.0), at: 0.0 }
     }
 
+    /// The same, of a process that has just begun: an earlier self may have spent the burst a
+    /// moment ago. One that ended again and again once had a whole burst each time.
+    pub fn begun(rate: f64, burst: f64) -> Budget {
+        Budget { level: (burst / FIRST_SHARE).max(1.0), ..Budget::new(rate, burst) }
+    }
+
     /// Other limits from now on; what was taken stays taken.
     pub fn change(&mut self, now: f64, rate: f64, burst: f64) {
         self.refill(now);
@@ -94,6 +100,17 @@
         assert!(!b.try_take(1.05, 1));
     }
 
+    /// Guards against a controller that ends every quarter of a second and spends four times its
+    /// share: each life begins with what a quarter of a second brings.
+    #[test]
+    fn short_lives_spend_no_more_than_a_long_one() {
+        let spent = |b: &mut Budget, s: f64| (0..100).filter(|i| b.try_take(f64::from(*i) / 100.0 * s, 1)).count();
+        let long = spent(&mut Budget::new(40.0, 40.0), 2.0);
+        let short: usize = (0..8).map(|_| spent(&mut Budget::begun(40.0, 40.0), 0.25)).sum();
+        assert!(long >= 99 && short <= 40 + 2 * 80, "{short} in eight lives, {long} in one");
+        assert!((0..8).map(|_| spent(&mut Budget::new(40.0, 40.0), 0.25)).sum::<usize>() > 300);
+    }
+
     /// Guards against polls that keep leases, watches and submissions from their turn.
     #[test]
     fn what_can_wait_leaves_half_and_what_cannot_goes_ahead() {
--- a/src/node.rs
+++ b/src/node.rs
@@ -7,7 +7,7 @@
 use crate::fleet::{FLEET_KEY, MACHINE_PREFIX};
 use crate::intern::{Index, RackIx};
 use crate::jobs::{JOB_PREFIX, JobRecord, PART_PREFIX, PROGRESS_PREFIX, Phase};
-use crate::ownership::{CLAIM_KEY, CLAIM_PREFIX, Claim, Next, Ownership, SeenClaim};
+use crate::ownership::{AWAY_S, CLAIM_KEY, CLAIM_PREFIX, Claim, Next, Ownership, SeenClaim, TYPES_KEY, away_key};
 use crate::peer::{
     JobAnswer, JobQuestion, Outcome, Owner, Peers, QuotaAnswer, QuotaQuestion, ServiceAnswer, ServiceQuestion,
 };
@@ -23,6 +23,7 @@
 use futures_lite::FutureExt;
 use lru::LruCache;
 use lupinspur_accounts::gate::LOG_MARK;
+use lupinspur_accounts::handed::Carried;
 use lupinspur_accounts::{Alarm, Book, Reading, Told as ServiceTold};
 use lupinspur_quota::Plan;
 use lupinspur_quota::stored::{HEAD, PREFIX};
@@ -30,7 +31,7 @@
 use std::collections::HashMap;
 use std::net::TcpListener;
 use std::num::NonZeroUsize;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -50,8 +51,12 @@
 const MOST_KEPT: NonZeroUsize = NonZeroUsize::new(10_000).unwrap();
 const LIST_EVERY_S: f64 = 3.0;
 const TYPES_EVERY_S: f64 = 20.0;
+const KEEP_TYPES_EVERY: Duration = Duration::from_secs(1);
 const LOOK_UP_EVERY: Duration = Duration::from_secs(1);
 const WATCH_WAIT: Duration = Duration::from_millis(1500);
+/// An earlier self may still be ending, and hold its addresses, for a moment.
+const BIND_WITHIN_S: f64 = 20.0;
+const BIND_AGAIN: Duration = Duration::from_millis(20);
 
 /// What files of the operators enable.
 #[derive(Debug, Default)]
@@ -94,6 +99,13 @@
     /// What users were answered at this controller's door, by class and team.
     door: Mutex<Book>,
     state_ok: Mutex<f64>,
+    /// The machine types as the state service has them.
+    types_stored: Mutex<Option<Vec<MachineType>>>,
+    /// Whether the cloud itself told the types.
+    types_asked: AtomicBool,
+    /// Reports that were sent on to the owner, and those that could not be answered at all.
+    sent_on: AtomicU64,
+    turned_away: AtomicU64,
     wakes: Wakes,
     claiming: AtomicBool,
     loading: AtomicBool,
@@ -131,6 +143,8 @@
     jobs: HashMap<String, (JobRecord, u64)>,
     over: u64,
     found: Found,
+    /// The accounts of the owner before.
+    handed: Option<(Carried, u8)>,
 }
 
 impl Records {
@@ -151,7 +165,7 @@
 
 impl Node {
     fn new(settings: Settings, tuning: Tuning, features: Features) -> Node {
-        let me = Claim { node: settings.node.clone(), nonce: format!("{:016x}", fastrand::u64(..)) };
+        let me = Claim::new(settings.node.clone(), format!("{:016x}", fastrand::u64(..)));
         Node {
             state: StateClient::new(&settings),
             cloud: CloudClient::new(&settings),
@@ -164,6 +178,10 @@
             accepted: Mutex::new(LruCache::new(MOST_KEPT)),
             door: Mutex::new(Book::new(settings.terms.clone())),
             state_ok: Mutex::new(-100.0),
+            types_stored: Mutex::default(),
+            types_asked: AtomicBool::new(false),
+            sent_on: AtomicU64::new(0),
+            turned_away: AtomicU64::new(0),
             wakes: Wakes {
                 writer: async_channel::bounded(1),
                 direct: async_channel::bounded(1),
@@ -312,22 +330,20 @@
         if self.types().is_empty() {
             return;
         }
-        let next = lock(&self.own).next(clock::now());
-        match next {
-            Next::Nothing => {}
-            Next::Grant => {
-                let sent = clock::now();
-                match self.state.grant((self.tuning.claim_s * 1000.0) as u64).await {
-                    Ok(id) => lock(&self.own).confirmed(id, sent),
-                    Err(e) => log::debug!("asking for a lease: {e}"),
-                }
+        let next = || lock(&self.own).next(clock::now(), clock::wall_ms(), !self.settings.peers.is_empty());
+        let mut step = next();
+        if step == Next::Grant {
+            let sent = clock::now();
+            match self.state.grant((self.tuning.claim_s * 1000.0) as u64).await {
+                Ok(id) => lock(&self.own).confirmed(id, sent),
+                Err(e) => log::debug!("asking for a lease: {e}"),
             }
+            step = next();
+        }
+        match step {
+            Next::Nothing | Next::Grant => {}
             Next::Claim { lease, over } => {
-                let me = {
-                    let mut own = lock(&self.own);
-                    own.trying(lease);
-                    own.me().clone()
-                };
+                let me = lock(&self.own).trying(lease, clock::wall_ms());
                 let Ok(value) = serde_json::to_value(&me) else { return };
                 let condition = Condition { key: CLAIM_KEY.into(), version: over };
                 let change = Change::Put { key: CLAIM_KEY.into(), value, lease: Some(lease) };
@@ -342,6 +358,7 @@
                 }
             }
             Next::Adopt { version } => lock(&self.own).claimed(version),
+            Next::GiveWay { over } => self.give_way(over).await,
         }
         let token = lock(&self.own).token();
         let have = lock(&self.shard).as_ref().map(|s| s.token);
@@ -358,6 +375,85 @@
         }
     }
 
+    /// Leaves the claim of an earlier self to the other controllers, and a word of it for later
+    /// selves that goes by itself.
+    async fn give_way(&self, over: u64) {
+        let Ok(lease) = self.state.grant((AWAY_S * 1000.0) as u64).await else { return };
+        let Ok(value) = serde_json::to_value(lock(&self.own).me()) else { return };
+        let condition = Condition { key: CLAIM_KEY.into(), version: over };
+        let away = Change::Put { key: away_key(&self.settings.node), value, lease: Some(lease) };
+        let changes = vec![Change::Delete { key: CLAIM_KEY.into() }, away];
+        match self.state.commit(vec![condition], changes, Turn::First).await {
+            Ok(Commit::Applied(_)) => {
+                log::warn!("this controller keeps ending: another one is to own");
+                let mut own = lock(&self.own);
+                own.gave_way(clock::now());
+                own.saw(None, clock::now());
+            }
+            Ok(Commit::Failed(_)) | Err(StateError::Unknown) => self.look_at_claim().await,
+            Err(e) => log::debug!("giving way: {e}"),
+        }
+    }
+
+    /// What stands beside the claim: the machine types, and whether this controller gave way.
+    fn saw_beside_claim(&self, key: &str, value: serde_json::Value) {
+        if key == TYPES_KEY {
+            match serde_json::from_value::<Vec<MachineType>>(value) {
+                Ok(t) if !t.is_empty() => {
+                    *lock(&self.types_stored) = Some(t.clone());
+                    let mut types = lock(&self.types);
+                    if types.is_empty() {
+                        *types = Arc::new(t);
+                    }
+                }
+                Ok(_) => {}
+                Err(e) => log::error!("{TYPES_KEY} holds something unknown: {e}"),
+            }
+        } else if key == away_key(&self.settings.node) {
+            lock(&self.own).gave_way(clock::now());
+        }
+    }
+
+    /// The owner stores the machine types where every controller reads first. Prices move all
+    /// the time and are asked for anyway.
+    async fn keep_types(self: Arc<Self>) {
+        let sizes = |t: &[MachineType]| -> Vec<MachineType> {
+            t.iter().map(|t| MachineType { price: 0.0, spot_price: 0.0, ..t.clone() }).collect()
+        };
+        loop {
+            Timer::after(KEEP_TYPES_EVERY).await;
+            let Some(token) = self.with_shard(clock::now(), |s| s.token) else { continue };
+            let types = self.types();
+            let known = lock(&self.types_stored).as_ref().is_some_and(|s| sizes(s) == sizes(&types));
+            if known || !self.types_asked.load(Ordering::Relaxed) {
+                continue;
+            }
+            let Ok(value) = serde_json::to_value(&*types) else { continue };
+            if value.to_string().len() > self.settings.value_bytes() {
+                continue;
+            }
+            let condition = Condition { key: CLAIM_KEY.into(), version: token };
+            let change = Change::Put { key: TYPES_KEY.into(), value, lease: None };
+            if let Ok(Commit::Applied(_)) = self.state.commit(vec![condition], vec![change], Turn::InTurn).await {
+                *lock(&self.types_stored) = Some(types.to_vec());
+            }
+        }
+    }
+
+    /// How a report is answered that this controller cannot take.
+    pub fn elsewhere(&self, now: f64) -> Option<String> {
+        match self.standing(now) {
+            Standing::Other(node) => {
+                self.sent_on.fetch_add(1, Ordering::Relaxed);
+                Some(node)
+            }
+            _ => {
+                self.turned_away.fetch_add(1, Ordering::Relaxed);
+                None
+            }
+        }
+    }
+
     async fn look_at_claim(&self) {
         if let Ok(item) = self.state.get(CLAIM_KEY, Turn::First).await {
             self.state_answered();
@@ -394,6 +490,7 @@
         match loaded.await {
             Ok((records, revision, progress, machines, racks, fleet, quotas)) => {
                 let number = |k: &str| k.strip_prefix(RACK_PREFIX).and_then(|n| n.parse::<usize>().ok());
+                let handed = records.handed;
                 let loaded = Loaded {
                     jobs: records.jobs.into_values().collect(),
                     checkpoint: records.found,
@@ -426,6 +523,7 @@
                 let mut shard =
                     Shard::new(&self.settings, self.tuning.clone(), token, (*self.types()).clone(), loaded, now);
                 shard.day_ms = clock::wall_ms() as f64 - now * 1000.0;
+                shard.carry_accounts(handed, now);
                 shard.tick(now);
                 *lock(&self.shard) = Some(shard);
                 self.cloud.set_share(&self.settings, true);
@@ -445,6 +543,7 @@
         let mut records = Records::default();
         let (items, _) = self.state.list(lupinspur_recovery::PREFIX, Turn::InTurn).await?;
         records.found.keys = items.iter().map(|i| (i.key.clone(), i.version)).collect();
+        records.handed = crate::shard::handed(items.iter().map(|i| (i.key.as_str(), &i.value)));
         let read = lupinspur_recovery::read(items.iter().map(|i| (i.key.as_str(), &i.value)));
         drop(items);
         match read {
@@ -487,7 +586,12 @@
                 match self.state.list(CLAIM_PREFIX, Turn::First).await {
                     Ok((items, revision)) => {
                         self.state_answered();
-                        self.saw_claim(items.into_iter().find(|i| i.key == CLAIM_KEY));
+                        let (claim, beside): (Vec<Item>, Vec<Item>) =
+                            items.into_iter().partition(|i| i.key == CLAIM_KEY);
+                        beside.into_iter().for_each(|i| self.saw_beside_claim(&i.key, i.value));
+                        self.saw_claim(claim.into_iter().next());
+                        // A claim of its own earlier self, or none: there is nothing to wait for.
+                        self.try_claim().await;
                         from = Some(revision);
                     }
                     Err(e) => {
@@ -512,6 +616,8 @@
                             self.saw_claim(Some(item));
                         } else if e.delete.as_deref() == Some(CLAIM_KEY) {
                             self.saw_claim(None);
+                        } else if let (Some(key), Some(value)) = (e.put, e.value) {
+                            self.saw_beside_claim(&key, value);
                         }
                     }
                     if lock(&self.own).token().is_none() {
@@ -588,7 +694,7 @@
     async fn ticks(self: Arc<Self>) {
         let mut looked_again = 0.0;
         let mut told = (clock::now(), 0, Counts::default());
-        let (mut alarmed, mut accounts, mut door_at) = (0.0, (0.0, 0), 0.0);
+        let (mut alarmed, mut accounts, mut door_at, mut reports_at) = (0.0, (0.0, 0), 0.0, 0.0);
         loop {
             // What reports and submissions bring is placed together, a little later.
             Timer::after(GATHER).await;
@@ -627,6 +733,14 @@
                 let alarms = lock(&self.door).alarms(now);
                 self.tell_alarms(&alarms, "this controller's door");
             }
+            if now - reports_at >= SUMMARY_EVERY_S {
+                let taken = |n: &AtomicU64| n.swap(0, Ordering::Relaxed);
+                let (sent_on, turned_away) = (taken(&self.sent_on), taken(&self.turned_away));
+                if sent_on + turned_away > 0 {
+                    log::info!("{:.0} s: {sent_on} reports sent on, {turned_away} turned away", now - reports_at);
+                }
+                reports_at = now;
+            }
             match deaf {
                 Some(true) if !self.settings.peers.is_empty() => {
                     // The workers cannot reach us, though the state service can: others may do better.
@@ -846,6 +960,7 @@
             let first = self.types().is_empty();
             let pause_s = match self.cloud.types(first).await {
                 Ok(t) if !t.is_empty() => {
+                    self.types_asked.store(true, Ordering::Relaxed);
                     let now = clock::now();
                     let mine = self.with_shard(now, |s| s.on_types(t.clone(), now)).is_some();
                     *lock(&self.types) = Arc::new(t);
@@ -960,16 +1075,35 @@
 
 static NODE: std::sync::OnceLock<Arc<Node>> = std::sync::OnceLock::new();
 
+/// Listens, as soon as an earlier self has let go of the address: a process that is started again
+/// at once and refuses to start would only be started again.
+fn listen_on(addr: std::net::SocketAddr) -> std::io::Result<Async<TcpListener>> {
+    let mut told = false;
+    loop {
+        match Async::<TcpListener>::bind(addr) {
+            Err(e) if e.kind() == std::io::ErrorKind::AddrInUse && clock::now() < BIND_WITHIN_S => {
+                if !std::mem::replace(&mut told, true) {
+                    log::warn!("{addr} is taken: waiting for it");
+                }
+                std::thread::sleep(BIND_AGAIN);
+            }
+            Err(e) => return Err(std::io::Error::new(e.kind(), format!("{addr}: {e}"))),
+            Ok(l) => return Ok(l),
+        }
+    }
+}
+
 /// Runs the node until the process ends.
 pub fn run(settings: Settings, tuning: Tuning, features: Features) -> std::io::Result<()> {
     clock::now();
-    let listener = Async::<TcpListener>::bind(settings.listen)?;
-    let peer_listener = Async::<TcpListener>::bind(settings.peer_listen)?;
+    let listener = listen_on(settings.listen)?;
+    let peer_listener = listen_on(settings.peer_listen)?;
     let bounds = settings.door();
     log::info!("{} in {} listens on {}", settings.node, settings.zone, settings.listen);
     let node = NODE.get_or_init(|| Arc::new(Node::new(settings, tuning, features))).clone();
     let n = || node.clone();
     EX.spawn(n().learn_types()).detach();
+    EX.spawn(n().keep_types()).detach();
     EX.spawn(n().watch_claim()).detach();
     EX.spawn(n().keep_lease()).detach();
     EX.spawn(n().ticks()).detach();
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -11,7 +11,7 @@
 use std::pin::Pin;
 use std::sync::Mutex;
 use std::task::{Context, Poll};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tonic::body::Body;
 use tower_service::Service;
 
@@ -63,6 +63,8 @@
 
 const CONNECT: Duration = Duration::from_millis(700);
 const ASK: Duration = Duration::from_millis(1300);
+/// A failure within this is a connection that is over, not a question that was lost.
+const AT_ONCE: Duration = Duration::from_millis(200);
 
 fn origin() -> http::Uri {
     http::Uri::from_static("http://owner")
@@ -155,22 +157,29 @@
         self.asked(node, async |mut c| c.service(ServiceQuestion { passed_on: true }).await).await
     }
 
-    /// Asks the owner about a job. None when it cannot be reached or cannot act.
+    /// Asks the owner about a job. None when it cannot be reached or cannot act. A connection
+    /// to a process that has ended meanwhile is told at once, and a new one is tried.
     pub async fn ask(&self, node: &str, verb: Verb, job: &str, limit: Option<Duration>) -> Option<JobAnswer> {
-        let c = self.channel(node).await?;
-        let mut client = OwnerClient::with_origin(c, origin());
-        let q = JobQuestion { verb: verb.into(), job: job.to_owned() };
-        match timed(limit.unwrap_or(ASK), client.ask(q)).await {
-            Ok(Ok(a)) => Some(a.into_inner()).filter(|a| a.outcome() != Outcome::Unable),
-            Ok(Err(s)) => {
-                log::debug!("asking {node}: {s}");
-                self.drop_channel(node);
-                None
-            }
-            Err(_) => {
-                // A silent connection may be cut for good: the next question opens a new one.
-                self.drop_channel(node);
-                None
+        let mut again = true;
+        loop {
+            let c = self.channel(node).await?;
+            let mut client = OwnerClient::with_origin(c, origin());
+            let q = JobQuestion { verb: verb.into(), job: job.to_owned() };
+            let began = Instant::now();
+            match timed(limit.unwrap_or(ASK), client.ask(q)).await {
+                Ok(Ok(a)) => return Some(a.into_inner()).filter(|a| a.outcome() != Outcome::Unable),
+                Ok(Err(s)) => {
+                    log::debug!("asking {node}: {s}");
+                    self.drop_channel(node);
+                    if !std::mem::take(&mut again) || began.elapsed() > AT_ONCE {
+                        return None;
+                    }
+                }
+                Err(_) => {
+                    // A silent connection may be cut for good: the next question opens a new one.
+                    self.drop_channel(node);
+                    return None;
+                }
             }
         }
     }
--- a/src/shard/mod.rs
+++ b/src/shard/mod.rs
@@ -17,7 +17,7 @@
 pub use quotas::{LoadedQuotas, Quotas, Row as QuotaRow, Told as QuotasTold, fits_values, team_limits};
 pub use recovery::{Found, job_of};
 pub use reports::{DirectSend, Heard};
-pub use service::Prospect;
+pub use service::{ACCOUNTS_PREFIX, Prospect, handed};
 pub use sizing::CloudCall;
 pub use writes::{What, Write};
 
@@ -284,7 +284,7 @@
             elastic: loaded.elastic.clone().map(elastic::ElasticPool::new),
             elastic_looked: now,
             others_wait: false,
-            accounts: service::Glue::default(),
+            accounts: service::Glue::new(token, now),
             recovery: recovery::Glue::new(value_bytes, &loaded.checkpoint, now),
             quotas: loaded.quotas.as_ref().map(|q| Quotas::new(&s.teams, q, value_bytes)),
             team_names,
--- a/src/shard/service.rs
+++ b/src/shard/service.rs
@@ -2,13 +2,16 @@
 //!
 //! Times in the accounts are seconds of the day, by the steady clock since this owner began.
 
-use super::Shard;
+use super::{Shard, What, Write};
 use crate::fleet::Phase as MachinePhase;
 use crate::intern::{Index, JobIx, TeamIx};
 use crate::jobs::{Job, Phase, Slot};
 use lupinspur_accounts::book::{End, Entry};
 use lupinspur_accounts::floor::Sunk;
+use lupinspur_accounts::handed::{Carried, Part, newest};
 use lupinspur_accounts::{Alarm, Side, Told};
+use serde::Deserialize;
+use std::collections::VecDeque;
 
 /// What is due is counted, and who has sunk is looked at, this often.
 const LOOK_EVERY_S: f64 = 1.0;
@@ -20,12 +23,37 @@
 const REPORTED_WITHIN_S: f64 = 0.5;
 const MOST_PRESSURE: f64 = 6.0;
 
+/// Where the accounts stand for the next owner: two places, in turn.
+pub const ACCOUNTS_PREFIX: &str = "ckpt/a/";
+/// They are handed over this often out of writes that can be spared, and in any case so often.
+const HANDED_EVERY_S: f64 = 5.0;
+const HANDED_AT_LEAST_S: f64 = 15.0;
+
+fn part_key(place: u8, n: usize) -> String {
+    format!("{ACCOUNTS_PREFIX}{place}/{n}")
+}
+
 /// What stands between the shard and its accounts.
 #[derive(Debug, Default)]
 pub(super) struct Glue {
     /// Jobs whose time begins or that are over, not entered yet.
     due: Vec<JobIx>,
     looked_at: f64,
+    /// The first owner of these accounts.
+    chain: u64,
+    round: u64,
+    /// The place of the last complete round that is stored.
+    place: u8,
+    handed_at: f64,
+    /// Values of the round under way that were not sent yet, and how many are not stored.
+    to_send: VecDeque<(String, Part)>,
+    left: usize,
+}
+
+impl Glue {
+    pub(super) fn new(token: u64, now: f64) -> Glue {
+        Glue { chain: token, handed_at: now, ..Glue::default() }
+    }
 }
 
 /// How far a job's promises have gone.
@@ -39,7 +67,66 @@
     Over,
 }
 
+/// What an earlier owner handed over, and its place, among the stored values of the checkpoint.
+pub fn handed<'a>(items: impl Iterator<Item = (&'a str, &'a serde_json::Value)>) -> Option<(Carried, u8)> {
+    let of = items.filter_map(|(k, v)| Some((k.strip_prefix(ACCOUNTS_PREFIX)?.split('/').next()?.parse().ok()?, v)));
+    let (mut parts, mut places) = (Vec::new(), Vec::new());
+    for (place, v) in of {
+        match Part::deserialize(v) {
+            Ok(p) => {
+                places.push((p.round(), place));
+                parts.push(p);
+            }
+            Err(e) => log::error!("accounts handed over hold something unknown: {e}"),
+        }
+    }
+    let c = newest(parts)?;
+    let place = places.into_iter().find(|p| p.0 == c.round)?.1;
+    Some((c, place))
+}
+
 impl Shard {
+    /// Goes on with the accounts of the owner before, if there are some.
+    pub fn carry_accounts(&mut self, handed: Option<(Carried, u8)>, now: f64) {
+        let t = self.account_now(now);
+        let Some((c, place)) = handed else { return };
+        let glue = &mut self.accounts;
+        (glue.chain, glue.round, glue.place) = (c.chain, c.round, place);
+        self.book.carry(&c, 2.0 * self.time_bound_s + REPORTED_WITHIN_S, t);
+    }
+
+    /// The next value of the accounts as the next owner finds them, if it is time. One that is
+    /// not stored spoils its round; the one before stays whole.
+    pub(super) fn accounts_write(&mut self, spare: bool, now: f64) -> Option<Write> {
+        let waited = now - self.accounts.handed_at;
+        let due = waited >= if spare { HANDED_EVERY_S } else { HANDED_AT_LEAST_S };
+        if due && self.accounts.to_send.is_empty() && self.gathered(now) {
+            let t = self.account_now(now);
+            let glue = &mut self.accounts;
+            (glue.handed_at, glue.round) = (now, glue.round + 1);
+            let parts = self.book.hand_over(glue.round, glue.chain, self.value_bytes, t);
+            glue.left = parts.len();
+            let place = 1 - glue.place.min(1);
+            glue.to_send = parts.into_iter().enumerate().map(|(n, p)| (part_key(place, n), p)).collect();
+        }
+        let (key, _) = self.accounts.to_send.front()?;
+        if self.in_flight.contains(key) {
+            return None;
+        }
+        let (key, part) = self.accounts.to_send.pop_front()?;
+        self.put(key, What::Accounts(part.round(), 1 - self.accounts.place.min(1)), &part)
+    }
+
+    pub(super) fn accounts_applied(&mut self, round: u64, place: u8) {
+        let glue = &mut self.accounts;
+        if round == glue.round {
+            glue.left = glue.left.saturating_sub(1);
+            if glue.left == 0 {
+                glue.place = place;
+            }
+        }
+    }
+
     /// Seconds of the day, as the accounts count them.
     fn account_now(&self, now: f64) -> f64 {
         self.day_ms / 1000.0 + now
@@ -178,7 +265,7 @@
     }
 
     pub fn service_told(&self, now: f64) -> Told {
-        Told { owner: self.token, ..self.book.told(self.account_now(now)) }
+        Told { owner: self.token, chain: self.accounts.chain, ..self.book.told(self.account_now(now)) }
     }
 
     /// The class and team of a job that is known here.
--- a/src/shard/writes.rs
+++ b/src/shard/writes.rs
@@ -24,6 +24,8 @@
     Fleet(FleetRecord),
     Quota(Step),
     Checkpoint,
+    /// A value of this round of the accounts, at this place.
+    Accounts(u64, u8),
     Cleanup,
 }
 
@@ -68,7 +70,7 @@
             What::Rack(..) => self.counts.racks += 1,
             What::Progress(..) => self.counts.progress += 1,
             What::Checkpoint => self.counts.checkpoint += 1,
-            What::Fleet(_) | What::Quota(_) | What::Cleanup => self.counts.other_writes += 1,
+            What::Fleet(_) | What::Quota(_) | What::Accounts(..) | What::Cleanup => self.counts.other_writes += 1,
         }
         self.in_flight.insert(w.key.clone());
         w
@@ -144,6 +146,11 @@
                 return out;
             }
         }
+        while let Some(w) = self.accounts_write(false, now) {
+            if !take(Some(w), &mut out) {
+                return out;
+            }
+        }
         // Another tree of quotas: it holds once it is stored.
         if let Some(w) = self.quota_write()
             && !take(Some(w), &mut out)
@@ -205,6 +212,11 @@
             }
             self.progress_at = now;
         }
+        while let Some(w) = self.accounts_write(out.len() < spare, now) {
+            if !take(Some(w), &mut out) {
+                return out;
+            }
+        }
         // What a successor would read instead of everything comes after all that must be stored.
         let w = self.checkpoint_write(out.len() < spare, now);
         if !take(w, &mut out) {
@@ -383,6 +395,7 @@
                 }
                 What::Fleet(r) => self.fleet_stored = r,
                 What::Quota(step) => self.quota_applied(step),
+                What::Accounts(round, place) => self.accounts_applied(round, place),
             }
             self.versions.insert(w.key, revision);
         }
@@ -435,7 +448,7 @@
                         self.progress_due.insert(j);
                     }
                 }
-                What::Fleet(_) | What::Quota(_) => {}
+                What::Fleet(_) | What::Quota(_) | What::Accounts(..) => {}
                 What::Cleanup => _ = self.cleanup.insert(w.key),
             }
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -139,7 +139,9 @@
             txn_ops: s.least_txn_ops(),
             limits: Mutex::new(Limits::new(s)),
         };
-        client.set_share(s, false);
+        let ours = client.shared(s, false);
+        *lock(&client.requests) = Budget::begun(ours.requests, ours.requests);
+        *lock(&client.writes) = Budget::begun(ours.writes, ours.writes);
         client
     }
 
@@ -147,19 +149,21 @@
     /// more than the whole, since bursts seldom meet: the service's own 429 is the
     /// last word, and whoever gets one pauses.
     pub fn set_share(&self, s: &crate::settings::Settings, owner: bool) {
+        let ours = self.shared(s, owner);
+        *lock(&self.requests) = Budget::new(ours.requests, ours.requests);
+        *lock(&self.writes) = Budget::new(ours.writes, ours.writes);
+    }
+
+    fn shared(&self, s: &crate::settings::Settings, owner: bool) -> Rates {
         let others = s.peers.len().max(1) as f64;
         let (requests, writes) = match owner {
             _ if s.peers.is_empty() => (0.9, 0.9),
             true => (0.6, 0.8),
             false => (0.4 / others, 0.9 / others),
         };
-        let ours = {
-            let mut limits = lock(&self.limits);
-            limits.share = Rates { requests, writes };
-            limits.ours()
-        };
-        *lock(&self.requests) = Budget::new(ours.requests, ours.requests);
-        *lock(&self.writes) = Budget::new(ours.writes, ours.writes);
+        let mut limits = lock(&self.limits);
+        limits.share = Rates { requests, writes };
+        limits.ours()
     }
 
     /// Keeps to the limits that seem to hold.
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -409,7 +409,7 @@
     pub types: Vec<MachineType>,
 }
 
-#[derive(Deserialize, Serialize, Clone, Debug)]
+#[derive(Deserialize, Serialize, Clone, Debug, PartialEq)]
 pub struct MachineType {
     pub name: String,
     pub cpus: f64,
