--- a/crates/scheduler/src/fleet/mod.rs
+++ b/crates/scheduler/src/fleet/mod.rs
@@ -209,13 +209,21 @@
         self.unresolved_until.is_none()
     }
 
+    /// Left only because it is not needed now: it takes tasks again where it is.
+    pub fn could_stay(&self, now: f64, silent_s: f64) -> bool {
+        self.cordoned && self.takes(now, silent_s)
+    }
+
     /// May new tasks be started on it?
     pub fn usable(&self, now: f64, silent_s: f64) -> bool {
+        !self.cordoned && self.takes(now, silent_s)
+    }
+
+    fn takes(&self, now: f64, silent_s: f64) -> bool {
         self.phase == Phase::Up
             && self.resolved()
             && self.reported_token
             && !self.suspect
-            && !self.cordoned
             && self.notice_until.is_none()
             && now >= self.quarantined_until
             && now - self.last_heard < silent_s
--- a/crates/scheduler/src/jobs.rs
+++ b/crates/scheduler/src/jobs.rs
@@ -54,18 +54,28 @@
     /// Time of day of its end. Missing in what 0.1.0 wrote, and while it is open.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub ended_ms: Option<u64>,
+    /// The cell that it belongs to; missing: cell 0.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cell: Option<u32>,
+    /// How often it has gone from one cell to another.
+    #[serde(default, skip_serializing_if = "none")]
+    pub moves: u8,
+}
+
+fn none(n: &u8) -> bool {
+    *n == 0
 }
 
 impl JobRecord {
     pub fn accepted(job: JobRequest, at_ms: u64) -> JobRecord {
-        JobRecord { job, at_ms, phase: Phase::Open, ended_ms: None }
+        JobRecord { job, at_ms, phase: Phase::Open, ended_ms: None, cell: None, moves: 0 }
     }
 
     /// How the job ended, in a value that surely fits. A record that an earlier version
     /// accepted may be larger than a value may be by now; whoever asks after its end needs
     /// none of what is left out.
     pub fn ended(job: &JobRequest, at_ms: u64, phase: Phase, ended_ms: u64, value_bytes: usize) -> JobRecord {
-        let mut r = JobRecord { job: job.clone(), at_ms, phase, ended_ms: Some(ended_ms) };
+        let mut r = JobRecord { phase, ended_ms: Some(ended_ms), ..JobRecord::accepted(job.clone(), at_ms) };
         // It is kept for ever: where it might have run is asked by nobody afterwards.
         let j = &mut r.job;
         (j.types, j.zone, j.image, j.needs) = (None, None, None, None);
@@ -109,6 +119,11 @@
     pub team: TeamIx,
     pub image: Option<ImageIx>,
     pub at_ms: u64,
+    /// The cell that its record names, and how often it has gone from one to another.
+    pub cell: Option<u32>,
+    pub moves: u8,
+    /// It is going to another cell: nothing of it is started here.
+    pub leaving: bool,
     /// As stored.
     pub phase: Phase,
     /// A final phase that is being stored; it is told only afterwards.
@@ -294,6 +309,9 @@
             team,
             image,
             at_ms: r.at_ms,
+            cell: r.cell,
+            moves: r.moves,
+            leaving: false,
             phase: r.phase,
             wanted: r.phase,
             final_sent: false,
--- /dev/null
+++ b/crates/scheduler/src/shard/cell.rs
@@ -0,0 +1,150 @@
+//! What a shard is to other cells: its part of the teams' limits, its picture, and jobs that come
+//! from them or go to them.
+
+use super::Shard;
+use crate::fleet::Phase as MachinePhase;
+use crate::intern::{Index, JobIx, TeamIx};
+use crate::jobs::{Job, JobRecord, Phase, job_key};
+use crate::params::Team;
+use lupinspur_cells::CellIx;
+use lupinspur_cells::escrow::{Amount, Ledger, Use};
+use lupinspur_cells::picture::Picture;
+use lupinspur_cells::spill::Waiting;
+
+/// Where a limit is parted, a part of nothing is not "no limit".
+const NEXT_TO_NOTHING: f64 = 1e-6;
+/// Jobs that are offered to other cells in one look.
+const MOST_OFFERED: usize = 64;
+
+/// The teams' limits as they are parted: those that have one.
+pub fn limits(teams: &[Team]) -> Vec<(String, Amount)> {
+    let limited = |t: &&Team| t.cpus_max > 0.0 || t.cards_max > 0.0;
+    teams.iter().filter(limited).map(|t| (t.name.clone(), Amount::new(t.cpus_max, t.cards_max))).collect()
+}
+
+impl Shard {
+    /// This cell's part of each team's limit and guarantee from now on. Without a ledger the
+    /// whole of it.
+    pub fn set_shares(&mut self, whole: &[Team], shares: &Ledger, cell: CellIx) {
+        for (t, all) in self.teams.iter_mut().zip(whole) {
+            let Some(share) = shares.share(&all.name, cell) else { continue };
+            let part = |share: f64, limit: f64| if limit > 0.0 { share.max(NEXT_TO_NOTHING) } else { 0.0 };
+            t.spec.cpus_max = part(share.cpus, all.cpus_max);
+            t.spec.cards_max = part(share.cards, all.cards_max);
+            let of = |limit: f64, share: f64, all: f64| if all > 0.0 { limit * (share / all).min(1.0) } else { limit };
+            t.spec.cpus = of(all.cpus, share.cpus, all.cpus_max);
+            t.spec.cards = of(all.cards, share.cards, all.cards_max);
+        }
+        self.place_due = true;
+    }
+
+    /// What may be in use of each team's limit: what is held or planned, and all of each machine
+    /// of which nobody knows what is on it.
+    pub fn in_use(&self) -> Vec<(String, Amount)> {
+        let unseen = self.machines.iter().filter(|(_, m)| !m.resolved()).fold(Amount::default(), |s, (_, m)| {
+            let t = self.types.get(m.ty);
+            s.plus(Amount::new(t.cpus, t.cards))
+        });
+        let of = |t: &super::TeamState| (t.spec.name.clone(), Amount::new(t.cpus_used, t.cards_used).plus(unseen));
+        self.teams.iter().map(of).collect()
+    }
+
+    /// What the other cells are told.
+    pub fn picture(&self, cell: CellIx, now: f64) -> Picture {
+        let mut p = Picture { cell, token: self.token, at_ms: self.day_now_ms(now), ..Picture::default() };
+        for (_, m) in self.machines.iter() {
+            let cpus = self.types.get(m.ty).cpus;
+            match m.phase {
+                MachinePhase::Booting => p.boots += cpus,
+                // One that is to be returned is used again where demand rises.
+                MachinePhase::Up if m.usable(now, self.silent_s()) || m.could_stay(now, self.silent_s()) => {
+                    p.room += (cpus - m.cpus_used).max(0.0)
+                }
+                _ => {}
+            }
+        }
+        let now_ms = p.at_ms;
+        let mut wanted = vec![Amount::default(); self.teams.len()];
+        for job in self.jobs.live.iter().map(|&j| self.jobs.at(j)).filter(|j| j.open()) {
+            let waits = f64::from(job.unfinished().saturating_sub(job.held));
+            p.waits += waits * job.spec.cpus;
+            p.held += f64::from(job.held) * job.spec.cpus;
+            if job.held == 0 {
+                p.longest_s = p.longest_s.max(now_ms.saturating_sub(job.freed_ms) as f64 / 1000.0);
+            }
+            let all = f64::from(job.unfinished());
+            let w = &mut wanted[job.team.ix()];
+            *w = w.plus(Amount::new(all * job.spec.cpus, all * job.spec.cards));
+        }
+        p.teams = self.in_use().into_iter().zip(wanted).map(|((t, held), wanted)| (t, Use { held, wanted })).collect();
+        p
+    }
+
+    /// Jobs that wait and were never started anywhere, so that another cell may have them whole:
+    /// none that others wait for or that waited for others.
+    pub fn may_leave(&self, now: f64) -> Vec<Waiting<JobIx>> {
+        let now_ms = self.day_now_ms(now);
+        let never = |job: &&Job| {
+            job.open() && job.held == 0 && job.done == 0 && job.shadowed_by == 0 && !job.leaving && !job.in_pipeline()
+        };
+        let waiting = |job: &Job| Waiting {
+            job: job.ix,
+            cpus: f64::from(job.spec.tasks) * job.spec.cpus,
+            waited_s: now_ms.saturating_sub(job.freed_ms) as f64 / 1000.0,
+            moves: job.moves,
+        };
+        let all = self.jobs.live.iter().map(|&j| self.jobs.at(j)).filter(never);
+        all.filter(|j| self.graph.after(j.ix).is_empty() && !self.named_anywhere(j.ix))
+            .take(MOST_OFFERED)
+            .map(waiting)
+            .collect()
+    }
+
+    /// Does some machine's stored record, or one that is being written, name this job?
+    fn named_anywhere(&self, j: JobIx) -> bool {
+        self.machines.iter().any(|(_, m)| {
+            m.stored_jobs.contains(&j)
+                || m.leftovers.range((j, 0)..=(j, u32::MAX)).next().is_some()
+                || m.loose.range((j, 0)..=(j, u32::MAX)).next().is_some()
+        })
+    }
+
+    /// The record with which a job goes to another cell, the version that it replaces, and what it
+    /// takes of its team's limit. From here on nothing of it is started here.
+    pub fn goes(&mut self, j: JobIx, to: CellIx) -> Option<(JobRecord, u64, TeamIx, Amount)> {
+        let version = *self.versions.get(&job_key(&self.jobs.at(j).id))?;
+        let job = self.jobs.at_mut(j);
+        job.leaving = true;
+        let mut r = JobRecord::accepted(job.spec.clone(), job.at_ms);
+        (r.cell, r.moves) = (Some(to.0), job.moves + 1);
+        let n = f64::from(job.spec.tasks);
+        Some((r, version, job.team, Amount::new(n * job.spec.cpus, n * job.spec.cards)))
+    }
+
+    /// It stays after all.
+    pub fn stays(&mut self, id: &str) {
+        if let Some(j) = self.jobs.find(id) {
+            self.jobs.at_mut(j).leaving = false;
+            self.place_due = true;
+        }
+    }
+
+    /// It is stored that this job is another cell's.
+    pub fn left(&mut self, id: &str, now: f64) {
+        let Some(j) = self.jobs.find(id) else { return };
+        let job = self.jobs.at(j);
+        if job.phase != Phase::Open || job.held > 0 {
+            log::error!("{id} is another cell's, and has {} tasks here", job.held);
+            return;
+        }
+        // Nobody here counts it, neither as served nor as missed.
+        self.account_end(j, Phase::Cancelled, now);
+        self.elastic_leave(j);
+        self.forget_job(j);
+    }
+
+    /// The team of this index, for those that give of its limit.
+    pub fn team_name(&self, t: TeamIx) -> &str {
+        &self.teams[t.ix()].spec.name
+    }
+}
--- a/crates/scheduler/src/shard/mod.rs
+++ b/crates/scheduler/src/shard/mod.rs
@@ -4,6 +4,7 @@
 //! and what is wanted comes out as writes, commands and cloud calls that the
 //! node's loops carry out. Traces in tests/ drive it directly.
 
+mod cell;
 mod elastic;
 mod judging;
 mod naming;
@@ -18,6 +19,7 @@
 mod takeover;
 mod writes;
 
+pub use cell::limits;
 pub use elastic::{Told as ElasticTold, bound as elastic_bound};
 pub use judging::{Unfit, judge, type_fits};
 pub use quotas::{LoadedQuotas, Quotas, Row as QuotaRow, Told as QuotasTold, fits_values, team_limits};
@@ -230,7 +232,7 @@
         let j = self.jobs.at(self.jobs.find(id)?);
         // Another node may have read the final phase already, and told it: a slow answer
         // to our write once made a cancelled job "queued" again.
-        if j.phase == Phase::Open && j.final_sent {
+        if j.phase == Phase::Open && (j.final_sent || j.leaving) {
             return Some(Shown::Settling);
         }
         Some(Shown::Told(j.state(), u64::from(j.done), u64::from(j.running)))
@@ -240,6 +242,10 @@
     pub fn cancel(&mut self, id: &str) -> bool {
         let Some(j) = self.jobs.find(id) else { return false };
         let job = self.jobs.at_mut(j);
+        // On its way to another cell: that one cancels it, if it gets there.
+        if job.leaving {
+            return true;
+        }
         if job.wanted == Phase::Open {
             job.wanted = Phase::Cancelled;
             self.finals.insert(j);
--- a/crates/scheduler/src/shard/placement.rs
+++ b/crates/scheduler/src/shard/placement.rs
@@ -241,7 +241,7 @@
     for (prospect, urgency, _, j) in open {
         let guaranteed = in_turn.take(s.jobs.at(j)) || older.contains(&j);
         let job = s.jobs.at_mut(j);
-        if job.shadowed_by > 0 || now < job.not_before || !job.has_queued() {
+        if job.shadowed_by > 0 || job.leaving || now < job.not_before || !job.has_queued() {
             continue;
         }
         let class = if job.spec.priority == Priority::Production {
--- a/crates/scheduler/src/shard/recovery.rs
+++ b/crates/scheduler/src/shard/recovery.rs
@@ -147,7 +147,8 @@
         let record = |id: &str| {
             let job = self.jobs.get(self.jobs.find(id)?).filter(|j| j.phase == Phase::Open)?;
             let version = *self.versions.get(&job_key(id))?;
-            let record = JobRecord::accepted(job.spec.clone(), job.at_ms);
+            let mut record = JobRecord::accepted(job.spec.clone(), job.at_ms);
+            (record.cell, record.moves) = (job.cell, job.moves);
             Some((version, serde_json::to_value(&record).ok()?))
         };
         let put = writer.next(known, now, record);
@@ -185,6 +186,18 @@
         self.graph.strangers().take(MOST_LOOKED_UP).map(str::to_owned).collect()
     }
 
+    /// A job that is no longer this shard's leaves its memory at once.
+    pub(super) fn forget_job(&mut self, j: JobIx) {
+        let id = self.jobs.at(j).id.clone();
+        self.recovery.writer.ended(&id);
+        self.jobs.settled(j, Phase::Cancelled);
+        self.graph.ended(j, Phase::Cancelled);
+        self.finals.remove(&j);
+        self.progress_due.remove(&j);
+        self.versions.remove(&job_key(&id));
+        self.jobs.give_back(j);
+    }
+
     /// Gives back what is over and gone, now and then. Costs what is held, and that only where
     /// something may go.
     pub(super) fn sweep(&mut self, now: f64) {
--- a/crates/scheduler/src/shard/sizing.rs
+++ b/crates/scheduler/src/shard/sizing.rs
@@ -301,13 +301,15 @@
         }
     }
 
-    /// The cloud's list, which lags and may be older than the one before.
-    pub fn on_list(&mut self, list: &[ListedMachine], now: f64) {
+    /// The cloud's list, which lags and may be older than the one before. `all`: whatever is not
+    /// known is to be taken in; where there are several cells it may be another's.
+    pub fn on_list(&mut self, list: &[ListedMachine], all: bool, now: f64) {
         let mut listed = std::collections::HashSet::new();
         for l in list {
             let known = self.machines.find(&l.id);
             let m = match known {
                 Some(m) => m,
+                None if !all => continue,
                 None => {
                     let Some(ty) = self.types.names.find(&l.type_name) else { continue };
                     let zone = self.types.zones.intern(&l.zone);
--- a/src/answers.rs
+++ b/src/answers.rs
@@ -1,16 +1,35 @@
 //! What other controllers and operators are answered, by gRPC.
 
 use crate::clock;
-use crate::node::{Node, Standing};
-use crate::peer::{JobAnswer, JobQuestion, Outcome, Owner, QuotaAnswer, QuotaQuestion, ServiceAnswer, ServiceQuestion};
+use crate::node::{Cell, Node, Standing};
+use crate::peer::{
+    JobAnswer, JobQuestion, MachineAnswer, MachineQuestion, Outcome, Owner, QuotaAnswer, QuotaQuestion, ServiceAnswer,
+    ServiceQuestion,
+};
 use crate::told::{Word, valid_id};
 use lupinspur_accounts::{Reading, Told as ServiceTold};
+use lupinspur_cells::CellIx;
 use std::sync::Arc;
 
 pub struct OwnerSide(pub Arc<Node>);
 
+impl OwnerSide {
+    fn cell(&self, ix: u32) -> Result<Arc<Cell>, tonic::Status> {
+        self.0.cell(CellIx(ix)).ok_or_else(|| tonic::Status::not_found(format!("there is no cell {ix}")))
+    }
+}
+
 #[tonic::async_trait]
 impl Owner for OwnerSide {
+    async fn expects(
+        &self,
+        request: tonic::Request<MachineQuestion>,
+    ) -> Result<tonic::Response<MachineAnswer>, tonic::Status> {
+        let (cell, owned) = self.0.expects(&request.into_inner().machine);
+        let cell_ix = cell.unwrap_or_default().0;
+        Ok(tonic::Response::new(MachineAnswer { known: cell.is_some(), cell: cell_ix, owned }))
+    }
+
     async fn quotas(
         &self,
         request: tonic::Request<QuotaQuestion>,
@@ -20,8 +39,9 @@
             return Err(tonic::Status::invalid_argument("job id is malformed"));
         }
         let now = clock::now();
-        let told = match self.0.standing(now) {
-            Standing::Owner => self.0.with_shard(now, |s| s.quotas_told(&q.job)),
+        let cell = self.cell(q.cell)?;
+        let told = match cell.standing(now) {
+            Standing::Owner => cell.with_shard(now, |s| s.quotas_told(&q.job)),
             Standing::Other(node) if !q.passed_on => {
                 let passed_on = QuotaQuestion { passed_on: true, ..q };
                 return match self.0.peers.ask_quotas(&node, passed_on).await {
@@ -42,10 +62,12 @@
         request: tonic::Request<ServiceQuestion>,
     ) -> Result<tonic::Response<ServiceAnswer>, tonic::Status> {
         let now = clock::now();
-        let told = match self.0.standing(now) {
-            Standing::Owner => self.0.with_shard(now, |s| s.service_told(now)),
-            Standing::Other(node) if !request.into_inner().passed_on => {
-                let answer = self.0.peers.ask_service(&node).await;
+        let q = request.into_inner();
+        let cell = self.cell(q.cell)?;
+        let told = match cell.standing(now) {
+            Standing::Owner => cell.with_shard(now, |s| s.service_told(now)),
+            Standing::Other(node) if !q.passed_on => {
+                let answer = self.0.peers.ask_service(&node, q.cell).await;
                 answer.and_then(|a| serde_json::from_str::<ServiceTold>(&a.json).ok())
             }
             _ => None,
@@ -63,14 +85,13 @@
         request: tonic::Request<ServiceQuestion>,
     ) -> Result<tonic::Response<ServiceAnswer>, tonic::Status> {
         let now = clock::now();
-        let json = match self.0.standing(now) {
-            Standing::Owner => self
-                .0
+        let q = request.into_inner();
+        let cell = self.cell(q.cell)?;
+        let json = match cell.standing(now) {
+            Standing::Owner => cell
                 .with_shard(now, |s| s.elastic_told())
                 .map(|t| t.map(|t| serde_json::to_string(&t)).transpose().map(Option::unwrap_or_default)),
-            Standing::Other(node) if !request.into_inner().passed_on => {
-                self.0.peers.ask_elastic(&node).await.map(|a| Ok(a.json))
-            }
+            Standing::Other(node) if !q.passed_on => self.0.peers.ask_elastic(&node, q.cell).await.map(|a| Ok(a.json)),
             _ => None,
         };
         match json {
@@ -86,8 +107,9 @@
             return Err(tonic::Status::invalid_argument("job id is malformed"));
         }
         let verb = q.verb();
-        let word = match self.0.standing(clock::now()) {
-            Standing::Owner => self.0.about_here(verb, &q.job).await,
+        let cell = self.cell(q.cell)?;
+        let word = match cell.standing(clock::now()) {
+            Standing::Owner => cell.about_here(verb, &q.job).await,
             _ => Word::Unable,
         };
         let mut a = JobAnswer::default();
--- a/src/api.rs
+++ b/src/api.rs
@@ -3,7 +3,7 @@
 use crate::clock;
 use crate::http::{Incoming, Outgoing};
 use crate::jobs::{JobRecord, Phase, RECORD_GROWS_BY, job_key};
-use crate::node::{Node, Standing};
+use crate::node::{Cell, Node, Place, Standing};
 use crate::peer::{JobAnswer as PeerAnswer, Outcome, Verb};
 use crate::shard::{Heard, Shown, Unfit, judge};
 use crate::state::{Commit, StateError, Turn};
@@ -109,7 +109,7 @@
     pub async fn handle(&self, req: Incoming) -> Outgoing {
         let path = req.path.as_str();
         match (req.method, path) {
-            (Method::Post, wire::REPORT_PATH) => self.report(&req.body),
+            (Method::Post, wire::REPORT_PATH) => self.report(&req.body).await,
             (Method::Get, wire::HEALTH_PATH) => {
                 if self.healthy() {
                     Outgoing::json(200, &serde_json::json!({}))
@@ -154,10 +154,11 @@
                     let job = |s: &mut crate::shard::Shard| s.whose(id);
                     // Elsewhere than at the owner nobody knows whose job it is.
                     let unknown = || ("(unknown)".to_owned(), "(unknown)".to_owned());
-                    let (class, team) = self.with_shard(began, job).flatten().unwrap_or_else(unknown);
+                    let here = self.knows_job(id, began).and_then(|c| c.with_shard(began, job).flatten());
+                    let (class, team) = here.unwrap_or_else(unknown);
                     self.note_answer(&class, &team, Reading::Cancelled, word != Word::Unable, began);
                 }
-                log::debug!("{verb:?} {id} is answered with {word:?}, standing {:?}", self.standing(clock::now()));
+                log::debug!("{verb:?} {id} is answered with {word:?}");
                 match word {
                     Word::Known(t) => job_answer(200, id, t, verb == Verb::Show),
                     Word::Absent => Outgoing::error(404, "no such job"),
@@ -167,19 +168,20 @@
         }
     }
 
-    fn report(&self, body: &[u8]) -> Outgoing {
+    async fn report(&self, body: &[u8]) -> Outgoing {
         let Ok(r) = serde_json::from_slice::<Report>(body) else {
             return Outgoing::error(400, "not a report");
         };
+        let Some(cell) = self.cell_of_machine(&r.machine, r.token).await else { return unable() };
         let now = clock::now();
-        let heard = self.with_shard(now, |s| s.on_report(&r, now));
+        let heard = cell.with_shard(now, |s| s.on_report(&r, now));
         match heard {
             Some(Heard::Reply(reply)) => {
-                self.wake();
+                cell.wake();
                 Outgoing::json(200, &reply)
             }
             Some(Heard::Stale) => unable(),
-            Some(Heard::Superseded) | None => match self.elsewhere(now) {
+            Some(Heard::Superseded) | None => match cell.elsewhere(now) {
                 Some(node) => Outgoing::json(421, &Redirect { report_to: Some(node) }),
                 None => unable(),
             },
@@ -208,8 +210,8 @@
             Err(Unfit::CannotTell) => return unable(),
         }
         let began = clock::now();
-        if self.with_shard(began, |s| s.show(&id)).flatten().is_some() {
-            return match self.about_here(Verb::Show, &id).await {
+        if let Some(cell) = self.knows_job(&id, began) {
+            return match cell.about_here(Verb::Show, &id).await {
                 Word::Known(t) => job_answer(200, &id, t, false),
                 _ => unable(),
             };
@@ -217,7 +219,9 @@
         if let Some(t) = self.final_known(&id) {
             return job_answer(200, &id, t, false);
         }
-        let record = JobRecord::accepted(job, clock::wall_ms());
+        let mut record = JobRecord::accepted(job, clock::wall_ms());
+        let home = self.home(&record.job.team);
+        record.cell = home.map(|c| c.0).filter(|c| *c != 0);
         let key = job_key(&id);
         let Ok(value) = serde_json::to_value(&record) else { return unable() };
         if value.to_string().len() + RECORD_GROWS_BY > self.settings.value_bytes() {
@@ -240,7 +244,11 @@
             match self.state.commit(vec![condition], vec![change], Turn::First).await {
                 Ok(Commit::Applied(version)) => {
                     let now = clock::now();
-                    if self.with_shard(now, |s| s.add_job(record.clone(), version, now)).is_some() {
+                    let cell = home.unwrap_or_default();
+                    self.note_cell(&id, cell);
+                    let cell = self.cell(cell);
+                    let added = cell.and_then(|c| c.with_shard(now, |s| s.add_job(record.clone(), version, now)));
+                    if added.is_some() {
                         self.wake();
                     }
                     return job_answer(201, &id, Told { state: JobState::Queued, done: 0, running: 0 }, false);
@@ -291,8 +299,10 @@
             Kind::Array => Need::Accepted,
             Kind::Service => Need::Wrong("a service is never done"),
         };
-        let here = self.with_shard(clock::now(), |s| s.jobs.find(need).map(|j| s.jobs.at(j).spec.kind));
-        if let Some(kind) = here.flatten().or_else(|| self.accepted_kind(need)) {
+        let now = clock::now();
+        let kind = |s: &mut crate::shard::Shard| s.jobs.find(need).map(|j| s.jobs.at(j).spec.kind);
+        let here = self.knows_job(need, now).and_then(|c| c.with_shard(now, kind).flatten());
+        if let Some(kind) = here.or_else(|| self.accepted_kind(need)) {
             return of_kind(kind);
         }
         match self.state.get(&job_key(need), Turn::InTurn).await {
@@ -308,22 +318,30 @@
         }
     }
 
-    /// Shows or cancels a job, here if this is the owner, else by asking the owner.
+    /// Shows or cancels a job, here if this is its owner, else by asking the owner.
     pub async fn about(&self, verb: Verb, id: &str) -> Word {
-        match self.standing(clock::now()) {
-            Standing::Owner => self.about_here(verb, id).await,
+        let cell = match self.place_of(id, turn(verb)).await {
+            Place::In(c) => c,
+            Place::Told(w) => return w,
+        };
+        let word = match cell.standing(clock::now()) {
+            Standing::Owner => cell.about_here(verb, id).await,
             Standing::Other(node) => {
                 if let Some(t) = self.final_known(id) {
                     return Word::Known(t);
                 }
                 let limit = (verb == Verb::Cancel).then_some(Duration::from_millis(3500));
-                match self.peers.ask(&node, verb, id, limit).await {
+                match self.peers.ask(&node, verb, (id, cell.ix.0), limit).await {
                     Some(a) => self.heard_from_peer(id, &a),
                     None => self.about_stored(verb, id).await,
                 }
             }
             Standing::Nobody => self.about_stored(verb, id).await,
+        };
+        if word == Word::Unable {
+            self.forget_cell(id);
         }
+        word
     }
 
     fn heard_from_peer(&self, id: &str, a: &PeerAnswer) -> Word {
@@ -355,7 +373,9 @@
             Err(_) => Word::Unable,
         }
     }
+}
 
+impl Cell {
     /// The owner's own answer.
     pub async fn about_here(&self, verb: Verb, id: &str) -> Word {
         let began = clock::now();
@@ -398,6 +418,7 @@
                                 return Word::Known(t);
                             }
                             _ => {
+                                // Another cell's is not taken in, and nothing can be said of it here.
                                 looked = true;
                                 self.take_job(&item);
                             }
--- a/src/cloud.rs
+++ b/src/cloud.rs
@@ -29,13 +29,18 @@
 impl CloudClient {
     pub fn new(s: &crate::settings::Settings) -> CloudClient {
         let c = CloudClient { addr: s.cloud, http: Client::new(3, 3), budget: Mutex::new(Budget::new(1.0, 1.0)) };
-        c.set_share(s, false);
+        c.set_share(s, 0, 1);
         c
     }
 
-    /// The leader makes nearly all calls; the others only read the machine types.
-    pub fn set_share(&self, s: &crate::settings::Settings, leader: bool) {
-        let rate = if leader { s.cloud_rps * 0.8 } else { s.cloud_rps * 0.1 / (s.peers.len().max(1) as f64) };
+    /// Owners make nearly all calls, each by its part of the cells; the others only read the machine types.
+    pub fn set_share(&self, s: &crate::settings::Settings, owned: usize, of: usize) {
+        let leader = owned > 0;
+        let rate = if leader {
+            s.cloud_rps * 0.8 * owned as f64 / of.max(1) as f64
+        } else {
+            s.cloud_rps * 0.1 / (s.peers.len().max(1) as f64)
+        };
         *self.lock() = Budget::new(rate, if leader { rate * 1.5 } else { 1.0 });
     }
 
--- a/src/main.rs
+++ b/src/main.rs
@@ -25,6 +25,9 @@
     /// File of elastic jobs (TOML); without it every array is as large as there is room.
     #[arg(long, env = "LUPINSPUR_ELASTIC", value_name = "FILE")]
     elastic: Option<PathBuf>,
+    /// File of cells (TOML): machines and teams parted among owners; without it there is one.
+    #[arg(long, env = "LUPINSPUR_CELLS", value_name = "FILE")]
+    cells: Option<PathBuf>,
     #[command(flatten)]
     tuning: lupinspur::tuning::Flags,
     #[command(subcommand)]
@@ -57,6 +60,16 @@
     })
 }
 
+/// The file of cells, if nothing in it is wrong; or each fault on a line of its own.
+fn cells(path: &Path, settings: &Settings) -> Result<lupinspur_cells::Plan, String> {
+    let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
+    let teams: Vec<String> = settings.teams.iter().map(|t| t.name.clone()).collect();
+    lupinspur_cells::Plan::parse(&text, &teams).map_err(|faults| {
+        let lines: Vec<String> = faults.iter().map(|f| format!("{}: {f}", path.display())).collect();
+        lines.join("\n")
+    })
+}
+
 fn run(args: Args) -> Result<(), String> {
     lupinspur::logging::init(&args.log_level).map_err(|e| format!("LOG_LEVEL: {e}"))?;
     if let Some(q) = &args.query {
@@ -69,13 +82,17 @@
     let settings = Settings::load(config).map_err(|e| e.to_string())?;
     let plan = args.quotas.as_deref().map(|p| quotas(p, &settings)).transpose()?;
     let elastic = args.elastic.as_deref().map(elastic).transpose()?;
+    let cells = args.cells.as_deref().map(|p| cells(p, &settings)).transpose()?;
+    if plan.is_some() && cells.is_some() {
+        return Err("--quotas and --cells cannot be used together: nested quotas are not parted among cells yet".into());
+    }
     if args.check {
         if let Some(e) = &elastic {
             println!("{}", lupinspur::shard::elastic_bound(&settings.params(), args.tuning.claim_s, e).told());
         }
         return Ok(());
     }
-    let features = lupinspur::node::Features { quotas: plan, elastic };
+    let features = lupinspur::node::Features { quotas: plan, elastic, cells };
     lupinspur::run::run(settings, args.tuning.tuning(), features).map_err(|e| e.to_string())
 }
 
--- /dev/null
+++ b/src/node/between.rs
@@ -0,0 +1,381 @@
+//! What passes between cells: the plan that comes into force, pictures, shares, work that spills.
+
+use super::*;
+use crate::shard::limits;
+use lupinspur_cells::escrow::{Amount, Gift, Ledger, Use, gifts};
+use lupinspur_cells::member::{InForce, Presence, comes_into_force};
+use lupinspur_cells::picture::Picture;
+use lupinspur_cells::spill::spills;
+
+const CELLS_PREFIX: &str = "cells/";
+const LEDGER_KEY: &str = "cells/escrow";
+const PICTURES: &str = "cells/pic/";
+const PRESENT_PREFIX: &str = "own/node/";
+const PRESENT_MS: u64 = 15_000;
+const OFFER_EVERY: Duration = Duration::from_millis(700);
+
+/// What a node knows of the cells together.
+#[derive(Default)]
+pub(super) struct Between {
+    ledger: Option<(Ledger, u64)>,
+    pictures: HashMap<u32, Picture>,
+}
+
+impl Node {
+    /// Offers the plan of this controller's file until one is in force.
+    pub(super) async fn offer_plan(self: Arc<Self>) {
+        let Some(plan) = self.plan.clone().filter(|p| p.cells > 1) else { return };
+        let present = Presence { node: self.settings.node.clone(), plan: Some(plan.clone()) };
+        let Ok(value) = serde_json::to_value(&present) else { return };
+        let mut lease = None;
+        while lock(&self.in_force).is_none() {
+            Timer::after(OFFER_EVERY).await;
+            let renewed = match lease {
+                Some(l) => self.state.renew(l, Duration::from_secs(1)).await.is_ok(),
+                None => false,
+            };
+            if !renewed {
+                lease = self.state.grant(PRESENT_MS).await.ok();
+                let key = format!("{PRESENT_PREFIX}{}", self.settings.node);
+                let change = Change::Put { key, value: value.clone(), lease };
+                if lease.is_some() && self.state.commit(vec![], vec![change], Turn::InTurn).await.is_err() {
+                    lease = None;
+                }
+            }
+            if self.owns_some(clock::now()) {
+                self.bring_into_force(&plan).await;
+            }
+        }
+    }
+
+    /// The owner of the one cell that there is puts the plan in its claim's place, once everybody
+    /// understands it.
+    async fn bring_into_force(self: &Arc<Self>, plan: &lupinspur_cells::Plan) {
+        let Ok((items, _)) = self.state.list(PRESENT_PREFIX, Turn::InTurn).await else { return };
+        let present: Vec<Presence> = parse_items(items).map(|(_, p, _)| p).collect();
+        let nodes: Vec<&str> =
+            self.settings.peers.iter().map(|p| p.node.as_str()).chain([self.settings.node.as_str()]).collect();
+        if !comes_into_force(plan, &nodes, &present) {
+            return;
+        }
+        let Ok(before) = self.state.get(LEDGER_KEY, Turn::InTurn).await else { return };
+        let cells = self.cells();
+        let Some(cell) = cells.first().filter(|_| cells.len() == 1) else { return };
+        let now = clock::now();
+        // What is in use stays cell 0's, and nothing is added to it from here on; the rest goes to
+        // the teams' homes.
+        let made = cell.with_shard(now, |s| {
+            let (token, in_use) = (s.token, s.in_use());
+            let mut ledger = Ledger::begin(&limits(&self.settings.teams), plan.cells, CellIx(0));
+            for (team, used) in &in_use {
+                let Some(own) = ledger.share(team, CellIx(0)) else { continue };
+                let home = plan.home(team);
+                let amount = own.less(*used);
+                let gift = Gift { team: team.clone(), from: CellIx(0), to: home, amount };
+                if home != CellIx(0)
+                    && let Some(l) = ledger.after(&[gift])
+                {
+                    ledger = l;
+                }
+            }
+            s.set_shares(&self.settings.teams, &ledger, CellIx(0));
+            (token, ledger)
+        });
+        let Some((token, ledger)) = made else { return };
+        let (Ok(claim), Ok(shares)) = (serde_json::to_value(InForce::new(plan.clone())), serde_json::to_value(&ledger))
+        else {
+            return;
+        };
+        let most = self.settings.value_bytes();
+        if claim.to_string().len().max(shares.to_string().len()) > most {
+            log::error!("the plan of cells, or what it parts, does not fit a value of {most} bytes");
+            return;
+        }
+        let conditions = vec![
+            Condition { key: CLAIM_KEY.into(), version: token },
+            Condition { key: LEDGER_KEY.into(), version: before.map_or(0, |i| i.version) },
+        ];
+        let changes = vec![
+            Change::Put { key: LEDGER_KEY.into(), value: shares, lease: None },
+            Change::Put { key: CLAIM_KEY.into(), value: claim, lease: None },
+        ];
+        match self.state.commit(conditions, changes, Turn::First).await {
+            Ok(Commit::Applied(_)) => self.enter_cells(plan.clone()),
+            outcome => {
+                log::info!("the plan of cells did not come into force: {outcome:?}");
+                cell.look_at_claim().await;
+                // Whoever still holds the claim then knows that it was not stored; later it cannot
+                // be, since what it was conditional on would have to change first.
+                if matches!(outcome, Ok(Commit::Failed(_)) | Err(StateError::NotExecuted(_))) {
+                    let whole = Ledger::begin(&limits(&self.settings.teams), 1, CellIx(0));
+                    cell.with_shard(clock::now(), |s| s.set_shares(&self.settings.teams, &whole, CellIx(0)));
+                }
+            }
+        }
+    }
+
+    /// The plan is in force: this process takes part in its cells from now on.
+    pub(super) fn enter_cells(self: &Arc<Self>, plan: lupinspur_cells::Plan) {
+        {
+            let mut in_force = lock(&self.in_force);
+            match &*in_force {
+                Some(p) if *p == plan => return,
+                Some(_) => {
+                    log::error!("another plan of cells is in force than was: this process keeps to the first");
+                    return;
+                }
+                None => *in_force = Some(plan.clone()),
+            }
+        }
+        log::info!("{} cells are in force", plan.cells);
+        let cell = |c| Cell::new(self.clone(), CellIx(c), crate::ownership::cell_claim_key(c));
+        let cells: Vec<Arc<Cell>> = (0..plan.cells).map(cell).collect();
+        // As far as this process knows nobody has claimed them: what it hears next may say more.
+        cells.iter().for_each(|c| c.saw_claim(None));
+        self.put_cells(cells);
+        EX.spawn(self.clone().watch_between()).detach();
+    }
+
+    /// Shares and pictures, as they are stored.
+    async fn watch_between(self: Arc<Self>) {
+        let mut from: Option<u64> = None;
+        loop {
+            let heard = match from {
+                None => self.state.list(CELLS_PREFIX, Turn::InTurn).await,
+                Some(r) => self.state.watch(CELLS_PREFIX, r, WATCH_WAIT).await.map(|ev| {
+                    let item = |e: crate::wire::Event| {
+                        Some(Item { key: e.put?, value: e.value.unwrap_or_default(), version: e.version, lease: None })
+                    };
+                    (ev.events.into_iter().filter_map(item).collect(), ev.revision.max(r))
+                }),
+            };
+            match heard {
+                Ok((items, revision)) => {
+                    items.into_iter().for_each(|i| self.saw_between(i));
+                    from = Some(revision);
+                }
+                Err(_) => {
+                    from = None;
+                    Timer::after(Duration::from_millis(300)).await;
+                }
+            }
+        }
+    }
+
+    fn saw_between(&self, item: Item) {
+        if item.key == LEDGER_KEY {
+            if let Ok(l) = serde_json::from_value::<Ledger>(item.value) {
+                self.saw_ledger(l, item.version);
+            }
+        } else if item.key.starts_with(PICTURES)
+            && let Ok(p) = serde_json::from_value::<Picture>(item.value)
+        {
+            lock(&self.between).pictures.insert(p.cell.0, p);
+        }
+    }
+
+    /// A newer word on the shares: every cell that is owned here goes by it, unless it is giving.
+    fn saw_ledger(&self, ledger: Ledger, version: u64) {
+        {
+            let mut b = lock(&self.between);
+            if b.ledger.as_ref().is_some_and(|l| l.1 >= version) {
+                return;
+            }
+            b.ledger = Some((ledger.clone(), version));
+        }
+        for c in self.cells().iter().filter(|c| !c.giving.load(Ordering::Relaxed)) {
+            c.with_shard(clock::now(), |s| s.set_shares(&self.settings.teams, &ledger, c.ix));
+        }
+    }
+}
+
+impl Cell {
+    /// The shares that this cell begins with. Nothing is begun before they are known.
+    pub(super) async fn read_shares(&self) -> Result<Option<Ledger>, StateError> {
+        if lock(&self.in_force).is_none() {
+            return Ok(None);
+        }
+        let item = self.state.get(LEDGER_KEY, Turn::InTurn).await?;
+        let read = item.and_then(|i| Some((serde_json::from_value::<Ledger>(i.value).ok()?, i.version)));
+        match read {
+            Some((l, version)) => {
+                self.saw_ledger(l.clone(), version);
+                Ok(Some(l))
+            }
+            // Where there is none nothing may be used of any limit.
+            None => Ok(Some(Ledger::begin(&limits(&self.settings.teams), 1, CellIx(u32::MAX)))),
+        }
+    }
+
+    /// Tells the others of this cell, gives what it does not need, and lets waiting work go.
+    pub(super) async fn look_around(self: Arc<Self>) {
+        while self.open() {
+            let Some(plan) = lock(&self.in_force).clone() else { return };
+            Timer::after(Duration::from_secs_f64(plan.picture_s * (0.9 + 0.2 * fastrand::f64()))).await;
+            let now = clock::now();
+            let seen = self.with_shard(now, |s| (s.token, s.gathered(now).then(|| s.picture(self.ix, now))));
+            let Some((token, Some(mine))) = seen else { continue };
+            if let Ok(value) = serde_json::to_value(&mine)
+                && value.to_string().len() <= self.settings.value_bytes()
+            {
+                let key = format!("{PICTURES}{}", self.ix.0);
+                let change = Change::Put { key, value, lease: None };
+                let claim = Condition { key: self.claim_key.clone(), version: token };
+                let _ = self.state.commit(vec![claim], vec![change], Turn::InTurn).await;
+            }
+            if self.state.answers(clock::now()) {
+                self.give(token, &plan, &mine).await;
+                self.let_go(token, &plan, &mine).await;
+            }
+        }
+    }
+
+    fn fresh_pictures(&self, plan: &lupinspur_cells::Plan, now_ms: u64) -> Vec<Picture> {
+        let b = lock(&self.between);
+        let bound_s = 2.0 * self.settings.time_bound_s;
+        b.pictures.values().filter(|p| p.fresh(now_ms, plan.picture_s, bound_s)).cloned().collect()
+    }
+
+    async fn give(&self, token: u64, plan: &lupinspur_cells::Plan, mine: &Picture) {
+        let Some((ledger, version)) = lock(&self.between).ledger.clone() else { return };
+        let pictures = self.fresh_pictures(plan, mine.at_ms);
+        let mut all: Vec<Gift> = Vec::new();
+        for team in ledger.teams.keys() {
+            let of = |c: u32| -> Option<Use> {
+                let p = if c == self.ix.0 { mine } else { pictures.iter().find(|p| p.cell.0 == c)? };
+                Some(p.teams.get(team).copied().unwrap_or_default())
+            };
+            let uses: Vec<Option<Use>> = (0..plan.cells).map(of).collect();
+            all.extend(gifts(self.ix, team, &ledger, &uses, plan.home(team)));
+        }
+        if !all.is_empty() {
+            self.part_with(token, (ledger, version), all, Vec::new(), Vec::new()).await;
+        }
+    }
+
+    /// Stores gifts, and what goes with them, in one write. What is given is not counted on from
+    /// before the write is sent until it is known what became of it.
+    async fn part_with(
+        &self,
+        token: u64,
+        (ledger, version): (Ledger, u64),
+        given: Vec<Gift>,
+        mut conditions: Vec<Condition>,
+        mut changes: Vec<Change>,
+    ) -> Option<bool> {
+        let next = ledger.after(&given)?;
+        self.giving.store(true, Ordering::Relaxed);
+        let fits = self.with_shard(clock::now(), |s| {
+            // What has come into use since the picture is not given after all.
+            let used = s.in_use();
+            let ok =
+                s.token == token && used.iter().all(|(t, u)| next.share(t, self.ix).is_none_or(|left| u.fits(left)));
+            if ok {
+                s.set_shares(&self.settings.teams, &next, self.ix);
+            }
+            ok
+        });
+        let mut stored = Some(false);
+        if fits == Some(true) {
+            let value = serde_json::to_value(&next).unwrap_or_default();
+            conditions.push(Condition { key: self.claim_key.clone(), version: token });
+            conditions.push(Condition { key: LEDGER_KEY.into(), version });
+            changes.push(Change::Put { key: LEDGER_KEY.into(), value, lease: None });
+            stored = self.surely(token, conditions, changes).await;
+            // Whatever became of it: the state service's own word on the shares, before anything is
+            // counted on again.
+            while stored != Some(false) && lock(&self.own).token() == Some(token) {
+                if let Ok(Some(item)) = self.state.get(LEDGER_KEY, Turn::InTurn).await
+                    && let Ok(l) = serde_json::from_value::<Ledger>(item.value)
+                {
+                    self.saw_ledger(l, item.version);
+                    break;
+                }
+                Timer::after(Duration::from_millis(300)).await;
+            }
+        }
+        self.giving.store(false, Ordering::Relaxed);
+        let known = lock(&self.between).ledger.clone();
+        if let Some((l, _)) = known {
+            self.with_shard(clock::now(), |s| s.set_shares(&self.settings.teams, &l, self.ix));
+        }
+        stored
+    }
+
+    /// Sends a write until it is certain that it will not be applied later: one whose answer was lost
+    /// goes again, and finds what it is conditional on as it was or changed. True: it is stored;
+    /// none: it may be, which a reader tells; false: it is not.
+    async fn surely(&self, token: u64, conditions: Vec<Condition>, changes: Vec<Change>) -> Option<bool> {
+        let mut lost = false;
+        loop {
+            match self.state.commit(conditions.clone(), changes.clone(), Turn::InTurn).await {
+                Ok(Commit::Applied(_)) => return Some(true),
+                Ok(Commit::Failed(_)) => return if lost { None } else { Some(false) },
+                Err(StateError::NotExecuted(_)) if !lost => return Some(false),
+                Err(StateError::Unknown) => lost = true,
+                Err(_) => {}
+            }
+            if lock(&self.own).token() != Some(token) {
+                return None;
+            }
+            Timer::after(Duration::from_millis(300)).await;
+        }
+    }
+
+    /// Waiting work goes to cells where it starts sooner, whole and one job at a time.
+    async fn let_go(self: &Arc<Self>, token: u64, plan: &lupinspur_cells::Plan, mine: &Picture) {
+        let others = self.fresh_pictures(plan, mine.at_ms);
+        let now = clock::now();
+        let boot_s = self.types().iter().map(|t| t.boot_s).fold(0.0, f64::max);
+        let waiting = self.with_shard(now, |s| s.may_leave(now)).unwrap_or_default();
+        for (j, to) in spills(plan, mine, &others, &waiting, boot_s) {
+            let Some((ledger, version)) = lock(&self.between).ledger.clone() else { return };
+            let gone = self.with_shard(clock::now(), |s| {
+                // It may have been started, or ended, since it was offered.
+                let still = s.jobs.get(j).is_some_and(|x| x.open() && x.held == 0 && !x.leaving);
+                if !still || s.token != token {
+                    return None;
+                }
+                let (record, version, team, takes) = s.goes(j, to)?;
+                Some((record, version, s.team_name(team).to_owned(), takes))
+            });
+            let Some((record, at, team, takes)) = gone.flatten() else { continue };
+            let id = record.job.id.clone();
+            let key = crate::jobs::job_key(&id);
+            let Ok(value) = serde_json::to_value(&record) else { continue };
+            // Its part of the limit goes with it, as far as this cell has it to spare.
+            let given: Vec<Gift> = ledger
+                .share(&team, self.ix)
+                .map(|own| {
+                    let used = self.with_shard(clock::now(), |s| s.in_use()).unwrap_or_default();
+                    let used = used.into_iter().find(|u| u.0 == team).map_or(own, |u| u.1);
+                    let spare = own.less(used);
+                    let amount = Amount::new(takes.cpus.min(spare.cpus), takes.cards.min(spare.cards));
+                    Gift { team: team.clone(), from: self.ix, to, amount }
+                })
+                .into_iter()
+                .collect();
+            let conditions = vec![Condition { key: key.clone(), version: at }];
+            let changes = vec![Change::Put { key: key.clone(), value, lease: None }];
+            let stored = self.part_with(token, (ledger, version), given, conditions, changes).await;
+            // Its own record has the last word on whose it is.
+            let theirs = match stored {
+                Some(true) | None => match self.state.get(&key, Turn::InTurn).await {
+                    Ok(Some(i)) => job_of(&i.key, &i.value).ok().map(|r| self.cell_of_record(&r) != self.ix),
+                    _ => None,
+                },
+                Some(false) => Some(false),
+            };
+            match theirs {
+                Some(true) => {
+                    log::info!("{id} goes from {} to cell {}", self.name(), to.0);
+                    self.note_cell(&id, to);
+                    self.with_shard(clock::now(), |s| s.left(&id, clock::now()));
+                }
+                Some(false) => _ = self.with_shard(clock::now(), |s| s.stays(&id)),
+                // It waits here, started by nobody, until its record comes by the watch.
+                None => {}
+            }
+        }
+    }
+}
--- a/src/node/claim.rs
+++ b/src/node/claim.rs
@@ -1,11 +1,12 @@
 //! The lease, the claim, and what stands beside it at the state service.
 
 use super::*;
+use lupinspur_cells::member::claims_after_s;
 
-impl Node {
+impl Cell {
     pub(super) async fn keep_lease(self: Arc<Self>) {
         let every = Duration::from_secs_f64((self.tuning.claim_s / 5.0).min(1.5));
-        loop {
+        while self.open() {
             let lease = lock(&self.own).lease();
             if let Some(id) = lease {
                 let sent = clock::now();
@@ -35,12 +36,11 @@
         f(&mut lock(&self.own));
         if lock(&self.shard).take().is_some() {
             log::warn!("no longer the owner");
-            self.state.set_share(&self.settings, false);
-            self.cloud.set_share(&self.settings, false);
+            self.share_out();
         }
     }
 
-    pub(super) async fn try_claim(&self) {
+    pub(super) async fn try_claim(self: &Arc<Self>) {
         if self.claiming.swap(true, Ordering::Relaxed) {
             return;
         }
@@ -48,13 +48,19 @@
         self.claiming.store(false, Ordering::Relaxed);
     }
 
-    pub(super) async fn claim_once(&self) {
+    async fn claim_once(self: &Arc<Self>) {
+        if !self.open() {
+            return;
+        }
         // Whoever does not know the machine types cannot act, and must not stand in the
         // way of those that can.
         if self.types().is_empty() {
             return;
         }
-        let next = || lock(&self.own).next(clock::now(), clock::wall_ms(), !self.settings.peers.is_empty());
+        // Before the lock: it looks at the claims of all cells.
+        let turn_s = self.turn_s();
+        let others = !self.settings.peers.is_empty();
+        let next = || lock(&self.own).next(clock::now(), clock::wall_ms(), others, turn_s);
         let mut step = next();
         if step == Next::Grant {
             let sent = clock::now();
@@ -69,11 +75,11 @@
             Next::Claim { lease, over } => {
                 let me = lock(&self.own).trying(lease, clock::wall_ms());
                 let Ok(value) = serde_json::to_value(&me) else { return };
-                let condition = Condition { key: CLAIM_KEY.into(), version: over };
-                let change = Change::Put { key: CLAIM_KEY.into(), value, lease: Some(lease) };
+                let condition = Condition { key: self.claim_key.clone(), version: over };
+                let change = Change::Put { key: self.claim_key.clone(), value, lease: Some(lease) };
                 match self.state.commit(vec![condition], vec![change], Turn::First).await {
                     Ok(Commit::Applied(version)) => {
-                        log::info!("claimed the shard with token {version}");
+                        log::info!("claimed {} with token {version}", self.name());
                         lock(&self.own).claimed(version);
                     }
                     Ok(Commit::Failed(_)) | Err(StateError::Unknown) => self.look_at_claim().await,
@@ -86,9 +92,10 @@
         }
         let token = lock(&self.own).token();
         let have = lock(&self.shard).as_ref().map(|s| s.token);
-        if let (Some(t), true, Some(me)) = (token, have != token, NODE.get().cloned())
+        if let (Some(t), true) = (token, have != token)
             && !self.loading.swap(true, Ordering::Relaxed)
         {
+            let me = self.clone();
             // Reading may take longer than the lease lasts: it goes on being renewed meanwhile. A
             // reading that had to be over within a lease would never be over with a long history.
             EX.spawn(async move {
@@ -99,14 +106,25 @@
         }
     }
 
+    /// Where there are several cells, each controller leaves to others what is not its turn.
+    fn turn_s(&self) -> f64 {
+        let of = self.cells().len();
+        if of < 2 {
+            return 0.0;
+        }
+        let nodes: Vec<&str> =
+            self.settings.peers.iter().map(|p| p.node.as_str()).chain([self.settings.node.as_str()]).collect();
+        claims_after_s(&self.settings.node, &nodes, self.ix, self.owned())
+    }
+
     /// Leaves the claim of an earlier self to the other controllers, and a word of it for later
     /// selves that goes by itself.
     pub(super) async fn give_way(&self, over: u64) {
         let Ok(lease) = self.state.grant((AWAY_S * 1000.0) as u64).await else { return };
         let Ok(value) = serde_json::to_value(lock(&self.own).me()) else { return };
-        let condition = Condition { key: CLAIM_KEY.into(), version: over };
+        let condition = Condition { key: self.claim_key.clone(), version: over };
         let away = Change::Put { key: away_key(&self.settings.node), value, lease: Some(lease) };
-        let changes = vec![Change::Delete { key: CLAIM_KEY.into() }, away];
+        let changes = vec![Change::Delete { key: self.claim_key.clone() }, away];
         match self.state.commit(vec![condition], changes, Turn::First).await {
             Ok(Commit::Applied(_)) => {
                 log::warn!("this controller keeps ending: another one is to own");
@@ -119,32 +137,13 @@
         }
     }
 
-    /// What stands beside the claim: the machine types, and whether this controller gave way.
-    pub(super) fn saw_beside_claim(&self, key: &str, value: serde_json::Value) {
-        if key == TYPES_KEY {
-            match serde_json::from_value::<Vec<MachineType>>(value) {
-                Ok(t) if !t.is_empty() => {
-                    *lock(&self.types_stored) = Some(t.clone());
-                    let mut types = lock(&self.types);
-                    if types.is_empty() {
-                        *types = Arc::new(t);
-                    }
-                }
-                Ok(_) => {}
-                Err(e) => log::error!("{TYPES_KEY} holds something unknown: {e}"),
-            }
-        } else if key == away_key(&self.settings.node) {
-            lock(&self.own).gave_way(clock::now());
-        }
-    }
-
     /// The owner stores the machine types where every controller reads first. Prices move all
     /// the time and are asked for anyway.
     pub(super) async fn keep_types(self: Arc<Self>) {
         let sizes = |t: &[MachineType]| -> Vec<MachineType> {
             t.iter().map(|t| MachineType { price: 0.0, spot_price: 0.0, ..t.clone() }).collect()
         };
-        loop {
+        while self.open() && self.ix.0 == 0 {
             Timer::after(KEEP_TYPES_EVERY).await;
             let Some(token) = self.with_shard(clock::now(), |s| s.token) else { continue };
             let types = self.types();
@@ -156,7 +155,7 @@
             if value.to_string().len() > self.settings.value_bytes() {
                 continue;
             }
-            let condition = Condition { key: CLAIM_KEY.into(), version: token };
+            let condition = Condition { key: self.claim_key.clone(), version: token };
             let change = Change::Put { key: TYPES_KEY.into(), value, lease: None };
             if let Ok(Commit::Applied(_)) = self.state.commit(vec![condition], vec![change], Turn::InTurn).await {
                 *lock(&self.types_stored) = Some(types.to_vec());
@@ -165,13 +164,17 @@
     }
 
     pub(super) async fn look_at_claim(&self) {
-        if let Ok(item) = self.state.get(CLAIM_KEY, Turn::First).await {
+        if let Ok(item) = self.state.get(&self.claim_key, Turn::First).await {
             self.state_answered();
             self.saw_claim(item);
         }
     }
 
     pub(super) fn saw_claim(&self, item: Option<Item>) {
+        // Nobody's claim, with a plan in it: there are several cells from now on.
+        if let Some(plan) = item.as_ref().and_then(Cell::plan_in) {
+            return self.node.enter_cells(plan);
+        }
         let seen =
             item.and_then(|i| Some(SeenClaim { claim: serde_json::from_value(i.value).ok()?, version: i.version }));
         let lost = lock(&self.own).saw(seen, clock::now());
@@ -179,20 +182,33 @@
             self.lose(|_| {});
         }
     }
+}
 
-    pub(super) async fn watch_claim(self: Arc<Self>) {
+impl Node {
+    /// Claims, and what stands beside them.
+    pub(super) async fn watch_claims(self: Arc<Self>) {
         let mut from: Option<u64> = None;
         loop {
             let Some(revision) = from else {
                 match self.state.list(CLAIM_PREFIX, Turn::First).await {
                     Ok((items, revision)) => {
                         self.state_answered();
-                        let (claim, beside): (Vec<Item>, Vec<Item>) =
-                            items.into_iter().partition(|i| i.key == CLAIM_KEY);
+                        // The plan in force decides what the other keys mean.
+                        if let Some(plan) = items.iter().find(|i| i.key == CLAIM_KEY).and_then(Cell::plan_in) {
+                            self.enter_cells(plan);
+                        }
+                        for c in self.cells().iter().filter(|c| items.iter().all(|i| i.key != c.claim_key)) {
+                            c.saw_claim(None);
+                        }
+                        // What stands beside the claims first: it may say that they are not ours.
+                        let (claims, beside): (Vec<Item>, Vec<Item>) =
+                            items.into_iter().partition(|i| self.cell_claimed_by(&i.key).is_some());
                         beside.into_iter().for_each(|i| self.saw_beside_claim(&i.key, i.value));
-                        self.saw_claim(claim.into_iter().next());
+                        for i in claims {
+                            self.saw(i.key.clone(), Some(i));
+                        }
                         // A claim of its own earlier self, or none: there is nothing to wait for.
-                        self.try_claim().await;
+                        self.try_claims().await;
                         from = Some(revision);
                     }
                     Err(e) => {
@@ -207,23 +223,14 @@
                     self.state_answered();
                     from = Some(ev.revision.max(revision));
                     for e in ev.events {
-                        if e.put.as_deref() == Some(CLAIM_KEY) {
-                            let item = Item {
-                                key: CLAIM_KEY.into(),
-                                value: e.value.unwrap_or_default(),
-                                version: e.version,
-                                lease: None,
-                            };
-                            self.saw_claim(Some(item));
-                        } else if e.delete.as_deref() == Some(CLAIM_KEY) {
-                            self.saw_claim(None);
-                        } else if let (Some(key), Some(value)) = (e.put, e.value) {
-                            self.saw_beside_claim(&key, value);
+                        if let Some(key) = e.delete {
+                            self.saw(key, None);
+                        } else if let Some(key) = e.put {
+                            let value = e.value.unwrap_or_default();
+                            self.saw(key.clone(), Some(Item { key, value, version: e.version, lease: None }));
                         }
                     }
-                    if lock(&self.own).token().is_none() {
-                        self.try_claim().await;
-                    }
+                    self.try_claims().await;
                 }
                 Err(StateError::TooOld) => from = None,
                 Err(_) => {
@@ -233,4 +240,44 @@
             }
         }
     }
+
+    /// What stands beside the claim: the machine types, and whether this controller gave way.
+    fn saw_beside_claim(&self, key: &str, value: serde_json::Value) {
+        if key == TYPES_KEY {
+            match serde_json::from_value::<Vec<MachineType>>(value) {
+                Ok(t) if !t.is_empty() => {
+                    *lock(&self.types_stored) = Some(t.clone());
+                    let mut types = lock(&self.types);
+                    if types.is_empty() {
+                        *types = Arc::new(t);
+                    }
+                }
+                Ok(_) => {}
+                Err(e) => log::error!("{TYPES_KEY} holds something unknown: {e}"),
+            }
+        } else if key == away_key(&self.settings.node) {
+            for c in self.cells().iter() {
+                lock(&c.own).gave_way(clock::now());
+            }
+        }
+    }
+
+    fn cell_claimed_by(&self, key: &str) -> Option<Arc<Cell>> {
+        self.cells().iter().find(|c| c.claim_key == key).cloned()
+    }
+
+    /// A key under the claims' prefix has this value now, or is gone.
+    fn saw(&self, key: String, item: Option<Item>) {
+        match (self.cell_claimed_by(&key), item) {
+            (Some(c), item) => c.saw_claim(item),
+            (None, Some(i)) => self.saw_beside_claim(&key, i.value),
+            (None, None) => {}
+        }
+    }
+
+    async fn try_claims(&self) {
+        for c in self.cells().iter().filter(|c| lock(&c.own).token().is_none()) {
+            c.try_claim().await;
+        }
+    }
 }
--- a/src/node/loops.rs
+++ b/src/node/loops.rs
@@ -2,18 +2,12 @@
 
 use super::*;
 
-impl Node {
-    pub(super) fn tell_alarms(&self, alarms: &[Alarm], whose: &str) {
-        for a in alarms {
-            if a.under { log::warn!("{whose}: {a}") } else { log::info!("{whose}: {a}") }
-        }
-    }
-
+impl Cell {
     pub(super) async fn ticks(self: Arc<Self>) {
         let mut looked_again = 0.0;
         let mut told = (clock::now(), 0, Counts::default());
-        let (mut alarmed, mut accounts, mut door_at, mut reports_at) = (0.0, (0.0, 0), 0.0, 0.0);
-        loop {
+        let (mut alarmed, mut accounts) = (0.0, (0.0, 0));
+        while self.open() {
             // What reports and submissions bring is placed together, a little later.
             Timer::after(GATHER).await;
             Self::woken(&self.wakes.pace.1).await;
@@ -46,19 +40,6 @@
                 s.tick(now);
                 s.deaf(now)
             });
-            if now - door_at > ALARMS_EVERY_S {
-                door_at = now;
-                let alarms = lock(&self.door).alarms(now);
-                self.tell_alarms(&alarms, "this controller's door");
-            }
-            if now - reports_at >= SUMMARY_EVERY_S {
-                let taken = |n: &AtomicU64| n.swap(0, Ordering::Relaxed);
-                let (sent_on, turned_away) = (taken(&self.sent_on), taken(&self.turned_away));
-                if sent_on + turned_away > 0 {
-                    log::info!("{:.0} s: {sent_on} reports sent on, {turned_away} turned away", now - reports_at);
-                }
-                reports_at = now;
-            }
             match deaf {
                 Some(true) if !self.settings.peers.is_empty() => {
                     // The workers cannot reach us, though the state service can: others may do better.
@@ -88,7 +69,7 @@
     pub(super) async fn writer(self: Arc<Self>) {
         let (done_tx, done_rx) = async_channel::bounded::<()>(MOST_COMMITS);
         let mut running = 0;
-        loop {
+        while self.open() {
             Self::woken(&self.wakes.writer.1).await;
             while done_rx.try_recv().is_ok() {
                 running -= 1;
@@ -116,9 +97,13 @@
     }
 
     pub(super) async fn write(&self, token: u64, writes: Vec<crate::shard::Write>) {
-        let mut conditions = vec![Condition { key: CLAIM_KEY.into(), version: token }];
-        conditions.extend(writes.iter().map(|w| Condition { key: w.key.clone(), version: w.version }));
-        let changes = writes.iter().map(|w| w.change.clone()).collect();
+        let mut conditions = vec![Condition { key: self.claim_key.clone(), version: token }];
+        conditions.extend(writes.iter().map(|w| Condition { key: self.outer(&w.key), version: w.version }));
+        let outer = |c: &Change| match c.clone() {
+            Change::Put { key, value, lease } => Change::Put { key: self.outer(&key), value, lease },
+            Change::Delete { key } => Change::Delete { key: self.outer(&key) },
+        };
+        let changes = writes.iter().map(|w| outer(&w.change)).collect();
         let outcome = self.state.commit(conditions, changes, Turn::InTurn).await;
         let mine = |f: &mut dyn FnMut(&mut Shard)| {
             if let Some(s) = lock(&self.shard).as_mut().filter(|s| s.token == token) {
@@ -147,7 +132,7 @@
                 // Some version is not what was thought, or nobody knows: ask for each key.
                 for w in &writes {
                     let item = loop {
-                        match self.state.get(&w.key, Turn::InTurn).await {
+                        match self.state.get(&self.outer(&w.key), Turn::InTurn).await {
                             Ok(i) => break i,
                             Err(_) => Timer::after(Duration::from_millis(200)).await,
                         };
@@ -174,7 +159,7 @@
         let most = (self.settings.sockets / 8).clamp(8, 512);
         let (done_tx, done_rx) = async_channel::bounded::<()>(most);
         let mut running = 0;
-        loop {
+        while self.open() {
             Self::woken(&self.wakes.direct.1).await;
             while done_rx.try_recv().is_ok() {
                 running -= 1;
@@ -202,7 +187,7 @@
     }
 
     pub(super) async fn rentals(self: Arc<Self>) {
-        loop {
+        while self.open() {
             let now = clock::now();
             let launch = self
                 .with_shard(now, |s| (s.token, s.launches.pending.first().cloned()))
@@ -238,7 +223,7 @@
     }
 
     pub(super) async fn deletions(self: Arc<Self>) {
-        loop {
+        while self.open() {
             let now = clock::now();
             let call = self.with_shard(now, |s| s.next_delete().map(|c| (s.token, c))).flatten();
             let Some((token, CloudCall::Delete(machines, names))) = call else {
@@ -256,18 +241,47 @@
     }
 
     pub(super) async fn lists(self: Arc<Self>) {
-        loop {
-            Timer::after(Duration::from_secs_f64(LIST_EVERY_S)).await;
+        while self.open() {
+            // The cloud's calls are for all cells together.
+            let of = self.cells().len();
+            Timer::after(Duration::from_secs_f64(LIST_EVERY_S * of as f64)).await;
             let now = clock::now();
             let Some(token) = self.with_shard(now, |s| s.token) else { continue };
             if let Ok(list) = self.cloud.list().await {
                 let now = clock::now();
                 if let Some(s) = lock(&self.shard).as_mut().filter(|s| s.token == token) {
-                    s.on_list(&list, now);
+                    s.on_list(&list, of == 1, now);
                 }
             }
         }
     }
+}
+
+impl Node {
+    pub(super) fn tell_alarms(&self, alarms: &[Alarm], whose: &str) {
+        for a in alarms {
+            if a.under { log::warn!("{whose}: {a}") } else { log::info!("{whose}: {a}") }
+        }
+    }
+
+    /// What the door says now and then: alarms of what users were answered, and reports that went elsewhere.
+    pub(super) async fn tell_door(self: Arc<Self>) {
+        let mut reports_at = 0.0;
+        loop {
+            Timer::after(Duration::from_secs_f64(ALARMS_EVERY_S)).await;
+            let now = clock::now();
+            let alarms = lock(&self.door).alarms(now);
+            self.tell_alarms(&alarms, "this controller's door");
+            if now - reports_at >= SUMMARY_EVERY_S {
+                let taken = |n: &AtomicU64| n.swap(0, Ordering::Relaxed);
+                let (sent_on, turned_away) = (taken(&self.sent_on), taken(&self.turned_away));
+                if sent_on + turned_away > 0 {
+                    log::info!("{:.0} s: {sent_on} reports sent on, {turned_away} turned away", now - reports_at);
+                }
+                reports_at = now;
+            }
+        }
+    }
 
     /// All controllers begin at the same moment, and the cloud refuses what is over its
     /// limit: those that are refused ask again at times of their own. The last of five
@@ -280,7 +294,10 @@
                 Ok(t) if !t.is_empty() => {
                     self.types_asked.store(true, Ordering::Relaxed);
                     let now = clock::now();
-                    let mine = self.with_shard(now, |s| s.on_types(t.clone(), now)).is_some();
+                    let mut mine = false;
+                    for c in self.cells().iter() {
+                        mine |= c.with_shard(now, |s| s.on_types(t.clone(), now)).is_some();
+                    }
                     *lock(&self.types) = Arc::new(t);
                     // Prices matter to the owner; the others judge submissions by sizes.
                     if mine { TYPES_EVERY_S } else { TYPES_EVERY_S * 3.0 }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -1,9 +1,13 @@
 //! The node: sockets, clocks and loops around one shard's decisions.
 
+mod between;
 mod claim;
 mod loops;
+mod routing;
 mod takeover;
 
+pub use routing::Place;
+
 use crate::clock;
 use crate::cloud::{CloudClient, CloudError};
 use crate::fleet::racks::RACK_PREFIX;
@@ -15,7 +19,7 @@
 use crate::settings::Settings;
 use crate::shard::{CloudCall, Counts, Found, Loaded, LoadedQuotas, Shard, job_of};
 use crate::state::{Commit, StateClient, StateError, TXN_BYTES, Turn};
-use crate::told::Told;
+use crate::told::{Told, Word};
 use crate::tuning::Tuning;
 use crate::wire::{Change, Condition, Item, JobState, Kind, MachineType, RentRequest};
 use crate::worker::WorkerClient;
@@ -27,6 +31,7 @@
 use lupinspur_accounts::gate::LOG_MARK;
 use lupinspur_accounts::handed::Carried;
 use lupinspur_accounts::{Alarm, Book, Reading, Told as ServiceTold};
+use lupinspur_cells::CellIx;
 use lupinspur_quota::Plan;
 use lupinspur_quota::stored::{HEAD, PREFIX};
 use serde::de::DeserializeOwned;
@@ -61,6 +66,7 @@
 pub struct Features {
     pub quotas: Option<Plan>,
     pub elastic: Option<lupinspur_elastic::Plan>,
+    pub cells: Option<lupinspur_cells::Plan>,
 }
 
 /// Who acts, as far as this node knows.
@@ -88,8 +94,16 @@
     pub cloud: CloudClient,
     pub workers: WorkerClient,
     pub peers: Peers,
-    own: Mutex<Ownership>,
-    shard: Mutex<Option<Shard>>,
+    /// Who this process is, in every claim that it makes.
+    me: Claim,
+    cells: Mutex<Cells>,
+    /// The operators' file of cells, and the plan that is in force.
+    plan: Option<lupinspur_cells::Plan>,
+    in_force: Mutex<Option<lupinspur_cells::Plan>>,
+    between: Mutex<between::Between>,
+    /// Which cell a job, or a machine, was last found in.
+    job_cells: Mutex<LruCache<String, CellIx>>,
+    machine_cells: Mutex<LruCache<String, CellIx>>,
     types: Mutex<Arc<Vec<MachineType>>>,
     finals: Mutex<LruCache<String, Told>>,
     /// Jobs that this node has seen to be accepted: they stay so.
@@ -104,9 +118,32 @@
     /// Reports that were sent on to the owner, and those that could not be answered at all.
     sent_on: AtomicU64,
     turned_away: AtomicU64,
+}
+
+pub type Cells = Arc<Vec<Arc<Cell>>>;
+
+/// One owner's place in this process: its claim, its shard while it is owned here, its loops.
+/// Everything that the process has once it finds in its node.
+pub struct Cell {
+    node: Arc<Node>,
+    pub ix: CellIx,
+    claim_key: String,
+    own: Mutex<Ownership>,
+    shard: Mutex<Option<Shard>>,
     wakes: Wakes,
     claiming: AtomicBool,
     loading: AtomicBool,
+    /// A part of its share is on its way to another cell.
+    giving: AtomicBool,
+    /// Another set of cells has taken its place: its loops end.
+    closed: AtomicBool,
+}
+
+impl std::ops::Deref for Cell {
+    type Target = Node;
+    fn deref(&self) -> &Node {
+        &self.node
+    }
 }
 
 fn lock<T>(m: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -124,10 +161,11 @@
 }
 
 /// Takes a job's record in. Knowing of it needs no right to act: what came while the lease was
-/// in doubt would be missing afterwards.
-fn take_into(s: &mut Shard, item: &Item, now: f64) {
+/// in doubt would be missing afterwards. One that is another cell's is not, or no longer, ours.
+fn take_into(cell: &Cell, s: &mut Shard, item: &Item, now: f64) {
     match job_of(&item.key, &item.value) {
-        Ok(r) => _ = s.add_job(r, item.version, now),
+        Ok(r) if cell.concerns(&r) => _ = s.add_job(r, item.version, now),
+        Ok(r) => s.left(&r.job.id, now),
         Err(e) => {
             log::error!("{} {e}", item.key);
             s.cannot_take_in(&item.key);
@@ -143,8 +181,13 @@
             cloud: CloudClient::new(&settings),
             workers: WorkerClient::new(&settings),
             peers: Peers::new(&EX, &settings),
-            own: Mutex::new(Ownership::new(me, tuning.claim_s)),
-            shard: Mutex::new(None),
+            me,
+            cells: Mutex::default(),
+            plan: features.cells,
+            in_force: Mutex::default(),
+            between: Mutex::default(),
+            job_cells: Mutex::new(LruCache::new(MOST_KEPT)),
+            machine_cells: Mutex::new(LruCache::new(MOST_KEPT)),
             types: Mutex::default(),
             finals: Mutex::new(LruCache::new(MOST_KEPT)),
             accepted: Mutex::new(LruCache::new(MOST_KEPT)),
@@ -154,13 +197,6 @@
             types_asked: AtomicBool::new(false),
             sent_on: AtomicU64::new(0),
             turned_away: AtomicU64::new(0),
-            wakes: Wakes {
-                writer: async_channel::bounded(1),
-                direct: async_channel::bounded(1),
-                pace: async_channel::bounded(1),
-            },
-            claiming: AtomicBool::new(false),
-            loading: AtomicBool::new(false),
             settings,
             tuning,
             quotas: features.quotas,
@@ -171,57 +207,51 @@
     /// Sets all loops going.
     pub fn begin(self: &Arc<Self>) {
         let n = || self.clone();
+        self.put_cells(vec![Cell::new(n(), CellIx(0), CLAIM_KEY.into())]);
         EX.spawn(n().learn_types()).detach();
-        EX.spawn(n().keep_types()).detach();
-        EX.spawn(n().watch_claim()).detach();
-        EX.spawn(n().keep_lease()).detach();
-        EX.spawn(n().ticks()).detach();
-        EX.spawn(n().writer()).detach();
-        EX.spawn(n().direct()).detach();
-        EX.spawn(n().rentals()).detach();
-        EX.spawn(n().deletions()).detach();
-        EX.spawn(n().lists()).detach();
-        EX.spawn(n().look_up_needs()).detach();
+        EX.spawn(n().watch_claims()).detach();
+        EX.spawn(n().tell_door()).detach();
+        EX.spawn(n().offer_plan()).detach();
     }
 
-    /// What users were answered at this controller's door.
-    pub fn door_told(&self, now: f64) -> ServiceTold {
-        lock(&self.door).told(now)
+    /// These cells from now on, in the order of their numbers.
+    fn put_cells(self: &Arc<Self>, cells: Vec<Arc<Cell>>) {
+        let before = std::mem::replace(&mut *lock(&self.cells), Arc::new(cells.clone()));
+        for c in before.iter() {
+            c.closed.store(true, Ordering::Relaxed);
+            c.lose(|o| o.lease_lost());
+        }
+        cells.iter().for_each(Cell::begin);
     }
 
-    /// Lets `f` see the shard while this node surely owns it.
-    pub fn with_shard<T>(&self, now: f64, f: impl FnOnce(&mut Shard) -> T) -> Option<T> {
-        let token = lock(&self.own).may_act(now)?;
-        let mut guard = lock(&self.shard);
-        guard.as_mut().filter(|s| s.token == token).map(f)
+    pub fn cells(&self) -> Cells {
+        lock(&self.cells).clone()
     }
 
-    pub fn standing(&self, now: f64) -> Standing {
-        let own = lock(&self.own);
-        if own.may_act(now).is_some() {
-            drop(own);
-            return if lock(&self.shard).is_some() { Standing::Owner } else { Standing::Nobody };
-        }
-        own.other_owner().map_or(Standing::Nobody, |n| Standing::Other(n.to_owned()))
+    /// How many cells this process holds a claim of.
+    fn owned(&self) -> usize {
+        self.cells().iter().filter(|c| lock(&c.own).token().is_some()).count()
     }
 
-    pub fn types(&self) -> Arc<Vec<MachineType>> {
-        lock(&self.types).clone()
+    /// What this process may spend at the services follows from what it owns.
+    fn share_out(&self) {
+        let (owned, of) = (self.owned(), self.cells().len());
+        self.state.set_share(&self.settings, owned, of);
+        self.cloud.set_share(&self.settings, owned, of);
     }
 
-    pub fn healthy(&self) -> bool {
-        let now = clock::now();
-        !lock(&self.types).is_empty() && (now - *lock(&self.state_ok) < 4.0 || self.standing(now) == Standing::Owner)
+    /// What users were answered at this controller's door.
+    pub fn door_told(&self, now: f64) -> ServiceTold {
+        lock(&self.door).told(now)
     }
 
-    /// Something may be there to place: the next tick comes soon.
-    pub fn wake(&self) {
-        let _ = self.wakes.pace.0.try_send(());
+    pub fn types(&self) -> Arc<Vec<MachineType>> {
+        lock(&self.types).clone()
     }
 
-    fn carry_out(&self) {
-        let _ = self.wakes.writer.0.try_send(());
-        let _ = self.wakes.direct.0.try_send(());
+    pub fn healthy(&self) -> bool {
+        let now = clock::now();
+        !lock(&self.types).is_empty() && (now - *lock(&self.state_ok) < 4.0 || self.owns_some(now))
     }
 
     /// Final states never change: any node may tell them once it has learnt them.
@@ -250,20 +280,96 @@
         lock(&self.door).answered(class, team, what, served && in_time, now);
     }
 
+    fn state_answered(&self) {
+        *lock(&self.state_ok) = clock::now();
+    }
+
+    /// Something may be there to place, in some cell that is owned here.
+    pub fn wake(&self) {
+        self.cells().iter().for_each(|c| c.wake());
+    }
+
+    /// Does this controller own any cell?
+    fn owns_some(&self, now: f64) -> bool {
+        self.cells().iter().any(|c| c.standing(now) == Standing::Owner)
+    }
+}
+
+impl Cell {
+    fn new(node: Arc<Node>, ix: CellIx, claim_key: String) -> Arc<Cell> {
+        let own = Ownership::new(node.me.clone(), node.tuning.claim_s);
+        Arc::new(Cell {
+            node,
+            ix,
+            claim_key,
+            own: Mutex::new(own),
+            shard: Mutex::new(None),
+            wakes: Wakes {
+                writer: async_channel::bounded(1),
+                direct: async_channel::bounded(1),
+                pace: async_channel::bounded(1),
+            },
+            claiming: AtomicBool::new(false),
+            loading: AtomicBool::new(false),
+            giving: AtomicBool::new(false),
+            closed: AtomicBool::new(false),
+        })
+    }
+
+    fn begin(self: &Arc<Self>) {
+        let c = || self.clone();
+        EX.spawn(c().keep_types()).detach();
+        EX.spawn(c().keep_lease()).detach();
+        EX.spawn(c().ticks()).detach();
+        EX.spawn(c().writer()).detach();
+        EX.spawn(c().direct()).detach();
+        EX.spawn(c().rentals()).detach();
+        EX.spawn(c().deletions()).detach();
+        EX.spawn(c().lists()).detach();
+        EX.spawn(c().look_up_needs()).detach();
+        EX.spawn(c().look_around()).detach();
+    }
+
+    fn open(&self) -> bool {
+        !self.closed.load(Ordering::Relaxed)
+    }
+
+    /// Lets `f` see the shard while this node surely owns it.
+    pub fn with_shard<T>(&self, now: f64, f: impl FnOnce(&mut Shard) -> T) -> Option<T> {
+        let token = lock(&self.own).may_act(now)?;
+        let mut guard = lock(&self.shard);
+        guard.as_mut().filter(|s| s.token == token).map(f)
+    }
+
+    pub fn standing(&self, now: f64) -> Standing {
+        let own = lock(&self.own);
+        if own.may_act(now).is_some() {
+            drop(own);
+            return if lock(&self.shard).is_some() { Standing::Owner } else { Standing::Nobody };
+        }
+        own.other_owner().map_or(Standing::Nobody, |n| Standing::Other(n.to_owned()))
+    }
+
+    /// Something may be there to place: the next tick comes soon.
+    pub fn wake(&self) {
+        let _ = self.wakes.pace.0.try_send(());
+    }
+
+    fn carry_out(&self) {
+        let _ = self.wakes.writer.0.try_send(());
+        let _ = self.wakes.direct.0.try_send(());
+    }
+
     /// A stored job that the shard did not know of yet.
     pub fn take_job(&self, item: &Item) {
         let now = clock::now();
         let token = lock(&self.own).token();
         if let Some(s) = lock(&self.shard).as_mut().filter(|s| Some(s.token) == token) {
-            take_into(s, item, now);
+            take_into(self, s, item, now);
         }
         self.wake();
     }
 
-    fn state_answered(&self) {
-        *lock(&self.state_ok) = clock::now();
-    }
-
     /// How a report is answered that this controller cannot take.
     pub fn elsewhere(&self, now: f64) -> Option<String> {
         match self.standing(now) {
@@ -278,5 +384,3 @@
         }
     }
 }
-
-pub(crate) static NODE: std::sync::OnceLock<Arc<Node>> = std::sync::OnceLock::new();
--- /dev/null
+++ b/src/node/routing.rs
@@ -0,0 +1,189 @@
+//! Which cell a job or a machine belongs to, where there are several.
+
+use super::*;
+use lupinspur_cells::member::NOBODY;
+
+/// Where a job is to be asked for.
+pub enum Place {
+    /// This cell has it, or would have it.
+    In(Arc<Cell>),
+    /// What can be said without any cell.
+    Told(Word),
+}
+
+/// A claim's value as far as it says which cell's machines may obey its holder.
+impl Node {
+    pub fn cell(&self, ix: CellIx) -> Option<Arc<Cell>> {
+        self.cells().get(ix.ix()).cloned()
+    }
+
+    /// The one cell that there is, if there is only one.
+    fn only(&self) -> Option<Arc<Cell>> {
+        let cells = self.cells();
+        (cells.len() == 1).then(|| cells[0].clone())
+    }
+
+    /// The cell of whatever this record is of.
+    pub fn cell_of_record(&self, r: &JobRecord) -> CellIx {
+        let of = self.cells().len();
+        r.cell.filter(|c| (*c as usize) < of).map_or(CellIx(0), CellIx)
+    }
+
+    /// The home of a team's new jobs; none where there is only one cell.
+    pub fn home(&self, team: &str) -> Option<CellIx> {
+        let plan = lock(&self.in_force).clone()?;
+        Some(plan.home(team))
+    }
+
+    /// An owned cell that knows this job.
+    pub fn knows_job(&self, id: &str, now: f64) -> Option<Arc<Cell>> {
+        self.cells().iter().find(|c| c.with_shard(now, |s| s.jobs.find(id).is_some()) == Some(true)).cloned()
+    }
+
+    pub fn note_cell(&self, id: &str, cell: CellIx) {
+        lock(&self.job_cells).put(id.to_owned(), cell);
+    }
+
+    /// The cell turned out to be another one: the next question reads the record again.
+    pub fn forget_cell(&self, id: &str) {
+        lock(&self.job_cells).pop(id);
+    }
+
+    /// Where this job is to be asked for. Costs a request to the state service for a job that
+    /// this node has not met yet.
+    pub async fn place_of(&self, id: &str, turn: Turn) -> Place {
+        if let Some(c) = self.only() {
+            return Place::In(c);
+        }
+        if let Some(t) = self.final_known(id) {
+            return Place::Told(Word::Known(t));
+        }
+        if let Some(c) = self.knows_job(id, clock::now()) {
+            return Place::In(c);
+        }
+        let noted = lock(&self.job_cells).get(id).copied();
+        if let Some(c) = noted.and_then(|c| self.cell(c)) {
+            return Place::In(c);
+        }
+        match self.state.get(&crate::jobs::job_key(id), turn).await {
+            Ok(None) => Place::Told(Word::Absent),
+            Ok(Some(item)) => match job_of(&item.key, &item.value) {
+                Ok(r) if r.phase == Phase::Open => {
+                    let cell = self.cell_of_record(&r);
+                    self.note_cell(id, cell);
+                    self.cell(cell).map_or(Place::Told(Word::Unable), Place::In)
+                }
+                Ok(r) => {
+                    let told = crate::told::told_of(&r);
+                    self.note_final(id, told);
+                    Place::Told(Word::Known(told))
+                }
+                Err(_) => Place::Told(Word::Unable),
+            },
+            Err(_) => Place::Told(Word::Unable),
+        }
+    }
+
+    /// The cell of a machine that reports here: the one that knows it, wherever it is owned. One
+    /// that nobody knows goes to a cell whose token it would obey; none is said before all were
+    /// asked.
+    pub async fn cell_of_machine(&self, machine: &str, token: u64) -> Option<Arc<Cell>> {
+        if let Some(c) = self.only() {
+            return Some(c);
+        }
+        let now = clock::now();
+        let cells = self.cells();
+        let knows = |c: &&Arc<Cell>| c.with_shard(now, |s| s.machines.find(machine).is_some()) == Some(true);
+        if let Some(c) = cells.iter().find(knows) {
+            return Some(c.clone());
+        }
+        let noted = lock(&self.machine_cells).get(machine).copied();
+        if let Some(c) = noted.and_then(|c| cells.get(c.ix())) {
+            return Some(c.clone());
+        }
+        let mut looked: Vec<bool> = cells.iter().map(|c| c.standing(now) == Standing::Owner).collect();
+        let mut owners: Vec<String> = Vec::new();
+        for c in cells.iter() {
+            if let Standing::Other(node) = c.standing(now)
+                && !owners.contains(&node)
+            {
+                owners.push(node);
+            }
+        }
+        for node in owners {
+            let Some(a) = self.peers.ask_expects(&node, machine).await else { continue };
+            if a.known {
+                lock(&self.machine_cells).put(machine.to_owned(), CellIx(a.cell));
+                return self.cell(CellIx(a.cell));
+            }
+            for c in a.owned {
+                if let Some(l) = looked.get_mut(c as usize) {
+                    *l = true;
+                }
+            }
+        }
+        if !looked.iter().all(|l| *l) {
+            return None;
+        }
+        let plan = lock(&self.in_force).clone()?;
+        let first = plan.cell_of_stranger(machine);
+        let obeyed = |c: &&Arc<Cell>| lock(&c.own).version_seen().is_some_and(|v| v >= token);
+        let cell = cells.get(first.ix()).filter(obeyed).or_else(|| cells.iter().find(obeyed))?;
+        lock(&self.machine_cells).put(machine.to_owned(), cell.ix);
+        Some(cell.clone())
+    }
+
+    /// What another controller asks: is this machine one of the cells that are owned here?
+    pub fn expects(&self, machine: &str) -> (Option<CellIx>, Vec<u32>) {
+        let (now, cells) = (clock::now(), self.cells());
+        let looked: Vec<(CellIx, bool)> = cells
+            .iter()
+            .filter_map(|c| Some((c.ix, c.with_shard(now, |s| s.machines.find(machine).is_some())?)))
+            .collect();
+        let known = looked.iter().find(|l| l.1).map(|l| l.0);
+        (known, looked.iter().map(|l| l.0.0).collect())
+    }
+}
+
+impl Cell {
+    /// For people, in the log.
+    pub fn name(&self) -> String {
+        if self.cells().len() > 1 { format!("cell {}", self.ix.0) } else { "the shard".into() }
+    }
+
+    /// The name of a key of this cell's own, as the state service has it. Jobs and their progress
+    /// stand where they always stood, whosever they are.
+    pub(super) fn outer(&self, key: &str) -> String {
+        let shared = [JOB_PREFIX, PROGRESS_PREFIX, PART_PREFIX].iter().any(|p| key.starts_with(p));
+        if shared || self.ix.0 == 0 { key.to_owned() } else { format!("c{}/{key}", self.ix.0) }
+    }
+
+    /// The other way round.
+    pub(super) fn inner(&self, mut item: Item) -> Item {
+        if self.ix.0 != 0
+            && let Some(key) = item.key.strip_prefix(&format!("c{}/", self.ix.0))
+        {
+            item.key = key.to_owned();
+        }
+        item
+    }
+
+    /// Everything of this cell under a prefix.
+    pub(super) async fn list_own(&self, prefix: &str) -> Result<Vec<Item>, StateError> {
+        let (items, _) = self.state.list(&self.outer(prefix), Turn::InTurn).await?;
+        Ok(items.into_iter().map(|i| self.inner(i)).collect())
+    }
+
+    /// Does a record concern this cell? One that is over does, since others may wait for it.
+    pub(super) fn concerns(&self, r: &JobRecord) -> bool {
+        r.phase != Phase::Open || self.cell_of_record(r) == self.ix
+    }
+
+    /// Is this claim nobody's, with the plan in it?
+    pub(super) fn plan_in(item: &Item) -> Option<lupinspur_cells::Plan> {
+        if item.value.get("node").and_then(serde_json::Value::as_str) != Some(NOBODY) {
+            return None;
+        }
+        serde_json::from_value::<lupinspur_cells::member::InForce>(item.value.clone()).ok().map(|f| f.cells)
+    }
+}
--- a/src/node/takeover.rs
+++ b/src/node/takeover.rs
@@ -14,8 +14,10 @@
 
 impl Records {
     /// One record; one that is over is dropped, unless it ended since the checkpoint.
-    fn take(&mut self, key: &str, value: &serde_json::Value, version: u64, keep_over: bool) {
+    fn take(&mut self, cell: &Cell, key: &str, value: &serde_json::Value, version: u64, keep_over: bool) {
         match job_of(key, value) {
+            // Another cell's, or another's by now.
+            Ok(r) if !cell.concerns(&r) => _ = self.jobs.remove(&r.job.id),
             Ok(r) if r.phase == Phase::Open || keep_over => {
                 self.jobs.insert(r.job.id.clone(), (r, version));
             }
@@ -27,26 +29,32 @@
         }
     }
 }
-impl Node {
+
+impl Cell {
     /// Reads everything that the shard needs to go on.
-    pub(super) async fn load(&self, token: u64) {
+    pub(super) async fn load(self: &Arc<Self>, token: u64) {
         let began = clock::now();
-        self.state.set_share(&self.settings, true);
+        self.share_out();
         let loaded = async {
             let (records, revision) = self.read_jobs().await?;
             let (mut progress, _) = self.state.list(PROGRESS_PREFIX, Turn::InTurn).await?;
             progress.extend(self.state.list(PART_PREFIX, Turn::InTurn).await?.0);
-            let (machines, _) = self.state.list(MACHINE_PREFIX, Turn::InTurn).await?;
-            let (racks, _) = self.state.list(RACK_PREFIX, Turn::InTurn).await?;
-            let fleet = self.state.get(FLEET_KEY, Turn::InTurn).await?;
+            let machines = self.list_own(MACHINE_PREFIX).await?;
+            let racks = self.list_own(RACK_PREFIX).await?;
+            let fleet = self.state.get(&self.outer(FLEET_KEY), Turn::InTurn).await?.map(|i| self.inner(i));
+            let shares = self.read_shares().await?;
             let quotas = match &self.quotas {
                 Some(_) => self.state.list(PREFIX, Turn::InTurn).await?.0,
                 None => Vec::new(),
             };
-            Ok::<_, StateError>((records, revision, progress, machines, racks, fleet, quotas))
+            if self.cells().len() > 1 {
+                // What is known of other cells' jobs is theirs to tidy up.
+                progress.retain(|i| i.key.split('/').nth(1).is_some_and(|id| records.jobs.contains_key(id)));
+            }
+            Ok::<_, StateError>((records, revision, progress, machines, racks, (fleet, shares), quotas))
         };
         match loaded.await {
-            Ok((records, revision, progress, machines, racks, fleet, quotas)) => {
+            Ok((records, revision, progress, machines, racks, (fleet, shares), quotas)) => {
                 let number = |k: &str| k.strip_prefix(RACK_PREFIX).and_then(|n| n.parse::<usize>().ok());
                 let handed = records.handed;
                 let loaded = Loaded {
@@ -70,11 +78,16 @@
                 let machines = loaded.machines.len() + loaded.racks.iter().map(|r| r.1.machines.len()).sum::<usize>();
                 if lock(&self.own).token() != Some(token) {
                     log::warn!("the claim was lost while everything was read");
-                    self.state.set_share(&self.settings, false);
+                    self.share_out();
                     return;
                 }
                 let now = clock::now();
-                log::info!("took over: {} jobs, {machines} machines, read in {:.2} s", loaded.jobs.len(), now - began);
+                log::info!(
+                    "took over {}: {} jobs, {machines} machines, read in {:.2} s",
+                    self.name(),
+                    loaded.jobs.len(),
+                    now - began
+                );
                 for (r, _) in loaded.jobs.iter().filter(|(r, _)| r.phase != Phase::Open) {
                     self.note_final(&r.job.id, crate::told::told_of(r));
                 }
@@ -87,15 +100,15 @@
                     now,
                 );
                 shard.day_ms = clock::wall_ms() as f64 - now * 1000.0;
+                if let Some(l) = shares {
+                    shard.set_shares(&self.settings.teams, &l, self.ix);
+                }
                 shard.carry_accounts(handed, now);
                 shard.tick(now);
                 *lock(&self.shard) = Some(shard);
-                self.cloud.set_share(&self.settings, true);
+                self.share_out();
                 self.wake();
-                let me = NODE.get().cloned();
-                if let Some(me) = me {
-                    EX.spawn(me.watch_jobs(token, revision)).detach();
-                }
+                EX.spawn(self.clone().watch_jobs(token, revision)).detach();
             }
             Err(e) => log::warn!("loading (after {:.1} s): {e}", clock::now() - began),
         }
@@ -105,7 +118,7 @@
     /// be used, by every record there is, page by page.
     async fn read_jobs(&self) -> Result<(Records, u64), StateError> {
         let mut records = Records::default();
-        let (items, _) = self.state.list(lupinspur_recovery::PREFIX, Turn::InTurn).await?;
+        let items = self.list_own(lupinspur_recovery::PREFIX).await?;
         records.found.keys = items.iter().map(|i| (i.key.clone(), i.version)).collect();
         records.handed = crate::shard::handed(items.iter().map(|i| (i.key.as_str(), &i.value)));
         let read = lupinspur_recovery::read(items.iter().map(|i| (i.key.as_str(), &i.value)));
@@ -114,12 +127,12 @@
             Ok(mut read) => match self.state.watch(JOB_PREFIX, read.head.at, Duration::ZERO).await {
                 Ok(since) => {
                     for o in std::mem::take(&mut read.open) {
-                        records.take(&format!("{JOB_PREFIX}{}", o.id), &o.value, o.version, false);
+                        records.take(self, &format!("{JOB_PREFIX}{}", o.id), &o.value, o.version, false);
                     }
                     let (at, changes) = (read.head.at, since.events.len());
                     for e in since.events {
                         if let (Some(key), Some(value)) = (&e.put, &e.value) {
-                            records.take(key, value, e.version, true);
+                            records.take(self, key, value, e.version, true);
                         }
                     }
                     log::info!("read the checkpoint of revision {at} and {changes} changes since");
@@ -136,8 +149,10 @@
             Err(lupinspur_recovery::Unusable::None) => log::info!("there is no checkpoint yet"),
             Err(e) => log::warn!("the checkpoint cannot be used: {e}"),
         }
-        let revision =
-            self.state.each(JOB_PREFIX, Turn::InTurn, |i| records.take(&i.key, &i.value, i.version, false)).await?;
+        let revision = self
+            .state
+            .each(JOB_PREFIX, Turn::InTurn, |i| records.take(self, &i.key, &i.value, i.version, false))
+            .await?;
         log::info!("read every job's record: {} are open, {} are over", records.jobs.len(), records.over);
         records.found.revision = revision;
         Ok((records, revision))
@@ -145,7 +160,7 @@
 
     /// Jobs that other nodes accepted reach the owner by watching.
     pub(super) async fn watch_jobs(self: Arc<Self>, token: u64, mut from: u64) {
-        let mine = |n: &Node| lock(&n.shard).as_ref().is_some_and(|s| s.token == token);
+        let mine = |n: &Cell| lock(&n.shard).as_ref().is_some_and(|s| s.token == token);
         while mine(&self) {
             match self.state.watch(JOB_PREFIX, from, Duration::from_secs(5)).await {
                 Ok(ev) => {
@@ -186,7 +201,7 @@
     /// Jobs that others here need and that nobody has told of: mostly they ended long ago.
     pub(super) async fn look_up_needs(self: Arc<Self>) {
         let mut before: Vec<String> = Vec::new();
-        loop {
+        while self.open() {
             Timer::after(LOOK_UP_EVERY).await;
             let wanted = self.with_shard(clock::now(), |s| s.to_look_up()).unwrap_or_default();
             // One that is new here may only be late by the watch.
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -22,7 +22,10 @@
 
 use proto::owner_client::OwnerClient;
 pub use proto::owner_server::{Owner, OwnerServer};
-pub use proto::{JobAnswer, JobQuestion, Outcome, QuotaAnswer, QuotaQuestion, ServiceAnswer, ServiceQuestion, Verb};
+pub use proto::{
+    JobAnswer, JobQuestion, MachineAnswer, MachineQuestion, Outcome, QuotaAnswer, QuotaQuestion, ServiceAnswer,
+    ServiceQuestion, Verb,
+};
 
 #[derive(Clone, Copy)]
 struct Spawn(&'static Executor<'static>);
@@ -100,16 +103,24 @@
 }
 
 pub async fn query_quotas(ex: &'static Executor<'static>, addr: SocketAddr, job: &str) -> Result<QuotaAnswer, String> {
-    let q = QuotaQuestion { job: job.to_owned(), passed_on: false };
+    let q = QuotaQuestion { job: job.to_owned(), passed_on: false, cell: 0 };
     answer(addr, operator(ex, addr).await?.quotas(q)).await
 }
 
-pub async fn query_elastic(ex: &'static Executor<'static>, addr: SocketAddr) -> Result<ServiceAnswer, String> {
-    answer(addr, operator(ex, addr).await?.elastic(ServiceQuestion { passed_on: false })).await
+pub async fn query_elastic(
+    ex: &'static Executor<'static>,
+    addr: SocketAddr,
+    cell: u32,
+) -> Result<ServiceAnswer, String> {
+    answer(addr, operator(ex, addr).await?.elastic(ServiceQuestion { passed_on: false, cell })).await
 }
 
-pub async fn query_service(ex: &'static Executor<'static>, addr: SocketAddr) -> Result<ServiceAnswer, String> {
-    answer(addr, operator(ex, addr).await?.service(ServiceQuestion { passed_on: false })).await
+pub async fn query_service(
+    ex: &'static Executor<'static>,
+    addr: SocketAddr,
+    cell: u32,
+) -> Result<ServiceAnswer, String> {
+    answer(addr, operator(ex, addr).await?.service(ServiceQuestion { passed_on: false, cell })).await
 }
 
 impl Peers {
@@ -148,23 +159,35 @@
     }
 
     /// Asks the owner about elastic jobs.
-    pub async fn ask_elastic(&self, node: &str) -> Option<ServiceAnswer> {
-        self.asked(node, async |mut c| c.elastic(ServiceQuestion { passed_on: true }).await).await
+    pub async fn ask_elastic(&self, node: &str, cell: u32) -> Option<ServiceAnswer> {
+        self.asked(node, async |mut c| c.elastic(ServiceQuestion { passed_on: true, cell }).await).await
     }
 
     /// Asks the owner about the accounts of service.
-    pub async fn ask_service(&self, node: &str) -> Option<ServiceAnswer> {
-        self.asked(node, async |mut c| c.service(ServiceQuestion { passed_on: true }).await).await
+    pub async fn ask_service(&self, node: &str, cell: u32) -> Option<ServiceAnswer> {
+        self.asked(node, async |mut c| c.service(ServiceQuestion { passed_on: true, cell }).await).await
+    }
+
+    /// Asks an owner whether a machine is one of its cells'.
+    pub async fn ask_expects(&self, node: &str, machine: &str) -> Option<MachineAnswer> {
+        let q = MachineQuestion { machine: machine.to_owned() };
+        self.asked(node, async |mut c| c.expects(q).await).await
     }
 
     /// Asks the owner about a job. None when it cannot be reached or cannot act. A connection
     /// to a process that has ended meanwhile is told at once, and a new one is tried.
-    pub async fn ask(&self, node: &str, verb: Verb, job: &str, limit: Option<Duration>) -> Option<JobAnswer> {
+    pub async fn ask(
+        &self,
+        node: &str,
+        verb: Verb,
+        (job, cell): (&str, u32),
+        limit: Option<Duration>,
+    ) -> Option<JobAnswer> {
         let mut again = true;
         loop {
             let c = self.channel(node).await?;
             let mut client = OwnerClient::with_origin(c, origin());
-            let q = JobQuestion { verb: verb.into(), job: job.to_owned() };
+            let q = JobQuestion { verb: verb.into(), job: job.to_owned(), cell };
             let began = Instant::now();
             match timed(limit.unwrap_or(ASK), client.ask(q)).await {
                 Ok(Ok(a)) => return Some(a.into_inner()).filter(|a| a.outcome() != Outcome::Unable),
--- a/src/query.rs
+++ b/src/query.rs
@@ -28,6 +28,9 @@
         /// Where any controller listens for its peers (peer_listen in its settings).
         #[arg(long, value_name = "ADDRESS")]
         peer: SocketAddr,
+        /// Of this cell, where there are several.
+        #[arg(long, default_value_t = 0)]
+        cell: u32,
         /// JSON instead of a table.
         #[arg(long)]
         json: bool,
@@ -41,6 +44,9 @@
         /// and cancellations are those that this controller answered.
         #[arg(long, value_name = "ADDRESS")]
         peer: SocketAddr,
+        /// Of this cell, where there are several.
+        #[arg(long, default_value_t = 0)]
+        cell: u32,
         /// JSON instead of a table.
         #[arg(long)]
         json: bool,
@@ -70,8 +76,8 @@
 pub fn run(q: &Query) -> Result<(String, bool), String> {
     match q {
         Query::Quotas { peer, job, json } => Ok((quotas(*peer, job, *json)?, true)),
-        Query::Service { peer, json } => Ok((service(*peer, *json)?, true)),
-        Query::Elastic { peer, json } => Ok((elastic(*peer, *json)?, true)),
+        Query::Service { peer, cell, json } => Ok((service(*peer, *cell, *json)?, true)),
+        Query::Elastic { peer, cell, json } => Ok((elastic(*peer, *cell, *json)?, true)),
         Query::State(StateQuery::Check { config, rate, json }) => check_state(config, *rate, *json),
     }
 }
@@ -86,8 +92,8 @@
     Ok((text, f.faults.is_empty()))
 }
 
-fn service(peer: SocketAddr, json: bool) -> Result<String, String> {
-    let answer = async_io::block_on(EX.run(crate::peer::query_service(&EX, peer)))?;
+fn service(peer: SocketAddr, cell: u32, json: bool) -> Result<String, String> {
+    let answer = async_io::block_on(EX.run(crate::peer::query_service(&EX, peer, cell)))?;
     if json {
         return Ok(answer.json);
     }
@@ -95,8 +101,8 @@
     Ok(service_table(&told))
 }
 
-fn elastic(peer: SocketAddr, json: bool) -> Result<String, String> {
-    let answer = async_io::block_on(EX.run(crate::peer::query_elastic(&EX, peer)))?;
+fn elastic(peer: SocketAddr, cell: u32, json: bool) -> Result<String, String> {
+    let answer = async_io::block_on(EX.run(crate::peer::query_elastic(&EX, peer, cell)))?;
     if answer.json.is_empty() {
         return Err("no job is elastic here: the controllers run without --elastic".into());
     }
--- a/src/run.rs
+++ b/src/run.rs
@@ -2,7 +2,7 @@
 
 use crate::answers::OwnerSide;
 use crate::clock;
-use crate::node::{EX, Features, NODE, Node};
+use crate::node::{EX, Features, Node};
 use crate::settings::Settings;
 use crate::tuning::Tuning;
 use async_io::Async;
@@ -39,7 +39,7 @@
     let peer_listener = listen_on(settings.peer_listen)?;
     let bounds = settings.door();
     log::info!("{} in {} listens on {}", settings.node, settings.zone, settings.listen);
-    let node = NODE.get_or_init(|| Arc::new(Node::new(settings, tuning, features))).clone();
+    let node = Arc::new(Node::new(settings, tuning, features));
     let n = || node.clone();
     node.begin();
     EX.spawn(crate::peer::serve(&EX, peer_listener, Arc::new(OwnerSide(n())))).detach();
--- a/src/state.rs
+++ b/src/state.rs
@@ -139,7 +139,7 @@
             txn_ops: s.least_txn_ops(),
             limits: Mutex::new(Limits::new(s)),
         };
-        let ours = client.shared(s, false);
+        let ours = client.shared(s, 0, 1);
         *lock(&client.requests) = Budget::begun(ours.requests, ours.requests);
         *lock(&client.writes) = Budget::begun(ours.writes, ours.writes);
         client
@@ -147,19 +147,20 @@
 
     /// The owner writes most; the others only accept jobs. Together the shares are
     /// more than the whole, since bursts seldom meet: the service's own 429 is the
-    /// last word, and whoever gets one pauses.
-    pub fn set_share(&self, s: &crate::settings::Settings, owner: bool) {
-        let ours = self.shared(s, owner);
+    /// last word, and whoever gets one pauses. `owned` of so many cells are this controller's.
+    pub fn set_share(&self, s: &crate::settings::Settings, owned: usize, of: usize) {
+        let ours = self.shared(s, owned, of);
         *lock(&self.requests) = Budget::new(ours.requests, ours.requests);
         *lock(&self.writes) = Budget::new(ours.writes, ours.writes);
     }
 
-    fn shared(&self, s: &crate::settings::Settings, owner: bool) -> Rates {
+    fn shared(&self, s: &crate::settings::Settings, owned: usize, of: usize) -> Rates {
         let others = s.peers.len().max(1) as f64;
-        let (requests, writes) = match owner {
+        let part = owned as f64 / of.max(1) as f64;
+        let (requests, writes) = match owned {
             _ if s.peers.is_empty() => (0.9, 0.9),
-            true => (0.6, 0.8),
-            false => (0.4 / others, 0.9 / others),
+            0 => (0.4 / others, 0.9 / others),
+            _ => ((0.6 * part).max(0.4 / others), (0.8 * part).max(0.9 / others)),
         };
         let mut limits = lock(&self.limits);
         limits.share = Rates { requests, writes };
