--- /dev/null
+++ b/crates/scheduler/src/shard/largest.rs
@@ -0,0 +1,181 @@
+//! The largest jobs of each class begin in time.
+//!
+//! Where more waits than the machines can take, small jobs go before large ones, since of small ones
+//! many more are served. A class's largest jobs would wait for as long as that lasts. So one of them
+//! that has waited for [`BEGINS_AFTER_S`] gets a first part of its tasks before other batch work does,
+//! out of a share that is set apart for that; at its team's limit the team's other work waits for it,
+//! and where none of its tasks fits anywhere, a machine is kept for it until one does.
+//!
+//! The largest are a class's top tenth, at least one job, by tasks times cpus and by tasks, of those
+//! that this owner knows to have come last.
+
+use super::*;
+use crate::wire::Priority;
+
+/// A job waits for so long, in seconds, before its first part goes ahead. Users are promised four
+/// minutes; boots, a takeover and the end of what runs there come out of the rest.
+const BEGINS_AFTER_S: u64 = 60;
+/// Where a class's jobs are all alike nothing holds back its largest but its turn: later.
+const ALIKE_AFTER_S: u64 = 150;
+/// Of an array, one task in so many is the first part.
+const FIRST_PART: u32 = 10;
+/// Of the cpus that other batch work gets, so many more are set apart for first parts; and so many at
+/// the most, and half of it at the beginning.
+const SHARE: f64 = 0.2;
+const MOST_CREDIT: f64 = 64.0;
+/// Jobs of a class whose sizes are remembered, and classes.
+const REMEMBERED: usize = 100;
+const MOST_CLASSES: usize = 64;
+/// One in so many is among the largest.
+const TENTH: usize = 10;
+/// A machine is kept for one job for so long, in seconds, before another one is tried.
+const KEPT_FOR_S: f64 = 60.0;
+/// Machines kept at a time, one in so many, and at least one.
+const KEPT_SHARE: usize = 50;
+
+/// The sizes of a class's jobs that came last.
+#[derive(Debug, Default)]
+struct Sizes {
+    last: VecDeque<(f64, u32)>,
+    /// From this size on a job is among the largest.
+    least: (f64, u32),
+    /// The size in the middle.
+    median: (f64, u32),
+}
+
+#[derive(Debug, Default)]
+pub(super) struct Largest {
+    classes: HashMap<String, Sizes>,
+    pub(super) credit: f64,
+    /// Machines that take nothing new until a task of this job fits, and since when.
+    kept: BTreeMap<MachineIx, (JobIx, f64)>,
+}
+
+fn size(r: &crate::wire::JobRequest) -> (f64, u32) {
+    (f64::from(r.tasks) * r.cpus, r.tasks)
+}
+
+impl Largest {
+    pub(super) fn new() -> Largest {
+        Largest { credit: MOST_CREDIT / 2.0, ..Largest::default() }
+    }
+
+    fn came(&mut self, r: &crate::wire::JobRequest) {
+        if !self.classes.contains_key(&r.class) && self.classes.len() >= MOST_CLASSES {
+            return;
+        }
+        let sizes = self.classes.entry(r.class.clone()).or_default();
+        if sizes.last.len() >= REMEMBERED {
+            sizes.last.pop_front();
+        }
+        sizes.last.push_back(size(r));
+        let at = |n: usize| n - n.div_ceil(TENTH);
+        let (mut cpus, mut tasks): (Vec<f64>, Vec<u32>) = sizes.last.iter().copied().unzip();
+        cpus.sort_by(f64::total_cmp);
+        tasks.sort_unstable();
+        sizes.least = (cpus[at(cpus.len())], tasks[at(tasks.len())]);
+        sizes.median = (cpus[cpus.len() / 2], tasks[tasks.len() / 2]);
+    }
+
+    /// After how long a job goes ahead, in seconds, if it is among the largest of its class.
+    fn goes_after_s(&self, r: &crate::wire::JobRequest) -> Option<u64> {
+        let (cpus, tasks) = size(r);
+        let s = self.classes.get(&r.class)?;
+        let one = cpus + EPS >= s.least.0 || tasks >= s.least.1;
+        let alike = s.last.len() > 1 && cpus <= s.median.0 + EPS && tasks <= s.median.1;
+        one.then_some(if alike { ALIKE_AFTER_S } else { BEGINS_AFTER_S })
+    }
+}
+
+impl Shard {
+    pub(super) fn size_came(&mut self, j: JobIx) {
+        if self.jobs.at(j).phase == Phase::Open {
+            self.largest.came(&self.jobs.at(j).spec);
+        }
+    }
+
+    /// The first part of this job's tasks, if it is to go ahead of other batch work now.
+    pub(crate) fn first_part(&self, j: JobIx, now_ms: u64) -> Option<u32> {
+        let job = self.jobs.at(j);
+        let begun = job.held > 0 || job.done > 0;
+        let waited_s = now_ms.saturating_sub(job.freed_ms) / 1000;
+        if begun || waited_s < BEGINS_AFTER_S || job.spec.priority == Priority::Production || job.at_fault() {
+            return None;
+        }
+        let after_s = self.largest.goes_after_s(&job.spec)?;
+        (waited_s >= after_s).then(|| job.unfinished().div_ceil(FIRST_PART).max(1))
+    }
+
+    /// A batch task starts that takes so many cpus.
+    pub(crate) fn largest_started(&mut self, cpus: f64, first_part: bool) {
+        let change = if first_part { -cpus } else { cpus * SHARE };
+        self.largest.credit = (self.largest.credit + change).min(MOST_CREDIT);
+    }
+
+    /// What is set apart for first parts, in cpus.
+    pub(crate) fn first_parts_may_take(&self) -> f64 {
+        self.largest.credit
+    }
+
+    /// No machine has room for a task of this job: one is kept free of other batch work until it has.
+    /// What may be stopped for it there is stopped.
+    pub(crate) fn keep_machine(&mut self, j: JobIx, now: f64) -> Option<MachineIx> {
+        let job = self.jobs.at(j);
+        let kept = self.largest.kept.iter().find(|(_, k)| k.0 == j && now - k.1 < KEPT_FOR_S).map(|(m, _)| *m);
+        let silent_s = self.fresh_s();
+        let could = |i: MachineIx, m: &crate::fleet::Machine| {
+            let t = self.types.get(m.ty);
+            let others = self.largest.kept.get(&i).is_some_and(|k| k.0 != j);
+            !others
+                && !m.base
+                && m.usable(now, silent_s)
+                && t.cpus + EPS >= job.spec.cpus
+                && t.memory_gb + EPS >= job.spec.memory_gb
+                && t.cards + EPS >= job.spec.cards
+                && (job.spec.spot || !m.spot)
+                && job.spec.types.as_ref().is_none_or(|l| l.contains(&t.name))
+                && job.spec.zone.as_ref().is_none_or(|z| **z == **self.types.zones.name(m.zone))
+        };
+        // Until what must be waited for there is over, in seconds, about.
+        let clears = |m: &crate::fleet::Machine| {
+            let left = m.tasks.iter().filter(|(k, _)| self.jobs.at(k.0).spec.priority <= job.spec.priority);
+            left.map(|(k, h)| match self.jobs.at(k.0).spec.estimate_s {
+                0.0 => f64::INFINITY,
+                s => (s - (now - h.since)).max(1.0),
+            })
+            .fold(0.0, f64::max)
+        };
+        let m = kept.filter(|m| could(*m, self.machines.at(*m))).or_else(|| {
+            let all = self.machines.iter().filter(|(i, m)| could(*i, m) && !self.largest.kept.contains_key(i));
+            all.map(|(i, m)| (clears(m), i)).min_by(|a, b| a.0.total_cmp(&b.0)).map(|o| o.1)
+        })?;
+        if kept != Some(m) {
+            let most = (self.machines.present.len() / KEPT_SHARE).max(1);
+            self.largest.kept.retain(|_, k| k.0 != j && now - k.1 < KEPT_FOR_S);
+            if self.largest.kept.len() >= most {
+                return None;
+            }
+            log::info!("machine {} is kept for {}", self.machines.at(m).name, self.jobs.at(j).id);
+            self.largest.kept.insert(m, (j, now));
+        }
+        let priority = self.jobs.at(j).spec.priority;
+        let gives = |k: &TaskKey, h: &Held| h.stop.is_none() && self.jobs.at(k.0).spec.priority > priority;
+        let gives: Vec<TaskKey> =
+            self.machines.at(m).tasks.iter().filter(|(k, h)| gives(k, h)).map(|(k, _)| *k).collect();
+        if self.writable {
+            gives.into_iter().for_each(|k| self.stop_gently(m, k));
+        }
+        Some(m)
+    }
+
+    /// Machines kept for jobs that still wait for them.
+    pub(crate) fn kept_machines(&mut self, now: f64) -> Vec<(MachineIx, JobIx)> {
+        let (jobs, machines) = (&self.jobs, &self.machines);
+        self.largest.kept.retain(|m, (j, since)| {
+            let waits = jobs.get(*j).is_some_and(|j| j.open() && j.held == 0);
+            let there = machines.list.get(*m).is_some_and(|m| m.phase == MachinePhase::Up && !m.cordoned);
+            waits && there && now - *since < KEPT_FOR_S
+        });
+        self.largest.kept.iter().map(|(m, k)| (*m, k.0)).collect()
+    }
+}
--- a/crates/scheduler/src/shard/mod.rs
+++ b/crates/scheduler/src/shard/mod.rs
@@ -8,6 +8,7 @@
 mod elastic;
 mod faults;
 mod judging;
+mod largest;
 mod naming;
 mod pipelines;
 pub mod placement;
@@ -45,7 +46,7 @@
 use lupinspur_accounts::Book;
 use lupinspur_accounts::floor::Sunk;
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::sync::Arc;
 
 /// What the owner can say of a job that it knows.
@@ -165,6 +166,7 @@
     pub(crate) place_due: bool,
     /// Cpus set apart for batch work that is late, see placement.
     pub(crate) late_credit: f64,
+    largest: largest::Largest,
     /// Pairs of a job and a machine that were looked at: what placing costs.
     pub looked_at: u64,
     pub counts: Counts,
@@ -221,6 +223,7 @@
         }
         self.place_due = true;
         let j = self.jobs.add(r, team, now);
+        self.size_came(j);
         self.remember(j, now);
         self.elastic_enter(j);
         self.enter(j, now);
--- a/crates/scheduler/src/shard/placement.rs
+++ b/crates/scheduler/src/shard/placement.rs
@@ -205,6 +205,8 @@
     most: u32,
     /// It begins only with all of these at once.
     together: bool,
+    /// The first part of a large job that has waited.
+    first_part: bool,
 }
 
 /// What is taken of each team's guarantee.
@@ -271,18 +273,37 @@
         }
         let together = own != u32::MAX && s.jobs.at(j).held == 0;
         if own > 0 {
-            out.push(Turn { job: j, rank, set_apart: false, most: own, together });
+            out.push(Turn { job: j, rank, set_apart: false, most: own, together, first_part: false });
         }
         if beyond > 0 {
             let rank = (GROWS, distance, prospect, priority, share, urgency);
-            out.push(Turn { job: j, rank, set_apart: false, most: beyond, together: false });
+            out.push(Turn { job: j, rank, set_apart: false, most: beyond, together: false, first_part: false });
         }
     }
+    first_parts(s, &mut out, now_ms);
     out.sort_by_key(|t| t.rank);
     set_apart(s, &mut out);
     out
 }
 
+/// Large jobs that have waited get a first part before other batch work, the oldest first.
+fn first_parts(s: &Shard, out: &mut Vec<Turn>, now_ms: u64) {
+    let first = |t: &Turn| {
+        let n = s.first_part(t.job, now_ms).filter(|_| t.rank.0 < GROWS && !t.together)?;
+        let rank = (1, 0, Prospect::InTime, Priority::Production, 0, s.jobs.at(t.job).freed_ms);
+        Some(Turn { rank, most: n.min(t.most), first_part: true, ..*t })
+    };
+    let mut first: Vec<Turn> = out.iter().filter_map(first).collect();
+    first.sort_by_key(|t| (t.rank, t.job));
+    let mut left = s.first_parts_may_take();
+    first.retain(|t| {
+        let goes = left > 0.0;
+        left -= s.jobs.at(t.job).spec.cpus * f64::from(t.most);
+        goes
+    });
+    out.extend(first);
+}
+
 impl Shard {
     /// The jobs that wait, in the order in which they would get machines now.
     pub fn order_of_turns(&mut self, now: f64) -> Vec<String> {
@@ -333,12 +354,22 @@
     let mut hopeless = Hopeless(Vec::new());
     let (mut starts, mut rooms_made) = (0, 0);
     let mut at_limits = Vec::new();
+    // Teams whose limit is kept for a large job, and machines that are.
+    let mut waits_for_it: HashMap<TeamIx, JobIx> = HashMap::new();
+    let mut kept = s.kept_machines(now);
     let mut turns = VecDeque::from(turns);
     while let Some(turn) = turns.pop_front() {
         let job = s.jobs.at(turn.job);
         let urgent = job.spec.priority == Priority::Production;
         if !within_limit(s, job, shadow) {
             at_limits.extend(urgent.then_some(turn.job));
+            if turn.first_part {
+                waits_for_it.entry(job.team).or_insert(turn.job);
+            }
+            continue;
+        }
+        if !urgent && waits_for_it.get(&job.team).is_some_and(|j| *j != turn.job) {
+            s.others_wait = true;
             continue;
         }
         if turn.rank.0 == GROWS && s.others_wait {
@@ -346,13 +377,20 @@
         }
         if !urgent && (roomy.is_empty() || hopeless.covers(job)) {
             s.others_wait |= turn.rank.0 != GROWS;
+            if turn.first_part {
+                kept.extend(s.keep_machine(turn.job, now).map(|m| (m, turn.job)));
+            }
             continue;
         }
         s.looked_at += roomy.len() as u64;
-        let options = options(s, s.jobs.at(turn.job), &roomy, now);
+        let mut options = options(s, s.jobs.at(turn.job), &roomy, now);
         if options.is_empty() {
             hopeless.note(s.jobs.at(turn.job));
+            if turn.first_part {
+                kept.extend(s.keep_machine(turn.job, now).map(|m| (m, turn.job)));
+            }
         }
+        options.retain(|o| urgent || kept.iter().all(|(m, j)| *m != o.1 || *j == turn.job));
         let before = starts;
         let mut at = 0;
         if turn.together && !fits_at_once(s, s.jobs.at(turn.job), &options, turn.most, shadow) {
@@ -398,9 +436,12 @@
             }
             if turn.set_apart {
                 s.late_credit -= cpus;
-            } else if !urgent && turn.rank.2 == Prospect::InTime {
+            } else if !urgent && turn.rank.2 == Prospect::InTime && !turn.first_part {
                 s.late_credit = (s.late_credit + cpus * LATE_SHARE).min(MOST_LATE_CREDIT);
             }
+            if !urgent {
+                s.largest_started(cpus, turn.first_part);
+            }
             s.jobs.at_mut(turn.job).queue.pop_front();
             s.plan(m, (turn.job, task), now);
             starts += 1;
--- a/crates/scheduler/src/shard/takeover.rs
+++ b/crates/scheduler/src/shard/takeover.rs
@@ -87,6 +87,7 @@
             fleet_at: now,
             place_due: true,
             late_credit: 0.0,
+            largest: largest::Largest::new(),
             looked_at: 0,
             counts: Counts::default(),
             watched_at: f64::MIN,
