--- /dev/null
+++ b/tests/stand_in/mod.rs
@@ -0,0 +1,130 @@
+//! What tests of decisions have in common: settings, machine types, and a stand-in for the state
+//! service's keys, as a successor reads them.
+
+use lupinspur::fleet::racks::RACK_PREFIX;
+use lupinspur::intern::{Index, RackIx};
+use lupinspur::jobs::{JOB_PREFIX, JobRecord, PART_PREFIX, PROGRESS_PREFIX, Phase, job_key};
+use lupinspur::shard::{Found, Loaded, job_of};
+use lupinspur::wire::MachineType;
+use serde::de::DeserializeOwned;
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
+
+/// Keys with their values and versions.
+pub type Keys = BTreeMap<String, (Value, u64)>;
+
+pub const SETTINGS: &str = r#"
+host_name = "n0"
+domain = "a"
+bind = "127.0.0.1:1"
+peer_listen = "127.0.0.1:2"
+[services]
+cloud = "127.0.0.1:3"
+state = "127.0.0.1:4"
+[cluster]
+zones = ["a", "b", "c"]
+[[cluster.teams]]
+name = "red"
+cpus = 16.0
+cpus_max = 64.0
+[[cluster.teams]]
+name = "blue"
+[[cluster.objectives]]
+kind = "deadline"
+class = "match"
+times = 1.5
+[[cluster.objectives]]
+kind = "finished"
+class = "match"
+within_s = 120.0
+[[cluster.objectives]]
+kind = "finished"
+class = "letters"
+within_s = 60.0
+[[cluster.objectives]]
+kind = "wait"
+class = "letters"
+within_s = 30.0
+[[cluster.objectives]]
+kind = "wait"
+class = "desk"
+within_s = 1.0
+[cluster.workers]
+report_s = 3.0
+lease_s = 20.0
+cancel_s = 45.0
+[cluster.state]
+rps = 100.0
+write_rps = 30.0
+value_kb = 4.0
+txn_ops = 8
+[cluster.cloud]
+rps = 5.0
+list_lag_s = 5.0
+"#;
+
+pub fn types() -> Vec<MachineType> {
+    serde_json::from_value(json!([{"name":"m32","cpus":32.0,"memory_gb":64.0,"local_gb":40.0,
+        "pull_gb_per_s":0.5,"hourly":1.5,"spot_price":0.5,"ready_s":20.0,"fields":["a","b","c"]}]))
+    .expect("types")
+}
+
+/// What stands under a prefix and can be read, as the node does it.
+pub fn readable<T: DeserializeOwned>(store: &Keys, prefix: &str) -> Vec<(String, T, u64)> {
+    let under = store.iter().filter(|(k, _)| k.starts_with(prefix));
+    under.filter_map(|(k, (v, n))| Some((k.clone(), serde_json::from_value(v.clone()).ok()?, *n))).collect()
+}
+
+fn rack_number(key: &str) -> Option<usize> {
+    key.strip_prefix(RACK_PREFIX)?.parse().ok()
+}
+
+/// The records that a successor reads: by the checkpoint and what has changed since, or all; and
+/// what there is to say of that.
+fn records(store: &Keys, revision: u64) -> (Vec<(JobRecord, u64)>, Found, Option<String>) {
+    let under = store.iter().filter(|(k, _)| k.starts_with(lupinspur_recovery::PREFIX));
+    let keys = under.map(|(k, (_, n))| (k.clone(), *n)).collect();
+    let mut found = Found { keys, ..Found::default() };
+    let all = || readable::<JobRecord>(store, JOB_PREFIX).into_iter();
+    let mut jobs: BTreeMap<String, (JobRecord, u64)> = BTreeMap::new();
+    let mut said = None;
+    match lupinspur_recovery::read(store.iter().map(|(k, (v, _))| (k.as_str(), v))) {
+        Ok(r) => {
+            for o in &r.open {
+                let record = job_of(&job_key(&o.id), &o.value).expect("a record");
+                jobs.insert(o.id.clone(), (record, o.version));
+            }
+            jobs.extend(all().filter(|j| j.2 > r.head.at).map(|(_, j, v)| (j.job.id.clone(), (j, v))));
+            said =
+                Some(format!("read the checkpoint: {} open, {} known with what came since", r.open.len(), jobs.len()));
+            (found.read, found.revision) = (Some(r), revision);
+        }
+        Err(lupinspur_recovery::Unusable::None) => jobs.extend(all().map(|(_, j, v)| (j.job.id.clone(), (j, v)))),
+        Err(e) => {
+            said = Some(format!("the checkpoint cannot be used: {e}"));
+            let open = all().filter(|j| j.1.phase == Phase::Open);
+            jobs.extend(open.map(|(_, j, v)| (j.job.id.clone(), (j, v))));
+        }
+    }
+    (jobs.into_values().collect(), found, said)
+}
+
+/// Everything that a successor reads, without quotas and elastic jobs.
+pub fn loaded(store: &Keys, revision: u64) -> (Loaded, Option<String>) {
+    let (jobs, checkpoint, said) = records(store, revision);
+    let racks = readable(store, RACK_PREFIX).into_iter();
+    let loaded = Loaded {
+        jobs,
+        checkpoint,
+        progress: readable(store, PROGRESS_PREFIX).into_iter().chain(readable(store, PART_PREFIX)).collect(),
+        machines: readable(store, "mach/")
+            .into_iter()
+            .map(|(k, r, v)| (k.trim_start_matches("mach/").to_owned(), r, v))
+            .collect(),
+        racks_from: store.keys().filter_map(|k| rack_number(k)).max().map_or(0, |n| n + 1),
+        racks: racks.map(|(k, r, v)| (RackIx::new(rack_number(&k).expect("a number")), r, v)).collect(),
+        fleet: readable(store, "fleet/").into_iter().next().map(|(_, r, v)| (r, v)),
+        ..Loaded::default()
+    };
+    (loaded, said)
+}
--- /dev/null
+++ b/tests/storms.rs
@@ -0,0 +1,1291 @@
+//! Random troubles over the decisions as they are, in virtual time: several controllers, a stand-in
+//! for the state service, the cloud and the workers, and users. The protocol's rules are counted from
+//! the machines' and the users' side, as the operators count them.
+//!
+//! A storm is a list of troubles and a seed; proptest shortens the list of one that breaks a rule.
+//! `STORMS=200 cargo test --test storms` plays more of them, `STORM_MACHINES=300` larger ones.
+
+mod stand_in;
+
+use fastrand::Rng;
+use lupinspur::intern::Index;
+use lupinspur::jobs::{JOB_PREFIX, JobRecord, Phase, job_key};
+use lupinspur::ownership::{CLAIM_KEY, Claim, Next, Ownership, SeenClaim};
+use lupinspur::settings::Settings;
+use lupinspur::shard::{CloudCall, Direct, DirectSend, Heard, Shard, Shown, Write};
+use lupinspur::tuning::Tuning;
+use lupinspur::wire::{Change, Command, DirectCommands, JobRequest, JobState, ListedMachine, Op, Report, TaskReport};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed, TestRunner};
+use serde_json::json;
+use stand_in::{Keys, SETTINGS, types};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+const STEP: f64 = 0.05;
+const LEASE_S: f64 = 20.0;
+const REPORT_S: f64 = 3.0;
+const CANCEL_S: f64 = 45.0;
+const CLAIM_S: f64 = 4.0;
+const NODES: usize = 3;
+/// Troubles begin within this; then there is calm for as long as a job may go unanswered, and more.
+const TROUBLES_S: f64 = 60.0;
+const CALM_S: f64 = 120.0;
+/// How long after all troubles a question about any job may be without an answer.
+const ANSWERED_WITHIN_S: f64 = 30.0;
+/// And within how long after all troubles every job has begun: there is room for all of them.
+const BEGUN_WITHIN_S: f64 = 100.0;
+
+/// What goes wrong. `which` is a controller or a machine, by its number.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Kind {
+    /// A controller ends, and is back after a moment.
+    Ends,
+    /// It stands still while its clock runs on.
+    StandsStill,
+    /// It loses the state service and the other controllers, and keeps its workers.
+    Alone,
+    /// It loses its workers only.
+    LosesWorkers,
+    /// It is silent to everybody.
+    Silent,
+    /// The state service is down for all.
+    Outage,
+    /// Answers to commits are lost, and some commits come late.
+    LateCommits,
+    /// Direct commands are held back, and come late.
+    LateCommands,
+    Hangs,
+    /// A machine's process ends and is back at once, with a new session.
+    Restarts,
+    /// A machine is gone.
+    Dies,
+    /// What is said to a machine does not reach it, in answers, in commands, or in either.
+    DeafToAnswers,
+    DeafToCommands,
+    Deaf,
+    /// The same for a whole zone.
+    DeafZone,
+    /// A zone is cut off.
+    CutZone,
+    /// Copies of reports come late, some after more than a lease.
+    Copies,
+    /// Whatever runs there fails.
+    Faulty,
+}
+
+const KINDS: [Kind; 18] = [
+    Kind::Ends,
+    Kind::StandsStill,
+    Kind::Alone,
+    Kind::LosesWorkers,
+    Kind::Silent,
+    Kind::Outage,
+    Kind::LateCommits,
+    Kind::LateCommands,
+    Kind::Hangs,
+    Kind::Restarts,
+    Kind::Dies,
+    Kind::DeafToAnswers,
+    Kind::DeafToCommands,
+    Kind::Deaf,
+    Kind::DeafZone,
+    Kind::CutZone,
+    Kind::Copies,
+    Kind::Faulty,
+];
+
+#[derive(Debug, Clone, Copy)]
+struct Trouble {
+    at: f64,
+    kind: Kind,
+    which: usize,
+    for_s: f64,
+}
+
+/// A deliberately wrong decision, by which the checks show that they see it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Wrong {
+    /// What earlier owners' machines may hold is thought to be known at once.
+    Resolved,
+    /// Limits are four times what they are.
+    Limits,
+    /// Spot machines pass for others.
+    Spot,
+    /// Nothing is ever told to stop.
+    Stops,
+    /// A job is called done before it is.
+    Done,
+    /// A cancelled job is called what it was.
+    Back,
+    /// Questions about one job are not answered.
+    Silent,
+}
+
+// ---- the state service ----
+
+#[derive(Default)]
+struct Store {
+    keys: Keys,
+    /// Until when each lease lives, how long it is renewed for, and the keys tied to it.
+    leases: BTreeMap<u64, (f64, f64, BTreeSet<String>)>,
+    next_lease: u64,
+    revision: u64,
+    down_until: f64,
+    was_down: bool,
+}
+
+impl Store {
+    fn up(&self, now: f64) -> bool {
+        now >= self.down_until
+    }
+
+    fn step(&mut self, now: f64) {
+        if !self.up(now) {
+            self.was_down = true;
+            return;
+        }
+        if std::mem::take(&mut self.was_down) {
+            self.leases.values_mut().for_each(|l| l.0 = now + l.1);
+        }
+        let over: Vec<u64> = self.leases.iter().filter(|(_, l)| now > l.0).map(|(i, _)| *i).collect();
+        for id in over {
+            let Some((_, _, keys)) = self.leases.remove(&id) else { continue };
+            for k in keys {
+                self.revision += 1;
+                self.keys.remove(&k);
+            }
+        }
+    }
+
+    fn grant(&mut self, now: f64, life_s: f64) -> u64 {
+        self.next_lease += 1;
+        self.leases.insert(self.next_lease, (now + life_s, life_s, BTreeSet::new()));
+        self.next_lease
+    }
+
+    fn renew(&mut self, id: u64, now: f64) -> bool {
+        self.leases.get_mut(&id).map(|l| l.0 = now + l.1).is_some()
+    }
+
+    fn version(&self, key: &str) -> u64 {
+        self.keys.get(key).map_or(0, |k| k.1)
+    }
+
+    fn commit(&mut self, conditions: &[(String, u64)], changes: &[Change], lease: Option<u64>) -> Option<u64> {
+        if conditions.iter().any(|(k, v)| self.version(k) != *v) || lease.is_some_and(|l| !self.leases.contains_key(&l))
+        {
+            return None;
+        }
+        self.revision += 1;
+        for c in changes {
+            match c {
+                Change::Put { key, value, .. } => {
+                    self.leases.values_mut().for_each(|l| _ = l.2.remove(key));
+                    if let Some(l) = lease.and_then(|l| self.leases.get_mut(&l)) {
+                        l.2.insert(key.clone());
+                    }
+                    self.keys.insert(key.clone(), (value.clone(), self.revision));
+                }
+                Change::Delete { key } => _ = self.keys.remove(key),
+            }
+        }
+        Some(self.revision)
+    }
+
+    fn claim(&self) -> Option<SeenClaim> {
+        let (v, version) = self.keys.get(CLAIM_KEY)?;
+        Some(SeenClaim { claim: serde_json::from_value(v.clone()).expect("a claim"), version: *version })
+    }
+
+    fn job(&self, id: &str) -> Option<JobRecord> {
+        Some(serde_json::from_value(self.keys.get(&job_key(id))?.0.clone()).expect("a record"))
+    }
+}
+
+// ---- machines ----
+
+#[derive(Clone, Copy, PartialEq)]
+enum State {
+    Fetches(f64),
+    Runs(f64),
+    Saves(f64),
+    Ended(&'static str),
+}
+
+#[derive(Clone)]
+struct Task {
+    attempt: u64,
+    state: State,
+}
+
+struct Machine {
+    name: String,
+    zone: usize,
+    spot: bool,
+    up_at: f64,
+    born: f64,
+    gone: bool,
+    session: u64,
+    seq: u64,
+    token: u64,
+    renewed: f64,
+    tasks: BTreeMap<String, Task>,
+    /// Until when it hangs, hears no answers, hears no commands, is cut off, fails its tasks.
+    hangs: f64,
+    deaf_answers: f64,
+    deaf_commands: f64,
+    cut: f64,
+    faulty: f64,
+    at: usize,
+    next_report: f64,
+    /// The report under way: when it was sent, and until when its answer is waited for.
+    waits: Option<(f64, f64)>,
+}
+
+impl Machine {
+    fn there(&self, now: f64) -> bool {
+        !self.gone && now >= self.up_at
+    }
+
+    /// What is on it, also while it hangs, until its lease is over.
+    fn holds(&self, task: &str, now: f64) -> bool {
+        let alive = !self.gone && now - self.renewed <= LEASE_S;
+        alive && self.tasks.get(task).is_some_and(|t| matches!(t.state, State::Runs(_) | State::Saves(_)))
+    }
+
+    fn report(&mut self) -> Report {
+        self.seq += 1;
+        let task = |(n, t): (&String, &Task)| -> TaskReport {
+            let (bloom, wilt) = match t.state {
+                State::Fetches(_) => ("pulling", None),
+                State::Runs(_) => ("running", None),
+                State::Saves(_) => ("flushing", None),
+                State::Ended(why) => ("ended", Some(why)),
+            };
+            serde_json::from_value(json!({"seed": n, "sowing": t.attempt, "bloom": bloom, "wilt": wilt}))
+                .expect("a task")
+        };
+        Report {
+            machine: self.name.clone(),
+            addr: "127.0.0.1:9".into(),
+            type_name: "m32".into(),
+            zone: ["a", "b", "c"][self.zone].into(),
+            spot: self.spot,
+            session: self.session,
+            seq: self.seq,
+            token: self.token,
+            notice_s: None,
+            tasks: self.tasks.iter().map(task).collect(),
+        }
+    }
+}
+
+// ---- controllers ----
+
+struct Node {
+    name: String,
+    back_at: f64,
+    still: f64,
+    no_state: f64,
+    no_peers: f64,
+    no_workers: f64,
+    /// Which of its lives this is.
+    life: u64,
+    own: Ownership,
+    shard: Option<Shard>,
+    watched: u64,
+    renewed_at: f64,
+    listed_at: f64,
+    commits: usize,
+}
+
+impl Node {
+    fn runs(&self, now: f64) -> bool {
+        now >= self.back_at && now >= self.still
+    }
+}
+
+// ---- what is under way ----
+
+enum Message {
+    Report { node: usize, report: Report, machine: usize, sent: f64 },
+    Answer { machine: usize, session: u64, sent: f64, answer: Option<(u64, Vec<Command>)>, to: usize },
+    Commands { node: usize, life: u64, to: usize, send: DirectSend, outcome: bool },
+    Outcome { node: usize, life: u64, send: DirectSend, outcome: Direct },
+    Commit { node: usize, life: u64, token: u64, writes: Vec<Write>, answered: bool, sent: f64 },
+    Deleted { node: usize, life: u64, token: u64, machines: Vec<lupinspur::intern::MachineIx>, names: Vec<String> },
+}
+
+/// A job as its user sees it.
+struct Job {
+    spec: JobRequest,
+    accepted: Option<f64>,
+    cancel_at: Option<f64>,
+    told: Option<JobState>,
+    told_cancelled_at: f64,
+    answered: f64,
+    next_poll: f64,
+    done: BTreeSet<u32>,
+    begun: bool,
+    needs_room: f64,
+}
+
+struct World {
+    now: f64,
+    rng: Rng,
+    settings: Settings,
+    store: Store,
+    nodes: Vec<Node>,
+    machines: Vec<Machine>,
+    by_name: HashMap<String, usize>,
+    jobs: BTreeMap<String, Job>,
+    under_way: Vec<(f64, Message)>,
+    late_commits: f64,
+    late_commands: f64,
+    copies: f64,
+    /// Rental names, and what they returned.
+    rented: HashMap<String, Vec<String>>,
+    trouble_until: f64,
+    wrong: Option<Wrong>,
+    broken: Option<String>,
+    claims: usize,
+}
+
+fn spec(id: usize, rng: &mut Rng) -> JobRequest {
+    let service = rng.u8(..) < 80;
+    let cpus = [1.0, 2.0, 4.0][rng.usize(0..3)];
+    let saves = if !service && rng.bool() { 1.0 } else { 0.0 };
+    let tasks = if service { rng.u32(1..5) } else { rng.u32(1..12) };
+    serde_json::from_value(json!({
+        "id": format!("req-{id:04}"), "breed": if service { "desk" } else { "match" },
+        "herd": if rng.bool() { "red" } else { "blue" }, "habit": if service { "standing" } else { "batch" },
+        "precedence": if service { "critical" } else { "standard" }, "seeds": tasks,
+        "cpus": cpus, "cards": 0.0, "memory_gb": 0.5, "same_place": false,
+        "scatter": service && tasks > 1, "fallow": !service && rng.bool(), "bulb": format!("img-{}", rng.u8(0..4)),
+        "pull_gb": 0.5, "expected_s": if service { 0.0 } else { 6.0 }, "pressing_s": saves, "pressing_cost_s": saves,
+        "harvest_s": null}))
+    .expect("a job")
+}
+
+impl World {
+    fn new(seed: u64, machines: usize, wrong: Option<Wrong>) -> World {
+        let mut w = World {
+            now: 0.0,
+            rng: Rng::with_seed(seed),
+            settings: Settings::parse(SETTINGS).expect("settings"),
+            store: Store::default(),
+            nodes: Vec::new(),
+            machines: Vec::new(),
+            by_name: HashMap::new(),
+            jobs: BTreeMap::new(),
+            under_way: Vec::new(),
+            late_commits: 0.0,
+            late_commands: 0.0,
+            copies: 0.0,
+            rented: HashMap::new(),
+            trouble_until: 0.0,
+            wrong,
+            broken: None,
+            claims: 0,
+        };
+        for i in 0..NODES {
+            w.nodes.push(Node {
+                name: format!("n{i}"),
+                back_at: 0.0,
+                still: 0.0,
+                no_state: 0.0,
+                no_peers: 0.0,
+                no_workers: 0.0,
+                life: 0,
+                own: Ownership::new(Claim::new(format!("n{i}"), "0"), CLAIM_S),
+                shard: None,
+                watched: 0,
+                renewed_at: -10.0,
+                listed_at: 0.0,
+                commits: 0,
+            });
+        }
+        for i in 0..machines {
+            w.add_machine(i % 3, i % 3 == 2, 0.0);
+        }
+        w
+    }
+
+    fn add_machine(&mut self, zone: usize, spot: bool, up_at: f64) -> String {
+        let name = format!("host-{:06}", self.machines.len());
+        self.by_name.insert(name.clone(), self.machines.len());
+        let at = self.rng.usize(0..NODES);
+        self.machines.push(Machine {
+            name: name.clone(),
+            zone,
+            spot,
+            up_at,
+            born: self.now,
+            gone: false,
+            session: 1,
+            seq: 0,
+            token: 0,
+            renewed: up_at,
+            tasks: BTreeMap::new(),
+            hangs: 0.0,
+            deaf_answers: 0.0,
+            deaf_commands: 0.0,
+            cut: 0.0,
+            faulty: 0.0,
+            at,
+            next_report: up_at + self.rng.f64() * REPORT_S,
+            waits: None,
+        });
+        name
+    }
+
+    fn breaks(&mut self, what: String) {
+        let now = self.now;
+        self.broken.get_or_insert(format!("at {now:.2}: {what}"));
+    }
+
+    fn send(&mut self, after: f64, m: Message) {
+        self.under_way.push((self.now + after, m));
+    }
+
+    fn latency(&mut self) -> f64 {
+        0.02 + self.rng.f64() * 0.08
+    }
+
+    fn strikes(&mut self, t: Trouble) {
+        let (now, until) = (self.now, self.now + t.for_s);
+        self.trouble_until = self.trouble_until.max(until);
+        let n = t.which % NODES;
+        let m = t.which % self.machines.len();
+        match t.kind {
+            Kind::Ends => {
+                let node = &mut self.nodes[n];
+                node.back_at = now + (t.for_s / 10.0).max(STEP);
+                node.life += 1;
+                node.own = Ownership::new(Claim::new(node.name.clone(), node.life.to_string()), CLAIM_S);
+                (node.shard, node.commits, node.renewed_at) = (None, 0, -10.0);
+            }
+            Kind::StandsStill => self.nodes[n].still = until,
+            Kind::Alone => (self.nodes[n].no_state, self.nodes[n].no_peers) = (until, until),
+            Kind::LosesWorkers => self.nodes[n].no_workers = until,
+            Kind::Silent => {
+                let node = &mut self.nodes[n];
+                (node.no_state, node.no_peers, node.no_workers) = (until, until, until);
+            }
+            Kind::Outage => self.store.down_until = self.store.down_until.max(until),
+            Kind::LateCommits => self.late_commits = until,
+            Kind::LateCommands => self.late_commands = until,
+            Kind::Copies => self.copies = until,
+            Kind::Hangs => self.machines[m].hangs = until,
+            Kind::Restarts => {
+                let machine = &mut self.machines[m];
+                machine.tasks.clear();
+                machine.session += 1;
+                (machine.renewed, machine.waits) = (now, None);
+            }
+            Kind::Dies => self.machines[m].gone = true,
+            Kind::DeafToAnswers => self.machines[m].deaf_answers = until,
+            Kind::DeafToCommands => self.machines[m].deaf_commands = until,
+            Kind::Deaf => (self.machines[m].deaf_answers, self.machines[m].deaf_commands) = (until, until),
+            Kind::DeafZone => {
+                for x in self.machines.iter_mut().filter(|x| x.zone == t.which % 3) {
+                    (x.deaf_answers, x.deaf_commands) = (until, until);
+                }
+            }
+            Kind::CutZone => self.machines.iter_mut().filter(|x| x.zone == t.which % 3).for_each(|x| x.cut = until),
+            Kind::Faulty => self.machines[m].faulty = until,
+        }
+    }
+
+    // ---- machines ----
+
+    fn step_machine(&mut self, i: usize) {
+        let now = self.now;
+        let m = &mut self.machines[i];
+        if !m.there(now) || now < m.hangs {
+            return;
+        }
+        if now - m.renewed > LEASE_S {
+            m.tasks.clear();
+            m.session += 1;
+            (m.renewed, m.waits) = (now, None);
+        }
+        let mut changed = false;
+        for (name, t) in &mut m.tasks {
+            let (job, n) = name.split_once('/').expect("a task");
+            let kept = self.jobs.get(job).is_some_and(|j| j.done.contains(&n.parse().expect("a number")));
+            let next = match t.state {
+                // A result is kept: started again, it is done at once.
+                State::Fetches(until) if now >= until => {
+                    if kept {
+                        State::Ended("done")
+                    } else {
+                        State::Runs(now)
+                    }
+                }
+                State::Runs(_) if now < m.faulty => State::Ended("error"),
+                State::Saves(until) if now >= until => State::Ended("stopped"),
+                s => s,
+            };
+            changed |= next != t.state;
+            t.state = next;
+        }
+        // Arrays' tasks complete.
+        let ended: Vec<String> = m
+            .tasks
+            .iter()
+            .filter(|(_, t)| matches!(t.state, State::Runs(since) if now - since > 5.0))
+            .map(|(n, _)| n.clone())
+            .filter(|n| self.jobs.get(n.split('/').next().unwrap_or("")).is_some_and(|j| j.spec.estimate_s > 0.0))
+            .collect();
+        for name in ended {
+            if let Some(t) = self.machines[i].tasks.get_mut(&name) {
+                t.state = State::Ended("done");
+            }
+            let (job, task) = name.split_once('/').expect("a task");
+            if let Some(j) = self.jobs.get_mut(job) {
+                j.done.insert(task.parse().expect("a number"));
+            }
+            changed = true;
+        }
+        self.check_starts(i);
+        let m = &mut self.machines[i];
+        if changed {
+            m.next_report = m.next_report.min(now + 0.5);
+        }
+        if let Some((_, until)) = m.waits {
+            if now < until {
+                return;
+            }
+            m.waits = None;
+            m.at = (m.at + 1) % NODES;
+            m.next_report = now + 1.0;
+        }
+        if now >= m.next_report {
+            m.next_report = now + REPORT_S * (0.75 + self.rng.f64() * 0.5);
+            let report = m.report();
+            m.waits = Some((now, now + 4.0));
+            let (node, cut) = (m.at, now < m.cut);
+            if cut {
+                return;
+            }
+            let after = self.latency();
+            if now < self.copies {
+                let late = 1.0 + self.rng.f64() * LEASE_S * 2.0;
+                let to = self.rng.usize(0..NODES);
+                self.send(late, Message::Report { node: to, report: report.clone(), machine: usize::MAX, sent: now });
+            }
+            self.send(after, Message::Report { node, report, machine: i, sent: now });
+        }
+    }
+
+    /// What starts to be on a machine must not be on another, nor where it may not be, nor over a limit.
+    fn check_starts(&mut self, i: usize) {
+        let now = self.now;
+        let begun: Vec<String> = self.machines[i]
+            .tasks
+            .iter()
+            .filter(|(_, t)| matches!(t.state, State::Runs(since) if since == now))
+            .map(|(n, _)| n.clone())
+            .collect();
+        for task in begun {
+            let id = task.split('/').next().unwrap_or("").to_owned();
+            let other = self.machines.iter().enumerate().find(|(o, m)| *o != i && m.holds(&task, now));
+            if let Some((_, other)) = other {
+                let what = format!("ran_twice: {task} on {} and {}", other.name, self.machines[i].name);
+                self.breaks(what);
+            }
+            let Some(job) = self.jobs.get_mut(&id) else { continue };
+            job.begun = true;
+            let (spec, m) = (job.spec.clone(), &self.machines[i]);
+            if m.spot && !spec.spot {
+                self.breaks(format!("wrong_place: {task} on a spot machine"));
+            }
+            let on = |zone: Option<usize>| {
+                let there = self.machines.iter().filter(|m| zone.is_none_or(|z| m.zone == z));
+                let of = |n: &String| n.split('/').next() == Some(&id);
+                there.map(|m| m.tasks.keys().filter(|n| of(n) && m.holds(n, now)).count()).sum::<usize>()
+            };
+            if spec.spread && on(Some(self.machines[i].zone)) > (spec.tasks as usize).div_ceil(2) {
+                self.breaks(format!("wrong_place: {id} is not spread"));
+            }
+            let limit = self.settings.teams.iter().find(|t| t.name == spec.team).map_or(0.0, |t| t.cpus_max);
+            if limit > 0.0 {
+                let of = |n: &String| {
+                    self.jobs.get(n.split('/').next()?).filter(|j| j.spec.team == spec.team).map(|j| j.spec.cpus)
+                };
+                let used: f64 =
+                    self.machines.iter().flat_map(|m| m.tasks.keys().filter(|n| m.holds(n, now)).filter_map(of)).sum();
+                if used > limit + 1e-6 {
+                    self.breaks(format!("quota: {} uses {used} of {limit}", spec.team));
+                }
+            }
+        }
+    }
+
+    fn obey(&mut self, i: usize, commands: &[Command]) {
+        let now = self.now;
+        let wrong = self.wrong;
+        let (fetch, m) = (0.3 + self.rng.f64(), &mut self.machines[i]);
+        for c in commands {
+            match c.op {
+                Op::Start => {
+                    m.tasks
+                        .entry(c.task.clone())
+                        .or_insert(Task { attempt: c.attempt, state: State::Fetches(now + fetch) });
+                }
+                Op::Stop if wrong == Some(Wrong::Stops) => {}
+                Op::Stop => {
+                    let saves_s = self.jobs.get(c.task.split('/').next().unwrap_or("")).map_or(0.0, |j| j.spec.save_s);
+                    if let Some(t) = m.tasks.get_mut(&c.task).filter(|t| t.attempt == c.attempt) {
+                        let mercy = saves_s > 0.0 && c.grace_s.is_some_and(|g| g >= saves_s);
+                        t.state = match t.state {
+                            State::Ended(why) => State::Ended(why),
+                            State::Runs(_) if mercy => State::Saves(now + saves_s),
+                            State::Saves(until) if c.grace_s.is_some_and(|g| g > 0.0) => State::Saves(until),
+                            _ => State::Ended("stopped"),
+                        };
+                    }
+                }
+                Op::Forget => {
+                    if m.tasks
+                        .get(&c.task)
+                        .is_some_and(|t| t.attempt == c.attempt && matches!(t.state, State::Ended(_)))
+                    {
+                        m.tasks.remove(&c.task);
+                    }
+                }
+            }
+        }
+        m.next_report = m.next_report.min(now + 0.5);
+    }
+
+    // ---- messages ----
+
+    fn deliver(&mut self, m: Message) {
+        let now = self.now;
+        match m {
+            Message::Report { node, report, machine, sent } => {
+                let n = &mut self.nodes[node];
+                if now < n.back_at || now < n.no_workers {
+                    return;
+                }
+                // A process that stands still reads it when it goes on.
+                if now < n.still {
+                    let after = n.still - now;
+                    return self.send(after, Message::Report { node, report, machine, sent });
+                }
+                let heard = match (n.own.may_act(now), &mut n.shard) {
+                    (Some(t), Some(s)) if s.token == t => Some(s.on_report(&report, now)),
+                    _ => None,
+                };
+                let (answer, to) = match heard {
+                    Some(Heard::Reply(r)) => (Some((r.token, r.commands)), node),
+                    Some(Heard::Stale) => (None, usize::MAX),
+                    _ => (None, self.owner_known_to(node).unwrap_or(usize::MAX)),
+                };
+                if machine != usize::MAX {
+                    let after = self.latency();
+                    let session = report.session;
+                    self.send(after, Message::Answer { machine, session, sent, answer, to });
+                }
+            }
+            Message::Answer { machine, session, sent, answer, to } => {
+                let m = &mut self.machines[machine];
+                let waited = m.waits == Some((sent, sent + 4.0));
+                if !m.there(now) || now < m.hangs || now < m.cut || now < m.deaf_answers || !waited {
+                    return;
+                }
+                m.waits = None;
+                match answer {
+                    Some((token, commands)) => {
+                        if token >= m.token && m.session == session {
+                            m.token = token;
+                            m.renewed = sent;
+                            self.obey(machine, &commands);
+                        }
+                    }
+                    None if to < NODES && to != m.at => (m.at, m.next_report) = (to, now + 0.2),
+                    None => (m.at, m.next_report) = ((m.at + 1) % NODES, now + 1.0),
+                }
+            }
+            Message::Commands { node, life, to: i, send, outcome } => {
+                let m = &mut self.machines[i];
+                if !m.there(now) || now < m.hangs || now < m.cut || now < m.deaf_commands {
+                    return self.send(1.2, Message::Outcome { node, life, send, outcome: Direct::Unknown });
+                }
+                let DirectCommands { token, session, commands } = send.body.clone();
+                let good = token >= m.token && session == m.session;
+                if good {
+                    m.token = token;
+                    self.obey(i, &commands);
+                }
+                let report = self.machines[i].report();
+                if outcome {
+                    let after = self.latency();
+                    let outcome = Direct::Answered { executed: good, report: Some(report) };
+                    self.send(after, Message::Outcome { node, life, send, outcome });
+                }
+            }
+            Message::Outcome { node, life, send, outcome } => {
+                let n = &mut self.nodes[node];
+                if n.life != life {
+                    return;
+                }
+                if now < n.still {
+                    let after = n.still - now;
+                    return self.send(after, Message::Outcome { node, life, send, outcome });
+                }
+                if let Some(s) = n.shard.as_mut().filter(|s| s.token == send.body.token) {
+                    s.on_direct(&send, outcome, now);
+                }
+            }
+            Message::Commit { node, life, token, writes, answered, sent } => {
+                let up = self.store.up(now);
+                let mut conditions = vec![(CLAIM_KEY.to_owned(), token)];
+                conditions.extend(writes.iter().map(|w| (w.key.clone(), w.version)));
+                let changes: Vec<Change> = writes.iter().map(|w| w.change.clone()).collect();
+                let applied = if up { self.store.commit(&conditions, &changes, None) } else { None };
+                let n = &mut self.nodes[node];
+                if n.life != life || !answered {
+                    return;
+                }
+                if now < n.still {
+                    // Its outcome is read when the process goes on; here it is as if it came then.
+                    let after = n.still - now;
+                    if applied.is_none() {
+                        return self.send(after, Message::Commit { node, life, token, writes, answered, sent });
+                    }
+                }
+                n.commits = n.commits.saturating_sub(1);
+                let Some(s) = n.shard.as_mut().filter(|s| s.token == token) else { return };
+                match applied {
+                    Some(revision) => s.on_applied(writes, revision, now),
+                    None if !up => s.on_not_applied(writes),
+                    None => {
+                        for w in &writes {
+                            s.on_version(&w.key, self.store.version(&w.key));
+                        }
+                        s.on_not_applied(writes);
+                        if n.own.saw(self.store.claim(), now) {
+                            n.shard = None;
+                        }
+                    }
+                }
+            }
+            Message::Deleted { node, life, token, machines, names } => {
+                for n in &names {
+                    if let Some(i) = self.by_name.get(n) {
+                        self.machines[*i].gone = true;
+                        self.machines[*i].tasks.clear();
+                    }
+                }
+                let n = &mut self.nodes[node];
+                if let Some(s) = n.shard.as_mut().filter(|s| s.token == token && n.life == life) {
+                    s.on_deleted(&machines);
+                }
+            }
+        }
+    }
+
+    fn owner_known_to(&self, node: usize) -> Option<usize> {
+        let name = self.nodes[node].own.other_owner()?;
+        self.nodes.iter().position(|n| n.name == name)
+    }
+
+    // ---- controllers ----
+
+    fn step_node(&mut self, i: usize) {
+        let now = self.now;
+        if !self.nodes[i].runs(now) {
+            return;
+        }
+        let reaches = self.store.up(now) && now >= self.nodes[i].no_state;
+        if reaches {
+            self.keep_claim(i);
+        }
+        let Some(token) = self.nodes[i].own.may_act(now) else { return };
+        if self.nodes[i].shard.as_ref().is_none_or(|s| s.token != token) {
+            return;
+        }
+        if reaches {
+            self.watch(i);
+        }
+        let wrong = self.wrong;
+        let n = &mut self.nodes[i];
+        let life = n.life;
+        let Some(s) = &mut n.shard else { return };
+        s.writable = reaches;
+        if ((now / STEP) as u64).is_multiple_of(20) {
+            s.look_again();
+        }
+        s.tick(now);
+        if wrong == Some(Wrong::Resolved) {
+            let all: Vec<_> = s.machines.present.iter().copied().collect();
+            for m in all {
+                s.machines.at_mut(m).unresolved_until = None;
+                s.machines.at_mut(m).stored_jobs.clear();
+            }
+            let jobs: Vec<_> = s.jobs.live.iter().copied().collect();
+            jobs.into_iter().for_each(|j| s.jobs.at_mut(j).shadowed_by = 0);
+        }
+        if wrong == Some(Wrong::Spot) {
+            let all: Vec<_> = s.machines.present.iter().copied().collect();
+            all.into_iter().for_each(|m| s.machines.at_mut(m).spot = false);
+        }
+        let deaf = s.deaf(now);
+        let mut directs: Vec<(usize, DirectSend)> = Vec::new();
+        while let Some(d) = s.next_direct(now) {
+            directs.push((self.by_name[&*s.machines.at(d.machine).name], d));
+        }
+        let rentals = s.launches.pending.clone();
+        let mut writes = Vec::new();
+        while reaches && n.commits < 3 {
+            let some = s.next_writes(8, 50_000, 8, now);
+            if some.is_empty() {
+                break;
+            }
+            n.commits += 1;
+            writes.push(some);
+        }
+        let deletion = s.next_delete();
+        if now - n.listed_at > 3.0 {
+            n.listed_at = now;
+            let listed = |m: &Machine| -> ListedMachine {
+                let state = if now >= m.up_at { "running" } else { "booting" };
+                let zone = ["a", "b", "c"][m.zone];
+                serde_json::from_value(json!({"id": m.name, "addr": "127.0.0.1:9", "strain": "m32",
+                    "field": zone, "fallow": m.spot, "bloom": state, "held_s": now - m.born}))
+                .expect("a machine")
+            };
+            let list: Vec<ListedMachine> =
+                self.machines.iter().filter(|m| !m.gone && now - m.born > 5.0).map(listed).collect();
+            s.on_list(&list, true, now);
+        }
+        for l in rentals {
+            self.rent(i, token, &l);
+        }
+        let no_workers = now < self.nodes[i].no_workers;
+        for (to, send) in directs {
+            let after = self.latency();
+            if no_workers {
+                self.send(1.2, Message::Outcome { node: i, life, send, outcome: Direct::Unknown });
+            } else if now < self.late_commands && self.rng.bool() {
+                // Given up, and executed much later all the same.
+                let late = 2.0 + self.rng.f64() * 30.0;
+                let copy = DirectSend { starts: send.starts.clone(), body: send.body.clone(), ..send };
+                self.send(late, Message::Commands { node: i, life, to, send, outcome: false });
+                self.send(2.5, Message::Outcome { node: i, life, send: copy, outcome: Direct::Unknown });
+            } else {
+                self.send(after, Message::Commands { node: i, life, to, send, outcome: true });
+            }
+        }
+        for writes in writes {
+            let after = self.latency();
+            let (late, lost) = (self.now < self.late_commits, self.rng.u8(..));
+            let m = |writes, answered| Message::Commit { node: i, life, token, writes, answered, sent: now };
+            match lost {
+                // Applied, perhaps much later, and not answered: asked for later, key by key.
+                0..90 if late => {
+                    let copy: Vec<Write> = writes
+                        .iter()
+                        .map(|w| Write {
+                            key: w.key.clone(),
+                            version: w.version,
+                            what: lupinspur::shard::What::Cleanup,
+                            change: w.change.clone(),
+                            bytes: 0,
+                        })
+                        .collect();
+                    let at = if lost < 45 { after } else { 1.0 + self.rng.f64() * 25.0 };
+                    self.send(at, m(copy, false));
+                    // What is asked afterwards: the same conditions fail if it was applied.
+                    self.send(2.5, m(writes, true));
+                }
+                _ => self.send(after, m(writes, true)),
+            }
+        }
+        if let Some(CloudCall::Delete(machines, names)) = deletion {
+            self.send(0.3, Message::Deleted { node: i, life, token, machines, names });
+        }
+        if deaf {
+            let n = &mut self.nodes[i];
+            let lease = n.own.step_down(now);
+            n.shard = None;
+            if let (Some(l), true) = (lease, reaches)
+                && let Some((until, ..)) = self.store.leases.get_mut(&l)
+            {
+                *until = now;
+            }
+        }
+    }
+
+    fn keep_claim(&mut self, i: usize) {
+        let now = self.now;
+        let n = &mut self.nodes[i];
+        if let Some(l) = n.own.lease()
+            && now - n.renewed_at >= 0.8
+        {
+            n.renewed_at = now;
+            if self.store.renew(l, now) {
+                n.own.confirmed(l, now);
+            } else {
+                n.own.lease_lost();
+                n.shard = None;
+            }
+        }
+        if n.own.saw(self.store.claim(), now) {
+            n.shard = None;
+        }
+        let day_ms = (now * 1000.0) as u64;
+        match n.own.next(now, day_ms, true, 0.0) {
+            Next::Nothing => {}
+            Next::Grant => {
+                let l = self.store.grant(now, CLAIM_S);
+                n.own.confirmed(l, now);
+            }
+            Next::Claim { lease, over } => {
+                let me = n.own.trying(lease, day_ms);
+                let value = serde_json::to_value(&me).expect("a claim");
+                let change = Change::Put { key: CLAIM_KEY.into(), value, lease: Some(lease) };
+                if let Some(v) = self.store.commit(&[(CLAIM_KEY.into(), over)], &[change], Some(lease)) {
+                    // Now and then the answer is lost, and the claim is found by looking.
+                    if now >= self.late_commits || self.rng.bool() {
+                        n.own.claimed(v);
+                    }
+                    self.claims += 1;
+                } else if !self.store.leases.contains_key(&lease) {
+                    n.own.lease_lost();
+                }
+            }
+            Next::Adopt { version } => n.own.claimed(version),
+            Next::GiveWay { over } => {
+                let gone = Change::Delete { key: CLAIM_KEY.into() };
+                if self.store.commit(&[(CLAIM_KEY.into(), over)], &[gone], None).is_some() {
+                    n.own.gave_way(now);
+                    n.own.saw(None, now);
+                }
+            }
+        }
+        let Some(token) = n.own.token() else { return };
+        if n.shard.as_ref().is_none_or(|s| s.token != token) {
+            let (loaded, _) = stand_in::loaded(&self.store.keys, self.store.revision);
+            n.watched = self.store.revision;
+            let mut params = self.settings.params();
+            if self.wrong == Some(Wrong::Limits) {
+                params.teams.iter_mut().for_each(|t| t.cpus_max *= 4.0);
+            }
+            let tuning = Tuning { claim_s: CLAIM_S, ..Tuning::default() };
+            n.commits = 0;
+            n.shard = Some(Shard::new(&params, tuning, token, types(), loaded, now));
+        }
+    }
+
+    /// Jobs that other controllers accepted.
+    fn watch(&mut self, i: usize) {
+        let (now, n) = (self.now, &mut self.nodes[i]);
+        if n.watched == self.store.revision {
+            return;
+        }
+        let Some(s) = &mut n.shard else { return };
+        for (k, (v, version)) in self.store.keys.range(JOB_PREFIX.to_owned()..) {
+            if !k.starts_with(JOB_PREFIX) {
+                break;
+            }
+            if *version > n.watched {
+                s.add_job(serde_json::from_value(v.clone()).expect("a record"), *version, now);
+            }
+        }
+        n.watched = self.store.revision;
+        s.watched(n.watched);
+    }
+
+    fn rent(&mut self, node: usize, token: u64, l: &lupinspur::fleet::launch::Launch) {
+        let now = self.now;
+        let there = self.machines.iter().filter(|m| !m.gone).count();
+        let names = match self.rented.get(&l.name) {
+            Some(names) => names.clone(),
+            None => {
+                let n = l.count.min(80usize.saturating_sub(there));
+                // Some come up at once, some late, some never.
+                let names: Vec<String> = (0..n)
+                    .map(|_| {
+                        let boots = match self.rng.u8(..) {
+                            0..10 => 1e9,
+                            10..40 => 0.5,
+                            _ => 5.0 + self.rng.f64() * 10.0,
+                        };
+                        self.add_machine(l.zone.ix(), l.spot, now + boots)
+                    })
+                    .collect();
+                self.rented.insert(l.name.clone(), names.clone());
+                names
+            }
+        };
+        let Some(s) = self.nodes[node].shard.as_mut().filter(|s| s.token == token) else { return };
+        if names.is_empty() { s.refused(l, now) } else { s.on_rented(l, &names, now) }
+    }
+
+    // ---- users ----
+
+    /// What this controller's owner side says: None, it cannot say anything.
+    fn owner_says(&mut self, node: usize, id: &str, cancel: bool) -> Option<JobState> {
+        let now = self.now;
+        let reaches = self.store.up(now) && now >= self.nodes[node].no_state;
+        let n = &mut self.nodes[node];
+        let token = n.own.may_act(now)?;
+        let s = n.shard.as_mut().filter(|s| s.token == token)?;
+        if cancel {
+            s.cancel(id);
+        }
+        match s.show(id) {
+            Some(Shown::Told(state, ..)) => {
+                let early = self.wrong == Some(Wrong::Done) && state == JobState::Running;
+                Some(if early { JobState::Done } else { state })
+            }
+            Some(Shown::Settling) => None,
+            None if reaches => self.record_says(id, cancel),
+            None => None,
+        }
+    }
+
+    fn record_says(&mut self, id: &str, cancel: bool) -> Option<JobState> {
+        let Some(r) = self.store.job(id) else {
+            self.breaks(format!("forgotten: {id} gets 404"));
+            return None;
+        };
+        match r.phase {
+            Phase::Done => Some(JobState::Done),
+            Phase::Cancelled => Some(JobState::Cancelled),
+            Phase::Open => (!cancel).then_some(JobState::Queued),
+        }
+    }
+
+    /// What a user hears who asks this controller.
+    fn ask(&mut self, node: usize, id: &str, cancel: bool) -> Option<JobState> {
+        let now = self.now;
+        if !self.nodes[node].runs(now) || self.wrong == Some(Wrong::Silent) && id.ends_with('3') {
+            return None;
+        }
+        let owns = self.nodes[node].own.may_act(now).is_some();
+        if owns {
+            return self.owner_says(node, id, cancel);
+        }
+        if let Some(o) = self.owner_known_to(node)
+            && self.nodes[o].runs(now)
+            && now >= self.nodes[o].no_peers
+            && now >= self.nodes[node].no_peers
+            && let Some(said) = self.owner_says(o, id, cancel)
+        {
+            return Some(said);
+        }
+        let reaches = self.store.up(now) && now >= self.nodes[node].no_state;
+        if reaches { self.record_says(id, cancel) } else { None }
+    }
+
+    fn step_users(&mut self) {
+        let now = self.now;
+        let ids: Vec<String> = self.jobs.keys().cloned().collect();
+        for id in ids {
+            let job = &self.jobs[&id];
+            let node = self.rng.usize(0..NODES);
+            if job.accepted.is_none() {
+                let n = &self.nodes[node];
+                if now < job.next_poll || !n.runs(now) || !self.store.up(now) || now < n.no_state {
+                    continue;
+                }
+                let record = JobRecord::accepted(job.spec.clone(), (now * 1000.0) as u64);
+                let value = serde_json::to_value(&record).expect("a record");
+                let change = Change::Put { key: job_key(&id), value, lease: None };
+                // The answer may be lost; the repetition finds it accepted.
+                let told = now >= self.late_commits || self.rng.bool();
+                self.store.commit(&[(job_key(&id), 0)], &[change], None);
+                if let Some(j) = self.jobs.get_mut(&id) {
+                    j.next_poll = now + 1.0;
+                    if told {
+                        (j.accepted, j.answered) = (Some(now), now);
+                    }
+                }
+                continue;
+            }
+            let cancels = job.cancel_at.is_some_and(|t| now >= t) && job.told_cancelled_at == f64::MAX;
+            let over = matches!(job.told, Some(JobState::Done | JobState::Cancelled));
+            if now < job.next_poll || over && self.rng.u8(..) > 20 {
+                continue;
+            }
+            let heard = self.ask(node, &id, cancels && !over);
+            let all_done = job_done(&self.jobs[&id]);
+            let cancelled = self.wrong == Some(Wrong::Back) && self.jobs[&id].told == Some(JobState::Cancelled);
+            let heard = heard.map(|h| if cancelled { JobState::Running } else { h });
+            let Some(j) = self.jobs.get_mut(&id) else { continue };
+            j.next_poll = now + if cancels { 1.0 } else { 5.0 };
+            let Some(state) = heard else { continue };
+            j.answered = now;
+            let before = j.told;
+            j.told = Some(state);
+            let asked = j.cancel_at.is_some_and(|t| now >= t);
+            if state == JobState::Cancelled {
+                j.told_cancelled_at = j.told_cancelled_at.min(now);
+            }
+            let goes_back = matches!(before, Some(JobState::Done | JobState::Cancelled)) && before != Some(state);
+            if goes_back || state == JobState::Cancelled && !asked {
+                self.breaks(format!("went_back: {id} is called {state:?} after {before:?}"));
+            }
+            if state == JobState::Done && !all_done {
+                self.breaks(format!("not_done: {id}"));
+            }
+        }
+    }
+
+    fn check(&mut self) {
+        let now = self.now;
+        let calm = now - self.trouble_until;
+        let mut wrong = Vec::new();
+        for (id, j) in &self.jobs {
+            if now > j.told_cancelled_at + CANCEL_S {
+                let of = |n: &String| n.split('/').next() == Some(id);
+                if self.machines.iter().any(|m| m.tasks.keys().any(|n| of(n) && m.holds(n, now))) {
+                    wrong.push(format!("ran_cancelled: {id}"));
+                }
+            }
+            let over = matches!(j.told, Some(JobState::Done | JobState::Cancelled));
+            if j.accepted.is_none() || over || calm < 0.0 {
+                continue;
+            }
+            let unanswered = now - j.answered.max(self.trouble_until);
+            if unanswered > ANSWERED_WITHIN_S {
+                wrong.push(format!("forgotten: {id} is not answered for {unanswered:.0} s"));
+            }
+            if calm > BEGUN_WITHIN_S && !j.begun && j.cancel_at.is_none() {
+                wrong.push(format!("forgotten: {id} has not begun after {calm:.0} s of calm"));
+            }
+        }
+        if let Some(w) = wrong.into_iter().next() {
+            self.breaks(w);
+        }
+    }
+
+    fn play(&mut self, troubles: &[Trouble]) {
+        let mut next_job = 0;
+        let mut due: Vec<Trouble> = troubles.to_vec();
+        due.sort_by(|a, b| a.at.total_cmp(&b.at));
+        let last = due.iter().map(|t| t.at + t.for_s).fold(TROUBLES_S, f64::max);
+        self.trouble_until = last;
+        let mut due = due.into_iter().peekable();
+        let mut steps = 0u64;
+        while self.now < last + CALM_S && self.broken.is_none() {
+            self.now = steps as f64 * STEP;
+            steps += 1;
+            while let Some(t) = due.next_if(|t| t.at + 8.0 <= self.now) {
+                self.strikes(t);
+            }
+            if self.now > 3.0 && self.now < TROUBLES_S && self.now >= f64::from(next_job) * 1.5 {
+                next_job += 1;
+                let spec = spec(next_job as usize, &mut self.rng);
+                let cancels = self.rng.u8(..) < 60;
+                let cancel_at = cancels.then(|| self.now + 2.0 + self.rng.f64() * 30.0);
+                let job = Job {
+                    needs_room: f64::from(spec.tasks) * spec.cpus,
+                    spec,
+                    accepted: None,
+                    cancel_at,
+                    told: None,
+                    told_cancelled_at: f64::MAX,
+                    answered: self.now,
+                    next_poll: self.now,
+                    done: BTreeSet::new(),
+                    begun: false,
+                };
+                // A team's services must not fill its limit: then others wait rightly.
+                let held: f64 = self
+                    .jobs
+                    .values()
+                    .filter(|j| j.spec.team == job.spec.team && j.spec.estimate_s == 0.0)
+                    .map(|j| j.needs_room)
+                    .sum();
+                if job.spec.estimate_s > 0.0 || held + job.needs_room < 40.0 {
+                    self.jobs.insert(job.spec.id.clone(), job);
+                }
+            }
+            self.store.step(self.now);
+            let now = self.now;
+            let (ready, rest): (Vec<_>, Vec<_>) =
+                std::mem::take(&mut self.under_way).into_iter().partition(|(t, _)| *t <= now);
+            self.under_way = rest;
+            ready.into_iter().for_each(|(_, m)| self.deliver(m));
+            (0..NODES).for_each(|i| self.step_node(i));
+            (0..self.machines.len()).for_each(|i| self.step_machine(i));
+            self.step_users();
+            if steps.is_multiple_of(10) {
+                self.check();
+            }
+        }
+    }
+}
+
+fn job_done(j: &Job) -> bool {
+    j.done.len() == j.spec.tasks as usize
+}
+
+fn played(seed: u64, machines: usize, troubles: &[Trouble], wrong: Option<Wrong>) -> Option<String> {
+    let mut w = World::new(seed, machines, wrong);
+    w.play(troubles);
+    w.broken
+}
+
+fn from_env(name: &str, otherwise: u32) -> u32 {
+    std::env::var(name).ok().and_then(|v| v.parse().ok()).unwrap_or(otherwise)
+}
+
+fn troubles(most: usize) -> impl Strategy<Value = Vec<Trouble>> {
+    let one = (0.0..TROUBLES_S - 10.0, 0..KINDS.len(), 0..64usize, 0.2..35.0f64)
+        .prop_map(|(at, kind, which, for_s)| Trouble { at, kind: KINDS[kind], which, for_s });
+    proptest::collection::vec(one, 0..most)
+}
+
+/// No rule is broken whatever happens together, and once it is over every job is answered within
+/// [`ANSWERED_WITHIN_S`] and has begun within [`BEGUN_WITHIN_S`].
+#[test]
+fn no_storm_breaks_a_rule_or_loses_a_job() {
+    let machines = from_env("STORM_MACHINES", 9) as usize;
+    let seed = u64::from(from_env("STORM_SEED", 32));
+    let config = Config {
+        cases: from_env("STORMS", 24),
+        rng_seed: RngSeed::Fixed(seed),
+        failure_persistence: None,
+        max_shrink_iters: 400,
+        ..Config::default()
+    };
+    let result = TestRunner::new(config).run(&(any::<u64>(), troubles(14)), |(seed, troubles)| {
+        match played(seed, machines, &troubles, None) {
+            None => Ok(()),
+            Some(what) => Err(TestCaseError::fail(what)),
+        }
+    });
+    if let Err(e) = result {
+        panic!("{e}");
+    }
+}
+
+/// Each check sees a decision that is deliberately wrong.
+#[test]
+fn wrong_decisions_are_seen() {
+    let ends = |at: f64| Trouble { at, kind: Kind::Ends, which: 0, for_s: 60.0 };
+    let all = |at: f64| (0..NODES).map(move |which| Trouble { which, ..ends(at) }).collect::<Vec<_>>();
+    let cut: Vec<Trouble> =
+        all(20.0).into_iter().chain([Trouble { at: 19.0, kind: Kind::CutZone, which: 0, for_s: 15.0 }]).collect();
+    let cases = [
+        (Wrong::Resolved, cut, "ran_twice"),
+        (Wrong::Limits, Vec::new(), "quota"),
+        (Wrong::Spot, Vec::new(), "wrong_place"),
+        (Wrong::Stops, Vec::new(), "ran_cancelled"),
+        (Wrong::Done, Vec::new(), "not_done"),
+        (Wrong::Back, Vec::new(), "went_back"),
+        (Wrong::Silent, Vec::new(), "forgotten"),
+    ];
+    for (wrong, troubles, rule) in cases {
+        let seen: Vec<Option<String>> = (0..6).map(|seed| played(seed, 9, &troubles, Some(wrong))).collect();
+        let seen = seen.iter().flatten().any(|s| s.contains(rule));
+        assert!(seen, "{wrong:?} is not seen as {rule}");
+    }
+}
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -11,16 +11,14 @@
 use lupinspur::fleet::launch::Launch;
 use lupinspur::fleet::racks::{RACK_PREFIX, RackMachine, RackRecord};
 use lupinspur::fleet::{Held, HeldState};
-use lupinspur::intern::{Index, JobIx, MachineIx, RackIx};
-use lupinspur::jobs::{JOB_PREFIX, JobRecord, PART_PREFIX, PROGRESS_PREFIX, Phase, job_key};
+use lupinspur::intern::{Index, JobIx, MachineIx};
+use lupinspur::jobs::{JobRecord, Phase, job_key};
 use lupinspur::settings::{Settings, Team};
 use lupinspur::shard::Direct;
 use lupinspur::shard::placement::{Promised, taken_by};
-use lupinspur::shard::{
-    ACCOUNTS_PREFIX, CloudCall, DirectSend, Found, Heard, Loaded, LoadedQuotas, Shard, Shown, Write, handed, job_of,
-};
+use lupinspur::shard::{ACCOUNTS_PREFIX, CloudCall, DirectSend, Heard, LoadedQuotas, Shard, Shown, Write, handed};
 use lupinspur::tuning::Tuning;
-use lupinspur::wire::{Change, Command, JobRequest, ListedMachine, MachineType, Op, Report, TaskReport};
+use lupinspur::wire::{Change, Command, JobRequest, ListedMachine, Op, Report, TaskReport};
 use lupinspur_cells::CellIx;
 use lupinspur_cells::escrow::{Amount, Gift, Ledger};
 use lupinspur_quota::Plan;
@@ -29,61 +27,8 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::fmt::Write as _;
 
-const SETTINGS: &str = r#"
-host_name = "n0"
-domain = "a"
-bind = "127.0.0.1:1"
-peer_listen = "127.0.0.1:2"
-[services]
-cloud = "127.0.0.1:3"
-state = "127.0.0.1:4"
-[cluster]
-zones = ["a", "b", "c"]
-[[cluster.teams]]
-name = "red"
-cpus = 16.0
-cpus_max = 64.0
-[[cluster.teams]]
-name = "blue"
-[[cluster.objectives]]
-kind = "deadline"
-class = "match"
-times = 1.5
-[[cluster.objectives]]
-kind = "finished"
-class = "match"
-within_s = 120.0
-[[cluster.objectives]]
-kind = "finished"
-class = "letters"
-within_s = 60.0
-[[cluster.objectives]]
-kind = "wait"
-class = "letters"
-within_s = 30.0
-[[cluster.objectives]]
-kind = "wait"
-class = "desk"
-within_s = 1.0
-[cluster.workers]
-report_s = 3.0
-lease_s = 20.0
-cancel_s = 45.0
-[cluster.state]
-rps = 100.0
-write_rps = 30.0
-value_kb = 4.0
-txn_ops = 8
-[cluster.cloud]
-rps = 5.0
-list_lag_s = 5.0
-"#;
-
-fn types() -> Vec<MachineType> {
-    serde_json::from_value(json!([{"name":"m32","cpus":32.0,"memory_gb":64.0,"local_gb":40.0,
-        "pull_gb_per_s":0.5,"hourly":1.5,"spot_price":0.5,"ready_s":20.0,"fields":["a","b","c"]}]))
-    .expect("types")
-}
+mod stand_in;
+use stand_in::{SETTINGS, types};
 
 struct World {
     settings: Settings,
@@ -157,54 +102,8 @@
         self.shard.as_mut().expect("an owner")
     }
 
-    fn load<T: DeserializeOwned>(&self, prefix: &str) -> Vec<(String, T, u64)> {
-        self.store
-            .range(prefix.to_owned()..)
-            .take_while(|(k, _)| k.starts_with(prefix))
-            .map(|(k, (v, n))| (k.clone(), serde_json::from_value(v.clone()).expect("a stored value"), *n))
-            .collect()
-    }
-
-    /// The records that a successor reads: by the checkpoint and what has changed since, or all.
-    fn records(&mut self) -> (Vec<(JobRecord, u64)>, Found) {
-        let under = self.store.iter().filter(|(k, _)| k.starts_with(lupinspur_recovery::PREFIX));
-        let keys = under.map(|(k, (_, n))| (k.clone(), *n)).collect();
-        let mut found = Found { keys, ..Found::default() };
-        let read = lupinspur_recovery::read(self.store.iter().map(|(k, (v, _))| (k.as_str(), v)));
-        let mut jobs: BTreeMap<String, (JobRecord, u64)> = BTreeMap::new();
-        match read {
-            Ok(r) => {
-                for o in &r.open {
-                    let record = job_of(&job_key(&o.id), &o.value).expect("a record");
-                    jobs.insert(o.id.clone(), (record, o.version));
-                }
-                let since = self.load(JOB_PREFIX).into_iter().filter(|j: &(_, JobRecord, _)| j.2 > r.head.at);
-                jobs.extend(since.map(|(_, j, v)| (j.job.id.clone(), (j, v))));
-                self.say(&format!(
-                    "read the checkpoint: {} open, {} known with what came since",
-                    r.open.len(),
-                    jobs.len()
-                ));
-                (found.read, found.revision) = (Some(r), self.revision);
-            }
-            Err(lupinspur_recovery::Unusable::None) => {
-                jobs.extend(
-                    self.load(JOB_PREFIX).into_iter().map(|(_, j, v): (_, JobRecord, _)| (j.job.id.clone(), (j, v))),
-                );
-            }
-            Err(e) => {
-                self.say(&format!("the checkpoint cannot be used: {e}"));
-                let open = self.load(JOB_PREFIX).into_iter().filter(|j: &(_, JobRecord, _)| j.1.phase == Phase::Open);
-                jobs.extend(open.map(|(_, j, v)| (j.job.id.clone(), (j, v))));
-            }
-        }
-        (jobs.into_values().collect(), found)
-    }
-
-    /// Only what can be read, as the node does it.
     fn readable<T: DeserializeOwned>(&self, prefix: &str) -> Vec<(String, T, u64)> {
-        let under = self.store.iter().filter(|(k, _)| k.starts_with(prefix));
-        under.filter_map(|(k, (v, n))| Some((k.clone(), serde_json::from_value(v.clone()).ok()?, *n))).collect()
+        stand_in::readable(&self.store, prefix)
     }
 
     fn report(&self, name: &str, args: &[&str]) -> Report {
@@ -344,31 +243,16 @@
                     head: self.readable("quota/head").pop().map(|(_, h, v)| (h, v)),
                     parts,
                 });
-                let (mut jobs, mut checkpoint) = self.records();
+                let (mut loaded, what) = stand_in::loaded(&self.store, self.revision);
+                if let Some(what) = what {
+                    self.say(&what);
+                }
                 // One that has become another cell's since the checkpoint.
                 if let Some(id) = word(args, "gone") {
-                    jobs.retain(|(r, _)| r.job.id != id);
-                    checkpoint.gone.push(id.into());
+                    loaded.jobs.retain(|(r, _)| r.job.id != id);
+                    loaded.checkpoint.gone.push(id.into());
                 }
-                let loaded = Loaded {
-                    jobs,
-                    checkpoint,
-                    elastic: self.elastic.clone(),
-                    quotas,
-                    progress: self.load(PROGRESS_PREFIX).into_iter().chain(self.load(PART_PREFIX)).collect(),
-                    machines: self
-                        .load("mach/")
-                        .into_iter()
-                        .map(|(k, r, v)| (k.trim_start_matches("mach/").to_owned(), r, v))
-                        .collect(),
-                    racks_from: self.store.keys().filter_map(|k| rack_number(k)).max().map_or(0, |n| n + 1),
-                    racks: self
-                        .readable(RACK_PREFIX)
-                        .into_iter()
-                        .map(|(k, r, v)| (RackIx::new(rack_number(&k).expect("a number")), r, v))
-                        .collect(),
-                    fleet: self.load("fleet/").into_iter().next().map(|(_, r, v)| (r, v)),
-                };
+                (loaded.quotas, loaded.elastic) = (quotas, self.elastic.clone());
                 self.sent.clear();
                 let tuning = Tuning { extra: 2, window_s: 10.0, hold_s: 30.0, claim_s: 6.0 };
                 let mut shard = Shard::new(&self.settings.params(), tuning, token, types(), loaded, now);
@@ -692,10 +576,6 @@
     }
 }
 
-fn rack_number(key: &str) -> Option<usize> {
-    key.strip_prefix(RACK_PREFIX)?.parse().ok()
-}
-
 fn world() -> World {
     World {
         settings: Settings::parse(SETTINGS).expect("settings"),
