--- a/crates/scheduler/src/shard/placement.rs
+++ b/crates/scheduler/src/shard/placement.rs
@@ -13,6 +13,8 @@
 
 /// Cpu room on a machine of the on-demand base that batch work leaves to services, in their tasks.
 const SERVICE_ROOM: f64 = 4.0;
+/// Seconds for which work that may not use spot machines leaves that room to services.
+const BASE_PATIENCE_S: f64 = 20.0;
 /// Seconds that a service gains on a machine of the base, and batch work off it.
 const BASE_WORTH_S: f64 = 4.0;
 /// Seconds of fetching that a spot machine is worth more than an on-demand one.
@@ -96,10 +98,13 @@
     in_zone < job.zone_limit() && s.record_has_room(m, job.ix, &job.id) && !(spec.one_zone && held > in_zone)
 }
 
-/// Does the machine keep enough room for services if batch work takes this?
+/// Does the machine keep enough room for services if batch work takes this? Work that may not go on
+/// spot machines has nowhere else to go: where the base was just large enough it once waited there for
+/// ever, beside room that no service asked for.
 fn leaves_room(s: &Shard, job: &Job, m: &Machine) -> bool {
     !m.base
         || job.spec.priority == Priority::Production
+        || !job.spec.spot && s.ticked - job.since > BASE_PATIENCE_S
         || m.cpus_used + job.spec.cpus + SERVICE_ROOM * s.service_cpus <= s.types.get(m.ty).cpus + EPS
 }
 
--- a/tests/storms.rs
+++ b/tests/storms.rs
@@ -1137,6 +1137,35 @@
         }
     }
 
+    /// What the owner makes of a job, for whoever reads a failure.
+    fn owner_thinks(&self, id: &str) -> String {
+        let Some(s) = self.nodes.iter().find_map(|n| n.shard.as_ref().filter(|_| n.own.may_act(self.now).is_some()))
+        else {
+            return "nobody owns".into();
+        };
+        let Some(j) = s.jobs.find(id) else { return "the owner does not know it".into() };
+        let job = s.jobs.at(j);
+        let held: Vec<String> = s
+            .machines
+            .iter()
+            .flat_map(|(_, m)| m.tasks.iter().filter(|(k, _)| k.0 == j).map(move |(k, h)| (m, k, h)))
+            .map(|(m, k, h)| format!("{}: {:?} of session {} (suspect {}) {h:?}", k.1, m.name, m.session, m.suspect))
+            .collect();
+        let team = &s.teams[job.team.ix()];
+        format!(
+            "{} of {} held, {} shadowed, not before {:.1}, failed on {}, team uses {} of {}, {} machines; {held:?}; {:?}",
+            job.held,
+            job.spec.tasks,
+            job.shadowed_by,
+            job.not_before,
+            job.failed_on.len(),
+            team.cpus_used,
+            team.spec.cpus_max,
+            s.machines.present.len(),
+            job.spec
+        )
+    }
+
     fn check(&mut self) {
         let now = self.now;
         let calm = now - self.trouble_until;
@@ -1157,7 +1186,8 @@
                 wrong.push(format!("forgotten: {id} is not answered for {unanswered:.0} s"));
             }
             if calm > BEGUN_WITHIN_S && !j.begun && j.cancel_at.is_none() {
-                wrong.push(format!("forgotten: {id} has not begun after {calm:.0} s of calm"));
+                let thinks = self.owner_thinks(id);
+                wrong.push(format!("forgotten: {id} has not begun after {calm:.0} s of calm; {thinks}"));
             }
         }
         if let Some(w) = wrong.into_iter().next() {
