--- a/examples/own_site.rs
+++ b/examples/own_site.rs
@@ -189,6 +189,47 @@
         fault(at, "job_burst", &format!("class = \"{class}\", factor = {factor:.1}, for_s = {for_s:.1}"))
     }
 
+    /// A guest team without a guarantee, with a vast array, a swarm of single checks, and tasks that
+    /// take a machine each; and mistakes in a part of what the others submit.
+    fn guests(&self) -> String {
+        let job = |name: &str, cpus: f64, tasks: u32, run: f64, arrivals: &str| {
+            format!(
+                "  {{ name = \"{name}\", kind = \"array\", priority = \"low\", teams = [\"own-guests\"], cpus = {cpus:.2}, \
+                 gpus = 0.0, memory_gb = {:.2}, vary = 0.3, spot = true, tasks = {{ sizes = [{tasks}], weights = [1.0] }}, \
+                 run_s = {{ median = {run:.1}, p95 = {:.1}, max = {:.1} }}, estimate_error = 0.2, checkpoint_s = 0.0, \
+                 save_s = 0.0, images = {{ count = 1, gb = {{ median = 0.5, p95 = 0.6, max = 0.8 }} }}, \
+                 arrivals = {{ {arrivals} }} }},\n",
+                cpus * 1.8,
+                run * 1.3,
+                run * 1.5
+            )
+        };
+        let at = |s: f64| self.warm + s;
+        let mut jobs: String = self.arrays.iter().map(|a| format!("  {{ name = \"{a}\", broken = 0.1 }},\n")).collect();
+        jobs += &job(
+            "own-vast",
+            0.5,
+            20_000,
+            40.0,
+            &format!("rate = 0.2, start_s = {:.1}, stop_s = {:.1}", at(20.0), at(30.0)),
+        );
+        jobs += &job(
+            "own-swarm",
+            0.25,
+            1,
+            60.0,
+            &format!("rate = 7.0, start_s = {:.1}, stop_s = {:.1}", at(60.0), at(180.0)),
+        );
+        jobs += &job(
+            "own-large",
+            32.0,
+            12,
+            60.0,
+            &format!("rate = 0.2, start_s = {:.1}, stop_s = {:.1}", at(40.0), at(140.0)),
+        );
+        format!("teams = [ {{ name = \"own-guests\", weight = 1.0 }} ]\njobs = [\n{jobs}]\n")
+    }
+
     /// Each day's name and faults. Sites with an upgrade begin with the roll that makes it.
     fn days(&self) -> Vec<(&'static str, Vec<String>)> {
         const OWNER: &str = "count = 1, busiest = true";
@@ -259,6 +300,45 @@
         every.push(crash(w + 85.0, &all));
         days.push(("own-all", every));
 
+        // Controllers that stand still: from well under a lease to several, twice in a row, all at
+        // once, while a takeover from one is under way, with an end in between.
+        let still = |at: f64, whom: &str, for_s: f64| fault(at, "node_freeze", &format!("{whom}, for_s = {for_s:.1}"));
+        let mut stills: Vec<String> =
+            [1.2, 2.5, 3.9, 5.0].into_iter().enumerate().map(|(i, s)| still(w + 12.0 * i as f64, OWNER, s)).collect();
+        stills.push(still(w + 60.0, OWNER, 12.0));
+        stills.push(still(w + 65.5, OWNER, 12.0));
+        stills.push(still(w + 110.0, &all, 6.0));
+        stills.push(still(w + 150.0, OWNER, 40.0));
+        stills.push(crash(w + 152.0, "count = 2, busiest = false"));
+        stills.push(still(w + 155.0, OWNER, 8.0));
+        stills.push(crash(w + 215.0, OWNER));
+        stills.push(still(w + 215.6, OWNER, 5.0));
+        days.push(("own-still", stills));
+
+        // Users ask ten times as often; the owner is silent for more than a minute, another one loses
+        // the state service, and it is down for all; the owner ends.
+        let mut asked = vec![fault(w, "poll_storm", "factor = 10.0, for_s = 220.0")];
+        asked.push(fault(w + 15.0, "node_down", &format!("{OWNER}, for_s = 75.0")));
+        asked.push(fault(
+            w + 40.0,
+            "node_cut",
+            &format!("{OWNER}, from_state = true, for_s = 40.0, mode = \"refuse\""),
+        ));
+        asked.push(fault(w + 70.0, "peers_refuse", "for_s = 30.0"));
+        asked.push(outage(w + 110.0, 15.0));
+        asked.push(crash(w + 150.0, OWNER));
+        asked.push(fault(w + 180.0, "boot_trouble", "fail = 0.3, factor = 0.05, for_s = 60.0"));
+        days.push(("own-asked", asked));
+
+        // Guests and mistakes beside the rest, machines that fail whatever they start, boots that never
+        // come, and ends of the owner.
+        let mut guests = vec![fault(w + 20.0, "machine_sick", &format!("count = {}, for_s = 120.0", count(0.01)))];
+        guests.push(fault(w + 60.0, "boot_trouble", "fail = 0.3, factor = 2.0, for_s = 60.0"));
+        guests.push(crash(w + 90.0, OWNER));
+        guests.push(still(w + 140.0, OWNER, 6.0));
+        guests.push(crash(w + 190.0, &all));
+        days.push(("own-guests", guests));
+
         // Limits that are lowered in the middle of a roll, and quick ends around it.
         if let Some(limits) = &self.limits {
             let mut lower = vec![fault(w + 75.0, "state_limits", limits)];
@@ -301,8 +381,9 @@
         write(&a.out.join(wire), &text)?;
     }
     for (i, (name, faults)) in site.days().into_iter().enumerate() {
+        let more = if name == "own-guests" { site.guests() } else { String::new() };
         let day = format!(
-            "[[day]]\nname = \"{name}\"\nslot = \"scale\"\nseed = {}\nfaults = [\n{}\n]\n",
+            "[[day]]\nname = \"{name}\"\nslot = \"scale\"\nseed = {}\n{more}faults = [\n{}\n]\n",
             700 + i,
             faults.join("\n")
         );
