--- a/crates/scheduler/src/fleet/mod.rs
+++ b/crates/scheduler/src/fleet/mod.rs
@@ -155,6 +155,9 @@
     pub unanswered: u32,
     /// A report is overdue: it is asked directly whether it is there.
     pub suspect: bool,
+    /// Known by reports of an earlier owner's time alone: it counts for nothing before it shows that it
+    /// hears us. A late copy of what a machine said that is long gone looks like this.
+    pub unproven: bool,
     /// Whether this owner has answered a report of it.
     pub answered: bool,
     /// When its present session was first heard of.
@@ -210,6 +213,7 @@
             direct_not_before: 0.0,
             unanswered: 0,
             suspect: false,
+            unproven: false,
             answered: false,
             session_since: now,
             lost_sessions: 0,
--- /dev/null
+++ b/crates/scheduler/src/shard/compare.rs
@@ -0,0 +1,81 @@
+//! Open jobs are compared with what is placed, a few at a time, and what does not agree is mended and
+//! logged: a task that is in no queue and on no machine would wait for ever, and so would a job of
+//! which everything is done and nobody has noticed.
+
+use super::*;
+use std::ops::Bound;
+
+const EVERY_S: f64 = 1.0;
+/// Jobs looked at in a second, and tasks: a job with a hundred thousand is looked at alone.
+const MOST_JOBS: usize = 20;
+const MOST_TASKS: usize = 5_000;
+
+#[derive(Debug, Default)]
+pub(super) struct Glue {
+    at: f64,
+    last: Option<JobIx>,
+    /// Tasks and jobs that were mended so far.
+    pub(super) mended: u64,
+}
+
+impl Shard {
+    pub(super) fn compare(&mut self, now: f64) {
+        if now - self.compared.at < EVERY_S {
+            return;
+        }
+        self.compared.at = now;
+        let from = self.compared.last.map_or(Bound::Unbounded, Bound::Excluded);
+        let next: Vec<JobIx> = self.jobs.live.range((from, Bound::Unbounded)).take(MOST_JOBS).copied().collect();
+        self.compared.last = if next.len() < MOST_JOBS { None } else { next.last().copied() };
+        let mut tasks = 0;
+        for j in next {
+            if tasks > 0 && tasks + self.jobs.at(j).tasks.len() > MOST_TASKS {
+                break;
+            }
+            tasks += self.jobs.at(j).tasks.len();
+            self.compared.last = Some(j);
+            self.compare_job(j);
+        }
+    }
+
+    fn compare_job(&mut self, j: JobIx) {
+        let job = self.jobs.at(j);
+        if !job.open() {
+            return;
+        }
+        let nowhere = |t: u32, s: &Slot| match s {
+            Slot::Held(m) => self.machines.list.get(*m).is_none_or(|m| !m.tasks.contains_key(&(j, t))),
+            _ => false,
+        };
+        let lost: Vec<u32> = (0u32..).zip(&job.tasks).filter(|(t, s)| nowhere(*t, s)).map(|(t, _)| t).collect();
+        let queued = job.tasks.iter().filter(|s| **s == Slot::Queued).count() + lost.len();
+        let waits =
+            if queued == 0 { 0 } else { job.queue.iter().filter(|t| job.tasks[**t as usize] == Slot::Queued).count() };
+        let over = !job.is_service() && job.done == job.spec.tasks;
+        if lost.is_empty() && waits >= queued && !over {
+            return;
+        }
+        log::error!(
+            "{}: {} tasks on no machine, {waits} of {queued} in the queue, over {over}: mended",
+            job.id,
+            lost.len()
+        );
+        self.compared.mended += 1;
+        let job = self.jobs.at_mut(j);
+        for t in &lost {
+            job.tasks[*t as usize] = Slot::Queued;
+        }
+        job.held = job.held.saturating_sub(lost.len() as u32);
+        job.queue = (0u32..).zip(&job.tasks).filter(|(_, s)| **s == Slot::Queued).map(|(t, _)| t).collect();
+        if over {
+            job.wanted = Phase::Done;
+            self.finals.insert(j);
+        }
+        self.place_due = true;
+    }
+
+    /// How often a difference was mended.
+    pub fn mended(&self) -> u64 {
+        self.compared.mended
+    }
+}
--- a/crates/scheduler/src/shard/mod.rs
+++ b/crates/scheduler/src/shard/mod.rs
@@ -5,6 +5,7 @@
 //! node's loops carry out. Traces in tests/ drive it directly.
 
 mod cell;
+mod compare;
 mod elastic;
 mod faults;
 mod judging;
@@ -167,6 +168,7 @@
     /// Cpus set apart for batch work that is late, see placement.
     pub(crate) late_credit: f64,
     largest: largest::Largest,
+    compared: compare::Glue,
     /// Pairs of a job and a machine that were looked at: what placing costs.
     pub looked_at: u64,
     pub counts: Counts,
@@ -301,6 +303,7 @@
         self.ticked = now;
         self.keep_accounts(now);
         self.sweep(now);
+        self.compare(now);
         self.keep_elastic(now);
         if now - self.watched_at >= WATCH_EVERY_S {
             self.watched_at = now;
--- a/crates/scheduler/src/shard/reports.rs
+++ b/crates/scheduler/src/shard/reports.rs
@@ -73,7 +73,9 @@
         let ty = self.types.names.find(&r.type_name)?;
         let zone = self.types.zones.intern(&r.zone);
         log::info!("machine {} was not expected: adopted", r.machine);
-        Some(self.machines.add(&r.machine, ty, zone, r.spot, now))
+        let m = self.machines.add(&r.machine, ty, zone, r.spot, now);
+        self.machines.at_mut(m).unproven = r.token > 0 && r.token < self.token;
+        Some(m)
     }
 
     fn absorb(&mut self, r: &Report, own: bool, now: f64) -> Result<MachineIx, Heard> {
@@ -133,7 +135,10 @@
         if became_ready {
             machine.phase = MachinePhase::Up;
             let (ty, zone, spot) = (machine.ty, machine.zone, machine.spot);
-            if spot && let Some(p) = self.pools.get_mut(&ty) {
+            if spot
+                && !machine.unproven
+                && let Some(p) = self.pools.get_mut(&ty)
+            {
                 p.zones.ready(zone);
             }
         }
@@ -152,6 +157,7 @@
             self.machines.direct_due.insert(m);
             return Ok(m);
         }
+        self.machines.at_mut(m).unproven = false;
         let first = !std::mem::replace(&mut self.machines.at_mut(m).reported_token, true);
         if first {
             self.place_due = true;
--- a/crates/scheduler/src/shard/sizing.rs
+++ b/crates/scheduler/src/shard/sizing.rs
@@ -637,5 +637,5 @@
 
 /// Does this machine count as part of the fleet?
 fn staying(m: &Machine, now: f64) -> bool {
-    present(m) && !m.cordoned && m.notice_until.is_none() && now >= m.quarantined_until
+    present(m) && !m.unproven && !m.cordoned && m.notice_until.is_none() && now >= m.quarantined_until
 }
--- a/crates/scheduler/src/shard/takeover.rs
+++ b/crates/scheduler/src/shard/takeover.rs
@@ -88,6 +88,7 @@
             place_due: true,
             late_credit: 0.0,
             largest: largest::Largest::new(),
+            compared: compare::Glue::default(),
             looked_at: 0,
             counts: Counts::default(),
             watched_at: f64::MIN,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod budget;
 pub mod clock;
 pub mod cloud;
+pub mod health;
 pub mod http;
 pub mod logging;
 pub mod node;
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -12,6 +12,7 @@
 use crate::cloud::{CloudClient, CloudError};
 use crate::fleet::racks::RACK_PREFIX;
 use crate::fleet::{FLEET_KEY, MACHINE_PREFIX};
+use crate::health::Health;
 use crate::intern::{Index, RackIx};
 use crate::jobs::{JOB_PREFIX, JobRecord, PART_PREFIX, PROGRESS_PREFIX, Phase};
 use crate::ownership::{AWAY_S, CLAIM_KEY, CLAIM_PREFIX, Claim, Next, Ownership, SeenClaim, TYPES_KEY, away_key};
@@ -113,6 +114,7 @@
     /// What users were answered at this controller's door, by class and team.
     door: Mutex<Book>,
     state_ok: Mutex<f64>,
+    health: Mutex<Health>,
     /// The machine types as the state service has them.
     types_stored: Mutex<Option<Vec<MachineType>>>,
     /// Whether the cloud itself told the types.
@@ -195,6 +197,7 @@
             accepted: Mutex::new(LruCache::new(MOST_KEPT)),
             door: Mutex::new(Book::new(settings.terms.clone())),
             state_ok: Mutex::new(-100.0),
+            health: Mutex::default(),
             types_stored: Mutex::default(),
             types_asked: AtomicBool::new(false),
             sent_on: AtomicU64::new(0),
@@ -253,7 +256,9 @@
 
     pub fn healthy(&self) -> bool {
         let now = clock::now();
-        !lock(&self.types).is_empty() && (now - *lock(&self.state_ok) < 4.0 || self.owns_some(now))
+        let (useful, owns) = (!lock(&self.types).is_empty(), self.owns_some(now));
+        let answered = *lock(&self.state_ok);
+        lock(&self.health).says(useful, owns, answered, now)
     }
 
     /// Final states never change: any node may tell them once it has learnt them.
--- a/tests/storms.rs
+++ b/tests/storms.rs
@@ -1190,6 +1190,10 @@
                 wrong.push(format!("forgotten: {id} has not begun after {calm:.0} s of calm; {thinks}"));
             }
         }
+        let mended = self.nodes.iter().filter_map(|n| n.shard.as_ref()).map(Shard::mended).sum::<u64>();
+        if mended > 0 {
+            wrong.push(format!("{mended} differences between jobs and machines had to be mended"));
+        }
         if let Some(w) = wrong.into_iter().next() {
             self.breaks(w);
         }
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -695,6 +695,29 @@
     assert_eq!(work_of_a_report(120, 100), few);
 }
 
+/// Guards against a task that is in no queue and on no machine, and against a job that is done and
+/// whose end nobody writes: nothing in here leaves one behind, as far as anybody knows.
+#[test]
+fn what_is_placed_nowhere_is_found_and_placed() {
+    let mut w = world();
+    w.event(0.0, "takeover", &["10"]);
+    w.event(0.1, "report", &["h1", "seq=1"]);
+    w.event(0.6, "report", &["h1", "seq=2", "token=10"]);
+    w.event(0.7, "job", &["req-1", "tasks=2"]);
+    w.event(0.7, "job", &["req-2", "tasks=1"]);
+    let (m, s) = (w.machine("h1"), w.s());
+    let [one, two] = ["req-1", "req-2"].map(|id| s.jobs.find(id).expect("a job"));
+    s.machines.at_mut(m).tasks.remove(&(one, 1));
+    s.jobs.at_mut(two).done = 1;
+    for step in 0..4 {
+        w.event(1.0 + f64::from(step), "tick", &[]);
+    }
+    assert_eq!(w.s().mended(), 2);
+    assert!(w.s().machines.at(m).tasks.contains_key(&(one, 1)), "placed again");
+    w.event(5.0, "write", &[]);
+    assert_eq!(w.store[&job_key("req-2")].0["phase"], "done");
+}
+
 /// Guards against several tasks that leave their machines for the same room elsewhere: all
 /// but one of them would be down until more is made.
 #[test]
