--- a/crates/scheduler/src/shard/largest.rs
+++ b/crates/scheduler/src/shard/largest.rs
@@ -154,6 +154,20 @@
         self.largest.credit
     }
 
+    /// Will its team's limit let a task of this job run once the team's other batch work is over? Where
+    /// services hold too much of the limit nothing must wait for it: it would wait for ever.
+    pub(crate) fn limit_will_do(&self, j: JobIx) -> bool {
+        let job = self.jobs.at(j);
+        let team = &self.teams[job.team.ix()].spec;
+        let services = self.jobs.live.iter().map(|i| self.jobs.at(*i)).filter(|o| o.team == job.team && o.is_service());
+        let (cpus, cards) = services.fold((0.0, 0.0), |(c, g), o| {
+            let n = f64::from(o.held);
+            (c + n * o.spec.cpus, g + n * o.spec.cards)
+        });
+        let fits = |max: f64, held: f64, need: f64| max <= 0.0 || held + need <= max + EPS;
+        fits(team.cpus_max, cpus, job.spec.cpus) && fits(team.cards_max, cards, job.spec.cards)
+    }
+
     /// No machine has room for a task of this job: one is kept free of other batch work until it has.
     /// What may be stopped for it there is stopped.
     pub(crate) fn keep_machine(&mut self, j: JobIx, now: f64) -> Option<MachineIx> {
@@ -184,7 +198,9 @@
         };
         let m = kept.filter(|m| could(*m, self.machines.at(*m))).or_else(|| {
             let all = self.machines.iter().filter(|(i, m)| could(*i, m) && !self.largest.kept.contains_key(i));
-            all.map(|(i, m)| (clears(m), i)).min_by(|a, b| a.0.total_cmp(&b.0)).map(|o| o.1)
+            // One with services never clears: kept, it would only be lost to everybody.
+            let clears = all.map(|(i, m)| (clears(m), i)).filter(|c| c.0.is_finite());
+            clears.min_by(|a, b| a.0.total_cmp(&b.0)).map(|o| o.1)
         })?;
         if kept != Some(m) {
             let most = (self.machines.present.len() / KEPT_SHARE).max(1);
--- a/crates/scheduler/src/shard/placement.rs
+++ b/crates/scheduler/src/shard/placement.rs
@@ -368,7 +368,7 @@
         let urgent = job.spec.priority == Priority::Production;
         if !within_limit(s, job, shadow) {
             at_limits.extend(urgent.then_some(turn.job));
-            if turn.first_part {
+            if turn.first_part && s.limit_will_do(turn.job) {
                 waits_for_it.entry(job.team).or_insert(turn.job);
             }
             continue;
