--- a/crates/scheduler/src/fleet/mod.rs
+++ b/crates/scheduler/src/fleet/mod.rs
@@ -158,8 +158,8 @@
     /// Known by reports of an earlier owner's time alone: it counts for nothing before it shows that it
     /// hears us. A late copy of what a machine said that is long gone looks like this.
     pub unproven: bool,
-    /// Whether this owner has answered a report of it.
-    pub answered: bool,
+    /// When this owner last answered a report of its present session.
+    pub answered: Option<f64>,
     /// When its present session was first heard of.
     pub session_since: f64,
     /// Sessions in a row that ended though their reports were answered: the answers were lost.
@@ -214,7 +214,7 @@
             unanswered: 0,
             suspect: false,
             unproven: false,
-            answered: false,
+            answered: None,
             session_since: now,
             lost_sessions: 0,
             unheeded: 0,
--- a/crates/scheduler/src/shard/reports.rs
+++ b/crates/scheduler/src/shard/reports.rs
@@ -59,7 +59,7 @@
                 let commands = self.report_commands(m, r, now);
                 let machine = self.machines.at_mut(m);
                 machine.last_ok = Some(now);
-                machine.answered = true;
+                machine.answered = Some(now);
                 Heard::Reply(ReportReply { token: self.token, commands })
             }
             Err(h) => h,
@@ -99,8 +99,9 @@
         if new_session && now - machine.session_since > self.lease_s * 2.0 {
             machine.lost_sessions = 0;
         }
-        // Its lease has ended although its reports were answered: hearing it proves nothing.
-        let lost = new_session && machine.last_ok.is_some_and(|t| now - t < self.lease_s / 2.0);
+        // Its lease has ended although its reports were answered: hearing it proves nothing. By direct
+        // questions alone no lease is renewed: those that ended just after an outage once looked deaf.
+        let lost = new_session && machine.answered.is_some_and(|t| now - t < self.lease_s / 2.0);
         if lost {
             machine.lost_sessions += 1;
             if machine.lost_sessions > 1 {
@@ -109,7 +110,7 @@
             log::warn!("machine {}: its lease ended though it was answered ({})", machine.name, machine.lost_sessions);
         }
         if r.session > machine.session {
-            machine.session_since = now;
+            (machine.session_since, machine.answered) = (now, None);
             // A session's lease runs from its beginning, which was before this.
             machine.last_ok = Some(machine.last_ok.map_or(now, |t| t.max(now)));
         }
@@ -153,7 +154,7 @@
             // It may still obey an earlier owner: ask for a report with our token.
             let machine = self.machines.at_mut(m);
             machine.reported_token = false;
-            machine.unheeded += u32::from(own && machine.answered);
+            machine.unheeded += u32::from(own && machine.answered.is_some());
             self.machines.direct_due.insert(m);
             return Ok(m);
         }
