--- a/crates/scheduler/src/fleet/mod.rs
+++ b/crates/scheduler/src/fleet/mod.rs
@@ -237,7 +237,7 @@
 
     /// Something of ours was lost on the way to it, and it has not shown since that it hears.
     pub fn doubted(&self) -> bool {
-        self.lost_sessions > 0 || self.unheeded > 0
+        self.lost_sessions > 1 || self.unheeded > 0
     }
 
     pub fn resolved(&self) -> bool {
--- a/crates/scheduler/src/shard/reports.rs
+++ b/crates/scheduler/src/shard/reports.rs
@@ -147,7 +147,8 @@
             // The worker killed everything of its earlier session.
             self.session_over(m);
         }
-        if lost {
+        // Once may be our own lateness: an answer that waited here for its turn comes too late there.
+        if lost && self.machines.at(m).doubted() {
             self.ask(m);
         }
         if r.token < token {
--- a/crates/scheduler/src/shard/sizing.rs
+++ b/crates/scheduler/src/shard/sizing.rs
@@ -210,7 +210,7 @@
                     let lost = quiet > silent_s && others_heard || mute && believed(m.zone) || quiet > lease * 2.0;
                     // Heard, and neither answers nor commands reach it: only its deletion, or the
                     // end of its session, tells that what runs there is gone.
-                    let unreached = m.unheeded >= UNHEEDED || m.lost_sessions > 0;
+                    let unreached = m.unheeded >= UNHEEDED || m.lost_sessions > 1;
                     let deaf = (unreached && m.suspect && m.unanswered >= DEAF_QUESTIONS || m.lost_sessions > 1)
                         && punctual
                         && (heeded(&whole) || heeded(&elsewhere(m.zone)));
