--- a/src/node/loops.rs
+++ b/src/node/loops.rs
@@ -2,28 +2,16 @@
 
 use super::*;
 
-/// How often what others accept is counted, in seconds, and how much of the rate one count makes.
-const COUNT_EVERY_S: f64 = 1.0;
-const COUNTS_FOR: f64 = 0.3;
-
 impl Cell {
     pub(super) async fn ticks(self: Arc<Self>) {
         let mut looked_again = 0.0;
         let mut told = (clock::now(), 0, Counts::default());
         let (mut alarmed, mut accounts) = (0.0, (0.0, 0));
-        let (mut came_at, mut coming) = (clock::now(), 0.0);
         while self.open() {
             // What reports and submissions bring is placed together, a little later.
             Timer::after(GATHER).await;
             Self::woken(&self.wakes.pace.1).await;
             let now = clock::now();
-            let since = now - came_at;
-            if since >= COUNT_EVERY_S && self.cells().len() == 1 {
-                let came = self.came.swap(0, Ordering::Relaxed) as f64 / since;
-                coming += (came - coming) * COUNTS_FOR;
-                came_at = now;
-                self.state.others_accept(coming, now);
-            }
             let deaf = self.with_shard(now, |s| {
                 if now - looked_again > LOOK_AGAIN_S {
                     looked_again = now;
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -137,8 +137,6 @@
     wakes: Wakes,
     claiming: AtomicBool,
     loading: AtomicBool,
-    /// Jobs that other controllers accepted, as the watch told.
-    came: AtomicU64,
     /// A part of its share is on its way to another cell.
     giving: AtomicBool,
     /// Another set of cells has taken its place: its loops end.
@@ -320,7 +318,6 @@
             },
             claiming: AtomicBool::new(false),
             loading: AtomicBool::new(false),
-            came: AtomicU64::new(0),
             giving: AtomicBool::new(false),
             closed: AtomicBool::new(false),
         })
--- a/src/node/takeover.rs
+++ b/src/node/takeover.rs
@@ -171,7 +171,6 @@
                     from = ev.revision.max(from);
                     for e in ev.events {
                         if let (Some(key), Some(value)) = (e.put, e.value) {
-                            self.came.fetch_add(u64::from(value["phase"] == "open"), Ordering::Relaxed);
                             self.take_job(&Item { key, value, version: e.version, lease: None });
                         }
                     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -71,8 +71,6 @@
     next: Rates,
     /// Our part of either.
     share: Rates,
-    /// Jobs a second that other controllers accept, where this one owns: each is a write.
-    accepted: f64,
     refused: VecDeque<f64>,
     lowered_until: f64,
     lowered: bool,
@@ -92,7 +90,7 @@
         let next =
             Rates { requests: s.state_next.rps.min(now.requests), writes: s.state_next.write_rps.min(now.writes) };
         let share = Rates { requests: 1.0, writes: 1.0 };
-        Limits { now, next, share, accepted: 0.0, refused: VecDeque::new(), lowered_until: f64::MIN, lowered: false }
+        Limits { now, next, share, refused: VecDeque::new(), lowered_until: f64::MIN, lowered: false }
     }
 
     fn refused(&mut self, now: f64) {
@@ -116,19 +114,10 @@
 
     fn ours(&self) -> Rates {
         let all = if self.lowered { self.next } else { self.now };
-        // What others accept goes first. An owner that took its whole share all the same kept the
-        // service at its limit, and every submission met refusals, where thousands of small jobs came.
-        let left = (LEFT_OF_WRITES - self.accepted * AN_ACCEPTANCE / all.writes).max(LEAST_OF_WRITES);
-        let writes = if self.accepted > 0.0 { self.share.writes.min(left) } else { self.share.writes };
-        Rates { requests: all.requests * self.share.requests, writes: all.writes * writes }
+        Rates { requests: all.requests * self.share.requests, writes: all.writes * self.share.writes }
     }
 }
 
-/// Of the writes, so much is used by all together; an acceptance counts for more than one, since they
-/// come in bursts; and an owner keeps so much, whatever is accepted.
-const LEFT_OF_WRITES: f64 = 0.95;
-const AN_ACCEPTANCE: f64 = 1.25;
-const LEAST_OF_WRITES: f64 = 0.5;
 /// Renewals go out more often than this.
 const ANSWERED_WITHIN_S: f64 = 2.5;
 /// Largest transaction that is sent, with room for its frame.
@@ -192,18 +181,6 @@
         }
     }
 
-    /// So many jobs a second are accepted by others, as this owner sees.
-    pub fn others_accept(&self, per_s: f64, now: f64) {
-        let mut limits = lock(&self.limits);
-        let before = limits.ours();
-        limits.accepted = per_s;
-        let ours = limits.ours();
-        drop(limits);
-        if ours != before {
-            lock(&self.writes).change(now, ours.writes, ours.writes);
-        }
-    }
-
     /// Does the service answer, as far as the last calls tell?
     pub fn answers(&self, now: f64) -> bool {
         let (ok, failed) = *lock(&self.heard);
@@ -405,14 +382,6 @@
         (0..4).for_each(|i| l.refused(126.0 + f64::from(i) * 0.3));
         assert_eq!(l.changed(127.0), Some(Rates { requests: 100.0, writes: 10.0 }), "and still refused");
         assert_eq!(l.changed(900.0), None, "so that it is not tried again every few seconds");
-        // Others' acceptances are left their writes, with room for bursts; the owner keeps a half.
-        let mut owner = Limits::new(&settings(text));
-        owner.share.writes = 0.8;
-        let mut left = |accepted| {
-            owner.accepted = accepted;
-            owner.ours().writes.round()
-        };
-        assert_eq!([left(2.0), left(10.0), left(50.0)], [24.0, 16.0, 15.0], "of thirty");
         let mut same = Limits::new(&settings(text));
         (0..9).for_each(|i| same.refused(100.0 + f64::from(i) * 0.1));
         assert_eq!(same.changed(101.0), None);
