--- a/crates/scheduler/src/shard/largest.rs
+++ b/crates/scheduler/src/shard/largest.rs
@@ -3,7 +3,7 @@
 //! Where more waits than the machines can take, small jobs go before large ones, since of small ones
 //! many more are served. A class's largest jobs would wait for as long as that lasts. So one of them
 //! that has waited for [`BEGINS_AFTER_S`] gets a first part of its tasks before other batch work does,
-//! out of a share that is set apart for that; at its team's limit the team's other work waits for it,
+//! and later the rest, out of a share that is set apart for that; at its team's limit the team's other work waits for it,
 //! and where none of its tasks fits anywhere, a machine is kept for it until one does.
 //!
 //! The largest are a class's top tenth, at least one job, by tasks times cpus and by tasks, of those
@@ -16,8 +16,12 @@
 /// A job waits for so long, in seconds, before its first part goes ahead. Users are promised four
 /// minutes; boots, a takeover and the end of what runs there come out of the rest.
 const BEGINS_AFTER_S: u64 = 60;
-/// Where a class's jobs are all alike nothing holds back its largest but its turn: later.
-const ALIKE_AFTER_S: u64 = 150;
+/// Where a class's jobs are all alike nothing holds back its largest but its turn: later, and later
+/// still where they have one task each.
+const ALIKE_AFTER_S: u64 = 90;
+const SINGLE_AFTER_S: u64 = 150;
+/// After so many seconds more half of its tasks go ahead, and after as many again all of them.
+const NEXT_PART_S: u64 = 60;
 /// The largest jobs are promised to begin within this, in seconds.
 const PROMISED_S: u64 = 240;
 /// Of an array, one task in so many is the first part.
@@ -86,7 +90,11 @@
         let s = self.classes.get(&r.class)?;
         let one = cpus + EPS >= s.least.0 || tasks >= s.least.1;
         let alike = s.last.len() > 1 && cpus <= s.median.0 + EPS && tasks <= s.median.1;
-        one.then_some(if alike { ALIKE_AFTER_S } else { BEGINS_AFTER_S })
+        one.then_some(match alike {
+            false => BEGINS_AFTER_S,
+            true if tasks > 1 => ALIKE_AFTER_S,
+            true => SINGLE_AFTER_S,
+        })
     }
 }
 
@@ -134,13 +142,18 @@
     /// The first part of this job's tasks, if it is to go ahead of other batch work now.
     pub(crate) fn first_part(&self, j: JobIx, now_ms: u64) -> Option<u32> {
         let job = self.jobs.at(j);
-        let begun = job.held > 0 || job.done > 0;
         let waited_s = now_ms.saturating_sub(job.freed_ms) / 1000;
-        if begun || waited_s < BEGINS_AFTER_S || job.spec.priority == Priority::Production || job.at_fault() {
+        if waited_s < BEGINS_AFTER_S || job.spec.priority == Priority::Production || job.at_fault() {
             return None;
         }
-        let after_s = self.largest.goes_after_s(&job.spec)?;
-        (waited_s >= after_s).then(|| job.unfinished().div_ceil(FIRST_PART).max(1))
+        let over_s = waited_s.checked_sub(self.largest.goes_after_s(&job.spec)?)?;
+        let tasks = job.spec.tasks;
+        let goes = match over_s / NEXT_PART_S {
+            0 => tasks.div_ceil(FIRST_PART),
+            1 => tasks.div_ceil(2),
+            _ => tasks,
+        };
+        Some(goes.saturating_sub(job.held + job.done)).filter(|n| *n > 0)
     }
 
     /// A batch task starts that takes so many cpus.
@@ -225,7 +238,7 @@
     pub(crate) fn kept_machines(&mut self, now: f64) -> Vec<(MachineIx, JobIx)> {
         let (jobs, machines) = (&self.jobs, &self.machines);
         self.largest.kept.retain(|m, (j, since)| {
-            let waits = jobs.get(*j).is_some_and(|j| j.open() && j.held == 0);
+            let waits = jobs.get(*j).is_some_and(|j| j.open() && j.unfinished() > j.held);
             let there = machines.list.get(*m).is_some_and(|m| m.phase == MachinePhase::Up && !m.cordoned);
             waits && there && now - *since < KEPT_FOR_S
         });
