--- a/crates/scheduler/src/shard/largest.rs
+++ b/crates/scheduler/src/shard/largest.rs
@@ -36,7 +36,7 @@
 /// One in so many is among the largest.
 const TENTH: usize = 10;
 /// A machine is kept for one job for so long, in seconds, before another one is tried.
-const KEPT_FOR_S: f64 = 60.0;
+const KEPT_FOR_S: f64 = 90.0;
 /// Machines kept at a time, one in so many, and at least one.
 const KEPT_SHARE: usize = 50;
 
@@ -186,6 +186,10 @@
     pub(crate) fn keep_machine(&mut self, j: JobIx, now: f64) -> Option<MachineIx> {
         let job = self.jobs.at(j);
         let kept = self.largest.kept.iter().find(|(_, k)| k.0 == j && now - k.1 < KEPT_FOR_S).map(|(m, _)| *m);
+        let most = (self.machines.present.len() / KEPT_SHARE).max(1);
+        if kept.is_none() && self.largest.kept.len() >= most {
+            return None;
+        }
         let silent_s = self.fresh_s();
         let could = |i: MachineIx, m: &crate::fleet::Machine| {
             let t = self.types.get(m.ty);
@@ -216,11 +220,7 @@
             clears.min_by(|a, b| a.0.total_cmp(&b.0)).map(|o| o.1)
         })?;
         if kept != Some(m) {
-            let most = (self.machines.present.len() / KEPT_SHARE).max(1);
             self.largest.kept.retain(|_, k| k.0 != j && now - k.1 < KEPT_FOR_S);
-            if self.largest.kept.len() >= most {
-                return None;
-            }
             log::info!("machine {} is kept for {}", self.machines.at(m).name, self.jobs.at(j).id);
             self.largest.kept.insert(m, (j, now));
         }
--- a/crates/scheduler/src/shard/placement.rs
+++ b/crates/scheduler/src/shard/placement.rs
@@ -39,6 +39,8 @@
 const GROWS: u8 = 3;
 /// Most starts of one pass, so that a huge job cannot hold up the rest.
 const MOST_STARTS: usize = 400;
+/// Most large jobs that begin in one pass beyond what is set apart for them.
+const MOST_BEGIN: usize = 24;
 /// Most times in one pass that room is looked for by stopping other work.
 const MOST_ROOMS: usize = 12;
 /// Most replicas for which another machine is looked for before one moves.
@@ -300,12 +302,23 @@
     };
     let mut first: Vec<Turn> = out.iter().filter_map(first).collect();
     first.sort_by_key(|t| (t.rank, t.job));
-    let mut left = s.first_parts_may_take();
-    first.retain(|t| {
-        let goes = left > 0.0;
-        left -= s.jobs.at(t.job).spec.cpus * f64::from(t.most);
-        goes
-    });
+    let (mut left, mut begin) = (s.first_parts_may_take(), MOST_BEGIN);
+    // What is set apart is for parts; that a job begins at all is not weighed against it. Where each waited
+    // for the one before to be served, the last of twenty began after five minutes.
+    let goes = |mut t: Turn| {
+        let job = s.jobs.at(t.job);
+        let begins = job.held + job.done == 0 && job.spec.tasks > 1 && begin > 0;
+        if left > 0.0 {
+            left -= job.spec.cpus * f64::from(t.most);
+        } else if begins {
+            t.most = 1;
+        } else {
+            return None;
+        }
+        begin -= usize::from(begins);
+        Some(t)
+    };
+    let first: Vec<Turn> = first.into_iter().filter_map(goes).collect();
     out.extend(first);
 }
 
