Said once: what a job allows of a machine, which machines are kept; no look-up for each running task

Found on reading the change again. keep_machine had the checks of fits_beside and type_fits a second time, and what is kept stood in the shard and in a list of each placing pass; services' running times were looked up for every running task of every report. Dead fields of the storms' world go.

--- a/crates/scheduler/src/shard/compare.rs
+++ b/crates/scheduler/src/shard/compare.rs
@@ -26,7 +26,7 @@
         self.compared.at = now;
         let from = self.compared.last.map_or(Bound::Unbounded, Bound::Excluded);
         let next: Vec<JobIx> = self.jobs.live.range((from, Bound::Unbounded)).take(MOST_JOBS).copied().collect();
-        self.compared.last = if next.len() < MOST_JOBS { None } else { next.last().copied() };
+        self.compared.last = None;
         let mut tasks = 0;
         for j in next {
             if tasks > 0 && tasks + self.jobs.at(j).tasks.len() > MOST_TASKS {
--- a/crates/scheduler/src/shard/largest.rs
+++ b/crates/scheduler/src/shard/largest.rs
@@ -9,6 +9,7 @@
 //! The largest are a class's top tenth, at least one job, by tasks times cpus and by tasks, of those
 //! that this owner knows to have come last.
 
+use super::placement::allows;
 use super::*;
 use crate::wire::Priority;
 use lupinspur_accounts::Reading;
@@ -183,26 +184,16 @@
 
     /// No machine has room for a task of this job: one is kept free of other batch work until it has.
     /// What may be stopped for it there is stopped.
-    pub(crate) fn keep_machine(&mut self, j: JobIx, now: f64) -> Option<MachineIx> {
+    pub(crate) fn keep_machine(&mut self, j: JobIx, now: f64) {
         let job = self.jobs.at(j);
-        let kept = self.largest.kept.iter().find(|(_, k)| k.0 == j && now - k.1 < KEPT_FOR_S).map(|(m, _)| *m);
+        let kept = self.largest.kept.iter().find(|(_, k)| k.0 == j).map(|(m, _)| *m);
         let most = (self.machines.present.len() / KEPT_SHARE).max(1);
         if kept.is_none() && self.largest.kept.len() >= most {
-            return None;
+            return;
         }
         let silent_s = self.fresh_s();
-        let could = |i: MachineIx, m: &crate::fleet::Machine| {
-            let t = self.types.get(m.ty);
-            let others = self.largest.kept.get(&i).is_some_and(|k| k.0 != j);
-            !others
-                && !m.base
-                && m.usable(now, silent_s)
-                && t.cpus + EPS >= job.spec.cpus
-                && t.memory_gb + EPS >= job.spec.memory_gb
-                && t.cards + EPS >= job.spec.cards
-                && (job.spec.spot || !m.spot)
-                && job.spec.types.as_ref().is_none_or(|l| l.contains(&t.name))
-                && job.spec.zone.as_ref().is_none_or(|z| **z == **self.types.zones.name(m.zone))
+        let could = |m: &crate::fleet::Machine| {
+            !m.base && m.usable(now, silent_s) && allows(self, job, m) && type_fits(&job.spec, self.types.get(m.ty))
         };
         // Until what must be waited for there is over, in seconds, about.
         let clears = |m: &crate::fleet::Machine| {
@@ -213,14 +204,15 @@
             })
             .fold(0.0, f64::max)
         };
-        let m = kept.filter(|m| could(*m, self.machines.at(*m))).or_else(|| {
-            let all = self.machines.iter().filter(|(i, m)| could(*i, m) && !self.largest.kept.contains_key(i));
+        let m = kept.filter(|m| could(self.machines.at(*m))).or_else(|| {
+            let all = self.machines.iter().filter(|(i, m)| could(m) && !self.largest.kept.contains_key(i));
             // One with services never clears: kept, it would only be lost to everybody.
             let clears = all.map(|(i, m)| (clears(m), i)).filter(|c| c.0.is_finite());
             clears.min_by(|a, b| a.0.total_cmp(&b.0)).map(|o| o.1)
-        })?;
+        });
+        let Some(m) = m else { return };
         if kept != Some(m) {
-            self.largest.kept.retain(|_, k| k.0 != j && now - k.1 < KEPT_FOR_S);
+            self.largest.kept.retain(|_, k| k.0 != j);
             log::info!("machine {} is kept for {}", self.machines.at(m).name, self.jobs.at(j).id);
             self.largest.kept.insert(m, (j, now));
         }
@@ -231,17 +223,20 @@
         if self.writable {
             gives.into_iter().for_each(|k| self.stop_gently(m, k));
         }
-        Some(m)
     }
 
-    /// Machines kept for jobs that still wait for them.
-    pub(crate) fn kept_machines(&mut self, now: f64) -> Vec<(MachineIx, JobIx)> {
+    /// Is this machine kept for another job than this one?
+    pub(crate) fn kept_from(&self, m: MachineIx, j: JobIx) -> bool {
+        self.largest.kept.get(&m).is_some_and(|k| k.0 != j)
+    }
+
+    /// Machines are kept for jobs that still wait for them, and for a while; once a pass.
+    pub(crate) fn look_at_kept(&mut self, now: f64) {
         let (jobs, machines) = (&self.jobs, &self.machines);
         self.largest.kept.retain(|m, (j, since)| {
             let waits = jobs.get(*j).is_some_and(|j| j.open() && j.unfinished() > j.held);
             let there = machines.list.get(*m).is_some_and(|m| m.phase == MachinePhase::Up && !m.cordoned);
             waits && there && now - *since < KEPT_FOR_S
         });
-        self.largest.kept.iter().map(|(m, k)| (*m, k.0)).collect()
     }
 }
--- a/crates/scheduler/src/shard/placement.rs
+++ b/crates/scheduler/src/shard/placement.rs
@@ -82,13 +82,18 @@
     s.machines.iter().find(|(i, m)| takes(*i, m)).map(|(i, _)| i)
 }
 
+/// Does the job allow machines of this kind, type and zone, whatever is on them?
+pub fn allows(s: &Shard, job: &Job, m: &Machine) -> bool {
+    let spec = &job.spec;
+    (spec.spot || !m.spot)
+        && spec.types.as_ref().is_none_or(|l| l.contains(&s.types.get(m.ty).name))
+        && spec.zone.as_ref().is_none_or(|z| **z == **s.types.zones.name(m.zone))
+}
+
 fn fits_beside(s: &Shard, job: &Job, m: &Machine, held: u32, in_zone: u32) -> bool {
     let t = s.types.get(m.ty);
     let spec = &job.spec;
-    if m.spot && !spec.spot
-        || spec.types.as_ref().is_some_and(|l| !l.contains(&t.name))
-        || spec.zone.as_ref().is_some_and(|z| **z != **s.types.zones.name(m.zone))
-    {
+    if !allows(s, job, m) {
         return false;
     }
     if m.cpus_used + spec.cpus > t.cpus + EPS
@@ -372,9 +377,9 @@
     let mut hopeless = Hopeless(Vec::new());
     let (mut starts, mut rooms_made) = (0, 0);
     let mut at_limits = Vec::new();
-    // Teams whose limit is kept for a large job, and machines that are.
+    // Teams whose limit is kept for a large job.
     let mut waits_for_it: HashMap<TeamIx, JobIx> = HashMap::new();
-    let mut kept = s.kept_machines(now);
+    s.look_at_kept(now);
     let mut turns = VecDeque::from(turns);
     while let Some(turn) = turns.pop_front() {
         let job = s.jobs.at(turn.job);
@@ -396,7 +401,7 @@
         if !urgent && (roomy.is_empty() || hopeless.covers(job)) {
             s.others_wait |= turn.rank.0 != GROWS;
             if turn.first_part {
-                kept.extend(s.keep_machine(turn.job, now).map(|m| (m, turn.job)));
+                s.keep_machine(turn.job, now);
             }
             continue;
         }
@@ -405,10 +410,10 @@
         if options.is_empty() {
             hopeless.note(s.jobs.at(turn.job));
             if turn.first_part {
-                kept.extend(s.keep_machine(turn.job, now).map(|m| (m, turn.job)));
+                s.keep_machine(turn.job, now);
             }
         }
-        options.retain(|o| urgent || kept.iter().all(|(m, j)| *m != o.1 || *j == turn.job));
+        options.retain(|o| urgent || !s.kept_from(o.1, turn.job));
         let before = starts;
         let mut at = 0;
         if turn.together && !fits_at_once(s, s.jobs.at(turn.job), &options, turn.most, shadow) {
--- a/crates/scheduler/src/shard/reports.rs
+++ b/crates/scheduler/src/shard/reports.rs
@@ -117,7 +117,7 @@
         machine.session = r.session;
         machine.seq = r.seq;
         machine.last_heard = now;
-        // A session that lasts for longer than a lease has been answered; one that shows our token too.
+        // A session that lasts for longer than a lease has been answered.
         if now - machine.session_since > stretched(self.lease_s) + self.report_s {
             machine.lost_sessions = 0;
         }
@@ -369,6 +369,7 @@
             let waited = now - h.since;
             log::debug!("{}/{} runs after {waited:.2} s", self.jobs.at(k.0).id, k.1);
         }
+        let since = h.running_since;
         let job = self.jobs.at_mut(k.0);
         job.running = job.running + u32::from(runs) - u32::from(was_running);
         job.begun += u32::from(!had_begun);
@@ -379,9 +380,7 @@
             self.image_seen(m, k);
         }
         let job = self.jobs.at(k.0);
-        let well = runs && job.is_service() && !job.failed_on.is_empty();
-        let since = self.machines.at(m).tasks.get(&k).map_or(now, |h| h.running_since);
-        if well && now - since > RUNS_WELL_S {
+        if runs && now - since > RUNS_WELL_S && job.is_service() && !job.failed_on.is_empty() {
             self.absolve(k.0);
         }
     }
--- a/tests/storms.rs
+++ b/tests/storms.rs
@@ -312,7 +312,7 @@
     Answer { machine: usize, session: u64, sent: f64, answer: Option<(u64, Vec<Command>)>, to: usize },
     Commands { node: usize, life: u64, to: usize, send: DirectSend, outcome: bool },
     Outcome { node: usize, life: u64, send: DirectSend, outcome: Direct },
-    Commit { node: usize, life: u64, token: u64, writes: Vec<Write>, answered: bool, sent: f64 },
+    Commit { node: usize, life: u64, token: u64, writes: Vec<Write>, answered: bool },
     Deleted { node: usize, life: u64, token: u64, machines: Vec<lupinspur::intern::MachineIx>, names: Vec<String> },
 }
 
@@ -327,7 +327,12 @@
     next_poll: f64,
     done: BTreeSet<u32>,
     begun: bool,
-    needs_room: f64,
+}
+
+impl Job {
+    fn cpus(&self) -> f64 {
+        f64::from(self.spec.tasks) * self.spec.cpus
+    }
 }
 
 struct World {
@@ -348,7 +353,6 @@
     trouble_until: f64,
     wrong: Option<Wrong>,
     broken: Option<String>,
-    claims: usize,
 }
 
 fn spec(id: usize, rng: &mut Rng) -> JobRequest {
@@ -386,7 +390,6 @@
             trouble_until: 0.0,
             wrong,
             broken: None,
-            claims: 0,
         };
         for i in 0..NODES {
             w.nodes.push(Node {
@@ -740,7 +743,7 @@
                     s.on_direct(&send, outcome, now);
                 }
             }
-            Message::Commit { node, life, token, writes, answered, sent } => {
+            Message::Commit { node, life, token, writes, answered } => {
                 let up = self.store.up(now);
                 let mut conditions = vec![(CLAIM_KEY.to_owned(), token)];
                 conditions.extend(writes.iter().map(|w| (w.key.clone(), w.version)));
@@ -754,7 +757,7 @@
                     // Its outcome is read when the process goes on; here it is as if it came then.
                     let after = n.still - now;
                     if applied.is_none() {
-                        return self.send(after, Message::Commit { node, life, token, writes, answered, sent });
+                        return self.send(after, Message::Commit { node, life, token, writes, answered });
                     }
                 }
                 n.commits = n.commits.saturating_sub(1);
@@ -883,7 +886,7 @@
         for writes in writes {
             let after = self.latency();
             let (late, lost) = (self.now < self.late_commits, self.rng.u8(..));
-            let m = |writes, answered| Message::Commit { node: i, life, token, writes, answered, sent: now };
+            let m = |writes, answered| Message::Commit { node: i, life, token, writes, answered };
             match lost {
                 // Applied, perhaps much later, and not answered: asked for later, key by key.
                 0..90 if late => {
@@ -953,7 +956,6 @@
                     if now >= self.late_commits || self.rng.bool() {
                         n.own.claimed(v);
                     }
-                    self.claims += 1;
                 } else if !self.store.leases.contains_key(&lease) {
                     n.own.lease_lost();
                 }
@@ -1219,7 +1221,6 @@
                 let cancels = self.rng.u8(..) < 60;
                 let cancel_at = cancels.then(|| self.now + 2.0 + self.rng.f64() * 30.0);
                 let job = Job {
-                    needs_room: f64::from(spec.tasks) * spec.cpus,
                     spec,
                     accepted: None,
                     cancel_at,
@@ -1235,9 +1236,9 @@
                     .jobs
                     .values()
                     .filter(|j| j.spec.team == job.spec.team && j.spec.estimate_s == 0.0)
-                    .map(|j| j.needs_room)
+                    .map(Job::cpus)
                     .sum();
-                if job.spec.estimate_s > 0.0 || held + job.needs_room < 40.0 {
+                if job.spec.estimate_s > 0.0 || held + job.cpus() < 40.0 {
                     self.jobs.insert(job.spec.id.clone(), job);
                 }
             }
