A machine that hears commands and no answers gets nothing new, and goes with its second lost lease

Cause: a machine to which answers do not get through waits 4 s for each and asks the next controller, so that its own reports come round every 15 to 25 s, while it answers each direct question at once. It was neither silent nor unheeded; its lease ended all the same, and only a lease that ended within half a lease of an answered report counted against it, which is luck there. Also: after a takeover reports with an earlier owner's token counted against a machine, and were not taken back when it showed ours, so that one which hears answers and no commands could stay unused.

Change: Machine::own_report and astray. One whose own reports stay away for longer than two of them may, while it answers questions, takes nothing new until two come in time again; a lease that ends meanwhile counts as lost. Showing our token takes back what was counted for the token. lost_sessions is reset in one place.

--- a/crates/scheduler/src/fleet/mod.rs
+++ b/crates/scheduler/src/fleet/mod.rs
@@ -168,6 +168,11 @@
     pub unheeded: u32,
     /// It gets nothing new until then: by then it has shown whether answers reach it.
     pub trusted_from: f64,
+    /// When this owner last answered a report of its own, or first heard of it.
+    pub own_report: f64,
+    /// It answers direct questions, and its own reports stay away: whoever waits for answers in vain
+    /// asks one controller after the other. Until two of them come in time again.
+    pub astray: bool,
     pub listed: bool,
     pub missing: u32,
     pub deleting: bool,
@@ -219,6 +224,8 @@
             lost_sessions: 0,
             unheeded: 0,
             trusted_from: f64::MIN,
+            own_report: now,
+            astray: false,
             listed: false,
             missing: 0,
             deleting: false,
@@ -232,7 +239,7 @@
 
     /// Does what we say reach it, as far as it has shown? Its reports prove nothing of that.
     pub fn hears(&self, now: f64) -> bool {
-        self.unheeded < UNHEEDED && now >= self.trusted_from
+        self.unheeded < UNHEEDED && !self.astray && now >= self.trusted_from
     }
 
     /// Something of ours was lost on the way to it, and it has not shown since that it hears.
--- a/crates/scheduler/src/shard/mod.rs
+++ b/crates/scheduler/src/shard/mod.rs
@@ -278,6 +278,11 @@
         now - m.last_heard.max(self.resumed)
     }
 
+    /// How long this machine has sent this owner no report by itself, counted in the same way.
+    pub(crate) fn own_silence(&self, m: &crate::fleet::Machine, now: f64) -> f64 {
+        now - m.own_report.max(self.resumed)
+    }
+
     /// Is no worker heard at all, though several should report?
     pub fn deaf(&self, now: f64) -> bool {
         // Those that were asked because their reports are overdue say nothing, and nobody else
--- a/crates/scheduler/src/shard/reports.rs
+++ b/crates/scheduler/src/shard/reports.rs
@@ -57,7 +57,12 @@
         match self.absorb(r, true, now) {
             Ok(m) => {
                 let commands = self.report_commands(m, r, now);
+                let in_time = self.own_silence(self.machines.at(m), now) <= self.silent_s();
                 let machine = self.machines.at_mut(m);
+                if in_time && std::mem::take(&mut machine.astray) {
+                    self.place_due = true;
+                }
+                machine.own_report = now;
                 machine.last_ok = Some(now);
                 machine.answered = Some(now);
                 Heard::Reply(ReportReply { token: self.token, commands })
@@ -96,12 +101,16 @@
             machine.addr = Some(a);
         }
         let new_session = machine.session != 0 && r.session > machine.session;
-        if new_session && now - machine.session_since > self.lease_s * 2.0 {
+        // A session that lasts for longer than a lease has been answered. One that is over may have been
+        // over for a while before that is heard.
+        let lasts = if new_session { self.lease_s * 2.0 } else { stretched(self.lease_s) + self.report_s };
+        if machine.session != 0 && now - machine.session_since > lasts {
             machine.lost_sessions = 0;
         }
-        // Its lease has ended although its reports were answered: hearing it proves nothing. By direct
+        // Its lease has ended although its reports were answered, or although it was there all the time and
+        // its reports went round in search of an answer: hearing it proves nothing. By direct
         // questions alone no lease is renewed: those that ended just after an outage once looked deaf.
-        let lost = new_session && machine.answered.is_some_and(|t| now - t < self.lease_s / 2.0);
+        let lost = new_session && (machine.astray || machine.answered.is_some_and(|t| now - t < self.lease_s / 2.0));
         if lost {
             machine.lost_sessions += 1;
             if machine.lost_sessions > 1 {
@@ -109,6 +118,9 @@
             }
             log::warn!("machine {}: its lease ended though it was answered ({})", machine.name, machine.lost_sessions);
         }
+        if machine.session == 0 {
+            machine.own_report = now;
+        }
         if r.session > machine.session {
             (machine.session_since, machine.answered) = (now, None);
             // A session's lease runs from its beginning, which was before this.
@@ -117,10 +129,6 @@
         machine.session = r.session;
         machine.seq = r.seq;
         machine.last_heard = now;
-        // A session that lasts for longer than a lease has been answered.
-        if now - machine.session_since > stretched(self.lease_s) + self.report_s {
-            machine.lost_sessions = 0;
-        }
         let proves = !(own && machine.doubted());
         if proves {
             (machine.suspect, machine.unanswered) = (false, 0);
@@ -160,8 +168,13 @@
             return Ok(m);
         }
         self.machines.at_mut(m).unproven = false;
-        let first = !std::mem::replace(&mut self.machines.at_mut(m).reported_token, true);
+        let machine = self.machines.at_mut(m);
+        let first = !std::mem::replace(&mut machine.reported_token, true);
         if first {
+            // It has taken up our token. Reports that it had sent before showed the one of an earlier owner.
+            if own {
+                machine.unheeded = 0;
+            }
             self.place_due = true;
         }
         self.take_tasks(m, r, own, now);
--- a/crates/scheduler/src/shard/sizing.rs
+++ b/crates/scheduler/src/shard/sizing.rs
@@ -172,6 +172,11 @@
             }
             let m = self.machines.at(i);
             let quiet = self.silence(m, now);
+            if quiet < silent_s && self.own_silence(m, now) > silent_s && m.phase == MachinePhase::Up && !m.astray {
+                log::info!("machine {} answers questions and sends no reports", m.name);
+                self.machines.at_mut(i).astray = true;
+            }
+            let m = self.machines.at(i);
             let others_heard = blamed(m.zone);
             match m.phase {
                 MachinePhase::Booting => {
