Cells: idle machines and teams' homes change cells, by the leader's stored word

Change: crates/cells::reassign (the leader looks at fresh pictures: who stays short for reassign_after_s gets what stands idle elsewhere; a team's home moves after four times as long, and rests) and ::handover (a machine goes empty, by one stored value for each pair of cells; in each stored state it is one cell's). shard/handing.rs: machines that are not needed are kept for others for three pictures, set aside, handed, taken in. Only towards a newer claim, since a machine obeys the highest token that it has seen.

--- /dev/null
+++ b/crates/cells/src/handover.rs
@@ -0,0 +1,87 @@
+//! A machine goes from one cell to another, empty, by one stored value for each pair of cells.
+//!
+//! 1. The giver stores the [`Handover`] under its claim, where none stands. From that write on the
+//!    machines are the taker's, whatever the giver's own records still say; the giver has told them
+//!    nothing that may yet come.
+//! 2. The taker takes them in as soon as it sees the value, and records them. The giver's records
+//!    stop naming them; when that is stored the giver says so in the value ([`Handover::left`]).
+//! 3. When both hold the taker empties the value. It is never deleted: of a key that is absent again a
+//!    write that comes minutes late would think that it is the first.
+//!
+//! Each step is one write, conditional on the claim of whoever makes it and on the value's version,
+//! so that it may be repeated, and one that comes late finds something changed. Whoever owns either
+//! cell next goes on from what is stored. In every stored state a cell's own are the machines that its
+//! records name, without those on their way from it, and with those on their way to it.
+
+use crate::{CellIx, EPS};
+use serde::{Deserialize, Serialize};
+
+/// What a machine is, for whoever has never met it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Handed {
+    pub machine: String,
+    #[serde(default, skip_serializing_if = "String::is_empty")]
+    pub addr: String,
+    #[serde(rename = "type")]
+    pub type_name: String,
+    pub zone: String,
+    pub spot: bool,
+}
+
+/// Machines on their way from one cell to another.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Handover {
+    pub from: CellIx,
+    pub to: CellIx,
+    /// None: the one before is over, and another may begin.
+    pub machines: Vec<Handed>,
+    /// The giver's own records name none of them any more.
+    #[serde(default)]
+    pub left: bool,
+}
+
+/// Bytes of a value that one machine takes, at the most.
+pub const BYTES_A_MACHINE: usize = 200;
+/// Where a value stands: one for each pair, so that nobody else writes it.
+pub const PREFIX: &str = "cells/hand/";
+
+pub fn key(from: CellIx, to: CellIx) -> String {
+    format!("{PREFIX}{}/{}", from.0, to.0)
+}
+
+impl Handover {
+    pub fn over(&self) -> bool {
+        self.machines.is_empty()
+    }
+}
+
+/// The value that the giver stores next, if it is its turn. `named`: whether its stored records may
+/// still name this machine.
+pub fn giver_next(h: &Handover, named: impl Fn(&str) -> bool) -> Option<Handover> {
+    let due = !h.over() && !h.left && !h.machines.iter().any(|m| named(&m.machine));
+    due.then(|| Handover { left: true, ..h.clone() })
+}
+
+/// The value that the taker stores next, if it is its turn. `settled`: whether this machine stands in
+/// its own stored records, or is gone.
+pub fn taker_next(h: &Handover, settled: impl Fn(&str) -> bool) -> Option<Handover> {
+    let due = !h.over() && h.left && h.machines.iter().all(|m| settled(&m.machine));
+    due.then(|| Handover { machines: Vec::new(), left: false, ..h.clone() })
+}
+
+/// What a cell gives of its machines, by the leader's word: the first cell for which it has such an
+/// order, that nothing is on its way to, and whose machines would obey it. A machine obeys the
+/// highest token that it has seen: it can only go to a cell with a higher one.
+pub fn to_whom<'a>(
+    me: CellIx,
+    token: u64,
+    orders: impl Iterator<Item = &'a crate::reassign::Move>,
+    under_way: &[Handover],
+    token_of: impl Fn(CellIx) -> Option<u64>,
+) -> Option<(CellIx, f64)> {
+    orders
+        .filter(|o| o.from == me && o.to != me && o.cpus > EPS)
+        .filter(|o| token_of(o.to).is_some_and(|t| t > token))
+        .find(|o| !under_way.iter().any(|h| h.from == me && h.to == o.to && !h.over()))
+        .map(|o| (o.to, o.cpus))
+}
--- a/crates/cells/src/lib.rs
+++ b/crates/cells/src/lib.rs
@@ -8,11 +8,15 @@
 //! - [`escrow`]: a team's limit, parted among the cells
 //! - [`picture`]: what each cell tells the others now and then
 //! - [`spill`]: which waiting work goes where
+//! - [`reassign`]: what the leader moves, machines and teams' homes
+//! - [`handover`]: how a machine goes from one cell to another
 
 pub mod escrow;
+pub mod handover;
 pub mod member;
 pub mod picture;
 pub mod plan;
+pub mod reassign;
 pub mod spill;
 
 pub use plan::{Fault, Plan};
--- a/crates/cells/src/picture.rs
+++ b/crates/cells/src/picture.rs
@@ -15,6 +15,9 @@
     pub at_ms: u64,
     /// Idle on machines that take work.
     pub room: f64,
+    /// On machines that stand empty and are not needed here, so that another cell may have them.
+    #[serde(default)]
+    pub idle: f64,
     /// Wanted by what waits.
     pub waits: f64,
     /// Held by what runs.
--- a/crates/cells/src/plan.rs
+++ b/crates/cells/src/plan.rs
@@ -30,6 +30,10 @@
     #[serde(default = "spill_gain_s")]
     #[garde(range(min = 0.0, max = 3600.0))]
     pub spill_gain_s: f64,
+    /// Seconds that a cell has to be short before other cells' idle machines go to it.
+    #[serde(default = "reassign_after_s")]
+    #[garde(range(min = 1.0, max = 3600.0))]
+    pub reassign_after_s: f64,
     /// Teams whose home is named; that of the others follows from their names.
     #[serde(default, rename = "team")]
     #[garde(dive, length(max = 10_000))]
@@ -54,6 +58,9 @@
 fn spill_gain_s() -> f64 {
     10.0
 }
+fn reassign_after_s() -> f64 {
+    10.0
+}
 
 /// Something wrong with a plan, and where.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
@@ -76,6 +83,7 @@
             picture_s: picture_s(),
             spill_after_s: spill_after_s(),
             spill_gain_s: spill_gain_s(),
+            reassign_after_s: reassign_after_s(),
             teams: Vec::new(),
         }
     }
--- /dev/null
+++ b/crates/cells/src/reassign.rs
@@ -0,0 +1,143 @@
+//! What the leader moves: idle machines to cells that are short, and a team's home to a cell that
+//! has room for it. The leader is the owner of cell 0. It is never needed for a start: its word is
+//! stored, and while it says nothing every cell goes on by itself.
+
+use crate::picture::Picture;
+use crate::{CellIx, EPS, Plan};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Machines that one cell does not need go to another, up to so many cpus.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Move {
+    pub from: CellIx,
+    pub to: CellIx,
+    pub cpus: f64,
+}
+
+/// The leader's word, as it is stored.
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+pub struct Orders {
+    /// The time of day by the leader's clock, in milliseconds.
+    pub at_ms: u64,
+    /// Obeyed while they are fresh.
+    #[serde(default)]
+    pub moves: Vec<Move>,
+    /// Homes other than the plan's, by team. They hold until the leader says otherwise.
+    #[serde(default)]
+    pub homes: BTreeMap<String, CellIx>,
+}
+
+/// So many looks long orders are obeyed.
+const FRESH_LOOKS: f64 = 5.0;
+/// A team's home moves only after its cell has been short for so many times as long as it takes
+/// for machines to move.
+const HOME_AFTER: f64 = 4.0;
+/// And then rests for so many times as long.
+const HOME_RESTS: f64 = 20.0;
+/// Of the room that a cell tells, the part that a team whose home moves there may want.
+const PART_OF_ROOM: f64 = 0.5;
+
+impl Orders {
+    /// Are the moves of now? `bound_s`: by how much two clocks may differ.
+    pub fn fresh(&self, plan: &Plan, now_ms: u64, bound_s: f64) -> bool {
+        now_ms.abs_diff(self.at_ms) as f64 / 1000.0 <= plan.picture_s * FRESH_LOOKS + bound_s
+    }
+
+    /// A team's home: as the leader has it, or else as the plan does.
+    pub fn home(&self, plan: &Plan, team: &str) -> CellIx {
+        self.homes.get(team).copied().filter(|c| c.0 < plan.cells).unwrap_or_else(|| plan.home(team))
+    }
+
+    /// Do they have to be stored, after those that are?
+    pub fn differ(&self, stored: &Orders, plan: &Plan) -> bool {
+        let old = self.at_ms.saturating_sub(stored.at_ms) as f64 / 1000.0 >= plan.picture_s * FRESH_LOOKS / 2.0;
+        self.homes != stored.homes || self.moves != stored.moves || !self.moves.is_empty() && old
+    }
+}
+
+/// What a leader remembers between two looks. A new one begins with nothing, and so moves nothing
+/// before it has seen for itself that a cell stays short.
+#[derive(Debug, Default)]
+pub struct Leader {
+    /// Since when each cell has been short, in milliseconds of the day.
+    short_since: BTreeMap<CellIx, u64>,
+    /// When a team's home was last moved.
+    moved: BTreeMap<String, u64>,
+}
+
+/// What waits in a cell beyond its room and what boots for it, in cpus.
+fn lacks(p: &Picture) -> f64 {
+    (p.waits - p.room - p.boots).max(0.0)
+}
+
+impl Leader {
+    /// One look at fresh pictures. `stored`: the word that stands.
+    pub fn look(&mut self, plan: &Plan, pictures: &[Picture], stored: &Orders, now_ms: u64) -> Orders {
+        let after_ms = (plan.reassign_after_s * 1000.0) as u64;
+        let short: BTreeSet<CellIx> = pictures.iter().filter(|p| lacks(p) > EPS).map(|p| p.cell).collect();
+        // A cell of which nothing is known is not known to be short.
+        self.short_since.retain(|c, _| short.contains(c));
+        for c in &short {
+            self.short_since.entry(*c).or_insert(now_ms);
+        }
+        let lasting = |c: CellIx, times: f64| {
+            let since = self.short_since.get(&c);
+            since.is_some_and(|s| now_ms.saturating_sub(*s) as f64 >= after_ms as f64 * times)
+        };
+        let mut idle: Vec<(&Picture, f64)> =
+            pictures.iter().filter(|p| !short.contains(&p.cell)).map(|p| (p, p.idle)).collect();
+        let mut needy: Vec<(&Picture, f64)> =
+            pictures.iter().filter(|p| lasting(p.cell, 1.0)).map(|p| (p, lacks(p))).collect();
+        needy.sort_by(|a, b| b.1.total_cmp(&a.1).then(a.0.cell.cmp(&b.0.cell)));
+        let mut moves = Vec::new();
+        for (to, mut lack) in needy {
+            idle.sort_by(|a, b| b.1.total_cmp(&a.1).then(a.0.cell.cmp(&b.0.cell)));
+            for (from, left) in idle.iter_mut().filter(|(f, _)| f.token < to.token) {
+                let cpus = left.min(lack);
+                if cpus > EPS {
+                    *left -= cpus;
+                    lack -= cpus;
+                    moves.push(Move { from: from.cell, to: to.cell, cpus });
+                }
+            }
+        }
+        moves.sort_by_key(|m| (m.from, m.to));
+        let mut homes = stored.homes.clone();
+        if let Some((team, to)) = self.home_to_move(plan, pictures, stored, now_ms, |c| lasting(c, HOME_AFTER)) {
+            self.moved.insert(team.clone(), now_ms);
+            if plan.home(&team) == to {
+                homes.remove(&team);
+            } else {
+                homes.insert(team, to);
+            }
+        }
+        Orders { at_ms: now_ms, moves, homes }
+    }
+
+    /// At most one in a look: the team that waits most in a cell that stays short, and the cell
+    /// with the most room, if that is enough for it.
+    fn home_to_move(
+        &self,
+        plan: &Plan,
+        pictures: &[Picture],
+        stored: &Orders,
+        now_ms: u64,
+        stays_short: impl Fn(CellIx) -> bool,
+    ) -> Option<(String, CellIx)> {
+        let rest_ms = plan.reassign_after_s * 1000.0 * HOME_RESTS;
+        let rests = |t: &str| self.moved.get(t).is_some_and(|at| (now_ms.saturating_sub(*at) as f64) < rest_ms);
+        let waits = |p: &Picture, t: &str| p.teams.get(t).map_or(0.0, |u| u.wanted.less(u.held).cpus);
+        let of = |p: &Picture| p.teams.keys().map(|t| (t.clone(), waits(p, t))).collect::<Vec<_>>();
+        let (team, wants, from) = pictures
+            .iter()
+            .filter(|p| stays_short(p.cell))
+            .flat_map(|p| of(p).into_iter().map(|(t, w)| (t, w, p.cell)))
+            .filter(|(t, w, c)| *w > EPS && stored.home(plan, t) == *c && !rests(t))
+            .max_by(|a, b| a.1.total_cmp(&b.1).then(b.0.cmp(&a.0)))?;
+        let room = |p: &Picture| p.room - p.waits;
+        let best =
+            pictures.iter().filter(|p| p.cell != from && p.waits <= EPS).max_by(|a, b| room(a).total_cmp(&room(b)))?;
+        (room(best) * PART_OF_ROOM >= wants).then_some((team, best.cell))
+    }
+}
--- a/crates/scheduler/src/fleet/mod.rs
+++ b/crates/scheduler/src/fleet/mod.rs
@@ -50,6 +50,8 @@
 pub enum Phase {
     Booting,
     Up,
+    /// Empty, and set aside for another cell: it gets nothing, and is not returned.
+    Leaving,
     /// To be deleted: marked in the state service first, then returned.
     Retiring,
     Gone,
@@ -372,7 +374,15 @@
     pub fn give_back(&mut self, m: MachineIx) {
         self.direct_due.remove(&m);
         self.direct_first.retain(|f| f.1 != m);
-        if let Some(machine) = self.list.remove(m) {
+        self.forget_name(m);
+        self.list.remove(m);
+    }
+
+    /// Whoever asks for this name finds it no more, unless it is another machine's by now.
+    pub fn forget_name(&mut self, m: MachineIx) {
+        if let Some(machine) = self.list.get(m)
+            && self.by_name.get(&machine.name) == Some(&m)
+        {
             self.by_name.remove(&machine.name);
         }
     }
--- a/crates/scheduler/src/shard/cell.rs
+++ b/crates/scheduler/src/shard/cell.rs
@@ -63,6 +63,7 @@
                 _ => {}
             }
         }
+        p.idle = self.idle_cpus();
         let now_ms = p.at_ms;
         let mut wanted = vec![Amount::default(); self.teams.len()];
         for job in self.jobs.live.iter().map(|&j| self.jobs.at(j)).filter(|j| j.open()) {
--- a/crates/scheduler/src/shard/mod.rs
+++ b/crates/scheduler/src/shard/mod.rs
@@ -8,6 +8,7 @@
 mod compare;
 mod elastic;
 mod faults;
+mod handing;
 mod judging;
 mod largest;
 mod naming;
@@ -169,6 +170,8 @@
     pub(crate) late_credit: f64,
     largest: largest::Largest,
     compared: compare::Glue,
+    /// Machines between this cell and others.
+    hands: handing::Glue,
     /// Pairs of a job and a machine that were looked at: what placing costs.
     pub looked_at: u64,
     pub counts: Counts,
--- a/crates/scheduler/src/shard/reports.rs
+++ b/crates/scheduler/src/shard/reports.rs
@@ -75,6 +75,10 @@
         if let Some(m) = self.machines.find(&r.machine) {
             return Some(m);
         }
+        // On its way to another cell: that one takes it in, and not whoever hears it first.
+        if self.is_away(&r.machine) {
+            return None;
+        }
         let ty = self.types.names.find(&r.type_name)?;
         let zone = self.types.zones.intern(&r.zone);
         log::info!("machine {} was not expected: adopted", r.machine);
--- a/crates/scheduler/src/shard/sizing.rs
+++ b/crates/scheduler/src/shard/sizing.rs
@@ -221,7 +221,16 @@
                         && (heeded(&whole) || heeded(&elsewhere(m.zone)));
                     let aside = m.faulty() && now - m.aside_since > KEPT_ASIDE_S;
                     let faulty = aside && m.tasks.is_empty() && m.resolved();
-                    let emptied = m.cordoned && m.tasks.is_empty() && m.resolved() && now - m.born > LEAST_PAID_S;
+                    let emptied = m.cordoned && m.tasks.is_empty() && m.resolved();
+                    let paid = now - m.born > LEAST_PAID_S;
+                    if !emptied {
+                        self.kept_no_more(i);
+                    }
+                    let emptied = emptied && self.not_kept_for_others(i, now) && paid;
+                    let m = self.machines.at(i);
+                    if m.phase != MachinePhase::Up {
+                        continue;
+                    }
                     if taken || lost || deaf || faulty || emptied {
                         log::info!(
                             "machine {} goes: taken {taken}, silent {lost} ({quiet:.1} s), deaf {deaf}, faulty {faulty}, not needed {emptied}",
@@ -230,7 +239,7 @@
                         self.retire(i);
                     }
                 }
-                MachinePhase::Retiring | MachinePhase::Gone => {}
+                MachinePhase::Leaving | MachinePhase::Retiring | MachinePhase::Gone => {}
             }
         }
     }
@@ -244,7 +253,7 @@
     /// Marked in the state service first, then deleted; never used again.
     pub(super) fn retire(&mut self, m: MachineIx) {
         let machine = self.machines.at_mut(m);
-        if matches!(machine.phase, MachinePhase::Retiring | MachinePhase::Gone) {
+        if matches!(machine.phase, MachinePhase::Leaving | MachinePhase::Retiring | MachinePhase::Gone) {
             return;
         }
         machine.phase = MachinePhase::Retiring;
@@ -266,6 +275,7 @@
     pub fn on_deleted(&mut self, machines: &[MachineIx]) {
         for &m in machines {
             self.deletes.remove(&m);
+            self.kept_no_more(m);
             self.all_gone(m);
             let machine = self.machines.at_mut(m);
             machine.phase = MachinePhase::Gone;
--- a/crates/scheduler/src/shard/takeover.rs
+++ b/crates/scheduler/src/shard/takeover.rs
@@ -19,6 +19,8 @@
     pub checkpoint: Found,
     /// Where arrays may be elastic.
     pub elastic: Option<lupinspur_elastic::Plan>,
+    /// Machines that went to other cells, whatever the records here still say.
+    pub away: std::collections::BTreeSet<String>,
 }
 
 /// How long after its beginning an owner came so far. Operators read it in the log.
@@ -89,6 +91,7 @@
             late_credit: 0.0,
             largest: largest::Largest::new(),
             compared: compare::Glue::default(),
+            hands: handing::Glue::new(loaded.away),
             looked_at: 0,
             counts: Counts::default(),
             watched_at: f64::MIN,
@@ -193,7 +196,7 @@
         self.place_due = true;
     }
 
-    pub(super) fn restore_rack(&mut self, i: RackIx, r: RackRecord, version: u64, now: f64) {
+    pub(super) fn restore_rack(&mut self, i: RackIx, mut r: RackRecord, version: u64, now: f64) {
         let Some(ty) = self.types.names.find(&r.type_name) else {
             log::warn!("{} is of unknown type {}", rack_key(i), r.type_name);
             return;
@@ -202,6 +205,9 @@
         let bytes = serde_json::to_string(&r).map_or(0, |t| t.len());
         let key: Arc<str> = rack_key(i).into();
         self.versions.insert(key.to_string(), version);
+        let before = r.machines.len();
+        r.machines.retain(|x| !self.went_away(x, i));
+        let names_others = r.machines.len() < before;
         // A value that could not be written again, by the limits that hold or will hold, or
         // that names a machine of another rack, is replaced: its machines go to other racks,
         // and only when all of those are stored does it go.
@@ -239,7 +245,7 @@
                 None => {}
             }
         }
-        if self.racks.list.get(&i).is_some_and(|r| r.members.is_empty()) {
+        if self.racks.list.get(&i).is_some_and(|r| r.members.is_empty() || names_others) {
             self.rack_due(i);
         }
     }
--- a/crates/scheduler/src/shard/writes.rs
+++ b/crates/scheduler/src/shard/writes.rs
@@ -366,6 +366,7 @@
                 What::Checkpoint => self.checkpoint_applied(&w.key),
                 What::Cleanup => {
                     self.versions.remove(&w.key);
+                    self.value_names(&w.key, &[]);
                     continue;
                 }
                 What::Final(j, phase) => {
@@ -382,6 +383,8 @@
                 What::Rack(_, contents) => {
                     // Its value may have room for names again.
                     self.place_due = true;
+                    let machines: Vec<MachineIx> = contents.iter().map(|c| c.0).collect();
+                    self.value_names(&w.key, &machines);
                     for (m, jobs, retiring) in contents {
                         self.record_applied(m, jobs, retiring);
                     }
--- a/src/answers.rs
+++ b/src/answers.rs
@@ -27,7 +27,7 @@
     ) -> Result<tonic::Response<MachineAnswer>, tonic::Status> {
         let q = request.into_inner();
         let (cell, owned) = match q.job.as_str() {
-            "" => self.0.known_by(|s| s.machines.find(&q.machine).is_some()),
+            "" => self.0.machine_known_by(&q.machine),
             job => self.0.known_by(|s| s.jobs.find(job).is_some()),
         };
         let cell_ix = cell.unwrap_or_default().0;
--- a/src/node/between.rs
+++ b/src/node/between.rs
@@ -3,13 +3,19 @@
 use super::*;
 use crate::shard::limits;
 use lupinspur_cells::escrow::{Amount, Gift, Ledger, Use, gifts};
+use lupinspur_cells::handover::{self, BYTES_A_MACHINE, Handed, Handover, giver_next, taker_next, to_whom};
 use lupinspur_cells::member::{InForce, Presence, comes_into_force};
 use lupinspur_cells::picture::Picture;
+use lupinspur_cells::reassign::{Leader, Orders};
 use lupinspur_cells::spill::spills;
+use std::collections::BTreeSet;
 
 const CELLS_PREFIX: &str = "cells/";
 const LEDGER_KEY: &str = "cells/escrow";
 const PICTURES: &str = "cells/pic/";
+const ORDERS_KEY: &str = "cells/orders";
+/// What is not needed is kept for other cells for so many pictures.
+const HOLD_PICTURES: f64 = 3.0;
 const PRESENT_PREFIX: &str = "own/node/";
 const PRESENT_MS: u64 = 15_000;
 const OFFER_EVERY: Duration = Duration::from_millis(700);
@@ -19,6 +25,11 @@
 pub(super) struct Between {
     ledger: Option<(Ledger, u64)>,
     pictures: HashMap<u32, Picture>,
+    orders: Option<(Orders, u64)>,
+    /// Machines on their way, by their value's key, with its version.
+    hands: HashMap<String, (Handover, u64)>,
+    /// What the leader remembers, while cell 0 is owned here, and by which claim.
+    leader: (u64, Leader),
 }
 
 impl Node {
@@ -167,10 +178,52 @@
             if let Ok(l) = serde_json::from_value::<Ledger>(item.value) {
                 self.saw_ledger(l, item.version);
             }
-        } else if item.key.starts_with(PICTURES)
-            && let Ok(p) = serde_json::from_value::<Picture>(item.value)
+        } else if item.key.starts_with(PICTURES) {
+            if let Ok(p) = serde_json::from_value::<Picture>(item.value) {
+                lock(&self.between).pictures.insert(p.cell.0, p);
+            }
+        } else if item.key == ORDERS_KEY {
+            match serde_json::from_value::<Orders>(item.value) {
+                Ok(o) => {
+                    let mut b = lock(&self.between);
+                    if b.orders.as_ref().is_none_or(|x| x.1 < item.version) {
+                        b.orders = Some((o, item.version));
+                    }
+                }
+                Err(e) => log::error!("{ORDERS_KEY} holds something unknown: {e}"),
+            }
+        } else if item.key.starts_with(handover::PREFIX) {
+            match serde_json::from_value::<Handover>(item.value) {
+                Ok(h) => self.saw_handover(&item.key, h, item.version),
+                Err(e) => log::error!("{} holds something unknown: {e}", item.key),
+            }
+        }
+    }
+
+    /// Whose these machines are from now on is known to every controller, so that none sends them back.
+    fn saw_handover(&self, key: &str, h: Handover, version: u64) {
         {
-            lock(&self.between).pictures.insert(p.cell.0, p);
+            let mut cells = lock(&self.machine_cells);
+            h.machines.iter().for_each(|m| _ = cells.put(m.machine.clone(), h.to));
+        }
+        let mut b = lock(&self.between);
+        if b.hands.get(key).is_none_or(|x| x.1 < version) {
+            b.hands.insert(key.to_owned(), (h, version));
+        }
+    }
+
+    /// The cell to which this machine is on its way.
+    pub(super) fn on_its_way_to(&self, machine: &str) -> Option<CellIx> {
+        let b = lock(&self.between);
+        let all = b.hands.values().map(|h| &h.0);
+        all.into_iter().find(|h| h.machines.iter().any(|m| m.machine == machine)).map(|h| h.to)
+    }
+
+    /// A team's home, by the leader's word or else by the plan's.
+    pub(super) fn home_by(&self, plan: &lupinspur_cells::Plan, team: &str) -> CellIx {
+        match &lock(&self.between).orders {
+            Some((o, _)) => o.home(plan, team),
+            None => plan.home(team),
         }
     }
 
@@ -207,6 +260,134 @@
         }
     }
 
+    /// Machines that went to other cells, whatever this cell's own records still say.
+    pub(super) async fn read_away(&self) -> Result<BTreeSet<String>, StateError> {
+        if lock(&self.in_force).is_none() {
+            return Ok(BTreeSet::new());
+        }
+        let (items, _) = self.state.list(handover::PREFIX, Turn::InTurn).await?;
+        let mut away = BTreeSet::new();
+        for (key, h, version) in parse_items::<Handover>(items) {
+            if h.from == self.ix {
+                away.extend(h.machines.iter().map(|m| m.machine.clone()));
+            }
+            self.saw_handover(&key, h, version);
+        }
+        Ok(away)
+    }
+
+    /// The leader's look at all cells: its word is stored, and every cell goes by it.
+    async fn lead(&self, token: u64, plan: &lupinspur_cells::Plan, mine: &Picture) {
+        let mut pictures = self.fresh_pictures(plan, mine.at_ms);
+        pictures.retain(|p| p.cell != self.ix);
+        pictures.push(mine.clone());
+        let known = lock(&self.between).orders.clone();
+        let (stored, version) = match known {
+            Some(o) => o,
+            None => match self.state.get(ORDERS_KEY, Turn::InTurn).await {
+                Ok(None) => (Orders::default(), 0),
+                Ok(Some(item)) => return self.saw_between(item),
+                Err(_) => return,
+            },
+        };
+        let next = {
+            let mut b = lock(&self.between);
+            if b.leader.0 != token {
+                b.leader = (token, Leader::default());
+            }
+            b.leader.1.look(plan, &pictures, &stored, mine.at_ms)
+        };
+        if !next.differ(&stored, plan) {
+            return;
+        }
+        for (team, home) in next.homes.iter().filter(|(t, c)| stored.home(plan, t) != **c) {
+            log::info!("the home of {team} is cell {} from now on", home.0);
+        }
+        let Ok(value) = serde_json::to_value(&next) else { return };
+        if value.to_string().len() > self.settings.value_bytes() {
+            return;
+        }
+        let conditions = vec![
+            Condition { key: self.claim_key.clone(), version: token },
+            Condition { key: ORDERS_KEY.into(), version },
+        ];
+        let changes = vec![Change::Put { key: ORDERS_KEY.into(), value: value.clone(), lease: None }];
+        if let Ok(Commit::Applied(version)) = self.state.commit(conditions, changes, Turn::InTurn).await {
+            self.saw_between(Item { key: ORDERS_KEY.into(), value, version, lease: None });
+        }
+    }
+
+    /// Machines that go to other cells and come from them, a step of each at a time.
+    async fn hand_over(&self, token: u64, plan: &lupinspur_cells::Plan, mine: &Picture) {
+        let (hands, order) = {
+            let b = lock(&self.between);
+            let hands = b.hands.clone();
+            let under_way: Vec<Handover> = hands.values().map(|h| h.0.clone()).collect();
+            let bound_s = self.settings.time_bound_s;
+            let orders = b.orders.as_ref().filter(|o| o.0.fresh(plan, mine.at_ms, bound_s));
+            let moves = orders.into_iter().flat_map(|o| &o.0.moves);
+            let token_of = |c: CellIx| b.pictures.get(&c.0).map(|p| p.token);
+            (hands, to_whom(self.ix, token, moves, &under_way, token_of))
+        };
+        let hold_s = plan.picture_s * HOLD_PICTURES;
+        let now = clock::now();
+        let chosen = self.with_shard(now, |s| {
+            s.set_order(order, hold_s);
+            s.gave_away(hands.values().filter(|h| h.0.from == self.ix).flat_map(|h| &h.0.machines));
+            s.take_in(hands.values().filter(|h| h.0.to == self.ix).flat_map(|h| &h.0.machines), now);
+            s.set_aside()
+        });
+        let mut by_cell: std::collections::BTreeMap<CellIx, Vec<Handed>> = Default::default();
+        for (to, h) in chosen.unwrap_or_default() {
+            by_cell.entry(to).or_default().push(h);
+        }
+        let most = (self.settings.value_bytes() / BYTES_A_MACHINE).max(1);
+        for (to, mut machines) in by_cell {
+            let key = handover::key(self.ix, to);
+            let version = match hands.get(&key) {
+                Some((h, _)) if !h.over() => continue,
+                Some((_, v)) => *v,
+                None => 0,
+            };
+            let stay = machines.split_off(machines.len().min(most));
+            self.with_shard(now, |s| s.handed(stay.iter(), false));
+            let h = Handover { from: self.ix, to, machines, left: false };
+            let names: Vec<&str> = h.machines.iter().map(|m| m.machine.as_str()).collect();
+            log::info!("{} gives {} machines to cell {}: {}", self.name(), names.len(), to.0, names.join(", "));
+            self.put_handover(token, &key, version, h).await;
+        }
+        for (key, (h, version)) in hands {
+            let next = self.with_shard(clock::now(), |s| match () {
+                () if h.from == self.ix => giver_next(&h, |m| s.still_names(m)),
+                () if h.to == self.ix => taker_next(&h, |m| s.settled(m)),
+                () => None,
+            });
+            if let Some(next) = next.flatten() {
+                self.put_handover(token, &key, version, next).await;
+            }
+        }
+    }
+
+    /// One step. Whatever became of it, the state service's own word comes before the next: machines
+    /// that were set aside for this stay so until it is known whose they are.
+    async fn put_handover(&self, token: u64, key: &str, version: u64, h: Handover) {
+        let Ok(value) = serde_json::to_value(&h) else { return };
+        let conditions =
+            vec![Condition { key: self.claim_key.clone(), version: token }, Condition { key: key.to_owned(), version }];
+        let changes = vec![Change::Put { key: key.to_owned(), value, lease: None }];
+        let stored = self.surely(token, conditions, changes).await;
+        match self.state.get(key, Turn::InTurn).await {
+            Ok(Some(item)) => self.saw_between(item),
+            Ok(None) => {}
+            Err(_) => return,
+        }
+        if h.from == self.ix && !h.left && stored == Some(false) {
+            let stands = lock(&self.between).hands.get(key).map(|x| x.0.machines.clone()).unwrap_or_default();
+            let stay: Vec<Handed> = h.machines.into_iter().filter(|m| !stands.contains(m)).collect();
+            self.with_shard(clock::now(), |s| s.handed(stay.iter(), false));
+        }
+    }
+
     /// Tells the others of this cell, gives what it does not need, and lets waiting work go.
     pub(super) async fn look_around(self: Arc<Self>) {
         while self.open() {
@@ -226,6 +407,10 @@
             if self.state.answers(clock::now()) {
                 self.give(token, &plan, &mine).await;
                 self.let_go(token, &plan, &mine).await;
+                if self.ix.0 == 0 {
+                    self.lead(token, &plan, &mine).await;
+                }
+                self.hand_over(token, &plan, &mine).await;
             }
         }
     }
@@ -246,7 +431,7 @@
                 Some(p.teams.get(team).copied().unwrap_or_default())
             };
             let uses: Vec<Option<Use>> = (0..plan.cells).map(of).collect();
-            all.extend(gifts(self.ix, team, &ledger, &uses, plan.home(team)));
+            all.extend(gifts(self.ix, team, &ledger, &uses, self.home_by(plan, team)));
         }
         if !all.is_empty() {
             self.part_with(token, (ledger, version), all, Vec::new(), Vec::new()).await;
--- a/src/node/routing.rs
+++ b/src/node/routing.rs
@@ -32,7 +32,7 @@
     /// The home of a team's new jobs; none where there is only one cell.
     pub fn home(&self, team: &str) -> Option<CellIx> {
         let plan = lock(&self.in_force).clone()?;
-        Some(plan.home(team))
+        Some(self.home_by(&plan, team))
     }
 
     /// An owned cell that knows this job.
@@ -101,6 +101,10 @@
         if let Some(c) = self.only() {
             return Some(c);
         }
+        // Whose it is while it goes from cell to cell is stored.
+        if let Some(c) = self.on_its_way_to(machine).and_then(|c| self.cell(c)) {
+            return Some(c);
+        }
         let now = clock::now();
         let cells = self.cells();
         let knows = |c: &&Arc<Cell>| c.with_shard(now, |s| s.machines.find(machine).is_some()) == Some(true);
@@ -136,6 +140,12 @@
         Some(cell.clone())
     }
 
+    /// The same for a machine, which may be on its way from cell to cell.
+    pub fn machine_known_by(&self, machine: &str) -> (Option<CellIx>, Vec<u32>) {
+        let (known, looked) = self.known_by(|s| s.machines.find(machine).is_some());
+        (self.on_its_way_to(machine).or(known), looked)
+    }
+
     /// What another controller asks: which cell that is owned here knows something, and which
     /// were looked through.
     pub fn known_by(&self, knows: impl Fn(&mut Shard) -> bool) -> (Option<CellIx>, Vec<u32>) {
--- a/src/node/takeover.rs
+++ b/src/node/takeover.rs
@@ -48,6 +48,7 @@
             let racks = self.list_own(RACK_PREFIX).await?;
             let fleet = self.state.get(&self.outer(FLEET_KEY), Turn::InTurn).await?.map(|i| self.inner(i));
             let shares = self.read_shares().await?;
+            let away = self.read_away().await?;
             let quotas = match &self.quotas {
                 Some(_) => self.state.list(PREFIX, Turn::InTurn).await?.0,
                 None => Vec::new(),
@@ -56,16 +57,17 @@
                 // What is known of other cells' jobs is theirs to tidy up.
                 progress.retain(|i| i.key.split('/').nth(1).is_some_and(|id| records.jobs.contains_key(id)));
             }
-            Ok::<_, StateError>((records, revision, progress, machines, racks, (fleet, shares), quotas))
+            Ok::<_, StateError>((records, revision, progress, machines, racks, (fleet, shares, away), quotas))
         };
         match loaded.await {
-            Ok((records, revision, progress, machines, racks, (fleet, shares), quotas)) => {
+            Ok((records, revision, progress, machines, racks, (fleet, shares, away), quotas)) => {
                 let number = |k: &str| k.strip_prefix(RACK_PREFIX).and_then(|n| n.parse::<usize>().ok());
                 let handed = records.handed;
                 let loaded = Loaded {
                     jobs: records.jobs.into_values().collect(),
                     checkpoint: records.found,
                     elastic: self.elastic.clone(),
+                    away,
                     progress: parse_items(progress).collect(),
                     machines: parse_items(machines)
                         .map(|(k, r, v): (String, _, _)| (k.trim_start_matches(MACHINE_PREFIX).to_owned(), r, v))
--- a/tests/loopback.rs
+++ b/tests/loopback.rs
@@ -1259,6 +1259,74 @@
     cluster.nothing_broken();
 }
 
+/// Two cells, and only one has work: more than its own machines can take. What the other does not need
+/// goes there, through ends of both owners in the middle of it; no machine is two cells', and nothing
+/// runs twice. Only machines that would obey go: those of the cell whose claim is older.
+#[test]
+fn idle_machines_go_to_the_cell_that_is_short() {
+    let text = "cells = 2\npicture_s = 0.5\nspill_gain_s = 3600.0\nreassign_after_s = 1.0\n\
+        [[team]]\nname = \"red\"\ncell = 0\n[[team]]\nname = \"n1\"\ncell = 1\n";
+    let size = Size {
+        nodes: 3,
+        workers: 10,
+        lease: Duration::from_secs(9),
+        cpus_max: 0.0,
+        quotas: None,
+        elastic: None,
+        cells: Some(text.into()),
+    };
+    let mut cluster = Cluster::start("moves", size);
+    let listen = cluster.listen.clone();
+    let user = User { client: Client::new(0, 0) };
+    let until = |c: &Cluster, what: &str, within_s: u64, f: &dyn Fn(&Cluster) -> bool| {
+        let began = Instant::now();
+        while !f(c) {
+            assert!(began.elapsed() < Duration::from_secs(within_s), "{what}");
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        began.elapsed().as_secs_f64()
+    };
+    let claim = |c: &Cluster, cell: usize| {
+        let of =
+            |k: &(Value, u64, Option<u64>)| (k.1, k.0["node"].as_str().and_then(|n| n.strip_prefix('n')?.parse().ok()));
+        lock(&c.store).keys.get(&format!("own/c/{cell}")).map(of).unwrap_or((0, None::<usize>))
+    };
+    until(&cluster, "not every cell is owned", 20, &|c| (0..2).all(|i| claim(c, i).1.is_some()));
+    let short = usize::from(claim(&cluster, 1).0 > claim(&cluster, 0).0);
+    let services: Vec<String> = (0..64).map(|i| format!("{SERVICES}{i:02}")).collect();
+    for id in &services {
+        let mut j = job(id, "standing", 1);
+        (j["herd"], j["precedence"]) = (json!(["red", "n1"][short]), json!("critical"));
+        user.until(&listen, Method::Post, "/work", Some(&j), |s, _| s == 201 || s == 200);
+    }
+    let running = |c: &Cluster| services.iter().map(|id| c.running(id)).sum::<usize>();
+    let going = |c: &Cluster| {
+        let store = lock(&c.store);
+        let of = |k: &&String| k.starts_with("cells/hand/");
+        store.keys.keys().filter(of).map(|k| store.keys[k].0["machines"].as_array().map_or(0, Vec::len)).sum::<usize>()
+    };
+    // In the middle of it both owners end.
+    until(&cluster, "no machine goes", 60, &|c| going(c) > 0);
+    cluster.restart_all();
+    let took = until(&cluster, "not all services run", 90, &|c| running(c) == services.len());
+    println!("64 services on 80 cpus, whole {took:.1} s after both owners ended");
+    until(&cluster, "some machine does not arrive", 30, &|c| going(c) == 0);
+    until(&cluster, "a machine is recorded twice", 30, &|c| {
+        let store = lock(&c.store);
+        let of = |prefix: &str| -> Vec<String> {
+            let racks = store.keys.iter().filter(|(k, _)| k.starts_with(prefix));
+            let machines = racks.flat_map(|(_, v)| v.0["machines"].as_array().cloned().unwrap_or_default());
+            machines.map(|m| m["machine"].as_str().unwrap_or("").to_owned()).collect()
+        };
+        let mut all = [of("rack/"), of("c1/rack/")].concat();
+        all.sort_unstable();
+        let named = all.len();
+        all.dedup();
+        named == all.len()
+    });
+    cluster.nothing_broken();
+}
+
 /// Guards against takeovers that grow with all that ever ran. The first owner finds 20,000 jobs
 /// that are over and no checkpoint: it reads them page by page, in bounded memory. By the time
 /// that it ends there are 200,000; its successor reads what is open, and nothing of the rest. What is over is
