--- a/crates/cells/src/spill.rs
+++ b/crates/cells/src/spill.rs
@@ -4,8 +4,11 @@
 use crate::picture::Picture;
 use crate::{CellIx, Plan};
 
-/// A job goes to another cell so often at the most; then it is started where it is.
+/// A job goes to another cell so often at the most; then it is started where it is. Unless it goes on waiting
+/// there: then it may go again, after twice as long each time, so that it goes seldom round, and does not
+/// wait for ever in a cell that has come to have no machines for it.
 pub const MOST_MOVES: u8 = 2;
+const MOST_DOUBLINGS: u8 = 16;
 /// In one look, work for no more than this part of the room that another cell tells: its picture
 /// may be seconds old.
 const PART_OF_ROOM: f64 = 0.5;
@@ -36,15 +39,20 @@
         .filter(|p| p.cell != mine.cell && p.room > p.waits)
         .map(|p| (p.cell, (p.room - p.waits) * PART_OF_ROOM, p))
         .collect();
+    let goes_on =
+        |w: &Waiting<J>| w.waited_s >= plan.spill_after_s * f64::from(1u32 << (w.moves.min(MOST_DOUBLINGS) + 1));
     let mut due: Vec<&Waiting<J>> =
-        waiting.iter().filter(|w| w.waited_s >= plan.spill_after_s && w.moves < MOST_MOVES).collect();
+        waiting.iter().filter(|w| w.waited_s >= plan.spill_after_s && (w.moves < MOST_MOVES || goes_on(w))).collect();
     due.sort_by(|a, b| b.waited_s.total_cmp(&a.waited_s));
     let mut out = Vec::new();
     for w in due {
         if out.len() >= MOST_AT_ONCE {
             break;
         }
-        let here_s = mine.expected_start_s(w.cpus, boot_s);
+        // What has waited for longer than a boot is not helped by room that is told here: that may be
+        // on machines, or of a kind, that it may not use.
+        let waits_long = w.waited_s >= boot_s + 2.0 * plan.spill_after_s;
+        let here_s = mine.expected_start_s(w.cpus, boot_s).max(if waits_long { w.waited_s } else { 0.0 });
         let best = room.iter_mut().filter(|r| r.1 >= w.cpus).max_by(|a, b| a.1.total_cmp(&b.1));
         let Some((cell, left, p)) = best else { continue };
         if p.expected_start_s(w.cpus, boot_s) + plan.spill_gain_s <= here_s {
