--- a/tests/loopback.rs
+++ b/tests/loopback.rs
@@ -14,7 +14,7 @@
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, Once};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, Once};
 use std::time::{Duration, Instant};
 
 static EX: Executor<'static> = Executor::new();
@@ -512,6 +512,30 @@
     cells: Option<String>,
 }
 
+/// Not all clusters at once: with a dozen of them on a few cores controllers lose their leases to one another,
+/// and a test waited for what a takeover had put off.
+const CLUSTERS_AT_ONCE: usize = 4;
+static CLUSTERS: (Mutex<usize>, Condvar) = (Mutex::new(0), Condvar::new());
+
+/// One cluster's turn, until it is dropped.
+struct Turn;
+
+impl Turn {
+    fn take() -> Turn {
+        let full = |n: &mut usize| *n >= CLUSTERS_AT_ONCE;
+        let mut n = CLUSTERS.1.wait_while(lock(&CLUSTERS.0), full).unwrap_or_else(|e| e.into_inner());
+        *n += 1;
+        Turn
+    }
+}
+
+impl Drop for Turn {
+    fn drop(&mut self) {
+        *lock(&CLUSTERS.0) -= 1;
+        CLUSTERS.1.notify_one();
+    }
+}
+
 /// Real controllers in front of stand-ins for everything else.
 struct Cluster {
     store: Arc<Mutex<Store>>,
@@ -526,6 +550,7 @@
     peer: Vec<SocketAddr>,
     nodes: Nodes,
     dir: PathBuf,
+    _turn: Turn,
 }
 
 impl Cluster {
@@ -537,6 +562,7 @@
 
     /// In front of a state service that holds so many jobs which ended long ago.
     fn start_with(name: &str, size: Size, ended: u32) -> Cluster {
+        let turn = Turn::take();
         static RUNS: Once = Once::new();
         RUNS.call_once(|| {
             std::thread::spawn(|| async_io::block_on(EX.run(std::future::pending::<()>())));
@@ -642,7 +668,7 @@
             EX.spawn(work(workers.clone(), w, listen.clone(), twice.clone())).detach();
         }
         let nodes = Nodes((0..size.nodes).map(|_| None).collect());
-        let mut cluster = Cluster { store, workers, twice, asked, cloud_down, listen, peer, nodes, dir };
+        let mut cluster = Cluster { store, workers, twice, asked, cloud_down, listen, peer, nodes, dir, _turn: turn };
         (0..size.nodes).for_each(|i| cluster.begin(i));
         cluster
     }
