A claim whose lease ended before its answer came is made anew

After a pause of all controllers the renewal's 404 was read before the claim's answer: the controller had a token and no lease then. It did nothing, and since it had a token it asked for no lease and claimed nothing. With a real state service another controller's claim ends that; a controller alone stays so for good. The test's stand-in gave the ended lease's number to the next who asked, so that the claim was renewed by somebody else. Change: a claim counts as made only under the lease that it was sent with; a renewal's 404 ends only the lease that it was about; one way to send a claim for claiming and raising. The stand-in never gives a number twice. The unit test fails without either guard.

--- a/crates/scheduler/src/ownership.rs
+++ b/crates/scheduler/src/ownership.rs
@@ -182,12 +182,22 @@
         }
     }
 
-    /// The state service ended the lease, and the claim with it.
+    /// Without its lease, the claim is gone or will be.
     pub fn lease_lost(&mut self) {
         self.lease = None;
         self.token = None;
     }
 
+    /// The state service knows no such lease, and no claim with it; true if it was ours until now.
+    /// The answer may be about an earlier one.
+    pub fn lease_ended(&mut self, lease: u64) -> bool {
+        let ours = self.lease() == Some(lease);
+        if ours {
+            self.lease_lost();
+        }
+        ours
+    }
+
     /// Gives the claim up: this controller cannot do the work.
     pub fn step_down(&mut self, now: f64) -> Option<u64> {
         (self.not_before, self.nobody_else_s) = (now + STEP_BACK_S, NOBODY_ELSE_S);
@@ -241,10 +251,16 @@
         (self.not_before, self.nobody_else_s) = (now + AWAY_S, NOBODY_ELSE_AWAY_S);
     }
 
-    pub fn claimed(&mut self, version: u64) {
+    /// The claim that was tried last was made; false if its lease ended before that was known, and
+    /// the claim with it. Taken for ours then, it would be renewed by nobody and never claimed anew.
+    pub fn claimed(&mut self, version: u64) -> bool {
+        if self.lease.is_none() || self.lease() != self.tried_with {
+            return false;
+        }
         self.token = Some(version);
         self.seen = Some(SeenClaim { claim: self.me.clone(), version });
         self.absent_since = None;
+        true
     }
 
     /// What to do about the claim; `others`: there are controllers besides this one; `turn_s`: one
@@ -299,7 +315,8 @@
         assert_eq!(next(&o, 0.0), Next::Grant);
         o.confirmed(7, 1.0);
         assert_eq!(next(&o, 1.0), Next::Claim { lease: 7, over: 0 });
-        o.claimed(12);
+        o.trying(7, 0);
+        assert!(o.claimed(12));
         assert_eq!(o.may_act(6.6), Some(12));
         assert_eq!(o.may_act(6.75), None, "the answer may have come late");
         o.confirmed(7, 9.0);
@@ -321,7 +338,8 @@
         let mut o = Ownership::new(claim("a", "1"), 6.0);
         o.confirmed(8, 0.0);
         o.saw(None, 0.0);
-        o.claimed(3);
+        o.trying(8, 0);
+        assert!(o.claimed(3));
         assert_eq!(o.step_down(10.0), Some(8));
         o.saw(None, 10.1);
         assert_eq!(next(&o, 11.0), Next::Nothing);
@@ -340,6 +358,25 @@
         assert_eq!(next(&o, 1.0), Next::Nothing, "it goes with its lease");
     }
 
+    /// After a pause of all controllers: the claim's answer came after the renewal's, which said that
+    /// the lease was gone. With a token and no lease it did nothing and claimed nothing, for good.
+    #[test]
+    fn a_claim_whose_lease_ended_before_its_answer_came_is_made_anew() {
+        let mut o = Ownership::new(claim("a", "1"), 6.0);
+        o.confirmed(8, 0.0);
+        o.saw(None, 0.0);
+        o.trying(8, 0);
+        assert!(o.lease_ended(8));
+        assert!(!o.claimed(4), "it went with its lease");
+        assert_eq!(next(&o, 0.1), Next::Grant);
+        o.confirmed(9, 0.1);
+        assert!(!o.lease_ended(8), "news of the lease before");
+        assert!(!o.claimed(5), "nor is the one before this lease's");
+        o.trying(9, 0);
+        assert!(o.claimed(6));
+        assert_eq!(o.may_act(0.2), Some(6));
+    }
+
     /// Several cells without owners are not all claimed by one controller.
     #[test]
     fn a_claim_that_nobody_holds_has_its_turn() {
@@ -353,7 +390,8 @@
     fn a_newer_claim_ends_ours() {
         let mut o = Ownership::new(claim("a", "1"), 6.0);
         o.confirmed(8, 0.0);
-        o.claimed(3);
+        o.trying(8, 0);
+        assert!(o.claimed(3));
         assert!(!o.saw(None, 0.0), "older news than our commit");
         assert!(o.saw(Some(SeenClaim { claim: claim("b", "1"), version: 9 }), 1.0));
         assert_eq!(o.may_act(1.0), None);
--- a/src/node/claim.rs
+++ b/src/node/claim.rs
@@ -20,7 +20,7 @@
                     }
                     Err(StateError::NoSuchLease) => {
                         log::warn!("the lease is gone");
-                        self.lose(|o| o.lease_lost());
+                        self.lease_ended(id);
                     }
                     Err(e) => log::debug!("renewal: {e}"),
                 }
@@ -40,6 +40,21 @@
         }
     }
 
+    fn lease_ended(&self, lease: u64) {
+        if lock(&self.own).lease_ended(lease) {
+            self.lose(|_| {});
+        }
+    }
+
+    /// A claim was made, as its answer or a look shows.
+    fn claimed(&self, version: u64) {
+        if lock(&self.own).claimed(version) {
+            log::info!("claimed {} with token {version}", self.name());
+        } else {
+            log::warn!("the claim with token {version} went with its lease");
+        }
+    }
+
     pub(super) async fn try_claim(self: &Arc<Self>) {
         if self.claiming.swap(true, Ordering::Relaxed) {
             return;
@@ -72,22 +87,13 @@
         }
         match step {
             Next::Nothing | Next::Grant => {}
-            Next::Claim { lease, over } => {
-                let me = lock(&self.own).trying(lease, clock::wall_ms());
-                let Ok(value) = serde_json::to_value(&me) else { return };
-                let condition = Condition { key: self.claim_key.clone(), version: over };
-                let change = Change::Put { key: self.claim_key.clone(), value, lease: Some(lease) };
-                match self.state.commit(vec![condition], vec![change], Turn::First).await {
-                    Ok(Commit::Applied(version)) => {
-                        log::info!("claimed {} with token {version}", self.name());
-                        lock(&self.own).claimed(version);
-                    }
-                    Ok(Commit::Failed(_)) | Err(StateError::Unknown) => self.look_at_claim().await,
-                    Err(StateError::NoSuchLease) => self.lose(|o| o.lease_lost()),
-                    Err(e) => log::debug!("claiming: {e}"),
-                }
-            }
-            Next::Adopt { version } => lock(&self.own).claimed(version),
+            Next::Claim { lease, over } => match self.send_claim(lease, over).await {
+                Ok(Commit::Applied(version)) => self.claimed(version),
+                Ok(Commit::Failed(_)) | Err(StateError::Unknown) => self.look_at_claim().await,
+                Err(StateError::NoSuchLease) => self.lease_ended(lease),
+                Err(e) => log::debug!("claiming: {e}"),
+            },
+            Next::Adopt { version } => self.claimed(version),
             Next::GiveWay { over } => self.give_way(over).await,
         }
         let token = lock(&self.own).token();
@@ -106,28 +112,32 @@
         }
     }
 
+    /// Over the claim of this version; 0: over none.
+    async fn send_claim(&self, lease: u64, over: u64) -> Result<Commit, StateError> {
+        let me = lock(&self.own).trying(lease, clock::wall_ms());
+        let value = serde_json::to_value(&me).map_err(|_| StateError::NotExecuted(400))?;
+        let condition = Condition { key: self.claim_key.clone(), version: over };
+        let change = Change::Put { key: self.claim_key.clone(), value, lease: Some(lease) };
+        self.state.commit(vec![condition], vec![change], Turn::First).await
+    }
+
     /// Takes its own claim anew: its token is newer than those of all other cells then, and what it
     /// knew is read again as at any takeover.
     pub(super) async fn raise_claim(self: &Arc<Self>, token: u64) {
         if self.claiming.swap(true, Ordering::Relaxed) {
             return;
         }
-        let tried = {
-            let mut own = lock(&self.own);
-            let lease = own.lease().filter(|_| own.may_act(clock::now()) == Some(token));
-            lease.map(|l| (l, own.trying(l, clock::wall_ms())))
+        let lease = {
+            let own = lock(&self.own);
+            own.lease().filter(|_| own.may_act(clock::now()) == Some(token))
         };
-        if let Some((lease, me)) = tried
-            && let Ok(value) = serde_json::to_value(&me)
-        {
-            let condition = Condition { key: self.claim_key.clone(), version: token };
-            let change = Change::Put { key: self.claim_key.clone(), value, lease: Some(lease) };
-            match self.state.commit(vec![condition], vec![change], Turn::First).await {
+        if let Some(lease) = lease {
+            match self.send_claim(lease, token).await {
                 Ok(Commit::Applied(version)) => {
-                    log::info!("{} takes its claim anew, with token {version}", self.name());
+                    log::info!("{} takes its claim anew", self.name());
                     // Under the old one nothing can be stored any more.
                     lock(&self.shard).take();
-                    lock(&self.own).claimed(version);
+                    self.claimed(version);
                 }
                 Ok(Commit::Failed(_)) | Err(StateError::Unknown) => self.look_at_claim().await,
                 Err(e) => log::debug!("claiming anew: {e}"),
--- a/tests/loopback.rs
+++ b/tests/loopback.rs
@@ -60,6 +60,7 @@
     keys: BTreeMap<String, (Value, u64, Option<u64>)>,
     revision: u64,
     leases: BTreeMap<u64, (Instant, Duration)>,
+    granted: u64,
     events: Vec<Value>,
     /// Jobs that ended long ago, by number: too many to be kept here one by one.
     ended: u32,
@@ -190,7 +191,9 @@
         (Method::Post, "commit", None) => lock(&store).commit(&body(&req)),
         (Method::Post, "grants", None) => {
             let mut s = lock(&store);
-            let id = s.leases.keys().max().unwrap_or(&0) + 1;
+            // Never the same again, though earlier ones are gone.
+            s.granted += 1;
+            let id = s.granted;
             let life = Duration::from_millis(body(&req)["life_ms"].as_u64().unwrap_or(5000));
             s.leases.insert(id, (Instant::now(), life));
             Outgoing::json(200, &json!({"tether": id}))
--- a/tests/storms.rs
+++ b/tests/storms.rs
@@ -1123,7 +1123,7 @@
             if self.store.renew(l, now) {
                 n.own.confirmed(l, now);
             } else {
-                n.own.lease_lost();
+                n.own.lease_ended(l);
                 n.shard = None;
             }
         }
@@ -1147,10 +1147,10 @@
                         n.own.claimed(v);
                     }
                 } else if !self.store.leases.contains_key(&lease) {
-                    n.own.lease_lost();
+                    n.own.lease_ended(lease);
                 }
             }
-            Next::Adopt { version } => n.own.claimed(version),
+            Next::Adopt { version } => _ = n.own.claimed(version),
             Next::GiveWay { over } => {
                 let gone = Change::Delete { key: key.clone() };
                 if self.store.commit(&[(key, over)], &[gone], None).is_some() {
