--- /dev/null
+++ b/crates/model/src/between.rs
@@ -0,0 +1,348 @@
+//! Several cells: what the node does around the decisions of crates/cells.
+
+use crate::controllers::Node;
+use crate::messages::Message;
+use crate::stored::{self, Keys};
+use crate::trouble::Wrong;
+use crate::world::World;
+use lupinspur_cells::CellIx;
+use lupinspur_cells::escrow::{Amount, Gift, Ledger, Use, gifts};
+use lupinspur_cells::handover::{self, Handed, Handover, giver_next, taker_next, to_whom};
+use lupinspur_cells::picture::Picture;
+use lupinspur_cells::reassign::{Leader, Orders, has_to_raise};
+use lupinspur_cells::spill::spills;
+use lupinspur_scheduler::jobs::{JobRecord, Phase, job_key};
+use lupinspur_wire::Change;
+use serde::Serialize;
+use serde_json::Value;
+use std::collections::BTreeMap;
+
+#[derive(Default, Clone)]
+pub(crate) struct Seen {
+    pub(crate) ledger: Option<(Ledger, u64)>,
+    pub(crate) pictures: BTreeMap<usize, Picture>,
+    pub(crate) orders: (Orders, u64),
+    pub(crate) hands: BTreeMap<String, (Handover, u64)>,
+}
+
+pub(crate) const LEDGER_KEY: &str = "cells/escrow";
+pub(crate) const ORDERS_KEY: &str = "cells/orders";
+pub(crate) const PICTURES: &str = "cells/pic/";
+
+pub(crate) fn put(key: &str, value: &impl Serialize) -> Change {
+    Change::Put { key: key.to_owned(), value: serde_json::to_value(value).expect("JSON"), lease: None }
+}
+
+/// Does a record concern this cell?
+pub(crate) fn concerns(c: usize, r: &JobRecord) -> bool {
+    r.phase != Phase::Open || r.cell.unwrap_or(0) as usize == c
+}
+
+pub(crate) fn shared(key: &str) -> bool {
+    ["job/", "prog/", "part/"].iter().any(|p| key.starts_with(p))
+}
+
+/// A cell's own key as the store has it.
+pub(crate) fn outer(c: usize, key: &str) -> String {
+    if c == 0 || shared(key) { key.to_owned() } else { format!("c{c}/{key}") }
+}
+
+pub(crate) fn outer_change(c: usize, change: &Change) -> Change {
+    match change.clone() {
+        Change::Put { key, value, lease } => Change::Put { key: outer(c, &key), value, lease },
+        Change::Delete { key } => Change::Delete { key: outer(c, &key) },
+    }
+}
+
+/// What of the store is a cell's to read, by its own names.
+pub(crate) fn inner(c: usize, keys: &Keys) -> Keys {
+    let mine = |(k, v): (&String, &(Value, u64))| {
+        let own = if c == 0 { Some(k.as_str()) } else { k.strip_prefix(&format!("c{c}/")) };
+        own.or(Some(k.as_str()).filter(|k| shared(k))).map(|k| (k.to_owned(), v.clone()))
+    };
+    keys.iter().filter_map(mine).collect()
+}
+
+impl World {
+    /// The cell in which a controller looks for a job.
+    pub(crate) fn cell_of_job(&mut self, node: usize, id: &str) -> Option<usize> {
+        let (now, cells) = (self.now, self.cells);
+        if cells == 1 {
+            return Some(0);
+        }
+        let n = &mut self.nodes[node];
+        let here = (0..cells).find(|c| n.acting(*c, now).is_some_and(|s| s.jobs.find(id).is_some()));
+        if let Some(c) = here.or_else(|| n.job_cells.get(id).copied().filter(|_| self.rng.u8(..) > 20)) {
+            return Some(c);
+        }
+        if !self.reaches(node) {
+            return None;
+        }
+        let r = self.store.job(id)?;
+        let c = r.cell.unwrap_or(0) as usize;
+        self.nodes[node].job_cells.insert(id.to_owned(), c);
+        Some(c)
+    }
+
+    pub(crate) fn on_its_way(&self, node: usize, machine: &str) -> Option<usize> {
+        let mut all = self.nodes[node].seen.hands.values().map(|h| &h.0);
+        all.find(|h| h.machines.iter().any(|m| m.machine == machine)).map(|h| h.to.ix())
+    }
+
+    /// The cell of a machine that reports to a controller; none before all owners were asked.
+    pub(crate) fn cell_of_machine(&mut self, node: usize, machine: &str, token: u64) -> Option<usize> {
+        let (now, cells) = (self.now, self.cells);
+        if cells == 1 {
+            return Some(0);
+        }
+        let knows = |n: &mut Node, c: usize| n.acting(c, now).is_some_and(|s| s.machines.find(machine).is_some());
+        let n = &mut self.nodes[node];
+        let here = (0..cells).find(|c| knows(n, *c));
+        let noted = n.machine_cells.get(machine).copied();
+        if let Some(c) = self.on_its_way(node, machine).or(here).or(noted) {
+            return Some(c);
+        }
+        let mut looked: Vec<bool> = (0..cells).map(|c| self.nodes[node].acting(c, now).is_some()).collect();
+        for o in (0..self.controllers).filter(|o| *o != node) {
+            if !self.hear_each_other(node, o) {
+                continue;
+            }
+            let n = &mut self.nodes[o];
+            let there = (0..cells).find(|c| knows(n, *c));
+            (0..cells).for_each(|c| looked[c] |= n.acting(c, now).is_some());
+            if let Some(c) = self.on_its_way(o, machine).or(there) {
+                self.nodes[node].machine_cells.insert(machine.to_owned(), c);
+                return Some(c);
+            }
+        }
+        if !looked.iter().all(|l| *l) {
+            return None;
+        }
+        let first = self.plan.cell_of_stranger(machine).ix();
+        let n = &mut self.nodes[node];
+        let obeyed = |c: &usize| n.cells[*c].own.version_seen().is_some_and(|v| v >= token);
+        let c = Some(first).filter(&obeyed).or_else(|| (0..cells).find(&obeyed))?;
+        n.machine_cells.insert(machine.to_owned(), c);
+        Some(c)
+    }
+
+    /// What a controller's watch shows of what passes between cells.
+    pub(crate) fn see(&mut self, i: usize) {
+        let keys = &self.store.keys;
+        let pictures = stored::readable::<Picture>(keys, PICTURES);
+        let hands = stored::readable::<Handover>(keys, handover::PREFIX);
+        let n = &mut self.nodes[i];
+        n.seen_at = self.now;
+        n.seen = Seen {
+            ledger: self.store.read(LEDGER_KEY),
+            pictures: pictures.into_iter().map(|(_, p, _)| (p.cell.ix(), p)).collect(),
+            orders: self.store.read(ORDERS_KEY).unwrap_or_default(),
+            hands: hands.into_iter().map(|(k, h, v)| (k, (h, v))).collect(),
+        };
+        for (h, _) in n.seen.hands.values() {
+            h.machines.iter().for_each(|m| _ = n.machine_cells.insert(m.machine.clone(), h.to.ix()));
+        }
+        self.go_by_shares(i);
+    }
+
+    pub(crate) fn go_by_shares(&mut self, i: usize) {
+        if self.wrong == Some(Wrong::Shares) {
+            return;
+        }
+        let n = &mut self.nodes[i];
+        let Some((l, _)) = n.seen.ledger.clone() else { return };
+        for c in 0..self.cells {
+            if let Some(s) = n.acting(c, self.now) {
+                s.set_shares(&self.params.teams, &l, CellIx(c as u32));
+            }
+        }
+    }
+
+    /// A write until it is certain that it will not be applied later; in some troubles its answer is lost,
+    /// or a copy of it comes much later. None: it may be stored, which a reader tells.
+    pub(crate) fn surely(&mut self, conditions: Vec<(String, u64)>, changes: Vec<Change>) -> Option<bool> {
+        let troubled = self.now < self.late_commits;
+        let lost = troubled && self.rng.u8(..) < 90;
+        if troubled && self.rng.u8(..) < 90 {
+            let after = 1.0 + self.rng.f64() * 25.0;
+            self.send(after, Message::Again { conditions: conditions.clone(), changes: changes.clone() });
+        }
+        let applied = self.store.commit(&conditions, &changes, None).is_some();
+        if lost {
+            return self.store.commit(&conditions, &changes, None).is_some().then_some(true);
+        }
+        Some(applied)
+    }
+
+    pub(crate) fn look_around(&mut self, i: usize, c: usize) {
+        let now = self.now;
+        if self.cells == 1 || now - self.nodes[i].cells[c].looked_at < 2.0 {
+            return;
+        }
+        self.nodes[i].cells[c].looked_at = now;
+        let cell = CellIx(c as u32);
+        let seen = self.nodes[i].acting(c, now).map(|s| (s.token, s.gathered(now).then(|| s.picture(cell, now))));
+        let Some((token, Some(mine))) = seen else { return };
+        let claim = (self.claim_key(c), token);
+        self.store.commit(std::slice::from_ref(&claim), &[put(&format!("{PICTURES}{c}"), &mine)], None);
+        self.see(i);
+        let fresh = |p: &&Picture| p.cell != cell && p.fresh(mine.at_ms, self.plan.picture_s, 0.0);
+        let others: Vec<Picture> = self.nodes[i].seen.pictures.values().filter(fresh).cloned().collect();
+        if let Some((ledger, _)) = self.nodes[i].seen.ledger.clone() {
+            let mut all = Vec::new();
+            for team in ledger.teams.keys() {
+                let of = |x: usize| -> Option<Use> {
+                    let p = if x == c { &mine } else { others.iter().find(|p| p.cell.ix() == x)? };
+                    Some(p.teams.get(team).copied().unwrap_or_default())
+                };
+                let uses: Vec<Option<Use>> = (0..self.cells).map(of).collect();
+                let home = self.nodes[i].seen.orders.0.home(&self.plan, team);
+                all.extend(gifts(cell, team, &ledger, &uses, home));
+            }
+            if !all.is_empty() {
+                self.part_with(i, c, token, &all, Vec::new(), Vec::new());
+            }
+        }
+        let waiting = self.nodes[i].acting(c, now).map(|s| s.may_leave(now)).unwrap_or_default();
+        for (j, to) in spills(&self.plan, &mine, &others, &waiting, 20.0) {
+            let Some((ledger, _)) = self.nodes[i].seen.ledger.clone() else { return };
+            let Some(s) = self.nodes[i].acting(c, now) else { return };
+            let Some((record, version, team, takes)) = s.goes(j, to) else { continue };
+            let team = s.team_name(team).to_owned();
+            let spare = |own: Amount| {
+                let used = s.in_use().into_iter().find(|u| u.0 == team).map_or(own, |u| u.1);
+                let spare = own.less(used);
+                Amount::new(takes.cpus.min(spare.cpus), takes.cards.min(spare.cards))
+            };
+            let amount = ledger.share(&team, cell).map(spare);
+            let gift = |amount| Gift { team: team.clone(), from: cell, to, amount };
+            let given: Vec<Gift> = amount.map(gift).into_iter().collect();
+            let id = record.job.id.clone();
+            let key = job_key(&id);
+            self.part_with(i, c, token, &given, vec![(key.clone(), version)], vec![put(&key, &record)]);
+            let theirs = self.store.job(&id).is_some_and(|r| !concerns(c, &r));
+            self.nodes[i].job_cells.remove(&id);
+            let Some(s) = self.nodes[i].acting(c, now) else { return };
+            if theirs {
+                s.left(&id, now)
+            } else {
+                s.stays(&id)
+            }
+            self.counts.spilled += u64::from(theirs);
+        }
+        if c == 0 {
+            self.lead(i, token, &mine, &others);
+        }
+        self.hand_over(i, c, token, mine.at_ms);
+    }
+
+    pub(crate) fn part_with(
+        &mut self,
+        i: usize,
+        c: usize,
+        token: u64,
+        given: &[Gift],
+        mut conditions: Vec<(String, u64)>,
+        mut changes: Vec<Change>,
+    ) {
+        let (now, cell, teams) = (self.now, CellIx(c as u32), self.params.teams.clone());
+        let Some((ledger, version)) = self.nodes[i].seen.ledger.clone() else { return };
+        let Some(next) = ledger.after(given) else { return };
+        let Some(s) = self.nodes[i].acting(c, now) else { return };
+        if s.in_use().iter().all(|(t, u)| next.share(t, cell).is_none_or(|left| u.fits(left))) {
+            s.set_shares(&teams, &next, cell);
+            conditions.extend([(self.claim_key(c), token), (LEDGER_KEY.to_owned(), version)]);
+            changes.push(put(LEDGER_KEY, &next));
+            self.surely(conditions, changes);
+        }
+        self.nodes[i].seen.ledger = self.store.read(LEDGER_KEY);
+        self.go_by_shares(i);
+    }
+
+    pub(crate) fn lead(&mut self, i: usize, token: u64, mine: &Picture, others: &[Picture]) {
+        let (stored, version) = self.nodes[i].seen.orders.clone();
+        let all: Vec<Picture> = others.iter().chain([mine]).cloned().collect();
+        let h = &mut self.nodes[i].cells[0];
+        if h.leader.0 != token {
+            h.leader = (token, Leader::default());
+        }
+        let next = h.leader.1.look(&self.plan, &all, &stored, mine.at_ms);
+        if next.differ(&stored, &self.plan) {
+            self.counts.homes += u64::from(next.homes != stored.homes);
+            self.surely(vec![(self.claim_key(0), token), (ORDERS_KEY.into(), version)], vec![put(ORDERS_KEY, &next)]);
+        }
+    }
+
+    pub(crate) fn hand_over(&mut self, i: usize, c: usize, token: u64, now_ms: u64) {
+        let (now, cell) = (self.now, CellIx(c as u32));
+        let seen = self.nodes[i].seen.clone();
+        let fresh = seen.orders.0.fresh(&self.plan, now_ms, 0.0);
+        let moves = if fresh { seen.orders.0.moves.clone() } else { Vec::new() };
+        let token_of = |c: CellIx| seen.pictures.get(&c.ix()).map(|p| p.token);
+        if has_to_raise(cell, token, &moves, token_of) {
+            return self.raise(i, c, token);
+        }
+        let under_way: Vec<Handover> = seen.hands.values().map(|h| h.0.clone()).collect();
+        let order = to_whom(cell, token, moves.iter(), &under_way, token_of);
+        let Some(s) = self.nodes[i].acting(c, now) else { return };
+        s.set_order(order, 6.0);
+        let of = |from: bool| under_way.iter().filter(move |h| (if from { h.from } else { h.to }) == cell);
+        s.gave_away(of(true).flat_map(|h| &h.machines));
+        s.take_in(of(false).flat_map(|h| &h.machines), now);
+        let mut chosen: BTreeMap<CellIx, Vec<Handed>> = BTreeMap::new();
+        s.set_aside().into_iter().for_each(|(to, h)| chosen.entry(to).or_default().push(h));
+        for (to, machines) in chosen {
+            let key = handover::key(cell, to);
+            let version = match seen.hands.get(&key) {
+                Some((h, _)) if !h.over() => continue,
+                Some((_, v)) => *v,
+                None => 0,
+            };
+            self.put_handover(i, c, token, &key, version, Handover { from: cell, to, machines, left: false });
+        }
+        for (key, (h, version)) in seen.hands {
+            let Some(s) = self.nodes[i].acting(c, now) else { return };
+            let next = match () {
+                () if h.from == cell => giver_next(&h, |m| s.still_names(m)),
+                () if h.to == cell => taker_next(&h, |m| s.settled(m)),
+                () => None,
+            };
+            if let Some(next) = next {
+                self.put_handover(i, c, token, &key, version, next);
+            }
+        }
+    }
+
+    pub(crate) fn put_handover(&mut self, i: usize, c: usize, token: u64, key: &str, version: u64, h: Handover) {
+        let conditions = vec![(self.claim_key(c), token), (key.to_owned(), version)];
+        let stored = self.surely(conditions, vec![put(key, &h)]);
+        let stands = self.store.read::<Handover>(key);
+        let begins = h.from.ix() == c && !h.left;
+        self.counts.handed += if begins && stored == Some(true) { h.machines.len() as u64 } else { 0 };
+        if begins && stored == Some(false) {
+            let stands = stands.as_ref().map(|s| s.0.machines.clone()).unwrap_or_default();
+            let stay: Vec<Handed> = h.machines.into_iter().filter(|m| !stands.contains(m)).collect();
+            if let Some(s) = self.nodes[i].acting(c, self.now) {
+                s.handed(stay.iter(), false);
+            }
+        }
+        if let Some(s) = stands {
+            self.nodes[i].seen.hands.insert(key.to_owned(), s);
+        }
+    }
+
+    /// A cell takes its claim anew.
+    pub(crate) fn raise(&mut self, i: usize, c: usize, token: u64) {
+        let (now, key) = (self.now, self.claim_key(c));
+        let h = &mut self.nodes[i].cells[c];
+        let Some(lease) = h.own.lease() else { return };
+        let me = h.own.trying(lease, (now * 1000.0) as u64);
+        let value = serde_json::to_value(&me).expect("a claim");
+        let change = Change::Put { key: key.clone(), value, lease: Some(lease) };
+        if let Some(v) = self.store.commit(&[(key, token)], &[change], Some(lease)) {
+            h.shard = None;
+            h.own.claimed(v);
+            self.counts.raised += 1;
+        }
+    }
+}
--- /dev/null
+++ b/crates/model/src/lib.rs
@@ -0,0 +1,44 @@
+//! A deployment in virtual time: several controllers with the project's own decisions, and stand-ins
+//! for the state service, the cloud, the machines, the network and the users. The protocol's rules are
+//! counted from the machines' and the users' side, as the operators count them.
+//!
+//! What happens follows from a [`Scenario`], a seed and a list of [`Trouble`]s alone. Tests play it with
+//! random troubles; `lupinspur simulate` plays it by hand.
+//!
+//! - [`scenario`]: what is played, and the file that says it
+//! - [`trouble`]: what goes wrong
+//! - `controllers`, `between`: the shell's part around the decisions, of one cell and between several
+//! - `machines`, `store`, `users`, `messages`: the stand-ins
+//! - `rules`: what must not be
+//! - [`report`]: what came of it
+//! - [`stored`]: what a successor reads of the state service's keys
+
+mod between;
+mod controllers;
+mod machines;
+mod messages;
+pub mod report;
+mod rules;
+pub mod scenario;
+mod store;
+pub mod stored;
+pub mod trouble;
+mod users;
+mod world;
+
+pub use report::{Run, play, simulate};
+pub use scenario::{Fault, Scenario};
+pub use trouble::{KINDS, Kind, Trouble, Wrong};
+
+/// Seconds between two looks at everything.
+const STEP: f64 = 0.05;
+/// Seconds that a machine goes on without an answer.
+const LEASE_S: f64 = 20.0;
+const REPORT_S: f64 = 3.0;
+/// Seconds within which nothing of a cancelled job runs any more.
+const CANCEL_S: f64 = 45.0;
+const CLAIM_S: f64 = 4.0;
+/// How long after all troubles a question about any job may be without an answer.
+const ANSWERED_WITHIN_S: f64 = 30.0;
+/// And within how long after all troubles every job has begun, where there is room for all of them.
+const BEGUN_WITHIN_S: f64 = 100.0;
--- /dev/null
+++ b/crates/model/src/messages.rs
@@ -0,0 +1,206 @@
+//! What is under way between controllers, machines, the state service and the cloud.
+
+use crate::between::{outer, outer_change};
+use crate::world::World;
+use lupinspur_scheduler::ownership::{CLAIM_KEY, cell_claim_key};
+use lupinspur_scheduler::shard::{Direct, DirectSend, Heard, Write};
+use lupinspur_wire::{Change, Command, DirectCommands, Report};
+use std::time::Instant;
+
+pub(crate) enum Message {
+    Report {
+        node: usize,
+        report: Report,
+        machine: usize,
+        sent: f64,
+    },
+    Answer {
+        machine: usize,
+        session: u64,
+        sent: f64,
+        answer: Option<(u64, Vec<Command>)>,
+        to: usize,
+    },
+    Commands {
+        node: usize,
+        life: u64,
+        to: usize,
+        send: DirectSend,
+        outcome: bool,
+    },
+    Outcome {
+        node: usize,
+        life: u64,
+        send: DirectSend,
+        outcome: Direct,
+    },
+    Commit {
+        node: usize,
+        life: u64,
+        cell: usize,
+        token: u64,
+        writes: Vec<Write>,
+        answered: bool,
+    },
+    /// A write of what passes between cells that comes once more, late.
+    Again {
+        conditions: Vec<(String, u64)>,
+        changes: Vec<Change>,
+    },
+    Deleted {
+        node: usize,
+        life: u64,
+        token: u64,
+        machines: Vec<lupinspur_scheduler::intern::MachineIx>,
+        names: Vec<String>,
+    },
+}
+
+impl World {
+    pub(crate) fn deliver(&mut self, m: Message) {
+        let now = self.now;
+        match m {
+            Message::Report { node, report, machine, sent } => {
+                let n = &mut self.nodes[node];
+                if now < n.back_at || now < n.no_workers {
+                    return;
+                }
+                // A process that stands still reads it when it goes on.
+                if now < n.still {
+                    let after = n.still - now;
+                    return self.send(after, Message::Report { node, report, machine, sent });
+                }
+                let cell = self.cell_of_machine(node, &report.machine, report.token);
+                let began = Instant::now();
+                let heard = cell.and_then(|c| Some(self.nodes[node].acting(c, now)?.on_report(&report, now)));
+                if let Some(c) = cell {
+                    self.counts.processor[c] += began.elapsed().as_secs_f64();
+                }
+                let (answer, to) = match (heard, cell) {
+                    (Some(Heard::Reply(r)), _) => (Some((r.token, r.commands)), node),
+                    (Some(Heard::Stale), _) | (_, None) => (None, usize::MAX),
+                    (_, Some(c)) => (None, self.owner_known_to(node, c).unwrap_or(usize::MAX)),
+                };
+                if machine != usize::MAX {
+                    let after = self.latency();
+                    let session = report.session;
+                    self.send(after, Message::Answer { machine, session, sent, answer, to });
+                }
+            }
+            Message::Answer { machine, session, sent, answer, to } => {
+                let m = &mut self.machines[machine];
+                let waited = m.waits == Some((sent, sent + 4.0));
+                if !m.there(now) || now < m.hangs || now < m.cut || now < m.deaf_answers || !waited {
+                    return;
+                }
+                m.waits = None;
+                match answer {
+                    Some((token, commands)) => {
+                        if token >= m.token && m.session == session {
+                            m.token = token;
+                            m.renewed = sent;
+                            self.obey(machine, &commands);
+                        }
+                    }
+                    None if to < self.controllers && to != m.at => (m.at, m.next_report) = (to, now + 0.2),
+                    None => (m.at, m.next_report) = ((m.at + 1) % self.controllers, now + 1.0),
+                }
+            }
+            Message::Commands { node, life, to: i, send, outcome } => {
+                let m = &mut self.machines[i];
+                if !m.there(now) || now < m.hangs || now < m.cut || now < m.deaf_commands {
+                    return self.send(1.2, Message::Outcome { node, life, send, outcome: Direct::Unknown });
+                }
+                let DirectCommands { token, session, commands } = send.body.clone();
+                let good = token >= m.token && session == m.session;
+                if good {
+                    m.token = token;
+                    self.obey(i, &commands);
+                }
+                let report = self.machines[i].report();
+                if outcome {
+                    let after = self.latency();
+                    let outcome = Direct::Answered { executed: good, report: Some(report) };
+                    self.send(after, Message::Outcome { node, life, send, outcome });
+                }
+            }
+            Message::Outcome { node, life, send, outcome } => {
+                let n = &mut self.nodes[node];
+                if n.life != life {
+                    return;
+                }
+                if now < n.still {
+                    let after = n.still - now;
+                    return self.send(after, Message::Outcome { node, life, send, outcome });
+                }
+                if let Some(s) = n.shard_of(send.body.token) {
+                    s.on_direct(&send, outcome, now);
+                }
+            }
+            Message::Again { conditions, changes } => {
+                if self.store.up(now) {
+                    self.store.commit(&conditions, &changes, None);
+                }
+            }
+            Message::Commit { node, life, cell, token, writes, answered } => {
+                let up = self.store.up(now);
+                let claim_key = self.claim_key(cell);
+                let mut conditions = vec![(claim_key.clone(), token)];
+                conditions.extend(writes.iter().map(|w| (outer(cell, &w.key), w.version)));
+                let changes: Vec<Change> = writes.iter().map(|w| outer_change(cell, &w.change)).collect();
+                let applied = if up { self.store.commit(&conditions, &changes, None) } else { None };
+                self.counts.writes[cell] += if applied.is_some() { changes.len() as u64 } else { 0 };
+                let n = &mut self.nodes[node];
+                if n.life != life || !answered {
+                    return;
+                }
+                if now < n.still {
+                    // Its outcome is read when the process goes on; here it is as if it came then.
+                    let after = n.still - now;
+                    if applied.is_none() {
+                        return self.send(after, Message::Commit { node, life, cell, token, writes, answered });
+                    }
+                }
+                let h = &mut n.cells[cell];
+                h.commits = h.commits.saturating_sub(1);
+                let Some(s) = h.shard.as_mut().filter(|s| s.token == token) else { return };
+                match applied {
+                    Some(revision) => s.on_applied(writes, revision, now),
+                    None if !up => s.on_not_applied(writes),
+                    None => {
+                        for w in &writes {
+                            s.on_version(&w.key, self.store.version(&outer(cell, &w.key)));
+                        }
+                        s.on_not_applied(writes);
+                        if h.own.saw(self.store.claim(&claim_key), now) {
+                            h.shard = None;
+                        }
+                    }
+                }
+            }
+            Message::Deleted { node, life, token, machines, names } => {
+                for n in &names {
+                    if let Some(i) = self.by_name.get(n) {
+                        self.machines[*i].gone = true;
+                        self.machines[*i].tasks.clear();
+                    }
+                }
+                let n = &mut self.nodes[node];
+                if n.life == life
+                    && let Some(s) = n.shard_of(token)
+                {
+                    s.on_deleted(&machines);
+                }
+            }
+        }
+    }
+
+    pub(crate) fn claim_key(&self, cell: usize) -> String {
+        if self.cells == 1 { CLAIM_KEY.to_owned() } else { cell_claim_key(cell as u32) }
+    }
+
+    pub(crate) fn owner_known_to(&self, node: usize, cell: usize) -> Option<usize> {
+        let name = self.nodes[node].cells[cell].own.other_owner()?;
+        self.nodes.iter().position(|n| n.name == name)
+    }
+}
--- /dev/null
+++ b/crates/model/src/rules.rs
@@ -0,0 +1,121 @@
+//! The rules, counted from the machines' and the users' side.
+
+use crate::machines::State;
+use crate::world::World;
+use crate::{ANSWERED_WITHIN_S, BEGUN_WITHIN_S, CANCEL_S};
+use lupinspur_scheduler::intern::Index;
+use lupinspur_scheduler::shard::Shard;
+use lupinspur_wire::JobState;
+
+impl World {
+    /// What starts to be on a machine must not be on another, nor where it may not be, nor over a limit.
+    pub(crate) fn check_starts(&mut self, i: usize) {
+        let now = self.now;
+        let begun: Vec<String> = self.machines[i]
+            .tasks
+            .iter()
+            .filter(|(_, t)| matches!(t.state, State::Runs(since) if since == now))
+            .map(|(n, _)| n.clone())
+            .collect();
+        self.counts.starts += begun.len() as u64;
+        for task in begun {
+            let id = task.split('/').next().unwrap_or("").to_owned();
+            let other = self.machines.iter().enumerate().find(|(o, m)| *o != i && m.holds(&task, now));
+            if let Some((_, other)) = other {
+                let what = format!("ran_twice: {task} on {} and {}", other.name, self.machines[i].name);
+                self.breaks(what);
+            }
+            let Some(job) = self.jobs.get_mut(&id) else { continue };
+            job.begun.get_or_insert(now);
+            let (spec, m) = (job.spec.clone(), &self.machines[i]);
+            if m.spot && !spec.spot {
+                self.breaks(format!("wrong_place: {task} on a spot machine"));
+            }
+            let on = |zone: Option<usize>| {
+                let there = self.machines.iter().filter(|m| zone.is_none_or(|z| m.zone == z));
+                let of = |n: &String| n.split('/').next() == Some(&id);
+                there.map(|m| m.tasks.keys().filter(|n| of(n) && m.holds(n, now)).count()).sum::<usize>()
+            };
+            if spec.spread && on(Some(self.machines[i].zone)) > (spec.tasks as usize).div_ceil(2) {
+                self.breaks(format!("wrong_place: {id} is not spread"));
+            }
+            let limit = self.params.teams.iter().find(|t| t.name == spec.team).map_or(0.0, |t| t.cpus_max);
+            if limit > 0.0 {
+                let of = |n: &String| {
+                    self.jobs.get(n.split('/').next()?).filter(|j| j.spec.team == spec.team).map(|j| j.spec.cpus)
+                };
+                let used: f64 =
+                    self.machines.iter().flat_map(|m| m.tasks.keys().filter(|n| m.holds(n, now)).filter_map(of)).sum();
+                if used > limit + 1e-6 {
+                    self.breaks(format!("quota: {} uses {used} of {limit}", spec.team));
+                }
+            }
+        }
+    }
+
+    /// What the owner makes of a job, for whoever reads a failure.
+    pub(crate) fn owner_thinks(&self, id: &str) -> String {
+        let held = self.nodes.iter().flat_map(|n| &n.cells);
+        let mut shards = held.filter(|h| h.own.may_act(self.now).is_some()).filter_map(|h| h.shard.as_ref());
+        let Some(s) = shards.find(|s| s.jobs.find(id).is_some()) else {
+            return format!("no owner knows it; {:?}", self.store.job(id).map(|r| (r.cell, r.phase)));
+        };
+        let Some(j) = s.jobs.find(id) else { return "the owner does not know it".into() };
+        let job = s.jobs.at(j);
+        let held: Vec<String> = s
+            .machines
+            .iter()
+            .flat_map(|(_, m)| m.tasks.iter().filter(|(k, _)| k.0 == j).map(move |(k, h)| (m, k, h)))
+            .map(|(m, k, h)| format!("{}: {:?} of session {} (suspect {}) {h:?}", k.1, m.name, m.session, m.suspect))
+            .collect();
+        let team = &s.teams[job.team.ix()];
+        format!(
+            "{} of {} held, {} shadowed, not before {:.1}, failed on {}, team uses {} of {}, {} machines; {held:?}; {:?}",
+            job.held,
+            job.spec.tasks,
+            job.shadowed_by,
+            job.not_before,
+            job.failed_on.len(),
+            team.cpus_used,
+            team.spec.cpus_max,
+            s.machines.present.len(),
+            job.spec
+        )
+    }
+
+    pub(crate) fn check(&mut self) {
+        let now = self.now;
+        let calm = now - self.trouble_until;
+        let (mut wrong, mut longest) = (Vec::new(), self.counts.unanswered);
+        for (id, j) in &self.jobs {
+            if now > j.told_cancelled_at + CANCEL_S {
+                let of = |n: &String| n.split('/').next() == Some(id);
+                if self.machines.iter().any(|m| m.tasks.keys().any(|n| of(n) && m.holds(n, now))) {
+                    wrong.push(format!("ran_cancelled: {id}"));
+                }
+            }
+            let over = matches!(j.told, Some(JobState::Done | JobState::Cancelled));
+            if j.accepted.is_none() || over || calm < 0.0 {
+                continue;
+            }
+            let unanswered = now - j.answered.max(self.trouble_until);
+            longest = longest.max(unanswered);
+            if unanswered > ANSWERED_WITHIN_S {
+                wrong.push(format!("forgotten: {id} is not answered for {unanswered:.0} s"));
+            }
+            if self.scenario.room && calm > BEGUN_WITHIN_S && j.begun.is_none() && j.cancel_at.is_none() {
+                let thinks = self.owner_thinks(id);
+                wrong.push(format!("forgotten: {id} has not begun after {calm:.0} s of calm; {thinks}"));
+            }
+        }
+        self.counts.unanswered = longest;
+        let held = self.nodes.iter().flat_map(|n| &n.cells);
+        let mended = held.filter_map(|h| h.shard.as_ref()).map(Shard::mended).sum::<u64>();
+        if mended > 0 {
+            wrong.push(format!("{mended} differences between jobs and machines had to be mended"));
+        }
+        if let Some(w) = wrong.into_iter().next() {
+            self.breaks(w);
+        }
+    }
+}
--- /dev/null
+++ b/crates/model/src/scenario.rs
@@ -0,0 +1,143 @@
+//! What is played: the size of a deployment, its work, and its troubles.
+
+use crate::trouble::Trouble;
+use garde::Validate;
+use schemars::JsonSchema;
+use serde::Deserialize;
+use std::collections::BTreeSet;
+use std::fmt;
+
+/// A deployment and what happens to it. Times in seconds of virtual time from its beginning.
+#[derive(Debug, Clone, PartialEq, Deserialize, JsonSchema, Validate)]
+#[serde(deny_unknown_fields, default)]
+pub struct Scenario {
+    /// Owners that machines and teams are parted among.
+    #[garde(range(min = 1, max = lupinspur_cells::plan::MOST_CELLS))]
+    pub cells: u32,
+    #[garde(range(min = 1, max = 32))]
+    pub controllers: usize,
+    /// Machines at the beginning, by turns in three zones; those of the third are spot machines.
+    #[garde(range(min = 1, max = 5000))]
+    pub machines: usize,
+    /// As many as there can be with those that are rented.
+    #[garde(range(min = 1, max = 5000))]
+    pub most_machines: usize,
+    /// Jobs are submitted for so long.
+    #[garde(range(min = 5.0, max = 3600.0))]
+    pub jobs_for_s: f64,
+    /// One every so many seconds.
+    #[garde(range(min = 0.01, max = 3600.0))]
+    pub job_every_s: f64,
+    /// The cpus that the services of one team have together at most.
+    #[garde(range(min = 1.0, max = 1e6))]
+    pub services_cpus: f64,
+    /// How long is played after the last job and the last trouble.
+    #[garde(range(min = 0.0, max = 3600.0))]
+    pub calm_s: f64,
+    /// There is room for all jobs at once: each has to begin soon after all troubles.
+    #[garde(skip)]
+    pub room: bool,
+    /// Besides those that are named, so many troubles by the seed.
+    #[garde(range(min = 0, max = 200))]
+    pub random_troubles: usize,
+    #[serde(rename = "trouble")]
+    #[garde(dive, length(max = 1000))]
+    pub troubles: Vec<Trouble>,
+    #[serde(rename = "team")]
+    #[garde(dive, length(min = 1, max = 200))]
+    pub teams: Vec<Team>,
+}
+
+/// A team; in cpus.
+#[derive(Debug, Clone, PartialEq, Deserialize, JsonSchema, Validate)]
+#[serde(deny_unknown_fields)]
+pub struct Team {
+    #[garde(length(min = 1, max = 100))]
+    pub name: String,
+    /// What it is guaranteed.
+    #[serde(default)]
+    #[garde(range(min = 0.0, max = 1e6))]
+    pub cpus: f64,
+    /// Its limit; 0: none.
+    #[serde(default)]
+    #[garde(range(min = 0.0, max = 1e6))]
+    pub cpus_max: f64,
+}
+
+impl Default for Scenario {
+    /// A small deployment of two teams, of which one has a limit.
+    fn default() -> Scenario {
+        let team = |name: &str, cpus, cpus_max| Team { name: name.into(), cpus, cpus_max };
+        Scenario {
+            cells: 1,
+            controllers: 3,
+            machines: 9,
+            most_machines: 80,
+            jobs_for_s: 60.0,
+            job_every_s: 1.5,
+            services_cpus: 40.0,
+            calm_s: 120.0,
+            room: true,
+            random_troubles: 0,
+            troubles: Vec::new(),
+            teams: vec![team("red", 16.0, 64.0), team("blue", 0.0, 0.0)],
+        }
+    }
+}
+
+/// Something wrong with a scenario, and where.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Fault {
+    pub path: String,
+    pub what: String,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.path, self.what)
+    }
+}
+
+impl Scenario {
+    /// Reads a scenario from TOML, or tells all that is wrong with it.
+    pub fn parse(text: &str) -> Result<Scenario, Vec<Fault>> {
+        let s: Scenario = toml::from_str(text).map_err(|e| {
+            let before = e.span().and_then(|s| text.get(..s.start)).unwrap_or("");
+            let path = format!("line {}", before.matches('\n').count() + 1);
+            vec![Fault { path, what: e.message().replace('\n', " ") }]
+        })?;
+        let mut faults: Vec<Fault> = Vec::new();
+        if let Err(report) = s.validate() {
+            // By the names of the file.
+            let path = |p: &garde::Path| {
+                let p = p.to_string().replace("teams[", "team[").replace("troubles[", "trouble[");
+                if p.ends_with(".at") { p + "_s" } else { p }
+            };
+            faults.extend(report.iter().map(|(p, e)| Fault { path: path(p), what: e.to_string() }));
+        }
+        let mut fault = |path: String, what: String| faults.push(Fault { path, what });
+        if s.most_machines < s.machines {
+            fault("most_machines".into(), format!("there are {} from the beginning", s.machines));
+        }
+        let mut seen = BTreeSet::new();
+        for (i, t) in s.teams.iter().enumerate() {
+            if !seen.insert(&t.name) {
+                fault(format!("team[{i}].name"), format!("{:?} is named twice", t.name));
+            }
+            if t.cpus_max > 0.0 && t.cpus > t.cpus_max {
+                fault(format!("team[{i}].cpus"), "more is guaranteed than the limit".into());
+            }
+            if s.room && t.cpus_max > 0.0 && s.services_cpus >= t.cpus_max {
+                let what = "services alone may fill the limit: nothing else would have room";
+                fault(format!("team[{i}].cpus_max"), what.into());
+            }
+        }
+        faults.sort();
+        if faults.is_empty() { Ok(s) } else { Err(faults) }
+    }
+
+    /// The JSON schema of the file.
+    pub fn schema() -> schemars::Schema {
+        schemars::schema_for!(Scenario)
+    }
+}
--- /dev/null
+++ b/crates/model/src/store.rs
@@ -0,0 +1,97 @@
+//! The state service: keys, versions, leases; an outage.
+
+use crate::stored::Keys;
+use lupinspur_scheduler::jobs::{JobRecord, job_key};
+use lupinspur_scheduler::ownership::SeenClaim;
+use lupinspur_wire::Change;
+use serde::de::DeserializeOwned;
+use std::collections::{BTreeMap, BTreeSet};
+
+#[derive(Default)]
+pub(crate) struct Store {
+    pub(crate) keys: Keys,
+    /// Until when each lease lives, how long it is renewed for, and the keys tied to it.
+    pub(crate) leases: BTreeMap<u64, (f64, f64, BTreeSet<String>)>,
+    pub(crate) next_lease: u64,
+    pub(crate) revision: u64,
+    pub(crate) down_until: f64,
+    pub(crate) was_down: bool,
+}
+
+impl Store {
+    pub(crate) fn up(&self, now: f64) -> bool {
+        now >= self.down_until
+    }
+
+    pub(crate) fn step(&mut self, now: f64) {
+        if !self.up(now) {
+            self.was_down = true;
+            return;
+        }
+        if std::mem::take(&mut self.was_down) {
+            self.leases.values_mut().for_each(|l| l.0 = now + l.1);
+        }
+        let over: Vec<u64> = self.leases.iter().filter(|(_, l)| now > l.0).map(|(i, _)| *i).collect();
+        for id in over {
+            let Some((_, _, keys)) = self.leases.remove(&id) else { continue };
+            for k in keys {
+                self.revision += 1;
+                self.keys.remove(&k);
+            }
+        }
+    }
+
+    pub(crate) fn grant(&mut self, now: f64, life_s: f64) -> u64 {
+        self.next_lease += 1;
+        self.leases.insert(self.next_lease, (now + life_s, life_s, BTreeSet::new()));
+        self.next_lease
+    }
+
+    pub(crate) fn renew(&mut self, id: u64, now: f64) -> bool {
+        self.leases.get_mut(&id).map(|l| l.0 = now + l.1).is_some()
+    }
+
+    pub(crate) fn version(&self, key: &str) -> u64 {
+        self.keys.get(key).map_or(0, |k| k.1)
+    }
+
+    pub(crate) fn commit(
+        &mut self,
+        conditions: &[(String, u64)],
+        changes: &[Change],
+        lease: Option<u64>,
+    ) -> Option<u64> {
+        if conditions.iter().any(|(k, v)| self.version(k) != *v) || lease.is_some_and(|l| !self.leases.contains_key(&l))
+        {
+            return None;
+        }
+        self.revision += 1;
+        for c in changes {
+            match c {
+                Change::Put { key, value, .. } => {
+                    self.leases.values_mut().for_each(|l| _ = l.2.remove(key));
+                    if let Some(l) = lease.and_then(|l| self.leases.get_mut(&l)) {
+                        l.2.insert(key.clone());
+                    }
+                    self.keys.insert(key.clone(), (value.clone(), self.revision));
+                }
+                Change::Delete { key } => _ = self.keys.remove(key),
+            }
+        }
+        Some(self.revision)
+    }
+
+    pub(crate) fn claim(&self, key: &str) -> Option<SeenClaim> {
+        let (v, version) = self.keys.get(key)?;
+        Some(SeenClaim { claim: serde_json::from_value(v.clone()).expect("a claim"), version: *version })
+    }
+
+    pub(crate) fn read<T: DeserializeOwned>(&self, key: &str) -> Option<(T, u64)> {
+        let (v, version) = self.keys.get(key)?;
+        Some((serde_json::from_value(v.clone()).expect("a value"), *version))
+    }
+
+    pub(crate) fn job(&self, id: &str) -> Option<JobRecord> {
+        Some(serde_json::from_value(self.keys.get(&job_key(id))?.0.clone()).expect("a record"))
+    }
+}
--- a/tests/stand_in/mod.rs
+++ b/crates/model/src/stored.rs
@@ -1,11 +1,11 @@
-//! What tests of decisions have in common: settings, machine types, and a stand-in for the state
-//! service's keys, as a successor reads them.
+//! A stand-in for the state service's keys, as a successor reads them, and machine types.
+//! A value that the decisions wrote and cannot read is a fault of theirs: it ends the test.
 
-use lupinspur::fleet::racks::RACK_PREFIX;
-use lupinspur::intern::{Index, RackIx};
-use lupinspur::jobs::{JOB_PREFIX, JobRecord, PART_PREFIX, PROGRESS_PREFIX, Phase, job_key};
-use lupinspur::shard::{Found, Loaded, job_of};
-use lupinspur::wire::MachineType;
+use lupinspur_scheduler::fleet::racks::RACK_PREFIX;
+use lupinspur_scheduler::intern::{Index, RackIx};
+use lupinspur_scheduler::jobs::{JOB_PREFIX, JobRecord, PART_PREFIX, PROGRESS_PREFIX, Phase, job_key};
+use lupinspur_scheduler::shard::{Found, Loaded, job_of};
+use lupinspur_wire::MachineType;
 use serde::de::DeserializeOwned;
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
@@ -13,56 +13,7 @@
 /// Keys with their values and versions.
 pub type Keys = BTreeMap<String, (Value, u64)>;
 
-pub const SETTINGS: &str = r#"
-host_name = "n0"
-domain = "a"
-bind = "127.0.0.1:1"
-peer_listen = "127.0.0.1:2"
-[services]
-cloud = "127.0.0.1:3"
-state = "127.0.0.1:4"
-[cluster]
-zones = ["a", "b", "c"]
-[[cluster.teams]]
-name = "red"
-cpus = 16.0
-cpus_max = 64.0
-[[cluster.teams]]
-name = "blue"
-[[cluster.objectives]]
-kind = "deadline"
-class = "match"
-times = 1.5
-[[cluster.objectives]]
-kind = "finished"
-class = "match"
-within_s = 120.0
-[[cluster.objectives]]
-kind = "finished"
-class = "letters"
-within_s = 60.0
-[[cluster.objectives]]
-kind = "wait"
-class = "letters"
-within_s = 30.0
-[[cluster.objectives]]
-kind = "wait"
-class = "desk"
-within_s = 1.0
-[cluster.workers]
-report_s = 3.0
-lease_s = 20.0
-cancel_s = 45.0
-[cluster.state]
-rps = 100.0
-write_rps = 30.0
-value_kb = 4.0
-txn_ops = 8
-[cluster.cloud]
-rps = 5.0
-list_lag_s = 5.0
-"#;
-
+/// The one machine type that the stand-in cloud has.
 pub fn types() -> Vec<MachineType> {
     serde_json::from_value(json!([{"name":"m32","cpus":32.0,"memory_gb":64.0,"local_gb":40.0,
         "pull_gb_per_s":0.5,"hourly":1.5,"spot_price":0.5,"ready_s":20.0,"fields":["a","b","c"]}]))
--- /dev/null
+++ b/crates/model/src/trouble.rs
@@ -0,0 +1,118 @@
+//! What goes wrong, and decisions that are wrong on purpose.
+
+use fastrand::Rng;
+use garde::Validate;
+use schemars::JsonSchema;
+use serde::Deserialize;
+
+/// What goes wrong. `which` is a controller or a machine, by its number.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize, JsonSchema)]
+#[serde(rename_all = "snake_case")]
+pub enum Kind {
+    /// A controller ends, and is back after a moment.
+    Ends,
+    /// It stands still while its clock runs on.
+    StandsStill,
+    /// It loses the state service and the other controllers, and keeps its workers.
+    Alone,
+    /// It loses its workers only.
+    LosesWorkers,
+    /// It is silent to everybody.
+    Silent,
+    /// The state service is down for all.
+    Outage,
+    /// Answers to commits are lost, and some commits come late.
+    LateCommits,
+    /// Direct commands are held back, and come late.
+    LateCommands,
+    Hangs,
+    /// A machine's process ends and is back at once, with a new session.
+    Restarts,
+    /// A machine is gone.
+    Dies,
+    /// What is said to a machine does not reach it, in answers, in commands, or in either.
+    DeafToAnswers,
+    DeafToCommands,
+    Deaf,
+    /// The same for a whole zone.
+    DeafZone,
+    /// A zone is cut off.
+    CutZone,
+    /// Copies of reports come late, some after more than a lease.
+    Copies,
+    /// Whatever runs there fails.
+    Faulty,
+}
+
+pub const KINDS: [Kind; 18] = [
+    Kind::Ends,
+    Kind::StandsStill,
+    Kind::Alone,
+    Kind::LosesWorkers,
+    Kind::Silent,
+    Kind::Outage,
+    Kind::LateCommits,
+    Kind::LateCommands,
+    Kind::Hangs,
+    Kind::Restarts,
+    Kind::Dies,
+    Kind::DeafToAnswers,
+    Kind::DeafToCommands,
+    Kind::Deaf,
+    Kind::DeafZone,
+    Kind::CutZone,
+    Kind::Copies,
+    Kind::Faulty,
+];
+
+/// One trouble: what, to whom, from when on and for how long, in seconds.
+#[derive(Debug, Clone, Copy, PartialEq, Deserialize, JsonSchema, Validate)]
+#[serde(deny_unknown_fields)]
+pub struct Trouble {
+    #[serde(rename = "at_s")]
+    #[garde(range(min = 0.0, max = 36000.0))]
+    pub at: f64,
+    #[garde(skip)]
+    pub kind: Kind,
+    /// The number of a controller, a machine or a zone, by the kind; past the last it begins anew.
+    #[serde(default)]
+    #[garde(skip)]
+    pub which: usize,
+    /// A process that ends is back after a tenth of this.
+    #[garde(range(min = 0.0, max = 3600.0))]
+    pub for_s: f64,
+}
+
+/// So many troubles of any kind while jobs are submitted.
+pub(crate) fn random(seed: u64, n: usize, within_s: f64) -> Vec<Trouble> {
+    // Not the draws that the world makes with this seed.
+    let mut rng = Rng::with_seed(!seed);
+    let mut one = || Trouble {
+        at: rng.f64() * (within_s - 10.0).max(0.0),
+        kind: KINDS[rng.usize(0..KINDS.len())],
+        which: rng.usize(..),
+        for_s: 0.2 + rng.f64() * 35.0,
+    };
+    (0..n).map(|_| one()).collect()
+}
+
+/// A deliberately wrong decision, by which the checks show that they see it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Wrong {
+    /// What earlier owners' machines may hold is thought to be known at once.
+    Resolved,
+    /// Limits are four times what they are.
+    Limits,
+    /// Spot machines pass for others.
+    Spot,
+    /// Nothing is ever told to stop.
+    Stops,
+    /// A job is called done before it is.
+    Done,
+    /// A cancelled job is called what it was.
+    Back,
+    /// Questions about one job are not answered.
+    Silent,
+    /// Each cell may use the whole of every limit.
+    Shares,
+}
--- /dev/null
+++ b/crates/model/src/users.rs
@@ -0,0 +1,166 @@
+//! Users: what they submit, ask and cancel, and what they are told.
+
+use crate::scenario::Team;
+use crate::trouble::Wrong;
+use crate::world::World;
+use fastrand::Rng;
+use lupinspur_scheduler::jobs::{JobRecord, Phase, job_key};
+use lupinspur_scheduler::shard::Shown;
+use lupinspur_wire::{Change, JobRequest, JobState};
+use serde_json::json;
+use std::collections::BTreeSet;
+
+/// A job as its user sees it.
+pub(crate) struct Job {
+    pub(crate) spec: JobRequest,
+    pub(crate) accepted: Option<f64>,
+    pub(crate) cancel_at: Option<f64>,
+    pub(crate) told: Option<JobState>,
+    pub(crate) told_cancelled_at: f64,
+    pub(crate) answered: f64,
+    pub(crate) next_poll: f64,
+    pub(crate) done: BTreeSet<u32>,
+    /// When its first task ran.
+    pub(crate) begun: Option<f64>,
+}
+
+impl Job {
+    pub(crate) fn cpus(&self) -> f64 {
+        f64::from(self.spec.tasks) * self.spec.cpus
+    }
+}
+
+pub(crate) fn spec(id: usize, teams: &[Team], rng: &mut Rng) -> JobRequest {
+    let service = rng.u8(..) < 80;
+    let cpus = [1.0, 2.0, 4.0][rng.usize(0..3)];
+    let saves = if !service && rng.bool() { 1.0 } else { 0.0 };
+    let tasks = if service { rng.u32(1..5) } else { rng.u32(1..12) };
+    serde_json::from_value(json!({
+        "id": format!("req-{id:04}"), "breed": if service { "desk" } else { "match" },
+        "herd": teams[rng.usize(0..teams.len())].name, "habit": if service { "standing" } else { "batch" },
+        "precedence": if service { "critical" } else { "standard" }, "seeds": tasks,
+        "cpus": cpus, "cards": 0.0, "memory_gb": 0.5, "same_place": false,
+        "scatter": service && tasks > 1, "fallow": !service && rng.bool(), "bulb": format!("img-{}", rng.u8(0..4)),
+        "pull_gb": 0.5, "expected_s": if service { 0.0 } else { 6.0 }, "pressing_s": saves, "pressing_cost_s": saves,
+        "harvest_s": null}))
+    .expect("a job")
+}
+
+pub(crate) fn job_done(j: &Job) -> bool {
+    j.done.len() == j.spec.tasks as usize
+}
+
+impl World {
+    /// What this controller's owner side says: None, it cannot say anything.
+    pub(crate) fn owner_says(&mut self, node: usize, c: usize, id: &str, cancel: bool) -> Option<JobState> {
+        let now = self.now;
+        let reaches = self.reaches(node);
+        let s = self.nodes[node].acting(c, now)?;
+        if cancel {
+            s.cancel(id);
+        }
+        match s.show(id) {
+            Some(Shown::Told(state, ..)) => {
+                let early = self.wrong == Some(Wrong::Done) && state == JobState::Running;
+                Some(if early { JobState::Done } else { state })
+            }
+            Some(Shown::Settling) => None,
+            None if reaches => self.record_says(id, cancel),
+            None => None,
+        }
+    }
+
+    pub(crate) fn record_says(&mut self, id: &str, cancel: bool) -> Option<JobState> {
+        let Some(r) = self.store.job(id) else {
+            self.breaks(format!("forgotten: {id} gets 404"));
+            return None;
+        };
+        match r.phase {
+            Phase::Done => Some(JobState::Done),
+            Phase::Cancelled => Some(JobState::Cancelled),
+            Phase::Open => (!cancel).then_some(JobState::Queued),
+        }
+    }
+
+    /// What a user hears who asks this controller.
+    pub(crate) fn ask(&mut self, node: usize, id: &str, cancel: bool) -> Option<JobState> {
+        let now = self.now;
+        if !self.nodes[node].runs(now) || self.wrong == Some(Wrong::Silent) && id.ends_with('3') {
+            return None;
+        }
+        let c = self.cell_of_job(node, id)?;
+        let owns = self.nodes[node].cells[c].own.may_act(now).is_some();
+        if owns {
+            return self.owner_says(node, c, id, cancel);
+        }
+        if let Some(o) = self.owner_known_to(node, c)
+            && self.hear_each_other(node, o)
+            && let Some(said) = self.owner_says(o, c, id, cancel)
+        {
+            return Some(said);
+        }
+        if self.reaches(node) { self.record_says(id, cancel) } else { None }
+    }
+
+    pub(crate) fn hear_each_other(&self, a: usize, b: usize) -> bool {
+        let now = self.now;
+        self.nodes[b].runs(now) && now >= self.nodes[a].no_peers && now >= self.nodes[b].no_peers
+    }
+
+    pub(crate) fn step_users(&mut self) {
+        let now = self.now;
+        let ids: Vec<String> = self.jobs.keys().cloned().collect();
+        for id in ids {
+            let job = &self.jobs[&id];
+            let node = self.rng.usize(0..self.controllers);
+            if job.accepted.is_none() {
+                let n = &self.nodes[node];
+                if now < job.next_poll || !n.runs(now) || !self.store.up(now) || now < n.no_state {
+                    continue;
+                }
+                let mut record = JobRecord::accepted(job.spec.clone(), (now * 1000.0) as u64);
+                if self.cells > 1 {
+                    record.cell = Some(n.seen.orders.0.home(&self.plan, &job.spec.team).0);
+                }
+                let value = serde_json::to_value(&record).expect("a record");
+                let change = Change::Put { key: job_key(&id), value, lease: None };
+                // The answer may be lost; the repetition finds it accepted.
+                let told = now >= self.late_commits || self.rng.bool();
+                self.store.commit(&[(job_key(&id), 0)], &[change], None);
+                if let Some(j) = self.jobs.get_mut(&id) {
+                    j.next_poll = now + 1.0;
+                    if told {
+                        (j.accepted, j.answered) = (Some(now), now);
+                    }
+                }
+                continue;
+            }
+            let cancels = job.cancel_at.is_some_and(|t| now >= t) && job.told_cancelled_at == f64::MAX;
+            let over = matches!(job.told, Some(JobState::Done | JobState::Cancelled));
+            if now < job.next_poll || over && self.rng.u8(..) > 20 {
+                continue;
+            }
+            let heard = self.ask(node, &id, cancels && !over);
+            let all_done = job_done(&self.jobs[&id]);
+            let cancelled = self.wrong == Some(Wrong::Back) && self.jobs[&id].told == Some(JobState::Cancelled);
+            let heard = heard.map(|h| if cancelled { JobState::Running } else { h });
+            let Some(j) = self.jobs.get_mut(&id) else { continue };
+            j.next_poll = now + if cancels { 1.0 } else { 5.0 };
+            let Some(state) = heard else { continue };
+            j.answered = now;
+            let before = j.told;
+            j.told = Some(state);
+            let asked = j.cancel_at.is_some_and(|t| now >= t);
+            if state == JobState::Cancelled {
+                j.told_cancelled_at = j.told_cancelled_at.min(now);
+            }
+            let goes_back = matches!(before, Some(JobState::Done | JobState::Cancelled)) && before != Some(state);
+            if goes_back || state == JobState::Cancelled && !asked {
+                self.breaks(format!("went_back: {id} is called {state:?} after {before:?}"));
+            }
+            if state == JobState::Done && !all_done {
+                self.breaks(format!("not_done: {id}"));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/model/src/world.rs
@@ -0,0 +1,278 @@
+//! Everything there is, in virtual time.
+
+use crate::between::{LEDGER_KEY, Seen, put};
+use crate::controllers::Node;
+use crate::machines::Machine;
+use crate::messages::Message;
+use crate::report::Counts;
+use crate::scenario::{self, Scenario};
+use crate::store::Store;
+use crate::trouble::{Kind, Trouble, Wrong};
+use crate::users::{Job, spec};
+use crate::{CANCEL_S, LEASE_S, REPORT_S, STEP};
+use fastrand::Rng;
+use lupinspur_accounts::{Milestone, Terms};
+use lupinspur_cells::escrow::Ledger;
+use lupinspur_cells::plan::Home;
+use lupinspur_cells::{CellIx, Plan};
+use lupinspur_scheduler::params::{Params, Team};
+use lupinspur_scheduler::shard::limits;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+pub(crate) const ZONES: [&str; 3] = ["a", "b", "c"];
+
+/// What the platform says: small values and transactions, so that much has to be parted.
+fn params(s: &Scenario) -> Params {
+    let team = |t: &scenario::Team| Team {
+        name: t.name.clone(),
+        cpus: t.cpus,
+        cpus_max: t.cpus_max,
+        cards: 0.0,
+        cards_max: 0.0,
+    };
+    let mut terms = HashMap::new();
+    let done = vec![Milestone::Deadline(1.5), Milestone::Within(120.0)];
+    terms.insert("match".to_owned(), Terms { done, ..Terms::default() });
+    terms.insert("desk".to_owned(), Terms { wait_s: Some(1.0), ..Terms::default() });
+    Params {
+        teams: s.teams.iter().map(team).collect(),
+        zones: ZONES.map(str::to_owned).to_vec(),
+        terms,
+        report_s: REPORT_S,
+        lease_s: LEASE_S,
+        cancel_s: CANCEL_S,
+        list_lag_s: 5.0,
+        time_bound_s: 0.0,
+        value_kb: 4.0,
+        value_bytes: 3968,
+    }
+}
+
+pub(crate) struct World {
+    pub(crate) now: f64,
+    pub(crate) cells: usize,
+    pub(crate) plan: Plan,
+    pub(crate) rng: Rng,
+    pub(crate) controllers: usize,
+    pub(crate) params: Params,
+    pub(crate) scenario: Scenario,
+    pub(crate) store: Store,
+    pub(crate) nodes: Vec<Node>,
+    pub(crate) machines: Vec<Machine>,
+    pub(crate) by_name: HashMap<String, usize>,
+    pub(crate) jobs: BTreeMap<String, Job>,
+    pub(crate) under_way: Vec<(f64, Message)>,
+    pub(crate) late_commits: f64,
+    pub(crate) late_commands: f64,
+    pub(crate) copies: f64,
+    /// Rental names, and what they returned.
+    pub(crate) rented: HashMap<String, Vec<String>>,
+    pub(crate) trouble_until: f64,
+    pub(crate) wrong: Option<Wrong>,
+    pub(crate) broken: Option<String>,
+    pub(crate) counts: Counts,
+}
+
+impl World {
+    pub(crate) fn new(seed: u64, scenario: &Scenario, wrong: Option<Wrong>) -> World {
+        let (cells, controllers) = (scenario.cells as usize, scenario.controllers);
+        let mut plan = Plan::of(scenario.cells);
+        if cells > 1 {
+            let home =
+                |(i, t): (usize, &scenario::Team)| Home { name: t.name.clone(), cell: i as u32 % scenario.cells };
+            plan.teams = scenario.teams.iter().enumerate().map(home).collect();
+            plan.reassign_after_s = 4.0;
+        }
+        let mut w = World {
+            now: 0.0,
+            cells,
+            controllers,
+            plan,
+            rng: Rng::with_seed(seed),
+            params: params(scenario),
+            scenario: scenario.clone(),
+            store: Store::default(),
+            nodes: Vec::new(),
+            machines: Vec::new(),
+            by_name: HashMap::new(),
+            jobs: BTreeMap::new(),
+            under_way: Vec::new(),
+            late_commits: 0.0,
+            late_commands: 0.0,
+            copies: 0.0,
+            rented: HashMap::new(),
+            trouble_until: 0.0,
+            wrong,
+            broken: None,
+            counts: Counts::of(cells),
+        };
+        for i in 0..controllers {
+            w.nodes.push(Node {
+                name: format!("n{i}"),
+                back_at: 0.0,
+                still: 0.0,
+                no_state: 0.0,
+                no_peers: 0.0,
+                no_workers: 0.0,
+                life: 0,
+                cells: Vec::new(),
+                seen: Seen::default(),
+                seen_at: -10.0,
+                job_cells: HashMap::new(),
+                machine_cells: HashMap::new(),
+            });
+            w.nodes[i].begin(cells);
+        }
+        if cells > 1 {
+            // As when the plan came into force, before anything ran.
+            let ledger = Ledger::begin(&limits(&w.params.teams), cells as u32, CellIx(0));
+            w.store.commit(&[], &[put(LEDGER_KEY, &ledger)], None);
+        }
+        for i in 0..scenario.machines {
+            w.add_machine(i % 3, i % 3 == 2, 0.0);
+        }
+        w
+    }
+
+    pub(crate) fn add_machine(&mut self, zone: usize, spot: bool, up_at: f64) -> String {
+        let name = format!("host-{:06}", self.machines.len());
+        self.by_name.insert(name.clone(), self.machines.len());
+        let at = self.rng.usize(0..self.controllers);
+        self.machines.push(Machine {
+            name: name.clone(),
+            zone,
+            spot,
+            up_at,
+            born: self.now,
+            gone: false,
+            session: 1,
+            seq: 0,
+            token: 0,
+            renewed: up_at,
+            tasks: BTreeMap::new(),
+            hangs: 0.0,
+            deaf_answers: 0.0,
+            deaf_commands: 0.0,
+            cut: 0.0,
+            faulty: 0.0,
+            at,
+            next_report: up_at + self.rng.f64() * REPORT_S,
+            waits: None,
+        });
+        name
+    }
+
+    pub(crate) fn breaks(&mut self, what: String) {
+        let now = self.now;
+        self.broken.get_or_insert(format!("at {now:.2}: {what}"));
+    }
+
+    pub(crate) fn send(&mut self, after: f64, m: Message) {
+        self.under_way.push((self.now + after, m));
+    }
+
+    pub(crate) fn latency(&mut self) -> f64 {
+        0.02 + self.rng.f64() * 0.08
+    }
+
+    pub(crate) fn strikes(&mut self, t: Trouble) {
+        let (now, until) = (self.now, self.now + t.for_s);
+        self.trouble_until = self.trouble_until.max(until);
+        let n = t.which % self.controllers;
+        let m = t.which % self.machines.len();
+        match t.kind {
+            Kind::Ends => {
+                let (cells, node) = (self.cells, &mut self.nodes[n]);
+                node.back_at = now + (t.for_s / 10.0).max(STEP);
+                node.life += 1;
+                node.begin(cells);
+            }
+            Kind::StandsStill => self.nodes[n].still = until,
+            Kind::Alone => (self.nodes[n].no_state, self.nodes[n].no_peers) = (until, until),
+            Kind::LosesWorkers => self.nodes[n].no_workers = until,
+            Kind::Silent => {
+                let node = &mut self.nodes[n];
+                (node.no_state, node.no_peers, node.no_workers) = (until, until, until);
+            }
+            Kind::Outage => self.store.down_until = self.store.down_until.max(until),
+            Kind::LateCommits => self.late_commits = until,
+            Kind::LateCommands => self.late_commands = until,
+            Kind::Copies => self.copies = until,
+            Kind::Hangs => self.machines[m].hangs = until,
+            Kind::Restarts => {
+                let machine = &mut self.machines[m];
+                machine.tasks.clear();
+                machine.session += 1;
+                (machine.renewed, machine.waits) = (now, None);
+            }
+            Kind::Dies => self.machines[m].gone = true,
+            Kind::DeafToAnswers => self.machines[m].deaf_answers = until,
+            Kind::DeafToCommands => self.machines[m].deaf_commands = until,
+            Kind::Deaf => (self.machines[m].deaf_answers, self.machines[m].deaf_commands) = (until, until),
+            Kind::DeafZone => {
+                for x in self.machines.iter_mut().filter(|x| x.zone == t.which % 3) {
+                    (x.deaf_answers, x.deaf_commands) = (until, until);
+                }
+            }
+            Kind::CutZone => self.machines.iter_mut().filter(|x| x.zone == t.which % 3).for_each(|x| x.cut = until),
+            Kind::Faulty => self.machines[m].faulty = until,
+        }
+    }
+
+    pub(crate) fn play(&mut self, troubles: &[Trouble]) {
+        let mut next_job = 0_u32;
+        let mut due: Vec<Trouble> = troubles.to_vec();
+        due.sort_by(|a, b| a.at.total_cmp(&b.at));
+        let (jobs_for, calm) = (self.scenario.jobs_for_s, self.scenario.calm_s);
+        let last = due.iter().map(|t| t.at + t.for_s).fold(jobs_for, f64::max);
+        self.trouble_until = last;
+        let mut due = due.into_iter().peekable();
+        let mut steps = 0u64;
+        while self.now < last + calm && self.broken.is_none() {
+            self.now = steps as f64 * STEP;
+            steps += 1;
+            while let Some(t) = due.next_if(|t| t.at + 8.0 <= self.now) {
+                self.strikes(t);
+            }
+            while self.now > 3.0 && self.now < jobs_for && self.now >= f64::from(next_job) * self.scenario.job_every_s {
+                next_job += 1;
+                let spec = spec(next_job as usize, &self.scenario.teams, &mut self.rng);
+                let cancels = self.rng.u8(..) < 60;
+                let cancel_at = cancels.then(|| self.now + 2.0 + self.rng.f64() * 30.0);
+                let job = Job {
+                    spec,
+                    accepted: None,
+                    cancel_at,
+                    told: None,
+                    told_cancelled_at: f64::MAX,
+                    answered: self.now,
+                    next_poll: self.now,
+                    done: BTreeSet::new(),
+                    begun: None,
+                };
+                // A team's services must not fill its limit: then others wait rightly.
+                let held: f64 = self
+                    .jobs
+                    .values()
+                    .filter(|j| j.spec.team == job.spec.team && j.spec.estimate_s == 0.0)
+                    .map(Job::cpus)
+                    .sum();
+                if job.spec.estimate_s > 0.0 || held + job.cpus() < self.scenario.services_cpus {
+                    self.jobs.insert(job.spec.id.clone(), job);
+                }
+            }
+            self.store.step(self.now);
+            let now = self.now;
+            let (ready, rest): (Vec<_>, Vec<_>) =
+                std::mem::take(&mut self.under_way).into_iter().partition(|(t, _)| *t <= now);
+            self.under_way = rest;
+            ready.into_iter().for_each(|(_, m)| self.deliver(m));
+            (0..self.controllers).for_each(|i| self.step_node(i));
+            (0..self.machines.len()).for_each(|i| self.step_machine(i));
+            self.step_users();
+            if steps.is_multiple_of(10) {
+                self.check();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/model/tests/scenario.rs
@@ -0,0 +1,55 @@
+//! The scenario file: the published schema and the example are what the program reads, and every fault of
+//! a file is told by its path, all at once.
+
+use lupinspur_model::{Scenario, simulate};
+use std::path::PathBuf;
+
+fn deploy(name: &str) -> PathBuf {
+    [env!("CARGO_MANIFEST_DIR"), "..", "..", "deploy", name].iter().collect()
+}
+
+/// `UPDATE_SCHEMA=1 cargo test -p lupinspur-model` writes it anew.
+#[test]
+fn the_published_schema_is_that_of_the_program() {
+    let schema = serde_json::to_string_pretty(&Scenario::schema()).expect("JSON") + "\n";
+    if std::env::var_os("UPDATE_SCHEMA").is_some() {
+        std::fs::write(deploy("scenario.schema.json"), &schema).expect("written");
+    }
+    assert_eq!(std::fs::read_to_string(deploy("scenario.schema.json")).expect("a schema"), schema);
+}
+
+#[test]
+fn the_example_plays_without_a_broken_rule() {
+    let text = std::fs::read_to_string(deploy("scenario.toml")).expect("an example");
+    let scenario = Scenario::parse(&text).expect("a scenario");
+    for r in simulate(&scenario, 1, 2, 2) {
+        assert_eq!((r.broken, r.begun > 0, r.claims > 1), (None, true, true), "an owner ends in it");
+    }
+}
+
+#[test]
+fn what_makes_no_sense_is_told_by_its_path() {
+    let text = r#"
+        cells = 0
+        machines = 20
+        most_machines = 10
+        [[team]]
+        name = "red"
+        cpus = 50.0
+        cpus_max = 30.0
+        [[team]]
+        name = "red"
+        [[trouble]]
+        at_s = -1.0
+        kind = "ends"
+        for_s = 5.0
+    "#;
+    let faults = Scenario::parse(text).expect_err("faults");
+    let paths: Vec<&str> = faults.iter().map(|f| f.path.as_str()).collect();
+    let wanted = ["cells", "most_machines", "team[0].cpus", "team[0].cpus_max", "team[1].name", "trouble[0].at_s"];
+    assert_eq!(paths, wanted, "{faults:?}");
+    for (text, told) in [("cels = 2", "line 1: unknown field"), ("\ncells = \"two\"", "line 2: invalid type")] {
+        let fault = Scenario::parse(text).expect_err("a fault").remove(0).to_string();
+        assert!(fault.starts_with(told), "{fault}");
+    }
+}
--- /dev/null
+++ b/crates/model/tests/storms.rs
@@ -0,0 +1,94 @@
+//! Random troubles over the decisions as they are. A storm is a list of troubles and a seed; proptest
+//! shortens the list of one that breaks a rule. `STORMS=200 cargo test -p lupinspur-model --test storms`
+//! plays more of them, `STORM_MACHINES=300` larger ones, `STORM_CELLS=5` over more cells.
+
+use lupinspur_model::{KINDS, Kind, Run, Scenario, Trouble, Wrong, play};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed, TestRunner};
+
+fn from_env(name: &str, otherwise: u32) -> u32 {
+    std::env::var(name).ok().and_then(|v| v.parse().ok()).unwrap_or(otherwise)
+}
+
+fn troubles(most: usize) -> impl Strategy<Value = Vec<Trouble>> {
+    let one = (0.0..50.0, 0..KINDS.len(), 0..64usize, 0.2..35.0f64).prop_map(|(at, kind, which, for_s)| Trouble {
+        at,
+        kind: KINDS[kind],
+        which,
+        for_s,
+    });
+    proptest::collection::vec(one, 0..most)
+}
+
+/// No rule is broken whatever happens together, and once it is over every job is answered and has begun
+/// within the stated times.
+#[test]
+fn no_storm_breaks_a_rule_or_loses_a_job() {
+    storms(1, from_env("STORMS", 24));
+}
+
+/// The same with three cells, between which jobs, shares, machines and homes move: they are short of
+/// machines.
+#[test]
+fn no_storm_over_cells_breaks_a_rule_or_loses_a_job() {
+    storms(from_env("STORM_CELLS", 3), from_env("STORMS", 24));
+}
+
+fn storms(cells: u32, cases: u32) {
+    let machines = from_env("STORM_MACHINES", if cells > 1 { 6 } else { 9 }) as usize;
+    let most_machines = machines.max(if cells > 1 { 8 } else { 80 });
+    let scenario = Scenario { cells, machines, most_machines, ..Scenario::default() };
+    let seed = u64::from(from_env("STORM_SEED", 32));
+    let config = Config {
+        cases,
+        rng_seed: RngSeed::Fixed(seed),
+        failure_persistence: None,
+        max_shrink_iters: 400,
+        ..Config::default()
+    };
+    let result = TestRunner::new(config).run(&(any::<u64>(), troubles(14)), |(seed, troubles)| {
+        play(&scenario, seed, &troubles, None).broken.map_or(Ok(()), |what| Err(TestCaseError::fail(what)))
+    });
+    if let Err(e) = result {
+        panic!("{e}");
+    }
+}
+
+/// Each check sees a decision that is deliberately wrong.
+#[test]
+fn wrong_decisions_are_seen() {
+    let ends = |which| Trouble { at: 20.0, kind: Kind::Ends, which, for_s: 60.0 };
+    let cut = [Trouble { at: 19.0, kind: Kind::CutZone, which: 0, for_s: 15.0 }];
+    let cut: Vec<Trouble> = (0..3).map(ends).chain(cut).collect();
+    let cases = [
+        (Wrong::Resolved, cut, "ran_twice", 1),
+        (Wrong::Limits, Vec::new(), "quota", 1),
+        (Wrong::Spot, Vec::new(), "wrong_place", 1),
+        (Wrong::Stops, Vec::new(), "ran_cancelled", 1),
+        (Wrong::Done, Vec::new(), "not_done", 1),
+        (Wrong::Back, Vec::new(), "went_back", 1),
+        (Wrong::Silent, Vec::new(), "forgotten", 1),
+        (Wrong::Shares, Vec::new(), "quota", 3),
+    ];
+    for (wrong, troubles, rule, cells) in cases {
+        let most_machines = if cells > 1 { 9 } else { 80 };
+        let scenario = Scenario { cells, most_machines, ..Scenario::default() };
+        let sees = |seed| play(&scenario, seed, &troubles, Some(wrong)).broken.is_some_and(|s| s.contains(rule));
+        assert!((0..40).any(sees), "{wrong:?} is not seen as {rule}");
+    }
+}
+
+/// Whoever plays a scenario again sees the same: only how long it took differs.
+#[test]
+fn the_same_seed_plays_the_same() {
+    let scenario = Scenario { cells: 3, most_machines: 9, random_troubles: 6, ..Scenario::default() };
+    let runs = || -> Vec<Run> {
+        let all = lupinspur_model::simulate(&scenario, 7, 3, 2);
+        all.into_iter().map(|r| Run { processor: Vec::new(), ..r }).collect()
+    };
+    let (first, second) = (runs(), runs());
+    assert_eq!(first, second);
+    let seeds: Vec<u64> = first.iter().map(|r| r.seed).collect();
+    assert_eq!(seeds, [7, 8, 9]);
+    assert!(first.iter().all(|r| r.begun > 10 && r.waits.is_some()), "{first:?}");
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -16,9 +16,10 @@
     /// Check the settings and other files and exit without starting anything.
     #[arg(long)]
     check: bool,
-    /// How much is logged to standard error: error, warn, info, debug or off.
-    #[arg(long, env = "LOG_LEVEL", default_value = "info", global = true)]
-    log_level: String,
+    /// How much is logged to standard error: error, warn, info, debug or off; info for a controller,
+    /// warn for a question, unless told otherwise.
+    #[arg(long, env = "LOG_LEVEL", global = true)]
+    log_level: Option<String>,
     /// File of organisations whose quotas nest (TOML); without it teams stand side by side.
     #[arg(long, env = "LUPINSPUR_QUOTAS", value_name = "FILE")]
     quotas: Option<PathBuf>,
@@ -71,7 +72,8 @@
 }
 
 fn run(args: Args) -> Result<(), String> {
-    lupinspur::logging::init(&args.log_level).map_err(|e| format!("LOG_LEVEL: {e}"))?;
+    let level = args.log_level.as_deref().unwrap_or(if args.query.is_some() { "warn" } else { "info" });
+    lupinspur::logging::init(level).map_err(|e| format!("LOG_LEVEL: {e}"))?;
     if let Some(q) = &args.query {
         let (text, good) = lupinspur::query::run(q)?;
         print!("{text}");
--- a/src/query.rs
+++ b/src/query.rs
@@ -1,10 +1,11 @@
-//! What operators ask a running controller, by the command line.
+//! What operators ask by the command line: of a running controller, of the state service, of the model.
 
 use crate::settings::Settings;
 use crate::shard::{ElasticTold, QuotaRow, QuotasTold};
 use async_executor::Executor;
 use clap::Subcommand;
 use lupinspur_accounts::Told;
+use lupinspur_model::{Run, Scenario};
 use std::fmt::Write as _;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -38,6 +39,21 @@
     /// Looks at what the state service holds, without the controllers.
     #[command(subcommand)]
     State(StateQuery),
+    /// Plays a scenario in virtual time, with the decisions as they are and stand-ins for everything else,
+    /// and tells what came of it. Fails where a rule is broken.
+    Simulate {
+        /// Scenario file (TOML); deploy/scenario.toml is an example.
+        scenario: PathBuf,
+        /// How many times, each with the next seed.
+        #[arg(long, default_value_t = 8, value_parser = clap::value_parser!(u64).range(1..=100_000))]
+        seeds: u64,
+        /// The first seed.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// JSON instead of a table.
+        #[arg(long)]
+        json: bool,
+    },
     /// Shows what each class of jobs and each team asked for, and what it was served.
     Service {
         /// Where any controller listens for its peers (peer_listen in its settings). Submissions
@@ -78,10 +94,63 @@
         Query::Quotas { peer, job, json } => Ok((quotas(*peer, job, *json)?, true)),
         Query::Service { peer, cell, json } => Ok((service(*peer, *cell, *json)?, true)),
         Query::Elastic { peer, cell, json } => Ok((elastic(*peer, *cell, *json)?, true)),
+        Query::Simulate { scenario, seeds, seed, json } => simulate(scenario, *seed, *seeds, *json),
         Query::State(StateQuery::Check { config, rate, json }) => check_state(config, *rate, *json),
     }
 }
 
+/// More at once gain nothing: each run keeps one processor busy.
+const MOST_THREADS: usize = 32;
+
+fn simulate(path: &Path, first: u64, seeds: u64, json: bool) -> Result<(String, bool), String> {
+    let at = |what: &dyn std::fmt::Display| format!("{}: {what}", path.display());
+    let text = std::fs::read_to_string(path).map_err(|e| at(&e))?;
+    let scenario =
+        Scenario::parse(&text).map_err(|faults| faults.iter().map(|f| at(f)).collect::<Vec<String>>().join("\n"))?;
+    let threads = std::thread::available_parallelism().map_or(1, usize::from).min(MOST_THREADS);
+    let runs = lupinspur_model::simulate(&scenario, first, seeds, threads);
+    let text = if json { serde_json::to_string(&runs).map_err(|e| e.to_string())? } else { runs_table(&runs) };
+    Ok((text, runs.iter().all(|r| r.broken.is_none())))
+}
+
+/// A row for each seed, then every rule that was broken.
+pub fn runs_table(runs: &[Run]) -> String {
+    let head = [
+        "seed",
+        "jobs",
+        "begun",
+        "done",
+        "cancelled",
+        "waits p50/p90/max s",
+        "unanswered s",
+        "claims",
+        "starts",
+        "writes",
+        "spilled",
+        "machines moved",
+        "processor s",
+    ];
+    let mut rows = vec![head.map(str::to_owned).to_vec()];
+    for r in runs {
+        let waits = r.waits.map_or("-".to_owned(), |[a, b, c]| format!("{a:.1}/{b:.1}/{c:.1}"));
+        let mut row: Vec<String> =
+            [r.seed, r.jobs as u64, r.begun as u64, r.done as u64, r.cancelled as u64].map(|n| n.to_string()).to_vec();
+        row.extend([waits, format!("{:.1}", r.unanswered)]);
+        let writes = r.writes.iter().sum::<u64>();
+        row.extend([r.claims + r.raised, r.starts, writes, r.spilled, r.handed].map(|n| n.to_string()));
+        row.push(format!("{:.2}", r.processor.iter().sum::<f64>()));
+        rows.push(row);
+    }
+    let mut out = String::new();
+    lay_out(&mut out, &rows, 0);
+    for r in runs {
+        if let Some(b) = &r.broken {
+            let _ = writeln!(out, "broken with seed {}: {b}", r.seed);
+        }
+    }
+    out
+}
+
 fn check_state(config: &Path, rate: f64, json: bool) -> Result<(String, bool), String> {
     if !(rate.is_finite() && rate > 0.0) {
         return Err(format!("--rate: {rate} must be above zero"));
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -27,8 +27,57 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::fmt::Write as _;
 
-mod stand_in;
-use stand_in::{SETTINGS, types};
+use lupinspur_model::stored::{self, types};
+
+const SETTINGS: &str = r#"
+host_name = "n0"
+domain = "a"
+bind = "127.0.0.1:1"
+peer_listen = "127.0.0.1:2"
+[services]
+cloud = "127.0.0.1:3"
+state = "127.0.0.1:4"
+[cluster]
+zones = ["a", "b", "c"]
+[[cluster.teams]]
+name = "red"
+cpus = 16.0
+cpus_max = 64.0
+[[cluster.teams]]
+name = "blue"
+[[cluster.objectives]]
+kind = "deadline"
+class = "match"
+times = 1.5
+[[cluster.objectives]]
+kind = "finished"
+class = "match"
+within_s = 120.0
+[[cluster.objectives]]
+kind = "finished"
+class = "letters"
+within_s = 60.0
+[[cluster.objectives]]
+kind = "wait"
+class = "letters"
+within_s = 30.0
+[[cluster.objectives]]
+kind = "wait"
+class = "desk"
+within_s = 1.0
+[cluster.workers]
+report_s = 3.0
+lease_s = 20.0
+cancel_s = 45.0
+[cluster.state]
+rps = 100.0
+write_rps = 30.0
+value_kb = 4.0
+txn_ops = 8
+[cluster.cloud]
+rps = 5.0
+list_lag_s = 5.0
+"#;
 
 struct World {
     settings: Settings,
@@ -103,7 +152,7 @@
     }
 
     fn readable<T: DeserializeOwned>(&self, prefix: &str) -> Vec<(String, T, u64)> {
-        stand_in::readable(&self.store, prefix)
+        stored::readable(&self.store, prefix)
     }
 
     fn report(&self, name: &str, args: &[&str]) -> Report {
@@ -243,7 +292,7 @@
                     head: self.readable("quota/head").pop().map(|(_, h, v)| (h, v)),
                     parts,
                 });
-                let (mut loaded, what) = stand_in::loaded(&self.store, self.revision);
+                let (mut loaded, what) = stored::loaded(&self.store, self.revision);
                 if let Some(what) = what {
                     self.say(&what);
                 }
