Nothing gives way at a limit to a service that has no place

A service at its team's limit had batch work of the team stopped for it, though it had no place at all (its replicas must be spread, and the zone they lack was cut off). A second later the work was started again in the room that it had left, and stopped again, for as long as that lasted; where a place came, the work could still be sooner. Change: looked up first is whether a task would start or be made room for; at most 16 services a pass, then the next. Until it has started, what gave way is kept from other batch work of its team.

--- a/crates/scheduler/src/shard/mod.rs
+++ b/crates/scheduler/src/shard/mod.rs
@@ -168,6 +168,8 @@
     pub(crate) place_due: bool,
     /// Cpus set apart for batch work that is late, see placement.
     pub(crate) late_credit: f64,
+    /// So many services at limits were looked up before, in the order of their turns.
+    pub(crate) limits_looked_up: usize,
     largest: largest::Largest,
     compared: compare::Glue,
     /// Machines between this cell and others.
--- a/crates/scheduler/src/shard/placement.rs
+++ b/crates/scheduler/src/shard/placement.rs
@@ -376,8 +376,8 @@
         s.machines.iter().filter(|(_, m)| has_room(s, m) && m.usable(now, silent_s)).map(|(i, _)| i).collect();
     let mut hopeless = Hopeless(Vec::new());
     let (mut starts, mut rooms_made) = (0, 0);
-    let mut at_limits = Vec::new();
-    // Teams whose limit is kept for a large job.
+    let (mut at_limits, mut looked_up) = (Vec::new(), 0_usize);
+    // Teams whose limit is kept for a large job, or for a service.
     let mut waits_for_it: HashMap<TeamIx, JobIx> = HashMap::new();
     s.look_at_kept(now);
     let mut turns = VecDeque::from(turns);
@@ -385,7 +385,18 @@
         let job = s.jobs.at(turn.job);
         let urgent = job.spec.priority == Priority::Production;
         if !within_limit(s, job, shadow) {
-            at_limits.extend(urgent.then_some(turn.job));
+            if urgent {
+                looked_up += 1;
+                // What gave way to one that has no place was started again in its room, and gave way again.
+                let turns_up = (1..=MOST_LOOKED_UP).contains(&looked_up.saturating_sub(s.limits_looked_up));
+                if turns_up && has_place(s, &turn, &roomy, now) {
+                    at_limits.push(turn.job);
+                    if s.limit_will_do(turn.job) {
+                        waits_for_it.entry(s.jobs.at(turn.job).team).or_insert(turn.job);
+                    }
+                }
+                continue;
+            }
             if turn.first_part && s.limit_will_do(turn.job) {
                 waits_for_it.entry(job.team).or_insert(turn.job);
             }
@@ -450,6 +461,9 @@
                 rooms_made += 1;
                 if make_room(s, &turn, fetches, now) {
                     s.others_wait = true;
+                    if is_tight(s, s.jobs.at(turn.job), least, shadow) {
+                        waits_for_it.entry(s.jobs.at(turn.job).team).or_insert(turn.job);
+                    }
                     break;
                 }
             }
@@ -485,9 +499,27 @@
             roomy.retain(|&i| has_room(s, s.machines.at(i)));
         }
     }
+    let more = looked_up > s.limits_looked_up + MOST_LOOKED_UP;
+    s.limits_looked_up = if more { s.limits_looked_up + MOST_LOOKED_UP } else { 0 };
     s.room_within_limits(&at_limits);
 }
 
+/// Services at limits of which it is looked up at a time whether they have a place; then the next.
+const MOST_LOOKED_UP: usize = 16;
+
+/// Would a task of this job start now, or be made room for, if its limit let it?
+fn has_place(s: &Shard, turn: &Turn, roomy: &[MachineIx], now: f64) -> bool {
+    !options(s, s.jobs.at(turn.job), roomy, now).is_empty() || room_for(s, turn, false, now).is_some()
+}
+
+/// Is there no room below its team's limit for what waits of this job and for a task of `least` cpus?
+fn is_tight(s: &Shard, job: &Job, least: f64, shadow: (f64, f64)) -> bool {
+    let (team, n) = (&s.teams[job.team.ix()], job.queue.len() as f64);
+    let tight = |max: f64, used: f64, need: f64| max > 0.0 && need > 0.0 && used + need > max + EPS;
+    tight(team.spec.cpus_max, team.cpus_used + shadow.0 + least, n * job.spec.cpus)
+        || tight(team.spec.cards_max, team.cards_used + shadow.1, n * job.spec.cards)
+}
+
 /// Would so many tasks of this job find room on these machines together, within its limits?
 fn fits_at_once(s: &Shard, job: &Job, options: &[(f64, MachineIx)], n: u32, shadow: (f64, f64)) -> bool {
     let r = &job.spec;
@@ -511,10 +543,22 @@
 /// Stops work of lower priority where that lets a task of this job start, on one
 /// machine a pass; `with_image`: only where its image is. True if room is coming.
 fn make_room(s: &mut Shard, turn: &Turn, with_image: bool, now: f64) -> bool {
-    let job = s.jobs.at(turn.job);
     if !s.writable {
         return false;
     }
+    let Some((m, victims)) = room_for(s, turn, with_image, now) else {
+        return with_image && move_replica(s, turn.job, now);
+    };
+    for k in victims {
+        log::debug!("{}/{} makes room", s.jobs.at(k.0).id, k.1);
+        s.give_room(m, k);
+    }
+    true
+}
+
+/// Where that would cost least, and what would be stopped there.
+fn room_for(s: &Shard, turn: &Turn, with_image: bool, now: f64) -> Option<(MachineIx, Vec<crate::jobs::TaskKey>)> {
+    let job = s.jobs.at(turn.job);
     let silent_s = s.fresh_s();
     let surpluses = s.surpluses();
     let mut options: Vec<(f64, MachineIx, Vec<crate::jobs::TaskKey>)> = Vec::new();
@@ -577,13 +621,7 @@
             options.push((cost(s, job, m) + kept, i, victims));
         }
     }
-    options.sort_by(|a, b| a.0.total_cmp(&b.0));
-    let Some((_, m, victims)) = options.into_iter().next() else { return with_image && move_replica(s, turn.job, now) };
-    for k in victims {
-        log::debug!("{}/{} makes room", s.jobs.at(k.0).id, k.1);
-        s.give_room(m, k);
-    }
-    true
+    options.into_iter().min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, m, victims)| (m, victims))
 }
 
 /// Where a service's image is, only services are. One replica that can go on at
--- a/crates/scheduler/src/shard/takeover.rs
+++ b/crates/scheduler/src/shard/takeover.rs
@@ -93,6 +93,7 @@
             fleet_at: now,
             place_due: true,
             late_credit: 0.0,
+            limits_looked_up: 0,
             largest: largest::Largest::new(),
             compared: compare::Glue::default(),
             hands: handing::Glue::new(loaded.away),
