--- a/crates/model/src/rules.rs
+++ b/crates/model/src/rules.rs
@@ -1,8 +1,10 @@
 //! The rules, counted from the machines' and the users' side.
 
+use crate::between::LEDGER_KEY;
 use crate::machines::State;
 use crate::world::World;
 use crate::{ANSWERED_WITHIN_S, BEGUN_WITHIN_S, CANCEL_S};
+use lupinspur_cells::escrow::Ledger;
 use lupinspur_scheduler::intern::Index;
 use lupinspur_scheduler::shard::Shard;
 use lupinspur_wire::JobState;
@@ -61,6 +63,7 @@
             return format!("no owner knows it; {:?}", self.store.job(id).map(|r| (r.cell, r.phase)));
         };
         let Some(j) = s.jobs.find(id) else { return "the owner does not know it".into() };
+        let shares = self.store.read::<Ledger>(LEDGER_KEY).map(|l| l.0.teams);
         let job = s.jobs.at(j);
         let held: Vec<String> = s
             .machines
@@ -70,7 +73,7 @@
             .collect();
         let team = &s.teams[job.team.ix()];
         format!(
-            "{} of {} held, {} shadowed, not before {:.1}, failed on {}, team uses {} of {}, {} machines; {held:?}; {:?}",
+            "shares {shares:?}, {} of {} held, {} shadowed, not before {:.1}, failed on {}, team uses {} of {}, {} machines; {held:?}; {:?}",
             job.held,
             job.spec.tasks,
             job.shadowed_by,
--- a/crates/model/tests/storms.rs
+++ b/crates/model/tests/storms.rs
@@ -92,3 +92,12 @@
     assert_eq!(seeds, [7, 8, 9]);
     assert!(first.iter().all(|r| r.begun > 10 && r.waits.is_some()), "{first:?}");
 }
+
+/// A cell was short by a part of a machine, and another had one idle: it was never handed over, since it is
+/// larger than what was ordered, and the job waited for ever.
+#[test]
+fn a_cell_that_is_short_by_a_part_of_a_machine_gets_one() {
+    let scenario = Scenario { cells: 3, machines: 6, most_machines: 8, random_troubles: 10, ..Scenario::default() };
+    let run = lupinspur_model::simulate(&scenario, 1074, 1, 1).remove(0);
+    assert_eq!((run.broken, run.handed > 0), (None, true));
+}
--- a/crates/scheduler/src/shard/handing.rs
+++ b/crates/scheduler/src/shard/handing.rs
@@ -71,7 +71,8 @@
         let since = *self.hands.empty_since.entry(m).or_insert(now);
         let cpus = self.types.get(self.machines.at(m).ty).cpus;
         if let Some((to, left)) = self.hands.order
-            && left >= cpus
+            // A whole machine for a part of one: else a cell that is short by less would wait for ever.
+            && left > 0.0
             && self.hands.chosen.len() < MOST_HANDED
             && self.is_bare(m)
         {
