--- a/tests/loopback.rs
+++ b/tests/loopback.rs
@@ -501,7 +501,7 @@
     }
 }
 
-/// How large a stand-in cluster is.
+/// How large a stand-in cluster is, and what is enabled in it.
 struct Size {
     nodes: usize,
     workers: usize,
@@ -515,6 +515,14 @@
     cells: Option<String>,
 }
 
+impl Size {
+    /// Of one cell, without limits and files of features.
+    fn of(nodes: usize, workers: usize, lease_s: u64) -> Size {
+        let lease = Duration::from_secs(lease_s);
+        Size { nodes, workers, lease, cpus_max: 0.0, quotas: None, elastic: None, cells: None }
+    }
+}
+
 /// Not all clusters at once: with a dozen of them on a few cores controllers lose their leases to one another,
 /// and a test waited for what a takeover had put off.
 const CLUSTERS_AT_ONCE: usize = 2;
@@ -773,15 +781,7 @@
 
 #[test]
 fn serves_users_through_the_end_of_its_owner() {
-    let size = Size {
-        nodes: 2,
-        workers: 2,
-        lease: Duration::from_secs(4),
-        cpus_max: 8.0,
-        quotas: None,
-        elastic: None,
-        cells: None,
-    };
+    let size = Size { cpus_max: 8.0, ..Size::of(2, 2, 4) };
     let mut cluster = Cluster::start("loopback", size);
     let listen = cluster.listen.clone();
     let user = User { client: Client::new(0, 0) };
@@ -918,15 +918,7 @@
 /// way; either is right.
 #[test]
 fn all_controllers_come_back_at_once_in_front_of_many_workers() {
-    let size = Size {
-        nodes: 5,
-        workers: 48,
-        lease: Duration::from_secs(9),
-        cpus_max: 0.0,
-        quotas: None,
-        elastic: None,
-        cells: None,
-    };
+    let size = Size::of(5, 48, 9);
     let mut cluster = Cluster::start("restart", size);
     let listen = cluster.listen.clone();
     let user = User { client: Client::new(0, 0) };
@@ -968,15 +960,7 @@
 /// enough to serve anybody.
 #[test]
 fn a_controller_that_keeps_ending_leaves_its_claim_to_another() {
-    let size = Size {
-        nodes: 3,
-        workers: 12,
-        lease: Duration::from_secs(9),
-        cpus_max: 0.0,
-        quotas: None,
-        elastic: None,
-        cells: None,
-    };
+    let size = Size::of(3, 12, 9);
     let mut cluster = Cluster::start("flapping", size);
     let listen = cluster.listen.clone();
     let user = User { client: Client::new(0, 0) };
@@ -1046,15 +1030,7 @@
 /// the deaf worker runs elsewhere.
 #[test]
 fn controllers_stand_still_and_a_worker_hears_nothing() {
-    let size = Size {
-        nodes: 3,
-        workers: 12,
-        lease: Duration::from_secs(9),
-        cpus_max: 0.0,
-        quotas: None,
-        elastic: None,
-        cells: None,
-    };
+    let size = Size::of(3, 12, 9);
     let cluster = Cluster::start("still", size);
     let listen = cluster.listen.clone();
     let user = User { client: Client::new(0, 0) };
@@ -1142,15 +1118,7 @@
 /// what is started in an answer, and gives up a cancelled job's tasks in time.
 #[test]
 fn workers_that_hear_only_answers_or_only_commands() {
-    let size = Size {
-        nodes: 3,
-        workers: 30,
-        lease: Duration::from_secs(9),
-        cpus_max: 0.0,
-        quotas: None,
-        elastic: None,
-        cells: None,
-    };
+    let size = Size::of(3, 30, 9);
     let cluster = Cluster::start("oneway", size);
     let listen = cluster.listen.clone();
     let user = User { client: Client::new(0, 0) };
@@ -1209,15 +1177,7 @@
 /// for a moment longer.
 #[test]
 fn an_address_that_is_still_taken_is_waited_for() {
-    let size = Size {
-        nodes: 1,
-        workers: 0,
-        lease: Duration::from_secs(4),
-        cpus_max: 8.0,
-        quotas: None,
-        elastic: None,
-        cells: None,
-    };
+    let size = Size { cpus_max: 8.0, ..Size::of(1, 0, 4) };
     let mut cluster = Cluster::start("taken", size);
     let listen = cluster.listen.clone();
     let user = User { client: Client::new(0, 0) };
@@ -1240,15 +1200,7 @@
     let text = "cells = 3\npicture_s = 0.5\nspill_after_s = 0.5\nspill_gain_s = 1.0\n\
         [[team]]\nname = \"red\"\ncell = 0\n[[team]]\nname = \"n1\"\ncell = 1\n\
         [[team]]\nname = \"n2\"\ncell = 2\n[[team]]\nname = \"s1\"\ncell = 2\n";
-    let size = Size {
-        nodes: 3,
-        workers: 12,
-        lease: Duration::from_secs(9),
-        cpus_max: LIMIT as f64,
-        quotas: None,
-        elastic: None,
-        cells: Some(text.into()),
-    };
+    let size = Size { cpus_max: LIMIT as f64, cells: Some(text.into()), ..Size::of(3, 12, 9) };
     let mut cluster = Cluster::start("cells", size);
     let listen = cluster.listen.clone();
     let user = User { client: Client::new(0, 0) };
@@ -1413,15 +1365,7 @@
 fn idle_machines_go_to_the_cell_that_is_short() {
     let text = "cells = 2\npicture_s = 0.5\nspill_gain_s = 3600.0\nreassign_after_s = 1.0\n\
         [[team]]\nname = \"red\"\ncell = 0\n[[team]]\nname = \"n1\"\ncell = 1\n";
-    let size = Size {
-        nodes: 3,
-        workers: 10,
-        lease: Duration::from_secs(9),
-        cpus_max: 0.0,
-        quotas: None,
-        elastic: None,
-        cells: Some(text.into()),
-    };
+    let size = Size { cells: Some(text.into()), ..Size::of(3, 10, 9) };
     let mut cluster = Cluster::start("moves", size);
     let listen = cluster.listen.clone();
     let user = User { client: Client::new(0, 0) };
@@ -1480,15 +1424,7 @@
 /// answered all the same: polls, repetitions, cancellations, and jobs that name it.
 #[test]
 fn a_takeover_costs_nothing_for_two_hundred_thousand_jobs_that_are_over() {
-    let size = Size {
-        nodes: 2,
-        workers: 2,
-        lease: Duration::from_secs(4),
-        cpus_max: 8.0,
-        quotas: None,
-        elastic: None,
-        cells: None,
-    };
+    let size = Size { cpus_max: 8.0, ..Size::of(2, 2, 4) };
     let mut cluster = Cluster::start_with("history", size, 20_000);
     let listen = cluster.listen.clone();
     let user = User { client: Client::new(0, 0) };
@@ -1538,8 +1474,7 @@
 #[test]
 fn an_elastic_array_gives_its_room_back_within_the_bound() {
     let elastic = "settle_s = 0.5\nrest_s = 2.0\ngrace_s = 1.0\nstep = 1.0\n".to_owned();
-    let lease = Duration::from_secs(6);
-    let size = Size { nodes: 2, workers: 6, lease, cpus_max: 0.0, quotas: None, elastic: Some(elastic), cells: None };
+    let size = Size { elastic: Some(elastic), ..Size::of(2, 6, 6) };
     let cluster = Cluster::start("elastic", size);
     let listen = cluster.listen.clone();
     let user = User { client: Client::new(0, 0) };
@@ -1652,8 +1587,7 @@
     const BEFORE: [usize; 3] = [20, 14, 14];
     const AFTER: [usize; 3] = [8, 8, 8];
     let quotas = Some(county(1, 20));
-    let size =
-        Size { nodes: 3, workers: 6, lease: Duration::from_secs(6), cpus_max: 0.0, quotas, elastic: None, cells: None };
+    let size = Size { quotas, ..Size::of(3, 6, 6) };
     let mut cluster = Cluster::start("quotas", size);
     let listen = cluster.listen.clone();
     let user = User { client: Client::new(0, 0) };
@@ -1778,15 +1712,7 @@
 #[test]
 fn a_wrong_settings_file_is_refused() {
     let listen = [free_port()];
-    let size = Size {
-        nodes: 1,
-        workers: 0,
-        lease: Duration::from_secs(4),
-        cpus_max: 8.0,
-        quotas: None,
-        elastic: None,
-        cells: None,
-    };
+    let size = Size { cpus_max: 8.0, ..Size::of(1, 0, 4) };
     let good = settings(0, &listen, &listen, listen[0], listen[0], &size);
     let dir = std::env::temp_dir().join(format!("lupinspur-settings-{}", std::process::id()));
     std::fs::create_dir_all(&dir).expect("a folder");
