--- a/crates/scheduler/src/shard/placement.rs
+++ b/crates/scheduler/src/shard/placement.rs
@@ -377,7 +377,7 @@
     let mut hopeless = Hopeless(Vec::new());
     let (mut starts, mut rooms_made) = (0, 0);
     let (mut at_limits, mut looked_up) = (Vec::new(), 0_usize);
-    // Teams whose limit is kept for a large job, or for a service.
+    // Teams whose limit is kept for a large job.
     let mut waits_for_it: HashMap<TeamIx, JobIx> = HashMap::new();
     s.look_at_kept(now);
     let mut turns = VecDeque::from(turns);
@@ -391,9 +391,6 @@
                 let turns_up = (1..=MOST_LOOKED_UP).contains(&looked_up.saturating_sub(s.limits_looked_up));
                 if turns_up && has_place(s, &turn, &roomy, now) {
                     at_limits.push(turn.job);
-                    if s.limit_will_do(turn.job) {
-                        waits_for_it.entry(s.jobs.at(turn.job).team).or_insert(turn.job);
-                    }
                 }
                 continue;
             }
@@ -461,9 +458,6 @@
                 rooms_made += 1;
                 if make_room(s, &turn, fetches, now) {
                     s.others_wait = true;
-                    if is_tight(s, s.jobs.at(turn.job), least, shadow) {
-                        waits_for_it.entry(s.jobs.at(turn.job).team).or_insert(turn.job);
-                    }
                     break;
                 }
             }
@@ -512,14 +506,6 @@
     !options(s, s.jobs.at(turn.job), roomy, now).is_empty() || room_for(s, turn, false, now).is_some()
 }
 
-/// Is there no room below its team's limit for what waits of this job and for a task of `least` cpus?
-fn is_tight(s: &Shard, job: &Job, least: f64, shadow: (f64, f64)) -> bool {
-    let (team, n) = (&s.teams[job.team.ix()], job.queue.len() as f64);
-    let tight = |max: f64, used: f64, need: f64| max > 0.0 && need > 0.0 && used + need > max + EPS;
-    tight(team.spec.cpus_max, team.cpus_used + shadow.0 + least, n * job.spec.cpus)
-        || tight(team.spec.cards_max, team.cards_used + shadow.1, n * job.spec.cards)
-}
-
 /// Would so many tasks of this job find room on these machines together, within its limits?
 fn fits_at_once(s: &Shard, job: &Job, options: &[(f64, MachineIx)], n: u32, shadow: (f64, f64)) -> bool {
     let r = &job.spec;
