One reading of operators' files, and one kind of fault, for all four of them

crates/cells, elastic, quota and model each had the same Fault, the same reading of TOML and the same way from garde's report to paths; main and query each turned faults into lines. crates/files does all of it. Nothing said to operators changes: the tests of paths and lines stand as they were.

--- a/crates/cells/src/lib.rs
+++ b/crates/cells/src/lib.rs
@@ -19,7 +19,8 @@
 pub mod reassign;
 pub mod spill;
 
-pub use plan::{Fault, Plan};
+pub use lupinspur_files::Fault;
+pub use plan::Plan;
 
 use serde::{Deserialize, Serialize};
 
--- a/crates/cells/src/plan.rs
+++ b/crates/cells/src/plan.rs
@@ -2,10 +2,10 @@
 
 use crate::CellIx;
 use garde::Validate;
+use lupinspur_files::{Fault, out_of_bounds};
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
-use std::fmt;
 use std::hash::Hasher;
 use twox_hash::XxHash64;
 
@@ -62,19 +62,6 @@
     10.0
 }
 
-/// Something wrong with a plan, and where.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Fault {
-    pub path: String,
-    pub what: String,
-}
-
-impl fmt::Display for Fault {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}: {}", self.path, self.what)
-    }
-}
-
 impl Plan {
     /// A plan of so many cells, the rest as it is left out of a file.
     pub fn of(cells: u32) -> Plan {
@@ -90,19 +77,8 @@
 
     /// Reads a plan from TOML, or tells all that is wrong with it. `teams`: those of the settings.
     pub fn parse(text: &str, teams: &[String]) -> Result<Plan, Vec<Fault>> {
-        let plan: Plan = toml::from_str(text).map_err(|e| {
-            let before = e.span().and_then(|s| text.get(..s.start)).unwrap_or("");
-            let path = format!("line {}", before.matches('\n').count() + 1);
-            vec![Fault { path, what: e.message().replace('\n', " ") }]
-        })?;
-        let mut faults: Vec<Fault> = Vec::new();
-        if let Err(report) = plan.validate() {
-            let fault = |(path, e): &(garde::Path, garde::Error)| Fault {
-                path: path.to_string().replace("teams[", "team["),
-                what: e.to_string(),
-            };
-            faults.extend(report.iter().map(fault));
-        }
+        let plan: Plan = lupinspur_files::read(text).map_err(|f| vec![f])?;
+        let mut faults = out_of_bounds(&plan, &[("teams[", "team[")]);
         let mut seen = BTreeSet::new();
         for (i, h) in plan.teams.iter().enumerate() {
             let mut fault = |field: &str, what: String| faults.push(Fault { path: format!("team[{i}].{field}"), what });
--- a/crates/elastic/src/lib.rs
+++ b/crates/elastic/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod sizes;
 
 pub use bound::{Bound, Timing};
-pub use plan::{Fault, Plan};
+pub use lupinspur_files::Fault;
+pub use plan::Plan;
 pub use pool::{Held, Pool};
 pub use sizes::Sizes;
--- a/crates/elastic/src/plan.rs
+++ b/crates/elastic/src/plan.rs
@@ -2,10 +2,10 @@
 
 use crate::Sizes;
 use garde::Validate;
+use lupinspur_files::{Fault, out_of_bounds};
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
-use std::fmt;
 
 /// How elastic arrays grow and shrink.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema, Validate)]
@@ -59,37 +59,16 @@
     0.25
 }
 
-/// Something wrong with a plan, and where.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Fault {
-    pub path: String,
-    pub what: String,
-}
-
-impl fmt::Display for Fault {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}: {}", self.path, self.what)
-    }
-}
-
 impl Plan {
     /// Reads a plan from TOML, or tells all that is wrong with it.
     pub fn parse(text: &str) -> Result<Plan, Vec<Fault>> {
-        let plan: Plan = toml::from_str(text).map_err(|e| {
-            let before = e.span().and_then(|s| text.get(..s.start)).unwrap_or("");
-            let path = format!("line {}", before.matches('\n').count() + 1);
-            vec![Fault { path, what: e.message().replace('\n', " ") }]
-        })?;
+        let plan: Plan = lupinspur_files::read(text).map_err(|f| vec![f])?;
         let faults = plan.faults();
         if faults.is_empty() { Ok(plan) } else { Err(faults) }
     }
 
     fn faults(&self) -> Vec<Fault> {
-        let mut out: Vec<Fault> = Vec::new();
-        if let Err(report) = self.validate() {
-            let named = |p: String| p.replace("classes[", "class[");
-            out.extend(report.iter().map(|(p, e)| Fault { path: named(p.to_string()), what: e.message().to_owned() }));
-        }
+        let mut out = out_of_bounds(self, &[("classes[", "class[")]);
         let mut seen = BTreeSet::new();
         for (i, c) in self.classes.iter().enumerate() {
             let mut fault = |field: &str, what: String| out.push(Fault { path: format!("class[{i}].{field}"), what });
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -26,8 +26,9 @@
 mod users;
 mod world;
 
+pub use lupinspur_files::Fault;
 pub use report::{Run, play, simulate};
-pub use scenario::{Fault, Scenario};
+pub use scenario::Scenario;
 pub use trouble::{KINDS, Kind, Trouble, Wrong};
 
 /// Seconds between two looks at everything.
--- a/crates/model/src/scenario.rs
+++ b/crates/model/src/scenario.rs
@@ -2,10 +2,10 @@
 
 use crate::trouble::Trouble;
 use garde::Validate;
+use lupinspur_files::{Fault, out_of_bounds};
 use schemars::JsonSchema;
 use serde::Deserialize;
 use std::collections::BTreeSet;
-use std::fmt;
 
 /// A deployment and what happens to it. Times in seconds of virtual time from its beginning.
 #[derive(Debug, Clone, PartialEq, Deserialize, JsonSchema, Validate)]
@@ -85,36 +85,11 @@
     }
 }
 
-/// Something wrong with a scenario, and where.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Fault {
-    pub path: String,
-    pub what: String,
-}
-
-impl fmt::Display for Fault {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}: {}", self.path, self.what)
-    }
-}
-
 impl Scenario {
     /// Reads a scenario from TOML, or tells all that is wrong with it.
     pub fn parse(text: &str) -> Result<Scenario, Vec<Fault>> {
-        let s: Scenario = toml::from_str(text).map_err(|e| {
-            let before = e.span().and_then(|s| text.get(..s.start)).unwrap_or("");
-            let path = format!("line {}", before.matches('\n').count() + 1);
-            vec![Fault { path, what: e.message().replace('\n', " ") }]
-        })?;
-        let mut faults: Vec<Fault> = Vec::new();
-        if let Err(report) = s.validate() {
-            // By the names of the file.
-            let path = |p: &garde::Path| {
-                let p = p.to_string().replace("teams[", "team[").replace("troubles[", "trouble[");
-                if p.ends_with(".at") { p + "_s" } else { p }
-            };
-            faults.extend(report.iter().map(|(p, e)| Fault { path: path(p), what: e.to_string() }));
-        }
+        let s: Scenario = lupinspur_files::read(text).map_err(|f| vec![f])?;
+        let mut faults = out_of_bounds(&s, &[("teams[", "team["), ("troubles[", "trouble["), ("].at", "].at_s")]);
         let mut fault = |path: String, what: String| faults.push(Fault { path, what });
         if s.most_machines < s.machines {
             fault("most_machines".into(), format!("there are {} from the beginning", s.machines));
--- a/crates/quota/src/lib.rs
+++ b/crates/quota/src/lib.rs
@@ -15,7 +15,8 @@
 pub mod tree;
 
 pub use ledger::{Held, Ledger, Standing};
-pub use plan::{Fault, Plan, TeamLimits};
+pub use lupinspur_files::Fault;
+pub use plan::{Plan, TeamLimits};
 pub use tree::{Level, LevelIx, TeamIx, Tree};
 
 /// Cpus and accelerator cards.
--- a/crates/quota/src/plan.rs
+++ b/crates/quota/src/plan.rs
@@ -2,10 +2,10 @@
 
 use crate::Amount;
 use garde::Validate;
+use lupinspur_files::{Fault, out_of_bounds};
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
-use std::fmt;
 
 /// Most organisations in a tree, and most levels of them above a team.
 pub const MOST_ORGANISATIONS: usize = 20_000;
@@ -80,38 +80,16 @@
     pub limit: Amount,
 }
 
-/// Something wrong with a plan, and where.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Fault {
-    pub path: String,
-    pub what: String,
-}
-
-impl fmt::Display for Fault {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}: {}", self.path, self.what)
-    }
-}
-
 impl Plan {
     /// Reads a plan from TOML. What is no plan at all is one fault.
     pub fn parse(text: &str) -> Result<Plan, Fault> {
-        toml::from_str(text).map_err(|e| {
-            let before = e.span().and_then(|s| text.get(..s.start)).unwrap_or("");
-            let path = format!("line {}", before.matches('\n').count() + 1);
-            Fault { path, what: e.message().replace('\n', " ") }
-        })
+        lupinspur_files::read(text)
     }
 
     /// Everything that is wrong, in the order of the file; empty if nothing is.
     pub fn faults(&self, teams: &[TeamLimits]) -> Vec<Fault> {
-        let mut out: Vec<Fault> = Vec::new();
+        let mut out = out_of_bounds(self, &[("organisations[", "organisation[")]);
         let mut fault = |path: String, what: String| out.push(Fault { path, what });
-        if let Err(report) = self.validate() {
-            for (path, e) in report.iter() {
-                fault(path.to_string().replace("organisations[", "organisation["), e.message().to_owned());
-            }
-        }
         let at = |i: usize, field: &str| format!("organisation[{i}].{field}");
         let mut by_name: BTreeMap<&str, usize> = BTreeMap::new();
         for (i, o) in self.organisations.iter().enumerate() {
--- a/crates/quota/src/tree.rs
+++ b/crates/quota/src/tree.rs
@@ -1,7 +1,8 @@
 //! The checked tree, by dense indices.
 
 use crate::Amount;
-use crate::plan::{Fault, Plan, TeamLimits};
+use crate::plan::{Plan, TeamLimits};
+use lupinspur_files::Fault;
 use std::collections::BTreeMap;
 
 /// A level of the tree: the whole, an organisation, or a team.
--- a/src/main.rs
+++ b/src/main.rs
@@ -2,6 +2,7 @@
 
 use clap::Parser;
 use lupinspur::settings::Settings;
+use lupinspur_files::load;
 use lupinspur_quota::{Plan, Tree};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -37,12 +38,10 @@
 
 /// The quota file, if nothing in it is wrong; or each fault on a line of its own.
 fn quotas(path: &Path, settings: &Settings) -> Result<Plan, String> {
-    let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
     let teams = lupinspur::shard::team_limits(&settings.teams);
-    let checked = Plan::parse(&text).map_err(|f| vec![f]).and_then(|p| Ok((Tree::of(&p, &teams)?.1, p)));
-    let (warnings, plan) = checked.map_err(|faults| {
-        let lines: Vec<String> = faults.iter().map(|f| format!("{}: {f}", path.display())).collect();
-        lines.join("\n")
+    let (warnings, plan) = load(path, |text| {
+        let plan = Plan::parse(text).map_err(|f| vec![f])?;
+        Ok((Tree::of(&plan, &teams)?.1, plan))
     })?;
     for w in warnings {
         log::warn!("{}: {w}", path.display());
@@ -52,23 +51,10 @@
         .map(|()| plan)
 }
 
-/// The file of elastic jobs, if nothing in it is wrong; or each fault on a line of its own.
-fn elastic(path: &Path) -> Result<lupinspur_elastic::Plan, String> {
-    let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
-    lupinspur_elastic::Plan::parse(&text).map_err(|faults| {
-        let lines: Vec<String> = faults.iter().map(|f| format!("{}: {f}", path.display())).collect();
-        lines.join("\n")
-    })
-}
-
 /// The file of cells, if nothing in it is wrong; or each fault on a line of its own.
 fn cells(path: &Path, settings: &Settings) -> Result<lupinspur_cells::Plan, String> {
-    let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
     let teams: Vec<String> = settings.teams.iter().map(|t| t.name.clone()).collect();
-    lupinspur_cells::Plan::parse(&text, &teams).map_err(|faults| {
-        let lines: Vec<String> = faults.iter().map(|f| format!("{}: {f}", path.display())).collect();
-        lines.join("\n")
-    })
+    load(path, |text| lupinspur_cells::Plan::parse(text, &teams))
 }
 
 fn run(args: Args) -> Result<(), String> {
@@ -83,7 +69,7 @@
     let Some(config) = &args.config else { return Err("--config is needed".into()) };
     let settings = Settings::load(config).map_err(|e| e.to_string())?;
     let plan = args.quotas.as_deref().map(|p| quotas(p, &settings)).transpose()?;
-    let elastic = args.elastic.as_deref().map(elastic).transpose()?;
+    let elastic = args.elastic.as_deref().map(|p| load(p, lupinspur_elastic::Plan::parse)).transpose()?;
     let cells = args.cells.as_deref().map(|p| cells(p, &settings)).transpose()?;
     if plan.is_some() && cells.is_some() {
         return Err("--quotas and --cells cannot be used together: nested quotas are not parted among cells yet".into());
--- a/src/query.rs
+++ b/src/query.rs
@@ -103,10 +103,7 @@
 const MOST_THREADS: usize = 32;
 
 fn simulate(path: &Path, first: u64, seeds: u64, json: bool) -> Result<(String, bool), String> {
-    let at = |what: &dyn std::fmt::Display| format!("{}: {what}", path.display());
-    let text = std::fs::read_to_string(path).map_err(|e| at(&e))?;
-    let scenario =
-        Scenario::parse(&text).map_err(|faults| faults.iter().map(|f| at(f)).collect::<Vec<String>>().join("\n"))?;
+    let scenario = lupinspur_files::load(path, Scenario::parse)?;
     let threads = std::thread::available_parallelism().map_or(1, usize::from).min(MOST_THREADS);
     let runs = lupinspur_model::simulate(&scenario, first, seeds, threads);
     let text = if json { serde_json::to_string(&runs).map_err(|e| e.to_string())? } else { runs_table(&runs) };
