--- a/crates/scheduler/src/shard/handing.rs
+++ b/crates/scheduler/src/shard/handing.rs
@@ -134,27 +134,16 @@
                 machine.phase = MachinePhase::Up;
                 continue;
             }
-            machine.phase = MachinePhase::Gone;
-            machine.deleting = false;
-            let rack = machine.rack.take();
             let mut values: BTreeSet<String> = machine.old_values.iter().map(|k| k.to_string()).collect();
-            values.extend(rack.map(rack_key));
+            values.extend(machine.rack.map(rack_key));
             // What neither stands nor is under way names nobody.
             values.retain(|k| self.versions.contains_key(k) || self.in_flight.contains(k));
             if !values.is_empty() {
                 self.hands.named.insert(h.machine.clone(), values);
             }
-            self.recorded_or_gone(m);
-            if let Some(r) = rack {
-                if let Some(rack) = self.racks.list.get_mut(&r) {
-                    rack.members.remove(&m);
-                }
-                self.rack_due(r);
-            }
-            self.machines.present.remove(&m);
+            self.take_out(m);
             // Whoever asks is told that it is not known here; should it come back it is a new one.
             self.machines.forget_name(m);
-            self.machine_gone(m);
         }
     }
 
--- a/crates/scheduler/src/shard/sizing.rs
+++ b/crates/scheduler/src/shard/sizing.rs
@@ -277,20 +277,25 @@
             self.deletes.remove(&m);
             self.kept_no_more(m);
             self.all_gone(m);
-            let machine = self.machines.at_mut(m);
-            machine.phase = MachinePhase::Gone;
-            machine.deleting = false;
-            let rack = machine.rack.take();
-            self.recorded_or_gone(m);
-            if let Some(r) = rack {
-                if let Some(rack) = self.racks.list.get_mut(&r) {
-                    rack.members.remove(&m);
-                }
-                self.rack_due(r);
+            self.take_out(m);
+        }
+    }
+
+    /// A machine is no longer this shard's, and no value that is stored from now on names it.
+    pub(super) fn take_out(&mut self, m: MachineIx) {
+        let machine = self.machines.at_mut(m);
+        machine.phase = MachinePhase::Gone;
+        machine.deleting = false;
+        let rack = machine.rack.take();
+        self.recorded_or_gone(m);
+        if let Some(r) = rack {
+            if let Some(rack) = self.racks.list.get_mut(&r) {
+                rack.members.remove(&m);
             }
-            self.machines.present.remove(&m);
-            self.machine_gone(m);
+            self.rack_due(r);
         }
+        self.machines.present.remove(&m);
+        self.machine_gone(m);
     }
 
     pub fn on_delete_failed(&mut self, machines: &[MachineIx]) {
