--- a/crates/model/src/between.rs
+++ b/crates/model/src/between.rs
@@ -336,10 +336,7 @@
         let (now, key) = (self.now, self.claim_key(c));
         let h = &mut self.nodes[i].cells[c];
         let Some(lease) = h.own.lease() else { return };
-        let me = h.own.trying(lease, (now * 1000.0) as u64);
-        let value = serde_json::to_value(&me).expect("a claim");
-        let change = Change::Put { key: key.clone(), value, lease: Some(lease) };
-        if let Some(v) = self.store.commit(&[(key, token)], &[change], Some(lease)) {
+        if let Some(v) = h.send_claim(&mut self.store, key, lease, token, (now * 1000.0) as u64) {
             h.shard = None;
             h.own.claimed(v);
             self.counts.raised += 1;
--- a/crates/model/src/controllers.rs
+++ b/crates/model/src/controllers.rs
@@ -3,6 +3,7 @@
 use crate::between::{LEDGER_KEY, Seen, concerns, inner};
 use crate::machines::Machine;
 use crate::messages::Message;
+use crate::store::Store;
 use crate::stored::{self, types};
 use crate::trouble::Wrong;
 use crate::world::{World, ZONES};
@@ -51,6 +52,15 @@
     pub(crate) leader: (u64, Leader),
 }
 
+impl Held {
+    /// Over the claim of this version; 0: over none.
+    pub(crate) fn send_claim(&mut self, store: &mut Store, key: String, lease: u64, over: u64, ms: u64) -> Option<u64> {
+        let value = serde_json::to_value(self.own.trying(lease, ms)).expect("a claim");
+        let change = Change::Put { key: key.clone(), value, lease: Some(lease) };
+        store.commit(&[(key, over)], &[change], Some(lease))
+    }
+}
+
 impl Node {
     pub(crate) fn runs(&self, now: f64) -> bool {
         now >= self.back_at && now >= self.still
@@ -256,10 +266,7 @@
                 n.own.confirmed(l, now);
             }
             Next::Claim { lease, over } => {
-                let me = n.own.trying(lease, day_ms);
-                let value = serde_json::to_value(&me).expect("a claim");
-                let change = Change::Put { key: key.clone(), value, lease: Some(lease) };
-                if let Some(v) = self.store.commit(&[(key, over)], &[change], Some(lease)) {
+                if let Some(v) = n.send_claim(&mut self.store, key, lease, over, day_ms) {
                     // Now and then the answer is lost, and the claim is found by looking.
                     self.counts.claims += 1;
                     if now >= self.late_commits || self.rng.bool() {
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -27,7 +27,7 @@
 mod world;
 
 pub use lupinspur_files::Fault;
-pub use report::{Run, play, simulate};
+pub use report::{Counts, Run, play, simulate};
 pub use scenario::Scenario;
 pub use trouble::{KINDS, Kind, Trouble, Wrong};
 
--- a/crates/model/src/report.rs
+++ b/crates/model/src/report.rs
@@ -21,6 +21,13 @@
     pub cancelled: usize,
     /// From its acceptance to its first task: a job's wait, of half of them, of nine in ten, of all.
     pub waits: Option<[f64; 3]>,
+    #[serde(flatten)]
+    pub counts: Counts,
+}
+
+/// Counted while it is played.
+#[derive(Debug, Clone, Default, PartialEq, Serialize)]
+pub struct Counts {
     /// The longest that a question about a job was without an answer after all troubles.
     pub unanswered: f64,
     /// Claims that were made, and those that were taken anew by their owners.
@@ -37,20 +44,6 @@
     pub processor: Vec<f64>,
 }
 
-/// Counted while it is played.
-#[derive(Debug, Default)]
-pub(crate) struct Counts {
-    pub(crate) unanswered: f64,
-    pub(crate) claims: u64,
-    pub(crate) raised: u64,
-    pub(crate) starts: u64,
-    pub(crate) writes: Vec<u64>,
-    pub(crate) spilled: u64,
-    pub(crate) handed: u64,
-    pub(crate) homes: u64,
-    pub(crate) processor: Vec<f64>,
-}
-
 impl Counts {
     pub(crate) fn of(cells: usize) -> Counts {
         Counts { writes: vec![0; cells], processor: vec![0.0; cells], ..Counts::default() }
@@ -67,7 +60,6 @@
     let mut waits: Vec<f64> = jobs().filter_map(|j| Some((j.begun? - j.accepted?).max(0.0))).collect();
     waits.sort_by(f64::total_cmp);
     let part = |p: f64| waits.get(((waits.len() as f64 * p).ceil() as usize).saturating_sub(1)).copied();
-    let c = w.counts;
     Run {
         seed,
         jobs: jobs().count(),
@@ -76,15 +68,7 @@
         cancelled: told(JobState::Cancelled),
         waits: (|| Some([part(0.5)?, part(0.9)?, part(1.0)?]))(),
         broken: w.broken,
-        unanswered: c.unanswered,
-        claims: c.claims,
-        raised: c.raised,
-        starts: c.starts,
-        writes: c.writes,
-        spilled: c.spilled,
-        handed: c.handed,
-        homes: c.homes,
-        processor: c.processor,
+        counts: w.counts,
     }
 }
 
--- a/crates/model/tests/storms.rs
+++ b/crates/model/tests/storms.rs
@@ -2,7 +2,7 @@
 //! shortens the list of one that breaks a rule. `STORMS=200 cargo test -p lupinspur-model --test storms`
 //! plays more of them, `STORM_MACHINES=300` larger ones, `STORM_CELLS=5` over more cells.
 
-use lupinspur_model::{KINDS, Kind, Run, Scenario, Trouble, Wrong, play};
+use lupinspur_model::{Counts, KINDS, Kind, Run, Scenario, Trouble, Wrong, play};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed, TestRunner};
 
@@ -84,7 +84,7 @@
     let scenario = Scenario { cells: 3, most_machines: 9, random_troubles: 6, ..Scenario::default() };
     let runs = || -> Vec<Run> {
         let all = lupinspur_model::simulate(&scenario, 7, 3, 2);
-        all.into_iter().map(|r| Run { processor: Vec::new(), ..r }).collect()
+        all.into_iter().map(|r| Run { counts: Counts { processor: Vec::new(), ..r.counts }, ..r }).collect()
     };
     let (first, second) = (runs(), runs());
     assert_eq!(first, second);
@@ -99,5 +99,5 @@
 fn a_cell_that_is_short_by_a_part_of_a_machine_gets_one() {
     let scenario = Scenario { cells: 3, machines: 6, most_machines: 8, random_troubles: 10, ..Scenario::default() };
     let run = lupinspur_model::simulate(&scenario, 1074, 1, 1).remove(0);
-    assert_eq!((run.broken, run.handed > 0), (None, true));
+    assert_eq!((run.broken, run.counts.handed > 0), (None, true));
 }
--- a/src/query.rs
+++ b/src/query.rs
@@ -129,13 +129,14 @@
     ];
     let mut rows = vec![head.map(str::to_owned).to_vec()];
     for r in runs {
+        let c = &r.counts;
         let waits = r.waits.map_or("-".to_owned(), |[a, b, c]| format!("{a:.1}/{b:.1}/{c:.1}"));
         let mut row: Vec<String> =
             [r.seed, r.jobs as u64, r.begun as u64, r.done as u64, r.cancelled as u64].map(|n| n.to_string()).to_vec();
-        row.extend([waits, format!("{:.1}", r.unanswered)]);
-        let writes = r.writes.iter().sum::<u64>();
-        row.extend([r.claims + r.raised, r.starts, writes, r.spilled, r.handed].map(|n| n.to_string()));
-        row.push(format!("{:.2}", r.processor.iter().sum::<f64>()));
+        row.extend([waits, format!("{:.1}", c.unanswered)]);
+        let writes = c.writes.iter().sum::<u64>();
+        row.extend([c.claims + c.raised, c.starts, writes, c.spilled, c.handed].map(|n| n.to_string()));
+        row.push(format!("{:.2}", c.processor.iter().sum::<f64>()));
         rows.push(row);
     }
     let mut out = String::new();
