--- a/crates/scheduler/src/fleet/mod.rs
+++ b/crates/scheduler/src/fleet/mod.rs
@@ -43,6 +43,9 @@
     pub images: Vec<(String, f64)>,
 }
 
+/// Reports that show nothing of what was answered before, after which a machine is taken not to hear.
+pub const UNHEEDED: u32 = 2;
+
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum Phase {
     Booting,
@@ -140,6 +143,8 @@
     pub base: bool,
     pub fails: Vec<(JobIx, f64)>,
     pub quarantined_until: f64,
+    /// Since when it is set aside for good.
+    pub aside_since: f64,
     /// What runs there of jobs that nobody here knows: they are over, and it is to go.
     pub unknown: Vec<(String, u64)>,
     /// Starts sent directly that got no answer yet: these attempts may still arrive.
@@ -150,6 +155,16 @@
     pub unanswered: u32,
     /// A report is overdue: it is asked directly whether it is there.
     pub suspect: bool,
+    /// Whether this owner has answered a report of it.
+    pub answered: bool,
+    /// When its present session was first heard of.
+    pub session_since: f64,
+    /// Sessions in a row that ended though their reports were answered: the answers were lost.
+    pub lost_sessions: u32,
+    /// Reports of its own in a row that showed nothing of what the answers before had told it.
+    pub unheeded: u32,
+    /// It gets nothing new until then: by then it has shown whether answers reach it.
+    pub trusted_from: f64,
     pub listed: bool,
     pub missing: u32,
     pub deleting: bool,
@@ -188,12 +203,18 @@
             base: false,
             fails: Vec::new(),
             quarantined_until: 0.0,
+            aside_since: f64::MIN,
             unknown: Vec::new(),
             loose: TaskMap::new(),
             direct_busy: false,
             direct_not_before: 0.0,
             unanswered: 0,
             suspect: false,
+            answered: false,
+            session_since: now,
+            lost_sessions: 0,
+            unheeded: 0,
+            trusted_from: f64::MIN,
             listed: false,
             missing: 0,
             deleting: false,
@@ -205,6 +226,16 @@
         self.quarantined_until == f64::INFINITY
     }
 
+    /// Does what we say reach it, as far as it has shown? Its reports prove nothing of that.
+    pub fn hears(&self, now: f64) -> bool {
+        self.unheeded < UNHEEDED && now >= self.trusted_from
+    }
+
+    /// Something of ours was lost on the way to it, and it has not shown since that it hears.
+    pub fn doubted(&self) -> bool {
+        self.lost_sessions > 0 || self.unheeded > 0
+    }
+
     pub fn resolved(&self) -> bool {
         self.unresolved_until.is_none()
     }
@@ -223,6 +254,7 @@
         self.phase == Phase::Up
             && self.resolved()
             && self.reported_token
+            && self.hears(now)
             && !self.suspect
             && self.notice_until.is_none()
             && now >= self.quarantined_until
--- a/crates/scheduler/src/jobs.rs
+++ b/crates/scheduler/src/jobs.rs
@@ -148,7 +148,10 @@
     pub shadowed_by: u32,
     /// Machines on which it failed lately.
     pub failed_on: Vec<MachineIx>,
+    /// Nothing of it is started before then.
     pub not_before: f64,
+    /// How often it was tried since it was at fault.
+    pub tries: u32,
     /// A machine that one of its replicas is leaving, and until when it is avoided.
     pub avoid: Option<(MachineIx, f64)>,
     /// When this owner learnt of it.
@@ -331,6 +334,7 @@
             shadowed_by: 0,
             failed_on: Vec::new(),
             not_before: 0.0,
+            tries: 0,
             avoid: None,
             since: now,
             zone_counts: vec![0; if open { self.zones } else { 0 }],
--- a/crates/scheduler/src/ownership.rs
+++ b/crates/scheduler/src/ownership.rs
@@ -151,9 +151,14 @@
 
     /// The fencing token, while this controller has one and its lease is surely valid.
     pub fn may_act(&self, now: f64) -> Option<u64> {
-        let l = self.lease.as_ref()?;
-        let valid = now < l.confirmed_sent_at + self.ttl_s * 0.999 - MARGIN_S;
-        self.token.filter(|_| valid)
+        self.token.filter(|_| self.acts_until().is_some_and(|t| now < t))
+    }
+
+    /// Until when this controller may act, by its steady clock, if nothing renews that: what is
+    /// made up now may be said until then.
+    pub fn acts_until(&self) -> Option<f64> {
+        self.token?;
+        Some(self.lease.as_ref()?.confirmed_sent_at + self.ttl_s * 0.999 - MARGIN_S)
     }
 
     /// The version of the claim as this controller last saw it.
--- /dev/null
+++ b/crates/scheduler/src/shard/faults.rs
@@ -0,0 +1,133 @@
+//! What is at fault where tasks fail: the job or the machine.
+//!
+//! A job that fails on several machines and has succeeded nowhere since is at fault: it was
+//! submitted with a mistake, as far as anybody can tell. It stays known, its retries are few and
+//! far between, it stands in nobody's way, and what it did to machines' standing is taken back. A
+//! machine on which several jobs fail that are not at fault is: it is set aside, and the jobs that
+//! failed there are not blamed for that.
+
+use super::*;
+
+/// So many machines on which a job failed, with no success since, show that it is at fault.
+const AT_FAULT_ON: usize = 3;
+/// So many machines are remembered that a job failed on: its next try goes elsewhere.
+const MOST_REMEMBERED: usize = 8;
+/// Seconds until a job at fault is tried again, doubling so many times.
+const TRIED_AGAIN_S: f64 = 8.0;
+const DOUBLINGS: u32 = 3;
+/// Failures on a machine tell something of it for so long, in seconds.
+const TELLS_FOR_S: f64 = 60.0;
+/// So many failures of a job that succeeds elsewhere are enough to set a machine aside.
+const OF_ONE_JOB: usize = 3;
+/// A machine that was set aside is returned only then, in seconds: the jobs that failed on it may
+/// turn out to be at fault.
+pub(super) const KEPT_ASIDE_S: f64 = 12.0;
+/// A replica that runs for so long, in seconds, runs well.
+pub(super) const RUNS_WELL_S: f64 = 10.0;
+
+impl Job {
+    /// Does it fail wherever it runs?
+    pub fn at_fault(&self) -> bool {
+        self.failed_on.len() >= AT_FAULT_ON
+    }
+
+    /// Tasks that could use a machine now. Of a job at fault one at a time is tried.
+    pub fn wants(&self) -> u32 {
+        if self.at_fault() { self.held.max(1).min(self.unfinished()) } else { self.unfinished() }
+    }
+}
+
+impl Shard {
+    pub(super) fn task_failed(&mut self, m: MachineIx, k: TaskKey, now: f64) {
+        // What fails on a machine that is faulty by others' failures says nothing of the job.
+        if self.machines.at(m).faulty() && self.fails_its_tasks(m, Some(k.0)) {
+            return;
+        }
+        let job = self.jobs.at_mut(k.0);
+        let before = job.at_fault();
+        if !job.failed_on.contains(&m) {
+            job.failed_on.push(m);
+        }
+        if !job.at_fault() {
+            self.machine_failed(m, k.0, now);
+            return;
+        }
+        if !before {
+            self.blame_job(k.0, now);
+        }
+        let job = self.jobs.at_mut(k.0);
+        let excess = job.failed_on.len().saturating_sub(MOST_REMEMBERED);
+        job.failed_on.drain(..excess);
+        // Tasks that were started together fail together: that is one try.
+        if now >= job.not_before {
+            job.not_before = now + TRIED_AGAIN_S * f64::from(1 << job.tries.min(DOUBLINGS));
+            job.tries += 1;
+        }
+    }
+
+    /// The job has shown that it is at fault: the machines that it failed on get their standing back.
+    fn blame_job(&mut self, j: JobIx, now: f64) {
+        log::info!("{} fails on every machine: tried again now and then", self.jobs.at(j).id);
+        for m in self.jobs.at(j).failed_on.clone() {
+            let machine = self.machines.at_mut(m);
+            machine.fails.retain(|f| f.0 != j);
+            if machine.faulty() && machine.phase == MachinePhase::Up && !self.fails_its_tasks(m, None) {
+                log::info!("machine {} was not at fault", self.machines.at(m).name);
+                self.machines.at_mut(m).quarantined_until = now;
+                self.want_record(m);
+            }
+        }
+        // Users' mistakes are no service that was owed.
+        self.account_end(j, Phase::Cancelled, now);
+        self.place_due = true;
+    }
+
+    /// The job has succeeded somewhere, or what it failed on was at fault.
+    pub(super) fn absolve(&mut self, j: JobIx) {
+        let job = self.jobs.at_mut(j);
+        let was = job.at_fault();
+        job.failed_on.clear();
+        if was {
+            (job.tries, job.not_before) = (0, 0.0);
+            self.account_due(j);
+            self.place_due = true;
+        }
+    }
+
+    fn machine_failed(&mut self, m: MachineIx, j: JobIx, now: f64) {
+        let machine = self.machines.at_mut(m);
+        machine.fails.retain(|f| now - f.1 < TELLS_FOR_S);
+        machine.fails.push((j, now));
+        if !self.fails_its_tasks(m, None) {
+            return;
+        }
+        let machine = self.machines.at_mut(m);
+        if !machine.faulty() {
+            log::warn!("machine {} fails its tasks: set aside", machine.name);
+            machine.quarantined_until = f64::INFINITY;
+            machine.aside_since = now;
+            self.want_record(m);
+        }
+        let failed_here = |j: &&JobIx| self.jobs.at(**j).failed_on.contains(&m) && self.fails_its_tasks(m, Some(**j));
+        let cleared: Vec<JobIx> = self.jobs.live.iter().filter(failed_here).copied().collect();
+        for j in cleared {
+            let job = self.jobs.at_mut(j);
+            let was = job.at_fault();
+            job.failed_on.retain(|f| *f != m);
+            if was && !job.at_fault() {
+                self.absolve(j);
+            }
+        }
+    }
+
+    /// Do failures of jobs that are not at fault speak against this machine, of others than this one?
+    fn fails_its_tasks(&self, m: MachineIx, but: Option<JobIx>) -> bool {
+        let fails = &self.machines.at(m).fails;
+        let speak = |j: JobIx| Some(j) != but && self.jobs.get(j).is_some_and(|j| !j.at_fault());
+        let mut jobs: Vec<JobIx> = fails.iter().map(|f| f.0).filter(|j| speak(*j)).collect();
+        let of_one = |j: &JobIx| self.jobs.at(*j).done > 0 && fails.iter().filter(|f| f.0 == *j).count() >= OF_ONE_JOB;
+        jobs.sort_unstable();
+        jobs.dedup();
+        jobs.len() >= 2 || jobs.iter().any(of_one)
+    }
+}
--- a/crates/scheduler/src/shard/mod.rs
+++ b/crates/scheduler/src/shard/mod.rs
@@ -6,6 +6,7 @@
 
 mod cell;
 mod elastic;
+mod faults;
 mod judging;
 mod naming;
 mod pipelines;
@@ -36,7 +37,7 @@
 use crate::fleet::zones::ZoneLists;
 use crate::fleet::{CachedImage, First, Held, HeldState, MachineRecord, Machines, Phase as MachinePhase, Types};
 use crate::intern::{Index, JobIx, MachineIx, Names, RackIx, TeamIx, TypeIx, ZoneIx};
-use crate::jobs::{JobRecord, Jobs, PART_PREFIX, PROGRESS_PREFIX, Phase, ProgressRecord, Slot, TaskKey};
+use crate::jobs::{Job, JobRecord, Jobs, PART_PREFIX, PROGRESS_PREFIX, Phase, ProgressRecord, Slot, TaskKey};
 use crate::params::{Params, Team, Tuning};
 use crate::pipeline::Graph;
 use crate::times::stretched;
--- a/crates/scheduler/src/shard/placement.rs
+++ b/crates/scheduler/src/shard/placement.rs
@@ -23,6 +23,8 @@
 const SPREAD_WORTH_S: f64 = 1.0;
 /// Seconds that a service waits for room on a machine that has its image.
 const ROOM_WAIT_S: f64 = 0.6;
+/// Seconds that a machine on which a job failed is worth less to it.
+const FAILED_THERE_S: f64 = 60.0;
 /// The class of what is not within a guarantee, after services and guarantees.
 const BORROWS: u8 = 2;
 /// Of the cpus that batch work gets which can be in time, so many more are set apart for what
@@ -125,16 +127,19 @@
 
 /// Machines that could take this job, the best first, of those that have any room.
 fn options(s: &Shard, job: &Job, roomy: &[MachineIx], now: f64) -> Vec<(f64, MachineIx)> {
+    // It goes elsewhere than where it failed, if there is anywhere else.
+    let elsewhere = !job.at_fault() && job.failed_on.len() < s.machines.present.len();
+    let again = |i: &MachineIx| job.failed_on.contains(i);
     let mut out: Vec<(f64, MachineIx)> = roomy
         .iter()
         .map(|&i| (i, s.machines.at(i)))
         .filter(|(i, m)| {
             fits(s, job, m)
                 && leaves_room(s, job, m)
-                && !job.failed_on.contains(i)
+                && !(elsewhere && again(i))
                 && job.avoid.is_none_or(|(a, until)| a != *i || now > until)
         })
-        .map(|(i, m)| (cost(s, job, m), i))
+        .map(|(i, m)| (cost(s, job, m) + if again(&i) { FAILED_THERE_S } else { 0.0 }, i))
         .collect();
     out.sort_unstable_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
     out
@@ -212,7 +217,7 @@
 
     /// Takes a job's part; does it fit beside what was taken before?
     fn take(&mut self, job: &Job) -> bool {
-        let n = f64::from(job.unfinished());
+        let n = f64::from(job.wants());
         let (taken, all) = &mut self.0[job.team.ix()];
         let (c, g) = (n * job.spec.cpus, n * job.spec.cards);
         let fits = taken.0 + c <= all.0 + EPS && taken.1 + g <= all.1 + EPS;
@@ -260,7 +265,10 @@
         // Of what borrows, siblings go before strangers.
         let (distance, share) = if class == BORROWS { s.borrowing(s.jobs.at(j)) } else { (0, 0) };
         let rank = (class, distance, prospect, priority, share, urgency);
-        let (own, beyond) = s.may_hold_more(s.jobs.at(j));
+        let (mut own, beyond) = s.may_hold_more(s.jobs.at(j));
+        if s.jobs.at(j).at_fault() {
+            own = own.min(s.jobs.at(j).wants().saturating_sub(s.jobs.at(j).held));
+        }
         let together = own != u32::MAX && s.jobs.at(j).held == 0;
         if own > 0 {
             out.push(Turn { job: j, rank, set_apart: false, most: own, together });
--- a/crates/scheduler/src/shard/reports.rs
+++ b/crates/scheduler/src/shard/reports.rs
@@ -1,9 +1,11 @@
 //! What workers say, and what they are told.
 
 use super::Shard;
-use crate::fleet::{First, Held, HeldState, Leftover, Phase as MachinePhase};
+use super::faults::RUNS_WELL_S;
+use crate::fleet::{First, Held, HeldState, Leftover, Phase as MachinePhase, UNHEEDED};
 use crate::intern::MachineIx;
 use crate::jobs::{Phase, Slot, TaskKey, split_task};
+use crate::times::stretched;
 use crate::wire::{Command, DirectCommands, Op, Report, ReportReply, TaskReport, TaskState, Why};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -57,6 +59,7 @@
                 let commands = self.report_commands(m, r, now);
                 let machine = self.machines.at_mut(m);
                 machine.last_ok = Some(now);
+                machine.answered = true;
                 Heard::Reply(ReportReply { token: self.token, commands })
             }
             Err(h) => h,
@@ -91,14 +94,34 @@
             machine.addr = Some(a);
         }
         let new_session = machine.session != 0 && r.session > machine.session;
+        if new_session && now - machine.session_since > self.lease_s * 2.0 {
+            machine.lost_sessions = 0;
+        }
+        // Its lease has ended although its reports were answered: hearing it proves nothing.
+        let lost = new_session && machine.last_ok.is_some_and(|t| now - t < self.lease_s / 2.0);
+        if lost {
+            machine.lost_sessions += 1;
+            if machine.lost_sessions > 1 {
+                machine.trusted_from = now + stretched(self.lease_s) + self.report_s;
+            }
+            log::warn!("machine {}: its lease ended though it was answered ({})", machine.name, machine.lost_sessions);
+        }
         if r.session > machine.session {
+            machine.session_since = now;
             // A session's lease runs from its beginning, which was before this.
             machine.last_ok = Some(machine.last_ok.map_or(now, |t| t.max(now)));
         }
         machine.session = r.session;
         machine.seq = r.seq;
         machine.last_heard = now;
-        (machine.suspect, machine.unanswered) = (false, 0);
+        // A session that lasts for longer than a lease has been answered; one that shows our token too.
+        if now - machine.session_since > stretched(self.lease_s) + self.report_s {
+            machine.lost_sessions = 0;
+        }
+        let proves = !(own && machine.doubted());
+        if proves {
+            (machine.suspect, machine.unanswered) = (false, 0);
+        }
         match r.notice_s {
             Some(s) if machine.notice_until.is_none() => {
                 log::info!("machine {} has notice of {s} s", machine.name);
@@ -118,10 +141,14 @@
             // The worker killed everything of its earlier session.
             self.session_over(m);
         }
+        if lost {
+            self.ask(m);
+        }
         if r.token < token {
             // It may still obey an earlier owner: ask for a report with our token.
             let machine = self.machines.at_mut(m);
             machine.reported_token = false;
+            machine.unheeded += u32::from(own && machine.answered);
             self.machines.direct_due.insert(m);
             return Ok(m);
         }
@@ -204,9 +231,15 @@
         }
         let held: Vec<(TaskKey, u64, HeldState)> =
             self.machines.at(m).tasks.iter().map(|(k, h)| (*k, h.attempt, h.state)).collect();
+        let (mut heeded, mut missed) = (false, Vec::new());
         for (k, attempt, state) in held {
+            // Told in an answer before; this report was sent after that came, or was given up.
+            let told = own
+                && state == HeldState::Commanded
+                && self.machines.at(m).tasks.get(&k).is_some_and(|h| h.stop.is_none() && h.replied > f64::MIN);
             match listed.get(&k) {
                 Some(t) if t.attempt == attempt => {
+                    heeded |= told;
                     if t.state == TaskState::Exited {
                         self.exited(m, k, t, now);
                     } else {
@@ -214,13 +247,19 @@
                     }
                 }
                 // Not there (yet): a start that may still be on its way is not gone.
-                _ if matches!(state, HeldState::Planned | HeldState::Commanded) => self.maybe_never(m, k, own, now),
+                _ if matches!(state, HeldState::Planned | HeldState::Commanded) => {
+                    if told {
+                        missed.push(k);
+                    }
+                    self.maybe_never(m, k, own, now)
+                }
                 _ => {
                     self.release(m, k);
                     self.requeue(k);
                 }
             }
         }
+        self.take_heed(m, heeded, missed, now);
         // A fetch that no task waits for any more is given up.
         let waited_for: Vec<_> = self.machines.at(m).tasks.keys().filter_map(|k| self.jobs.at(k.0).image).collect();
         self.machines.at_mut(m).images.retain(|i| i.ready || waited_for.contains(&i.image));
@@ -257,6 +296,31 @@
         }
     }
 
+    /// Has the machine taken up what the answers to its reports told it? What it missed is told
+    /// directly, if that reaches it. A machine whose reports came, and which nothing reached, once got
+    /// one start after another, and none was ever taken back.
+    fn take_heed(&mut self, m: MachineIx, heeded: bool, missed: Vec<TaskKey>, now: f64) {
+        let machine = self.machines.at_mut(m);
+        if missed.is_empty() {
+            if heeded {
+                machine.unheeded = 0;
+            }
+            return;
+        }
+        machine.unheeded += 1;
+        machine.direct_not_before = machine.direct_not_before.min(now);
+        for k in missed {
+            if let Some(h) = machine.tasks.get_mut(&k) {
+                h.sent = -1.0;
+            }
+        }
+        if machine.unheeded >= UNHEEDED {
+            self.ask(m);
+        } else {
+            self.machines.direct_due.insert(m);
+        }
+    }
+
     /// An earlier owner's start goes on under this one.
     fn adopt(&mut self, m: MachineIx, k: TaskKey, t: &TaskReport, now: f64) {
         self.hold(
@@ -306,6 +370,12 @@
         if runs {
             self.image_seen(m, k);
         }
+        let job = self.jobs.at(k.0);
+        let well = runs && job.is_service() && !job.failed_on.is_empty();
+        let since = self.machines.at(m).tasks.get(&k).map_or(now, |h| h.running_since);
+        if well && now - since > RUNS_WELL_S {
+            self.absolve(k.0);
+        }
     }
 
     /// The task runs or ran here, and so its image is here.
@@ -339,7 +409,7 @@
             Some(Why::Done) => {
                 let machine = self.machines.at_mut(m);
                 machine.fails.clear();
-                self.jobs.at_mut(k.0).failed_on.clear();
+                self.absolve(k.0);
                 self.task_done(k);
             }
             Some(Why::Error) => self.task_failed(m, k, now),
@@ -363,31 +433,6 @@
         self.requeue(k);
     }
 
-    /// One machine on which several jobs fail is faulty; one job that fails on
-    /// several machines is.
-    fn task_failed(&mut self, m: MachineIx, k: TaskKey, now: f64) {
-        let job = self.jobs.at_mut(k.0);
-        if !job.failed_on.contains(&m) {
-            job.failed_on.push(m);
-        }
-        let on = job.failed_on.len();
-        if on >= 3 {
-            job.not_before = now + f64::from(2u32.saturating_pow(on.min(6) as u32));
-        }
-        let machine = self.machines.at_mut(m);
-        machine.fails.retain(|f| now - f.1 < 60.0);
-        machine.fails.push((k.0, now));
-        let mut jobs: Vec<_> =
-            machine.fails.iter().map(|f| f.0).filter(|j| self.jobs.at(*j).failed_on.len() < 3).collect();
-        jobs.sort();
-        jobs.dedup();
-        if (jobs.len() >= 2 || machine.fails.len() >= 3 && !jobs.is_empty()) && now >= machine.quarantined_until {
-            log::warn!("machine {} fails its tasks: set aside", machine.name);
-            machine.quarantined_until = f64::INFINITY;
-            self.want_record(m);
-        }
-    }
-
     /// A machine under notice: what can save does so now, services move, the rest may yet finish.
     fn drain_on_notice(&mut self, m: MachineIx) {
         if self.machines.at(m).notice_until.is_none() {
@@ -459,9 +504,13 @@
         }
         out.truncate(MOST_COMMANDS);
         let machine = self.machines.at_mut(m);
+        let heeds = machine.unheeded == 0;
         for h in machine.tasks.values_mut() {
             if h.state == HeldState::Commanded {
-                h.sent = now;
+                // Where answers seem to be lost it goes directly, too.
+                if heeds {
+                    h.sent = now;
+                }
                 h.replied = now;
             }
             if h.stop.is_some() {
@@ -552,6 +601,9 @@
         }
         match outcome {
             Direct::Answered { executed, report } => {
+                // However old the report in it is by now: what we say reaches it, and it us.
+                machine.unheeded = 0;
+                (machine.suspect, machine.unanswered) = (false, 0);
                 let probing = !machine.reported_token;
                 if let Some(r) = report.filter(|r| *r.machine == *machine.name) {
                     // A direct answer renews no lease.
--- a/crates/scheduler/src/shard/service.rs
+++ b/crates/scheduler/src/shard/service.rs
@@ -308,7 +308,7 @@
             if now_ms < job.freed_ms + window / WAITED_PART {
                 continue;
             }
-            let tasks = f64::from(job.unfinished()) - f64::from(job.held) / 2.0;
+            let tasks = f64::from(job.wants()) - f64::from(job.held) / 2.0;
             let work = tasks * job.spec.estimate_s * job.spec.cpus;
             for a in accounts {
                 open.entry(a).or_default().0.push((work, (until - now_ms) as f64 / 1000.0));
@@ -323,7 +323,7 @@
         for &j in &self.jobs.live {
             let job = self.jobs.at(j);
             if job.open() {
-                asked[job.team.ix()] += f64::from(job.unfinished()) * job.spec.cpus;
+                asked[job.team.ix()] += f64::from(job.wants()) * job.spec.cpus;
             }
         }
         for (i, asked) in asked.into_iter().enumerate() {
@@ -379,7 +379,7 @@
             .map(|(_, m)| self.types.get(m.ty).cpus)
             .sum();
         let waits = self.jobs.live.iter().map(|&j| self.jobs.at(j)).filter(|j| j.open() && !j.is_service());
-        let waits: f64 = waits.map(|j| f64::from(j.unfinished().saturating_sub(j.held)) * j.spec.cpus).sum();
+        let waits: f64 = waits.map(|j| f64::from(j.wants().saturating_sub(j.held)) * j.spec.cpus).sum();
         if there > 0.0 { (waits / there).clamp(1.0, MOST_PRESSURE) } else { 1.0 }
     }
 
--- a/crates/scheduler/src/shard/sizing.rs
+++ b/crates/scheduler/src/shard/sizing.rs
@@ -1,10 +1,11 @@
 //! The leader's loop over the fleet: how many machines, which to rent or return,
 //! and which have been silent for too long.
 
+use super::faults::KEPT_ASIDE_S;
 use super::{EPS, FleetRecord, PoolRecord, Shard, type_fits};
 use crate::fleet::launch::Launch;
 use crate::fleet::mixture::mixture;
-use crate::fleet::{Held, HeldState, Machine, Phase as MachinePhase};
+use crate::fleet::{Held, HeldState, Machine, Phase as MachinePhase, UNHEEDED};
 use crate::intern::{Index, MachineIx, TypeIx, ZoneIx};
 use crate::jobs::TaskKey;
 use crate::shard::placement::{Promised, taken_by};
@@ -36,6 +37,8 @@
 const LEAST_WITNESSES: usize = 4;
 /// A machine that was deleted costs at least this long.
 const LEAST_PAID_S: f64 = 60.0;
+/// So many questions in a row that a machine which is heard has not answered.
+const DEAF_QUESTIONS: u32 = 2;
 const MOST_DELETED: usize = 100;
 const MOVE_EVERY_S: f64 = 1.0;
 /// Most batch tasks moved at a time.
@@ -58,6 +61,8 @@
     lately: usize,
     just_now: usize,
     mute: usize,
+    /// Heard, and what we say does not reach them.
+    deaf: usize,
 }
 
 impl Heard {
@@ -66,6 +71,7 @@
         self.lately += o.lately;
         self.just_now += o.just_now;
         self.mute += o.mute;
+        self.deaf += o.deaf;
     }
 
     fn less(&self, o: &Heard) -> Heard {
@@ -74,6 +80,7 @@
             lately: self.lately - o.lately,
             just_now: self.just_now - o.just_now,
             mute: self.mute - o.mute,
+            deaf: self.deaf - o.deaf,
         }
     }
 }
@@ -104,6 +111,7 @@
                 lately: heard_within(self.report_s * REPORT_SPREAD + 1.0),
                 just_now: heard_within(fresh_s),
                 mute: usize::from(m.suspect && m.unanswered > 0),
+                deaf: usize::from(m.session > 0 && m.doubted()),
             };
             whole.add(&one);
             by_zone.entry(m.zone).or_default().add(&one);
@@ -127,6 +135,8 @@
         // turn, so that half of all are heard in half of their interval.
         let heard_just_now = |h: &Heard| h.up >= LEAST_WITNESSES && h.just_now * 5 >= h.up * 2;
         self.all_mute = whole.up > 0 && whole.mute * MUTE_OWNER.1 >= whole.up * MUTE_OWNER.0;
+        // Where what we say reaches few of them, it is rather this owner whose words are lost.
+        let heeded = |h: &Heard| h.up >= LEAST_WITNESSES && h.deaf * 2 <= h.up;
         let punctual = now - self.late_at > LATE_COUNTS_S;
         let believed = |zone: ZoneIx| punctual && (heard_just_now(&whole) || heard_just_now(&elsewhere(zone)));
         // Where several are mute the others of that zone are asked at once: a zone that is cut
@@ -198,11 +208,18 @@
                     };
                     let mute = m.suspect && m.unanswered >= questions && quiet > asked_s + ANSWERS_WITHIN_S;
                     let lost = quiet > silent_s && others_heard || mute && believed(m.zone) || quiet > lease * 2.0;
-                    let faulty = m.faulty() && m.tasks.is_empty() && m.resolved();
+                    // Heard, and neither answers nor commands reach it: only its deletion, or the
+                    // end of its session, tells that what runs there is gone.
+                    let unreached = m.unheeded >= UNHEEDED || m.lost_sessions > 0;
+                    let deaf = (unreached && m.suspect && m.unanswered >= DEAF_QUESTIONS || m.lost_sessions > 1)
+                        && punctual
+                        && (heeded(&whole) || heeded(&elsewhere(m.zone)));
+                    let aside = m.faulty() && now - m.aside_since > KEPT_ASIDE_S;
+                    let faulty = aside && m.tasks.is_empty() && m.resolved();
                     let emptied = m.cordoned && m.tasks.is_empty() && m.resolved() && now - m.born > LEAST_PAID_S;
-                    if taken || lost || faulty || emptied {
+                    if taken || lost || deaf || faulty || emptied {
                         log::info!(
-                            "machine {} goes: taken {taken}, silent {lost} ({quiet:.1} s), faulty {faulty}, not needed {emptied}",
+                            "machine {} goes: taken {taken}, silent {lost} ({quiet:.1} s), deaf {deaf}, faulty {faulty}, not needed {emptied}",
                             m.name
                         );
                         self.retire(i);
@@ -214,7 +231,7 @@
     }
 
     /// Asks a machine directly whether it is there. Until it answers, nothing is started on it.
-    fn ask(&mut self, m: MachineIx) {
+    pub(super) fn ask(&mut self, m: MachineIx) {
         self.machines.at_mut(m).suspect = true;
         self.machines.direct_due.insert(m);
     }
@@ -369,13 +386,13 @@
         let mut above = self.quota_demand();
         for &j in &self.jobs.live {
             let job = self.jobs.at(j);
-            if !job.open() || job.failed_on.len() >= 3 {
+            if !job.open() {
                 continue;
             }
             let Some(ty) = self.pool_of(&job.spec) else { continue };
             // Beyond its smallest size a job grows into what is there, and nothing is rented for it.
             let smallest = self.elastic_sizes(j).map_or(u32::MAX, |s| s.smallest);
-            let mut n = f64::from(job.unfinished().min(smallest));
+            let mut n = f64::from(job.wants().min(smallest));
             let left = &mut room[job.team.ix()];
             if job.spec.cpus > 0.0 {
                 n = n.min((*left / job.spec.cpus).max(0.0));
@@ -407,7 +424,7 @@
                 self.machines
                     .iter()
                     .filter(|(_, m)| m.ty == ty && m.spot == spot && staying(m, now))
-                    .filter(|(_, m)| m.phase == MachinePhase::Up || !ready)
+                    .filter(|(_, m)| m.phase == MachinePhase::Up && m.hears(now) || !ready)
                     .count()
             };
             let (spot_up, spot_now, ordinary_now) = (count(true, true), count(true, false), count(false, false));
--- a/src/api.rs
+++ b/src/api.rs
@@ -160,7 +160,11 @@
                 }
                 log::debug!("{verb:?} {id} is answered with {word:?}");
                 match word {
-                    Word::Known(t) => job_answer(200, id, t, verb == Verb::Show),
+                    Word::Known(t) if t.is_final() => job_answer(200, id, t, verb == Verb::Show),
+                    Word::Known(t) => {
+                        let until = self.knows_job(id, clock::now()).and_then(|c| c.acts_until());
+                        job_answer(200, id, t, verb == Verb::Show).until(until)
+                    }
                     Word::Absent => Outgoing::error(404, "no such job"),
                     Word::Unable => unable(),
                 }
@@ -178,7 +182,7 @@
         match heard {
             Some(Heard::Reply(reply)) => {
                 cell.wake();
-                Outgoing::json(200, &reply)
+                Outgoing::json(200, &reply).until(cell.acts_until())
             }
             Some(Heard::Stale) => unable(),
             Some(Heard::Superseded) | None => match cell.elsewhere(now) {
@@ -356,7 +360,9 @@
         }
     }
 
-    /// Without the owner, only what is final or absent can be told.
+    /// Without the owner: what the record says. One that is open was open when it was read, which
+    /// was after the question: ends are stored before anybody is told of them. Questions about open
+    /// jobs once got no answer by nodes that could not reach the owner, for as long as that lasted.
     async fn about_stored(&self, verb: Verb, id: &str) -> Word {
         if let Some(t) = self.final_known(id) {
             return Word::Known(t);
@@ -364,10 +370,13 @@
         match self.state.get(&job_key(id), turn(verb)).await {
             Ok(None) => Word::Absent,
             Ok(Some(item)) => match told_of_item(&item) {
-                Some(t) if t.state != JobState::Queued => {
+                Some(t) if t.is_final() => {
                     self.note_final(id, t);
                     Word::Known(t)
                 }
+                // A cancellation is not told before it is stored; and what a job waits for may be
+                // cancelled already, and it with that.
+                Some(t) if verb == Verb::Show && !may_be_doomed(&item) => Word::Known(t),
                 _ => Word::Unable,
             },
             Err(_) => Word::Unable,
@@ -392,9 +401,9 @@
                 None => return Word::Unable,
                 Some(Some(shown)) => {
                     if let Shown::Told(state, done, running) = shown {
-                        let is_final = matches!(state, JobState::Done | JobState::Cancelled);
-                        if verb == Verb::Show || is_final {
-                            return Word::Known(Told { state, done, running });
+                        let told = Told { state, done, running };
+                        if verb == Verb::Show || told.is_final() {
+                            return Word::Known(told);
                         }
                     }
                     if now - began > if verb == Verb::Show { SETTLES_WITHIN_S } else { CANCELS_WITHIN_S } {
@@ -413,7 +422,7 @@
                         Ok(None) => return Word::Absent,
                         // What is over need not be known here: its record says it all.
                         Ok(Some(item)) => match told_of_item(&item) {
-                            Some(t) if t.state != JobState::Queued => {
+                            Some(t) if t.is_final() => {
                                 self.note_final(id, t);
                                 return Word::Known(t);
                             }
--- a/src/http.rs
+++ b/src/http.rs
@@ -3,6 +3,7 @@
 //! Every exchange has a time limit and every body a size limit, so that a slow
 //! or hostile peer costs a bounded amount.
 
+use crate::clock;
 use async_io::{Async, Timer};
 use futures_lite::{AsyncRead, AsyncReadExt, AsyncWrite, FutureExt, io};
 use http_types::{Body, Method, Request, Response, StatusCode, Url};
@@ -180,11 +181,24 @@
     pub status: u16,
     pub body: Vec<u8>,
     pub retry_after_s: Option<u32>,
+    /// Until when this may be said, by the steady clock; a pause may lie between its making and
+    /// its sending.
+    pub good_until: Option<f64>,
 }
 
 impl Outgoing {
     pub fn json(status: u16, v: &impl serde::Serialize) -> Outgoing {
-        Outgoing { status, body: serde_json::to_vec(v).unwrap_or_default(), retry_after_s: None }
+        Outgoing { status, body: serde_json::to_vec(v).unwrap_or_default(), retry_after_s: None, good_until: None }
+    }
+
+    /// The same, to be said only until then.
+    pub fn until(self, good_until: Option<f64>) -> Outgoing {
+        Outgoing { good_until, ..self }
+    }
+
+    /// What is sent at this moment: what may be said no more is not.
+    fn now(self, now: f64) -> Outgoing {
+        if self.good_until.is_some_and(|t| now >= t) { Outgoing::error(503, "not able to act now") } else { self }
     }
     pub fn error(status: u16, reason: &str) -> Outgoing {
         let mut o = Outgoing::json(status, &crate::wire::ErrorAnswer { error: reason });
@@ -278,6 +292,16 @@
             _ => Use::User,
         }
     }
+
+    /// How long whoever asks waits for an answer, by the protocol, in seconds.
+    fn patience_s(self) -> f64 {
+        match self {
+            Use::Report => 4.0,
+            Use::Poll => 2.0,
+            Use::User => 5.0,
+            Use::Health => 1.0,
+        }
+    }
 }
 
 /// How short connections are. What comes first here is given up first; machines' reports never
@@ -397,6 +421,7 @@
         if door.refuses(what) {
             return send(&conn, response(Outgoing::error(503, "connections run short"), true), method).await;
         }
+        let read = clock::now();
         let out = handler(Incoming {
             method,
             path: req.url().path().to_owned(),
@@ -404,8 +429,14 @@
             body,
         })
         .await;
+        // After a pause of this process the clock has run on: whoever asked has given up and asks
+        // elsewhere, and what was made up before may be over.
+        let now = clock::now();
+        if now - read > what.patience_s() {
+            return Ok(());
+        }
         let close = close || door.gives_back(what);
-        send(&conn, response(out, close), method).await?;
+        send(&conn, response(out.now(now), close), method).await?;
         if close {
             return Ok(());
         }
@@ -519,6 +550,31 @@
         }));
     }
 
+    /// A process that stood still for a while has answers that it made up before: what may be said no
+    /// more is not said, and who has given up is not answered.
+    #[test]
+    fn what_was_made_up_before_a_pause_is_not_said() {
+        let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).expect("a port");
+        let addr = listener.get_ref().local_addr().expect("its address");
+        let handler = |req: Incoming| async move {
+            if req.method == Method::Post {
+                // Its lease was over a moment ago.
+                return Outgoing::json(200, &1).until(Some(clock::now()));
+            }
+            Timer::after(Duration::from_millis(1100)).await;
+            Outgoing::json(200, &1).until(Some(clock::now() + 1.0))
+        };
+        let bounds = Bounds { connections: 8, body_bytes: 1 << 20 };
+        EX.spawn(serve(&EX, listener, bounds, Arc::new(handler))).detach();
+        async_io::block_on(EX.run(async {
+            let ask =
+                async |method, path| Client::new(1, 1).call(addr, method, path, None, Duration::from_secs(5)).await;
+            assert_eq!(ask(Method::Post, "/work").await.map(|a| a.0), Ok(503));
+            assert_eq!(ask(Method::Get, "/work/req-1").await.map(|a| a.0), Ok(200), "within a poll's patience");
+            assert_eq!(ask(Method::Get, crate::wire::HEALTH_PATH).await, Err(CallError::NoAnswer), "who has given up");
+        }));
+    }
+
     /// Bodies that are sent slowly, or by many at once, cost no more than their part: who
     /// comes then hears 503 at once, and who has no body is served.
     #[test]
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -21,7 +21,7 @@
 use crate::state::{Commit, StateClient, StateError, TXN_BYTES, Turn};
 use crate::told::{Told, Word};
 use crate::tuning::Tuning;
-use crate::wire::{Change, Condition, Item, JobState, Kind, MachineType, RentRequest};
+use crate::wire::{Change, Condition, Item, Kind, MachineType, RentRequest};
 use crate::worker::WorkerClient;
 use async_channel::{Receiver, Sender};
 use async_executor::Executor;
@@ -262,7 +262,7 @@
     }
 
     pub fn note_final(&self, id: &str, t: Told) {
-        if matches!(t.state, JobState::Done | JobState::Cancelled) {
+        if t.is_final() {
             lock(&self.finals).put(id.to_owned(), t);
         }
     }
@@ -372,10 +372,18 @@
         self.wake();
     }
 
-    /// How a report is answered that this controller cannot take.
+    /// Until when what is made up now may be said.
+    pub fn acts_until(&self) -> Option<f64> {
+        lock(&self.own).acts_until()
+    }
+
+    /// How a report is answered that this controller cannot take. Who has not heard from the state
+    /// service for longer than a claim lasts does not know who owns: sent on to an owner that is
+    /// gone, a worker waits for 4 s and more, and may be sent back here.
     pub fn elsewhere(&self, now: f64) -> Option<String> {
+        let known = now - *lock(&self.state_ok) < self.tuning.claim_s + WATCH_WAIT.as_secs_f64();
         match self.standing(now) {
-            Standing::Other(node) => {
+            Standing::Other(node) if known => {
                 self.sent_on.fetch_add(1, Ordering::Relaxed);
                 Some(node)
             }
--- a/src/told.rs
+++ b/src/told.rs
@@ -11,6 +11,13 @@
     pub running: u64,
 }
 
+impl Told {
+    /// Ends never change: whoever has learnt of one may tell it for ever.
+    pub fn is_final(&self) -> bool {
+        matches!(self.state, JobState::Done | JobState::Cancelled)
+    }
+}
+
 /// What can be said of a job by whoever was asked.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Word {
