--- a/crates/accounts/src/gate.rs
+++ b/crates/accounts/src/gate.rs
@@ -200,7 +200,12 @@
     let mut out = Judged::default();
     for r in &together(lines) {
         // What few asked for says little: a single job would be none or all.
-        let least = if matches!(r.reading, Reading::Up | Reading::Held) { 60.0 } else { 8.0 };
+        let least = match r.reading {
+            Reading::Up | Reading::Held => 60.0,
+            // There are few of them in any class.
+            Reading::Largest => 2.0,
+            _ => 8.0,
+        };
         if let Some(share) = r.share.filter(|_| r.asked >= least) {
             out.take(source, format!("{} {} {}", r.side.name(), r.name, r.reading.name()), share);
         }
--- a/crates/accounts/src/lib.rs
+++ b/crates/accounts/src/lib.rs
@@ -49,10 +49,20 @@
     Accepted,
     /// Cancellations answered.
     Cancelled,
+    /// Of a class's largest jobs, those that began within four minutes.
+    Largest,
 }
 
-pub const READINGS: [Reading; 6] =
-    [Reading::Started, Reading::Done, Reading::Up, Reading::Held, Reading::Accepted, Reading::Cancelled];
+/// In the order in which they are handed over: new ones come last.
+pub const READINGS: [Reading; 7] = [
+    Reading::Started,
+    Reading::Done,
+    Reading::Up,
+    Reading::Held,
+    Reading::Accepted,
+    Reading::Cancelled,
+    Reading::Largest,
+];
 
 impl Reading {
     pub fn name(self) -> &'static str {
@@ -63,6 +73,7 @@
             Reading::Held => "held",
             Reading::Accepted => "accepted",
             Reading::Cancelled => "cancelled",
+            Reading::Largest => "largest",
         }
     }
 }
--- a/crates/scheduler/src/jobs.rs
+++ b/crates/scheduler/src/jobs.rs
@@ -150,6 +150,8 @@
     pub failed_on: Vec<MachineIx>,
     /// Nothing of it is started before then.
     pub not_before: f64,
+    /// The accounts know whether it began in time, as one of its class's largest.
+    pub told_largest: bool,
     /// How often it was tried since it was at fault.
     pub tries: u32,
     /// A machine that one of its replicas is leaving, and until when it is avoided.
@@ -335,6 +337,7 @@
             failed_on: Vec::new(),
             not_before: 0.0,
             tries: 0,
+            told_largest: false,
             avoid: None,
             since: now,
             zone_counts: vec![0; if open { self.zones } else { 0 }],
--- a/crates/scheduler/src/shard/largest.rs
+++ b/crates/scheduler/src/shard/largest.rs
@@ -11,12 +11,15 @@
 
 use super::*;
 use crate::wire::Priority;
+use lupinspur_accounts::Reading;
 
 /// A job waits for so long, in seconds, before its first part goes ahead. Users are promised four
 /// minutes; boots, a takeover and the end of what runs there come out of the rest.
 const BEGINS_AFTER_S: u64 = 60;
 /// Where a class's jobs are all alike nothing holds back its largest but its turn: later.
 const ALIKE_AFTER_S: u64 = 150;
+/// The largest jobs are promised to begin within this, in seconds.
+const PROMISED_S: u64 = 240;
 /// Of an array, one task in so many is the first part.
 const FIRST_PART: u32 = 10;
 /// Of the cpus that other batch work gets, so many more are set apart for first parts; and so many at
@@ -94,6 +97,40 @@
         }
     }
 
+    /// Tells the accounts which of the largest jobs began within the promised time, each once, and
+    /// which did not.
+    pub(super) fn account_largest(&mut self, now: f64, t: f64) {
+        let now_ms = self.day_now_ms(now);
+        let mut told = Vec::new();
+        for &j in &self.jobs.live {
+            let job = self.jobs.at(j);
+            if job.told_largest || !job.open() || job.at_fault() {
+                continue;
+            }
+            let waited_s = now_ms.saturating_sub(job.freed_ms) / 1000;
+            let begun = job.begun > 0 || job.done > 0;
+            if !begun && waited_s <= PROMISED_S {
+                continue;
+            }
+            // What an earlier owner saw begin, or wait for too long, it has told.
+            let earlier =
+                job.since <= self.began && (waited_s.saturating_sub((now - self.began) as u64) > PROMISED_S || begun);
+            let one = self.largest.goes_after_s(&job.spec).is_some() && !earlier;
+            told.push((j, one.then_some(begun && waited_s <= PROMISED_S)));
+        }
+        for (j, served) in told {
+            let job = self.jobs.at_mut(j);
+            job.told_largest = true;
+            if let Some(served) = served {
+                if !served {
+                    log::warn!("{} is among the largest of {} and has not begun in time", job.id, job.spec.class);
+                }
+                let (class, team) = (job.spec.class.clone(), job.spec.team.clone());
+                self.book.answered(&class, &team, Reading::Largest, served, t);
+            }
+        }
+    }
+
     /// The first part of this job's tasks, if it is to go ahead of other batch work now.
     pub(crate) fn first_part(&self, j: JobIx, now_ms: u64) -> Option<u32> {
         let job = self.jobs.at(j);
--- a/crates/scheduler/src/shard/service.rs
+++ b/crates/scheduler/src/shard/service.rs
@@ -283,6 +283,7 @@
         if self.gathered(now) && since < 4.0 * LOOK_EVERY_S {
             self.account_held(since, t);
         }
+        self.account_largest(now, t);
         self.book.advance(t);
         self.sunk = Sunk::look(&self.book, &self.ahead(t), t);
     }
