--- a/src/http.rs
+++ b/src/http.rs
@@ -435,8 +435,12 @@
         if now - read > what.patience_s() {
             return Ok(());
         }
-        let close = close || door.gives_back(what);
-        send(&conn, response(out.now(now), close), method).await?;
+        let out = out.now(now);
+        // Connections stay where they are: a user whose question this node could not answer would ask
+        // it again and again, beside others that can.
+        let elsewhere = out.status == 503 && matches!(what, Use::Poll | Use::User);
+        let close = close || elsewhere || door.gives_back(what);
+        send(&conn, response(out, close), method).await?;
         if close {
             return Ok(());
         }
@@ -570,6 +574,13 @@
             let ask =
                 async |method, path| Client::new(1, 1).call(addr, method, path, None, Duration::from_secs(5)).await;
             assert_eq!(ask(Method::Post, "/work").await.map(|a| a.0), Ok(503));
+            // Who could not be answered is to ask elsewhere: its connection is given up.
+            let mut c = Conn::open(addr, Duration::from_secs(2)).await.expect("open");
+            let request = b"POST /work HTTP/1.1\r\nhost: x\r\ncontent-length: 0\r\n\r\n";
+            futures_lite::AsyncWriteExt::write_all(&mut c, request).await.expect("sent");
+            let mut heard = String::new();
+            let all = timed(Duration::from_secs(2), c.read_to_string(&mut heard)).await;
+            assert!(all.is_ok() && heard.starts_with("HTTP/1.1 503"), "closed after the answer: {heard}");
             assert_eq!(ask(Method::Get, "/work/req-1").await.map(|a| a.0), Ok(200), "within a poll's patience");
             assert_eq!(ask(Method::Get, crate::wire::HEALTH_PATH).await, Err(CallError::NoAnswer), "who has given up");
         }));
