--- a/crates/cells/src/member.rs
+++ b/crates/cells/src/member.rs
@@ -19,11 +19,18 @@
     node: String,
     nonce: String,
     pub cells: Plan,
+    /// On the way back to one: cell 0 takes in what the others had, and these are owned no more.
+    #[serde(default)]
+    pub merging: bool,
 }
 
 impl InForce {
     pub fn new(plan: Plan) -> InForce {
-        InForce { node: NOBODY.into(), nonce: "plan".into(), cells: plan }
+        InForce { node: NOBODY.into(), nonce: "plan".into(), cells: plan, merging: false }
+    }
+
+    pub fn merging(plan: Plan) -> InForce {
+        InForce { merging: true, ..InForce::new(plan) }
     }
 }
 
@@ -36,10 +43,22 @@
 }
 
 /// May the plan of this controller come into force? Only when all controllers of the settings
-/// live, understand cells, and have the same plan.
+/// live, understand cells, and have the same plan. A plan of one cell is the way back.
 pub fn comes_into_force(mine: &Plan, nodes: &[&str], present: &[Presence]) -> bool {
     let agrees = |n: &&str| present.iter().any(|p| p.node == **n && p.plan.as_ref() == Some(mine));
-    mine.cells > 1 && nodes.iter().all(agrees)
+    nodes.iter().all(agrees)
+}
+
+/// May the owner of cell 0, by a claim of this version, take in what all the others had? `others`: of each
+/// the node that its claim names, and the claim's version. Only where none of them can be owned any more, and
+/// where all that their owners could ever store, and their machines obey, is older.
+pub fn may_take_in<'a>(token: u64, others: impl IntoIterator<Item = Option<(&'a str, u64)>>) -> bool {
+    others.into_iter().all(|c| c.is_some_and(|(node, version)| node == NOBODY && version < token))
+}
+
+/// Has this controller a plan to offer, beside the one in force?
+pub fn offers(mine: &Plan, in_force: Option<&Plan>) -> bool {
+    if mine.cells > 1 { in_force.is_none() } else { in_force.is_some() }
 }
 
 /// Seconds that a controller waits before it claims a cell that has no owner. `nodes`: all
--- a/crates/scheduler/src/fleet/racks.rs
+++ b/crates/scheduler/src/fleet/racks.rs
@@ -5,6 +5,7 @@
 //! value for each machine, hundreds of machines want more writes a second than the
 //! state service takes; a rack's value is written once for all starts on it that wait.
 
+use super::MachineRecord;
 use crate::intern::{Index, JobIx, MachineIx, RackIx, TypeIx, ZoneIx};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
@@ -53,6 +54,22 @@
 }
 
 impl RackRecord {
+    /// Each machine of it, as a value of its own would say it.
+    pub fn each(&self) -> Vec<(String, MachineRecord)> {
+        let own = |x: &RackMachine| MachineRecord {
+            shard: 0,
+            addr: x.addr.clone(),
+            type_name: self.type_name.clone(),
+            zone: self.zone.clone(),
+            spot: self.spot,
+            retiring: x.retiring,
+            faulty: x.faulty,
+            jobs: x.jobs.iter().filter_map(|j| self.jobs.get(*j as usize).cloned()).collect(),
+            images: x.images.iter().filter_map(|i| self.images.get(*i as usize).cloned()).collect(),
+        };
+        self.machines.iter().map(|x| (x.machine.clone(), own(x))).collect()
+    }
+
     /// What the images take of its value, about: they give way to jobs.
     pub fn image_bytes(&self) -> usize {
         let names: usize = self.images.iter().map(|(name, _)| name.len() + 9).sum();
--- a/crates/scheduler/src/shard/mod.rs
+++ b/crates/scheduler/src/shard/mod.rs
@@ -185,6 +185,7 @@
     fleet_to_restore: Option<FleetRecord>,
     machines_to_restore: Vec<(String, MachineRecord)>,
     racks_to_restore: Vec<(RackIx, RackRecord, u64)>,
+    taken_in: Vec<(String, RackRecord, u64)>,
 }
 
 /// What this owner has done so far; operators see the differences in the log.
--- a/crates/scheduler/src/shard/takeover.rs
+++ b/crates/scheduler/src/shard/takeover.rs
@@ -19,6 +19,10 @@
     pub checkpoint: Found,
     /// Where arrays may be elastic.
     pub elastic: Option<lupinspur_elastic::Plan>,
+    /// Racks of cells that this one takes in, by their keys: they are replaced by its own.
+    pub taken_in: Vec<(String, RackRecord, u64)>,
+    /// What else they kept, which is of no use here.
+    pub stale: Vec<(String, u64)>,
     /// Machines that went to other cells, whatever the records here still say.
     pub away: std::collections::BTreeSet<String>,
 }
@@ -103,7 +107,12 @@
             fleet_to_restore: loaded.fleet.as_ref().map(|f| f.0.clone()),
             machines_to_restore: Vec::new(),
             racks_to_restore: loaded.racks,
+            taken_in: loaded.taken_in,
         };
+        for (key, version) in loaded.stale {
+            shard.versions.insert(key.clone(), version);
+            shard.cleanup.insert(key);
+        }
         for z in &s.zones {
             shard.types.zones.intern(z);
         }
@@ -181,6 +190,18 @@
         for (i, r, version) in std::mem::take(&mut self.racks_to_restore) {
             self.restore_rack(i, r, version, now);
         }
+        for (key, r, version) in std::mem::take(&mut self.taken_in) {
+            self.versions.insert(key.clone(), version);
+            let key: Arc<str> = key.into();
+            if r.machines.is_empty() {
+                self.cleanup.insert(key.to_string());
+            }
+            for (name, own) in r.each() {
+                if let Some(m) = self.restore_machine(&name, own, now) {
+                    self.names_too(&key, m);
+                }
+            }
+        }
         for (name, r) in std::mem::take(&mut self.machines_to_restore) {
             if let Some(m) = self.restore_machine(&name, r, now) {
                 self.names_too(&crate::fleet::machine_key(&name).into(), m);
@@ -221,21 +242,7 @@
         if old && r.machines.is_empty() {
             self.cleanup.insert(key.to_string());
         }
-        for RackMachine { machine: name, addr, retiring, faulty, jobs, images } in r.machines {
-            let jobs = jobs.iter().filter_map(|j| r.jobs.get(*j as usize).cloned()).collect();
-            let images = images.iter().filter_map(|x| r.images.get(*x as usize).cloned()).collect();
-            let (type_name, zone_name) = (r.type_name.clone(), r.zone.clone());
-            let own = MachineRecord {
-                shard: 0,
-                addr,
-                type_name,
-                zone: zone_name,
-                spot: r.spot,
-                retiring,
-                faulty,
-                jobs,
-                images,
-            };
+        for (name, own) in r.each() {
             match self.restore_machine(&name, own, now) {
                 Some(m) if old => self.names_too(&key, m),
                 Some(m) => {
--- a/src/node/between.rs
+++ b/src/node/between.rs
@@ -4,19 +4,20 @@
 use crate::shard::limits;
 use lupinspur_cells::escrow::{Amount, Gift, Ledger, Use, gifts};
 use lupinspur_cells::handover::{self, BYTES_A_MACHINE, Handed, Handover, giver_next, taker_next, to_whom};
-use lupinspur_cells::member::{InForce, Presence, comes_into_force};
+use lupinspur_cells::member::{InForce, Presence, comes_into_force, offers};
 use lupinspur_cells::picture::Picture;
 use lupinspur_cells::reassign::{Leader, Orders, has_to_raise};
 use lupinspur_cells::spill::spills;
 use std::collections::BTreeSet;
 
-const CELLS_PREFIX: &str = "cells/";
+pub(super) const CELLS_PREFIX: &str = "cells/";
 const LEDGER_KEY: &str = "cells/escrow";
 const PICTURES: &str = "cells/pic/";
 const ORDERS_KEY: &str = "cells/orders";
 /// What is not needed is kept for other cells for so many pictures.
 const HOLD_PICTURES: f64 = 3.0;
-const PRESENT_PREFIX: &str = "own/node/";
+pub(super) const PRESENT_PREFIX: &str = "own/node/";
+const CELL_CLAIMS: &str = "own/c/";
 const PRESENT_MS: u64 = 15_000;
 const OFFER_EVERY: Duration = Duration::from_millis(700);
 
@@ -33,14 +34,20 @@
 }
 
 impl Node {
-    /// Offers the plan of this controller's file until one is in force.
+    /// Offers the plan of this controller's file until it is in force.
     pub(super) async fn offer_plan(self: Arc<Self>) {
-        let Some(plan) = self.plan.clone().filter(|p| p.cells > 1) else { return };
+        let Some(plan) = self.plan.clone() else { return };
         let present = Presence { node: self.settings.node.clone(), plan: Some(plan.clone()) };
         let Ok(value) = serde_json::to_value(&present) else { return };
         let mut lease = None;
         // At once, and before submissions: a deployment that begins is parted before its first flood.
-        while lock(&self.in_force).is_none() {
+        loop {
+            let in_force = lock(&self.in_force).clone();
+            if !offers(&plan, in_force.as_ref()) {
+                lease = None;
+                Timer::after(OFFER_EVERY).await;
+                continue;
+            }
             let renewed = match lease {
                 Some(l) => self.state.renew(l, Duration::from_secs(1)).await.is_ok(),
                 None => false,
@@ -53,7 +60,7 @@
                     lease = None;
                 }
             }
-            if self.owns_some(clock::now()) {
+            if in_force.is_none() && self.owns_some(clock::now()) {
                 self.bring_into_force(&plan).await;
             }
             Timer::after(OFFER_EVERY).await;
@@ -101,6 +108,16 @@
             log::error!("the plan of cells, or what it parts, does not fit a value of {most} bytes");
             return;
         }
+        // Of a merging in which not all places of claims could be cleared at once.
+        let Ok((left, _)) = self.state.list(CELL_CLAIMS, Turn::First).await else { return };
+        for some in left.chunks(self.state.txn_ops) {
+            let mut conditions = vec![Condition { key: CLAIM_KEY.into(), version: token }];
+            conditions.extend(some.iter().map(|i| Condition { key: i.key.clone(), version: i.version }));
+            let gone = some.iter().map(|i| Change::Delete { key: i.key.clone() }).collect();
+            if !matches!(self.state.commit(conditions, gone, Turn::First).await, Ok(Commit::Applied(_))) {
+                return;
+            }
+        }
         let conditions = vec![
             Condition { key: CLAIM_KEY.into(), version: token },
             Condition { key: LEDGER_KEY.into(), version: before.map_or(0, |i| i.version) },
@@ -143,13 +160,14 @@
         // As far as this process knows nobody has claimed them: what it hears next may say more.
         cells.iter().for_each(|c| c.saw_claim(None));
         self.put_cells(cells);
+        *lock(&self.between) = Between::default();
         EX.spawn(self.clone().watch_between()).detach();
     }
 
     /// Shares and pictures, as they are stored.
     async fn watch_between(self: Arc<Self>) {
         let mut from: Option<u64> = None;
-        loop {
+        while lock(&self.in_force).is_some() {
             let heard = match from {
                 None => self.state.list(CELLS_PREFIX, Turn::InTurn).await,
                 Some(r) => self.state.watch(CELLS_PREFIX, r, WATCH_WAIT).await.map(|ev| {
@@ -236,7 +254,7 @@
             }
             b.ledger = Some((ledger.clone(), version));
         }
-        for c in self.cells().iter().filter(|c| !c.giving.load(Ordering::Relaxed)) {
+        for c in self.cells().iter().filter(|c| !c.giving.load(Ordering::Relaxed) && !c.takes_all()) {
             c.with_shard(clock::now(), |s| s.set_shares(&self.settings.teams, &ledger, c.ix));
         }
     }
@@ -245,7 +263,7 @@
 impl Cell {
     /// The shares that this cell begins with. Nothing is begun before they are known.
     pub(super) async fn read_shares(&self) -> Result<Option<Ledger>, StateError> {
-        if lock(&self.in_force).is_none() {
+        if lock(&self.in_force).is_none() || self.takes_all() {
             return Ok(None);
         }
         let item = self.state.get(LEDGER_KEY, Turn::InTurn).await?;
@@ -399,7 +417,12 @@
             Timer::after(Duration::from_secs_f64(plan.picture_s * (0.9 + 0.2 * fastrand::f64()))).await;
             let now = clock::now();
             let seen = self.with_shard(now, |s| (s.token, s.gathered(now).then(|| s.picture(self.ix, now))));
-            let Some((token, Some(mine))) = seen else { continue };
+            let Some((token, picture)) = seen else { continue };
+            if self.merges() {
+                self.merge(token, &plan).await;
+                continue;
+            }
+            let Some(mine) = picture else { continue };
             if let Ok(value) = serde_json::to_value(&mine)
                 && value.to_string().len() <= self.settings.value_bytes()
             {
@@ -409,6 +432,9 @@
                 let _ = self.state.commit(vec![claim], vec![change], Turn::InTurn).await;
             }
             if self.state.answers(clock::now()) {
+                if self.goes_back() && self.ix.0 == 0 {
+                    self.begin_merging(token, &plan).await;
+                }
                 self.give(token, &plan, &mine).await;
                 self.let_go(token, &plan, &mine).await;
                 if self.ix.0 == 0 {
--- a/src/node/claim.rs
+++ b/src/node/claim.rs
@@ -49,7 +49,7 @@
     }
 
     async fn claim_once(self: &Arc<Self>) {
-        if !self.open() {
+        if !self.open() || self.merges() && self.ix.0 != 0 {
             return;
         }
         // Whoever does not know the machine types cannot act, and must not stand in the
@@ -201,7 +201,7 @@
     pub(super) fn saw_claim(&self, item: Option<Item>) {
         // Nobody's claim, with a plan in it: there are several cells from now on.
         if let Some(plan) = item.as_ref().and_then(Cell::plan_in) {
-            return self.node.enter_cells(plan);
+            return self.node.saw_plan(plan);
         }
         let seen =
             item.and_then(|i| Some(SeenClaim { claim: serde_json::from_value(i.value).ok()?, version: i.version }));
@@ -222,8 +222,9 @@
                     Ok((items, revision)) => {
                         self.state_answered();
                         // The plan in force decides what the other keys mean.
-                        if let Some(plan) = items.iter().find(|i| i.key == CLAIM_KEY).and_then(Cell::plan_in) {
-                            self.enter_cells(plan);
+                        match items.iter().find(|i| i.key == CLAIM_KEY).and_then(Cell::plan_in) {
+                            Some(plan) => self.saw_plan(plan),
+                            None => self.leave_cells(),
                         }
                         for c in self.cells().iter().filter(|c| items.iter().all(|i| i.key != c.claim_key)) {
                             c.saw_claim(None);
@@ -295,7 +296,14 @@
     }
 
     /// A key under the claims' prefix has this value now, or is gone.
-    fn saw(&self, key: String, item: Option<Item>) {
+    fn saw(self: &Arc<Self>, key: String, item: Option<Item>) {
+        // Where there are several cells this key is no cell's claim, but the plan.
+        if key == CLAIM_KEY && self.cells().len() > 1 {
+            return match item.as_ref().and_then(Cell::plan_in) {
+                Some(plan) => self.saw_plan(plan),
+                None => self.leave_cells(),
+            };
+        }
         match (self.cell_claimed_by(&key), item) {
             (Some(c), item) => c.saw_claim(item),
             (None, Some(i)) => self.saw_beside_claim(&key, i.value),
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -3,6 +3,7 @@
 mod between;
 mod claim;
 mod loops;
+mod merging;
 mod routing;
 mod takeover;
 
@@ -103,6 +104,8 @@
     /// The operators' file of cells, and the plan that is in force.
     plan: Option<lupinspur_cells::Plan>,
     in_force: Mutex<Option<lupinspur_cells::Plan>>,
+    /// The cells in force are on their way back to one.
+    merging: AtomicBool,
     between: Mutex<between::Between>,
     /// Which cell a job, or a machine, was last found in.
     job_cells: Mutex<LruCache<String, CellIx>>,
@@ -141,6 +144,10 @@
     giving: AtomicBool,
     /// Another set of cells has taken its place: its loops end.
     closed: AtomicBool,
+    /// By which claim, and up to which revision, everything was read.
+    read_at: Mutex<(u64, u64)>,
+    /// Cell 0, at the end of a merging: whatever the others had is its own.
+    takes_all: AtomicBool,
 }
 
 impl std::ops::Deref for Cell {
@@ -189,6 +196,7 @@
             cells: Mutex::default(),
             plan: features.cells,
             in_force: Mutex::default(),
+            merging: AtomicBool::new(false),
             between: Mutex::default(),
             job_cells: Mutex::new(LruCache::new(MOST_KEPT)),
             machine_cells: Mutex::new(LruCache::new(MOST_KEPT)),
@@ -240,7 +248,8 @@
 
     /// What this process may spend at the services follows from what it owns.
     fn share_out(&self) {
-        let (owned, of) = (self.owned(), self.cells().len());
+        let of = if self.merges() { 1 } else { self.cells().len() };
+        let owned = self.owned();
         self.state.set_share(&self.settings, owned, of);
         self.cloud.set_share(&self.settings, owned, of);
     }
@@ -320,6 +329,8 @@
             loading: AtomicBool::new(false),
             giving: AtomicBool::new(false),
             closed: AtomicBool::new(false),
+            read_at: Mutex::default(),
+            takes_all: AtomicBool::new(false),
         })
     }
 
--- a/src/node/routing.rs
+++ b/src/node/routing.rs
@@ -2,7 +2,7 @@
 
 use super::*;
 use crate::peer::MachineQuestion;
-use lupinspur_cells::member::NOBODY;
+use lupinspur_cells::member::{InForce, NOBODY};
 
 /// Where a job is to be asked for.
 pub enum Place {
@@ -20,7 +20,7 @@
     /// The one cell that there is, if there is only one.
     fn only(&self) -> Option<Arc<Cell>> {
         let cells = self.cells();
-        (cells.len() == 1).then(|| cells[0].clone())
+        (cells.len() == 1 || self.merges()).then(|| cells[0].clone())
     }
 
     /// The cell of whatever this record is of.
@@ -98,6 +98,12 @@
     /// that nobody knows goes to a cell whose token it would obey; none is said before all were
     /// asked.
     pub async fn cell_of_machine(&self, machine: &str, token: u64) -> Option<Arc<Cell>> {
+        // Before cell 0 has read what the others had, it knows nothing of what runs there.
+        if self.merges() {
+            let knows = |s: &mut Shard| s.machines.find(machine).is_some();
+            let one = self.cell(CellIx(0))?;
+            return Some(one.clone()).filter(|c| c.takes_all() || c.with_shard(clock::now(), knows) != Some(false));
+        }
         if let Some(c) = self.only() {
             return Some(c);
         }
@@ -201,14 +207,14 @@
 
     /// Does a record concern this cell? One that is over does, since others may wait for it.
     pub(super) fn concerns(&self, r: &JobRecord) -> bool {
-        r.phase != Phase::Open || self.cell_of_record(r) == self.ix
+        r.phase != Phase::Open || self.takes_all() || self.cell_of_record(r) == self.ix
     }
 
     /// Is this claim nobody's, with the plan in it?
-    pub(super) fn plan_in(item: &Item) -> Option<lupinspur_cells::Plan> {
+    pub(super) fn plan_in(item: &Item) -> Option<InForce> {
         if item.value.get("node").and_then(serde_json::Value::as_str) != Some(NOBODY) {
             return None;
         }
-        serde_json::from_value::<lupinspur_cells::member::InForce>(item.value.clone()).ok().map(|f| f.cells)
+        serde_json::from_value(item.value.clone()).ok()
     }
 }
--- a/src/node/takeover.rs
+++ b/src/node/takeover.rs
@@ -41,26 +41,37 @@
         let began = clock::now();
         self.share_out();
         let loaded = async {
+            self.takes_all.store(self.others_are_nobody_s(token).await?, Ordering::Relaxed);
             let (records, revision) = self.read_jobs().await?;
             let (mut progress, _) = self.state.list(PROGRESS_PREFIX, Turn::InTurn).await?;
             progress.extend(self.state.list(PART_PREFIX, Turn::InTurn).await?.0);
             let machines = self.list_own(MACHINE_PREFIX).await?;
             let racks = self.list_own(RACK_PREFIX).await?;
             let fleet = self.state.get(&self.outer(FLEET_KEY), Turn::InTurn).await?.map(|i| self.inner(i));
+            let (taken_in, stale) = self.read_merged().await?;
             let shares = self.read_shares().await?;
             let away = self.read_away().await?;
             let quotas = match &self.quotas {
                 Some(_) => self.state.list(PREFIX, Turn::InTurn).await?.0,
                 None => Vec::new(),
             };
-            if self.cells().len() > 1 {
+            if self.cells().len() > 1 && !self.takes_all() {
                 // What is known of other cells' jobs is theirs to tidy up.
                 progress.retain(|i| i.key.split('/').nth(1).is_some_and(|id| records.jobs.contains_key(id)));
             }
-            Ok::<_, StateError>((records, revision, progress, machines, racks, (fleet, shares, away), quotas))
+            Ok::<_, StateError>((
+                records,
+                revision,
+                progress,
+                machines,
+                racks,
+                (fleet, shares, away),
+                quotas,
+                (taken_in, stale),
+            ))
         };
         match loaded.await {
-            Ok((records, revision, progress, machines, racks, (fleet, shares, away), quotas)) => {
+            Ok((records, revision, progress, machines, racks, (fleet, shares, away), quotas, (taken_in, stale))) => {
                 let number = |k: &str| k.strip_prefix(RACK_PREFIX).and_then(|n| n.parse::<usize>().ok());
                 let handed = records.handed;
                 let loaded = Loaded {
@@ -68,6 +79,8 @@
                     checkpoint: records.found,
                     elastic: self.elastic.clone(),
                     away,
+                    taken_in,
+                    stale,
                     progress: parse_items(progress).collect(),
                     machines: parse_items(machines)
                         .map(|(k, r, v): (String, _, _)| (k.trim_start_matches(MACHINE_PREFIX).to_owned(), r, v))
@@ -113,6 +126,7 @@
                 shard.carry_accounts(handed, now);
                 shard.tick(now);
                 *lock(&self.shard) = Some(shard);
+                *lock(&self.read_at) = (token, revision);
                 self.wake();
                 EX.spawn(self.clone().watch_jobs(token, revision)).detach();
             }
@@ -127,7 +141,9 @@
         let items = self.list_own(lupinspur_recovery::PREFIX).await?;
         records.found.keys = items.iter().map(|i| (i.key.clone(), i.version)).collect();
         records.handed = crate::shard::handed(items.iter().map(|i| (i.key.as_str(), &i.value)));
-        let read = lupinspur_recovery::read(items.iter().map(|i| (i.key.as_str(), &i.value)));
+        // Before a merging is through, its own checkpoint knows nothing of what the others had.
+        let whole = !self.takes_all();
+        let read = lupinspur_recovery::read(items.iter().filter(|_| whole).map(|i| (i.key.as_str(), &i.value)));
         drop(items);
         match read {
             Ok(mut read) => match self.state.watch(JOB_PREFIX, read.head.at, Duration::ZERO).await {
--- a/tests/loopback.rs
+++ b/tests/loopback.rs
@@ -1257,6 +1257,49 @@
     whole(&cluster, &services, Duration::from_secs(60));
     user.until(&listen, Method::Get, &format!("/work/{id}"), None, |s, v| s == 200 && v["bloom"] == "cancelled");
     cluster.nothing_broken();
+
+    // The way back to one, while everything runs: the controllers are started anew one after another with
+    // another file. Those that own end in the middle of it; what the cells kept is one owner's then.
+    let merging = |c: &Cluster| lock(&c.store).keys.get("own/0").is_some_and(|k| k.0["merging"] == true);
+    let change = |c: &mut Cluster, text: &str| {
+        std::fs::write(c.dir.join("cells.toml"), text).expect("a file of cells");
+        for i in 0..3 {
+            c.kill(i);
+            c.begin(i);
+        }
+    };
+    let until = |c: &Cluster, what: &str, f: &dyn Fn(&Cluster) -> bool| {
+        let began = Instant::now();
+        while !f(c) {
+            red_within(c);
+            assert!(began.elapsed() < Duration::from_secs(40), "{what}");
+            std::thread::sleep(Duration::from_millis(10));
+        }
+    };
+    change(&mut cluster, "cells = 1\n");
+    until(&cluster, "the cells do not merge", &merging);
+    cluster.restart_all();
+    until(&cluster, "there is no single owner", &|c| c.owner().is_some());
+    until(&cluster, "something of the cells stands", &|c| {
+        let store = lock(&c.store);
+        !store.keys.keys().any(|k| ["c1/", "c2/", "cells/", "own/c/"].iter().any(|p| k.starts_with(p)))
+    });
+    whole(&cluster, &services, Duration::from_secs(60));
+    submit("req-0502", "red", "batch", 12);
+    let ends = |c: &Cluster, id: &str| {
+        user.until(&listen, Method::Get, &format!("/work/{id}"), None, |s, v| {
+            red_within(c);
+            s == 200 && v["bloom"] == "done"
+        });
+    };
+    ends(&cluster, "req-0502");
+    user.until(&listen, Method::Get, &format!("/work/{id}"), None, |s, v| s == 200 && v["bloom"] == "cancelled");
+    cluster.nothing_broken();
+    // And to another number from there.
+    change(&mut cluster, "cells = 2\npicture_s = 0.5\n");
+    until(&cluster, "two cells do not come into force", &|c| owner_of(c, 0).is_some() && owner_of(c, 1).is_some());
+    whole(&cluster, &services, Duration::from_secs(60));
+    cluster.nothing_broken();
 }
 
 /// Two cells, and only one has work: more than its own machines can take. What the other does not need
