--- a/crates/scheduler/src/ownership.rs
+++ b/crates/scheduler/src/ownership.rs
@@ -73,7 +73,7 @@
 }
 
 /// The lease and claim of one controller.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Ownership {
     me: Claim,
     ttl_s: f64,
