A lease without a claim is renewed at its interval, not six times a second

Cause: every controller that came too late with its claim keeps the lease that it had asked for, and renewed it every 150 ms, like an owner whose lease is in doubt. Renewals do not wait for the controller's share of requests, and what they took was owed without a bound.

Change: without a claim a lease is renewed every claim_s / 5; what goes ahead of others is owed for no longer than a burst.

--- a/crates/scheduler/src/ownership.rs
+++ b/crates/scheduler/src/ownership.rs
@@ -149,6 +149,13 @@
         self.lease.as_ref().map(|l| l.id)
     }
 
+    /// The lease that is to be renewed now; `due`: the usual interval since the last renewal is over. One
+    /// with a claim is renewed sooner, since its owner waits for it. One without only saves a request when
+    /// the claim is free.
+    pub fn lease_to_renew(&self, due: bool) -> Option<u64> {
+        self.lease().filter(|_| due || self.token.is_some())
+    }
+
     /// The fencing token, while this controller has one and its lease is surely valid.
     pub fn may_act(&self, now: f64) -> Option<u64> {
         self.token.filter(|_| self.acts_until().is_some_and(|t| now < t))
--- a/src/budget.rs
+++ b/src/budget.rs
@@ -53,10 +53,11 @@
         }
     }
 
-    /// Takes what may not wait, if need be of what comes.
+    /// Takes what may not wait, if need be of what comes: of one burst at the most. Whatever has to wait
+    /// behind it would otherwise wait for as long as ever more was taken.
     pub fn take_ahead(&mut self, now: f64, n: usize) {
         self.refill(now);
-        self.level -= n as f64;
+        self.level = (self.level - n as f64).max(-self.burst);
     }
 
     /// Takes only while at least half of a burst is left for others.
@@ -111,6 +112,16 @@
         assert!((0..8).map(|_| spent(&mut Budget::new(40.0, 40.0), 0.25)).sum::<usize>() > 300);
     }
 
+    /// Guards against a controller that can accept nothing for minutes after a trouble in which its
+    /// leases and watches took more than its share.
+    #[test]
+    fn what_cannot_wait_is_owed_for_no_longer_than_a_burst() {
+        let mut b = Budget::new(10.0, 10.0);
+        (0..500).for_each(|i| b.take_ahead(f64::from(i) * 0.05, 1));
+        assert!(!b.try_take(25.5, 1));
+        assert!(b.try_take(26.2, 1), "a burst's time after the last");
+    }
+
     /// Guards against polls that keep leases, watches and submissions from their turn.
     #[test]
     fn what_can_wait_leaves_half_and_what_cannot_goes_ahead() {
--- a/src/node/claim.rs
+++ b/src/node/claim.rs
@@ -6,10 +6,13 @@
 impl Cell {
     pub(super) async fn keep_lease(self: Arc<Self>) {
         let every = Duration::from_secs_f64((self.tuning.claim_s / 5.0).min(1.5));
+        let mut renewal_sent_at = f64::MIN;
         while self.open() {
-            let lease = lock(&self.own).lease();
+            let due = clock::now() - renewal_sent_at >= every.as_secs_f64();
+            let lease = lock(&self.own).lease_to_renew(due);
             if let Some(id) = lease {
                 let sent = clock::now();
+                renewal_sent_at = sent;
                 match self.state.renew(id, Duration::from_millis(1200)).await {
                     Ok(()) => {
                         self.state_answered();
--- /dev/null
+++ b/tests/claims.rs
@@ -0,0 +1,294 @@
+//! Controllers against a stand-in for the state service whose answers can be held back: what claims and
+//! leases cost a controller, and what it believes when answers come late.
+
+use async_executor::Executor;
+use async_io::{Async, Timer};
+use http_types::Method;
+use lupinspur::http::{Bounds, Client, Incoming, Outgoing, serve};
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
+use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Mutex, MutexGuard, Once};
+use std::time::{Duration, Instant};
+
+static EXECUTOR: Executor<'static> = Executor::new();
+const BOUNDS: Bounds = Bounds { connections: 500, body_bytes: 4 << 20 };
+const CLAIM_KEY: &str = "own/0";
+/// Controllers that begin together all find no claim while the first one is being stored.
+const CLAIM_TAKES: Duration = Duration::from_millis(400);
+
+fn lock<T>(m: &Mutex<T>) -> MutexGuard<'_, T> {
+    m.lock().unwrap_or_else(|e| e.into_inner())
+}
+
+fn listen<F, Fut>(handler: F) -> SocketAddr
+where
+    F: Fn(Incoming) -> Fut + Send + Sync + 'static,
+    Fut: Future<Output = Outgoing> + Send + 'static,
+{
+    let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).expect("a port");
+    let addr = listener.get_ref().local_addr().expect("its address");
+    EXECUTOR.spawn(serve(&EXECUTOR, listener, BOUNDS, Arc::new(handler))).detach();
+    addr
+}
+
+fn query_value(query: &str, name: &str) -> Option<String> {
+    query.split('&').find_map(|p| p.strip_prefix(name)?.strip_prefix('=').map(str::to_owned))
+}
+
+struct StoredValue {
+    value: Value,
+    version: u64,
+    lease: Option<u64>,
+}
+
+struct Lease {
+    renewed_at: Instant,
+    life: Duration,
+    renewals: usize,
+}
+
+/// The state service's contents, and what was asked of it.
+#[derive(Default)]
+struct Store {
+    values: BTreeMap<String, StoredValue>,
+    leases: BTreeMap<u64, Lease>,
+    events: Vec<Value>,
+    revision: u64,
+}
+
+impl Store {
+    fn delete(&mut self, key: &str) {
+        self.revision += 1;
+        self.values.remove(key);
+        self.events.push(json!({"drop": key, "stamp": self.revision}));
+    }
+
+    fn expire_leases(&mut self) {
+        let over: Vec<u64> =
+            self.leases.iter().filter(|(_, l)| l.renewed_at.elapsed() > l.life).map(|(id, _)| *id).collect();
+        for id in over {
+            self.leases.remove(&id);
+            let tied: Vec<String> =
+                self.values.iter().filter(|(_, v)| v.lease == Some(id)).map(|(k, _)| k.clone()).collect();
+            tied.iter().for_each(|key| self.delete(key));
+        }
+    }
+
+    fn commit(&mut self, transaction: &Value) -> Outgoing {
+        let list = |name: &str| transaction[name].as_array().cloned().unwrap_or_default();
+        let version = |key: &str| self.values.get(key).map_or(0, |v| v.version);
+        let failed: Vec<Value> = list("if")
+            .iter()
+            .filter(|c| version(c["path"].as_str().unwrap_or_default()) != c["stamp"].as_u64().unwrap_or(0))
+            .map(|c| c["path"].clone())
+            .collect();
+        if !failed.is_empty() {
+            return Outgoing::json(409, &json!({"failed": failed, "almanac": self.revision}));
+        }
+        let writes = list("writes");
+        if writes.iter().any(|w| w["tether"].as_u64().is_some_and(|id| !self.leases.contains_key(&id))) {
+            return Outgoing::json(400, &json!({"error": "no such lease"}));
+        }
+        self.revision += 1;
+        for w in writes {
+            if let Some(key) = w["set"].as_str() {
+                let stored = StoredValue { value: w["v"].clone(), version: self.revision, lease: w["tether"].as_u64() };
+                self.values.insert(key.to_owned(), stored);
+                self.events.push(json!({"set": key, "v": w["v"], "stamp": self.revision}));
+            } else if let Some(key) = w["drop"].as_str() {
+                self.values.remove(key);
+                self.events.push(json!({"drop": key, "stamp": self.revision}));
+            }
+        }
+        Outgoing::json(200, &json!({"almanac": self.revision}))
+    }
+
+    fn list(&self, prefix: &str) -> Outgoing {
+        let pair = |(k, v): (&String, &StoredValue)| json!({"path": k, "v": v.value, "stamp": v.version});
+        let pairs: Vec<Value> = self.values.iter().filter(|(k, _)| k.starts_with(prefix)).map(pair).collect();
+        Outgoing::json(200, &json!({"pairs": pairs, "has_next": false, "almanac": self.revision}))
+    }
+
+    fn changes(&self, prefix: &str, from: u64) -> Vec<Value> {
+        let key = |e: &Value| e["set"].as_str().or(e["drop"].as_str()).unwrap_or_default().to_owned();
+        let wanted = |e: &&Value| e["stamp"].as_u64().unwrap_or(0) > from && key(e).starts_with(prefix);
+        self.events.iter().filter(wanted).cloned().collect()
+    }
+}
+
+async fn follow(store: Arc<Mutex<Store>>, query: &str) -> Outgoing {
+    let prefix = query_value(query, "under").unwrap_or_default();
+    let number = |name: &str| query_value(query, name).and_then(|v| v.parse::<u64>().ok()).unwrap_or(0);
+    let (from, until) = (number("from"), Instant::now() + Duration::from_millis(number("block_ms")));
+    loop {
+        {
+            let mut s = lock(&store);
+            s.expire_leases();
+            let news = s.changes(&prefix, from);
+            if !news.is_empty() || Instant::now() >= until {
+                return Outgoing::json(200, &json!({"almanac": s.revision, "news": news}));
+            }
+        }
+        Timer::after(Duration::from_millis(10)).await;
+    }
+}
+
+async fn state_service(store: Arc<Mutex<Store>>, request: Incoming) -> Outgoing {
+    lock(&store).expire_leases();
+    let path = request.path.trim_start_matches('/').to_owned();
+    let (first, rest) = path.split_once('/').map_or((path.as_str(), None), |(f, r)| (f, Some(r)));
+    let body: Value = serde_json::from_slice(&request.body).unwrap_or_default();
+    match (request.method, first, rest) {
+        (Method::Get, "kv", Some(key)) => {
+            let s = lock(&store);
+            match s.values.get(key) {
+                Some(v) => Outgoing::json(200, &json!({"path": key, "v": v.value, "stamp": v.version})),
+                None => Outgoing::json(404, &json!({"almanac": s.revision})),
+            }
+        }
+        (Method::Get, "kv", None) => lock(&store).list(&query_value(&request.query, "under").unwrap_or_default()),
+        (Method::Post, "commit", None) => {
+            if body["writes"][0]["set"] == CLAIM_KEY {
+                Timer::after(CLAIM_TAKES).await;
+            }
+            lock(&store).commit(&body)
+        }
+        (Method::Post, "grants", None) => {
+            let mut s = lock(&store);
+            s.revision += 1;
+            let (id, life) = (s.revision, Duration::from_millis(body["life_ms"].as_u64().unwrap_or(5000)));
+            s.leases.insert(id, Lease { renewed_at: Instant::now(), life, renewals: 0 });
+            Outgoing::json(200, &json!({"tether": id}))
+        }
+        (Method::Post, "grants", Some(rest)) => {
+            let id = rest.split('/').next().and_then(|id| id.parse::<u64>().ok()).unwrap_or(0);
+            match lock(&store).leases.get_mut(&id) {
+                Some(lease) => {
+                    lease.renewed_at = Instant::now();
+                    lease.renewals += 1;
+                    Outgoing::json(200, &json!({}))
+                }
+                None => Outgoing::json(404, &json!({})),
+            }
+        }
+        (Method::Get, "follow", None) => follow(store, &request.query).await,
+        _ => Outgoing::json(400, &json!({})),
+    }
+}
+
+async fn cloud(request: Incoming) -> Outgoing {
+    match (request.method, request.path.as_str()) {
+        (_, "/flavors") => Outgoing::json(
+            200,
+            &json!({"strains": [{"name": "m8", "cpus": 8, "cards": 0, "memory_gb": 16, "local_gb": 10,
+                "pull_gb_per_s": 1.0, "hourly": 1.0, "spot_price": 0.3, "ready_s": 2, "fields": ["a"]}]}),
+        ),
+        (Method::Get, _) => Outgoing::json(200, &json!({"plots": [], "has_next": false})),
+        _ => Outgoing::json(503, &json!({"error": "no capacity"})),
+    }
+}
+
+fn free_address() -> SocketAddr {
+    TcpListener::bind(("127.0.0.1", 0)).and_then(|l| l.local_addr()).expect("a free port")
+}
+
+struct Controllers {
+    store: Arc<Mutex<Store>>,
+    addresses: Vec<SocketAddr>,
+    processes: Vec<Child>,
+    folder: PathBuf,
+}
+
+impl Controllers {
+    /// So many controllers, which begin together; the state service takes so many requests a second.
+    fn start(name: &str, count: usize, requests_per_s: f64) -> Controllers {
+        static RUNS: Once = Once::new();
+        RUNS.call_once(|| {
+            std::thread::spawn(|| async_io::block_on(EXECUTOR.run(std::future::pending::<()>())));
+        });
+        let store: Arc<Mutex<Store>> = Arc::default();
+        let held = store.clone();
+        let state_address = listen(move |r| state_service(held.clone(), r));
+        let cloud_address = listen(cloud);
+        let addresses: Vec<SocketAddr> = (0..count).map(|_| free_address()).collect();
+        let peers: Vec<SocketAddr> = (0..count).map(|_| free_address()).collect();
+        let folder = std::env::temp_dir().join(format!("lupinspur-{name}-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).expect("a folder");
+        let begin = |i: usize| {
+            let others = (0..count).filter(|j| *j != i);
+            let others: String = others
+                .map(|j| format!("[[seeds]]\nhost_name = \"n{j}\"\ndomain = \"a\"\naddress = \"{}\"\n", peers[j]))
+                .collect();
+            let text = format!(
+                "host_name = \"n{i}\"\ndomain = \"a\"\nbind = \"{}\"\npeer_listen = \"{}\"\n{others}\
+                 [services]\ncloud = \"{cloud_address}\"\nstate = \"{state_address}\"\n\
+                 [cluster]\nzones = [\"a\"]\n[[cluster.teams]]\nname = \"red\"\ncpus_max = 8.0\n\
+                 [cluster.workers]\nreport_s = 1.0\nlease_s = 10.0\ncancel_s = 25.0\n\
+                 [cluster.state]\nrps = {requests_per_s:.1}\nwrite_rps = 50.0\nvalue_kb = 16.0\ntxn_ops = 16\n\
+                 [cluster.cloud]\nrps = 20.0\nlist_lag_s = 0.5\n",
+                addresses[i], peers[i]
+            );
+            let file = folder.join(format!("n{i}.toml"));
+            std::fs::write(&file, text).expect("a settings file");
+            Command::new(env!("CARGO_BIN_EXE_lupinspur"))
+                .arg("--config")
+                .arg(file)
+                .env("LOG_LEVEL", std::env::var("TEST_LOG").unwrap_or("error".into()))
+                .stderr(Stdio::inherit())
+                .spawn()
+                .expect("the program starts")
+        };
+        let processes = (0..count).map(begin).collect();
+        Controllers { store, addresses, processes, folder }
+    }
+
+    fn until_claimed(&self) {
+        let began = Instant::now();
+        while !lock(&self.store).values.contains_key(CLAIM_KEY) {
+            assert!(began.elapsed() < Duration::from_secs(20), "nobody claims");
+            std::thread::sleep(Duration::from_millis(20));
+        }
+    }
+
+    fn submit(&self, at: usize, id: &str) -> u16 {
+        let job = json!({"id": id, "breed": "any", "herd": "red", "habit": "batch", "precedence": "standard",
+            "seeds": 1, "cpus": 1.0, "cards": 0.0, "memory_gb": 1.0, "same_place": false, "scatter": false,
+            "fallow": false, "pull_gb": 0.0, "expected_s": 1.0, "pressing_s": 0.0, "pressing_cost_s": 0.0});
+        let body = Some(job.to_string().into_bytes());
+        let client = Client::new(0, 0);
+        let call = client.call(self.addresses[at], Method::Post, "/work", body, Duration::from_secs(5));
+        async_io::block_on(call).map_or(0, |(status, _)| status)
+    }
+}
+
+impl Drop for Controllers {
+    fn drop(&mut self) {
+        for p in &mut self.processes {
+            let _ = p.kill();
+            let _ = p.wait();
+        }
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// Whoever came too late with its claim holds a lease all the same. Renewing it as often as an owner
+/// whose lease is in doubt took more requests than such a controller's share of a small state service:
+/// it could accept nothing any more, for as long as it lived.
+#[test]
+fn a_controller_that_came_too_late_with_its_claim_still_accepts() {
+    let controllers = Controllers::start("too-late", 3, 30.0);
+    controllers.until_claimed();
+    std::thread::sleep(Duration::from_secs(8));
+    let leases = lock(&controllers.store).leases.len();
+    assert!(leases > 1, "somebody else holds a lease, too");
+    let answers: Vec<u16> = (0..6).map(|i| controllers.submit(i % 3, &format!("req-{i:06}"))).collect();
+    assert_eq!(answers, [201; 6], "all accept");
+    let renewed = |s: &Store| -> usize { s.leases.values().map(|l| l.renewals).sum() };
+    let before = renewed(&lock(&controllers.store));
+    std::thread::sleep(Duration::from_secs(4));
+    let renewals = renewed(&lock(&controllers.store)) - before;
+    assert!(renewals <= leases * 7, "{renewals} renewals of {leases} leases in four seconds");
+}
