The first answer to a machine after a takeover stops cancelled tasks

Cause: an owner's first answer to a machine that still shows an earlier token renewed its lease and said nothing, however long ago the user of a task on it had been told that it is cancelled.

Change: that answer stops tasks of cancelled jobs and of jobs that nobody knows any more (Shard::stops_of_cancelled). Of all others it still says nothing.

--- a/crates/scheduler/src/shard/reports.rs
+++ b/crates/scheduler/src/shard/reports.rs
@@ -486,11 +486,25 @@
         job.phase != Phase::Open || !matches!(job.tasks.get(k.1 as usize), Some(Slot::Done { stored: false }))
     }
 
+    /// What no owner can want to run: tasks of cancelled jobs, and of jobs that nobody knows any more.
+    /// The first answer after a takeover renews the machine's lease like any other, and may be the last
+    /// that reaches it for as long as that lasts: it cannot wait until the machine has shown our token.
+    fn stops_of_cancelled(&self, r: &Report) -> Vec<Command> {
+        let cancelled = |t: &&TaskReport| {
+            let job = self.key_of(&t.task).map(|k| self.jobs.at(k.0));
+            job.is_none_or(|j| j.wanted == Phase::Cancelled)
+        };
+        let stop =
+            |t: &TaskReport| Command { op: Op::Stop, task: t.task.clone(), attempt: t.attempt, grace_s: Some(0.0) };
+        let running = r.tasks.iter().filter(|t| t.state != TaskState::Exited);
+        running.filter(cancelled).take(MOST_COMMANDS).map(stop).collect()
+    }
+
     /// Everything that the machine should be told, in the reply to its report.
     fn report_commands(&mut self, m: MachineIx, r: &Report, now: f64) -> Vec<Command> {
         let machine = self.machines.at(m);
         if !machine.reported_token {
-            return Vec::new();
+            return self.stops_of_cancelled(r);
         }
         let mut out = Vec::new();
         for t in &r.tasks {
