A slow look at the claim no longer brings back one that is gone

Cause: a controller hears of the claim by a watch and by looks of its own. A look's answer that was made before the claim's end and came after the watch had told of it was believed: the controller took the ended owner for the present one, and since nothing more is heard of that claim, never claimed itself. Where no other controller was left, nobody owned any more.

Change: Ownership keeps the newest revision of which it had news of the claim, and takes nothing older.

--- a/crates/scheduler/src/ownership.rs
+++ b/crates/scheduler/src/ownership.rs
@@ -80,6 +80,8 @@
     lease: Option<Lease>,
     token: Option<u64>,
     seen: Option<SeenClaim>,
+    /// The newest revision of which there was news of the claim.
+    newest: u64,
     /// Whether the seen claim was read at all since the start.
     looked: bool,
     /// Others go first until then, unless nobody claims for so many seconds.
@@ -133,6 +135,7 @@
             lease: None,
             token: None,
             seen: None,
+            newest: 0,
             looked: false,
             not_before: 0.0,
             nobody_else_s: NOBODY_ELSE_S,
@@ -213,8 +216,25 @@
         l
     }
 
-    /// What a read or watch showed; true if this controller's own claim is gone.
+    /// There was no claim at this revision.
+    pub fn saw_none(&mut self, revision: u64, now: f64) {
+        if revision >= self.newest {
+            self.newest = revision;
+            self.saw(None, now);
+        }
+    }
+
+    /// What a read or watch showed; true if this controller's own claim is gone. Reads and the watch
+    /// overtake one another: a claim that is known to be gone, or followed by another, is no news. One
+    /// that was read before its end and told after it would be believed in for ever, since nothing more
+    /// is heard of it.
     pub fn saw(&mut self, seen: Option<SeenClaim>, now: f64) -> bool {
+        if let Some(s) = &seen {
+            if s.version < self.newest {
+                return false;
+            }
+            self.newest = s.version;
+        }
         self.looked = true;
         match &seen {
             None => _ = self.absent_since.get_or_insert(now),
@@ -265,6 +285,7 @@
             return false;
         }
         self.token = Some(version);
+        self.newest = self.newest.max(version);
         self.seen = Some(SeenClaim { claim: self.me.clone(), version });
         self.absent_since = None;
         true
@@ -404,6 +425,23 @@
         assert_eq!(o.may_act(1.0), None);
     }
 
+    /// Guards against a controller that believes in an owner that is gone, and never claims: a slow answer
+    /// to its look at the claim came after the watch had told the claim's end. Where it is the last that is
+    /// left, nobody would own any more.
+    #[test]
+    fn a_claim_that_was_read_before_its_end_is_no_news_after_it() {
+        let mut o = Ownership::new(claim("a", "1"), 6.0);
+        let of_b = || Some(SeenClaim { claim: claim("b", "1"), version: 5 });
+        o.saw(of_b(), 0.0);
+        o.saw_none(9, 1.0);
+        o.saw(of_b(), 1.1);
+        assert_eq!((o.other_owner(), next(&o, 1.2)), (None, Next::Grant));
+        o.saw(Some(SeenClaim { claim: claim("c", "1"), version: 12 }), 2.0);
+        o.saw(of_b(), 2.1);
+        o.saw_none(9, 2.2);
+        assert_eq!(o.other_owner(), Some("c"));
+    }
+
     /// A controller that keeps ending: each of its lives finds the claim of the one before. The
     /// first time it is back before anybody else could claim; from the second on it would read
     /// everything again and again, give workers a new token each time, and be gone.
--- a/src/node/claim.rs
+++ b/src/node/claim.rs
@@ -3,6 +3,21 @@
 use super::*;
 use lupinspur_cells::member::claims_after_s;
 
+/// What a watch or a list tells of one key.
+enum News {
+    Stands(Item),
+    Gone { revision: u64 },
+}
+
+impl News {
+    fn item(&self) -> Option<&Item> {
+        match self {
+            News::Stands(i) => Some(i),
+            News::Gone { .. } => None,
+        }
+    }
+}
+
 impl Cell {
     pub(super) async fn keep_lease(self: Arc<Self>) {
         let every = Duration::from_secs_f64((self.tuning.claim_s / 5.0).min(1.5));
@@ -211,6 +226,11 @@
         }
     }
 
+    /// There was no claim at this revision, as a watch or a list tells.
+    fn claim_gone(&self, revision: u64) {
+        lock(&self.own).saw_none(revision, clock::now());
+    }
+
     pub(super) fn saw_claim(&self, item: Option<Item>) {
         // Nobody's claim, with a plan in it: there are several cells from now on.
         if let Some(plan) = item.as_ref().and_then(Cell::plan_in) {
@@ -240,14 +260,14 @@
                             None => self.leave_cells(),
                         }
                         for c in self.cells().iter().filter(|c| items.iter().all(|i| i.key != c.claim_key)) {
-                            c.saw_claim(None);
+                            c.claim_gone(revision);
                         }
                         // What stands beside the claims first: it may say that they are not ours.
                         let (claims, beside): (Vec<Item>, Vec<Item>) =
                             items.into_iter().partition(|i| self.cell_claimed_by(&i.key).is_some());
                         beside.into_iter().for_each(|i| self.saw_beside_claim(&i.key, i.value));
                         for i in claims {
-                            self.saw(i.key.clone(), Some(i));
+                            self.saw(i.key.clone(), News::Stands(i));
                         }
                         // A claim of its own earlier self, or none: there is nothing to wait for.
                         self.try_claims().await;
@@ -266,10 +286,10 @@
                     from = Some(ev.revision.max(revision));
                     for e in ev.events {
                         if let Some(key) = e.delete {
-                            self.saw(key, None);
+                            self.saw(key, News::Gone { revision: e.version });
                         } else if let Some(key) = e.put {
                             let value = e.value.unwrap_or_default();
-                            self.saw(key.clone(), Some(Item { key, value, version: e.version, lease: None }));
+                            self.saw(key.clone(), News::Stands(Item { key, value, version: e.version, lease: None }));
                         }
                     }
                     self.try_claims().await;
@@ -309,18 +329,19 @@
     }
 
     /// A key under the claims' prefix has this value now, or is gone.
-    fn saw(self: &Arc<Self>, key: String, item: Option<Item>) {
+    fn saw(self: &Arc<Self>, key: String, news: News) {
         // Where there are several cells this key is no cell's claim, but the plan.
         if key == CLAIM_KEY && self.cells().len() > 1 {
-            return match item.as_ref().and_then(Cell::plan_in) {
+            return match news.item().and_then(Cell::plan_in) {
                 Some(plan) => self.saw_plan(plan),
                 None => self.leave_cells(),
             };
         }
-        match (self.cell_claimed_by(&key), item) {
-            (Some(c), item) => c.saw_claim(item),
-            (None, Some(i)) => self.saw_beside_claim(&key, i.value),
-            (None, None) => {}
+        match (self.cell_claimed_by(&key), news) {
+            (Some(c), News::Stands(i)) => c.saw_claim(Some(i)),
+            (Some(c), News::Gone { revision }) => c.claim_gone(revision),
+            (None, News::Stands(i)) => self.saw_beside_claim(&key, i.value),
+            (None, News::Gone { .. }) => {}
         }
     }
 
