Jobs that may fill the base are not covered by a hopeless job that may not

Cause: after one job found no machine, placement skipped every job that asks for no less (Hopeless::covers). A batch job that may use spot machines leaves the base to services, so it finds nothing there; a job that may not use them takes that room after 20 s. The first one's failure counted for the second one, which waited beside room that fits it for as long as any such job waited before it in the order. Change: a shape says whether it may fill the base (may_fill_base), and covers only what could go nowhere else.

--- a/crates/scheduler/src/shard/placement.rs
+++ b/crates/scheduler/src/shard/placement.rs
@@ -105,13 +105,17 @@
     in_zone < job.zone_limit() && s.record_has_room(m, job.ix, &job.id) && !(spec.one_zone && held > in_zone)
 }
 
-/// Does the machine keep enough room for services if batch work takes this? Work that may not go on
+/// May this job take the room on the base that batch work leaves to services? Work that may not go on
 /// spot machines has nowhere else to go: where the base was just large enough it once waited there for
 /// ever, beside room that no service asked for.
+fn may_fill_base(s: &Shard, job: &Job) -> bool {
+    job.spec.priority == Priority::Production || !job.spec.spot && s.ticked - job.since > BASE_PATIENCE_S
+}
+
+/// Does the machine keep enough room for services if batch work takes this?
 fn leaves_room(s: &Shard, job: &Job, m: &Machine) -> bool {
     !m.base
-        || job.spec.priority == Priority::Production
-        || !job.spec.spot && s.ticked - job.since > BASE_PATIENCE_S
+        || may_fill_base(s, job)
         || m.cpus_used + job.spec.cpus + SERVICE_ROOM * s.service_cpus <= s.types.get(m.ty).cpus + EPS
 }
 
@@ -157,28 +161,58 @@
     out
 }
 
-/// What decides whether a plain job fits anywhere. One that asks for no less than
-/// another that found nothing, and may go nowhere else, finds nothing either: with many
-/// jobs waiting, looking through all machines for each of them took the whole processor.
-struct Hopeless(Vec<(bool, bool, f64, f64, f64)>);
+/// What decides whether a plain job fits anywhere.
+#[derive(Clone, Copy)]
+struct Shape {
+    spot: bool,
+    production: bool,
+    fills_base: bool,
+    cpus: f64,
+    memory_gb: f64,
+    cards: f64,
+}
 
-impl Hopeless {
-    fn shape(job: &Job) -> (bool, bool, f64, f64, f64) {
+impl Shape {
+    fn of(s: &Shard, job: &Job) -> Shape {
         let r = &job.spec;
-        (r.spot, r.priority == Priority::Production, r.cpus, r.memory_gb, r.cards)
+        Shape {
+            spot: r.spot,
+            production: r.priority == Priority::Production,
+            fills_base: may_fill_base(s, job),
+            cpus: r.cpus,
+            memory_gb: r.memory_gb,
+            cards: r.cards,
+        }
     }
 
-    fn covers(&self, job: &Job) -> bool {
-        let j = Self::shape(job);
-        self.0.iter().any(|h| (h.0 || !j.0) && h.1 == j.1 && h.2 <= j.2 && h.3 <= j.3 && h.4 <= j.4)
+    /// Does every machine that takes the other one take this one, too?
+    fn fits_wherever(&self, other: &Shape) -> bool {
+        (self.spot || !other.spot)
+            && self.production == other.production
+            && (self.fills_base || !other.fills_base)
+            && self.cpus <= other.cpus
+            && self.memory_gb <= other.memory_gb
+            && self.cards <= other.cards
+    }
+}
+
+/// Shapes that found no machine. One that asks for no less, and may go nowhere else, finds
+/// nothing either: with many jobs waiting, looking through all machines for each of them took
+/// the whole processor.
+struct Hopeless(Vec<Shape>);
+
+impl Hopeless {
+    fn covers(&self, s: &Shard, job: &Job) -> bool {
+        let shape = Shape::of(s, job);
+        self.0.iter().any(|h| h.fits_wherever(&shape))
     }
 
     /// This job found nothing. Only if nothing but its size stood in the way.
-    fn note(&mut self, job: &Job) {
+    fn note(&mut self, s: &Shard, job: &Job) {
         let r = &job.spec;
         let plain = r.types.is_none() && r.zone.is_none() && !r.one_zone && !r.spread;
-        if plain && job.failed_on.is_empty() && job.avoid.is_none() && !self.covers(job) {
-            self.0.push(Self::shape(job));
+        if plain && job.failed_on.is_empty() && job.avoid.is_none() && !self.covers(s, job) {
+            self.0.push(Shape::of(s, job));
         }
     }
 }
@@ -406,7 +440,7 @@
         if turn.rank.0 == GROWS && s.others_wait {
             break;
         }
-        if !urgent && (roomy.is_empty() || hopeless.covers(job)) {
+        if !urgent && (roomy.is_empty() || hopeless.covers(s, job)) {
             s.others_wait |= turn.rank.0 != GROWS;
             if turn.first_part {
                 s.keep_machine(turn.job, now);
@@ -416,7 +450,7 @@
         s.looked_at += roomy.len() as u64;
         let mut options = options(s, s.jobs.at(turn.job), &roomy, now);
         if options.is_empty() {
-            hopeless.note(s.jobs.at(turn.job));
+            hopeless.note(s, s.jobs.at(turn.job));
             if turn.first_part {
                 s.keep_machine(turn.job, now);
             }
