A start sent twice stays unanswered until its first command is answered

Cause: direct_for put each start that it sent among those that the outcome of the call settles. A direct start without an answer, whose repetition in the reply to a report was lost, is sent directly once more; the answer to that took the attempt out of Machine::loose, though the first command may still arrive in this session. may_forget then let the ended attempt be forgotten, and the late command ran the task again: after its cancellation, or beside its next attempt on another machine. Change: a call settles only the starts that no earlier unanswered command carries.

--- a/crates/scheduler/src/shard/reports.rs
+++ b/crates/scheduler/src/shard/reports.rs
@@ -37,6 +37,7 @@
     pub machine: MachineIx,
     pub addr: SocketAddr,
     pub body: DirectCommands,
+    /// The starts in it that no earlier unanswered command carries: its outcome settles these.
     pub starts: Vec<(TaskKey, u64)>,
 }
 
@@ -594,12 +595,13 @@
         if commands.is_empty() && !probing && !machine.suspect {
             return None;
         }
-        for (k, a) in &starts {
-            machine.loose.insert(*k, *a);
+        for (k, _) in &starts {
             if let Some(h) = machine.tasks.get_mut(k) {
                 h.sent = now;
             }
         }
+        // An earlier command with the same start may still arrive, whatever becomes of this one.
+        starts.retain(|(k, attempt)| machine.loose.insert(*k, *attempt) != Some(*attempt));
         for h in machine.tasks.values_mut() {
             if h.stop.is_some() {
                 h.stop_sent = now;
