A start that was never sent is not sent to be stopped

Cause: while any direct call to its machine was under way, a cancelled start was kept (maybe_never), though a start under way is in Machine::loose from the moment it is sent. The reply to the next report then started and stopped it in one go, to make a late start harmless that nobody had sent: a start after its user had heard that the job is cancelled. Change: maybe_never asks Machine::loose alone.

--- a/crates/scheduler/src/shard/reports.rs
+++ b/crates/scheduler/src/shard/reports.rs
@@ -413,12 +413,13 @@
 
     /// A start that is wanted no more, is not on the machine, and cannot arrive late:
     /// not by an unanswered direct command, nor in the reply to a report that is still
-    /// on its way while a direct answer overtakes it.
+    /// on its way while a direct answer overtakes it. A direct start counts as unanswered from the
+    /// moment it is sent: another call that is under way to the machine doesn't carry it.
     fn maybe_never(&mut self, m: MachineIx, k: TaskKey, own: bool, now: f64) {
         let machine = self.machines.at(m);
         let Some(h) = machine.tasks.get(&k) else { return };
         let reply_through = own || now - h.replied > REPLY_DROPPED_S;
-        if h.stop.is_some() && reply_through && !machine.loose.contains_key(&k) && !machine.direct_busy {
+        if h.stop.is_some() && reply_through && !machine.loose.contains_key(&k) {
             self.release(m, k);
             self.requeue(k);
         }
