A job goes back to where it failed after a minute

Cause: placement leaves out machines that a job failed on while there are more machines than those (options), whether the others have room or may be used by the job at all; what it failed on is forgotten only when it succeeds. A job that failed on the one machine of its zone with room waited beside it without end. Change: only for 60 s after its last failure (Job::failed_at); then with the cost that it had.

--- a/crates/scheduler/src/jobs.rs
+++ b/crates/scheduler/src/jobs.rs
@@ -148,6 +148,8 @@
     pub shadowed_by: u32,
     /// Machines on which it failed lately.
     pub failed_on: Vec<MachineIx>,
+    /// When a task of it last failed.
+    pub failed_at: f64,
     /// Nothing of it is started before then.
     pub not_before: f64,
     /// The accounts know whether it began in time, as one of its class's largest.
@@ -335,6 +337,7 @@
             dirty_chunks: BTreeSet::new(),
             shadowed_by: 0,
             failed_on: Vec::new(),
+            failed_at: f64::MIN,
             not_before: 0.0,
             tries: 0,
             told_largest: false,
--- a/crates/scheduler/src/shard/faults.rs
+++ b/crates/scheduler/src/shard/faults.rs
@@ -44,6 +44,7 @@
             return;
         }
         let job = self.jobs.at_mut(k.0);
+        job.failed_at = now;
         let before = job.at_fault();
         if !job.failed_on.contains(&m) {
             job.failed_on.push(m);
--- a/crates/scheduler/src/shard/placement.rs
+++ b/crates/scheduler/src/shard/placement.rs
@@ -27,6 +27,8 @@
 const ROOM_WAIT_S: f64 = 0.6;
 /// Seconds that a machine on which a job failed is worth less to it.
 const FAILED_THERE_S: f64 = 60.0;
+/// Seconds after its last failure for which a job goes nowhere that it failed, as long as there are other machines.
+const AVOIDS_FAILED_FOR_S: f64 = 60.0;
 /// The class of what is not within a guarantee, after services and guarantees.
 const BORROWS: u8 = 2;
 /// Of the cpus that batch work gets which can be in time, so many more are set apart for what
@@ -143,8 +145,10 @@
 
 /// Machines that could take this job, the best first, of those that have any room.
 fn options(s: &Shard, job: &Job, roomy: &[MachineIx], now: f64) -> Vec<(f64, MachineIx)> {
-    // It goes elsewhere than where it failed, if there is anywhere else.
-    let elsewhere = !job.at_fault() && job.failed_on.len() < s.machines.present.len();
+    // It goes elsewhere than where it failed, if there is anywhere else. The others may be full, or in zones that
+    // it may not use: so not for ever.
+    let lately = now - job.failed_at < AVOIDS_FAILED_FOR_S;
+    let elsewhere = lately && !job.at_fault() && job.failed_on.len() < s.machines.present.len();
     let again = |i: &MachineIx| job.failed_on.contains(i);
     let mut out: Vec<(f64, MachineIx)> = roomy
         .iter()
