A job of which nothing was started may fill the base after 75 s

Cause: batch work leaves room on the on-demand base to services (leaves_room); work that may use spot machines left it for ever. Where nothing else is to be had such a job waited beside machines that fit it, with its team under its limit, for as long as that lasted. Change: after 75 s a job that holds nothing and has nothing done may take that room with one task.

--- a/crates/scheduler/src/shard/placement.rs
+++ b/crates/scheduler/src/shard/placement.rs
@@ -15,6 +15,9 @@
 const SERVICE_ROOM: f64 = 4.0;
 /// Seconds for which work that may not use spot machines leaves that room to services.
 const BASE_PATIENCE_S: f64 = 20.0;
+/// Seconds after which a job of which nothing was started may take that room with one task: nobody waits for
+/// 90 s beside a machine that fits.
+const LONGEST_BESIDE_ROOM_S: f64 = 75.0;
 /// Seconds that a service gains on a machine of the base, and batch work off it.
 const BASE_WORTH_S: f64 = 4.0;
 /// Seconds of fetching that a spot machine is worth more than an on-demand one.
@@ -111,7 +114,11 @@
 /// spot machines has nowhere else to go: where the base was just large enough it once waited there for
 /// ever, beside room that no service asked for.
 fn may_fill_base(s: &Shard, job: &Job) -> bool {
-    job.spec.priority == Priority::Production || !job.spec.spot && s.ticked - job.since > BASE_PATIENCE_S
+    let waited_s = s.ticked - job.since;
+    let not_started = job.held + job.done == 0;
+    job.spec.priority == Priority::Production
+        || !job.spec.spot && waited_s > BASE_PATIENCE_S
+        || not_started && waited_s > LONGEST_BESIDE_ROOM_S
 }
 
 /// Does the machine keep enough room for services if batch work takes this?
