A job may turn out to be at fault after a machine that it failed on is forgotten

Cause: blame_job looks at every machine that the job failed on (Job::failed_on). Change: what is no longer known is passed over.

--- a/crates/scheduler/src/shard/faults.rs
+++ b/crates/scheduler/src/shard/faults.rs
@@ -70,7 +70,8 @@
     fn blame_job(&mut self, j: JobIx, now: f64) {
         log::info!("{} fails on every machine: tried again now and then", self.jobs.at(j).id);
         for m in self.jobs.at(j).failed_on.clone() {
-            let machine = self.machines.at_mut(m);
+            // One that is long gone has left the memory.
+            let Some(machine) = self.machines.get_mut(m) else { continue };
             machine.fails.retain(|f| f.0 != j);
             if machine.faulty() && machine.phase == MachinePhase::Up && !self.fails_its_tasks(m, None) {
                 log::info!("machine {} was not at fault", self.machines.at(m).name);
