Services don't wait for the end of a task that may never start

Cause: a cancelled start whose direct command had no answer stays on its machine's account for as long as the session lasts, since it may yet arrive. Placement counted it among what is being stopped and will be free soon (room_for), and so did the quotas (held_and_leaving): a service that needed room was sent to that machine in each pass, with nothing to stop there, and waited for as long as the session lasted, beside work of lower priority that could give way elsewhere. Change: Machine::is_leaving; a stop counts as room to come only if the machine has taken the start, or the start can't come late, or a call to the machine is still under way.

--- a/crates/scheduler/src/fleet/mod.rs
+++ b/crates/scheduler/src/fleet/mod.rs
@@ -9,7 +9,7 @@
 pub mod zones;
 
 use crate::intern::{ImageIx, Index, JobIx, MachineIx, Names, Pages, RackIx, TypeIx, ZoneIx};
-use crate::jobs::TaskMap;
+use crate::jobs::{TaskKey, TaskMap};
 use crate::wire::MachineType;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeSet, HashMap, HashSet};
@@ -234,6 +234,13 @@
         }
     }
 
+    /// Was this task told to stop, and will it be gone soon? One whose start had no answer and may still be on
+    /// its way has no end that can be waited for.
+    pub fn is_leaving(&self, key: &TaskKey, held: &Held) -> bool {
+        let may_come_late = !self.direct_busy && self.loose.contains_key(key);
+        held.stop.is_some() && (held.state.begun() || !may_come_late)
+    }
+
     /// Set aside for good, because several jobs failed here.
     pub fn faulty(&self) -> bool {
         self.quarantined_until == f64::INFINITY
--- a/crates/scheduler/src/shard/placement.rs
+++ b/crates/scheduler/src/shard/placement.rs
@@ -608,7 +608,8 @@
         }
         let t = s.types.get(m.ty);
         // What is being stopped already will be free soon: wait for that first.
-        let coming: f64 = m.tasks.iter().filter(|(_, h)| h.stop.is_some()).map(|(k, _)| s.jobs.at(k.0).spec.cpus).sum();
+        let coming: f64 =
+            m.tasks.iter().filter(|(k, h)| m.is_leaving(k, h)).map(|(k, _)| s.jobs.at(k.0).spec.cpus).sum();
         let mut free = t.cpus - m.cpus_used + coming;
         let mut memory = t.memory_gb - m.memory_used;
         let mut victims = Vec::new();
@@ -664,7 +665,7 @@
     let mut choice = None;
     let mut tried = 0;
     for (i, m) in s.machines.iter().filter(|(_, m)| !m.spot && m.has_image(image) && m.usable(now, silent_s)) {
-        if m.tasks.values().any(|h| h.stop.is_some()) {
+        if m.tasks.iter().any(|(k, h)| m.is_leaving(k, h)) {
             return true;
         }
         for (k, h) in &m.tasks {
--- a/crates/scheduler/src/shard/quotas.rs
+++ b/crates/scheduler/src/shard/quotas.rs
@@ -281,8 +281,10 @@
                     continue;
                 }
                 let (team, need) = (of_team(job.team), need_of(job));
-                if h.stop.is_some() || h.state == HeldState::Saving {
+                if machine.is_leaving(k, h) || h.state == HeldState::Saving {
                     leaving.push((team, need));
+                }
+                if h.stop.is_some() || h.state == HeldState::Saving {
                     continue;
                 }
                 let loses = if h.state == HeldState::Running && job.spec.checkpoint_s <= 0.0 {
