Room is made for a service only where it may run

Cause: room_for asked for cpus, memory and the spread of replicas, and not for the job's types and zone, for one zone for all of its tasks, for cards, nor for room in the machine's record. A machine that the job may not use was as good a choice; with room on it already nothing was stopped, and the service waited for it in each pass, without end, while work of lower priority ran where it may run. Where that machine was full, work on it was stopped in vain. Change: may_run_beside, asked by fits_beside, room_for and move_replica; cards count like memory.

--- a/crates/scheduler/src/shard/placement.rs
+++ b/crates/scheduler/src/shard/placement.rs
@@ -7,7 +7,7 @@
 use crate::fleet::{HeldState, Machine};
 use crate::intern::{Index, JobIx, MachineIx, TeamIx, ZoneIx};
 use crate::jobs::Job;
-use crate::shard::{EPS, Prospect, Shard};
+use crate::shard::{EPS, Prospect, Shard, type_fits};
 use crate::wire::Priority;
 use std::collections::{HashMap, HashSet, VecDeque};
 
@@ -95,19 +95,21 @@
         && spec.zone.as_ref().is_none_or(|z| **z == **s.types.zones.name(m.zone))
 }
 
+/// May a task of this job run on this machine beside so many others of it, whatever room there is?
+fn may_run_beside(s: &Shard, job: &Job, m: &Machine, held: u32, in_zone: u32) -> bool {
+    allows(s, job, m)
+        && in_zone < job.zone_limit()
+        && !(job.spec.one_zone && held > in_zone)
+        && s.record_has_room(m, job.ix, &job.id)
+}
+
 fn fits_beside(s: &Shard, job: &Job, m: &Machine, held: u32, in_zone: u32) -> bool {
     let t = s.types.get(m.ty);
     let spec = &job.spec;
-    if !allows(s, job, m) {
-        return false;
-    }
-    if m.cpus_used + spec.cpus > t.cpus + EPS
-        || m.cards_used + spec.cards > t.cards + EPS
-        || m.memory_used + spec.memory_gb > t.memory_gb + EPS
-    {
-        return false;
-    }
-    in_zone < job.zone_limit() && s.record_has_room(m, job.ix, &job.id) && !(spec.one_zone && held > in_zone)
+    let has_room = m.cpus_used + spec.cpus <= t.cpus + EPS
+        && m.cards_used + spec.cards <= t.cards + EPS
+        && m.memory_used + spec.memory_gb <= t.memory_gb + EPS;
+    has_room && may_run_beside(s, job, m, held, in_zone)
 }
 
 /// May this job take the room on the base that batch work leaves to services? Work that may not go on
@@ -602,16 +604,17 @@
         {
             continue;
         }
-        let in_zone = job.in_zone(m.zone);
-        if in_zone >= job.zone_limit() {
+        // Room where the job may not run is no room for it: it would be waited for without end.
+        let t = s.types.get(m.ty);
+        if !type_fits(&job.spec, t) || !may_run_beside(s, job, m, job.held, job.in_zone(m.zone)) {
             continue;
         }
-        let t = s.types.get(m.ty);
         // What is being stopped already will be free soon: wait for that first.
         let coming: f64 =
             m.tasks.iter().filter(|(k, h)| m.is_leaving(k, h)).map(|(k, _)| s.jobs.at(k.0).spec.cpus).sum();
         let mut free = t.cpus - m.cpus_used + coming;
         let mut memory = t.memory_gb - m.memory_used;
+        let mut cards = t.cards - m.cards_used;
         let mut victims = Vec::new();
         let mut stoppable: Vec<_> = m
             .tasks
@@ -641,15 +644,17 @@
             }
         };
         for (surplus, k) in order {
-            if free + EPS >= job.spec.cpus && memory + EPS >= job.spec.memory_gb {
+            if free + EPS >= job.spec.cpus && memory + EPS >= job.spec.memory_gb && cards + EPS >= job.spec.cards {
                 break;
             }
             free += s.jobs.at(k.0).spec.cpus;
             memory += s.jobs.at(k.0).spec.memory_gb;
+            cards += s.jobs.at(k.0).spec.cards;
             kept += if surplus { SURPLUS_WORTH_S } else { 1.0 };
             victims.push(k);
         }
-        if free + EPS >= job.spec.cpus && (memory + EPS >= job.spec.memory_gb || coming > 0.0) {
+        let others_fit = memory + EPS >= job.spec.memory_gb && cards + EPS >= job.spec.cards;
+        if free + EPS >= job.spec.cpus && (others_fit || coming > 0.0) {
             options.push((cost(s, job, m) + kept, i, victims));
         }
     }
@@ -664,7 +669,13 @@
     let Some(image) = job.image else { return false };
     let mut choice = None;
     let mut tried = 0;
-    for (i, m) in s.machines.iter().filter(|(_, m)| !m.spot && m.has_image(image) && m.usable(now, silent_s)) {
+    let serves = |m: &Machine| {
+        !m.spot
+            && m.has_image(image)
+            && m.usable(now, silent_s)
+            && may_run_beside(s, job, m, job.held, job.in_zone(m.zone))
+    };
+    for (i, m) in s.machines.iter().filter(|(_, m)| serves(m)) {
         if m.tasks.iter().any(|(k, h)| m.is_leaving(k, h)) {
             return true;
         }
