Room is made for a service elsewhere than where it is kept from

Cause: a service finds no place on a machine where it failed lately, which a replica is leaving, or where an earlier start of the same task may yet arrive. room_for looked at none of these: with room on that machine nothing had to be stopped, and the service waited for that room while work of lower priority could have given way on another machine. Change: avoids and barred, asked by both.

--- a/crates/scheduler/src/shard/placement.rs
+++ b/crates/scheduler/src/shard/placement.rs
@@ -152,23 +152,29 @@
     fetch + dear + base + pack * full
 }
 
-/// Machines that could take this job, the best first, of those that have any room.
-fn options(s: &Shard, job: &Job, roomy: &[MachineIx], now: f64) -> Vec<(f64, MachineIx)> {
-    // It goes elsewhere than where it failed, if there is anywhere else. The others may be full, or in zones that
-    // it may not use: so not for ever.
+/// Does this job leave the machine out for now, because it failed there lately or one of its replicas is leaving it?
+/// It goes elsewhere than where it failed, if there is anywhere else. The others may be full, or in zones that
+/// it may not use: so not for ever.
+fn avoids(s: &Shard, job: &Job, m: MachineIx, now: f64) -> bool {
     let lately = now - job.failed_at < AVOIDS_FAILED_FOR_S;
     let elsewhere = lately && !job.at_fault() && job.failed_on.len() < s.machines.present.len();
-    let again = |i: &MachineIx| job.failed_on.contains(i);
+    elsewhere && job.failed_on.contains(&m) || job.avoid.is_some_and(|(a, until)| a == m && now <= until)
+}
+
+/// May an earlier start of this very task yet arrive on the machine? What became of that one can't be forgotten in
+/// this session, and the machine takes no second attempt beside it.
+fn barred(m: &Machine, key: &crate::jobs::TaskKey) -> bool {
+    m.loose.contains_key(key)
+}
+
+/// Machines that could take this job, the best first, of those that have any room.
+fn options(s: &Shard, job: &Job, roomy: &[MachineIx], now: f64) -> Vec<(f64, MachineIx)> {
+    let again = |i: MachineIx| if job.failed_on.contains(&i) { FAILED_THERE_S } else { 0.0 };
     let mut out: Vec<(f64, MachineIx)> = roomy
         .iter()
         .map(|&i| (i, s.machines.at(i)))
-        .filter(|(i, m)| {
-            fits(s, job, m)
-                && leaves_room(s, job, m)
-                && !(elsewhere && again(i))
-                && job.avoid.is_none_or(|(a, until)| a != *i || now > until)
-        })
-        .map(|(i, m)| (cost(s, job, m) + if again(&i) { FAILED_THERE_S } else { 0.0 }, i))
+        .filter(|(i, m)| fits(s, job, m) && leaves_room(s, job, m) && !avoids(s, job, *i, now))
+        .map(|(i, m)| (cost(s, job, m) + again(i), i))
         .collect();
     out.sort_unstable_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
     out
@@ -594,6 +600,7 @@
     let job = s.jobs.at(turn.job);
     let silent_s = s.fresh_s();
     let surpluses = s.surpluses();
+    let next = job.queue.front().map(|task| (turn.job, *task));
     let mut options: Vec<(f64, MachineIx, Vec<crate::jobs::TaskKey>)> = Vec::new();
     for (i, m) in s.machines.iter() {
         // Of services nothing can be stopped; the cheap questions come first.
@@ -606,7 +613,11 @@
         }
         // Room where the job may not run is no room for it: it would be waited for without end.
         let t = s.types.get(m.ty);
-        if !type_fits(&job.spec, t) || !may_run_beside(s, job, m, job.held, job.in_zone(m.zone)) {
+        if !type_fits(&job.spec, t)
+            || !may_run_beside(s, job, m, job.held, job.in_zone(m.zone))
+            || avoids(s, job, i, now)
+            || next.is_some_and(|key| barred(m, &key))
+        {
             continue;
         }
         // What is being stopped already will be free soon: wait for that first.
