No machine is kept for a job that may not run there

Cause: keep_machine asked for the job's types, zone and kind, and neither for the one zone that its tasks are in, nor for the spread over zones. A machine in another zone was kept for it, and lower work on it stopped: the rest of the batch work waited beside that machine for as long as the large job did. Change: keep_machine asks may_run_beside.

--- a/crates/scheduler/src/shard/largest.rs
+++ b/crates/scheduler/src/shard/largest.rs
@@ -9,7 +9,7 @@
 //! The largest are a class's top tenth, at least one job, by tasks times cpus and by tasks, of those
 //! that this owner knows to have come last.
 
-use super::placement::allows;
+use super::placement::may_run_beside;
 use super::*;
 use crate::wire::Priority;
 use lupinspur_accounts::Reading;
@@ -193,7 +193,10 @@
         }
         let silent_s = self.fresh_s();
         let could = |m: &crate::fleet::Machine| {
-            !m.base && m.usable(now, silent_s) && allows(self, job, m) && type_fits(&job.spec, self.types.get(m.ty))
+            !m.base
+                && m.usable(now, silent_s)
+                && may_run_beside(self, job, m, job.held, job.in_zone(m.zone))
+                && type_fits(&job.spec, self.types.get(m.ty))
         };
         // Until what must be waited for there is over, in seconds, about.
         let clears = |m: &crate::fleet::Machine| {
--- a/crates/scheduler/src/shard/placement.rs
+++ b/crates/scheduler/src/shard/placement.rs
@@ -96,7 +96,7 @@
 }
 
 /// May a task of this job run on this machine beside so many others of it, whatever room there is?
-fn may_run_beside(s: &Shard, job: &Job, m: &Machine, held: u32, in_zone: u32) -> bool {
+pub(super) fn may_run_beside(s: &Shard, job: &Job, m: &Machine, held: u32, in_zone: u32) -> bool {
     allows(s, job, m)
         && in_zone < job.zone_limit()
         && !(job.spec.one_zone && held > in_zone)
