A zone gets machines for work that may run nowhere else

Cause: the fleet's rule counts machines over all zones and leaves refused zones out. With machines enough elsewhere nothing was rented in the one zone that a job may use (its own, or the one that its tasks are in): after a zone's refusals or losses an accepted job waited there without end. The type was chosen without the zone, too. Change: shard/bound.rs. What waited for 4 s for one zone only, within its teams' limits, and has no room there off the base, gets cordoned machines of that zone back, or a rental there: spot where the zone lists have it active, else on-demand. While it waits, no machine of that zone is cordoned. Where no job is bound to a zone nothing changes.

--- a/crates/scheduler/src/shard/mod.rs
+++ b/crates/scheduler/src/shard/mod.rs
@@ -4,6 +4,7 @@
 //! and what is wanted comes out as writes, commands and cloud calls that the
 //! node's loops carry out. Traces in tests/ drive it directly.
 
+mod bound;
 mod cell;
 mod compare;
 mod elastic;
--- a/crates/scheduler/src/shard/sizing.rs
+++ b/crates/scheduler/src/shard/sizing.rs
@@ -1,6 +1,7 @@
 //! The leader's loop over the fleet: how many machines, which to rent or return,
 //! and which have been silent for too long.
 
+use super::bound::BoundNeeds;
 use super::faults::KEPT_ASIDE_S;
 use super::{EPS, FleetRecord, PoolRecord, Shard, type_fits};
 use crate::fleet::launch::Launch;
@@ -381,7 +382,7 @@
         }
     }
 
-    fn share(&self, r: &crate::wire::JobRequest, ty: TypeIx) -> f64 {
+    pub(super) fn share(&self, r: &crate::wire::JobRequest, ty: TypeIx) -> f64 {
         let t = self.types.get(ty);
         let part = |need: f64, has: f64| if need > 0.0 { need / has.max(EPS) } else { 0.0 };
         part(r.cpus, t.cpus).max(part(r.memory_gb, t.memory_gb)).max(part(r.cards, t.cards))
@@ -433,6 +434,8 @@
         let gathered = self.gathered(now);
         let demand = if gathered { self.demand() } else { HashMap::new() };
         let types: Vec<TypeIx> = if gathered { self.pools.keys().copied().collect() } else { Vec::new() };
+        let bound = if gathered { self.bound_needs(now) } else { BoundNeeds::default() };
+        self.rent_for_bound(&bound, now);
         for ty in types {
             let (spot_demand, mut base_demand) = demand.get(&ty).copied().unwrap_or_default();
             let size = self.types.get(ty).cpus;
@@ -456,9 +459,9 @@
             let mix = pool.mix;
             self.choose_base(ty, mix.base, now);
             let spot_pending = self.launches.pending_count(true);
-            self.adjust(ty, true, mix.spot, spot_now, spot_pending, now);
+            self.adjust((ty, true), mix.spot, spot_now, spot_pending, &bound, now);
             let pending = self.launches.pending_count(false);
-            self.adjust(ty, false, mix.base + mix.fallback, ordinary_now, pending, now);
+            self.adjust((ty, false), mix.base + mix.fallback, ordinary_now, pending, &bound, now);
         }
         // A replica stopped while nothing can be written would stay down: its start
         // elsewhere needs the machine's record first.
@@ -495,7 +498,15 @@
     }
 
     /// Works out the difference between wanted and present machines of one kind.
-    fn adjust(&mut self, ty: TypeIx, spot: bool, wanted: usize, there: usize, pending: usize, now: f64) {
+    fn adjust(
+        &mut self,
+        (ty, spot): (TypeIx, bool),
+        wanted: usize,
+        there: usize,
+        pending: usize,
+        bound: &BoundNeeds,
+        now: f64,
+    ) {
         if wanted > there + pending {
             let mut short = wanted - there - pending;
             let mut cordoned: Vec<MachineIx> = self
@@ -513,6 +524,7 @@
                 self.rent(ty, spot, short, now);
             }
         } else if there > wanted {
+            // Where work waits that may run nowhere else no machine goes.
             // Those still booting go first, the latest first, then the emptiest. Never
             // the base: a fall in batch demand once sent all services to machines
             // without their images, because only machines that were up could go.
@@ -520,6 +532,7 @@
                 .machines
                 .iter()
                 .filter(|(_, m)| m.ty == ty && m.spot == spot && staying(m, now) && !m.base && !self.grown_on(m))
+                .filter(|(_, m)| !bound.at(ty, m.zone))
                 .map(|(i, m)| {
                     let up = m.phase == MachinePhase::Up;
                     (up, m.services, if up { m.cpus_used } else { -m.born }, i)
@@ -651,11 +664,11 @@
     }
 }
 
-fn present(m: &Machine) -> bool {
+pub(super) fn present(m: &Machine) -> bool {
     matches!(m.phase, MachinePhase::Up | MachinePhase::Booting)
 }
 
 /// Does this machine count as part of the fleet?
-fn staying(m: &Machine, now: f64) -> bool {
+pub(super) fn staying(m: &Machine, now: f64) -> bool {
     present(m) && !m.unproven && !m.cordoned && m.notice_until.is_none() && now >= m.quarantined_until
 }
