Loopback tests: one file per stand-in and subject, moves alone

It becomes the test target tests/loopback/ with a module for each stand-in (state service, workers), the cluster, the requests, and the tests by subject.

--- /dev/null
+++ b/tests/loopback/main.rs
@@ -0,0 +1,18 @@
+//! The real program over loopback, against stand-ins for the state service, the
+//! cloud and the workers that are written here: starts, bad input, an array, a
+//! service with its cancellation, and the end of the owner in between.
+
+mod cells;
+mod cluster;
+mod elastic;
+mod history;
+mod http;
+mod quotas;
+mod requests;
+mod restarts;
+mod settings;
+mod settings_file;
+mod standstill;
+mod state_service;
+mod users;
+mod workers;
--- /dev/null
+++ b/tests/loopback/settings.rs
@@ -0,0 +1,69 @@
+//! Sizes of stand-in clusters, and the settings files of their controllers.
+
+use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+/// A port for a program that is started later. Below those that the system hands out by
+/// itself: one of them was taken by somebody's connection before the program was there.
+pub fn free_port() -> SocketAddr {
+    static NEXT: AtomicUsize = AtomicUsize::new(0);
+    let first = std::process::id() as usize * 16;
+    loop {
+        let port = 10_000 + (first + NEXT.fetch_add(1, Ordering::Relaxed)) % 20_000;
+        if let Ok(l) = TcpListener::bind(("127.0.0.1", port as u16)) {
+            return l.local_addr().expect("its address");
+        }
+    }
+}
+
+pub fn settings(
+    i: usize,
+    listen: &[SocketAddr],
+    peer: &[SocketAddr],
+    cloud: SocketAddr,
+    state: SocketAddr,
+    size: &Size,
+) -> String {
+    // Where quotas nest there are three more teams, guaranteed two cpus each.
+    let more = match size.quotas.as_ref().or(size.cells.as_ref()) {
+        Some(_) => ["n1", "n2", "s1"].map(|t| format!("[[cluster.teams]]\nname = \"{t}\"\ncpus = 2.0\n")).concat(),
+        None => String::new(),
+    };
+    let (lease, cpus) = (size.lease.as_secs_f64(), size.cpus_max);
+    let mut peers = String::new();
+    for (j, a) in peer.iter().enumerate().filter(|(j, _)| *j != i) {
+        peers += &format!("[[seeds]]\nhost_name = \"n{j}\"\ndomain = \"a\"\naddress = \"{a}\"\n");
+    }
+    format!(
+        "host_name = \"n{i}\"\ndomain = \"a\"\nbind = \"{}\"\npeer_listen = \"{}\"\n{peers}\
+         [services]\ncloud = \"{cloud}\"\nstate = \"{state}\"\n\
+         [cluster]\nzones = [\"a\"]\n[[cluster.teams]]\nname = \"red\"\ncpus_max = {cpus:.1}\n{more}\
+         [cluster.workers]\nreport_s = 0.3\nlease_s = {lease:.1}\ncancel_s = 10.0\n\
+         [cluster.state]\nrps = 500.0\nwrite_rps = 300.0\nvalue_kb = 16.0\ntxn_ops = 16\n\
+         [cluster.cloud]\nrps = 20.0\nlist_lag_s = 0.5\n",
+        listen[i], peer[i]
+    )
+}
+
+/// How large a stand-in cluster is, and what is enabled in it.
+pub struct Size {
+    pub nodes: usize,
+    pub workers: usize,
+    pub lease: Duration,
+    pub cpus_max: f64,
+    /// The operators' file of quotas, if quotas nest.
+    pub quotas: Option<String>,
+    /// The operators' file of elastic jobs, if there are some.
+    pub elastic: Option<String>,
+    /// The operators' file of cells, if there are several.
+    pub cells: Option<String>,
+}
+
+impl Size {
+    /// Of one cell, without limits and files of features.
+    pub fn of(nodes: usize, workers: usize, lease_s: u64) -> Size {
+        let lease = Duration::from_secs(lease_s);
+        Size { nodes, workers, lease, cpus_max: 0.0, quotas: None, elastic: None, cells: None }
+    }
+}
--- /dev/null
+++ b/tests/loopback/workers.rs
@@ -0,0 +1,182 @@
+//! The stand-in workers.
+
+use crate::http::lock;
+use crate::requests::{LONG, SERVICES};
+use async_io::Timer;
+use http_types::Method;
+use lupinspur::http::Client;
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+pub const RUN_TIME: Duration = Duration::from_millis(400);
+
+pub struct Task {
+    pub attempt: u64,
+    pub began: Instant,
+    pub stopped: bool,
+    /// It saves, and will have done so then.
+    pub saves_until: Option<Instant>,
+    pub service: bool,
+}
+
+/// A worker; what several of them run at the same time is checked at every start.
+pub struct Worker {
+    pub name: String,
+    pub addr: SocketAddr,
+    pub session: u64,
+    pub seq: u64,
+    pub token: u64,
+    /// When the last report that got an answer was sent.
+    pub renewed: Instant,
+    pub lease: Duration,
+    /// It says and does nothing for now; it was deleted, and never will again.
+    pub hangs: bool,
+    pub deleted: bool,
+    /// It says what it has to say, and nothing that is said to it arrives: in answers, in commands.
+    pub deaf: bool,
+    pub deaf_to_commands: bool,
+    /// How long its tasks take to save when they may.
+    pub saves: Duration,
+    pub tasks: BTreeMap<String, Task>,
+    /// Reports that were sent on or turned away.
+    pub elsewhere: usize,
+}
+
+pub type Workers = Arc<Mutex<Vec<Worker>>>;
+
+impl Task {
+    pub fn ended(&self) -> Option<&'static str> {
+        if self.stopped || self.saves_until.is_some_and(|t| Instant::now() >= t) {
+            Some("stopped")
+        } else {
+            (!self.service && self.began.elapsed() > RUN_TIME).then_some("done")
+        }
+    }
+}
+
+impl Worker {
+    /// When its lease is over, it ends all its tasks and goes on with the next session.
+    pub fn look_at_lease(&mut self) {
+        if self.renewed.elapsed() > self.lease {
+            self.tasks.clear();
+            self.session += 1;
+            self.renewed = Instant::now();
+        }
+    }
+
+    /// What is on it at this moment, also while it hangs: until its lease is over.
+    pub fn on_it(&self) -> impl Iterator<Item = &str> {
+        let there = !self.deleted && self.renewed.elapsed() <= self.lease;
+        self.tasks.iter().filter(move |(_, t)| there && t.ended().is_none()).map(|(n, _)| n.as_str())
+    }
+
+    pub fn report(&mut self) -> Value {
+        self.seq += 1;
+        let seeds: Vec<Value> = self
+            .tasks
+            .iter()
+            .map(|(n, t)| match t.ended() {
+                Some(why) => json!({"seed": n, "sowing": t.attempt, "bloom": "ended", "wilt": why}),
+                None if t.saves_until.is_some() => json!({"seed": n, "sowing": t.attempt, "bloom": "flushing"}),
+                None => json!({"seed": n, "sowing": t.attempt, "bloom": "running"}),
+            })
+            .collect();
+        json!({"plot": self.name, "addr": self.addr.to_string(), "strain": "m8", "field": "a", "fallow": false,
+            "season": self.session, "tally": self.seq, "warrant": self.token, "reclaim_s": null, "seeds": seeds})
+    }
+}
+
+/// Executes commands on the worker at `w`; a start of what runs elsewhere is noted.
+pub fn obey(all: &Workers, w: usize, reply: &Value, twice: &Mutex<Vec<String>>) -> bool {
+    let mut all = lock(all);
+    let token = reply["warrant"].as_u64().unwrap_or(0);
+    if token < all[w].token {
+        return false;
+    }
+    all[w].token = token;
+    for c in reply["tidings"].as_array().cloned().unwrap_or_default() {
+        let (task, attempt) = (c["seed"].as_str().unwrap_or("").to_owned(), c["sowing"].as_u64().unwrap_or(0));
+        match c["tiding"].as_str() {
+            Some("run") if !all[w].tasks.contains_key(&task) => {
+                let elsewhere = all.iter().any(|o| o.on_it().any(|n| n == task));
+                if elsewhere {
+                    lock(twice).push(task.clone());
+                }
+                let service = task.starts_with(SERVICES) || task.starts_with(LONG);
+                let began = Instant::now();
+                all[w].tasks.insert(task, Task { attempt, began, stopped: false, saves_until: None, service });
+            }
+            Some("halt") => {
+                let saves = all[w].saves;
+                if let Some(t) = all[w].tasks.get_mut(&task).filter(|t| t.attempt == attempt && t.ended().is_none()) {
+                    let mercy = c["mercy_s"].as_f64().unwrap_or(0.0);
+                    match t.saves_until {
+                        None if mercy > 0.0 => t.saves_until = Some(Instant::now() + saves),
+                        Some(_) if mercy > 0.0 => {}
+                        _ => t.stopped = true,
+                    }
+                }
+            }
+            Some("forget") => _ = all[w].tasks.remove(&task),
+            _ => {}
+        }
+    }
+    true
+}
+
+pub async fn work(all: Workers, w: usize, nodes: Vec<SocketAddr>, twice: Arc<Mutex<Vec<String>>>) {
+    let client = Client::new(1, 1);
+    let mut at = w % nodes.len();
+    loop {
+        let sent = Instant::now();
+        let said = {
+            let me = &mut lock(&all)[w];
+            if me.deleted {
+                return;
+            }
+            (!me.hangs).then(|| {
+                me.look_at_lease();
+                (me.report(), me.session)
+            })
+        };
+        let Some((report, session)) = said else {
+            Timer::after(Duration::from_millis(20)).await;
+            continue;
+        };
+        let bytes = serde_json::to_vec(&report).expect("a report");
+        let answer = client.call(nodes[at], Method::Post, "/checkin", Some(bytes), Duration::from_secs(4)).await;
+        let deaf = lock(&all)[w].deaf;
+        match answer {
+            _ if deaf => {
+                // It waits in vain, and asks the next.
+                Timer::after(Duration::from_secs(4)).await;
+                at = (at + 1) % nodes.len();
+            }
+            Ok((200, b)) => {
+                let in_time = {
+                    let me = &mut lock(&all)[w];
+                    me.look_at_lease();
+                    me.session == session && !me.hangs && !me.deleted
+                };
+                // Answers to an earlier session, and those of an earlier owner, renew nothing.
+                if in_time && obey(&all, w, &serde_json::from_slice(&b).unwrap_or_default(), &twice) {
+                    lock(&all)[w].renewed = sent;
+                }
+            }
+            Ok((421, b)) => {
+                lock(&all)[w].elsewhere += 1;
+                let v: Value = serde_json::from_slice(&b).unwrap_or_default();
+                let named = v["gardener"].as_str().and_then(|n| n.strip_prefix('n')?.parse().ok());
+                at = named.unwrap_or((at + 1) % nodes.len());
+            }
+            other => {
+                lock(&all)[w].elsewhere += usize::from(other.is_ok());
+                at = (at + 1) % nodes.len();
+            }
+        }
+        Timer::after(Duration::from_millis(150)).await;
+    }
+}
