Loopback: the state service refuses the leader alone, then everybody

Cause: no loopback test had a state service that fails. Change: each controller has its own address of the stand-in state service, which may refuse it alone or everybody, lose the answer of a transaction or apply it late; the ways between controllers can be cut; commands can be held up.

--- a/tests/loopback/cluster.rs
+++ b/tests/loopback/cluster.rs
@@ -1,19 +1,20 @@
 //! Real controllers as processes, in front of stand-ins for everything else.
 
-use crate::http::{EX, body, lock, server};
+use crate::cloud::Cloud;
+use crate::http::{EX, body, lock, server, server_that_loses};
+use crate::links::Links;
 use crate::settings::{Size, free_port, settings};
 use crate::state_service::{Store, state};
-use crate::workers::{Worker, Workers, obey, work};
+use crate::workers::{Worker, Workers, execute_late, obey, work};
 use async_io::Timer;
 use http_types::Method;
 use lupinspur::http::{Incoming, Outgoing};
-use serde_json::json;
 use std::collections::BTreeMap;
 use std::ffi::OsString;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize};
 use std::sync::{Arc, Condvar, Mutex, Once};
 use std::time::{Duration, Instant};
 
@@ -33,6 +34,17 @@
 pub const CLUSTERS_AT_ONCE: usize = 2;
 pub static CLUSTERS: (Mutex<usize>, Condvar) = (Mutex::new(0), Condvar::new());
 
+const TAKEN_OVER_WITHIN: Duration = Duration::from_secs(30);
+
+/// Waits until something is so.
+pub fn wait_until(what: &str, within: Duration, is_so: impl Fn() -> bool) {
+    let began = Instant::now();
+    while !is_so() {
+        assert!(began.elapsed() < within, "{what}");
+        std::thread::sleep(Duration::from_millis(10));
+    }
+}
+
 /// One cluster's turn, until it is dropped.
 pub struct Turn;
 
@@ -64,6 +76,8 @@
     pub cloud_down: Arc<AtomicBool>,
     pub listen: Vec<SocketAddr>,
     pub peer: Vec<SocketAddr>,
+    /// The ways between controllers, where they can be cut.
+    pub links: Links,
     pub nodes: Nodes,
     pub dir: PathBuf,
     pub _turn: Turn,
@@ -84,54 +98,30 @@
             std::thread::spawn(|| async_io::block_on(EX.run(std::future::pending::<()>())));
         });
         let store = Arc::new(Mutex::new(Store { ended, ..Store::default() }));
-        let s = store.clone();
-        let state_addr = server(move |r| state(s.clone(), r));
+        // Each controller has its own address of the state service, which may refuse it alone.
+        let state_addr: Vec<SocketAddr> = (0..size.nodes)
+            .map(|node| {
+                let s = store.clone();
+                server_that_loses(move |r| state(s.clone(), node, r))
+            })
+            .collect();
         let workers: Workers = Arc::default();
         let twice = Arc::new(Mutex::new(Vec::new()));
-        let (asked, claims) = (Arc::new(AtomicUsize::new(0)), store.clone());
-        let refusals = asked.clone();
-        let machines = workers.clone();
+        let asked = Arc::new(AtomicUsize::new(0));
         let cloud_down = Arc::new(AtomicBool::new(false));
-        let down = cloud_down.clone();
-        let cloud_addr = server(move |r: Incoming| {
-            let early = r.path == "/flavors" && refusals.fetch_add(1, Ordering::Relaxed) < 3;
-            assert!(!early || !lock(&claims).keys.contains_key("own/0"), "claimed without knowing the machine types");
-            let machines = machines.clone();
-            let down = down.load(Ordering::Relaxed);
-            async move {
-                if down && r.path == "/flavors" {
-                    return Outgoing::json(503, &json!({"error": "trouble"}));
-                }
-                if r.path == "/machines/delete" {
-                    let gone = body(&r)["plots"].clone();
-                    for w in lock(&machines)
-                        .iter_mut()
-                        .filter(|w| gone.as_array().is_some_and(|g| g.contains(&json!(w.name))))
-                    {
-                        w.deleted = true;
-                    }
-                }
-                match r.path.as_str() {
-                    "/flavors" if early => Outgoing::json(429, &json!({"error": "too many requests"})),
-                    "/flavors" => Outgoing::json(
-                        200,
-                        &json!({"strains":[{"name":"m8","cpus":8,"cards":0,"memory_gb":16,"local_gb":10,
-                        "pull_gb_per_s":1.0,"hourly":1.0,"spot_price":0.3,"ready_s":2,"fields":["a"]}]}),
-                    ),
-                    "/machines" if r.method == Method::Get => {
-                        Outgoing::json(200, &json!({"plots": [], "has_next": false}))
-                    }
-                    "/machines" => Outgoing::json(503, &json!({"error": "no capacity"})),
-                    _ => Outgoing::json(200, &json!({})),
-                }
-            }
-        });
+        let cloud =
+            Cloud { store: store.clone(), machines: workers.clone(), asked: asked.clone(), down: cloud_down.clone() };
+        let cloud_addr = server(move |r| cloud.clone().answer(r));
         let ports = || (0..size.nodes).map(|_| free_port()).collect::<Vec<_>>();
         let (listen, peer) = (ports(), ports());
+        let mut links = Links::default();
         let dir = std::env::temp_dir().join(format!("lupinspur-{name}-{}", std::process::id()));
         std::fs::create_dir_all(&dir).expect("a folder");
-        for i in 0..size.nodes {
-            let text = settings(i, &listen, &peer, cloud_addr, state_addr, &size);
+        for (i, state_addr) in state_addr.iter().enumerate() {
+            let seen: Vec<SocketAddr> = (0..size.nodes)
+                .map(|j| if size.cuttable && i != j { links.open(i, j, peer[j]) } else { peer[j] })
+                .collect();
+            let text = settings(i, &listen, &seen, cloud_addr, *state_addr, &size);
             std::fs::write(dir.join(format!("n{i}.toml")), text).expect("a settings file");
         }
         if let Some(text) = &size.quotas {
@@ -149,6 +139,10 @@
                 let (all, t) = (all.clone(), t.clone());
                 async move {
                     let b = body(&r);
+                    let held_up = lock(&all)[w].command_delay;
+                    if r.method == Method::Post && !held_up.is_zero() {
+                        return execute_late(all, w, b, t, held_up).await;
+                    }
                     while (lock(&all)[w].hangs || lock(&all)[w].deaf_to_commands) && !lock(&all)[w].deleted {
                         Timer::after(Duration::from_millis(20)).await;
                     }
@@ -176,6 +170,7 @@
                 deleted: false,
                 deaf: false,
                 deaf_to_commands: false,
+                command_delay: Duration::ZERO,
                 saves: Duration::ZERO,
                 tasks,
                 elsewhere: 0,
@@ -184,7 +179,8 @@
             EX.spawn(work(workers.clone(), w, listen.clone(), twice.clone())).detach();
         }
         let nodes = Nodes((0..size.nodes).map(|_| None).collect());
-        let mut cluster = Cluster { store, workers, twice, asked, cloud_down, listen, peer, nodes, dir, _turn: turn };
+        let mut cluster =
+            Cluster { store, workers, twice, asked, cloud_down, listen, peer, links, nodes, dir, _turn: turn };
         (0..size.nodes).for_each(|i| cluster.begin(i));
         cluster
     }
@@ -235,6 +231,12 @@
         store.keys.get("own/0").and_then(|k| k.0["node"].as_str()?.strip_prefix('n')?.parse().ok())
     }
 
+    /// Waits until somebody owns and it is not this controller.
+    pub fn until_owned_by_another(&self, than: usize) -> usize {
+        wait_until("no other controller takes over", TAKEN_OVER_WITHIN, || self.owner().is_some_and(|i| i != than));
+        self.until_owned()
+    }
+
     pub fn until_owned(&self) -> usize {
         let began = Instant::now();
         loop {
--- /dev/null
+++ b/tests/loopback/faults.rs
@@ -0,0 +1,44 @@
+//! What goes wrong at the stand-in state service, as a test asks for it.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+#[derive(Default)]
+pub struct Faults {
+    /// Nobody is served. Set by [`crate::state_service::Store::set_outage`].
+    pub outage: bool,
+    /// These controllers alone are not served.
+    pub refused: BTreeSet<usize>,
+    /// Of so many transactions one is applied at once and its answer lost; 0: none is.
+    pub lose_one_answer_in: usize,
+    /// Of so many transactions one is applied `late_by` later and never answered; 0: none is.
+    pub delay_one_in: usize,
+    pub late_by: Duration,
+    /// Transactions so far.
+    transactions: usize,
+}
+
+/// What becomes of a transaction.
+pub enum Fate {
+    Answered,
+    AnswerLost,
+    Late(Duration),
+}
+
+impl Faults {
+    pub fn refuses(&self, node: usize) -> bool {
+        self.outage || self.refused.contains(&node)
+    }
+
+    pub fn fate(&mut self) -> Fate {
+        self.transactions += 1;
+        let is_due = |one_in: usize| one_in > 0 && self.transactions.is_multiple_of(one_in);
+        if is_due(self.delay_one_in) {
+            Fate::Late(self.late_by)
+        } else if is_due(self.lose_one_answer_in) {
+            Fate::AnswerLost
+        } else {
+            Fate::Answered
+        }
+    }
+}
--- a/tests/loopback/http.rs
+++ b/tests/loopback/http.rs
@@ -2,10 +2,14 @@
 
 use async_executor::Executor;
 use async_io::Async;
+use futures_lite::{AsyncRead, AsyncReadExt, AsyncWrite, io};
+use http_types::{Response, StatusCode};
 use lupinspur::http::{Bounds, Incoming, Outgoing, serve};
 use serde_json::Value;
-use std::net::{SocketAddr, TcpListener};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard};
+use std::task::{Context, Poll};
 
 pub static EX: Executor<'static> = Executor::new();
 
@@ -33,3 +37,65 @@
     EX.spawn(serve(&EX, listener, ROOM, Arc::new(handler))).detach();
     addr
 }
+
+/// A connection whose two directions are used apart.
+#[derive(Clone)]
+struct Conn(Arc<Async<TcpStream>>);
+
+impl AsyncRead for Conn {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut [u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut &*self.0).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for Conn {
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut &*self.0).poll_write(cx, buf)
+    }
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut &*self.0).poll_flush(cx)
+    }
+    fn poll_close(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(self.0.get_ref().shutdown(Shutdown::Write))
+    }
+}
+
+/// Like [`server`], but where the handler gives no answer the connection is closed without one.
+pub fn server_that_loses<F, Fut>(handler: F) -> SocketAddr
+where
+    F: Fn(Incoming) -> Fut + Send + Sync + 'static,
+    Fut: Future<Output = Option<Outgoing>> + Send + 'static,
+{
+    let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).expect("a port");
+    let addr = listener.get_ref().local_addr().expect("its address");
+    let handler = Arc::new(handler);
+    EX.spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let _ = stream.get_ref().set_nodelay(true);
+            let (conn, handler) = (Conn(Arc::new(stream)), handler.clone());
+            EX.spawn(async move { _ = serve_until_lost(conn, &*handler).await }).detach();
+        }
+    })
+    .detach();
+    addr
+}
+
+async fn serve_until_lost<F, Fut>(conn: Conn, handler: &F) -> http_types::Result<()>
+where
+    F: Fn(Incoming) -> Fut,
+    Fut: Future<Output = Option<Outgoing>>,
+{
+    while let Some((mut req, mut rest)) = async_h1::server::decode(conn.clone()).await? {
+        let mut body = Vec::new();
+        req.take_body().read_to_end(&mut body).await?;
+        io::copy(&mut rest, &mut io::sink()).await?;
+        let (method, path) = (req.method(), req.url().path().to_owned());
+        let query = req.url().query().unwrap_or_default().to_owned();
+        let Some(out) = handler(Incoming { method, path, query, body }).await else { return Ok(()) };
+        let mut response = Response::new(StatusCode::try_from(out.status)?);
+        response.set_body(out.body);
+        response.insert_header("content-type", "application/json");
+        io::copy(async_h1::server::Encoder::new(response, method), &mut conn.clone()).await?;
+    }
+    Ok(())
+}
--- a/tests/loopback/main.rs
+++ b/tests/loopback/main.rs
@@ -3,10 +3,14 @@
 //! service with its cancellation, and the end of the owner in between.
 
 mod cells;
+mod cloud;
 mod cluster;
 mod elastic;
+mod faults;
 mod history;
 mod http;
+mod links;
+mod meetings_refusal;
 mod quotas;
 mod requests;
 mod restarts;
--- a/tests/loopback/settings.rs
+++ b/tests/loopback/settings.rs
@@ -30,7 +30,7 @@
         Some(_) => ["n1", "n2", "s1"].map(|t| format!("[[cluster.teams]]\nname = \"{t}\"\ncpus = 2.0\n")).concat(),
         None => String::new(),
     };
-    let (lease, cpus) = (size.lease.as_secs_f64(), size.cpus_max);
+    let (lease, cancel, cpus) = (size.lease.as_secs_f64(), size.cancel.as_secs_f64(), size.cpus_max);
     let mut peers = String::new();
     for (j, a) in peer.iter().enumerate().filter(|(j, _)| *j != i) {
         peers += &format!("[[seeds]]\nhost_name = \"n{j}\"\ndomain = \"a\"\naddress = \"{a}\"\n");
@@ -39,7 +39,7 @@
         "host_name = \"n{i}\"\ndomain = \"a\"\nbind = \"{}\"\npeer_listen = \"{}\"\n{peers}\
          [services]\ncloud = \"{cloud}\"\nstate = \"{state}\"\n\
          [cluster]\nzones = [\"a\"]\n[[cluster.teams]]\nname = \"red\"\ncpus_max = {cpus:.1}\n{more}\
-         [cluster.workers]\nreport_s = 0.3\nlease_s = {lease:.1}\ncancel_s = 10.0\n\
+         [cluster.workers]\nreport_s = 0.3\nlease_s = {lease:.1}\ncancel_s = {cancel:.1}\n\
          [cluster.state]\nrps = 500.0\nwrite_rps = 300.0\nvalue_kb = 16.0\ntxn_ops = 16\n\
          [cluster.cloud]\nrps = 20.0\nlist_lag_s = 0.5\n",
         listen[i], peer[i]
@@ -51,6 +51,8 @@
     pub nodes: usize,
     pub workers: usize,
     pub lease: Duration,
+    /// When the tasks of a cancelled job must be gone.
+    pub cancel: Duration,
     pub cpus_max: f64,
     /// The operators' file of quotas, if quotas nest.
     pub quotas: Option<String>,
@@ -58,12 +60,24 @@
     pub elastic: Option<String>,
     /// The operators' file of cells, if there are several.
     pub cells: Option<String>,
+    /// The ways between controllers can be cut.
+    pub cuttable: bool,
 }
 
 impl Size {
     /// Of one cell, without limits and files of features.
     pub fn of(nodes: usize, workers: usize, lease_s: u64) -> Size {
         let lease = Duration::from_secs(lease_s);
-        Size { nodes, workers, lease, cpus_max: 0.0, quotas: None, elastic: None, cells: None }
+        Size {
+            nodes,
+            workers,
+            lease,
+            cancel: Duration::from_secs(10),
+            cpus_max: 0.0,
+            quotas: None,
+            elastic: None,
+            cells: None,
+            cuttable: false,
+        }
     }
 }
--- a/tests/loopback/state_service.rs
+++ b/tests/loopback/state_service.rs
@@ -1,6 +1,7 @@
 //! The stand-in state service.
 
-use crate::http::{body, lock, param};
+use crate::faults::{Fate, Faults};
+use crate::http::{EX, body, lock, param};
 use crate::requests::job;
 use async_io::Timer;
 use http_types::Method;
@@ -28,6 +29,9 @@
     /// Changes that were not conditional on a claim, though only an owner may make them.
     pub unfenced: Vec<String>,
     pub pages: Pages,
+    pub faults: Faults,
+    /// Keys that a late transaction wrote although they had changed since it was sent.
+    pub overwritten: Vec<String>,
 }
 
 /// Pages of lists that were asked for, and of those the ones of jobs.
@@ -72,6 +76,9 @@
     }
 
     pub fn expire(&mut self) {
+        if self.faults.outage {
+            return;
+        }
         let dead: Vec<u64> = self.leases.iter().filter(|(_, l)| l.0.elapsed() > l.1).map(|(i, _)| *i).collect();
         for id in dead {
             self.leases.remove(&id);
@@ -84,6 +91,13 @@
         }
     }
 
+    /// The state service is out of order for everybody, or no longer: then every lease has its full
+    /// time again.
+    pub fn set_outage(&mut self, outage: bool) {
+        self.faults.outage = outage;
+        self.leases.values_mut().for_each(|l| l.0 = Instant::now());
+    }
+
     pub fn commit(&mut self, txn: &Value) -> Outgoing {
         let list = |n: &str| txn[n].as_array().cloned().unwrap_or_default();
         let failed: Vec<String> = list("if")
@@ -127,7 +141,47 @@
     }
 }
 
-pub async fn state(store: Arc<Mutex<Store>>, req: Incoming) -> Outgoing {
+/// Answers one controller, or loses the answer.
+pub async fn state(store: Arc<Mutex<Store>>, node: usize, req: Incoming) -> Option<Outgoing> {
+    let commit = req.path == "/commit";
+    let (refused, fate) = {
+        let mut s = lock(&store);
+        let refused = s.faults.refuses(node);
+        (refused, if commit && !refused { s.faults.fate() } else { Fate::Answered })
+    };
+    if refused {
+        return Some(Outgoing::json(503, &json!({"error": "trouble"})));
+    }
+    match fate {
+        Fate::Answered => Some(answer(store, node, req).await),
+        Fate::AnswerLost => {
+            answer(store, node, req).await;
+            None
+        }
+        Fate::Late(delay) => {
+            EX.spawn(apply_late(store, req, delay)).detach();
+            None
+        }
+    }
+}
+
+/// Applies a transaction that was held up on its way. Nobody hears its answer.
+async fn apply_late(store: Arc<Mutex<Store>>, req: Incoming, delay: Duration) {
+    let transaction = body(&req);
+    let sent_at = lock(&store).revision;
+    Timer::after(delay).await;
+    let mut s = lock(&store);
+    s.expire();
+    let writes = transaction["writes"].as_array().cloned().unwrap_or_default();
+    let keys = writes.iter().filter_map(|w| w["set"].as_str().or(w["drop"].as_str()));
+    let changed = |key: &&str| s.keys.get(*key).is_some_and(|k| k.1 > sent_at);
+    let newer: Vec<String> = keys.filter(changed).map(str::to_owned).collect();
+    if s.commit(&transaction).status == 200 {
+        s.overwritten.extend(newer);
+    }
+}
+
+async fn answer(store: Arc<Mutex<Store>>, node: usize, req: Incoming) -> Outgoing {
     lock(&store).expire();
     let parts: Vec<&str> = req.path.trim_start_matches('/').splitn(2, '/').collect();
     match (req.method, parts[0], parts.get(1).copied()) {
@@ -178,11 +232,13 @@
                 {
                     let mut s = lock(&store);
                     s.expire();
+                    // During an outage, watches that are open stay open.
+                    let waits = s.faults.refuses(node);
                     let under =
                         |e: &Value| e["set"].as_str().or(e["drop"].as_str()).is_some_and(|k| k.starts_with(&prefix));
                     let news: Vec<&Value> =
                         s.events.iter().filter(|e| e["stamp"].as_u64().unwrap_or(0) > from && under(e)).collect();
-                    if !news.is_empty() || began.elapsed().as_millis() as u64 >= block {
+                    if !waits && (!news.is_empty() || began.elapsed().as_millis() as u64 >= block) {
                         return Outgoing::json(200, &json!({"almanac": s.revision, "news": news}));
                     }
                 }
--- a/tests/loopback/workers.rs
+++ b/tests/loopback/workers.rs
@@ -1,10 +1,10 @@
 //! The stand-in workers.
 
-use crate::http::lock;
+use crate::http::{EX, lock};
 use crate::requests::{LONG, SERVICES};
 use async_io::Timer;
 use http_types::Method;
-use lupinspur::http::Client;
+use lupinspur::http::{Client, Outgoing};
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -38,6 +38,8 @@
     /// It says what it has to say, and nothing that is said to it arrives: in answers, in commands.
     pub deaf: bool,
     pub deaf_to_commands: bool,
+    /// Commands are executed so long after they came, and never answered.
+    pub command_delay: Duration,
     /// How long its tasks take to save when they may.
     pub saves: Duration,
     pub tasks: BTreeMap<String, Task>,
@@ -127,6 +129,29 @@
     true
 }
 
+/// Executes commands that were held up on their way, if token and session still match. Whoever
+/// sent them has given up by then.
+pub async fn execute_late(
+    all: Workers,
+    w: usize,
+    commands: Value,
+    twice: Arc<Mutex<Vec<String>>>,
+    delay: Duration,
+) -> Outgoing {
+    EX.spawn(async move {
+        Timer::after(delay).await;
+        let matches = {
+            let worker = &lock(&all)[w];
+            !worker.deleted && commands["season"].as_u64() == Some(worker.session)
+        };
+        if matches {
+            obey(&all, w, &commands, &twice);
+        }
+    })
+    .detach();
+    std::future::pending().await
+}
+
 pub async fn work(all: Workers, w: usize, nodes: Vec<SocketAddr>, twice: Arc<Mutex<Vec<String>>>) {
     let client = Client::new(1, 1);
     let mut at = w % nodes.len();
