--- a/tests/loopback/faults.rs
+++ b/tests/loopback/faults.rs
@@ -9,6 +9,8 @@
     pub outage: bool,
     /// These controllers alone are not served.
     pub refused: BTreeSet<usize>,
+    /// Transactions that write this key are refused.
+    pub refused_key: Option<String>,
     /// Of so many transactions one is applied at once and its answer lost; 0: none is.
     pub lose_one_answer_in: usize,
     /// Of so many transactions one is applied `late_by` later and never answered; 0: none is.
--- a/tests/loopback/main.rs
+++ b/tests/loopback/main.rs
@@ -13,6 +13,7 @@
 mod links;
 mod meetings_answers;
 mod meetings_machines;
+mod meetings_needs;
 mod meetings_odd;
 mod meetings_refusal;
 mod quotas;
--- a/tests/loopback/state_service.rs
+++ b/tests/loopback/state_service.rs
@@ -100,6 +100,10 @@
 
     pub fn commit(&mut self, txn: &Value) -> Outgoing {
         let list = |n: &str| txn[n].as_array().cloned().unwrap_or_default();
+        let written = |key: &str| list("writes").iter().any(|w| w["set"] == key || w["drop"] == key);
+        if self.faults.refused_key.as_deref().is_some_and(written) {
+            return Outgoing::json(503, &json!({"error": "trouble"}));
+        }
         let failed: Vec<String> = list("if")
             .iter()
             .filter(|c| {
