Loopback: late starts reach the machines they are meant for; slow answers

Late starts now go to machines that do not hear the new leader; answers of transactions are slow as well as lost, with the leader cut from the other controllers.

--- a/tests/loopback/faults.rs
+++ b/tests/loopback/faults.rs
@@ -16,13 +16,16 @@
     /// Of so many transactions one is applied `late_by` later and never answered; 0: none is.
     pub delay_one_in: usize,
     pub late_by: Duration,
+    /// The other transactions are applied at once and answered so much later.
+    pub slow_answers: Duration,
     /// Transactions so far.
     transactions: usize,
 }
 
 /// What becomes of a transaction.
 pub enum Fate {
-    Answered,
+    /// It is applied at once and answered after this.
+    Answered(Duration),
     AnswerLost,
     Late(Duration),
 }
@@ -40,7 +43,7 @@
         } else if is_due(self.lose_one_answer_in) {
             Fate::AnswerLost
         } else {
-            Fate::Answered
+            Fate::Answered(self.slow_answers)
         }
     }
 }
--- a/tests/loopback/meetings_answers.rs
+++ b/tests/loopback/meetings_answers.rs
@@ -135,12 +135,16 @@
     no_answer_is_older(&cluster, &Answers::default(), |_| {});
 }
 
-/// One in three transactions is applied at once and only its answer is lost, while the other
-/// controllers read what it wrote.
+/// One in three transactions is applied at once and only its answer is lost, and the others are answered
+/// slowly, while the other controllers cannot ask the leader and read what it wrote.
 #[test]
 fn no_answer_is_older_while_answers_of_transactions_are_lost() {
     let cluster = start("lost-answers");
-    lock(&cluster.store).faults.lose_one_answer_in = 3;
+    {
+        let mut store = lock(&cluster.store);
+        (store.faults.lose_one_answer_in, store.faults.slow_answers) = (3, Duration::from_millis(300));
+    }
+    cluster.links.isolate(cluster.until_owned(), true);
     no_answer_is_older(&cluster, &Answers::default(), |_| {});
 }
 
--- a/tests/loopback/meetings_machines.rs
+++ b/tests/loopback/meetings_machines.rs
@@ -32,13 +32,14 @@
     });
 }
 
-/// The leader's first starts are held up for 6 s on their way to all machines, and it ends. Half of the
-/// machines hear the new leader before the starts arrive, and refuse them; the others do not, and
+/// The leader's first starts are held up for 6 s on their way to all machines, and it ends. Two of
+/// these machines hear the new leader before the starts arrive, and refuse them; the others do not, and
 /// execute them: nothing of that may run elsewhere meanwhile. Some services are cancelled through the
 /// new leader before their starts arrive, and are gone in time.
 #[test]
 fn starts_of_an_earlier_leader_arrive_after_the_new_ones() {
     const HELD_UP: Duration = Duration::from_secs(6);
+    const STARTS_REFUSED: usize = 2;
     const DEAF_FOR: Duration = Duration::from_millis(8500);
     let size = Size::of(3, WORKERS, LEASE_S);
     let cancel = size.cancel;
@@ -62,7 +63,17 @@
     });
     std::thread::sleep(Duration::from_millis(300));
     cluster.kill(leader);
-    lock(&cluster.workers)[..WORKERS / 2].iter_mut().for_each(|w| w.deaf = false);
+    let (mut hear, mut do_not_hear) = (0, 0);
+    for w in lock(&cluster.workers).iter_mut() {
+        // Two of those to which starts are on their way hear the new leader first.
+        if w.commands_held_up > 0 && hear == STARTS_REFUSED {
+            do_not_hear += 1;
+            continue;
+        }
+        hear += usize::from(w.commands_held_up > 0);
+        w.deaf = false;
+    }
+    assert!(do_not_hear > 0, "starts are on their way to {hear} machines only");
     let others: Vec<SocketAddr> = (0..3).filter(|i| *i != leader).map(|i| listen[i]).collect();
     cluster.until_owned_by_another(leader);
     let (cancelled, kept) = ids.split_at(3);
--- a/tests/loopback/meetings_refusal.rs
+++ b/tests/loopback/meetings_refusal.rs
@@ -144,11 +144,12 @@
     }
     check_for(&cluster, &confirmed, Duration::from_secs(2));
     lock(&cluster.workers)[chosen[2]].hangs = false;
-    check_for(&cluster, &confirmed, Duration::from_secs(4));
-    lock(&cluster.workers)[chosen[3]].hangs = false;
     if old_leader == OldLeader::StandsStill {
+        // Workers still wait for its answers.
         cluster.signal(leader, "-CONT");
     }
+    check_for(&cluster, &confirmed, Duration::from_secs(4));
+    lock(&cluster.workers)[chosen[3]].hangs = false;
     check_for(&cluster, &confirmed, OUTAGE - Duration::from_secs(6));
     {
         let mut store = lock(&cluster.store);
--- a/tests/loopback/state_service.rs
+++ b/tests/loopback/state_service.rs
@@ -151,13 +151,17 @@
     let (refused, fate) = {
         let mut s = lock(&store);
         let refused = s.faults.refuses(node);
-        (refused, if commit && !refused { s.faults.fate() } else { Fate::Answered })
+        (refused, if commit && !refused { s.faults.fate() } else { Fate::Answered(Duration::ZERO) })
     };
     if refused {
         return Some(Outgoing::json(503, &json!({"error": "trouble"})));
     }
     match fate {
-        Fate::Answered => Some(answer(store, node, req).await),
+        Fate::Answered(delay) => {
+            let out = answer(store, node, req).await;
+            Timer::after(delay).await;
+            Some(out)
+        }
         Fate::AnswerLost => {
             answer(store, node, req).await;
             None
