--- /dev/null
+++ b/tests/loopback/cluster.rs
@@ -0,0 +1,294 @@
+//! Real controllers as processes, in front of stand-ins for everything else.
+
+use crate::cloud::Cloud;
+use crate::http::{EX, body, lock, server, server_that_loses};
+use crate::links::Links;
+use crate::settings::{Size, free_port, settings};
+use crate::state_service::{Store, state};
+use crate::workers::{Worker, Workers, execute_late, obey, work};
+use async_io::Timer;
+use http_types::Method;
+use lupinspur::http::{Incoming, Outgoing};
+use std::collections::{BTreeMap, BTreeSet};
+use std::ffi::OsString;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, AtomicUsize};
+use std::sync::{Arc, Condvar, Mutex, Once};
+use std::time::{Duration, Instant};
+
+pub struct Nodes(pub Vec<Option<Child>>);
+
+impl Drop for Nodes {
+    fn drop(&mut self) {
+        for c in self.0.iter_mut().flatten() {
+            let _ = c.kill();
+            let _ = c.wait();
+        }
+    }
+}
+
+/// Not all clusters at once: with a dozen of them on a few cores controllers lose their leases to one another,
+/// and a test waited for what a takeover had put off.
+pub const CLUSTERS_AT_ONCE: usize = 2;
+pub static CLUSTERS: (Mutex<usize>, Condvar) = (Mutex::new(0), Condvar::new());
+
+const TAKEN_OVER_WITHIN: Duration = Duration::from_secs(30);
+
+/// Waits until something is so.
+pub fn wait_until(what: &str, within: Duration, is_so: impl Fn() -> bool) {
+    let began = Instant::now();
+    while !is_so() {
+        assert!(began.elapsed() < within, "{what}");
+        std::thread::sleep(Duration::from_millis(10));
+    }
+}
+
+/// One cluster's turn, until it is dropped.
+pub struct Turn;
+
+impl Turn {
+    pub fn take() -> Turn {
+        let full = |n: &mut usize| *n >= CLUSTERS_AT_ONCE;
+        let mut n = CLUSTERS.1.wait_while(lock(&CLUSTERS.0), full).unwrap_or_else(|e| e.into_inner());
+        *n += 1;
+        Turn
+    }
+}
+
+impl Drop for Turn {
+    fn drop(&mut self) {
+        *lock(&CLUSTERS.0) -= 1;
+        CLUSTERS.1.notify_one();
+    }
+}
+
+/// Real controllers in front of stand-ins for everything else.
+pub struct Cluster {
+    pub store: Arc<Mutex<Store>>,
+    pub workers: Workers,
+    /// Tasks that were started on one worker while they were on another.
+    pub twice: Arc<Mutex<Vec<String>>>,
+    /// Questions for the machine types so far.
+    pub asked: Arc<AtomicUsize>,
+    /// The cloud tells no machine types.
+    pub cloud_down: Arc<AtomicBool>,
+    pub listen: Vec<SocketAddr>,
+    pub peer: Vec<SocketAddr>,
+    /// The ways between controllers, where they can be cut.
+    pub links: Links,
+    pub nodes: Nodes,
+    pub dir: PathBuf,
+    pub _turn: Turn,
+}
+
+impl Cluster {
+    /// The first questions for the machine types are refused, as when all controllers ask at
+    /// once: nobody claims the shard without them, and all learn them soon.
+    pub fn start(name: &str, size: Size) -> Cluster {
+        Cluster::start_with(name, size, 0)
+    }
+
+    /// In front of a state service that holds so many jobs which ended long ago.
+    pub fn start_with(name: &str, size: Size, ended: u32) -> Cluster {
+        let turn = Turn::take();
+        static RUNS: Once = Once::new();
+        RUNS.call_once(|| {
+            std::thread::spawn(|| async_io::block_on(EX.run(std::future::pending::<()>())));
+        });
+        let store = Arc::new(Mutex::new(Store { ended, ..Store::default() }));
+        // Each controller has its own address of the state service, which may refuse it alone.
+        let state_addr: Vec<SocketAddr> = (0..size.nodes)
+            .map(|node| {
+                let s = store.clone();
+                server_that_loses(move |r| state(s.clone(), node, r))
+            })
+            .collect();
+        let workers: Workers = Arc::default();
+        let twice = Arc::new(Mutex::new(Vec::new()));
+        let asked = Arc::new(AtomicUsize::new(0));
+        let cloud_down = Arc::new(AtomicBool::new(false));
+        let cloud =
+            Cloud { store: store.clone(), machines: workers.clone(), asked: asked.clone(), down: cloud_down.clone() };
+        let cloud_addr = server(move |r| cloud.clone().answer(r));
+        let ports = || (0..size.nodes).map(|_| free_port()).collect::<Vec<_>>();
+        let (listen, peer) = (ports(), ports());
+        let mut links = Links::default();
+        let dir = std::env::temp_dir().join(format!("lupinspur-{name}-{}", std::process::id()));
+        std::fs::create_dir_all(&dir).expect("a folder");
+        for (i, state_addr) in state_addr.iter().enumerate() {
+            let seen: Vec<SocketAddr> = (0..size.nodes)
+                .map(|j| if size.cuttable && i != j { links.open(i, j, peer[j]) } else { peer[j] })
+                .collect();
+            let text = settings(i, &listen, &seen, cloud_addr, *state_addr, &size);
+            std::fs::write(dir.join(format!("n{i}.toml")), text).expect("a settings file");
+        }
+        if let Some(text) = &size.quotas {
+            std::fs::write(dir.join("quotas.toml"), text).expect("a quota file");
+        }
+        if let Some(text) = &size.cells {
+            std::fs::write(dir.join("cells.toml"), text).expect("a file of cells");
+        }
+        if let Some(text) = &size.elastic {
+            std::fs::write(dir.join("elastic.toml"), text).expect("a file of elastic jobs");
+        }
+        for w in 0..size.workers {
+            let (all, t) = (workers.clone(), twice.clone());
+            let addr = server(move |r: Incoming| {
+                let (all, t) = (all.clone(), t.clone());
+                async move {
+                    let b = body(&r);
+                    let held_up = lock(&all)[w].command_delay;
+                    if r.method == Method::Post && !held_up.is_zero() {
+                        return execute_late(all, w, b, t, held_up).await;
+                    }
+                    while (lock(&all)[w].hangs || lock(&all)[w].deaf_to_commands) && !lock(&all)[w].deleted {
+                        Timer::after(Duration::from_millis(20)).await;
+                    }
+                    if lock(&all)[w].deleted {
+                        std::future::pending::<()>().await;
+                    }
+                    let ours = b["season"].as_u64().is_none_or(|s| s == lock(&all)[w].session);
+                    let ok = r.method == Method::Get || ours && obey(&all, w, &b, &t);
+                    let report = lock(&all)[w].report();
+                    Outgoing::json(if ok { 200 } else { 409 }, &report)
+                }
+            });
+            let name = format!("host-{w}");
+            let renewed = Instant::now();
+            let (lease, tasks) = (size.lease, BTreeMap::new());
+            let worker = Worker {
+                name,
+                addr,
+                session: 1,
+                seq: 0,
+                token: 0,
+                renewed,
+                lease,
+                hangs: false,
+                deleted: false,
+                deaf: false,
+                deaf_to_commands: false,
+                command_delay: Duration::ZERO,
+                commands_held_up: 0,
+                saves: Duration::ZERO,
+                tasks,
+                begun: BTreeSet::new(),
+                elsewhere: 0,
+            };
+            lock(&workers).push(worker);
+            EX.spawn(work(workers.clone(), w, listen.clone(), twice.clone())).detach();
+        }
+        let nodes = Nodes((0..size.nodes).map(|_| None).collect());
+        let mut cluster =
+            Cluster { store, workers, twice, asked, cloud_down, listen, peer, links, nodes, dir, _turn: turn };
+        (0..size.nodes).for_each(|i| cluster.begin(i));
+        cluster
+    }
+
+    pub fn begin(&mut self, i: usize) {
+        let mut flag = Vec::new();
+        for (name, file) in [("--quotas", "quotas.toml"), ("--elastic", "elastic.toml"), ("--cells", "cells.toml")] {
+            let path = self.dir.join(file);
+            if path.exists() {
+                flag.extend([OsString::from(name), path.into()]);
+            }
+        }
+        let child = Command::new(env!("CARGO_BIN_EXE_lupinspur"))
+            .arg("--config")
+            .arg(self.dir.join(format!("n{i}.toml")))
+            .args(flag)
+            .env("LOG_LEVEL", std::env::var("TEST_LOG").unwrap_or("error".into()))
+            .stderr(Stdio::inherit())
+            .spawn()
+            .expect("the program starts");
+        self.nodes.0[i] = Some(child);
+    }
+
+    pub fn kill(&mut self, i: usize) {
+        if let Some(mut c) = self.nodes.0[i].take() {
+            c.kill().expect("killed");
+            c.wait().expect("ended");
+        }
+    }
+
+    /// Makes a controller stand still, or go on.
+    pub fn signal(&self, i: usize, name: &str) {
+        let id = self.nodes.0[i].as_ref().expect("a process").id().to_string();
+        let done = Command::new("kill").args([name, &id]).status().expect("kill runs");
+        assert!(done.success(), "kill {name} {id}");
+    }
+
+    /// All controllers end at once and come back at once.
+    pub fn restart_all(&mut self) {
+        let all = 0..self.listen.len();
+        all.clone().for_each(|i| self.kill(i));
+        all.for_each(|i| self.begin(i));
+    }
+
+    /// Which controller owns, by the claim.
+    pub fn owner(&self) -> Option<usize> {
+        let store = lock(&self.store);
+        store.keys.get("own/0").and_then(|k| k.0["node"].as_str()?.strip_prefix('n')?.parse().ok())
+    }
+
+    /// Waits until somebody owns and it is not this controller.
+    pub fn until_owned_by_another(&self, than: usize) -> usize {
+        wait_until("no other controller takes over", TAKEN_OVER_WITHIN, || self.owner().is_some_and(|i| i != than));
+        self.until_owned()
+    }
+
+    pub fn until_owned(&self) -> usize {
+        let began = Instant::now();
+        loop {
+            if let Some(i) = self.owner() {
+                return i;
+            }
+            assert!(began.elapsed() < Duration::from_secs(20), "nobody owns");
+            std::thread::sleep(Duration::from_millis(10));
+        }
+    }
+
+    /// How often each controller has claimed so far.
+    pub fn claims(&self) -> Vec<usize> {
+        let store = lock(&self.store);
+        let by = |i: usize| {
+            let name = format!("n{i}");
+            store.events.iter().filter(|e| e["set"] == "own/0" && e["v"]["node"] == name.as_str()).count()
+        };
+        (0..self.listen.len()).map(by).collect()
+    }
+
+    pub fn nothing_broken(&self) {
+        assert!(lock(&self.twice).is_empty(), "started twice: {:?}", lock(&self.twice));
+        let unfenced = &lock(&self.store).unfenced;
+        assert!(unfenced.is_empty(), "changed without a claim: {unfenced:?}");
+    }
+
+    /// The most memory that a controller has taken so far, as the system counts it.
+    pub fn peak_mb(&self, i: usize) -> f64 {
+        let id = self.nodes.0[i].as_ref().expect("a process").id();
+        let status = std::fs::read_to_string(format!("/proc/{id}/status")).expect("its status");
+        let peak = status.lines().find_map(|l| l.strip_prefix("VmHWM:")).expect("its peak");
+        peak.trim().trim_end_matches("kB").trim().parse::<f64>().expect("kB") / 1024.0
+    }
+
+    /// Has any worker ever started a task of this job?
+    pub fn has_begun(&self, job: &str) -> bool {
+        lock(&self.workers).iter().any(|w| w.begun.contains(job))
+    }
+
+    /// How many tasks of a job run, counted at the workers.
+    pub fn running(&self, job: &str) -> usize {
+        let of = |n: &str| n.rsplit_once('/').is_some_and(|(j, _)| j == job);
+        let workers = lock(&self.workers);
+        workers.iter().flat_map(Worker::on_it).filter(|n| of(n)).count()
+    }
+}
+
+impl Drop for Cluster {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.dir);
+    }
+}
