Answers about jobs and to reports are decided apart from the sockets

Cause: what makes an answer good (the owner's lease, a stored end, an open record without needs) was decided between requests in api.rs, where no test saw it: may_be_doomed could be taken out unseen. Change: src/answering.rs holds these decisions, tests/answering.rs a test of each. The test of what a record tells moved there from api.rs, word for word. An answer to a repeated submission that may yet change is now sent only until the owner's lease ends, as polls' answers were: a process that stood still between making and sending it could tell queued of a job that the next owner cancelled.

--- /dev/null
+++ b/src/answering.rs
@@ -0,0 +1,89 @@
+//! What is answered to a question about a job, or to a worker's report, given what is known at that
+//! moment. Decisions alone: `api` asks, and sends what comes out.
+
+use crate::http::Outgoing;
+use crate::jobs::{JobRecord, Phase};
+use crate::peer::Verb;
+use crate::shard::{Heard, Shown};
+use crate::told::{Told, Word, told_of_item};
+use crate::wire::{Item, JobAnswer, Redirect};
+
+/// The answer of whoever cannot or may not act.
+pub fn unable() -> Outgoing {
+    Outgoing::error(503, "not able to act now")
+}
+
+/// A job as its user is told about it; `counts`: with how many tasks are done and running.
+pub fn job_answer(status: u16, id: &str, told: Told, counts: bool) -> Outgoing {
+    let count = |n| counts.then_some(n);
+    let answer = JobAnswer { id, state: told.state, done: count(told.done), running: count(told.running) };
+    Outgoing::json(status, &answer)
+}
+
+/// The answer to a question or a cancellation. What may yet change is sent only until `acts_until`, the
+/// end of this controller's lease if it owns the job; ends never change.
+pub fn about_answer(verb: Verb, id: &str, word: Word, acts_until: Option<f64>) -> Outgoing {
+    match word {
+        Word::Known(told) if told.is_final() => job_answer(200, id, told, verb == Verb::Show),
+        Word::Known(told) => job_answer(200, id, told, verb == Verb::Show).until(acts_until),
+        Word::Absent => Outgoing::error(404, "no such job"),
+        Word::Unable => unable(),
+    }
+}
+
+/// The answer to a submission of a job that was accepted before.
+pub fn resubmission_answer(id: &str, word: Word, acts_until: Option<f64>) -> Outgoing {
+    match word {
+        Word::Known(told) if told.is_final() => job_answer(200, id, told, false),
+        Word::Known(told) => job_answer(200, id, told, false).until(acts_until),
+        Word::Absent | Word::Unable => unable(),
+    }
+}
+
+/// The answer to a worker's report. `heard`: what the shard makes of it, none where this controller may not
+/// act; `acts_until`: the end of its lease, after which the answer is not sent any more; `owner`: the
+/// controller to report to instead, asked for only where this one does not take the report.
+pub fn report_answer(
+    heard: Option<Heard>,
+    acts_until: Option<f64>,
+    owner: impl FnOnce() -> Option<String>,
+) -> Outgoing {
+    match heard {
+        Some(Heard::Reply(reply)) => Outgoing::json(200, &reply).until(acts_until),
+        Some(Heard::Stale) => unable(),
+        Some(Heard::Superseded) | None => match owner() {
+            Some(node) => Outgoing::json(421, &Redirect { report_to: Some(node) }),
+            None => unable(),
+        },
+    }
+}
+
+/// What the owner tells of a job that it knows; none: not yet. A cancellation is confirmed only once it is
+/// stored, and until then there is nothing to say to it.
+pub fn owner_tells(verb: Verb, shown: Shown) -> Option<Told> {
+    match shown {
+        Shown::Told(state, done, running) => {
+            let told = Told { state, done, running };
+            (verb == Verb::Show || told.is_final()).then_some(told)
+        }
+        Shown::Settling => None,
+    }
+}
+
+/// What a stored record allows to tell where the owner cannot be asked. Ends are stored before anybody is
+/// told of them, so that an open record was true when it was read, unless the job may be cancelled together
+/// with one that it needs: that is stored for the needed one first. A cancellation is confirmed by nobody
+/// who cannot store it.
+pub fn record_tells(verb: Verb, item: &Item) -> Word {
+    match told_of_item(item) {
+        Some(told) if told.is_final() => Word::Known(told),
+        Some(told) if verb == Verb::Show && !may_be_doomed(item) => Word::Known(told),
+        _ => Word::Unable,
+    }
+}
+
+/// Is this an open record of a job that waits or waited for others?
+fn may_be_doomed(item: &Item) -> bool {
+    serde_json::from_value::<JobRecord>(item.value.clone())
+        .is_ok_and(|r| r.phase == Phase::Open && !r.job.needs().is_empty())
+}
--- a/src/api.rs
+++ b/src/api.rs
@@ -1,14 +1,17 @@
 //! The users' door and the workers' reports: requests in, answers out.
 
+use crate::answering::{
+    about_answer, job_answer, owner_tells, record_tells, report_answer, resubmission_answer, unable,
+};
 use crate::clock;
 use crate::http::{Incoming, Outgoing};
-use crate::jobs::{JobRecord, Phase, RECORD_GROWS_BY, job_key};
+use crate::jobs::{JobRecord, RECORD_GROWS_BY, job_key};
 use crate::node::{Cell, Node, Place, Standing};
 use crate::peer::{JobAnswer as PeerAnswer, Outcome, Verb};
-use crate::shard::{Heard, Shown, Unfit, judge};
+use crate::shard::{Heard, Unfit, judge};
 use crate::state::{Commit, StateError, Turn};
 use crate::told::{Told, Word, told_of_item, valid_id};
-use crate::wire::{self, Change, Condition, Item, JobAnswer, JobRequest, JobState, Kind, Redirect, Report};
+use crate::wire::{self, Change, Condition, JobRequest, JobState, Kind, Report};
 use http_types::Method;
 use lupinspur_accounts::Reading;
 use lupinspur_elastic::Sizes;
@@ -77,17 +80,6 @@
     }
 }
 
-fn job_answer(status: u16, id: &str, t: Told, counts: bool) -> Outgoing {
-    let count = |n| counts.then_some(n);
-    Outgoing::json(status, &JobAnswer { id, state: t.state, done: count(t.done), running: count(t.running) })
-}
-
-/// Is this an open record of a job that waits or waited for others?
-fn may_be_doomed(item: &Item) -> bool {
-    serde_json::from_value::<JobRecord>(item.value.clone())
-        .is_ok_and(|r| r.phase == Phase::Open && !r.job.needs().is_empty())
-}
-
 /// What a job is that a submission names as one to wait for.
 enum Need {
     Accepted,
@@ -100,10 +92,6 @@
     if verb == Verb::Show { Turn::Spare } else { Turn::InTurn }
 }
 
-fn unable() -> Outgoing {
-    Outgoing::error(503, "not able to act now")
-}
-
 impl Node {
     /// Answers one request of a user, a worker or the load balancer.
     pub async fn handle(&self, req: Incoming) -> Outgoing {
@@ -159,15 +147,7 @@
                     self.note_answer(&class, &team, Reading::Cancelled, word != Word::Unable, began);
                 }
                 log::debug!("{verb:?} {id} is answered with {word:?}");
-                match word {
-                    Word::Known(t) if t.is_final() => job_answer(200, id, t, verb == Verb::Show),
-                    Word::Known(t) => {
-                        let until = self.knows_job(id, clock::now()).and_then(|c| c.acts_until());
-                        job_answer(200, id, t, verb == Verb::Show).until(until)
-                    }
-                    Word::Absent => Outgoing::error(404, "no such job"),
-                    Word::Unable => unable(),
-                }
+                about_answer(verb, id, word, self.owner_acts_until(id))
             }
         }
     }
@@ -179,17 +159,15 @@
         let Some(cell) = self.cell_of_machine(&r.machine, r.token).await else { return unable() };
         let now = clock::now();
         let heard = cell.with_shard(now, |s| s.on_report(&r, now));
-        match heard {
-            Some(Heard::Reply(reply)) => {
-                cell.wake();
-                Outgoing::json(200, &reply).until(cell.acts_until())
-            }
-            Some(Heard::Stale) => unable(),
-            Some(Heard::Superseded) | None => match cell.elsewhere(now) {
-                Some(node) => Outgoing::json(421, &Redirect { report_to: Some(node) }),
-                None => unable(),
-            },
+        if matches!(heard, Some(Heard::Reply(_))) {
+            cell.wake();
         }
+        report_answer(heard, cell.acts_until(), || cell.elsewhere(now))
+    }
+
+    /// The end of this controller's lease, if it owns this job.
+    fn owner_acts_until(&self, id: &str) -> Option<f64> {
+        self.knows_job(id, clock::now()).and_then(|c| c.acts_until())
     }
 
     async fn submit_counted(&self, body: &[u8], began: f64) -> Outgoing {
@@ -215,10 +193,8 @@
         }
         let began = clock::now();
         if let Some(cell) = self.knows_job(&id, began) {
-            return match cell.about_here(Verb::Show, &id).await {
-                Word::Known(t) => job_answer(200, &id, t, false),
-                _ => unable(),
-            };
+            let word = cell.about_here(Verb::Show, &id).await;
+            return resubmission_answer(&id, word, cell.acts_until());
         }
         if let Some(t) = self.final_known(&id) {
             return job_answer(200, &id, t, false);
@@ -267,17 +243,15 @@
 
     /// The answer to a submission of a job that is stored.
     async fn accepted_before(&self, id: &str) -> Outgoing {
-        match self.about(Verb::Show, id).await {
-            Word::Known(t) => job_answer(200, id, t, false),
-            // It is stored, and so accepted; how far it has come nobody can say now. A job
-            // that needs others may be cancelled with them by now, whatever its record says.
-            _ => match self.state.get(&job_key(id), Turn::InTurn).await {
-                Ok(Some(i)) if !may_be_doomed(&i) => {
-                    told_of_item(&i).map_or_else(unable, |t| job_answer(200, id, t, false))
-                }
-                _ => unable(),
-            },
+        let mut word = self.about(Verb::Show, id).await;
+        if !matches!(word, Word::Known(_)) {
+            // It is stored, and so accepted: what its record says was true after it was submitted again.
+            word = match self.state.get(&job_key(id), Turn::InTurn).await {
+                Ok(Some(item)) => record_tells(Verb::Show, &item),
+                _ => Word::Unable,
+            };
         }
+        resubmission_answer(id, word, self.owner_acts_until(id))
     }
 
     /// A submission that can never run, unless it was accepted already: then a repetition
@@ -369,16 +343,13 @@
         }
         match self.state.get(&job_key(id), turn(verb)).await {
             Ok(None) => Word::Absent,
-            Ok(Some(item)) => match told_of_item(&item) {
-                Some(t) if t.is_final() => {
-                    self.note_final(id, t);
-                    Word::Known(t)
+            Ok(Some(item)) => {
+                let word = record_tells(verb, &item);
+                if let Word::Known(told) = word {
+                    self.note_final(id, told);
                 }
-                // A cancellation is not told before it is stored; and what a job waits for may be
-                // cancelled already, and it with that.
-                Some(t) if verb == Verb::Show && !may_be_doomed(&item) => Word::Known(t),
-                _ => Word::Unable,
-            },
+                word
+            }
             Err(_) => Word::Unable,
         }
     }
@@ -400,11 +371,8 @@
             match seen {
                 None => return Word::Unable,
                 Some(Some(shown)) => {
-                    if let Shown::Told(state, done, running) = shown {
-                        let told = Told { state, done, running };
-                        if verb == Verb::Show || told.is_final() {
-                            return Word::Known(told);
-                        }
+                    if let Some(told) = owner_tells(verb, shown) {
+                        return Word::Known(told);
                     }
                     if now - began > if verb == Verb::Show { SETTLES_WITHIN_S } else { CANCELS_WITHIN_S } {
                         return Word::Unable;
@@ -439,27 +407,3 @@
         }
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    fn stored(phase: &str) -> Item {
-        let value = serde_json::json!({"at_ms": 0, "phase": phase, "job": {
-            "id":"req-000001","breed":"b","herd":"t","habit":"batch","precedence":"idle","seeds":7,
-            "cpus":1.0,"cards":0.0,"memory_gb":1.0,"same_place":false,"scatter":false,"fallow":true,
-            "pull_gb":0.0,"expected_s":1.0,"pressing_s":0.0,"pressing_cost_s":0.0}});
-        Item { key: "job/req-000001".into(), value, version: 3, lease: None }
-    }
-
-    /// Guards against a final state that goes back: a submission that is repeated while
-    /// the owner cannot be asked is answered by the record, and the record says how it ended.
-    #[test]
-    fn a_repeated_submission_hears_what_the_record_says() {
-        let told = |phase| told_of_item(&stored(phase)).map(|t| t.state);
-        assert_eq!(told("cancelled"), Some(JobState::Cancelled));
-        assert_eq!(told("done"), Some(JobState::Done));
-        assert_eq!(told("open"), Some(JobState::Queued));
-        assert_eq!(told("something"), None, "what cannot be read is not told");
-    }
-}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,6 +1,7 @@
 //! lupinspur: a cluster scheduler for services and batch work, on spot machines
 //! with on-demand machines for the gap. See docs/design.md.
 
+pub mod answering;
 pub mod answers;
 pub mod api;
 pub mod audit;
--- /dev/null
+++ b/tests/answering.rs
@@ -0,0 +1,114 @@
+//! What is answered about a job and to a worker's report, given what is known: the rules on which a user's
+//! "cancelled" and a worker's lease rest.
+
+use lupinspur::answering::{about_answer, owner_tells, record_tells, report_answer, resubmission_answer};
+use lupinspur::peer::Verb;
+use lupinspur::shard::{Heard, Shown};
+use lupinspur::told::{Told, Word, told_of_item};
+use lupinspur::wire::{Item, JobState, ReportReply};
+use serde_json::{Value, json};
+
+const ID: &str = "req-000001";
+const QUEUED: Told = Told { state: JobState::Queued, done: 0, running: 0 };
+const CANCELLED: Told = Told { state: JobState::Cancelled, done: 0, running: 0 };
+/// The end of a lease, by the steady clock.
+const LEASE_ENDS: f64 = 12.5;
+
+/// The record of a job that needs these others.
+fn stored(phase: &str, needs: &[&str]) -> Item {
+    let mut value = json!({"at_ms": 0, "phase": phase, "job": {
+        "id": ID, "breed": "b", "herd": "t", "habit": "batch", "precedence": "idle", "seeds": 7,
+        "cpus": 1.0, "cards": 0.0, "memory_gb": 1.0, "same_place": false, "scatter": false, "fallow": true,
+        "pull_gb": 0.0, "expected_s": 1.0, "pressing_s": 0.0, "pressing_cost_s": 0.0}});
+    if !needs.is_empty() {
+        value["job"]["awaits"] = json!(needs);
+    }
+    Item { key: format!("job/{ID}"), value, version: 3, lease: None }
+}
+
+fn body(answer: &lupinspur::http::Outgoing) -> Value {
+    serde_json::from_slice(&answer.body).expect("JSON")
+}
+
+/// Guards against a final state that goes back: a submission that is repeated while
+/// the owner cannot be asked is answered by the record, and the record says how it ended.
+#[test]
+fn a_repeated_submission_hears_what_the_record_says() {
+    let told = |phase| told_of_item(&stored(phase, &[])).map(|t| t.state);
+    assert_eq!(told("cancelled"), Some(JobState::Cancelled));
+    assert_eq!(told("done"), Some(JobState::Done));
+    assert_eq!(told("open"), Some(JobState::Queued));
+    assert_eq!(told("something"), None, "what cannot be read is not told");
+}
+
+/// A job that needs another one is cancelled with it, and that is stored for the needed one first: whoever
+/// reads the open record afterwards would tell "queued" of a job that its user may know as cancelled.
+#[test]
+fn an_open_record_of_a_job_that_needs_others_tells_nothing() {
+    assert_eq!(record_tells(Verb::Show, &stored("open", &[])), Word::Known(QUEUED));
+    assert_eq!(record_tells(Verb::Show, &stored("open", &["req-000002"])), Word::Unable);
+    assert_eq!(record_tells(Verb::Show, &stored("cancelled", &["req-000002"])), Word::Known(CANCELLED));
+}
+
+/// Who does not own the job can store no cancellation, and so confirms none; an end that is stored it tells.
+#[test]
+fn a_cancellation_is_not_answered_by_an_open_record() {
+    assert_eq!(record_tells(Verb::Cancel, &stored("open", &[])), Word::Unable);
+    assert_eq!(record_tells(Verb::Cancel, &stored("cancelled", &[])), Word::Known(CANCELLED));
+}
+
+/// The owner confirms a cancellation once it is stored, and tells nothing while an end is being stored.
+#[test]
+fn the_owner_confirms_a_cancellation_only_once_it_is_stored() {
+    let queued = Shown::Told(JobState::Queued, 0, 0);
+    assert_eq!(owner_tells(Verb::Cancel, queued), None);
+    assert_eq!(owner_tells(Verb::Show, queued), Some(QUEUED));
+    assert_eq!(owner_tells(Verb::Cancel, Shown::Told(JobState::Cancelled, 0, 0)), Some(CANCELLED));
+    assert_eq!(owner_tells(Verb::Show, Shown::Settling), None);
+    assert_eq!(owner_tells(Verb::Cancel, Shown::Settling), None);
+}
+
+/// An answer to a report renews the worker's lease and carries commands: it is sent only while this
+/// controller may act, also if the process stood still after it was made.
+#[test]
+fn the_answer_to_a_report_is_good_until_the_lease_ends() {
+    let reply = || Some(Heard::Reply(ReportReply { token: 41, commands: Vec::new() }));
+    let nobody = || -> Option<String> { panic!("a report that was taken goes nowhere else") };
+    let answer = report_answer(reply(), Some(LEASE_ENDS), nobody);
+    assert_eq!((answer.status, answer.good_until), (200, Some(LEASE_ENDS)));
+}
+
+/// An old report renews nothing, and one that shows a newer token is sent on to the newer owner.
+#[test]
+fn who_is_not_entitled_to_act_answers_421_or_503() {
+    let elsewhere = || Some("n1".to_owned());
+    assert_eq!(report_answer(Some(Heard::Stale), Some(LEASE_ENDS), elsewhere).status, 503);
+    for heard in [Some(Heard::Superseded), None] {
+        let answer = report_answer(heard, None, elsewhere);
+        assert_eq!((answer.status, body(&answer)), (421, json!({"gardener": "n1"})));
+    }
+    assert_eq!(report_answer(None, None, || None).status, 503);
+}
+
+/// What may yet change is told only until the lease ends, to a question as to a repeated submission: a
+/// process that stood still once had "queued" ready for a job that was cancelled through the next owner.
+#[test]
+fn what_may_change_is_told_until_the_lease_ends() {
+    let until = |word| {
+        let poll = about_answer(Verb::Show, ID, word, Some(LEASE_ENDS));
+        let submission = resubmission_answer(ID, word, Some(LEASE_ENDS));
+        assert_eq!((poll.status, submission.status), (200, 200));
+        (poll.good_until, submission.good_until)
+    };
+    assert_eq!(until(Word::Known(QUEUED)), (Some(LEASE_ENDS), Some(LEASE_ENDS)));
+    assert_eq!(until(Word::Known(CANCELLED)), (None, None), "an end never changes");
+}
+
+/// 404 is the state service's own word; not being able to tell is 503, and an accepted job never gets 404
+/// when it is submitted again.
+#[test]
+fn only_an_absent_job_gets_404() {
+    assert_eq!(about_answer(Verb::Show, ID, Word::Absent, None).status, 404);
+    assert_eq!(about_answer(Verb::Show, ID, Word::Unable, None).status, 503);
+    assert_eq!(resubmission_answer(ID, Word::Absent, None).status, 503);
+}
