--- /dev/null
+++ b/tests/unanswered.rs
@@ -0,0 +1,99 @@
+//! What the clients make of a call whose answer never comes. A transaction may have been executed, a command
+//! may yet be: neither may be taken for one that was not sent.
+
+use async_executor::Executor;
+use async_io::Async;
+use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use lupinspur::settings::Settings;
+use lupinspur::shard::Direct;
+use lupinspur::state::{Commit, StateClient, StateError, Turn};
+use lupinspur::wire::{Change, Condition, DirectCommands};
+use lupinspur::worker::WorkerClient;
+use serde_json::json;
+use std::net::{SocketAddr, TcpListener};
+
+/// What a stand-in does with a request that it has read.
+#[derive(Clone, Copy)]
+enum Then {
+    /// Closes the connection: the answer is lost.
+    Closes,
+    /// Refuses it, as a service does that executes nothing now.
+    Refuses,
+    /// Says that it was executed.
+    Executes,
+}
+
+const REFUSED: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\ncontent-length: 2\r\n\r\n{}";
+const EXECUTED: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 14\r\n\r\n{\"almanac\": 7}";
+
+fn stand_in(executor: &Executor<'static>, then: Then) -> SocketAddr {
+    let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).expect("a port");
+    let address = listener.get_ref().local_addr().expect("its address");
+    let answers = async move {
+        while let Ok((mut connection, _)) = listener.accept().await {
+            let mut request = [0; 4096];
+            let _ = connection.read(&mut request).await;
+            let _ = match then {
+                Then::Closes => Ok(()),
+                Then::Refuses => connection.write_all(REFUSED).await,
+                Then::Executes => connection.write_all(EXECUTED).await,
+            };
+        }
+    };
+    executor.spawn(answers).detach();
+    address
+}
+
+/// An address at which nobody listens.
+fn nobody() -> SocketAddr {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).expect("a port");
+    listener.local_addr().expect("its address")
+}
+
+fn settings(state: SocketAddr) -> Settings {
+    let text = format!(
+        "host_name = \"n0\"\ndomain = \"a\"\nbind = \"127.0.0.1:1\"\npeer_listen = \"127.0.0.1:2\"\n\
+         [services]\ncloud = \"127.0.0.1:3\"\nstate = \"{state}\"\n\
+         [cluster]\nzones = [\"a\"]\n[[cluster.teams]]\nname = \"red\"\n\
+         [cluster.workers]\nreport_s = 3.0\nlease_s = 20.0\ncancel_s = 45.0\n\
+         [cluster.state]\nrps = 100.0\nwrite_rps = 100.0\nvalue_kb = 4.0\ntxn_ops = 8\n\
+         [cluster.cloud]\nrps = 5.0\nlist_lag_s = 5.0\n"
+    );
+    Settings::parse(&text).expect("settings")
+}
+
+/// Guards against an end, a start or a claim that is taken for not stored, and decided once more otherwise,
+/// while it is stored or comes later.
+#[test]
+fn a_transaction_without_an_answer_may_have_been_executed() {
+    let executor = Executor::new();
+    let outcome = async |address| {
+        let client = StateClient::new(&settings(address));
+        let condition = Condition { key: "own/0".into(), version: 3 };
+        let change = Change::Put { key: "job/req-1".into(), value: json!({}), lease: None };
+        client.commit(vec![condition], vec![change], Turn::First).await
+    };
+    async_io::block_on(executor.run(async {
+        assert_eq!(outcome(stand_in(&executor, Then::Closes)).await, Err(StateError::Unknown));
+        assert_eq!(outcome(stand_in(&executor, Then::Refuses)).await, Err(StateError::NotExecuted(503)));
+        assert_eq!(outcome(stand_in(&executor, Then::Executes)).await, Ok(Commit::Applied(7)));
+        assert_eq!(outcome(nobody()).await, Err(StateError::NotExecuted(0)));
+    }));
+}
+
+/// Guards against a start that is taken for not sent, and made on another machine, while the first may yet
+/// be carried out.
+#[test]
+fn a_command_without_an_answer_may_yet_be_executed() {
+    let executor = Executor::new();
+    let commands = DirectCommands { token: 41, session: 1, commands: Vec::new() };
+    let client = WorkerClient::new(&settings(nobody()));
+    async_io::block_on(executor.run(async {
+        let closed = client.commands(stand_in(&executor, Then::Closes), &commands).await;
+        assert!(matches!(closed, Direct::Unknown), "{closed:?}");
+        let refused = client.commands(stand_in(&executor, Then::Refuses), &commands).await;
+        assert!(matches!(refused, Direct::Answered { executed: false, .. }), "{refused:?}");
+        let not_sent = client.commands(nobody(), &commands).await;
+        assert!(matches!(not_sent, Direct::NotSent), "{not_sent:?}");
+    }));
+}
