The model: requests to the state service take time, and meetings of two troubles by name

Cause: renewals, claims and commits were executed and answered at once or by one coarse trouble, so that late transactions, lost answers, a leader that the state service alone refuses, slow answers, hand-overs, all controllers away and a zone cut off with its controller couldn't be played.

--- a/crates/model/src/between.rs
+++ b/crates/model/src/between.rs
@@ -162,8 +162,10 @@
     /// or a copy of it comes much later. None: it may be stored, which a reader tells.
     pub(crate) fn surely(&mut self, conditions: Vec<(String, u64)>, changes: Vec<Change>) -> Option<bool> {
         let troubled = self.now < self.late_commits;
-        let lost = troubled && self.rng.u8(..) < 90;
-        if troubled && self.rng.u8(..) < 90 {
+        let loses = troubled || self.now < self.state_troubles.lost_answers;
+        let delays = troubled || self.now < self.state_troubles.late_writes;
+        let lost = loses && self.rng.u8(..) < 90;
+        if delays && self.rng.u8(..) < 90 {
             let after = 1.0 + self.rng.f64() * 25.0;
             self.send(after, Message::Again { conditions: conditions.clone(), changes: changes.clone() });
         }
@@ -330,16 +332,4 @@
             self.nodes[i].seen.hands.insert(key.to_owned(), s);
         }
     }
-
-    /// A cell takes its claim anew.
-    pub(crate) fn raise(&mut self, i: usize, c: usize, token: u64) {
-        let (now, key) = (self.now, self.claim_key(c));
-        let h = &mut self.nodes[i].cells[c];
-        let Some(lease) = h.own.lease() else { return };
-        if let Some(v) = h.send_claim(&mut self.store, key, lease, token, (now * 1000.0) as u64) {
-            h.shard = None;
-            h.own.claimed(v);
-            self.counts.raised += 1;
-        }
-    }
 }
--- /dev/null
+++ b/crates/model/src/claims.rs
@@ -0,0 +1,397 @@
+//! A controller's lease and claim of a cell: requests that take time, answers that are late or lost, and a
+//! watch that tells of the claim a moment after it has changed.
+
+use crate::between::{LEDGER_KEY, concerns, inner};
+use crate::messages::Message;
+use crate::stored::{self, types};
+use crate::transactions::{COMMIT_LIMIT_S, GRANT_LIMIT_S, RENEWAL_LIMIT_S};
+use crate::trouble::Wrong;
+use crate::world::World;
+use crate::{CLAIM_S, STEP};
+use lupinspur_cells::CellIx;
+use lupinspur_cells::escrow::Ledger;
+use lupinspur_cells::handover::{self, Handover};
+use lupinspur_cells::member::claims_after_s;
+use lupinspur_scheduler::ownership::{Claim, Next, SeenClaim};
+use lupinspur_scheduler::params::Tuning;
+use lupinspur_scheduler::shard::{Loaded, Shard};
+use lupinspur_wire::Change;
+use std::collections::BTreeSet;
+
+/// How often an owner renews its lease, and how often whoever may not act tries.
+const RENEW_EVERY_S: f64 = 0.8;
+const RETRY_EVERY_S: f64 = 0.15;
+
+/// What a controller has under way about one cell's claim.
+#[derive(Debug)]
+pub(crate) struct ClaimState {
+    renewed_at: f64,
+    renewing: bool,
+    claiming: bool,
+    watching: bool,
+    /// The claim's version that the watch has told last.
+    watched_version: Option<u64>,
+    /// The token whose keys are being read, and until when.
+    loading: Option<(u64, f64)>,
+}
+
+impl Default for ClaimState {
+    fn default() -> ClaimState {
+        ClaimState {
+            renewed_at: -10.0,
+            renewing: false,
+            claiming: false,
+            watching: false,
+            watched_version: None,
+            loading: None,
+        }
+    }
+}
+
+/// Whose request it is, and when it was sent.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Sender {
+    node: usize,
+    life: u64,
+    cell: usize,
+    sent: f64,
+}
+
+#[derive(Debug, Clone)]
+pub(crate) enum ClaimCall {
+    Renew {
+        lease: u64,
+    },
+    Grant,
+    /// `raises`: the owner takes its own claim anew.
+    Claim {
+        lease: u64,
+        over: u64,
+        claim: Claim,
+        raises: bool,
+    },
+    GiveWay {
+        over: u64,
+    },
+}
+
+impl ClaimCall {
+    fn limit_s(&self) -> f64 {
+        match self {
+            ClaimCall::Renew { .. } => RENEWAL_LIMIT_S,
+            ClaimCall::Grant => GRANT_LIMIT_S,
+            ClaimCall::Claim { .. } | ClaimCall::GiveWay { .. } => COMMIT_LIMIT_S,
+        }
+    }
+
+    fn renews(&self) -> bool {
+        matches!(self, ClaimCall::Renew { .. })
+    }
+}
+
+#[derive(Debug, Clone)]
+pub(crate) enum ClaimOutcome {
+    Renewed(u64),
+    Granted(u64),
+    Claimed {
+        version: u64,
+        raises: bool,
+    },
+    GaveWay,
+    NoSuchLease(u64),
+    /// The claim's version was not the one that was expected, or nobody knows: it is looked at.
+    InDoubt,
+    NotExecuted,
+}
+
+#[derive(Debug)]
+pub(crate) enum ClaimMessage {
+    Request { sender: Sender, call: ClaimCall, answered: Option<f64> },
+    Answer { sender: Sender, outcome: ClaimOutcome, renews: bool },
+    Watched { sender: Sender, seen: Option<SeenClaim> },
+}
+
+impl World {
+    pub(crate) fn keep_claim(&mut self, i: usize, c: usize) {
+        self.renew(i, c);
+        self.watch_claim(i, c);
+        self.try_claim(i, c);
+        self.take_over(i, c);
+    }
+
+    fn claim_state(&mut self, i: usize, c: usize) -> &mut ClaimState {
+        &mut self.nodes[i].cells[c].claim
+    }
+
+    fn sender(&self, i: usize, c: usize) -> Sender {
+        Sender { node: i, life: self.nodes[i].life, cell: c, sent: self.now }
+    }
+
+    fn call(&mut self, i: usize, c: usize, call: ClaimCall) {
+        let sender = self.sender(i, c);
+        let renews = call.renews();
+        let limit_s = call.limit_s();
+        let state = self.claim_state(i, c);
+        if renews {
+            state.renewing = true;
+        } else {
+            state.claiming = true;
+        }
+        let delivery = self.delivery(limit_s);
+        let answered = delivery.answered;
+        self.send(delivery.executed, Message::Claim(ClaimMessage::Request { sender, call, answered }));
+        if answered.is_none() {
+            let outcome = ClaimOutcome::InDoubt;
+            self.send(limit_s, Message::Claim(ClaimMessage::Answer { sender, outcome, renews }));
+        }
+    }
+
+    fn renew(&mut self, i: usize, c: usize) {
+        let now = self.now;
+        let held = &self.nodes[i].cells[c];
+        let every = if held.own.may_act(now).is_some() { RENEW_EVERY_S } else { RETRY_EVERY_S };
+        let Some(lease) = held.own.lease() else { return };
+        if held.claim.renewing || now - held.claim.renewed_at < every {
+            return;
+        }
+        self.claim_state(i, c).renewed_at = now;
+        self.call(i, c, ClaimCall::Renew { lease });
+    }
+
+    /// Tells a change of the claim a moment later, one after the other.
+    fn watch_claim(&mut self, i: usize, c: usize) {
+        let seen = self.store.claim(&self.claim_key(c));
+        let version = seen.as_ref().map_or(0, |s| s.version);
+        let state = self.claim_state(i, c);
+        if state.watching || state.watched_version == Some(version) {
+            return;
+        }
+        state.watching = true;
+        state.watched_version = Some(version);
+        let slow = self.now < self.state_troubles.slow;
+        let after = self.latency() + if slow { self.rng.f64() * 2.0 } else { 0.0 };
+        let sender = self.sender(i, c);
+        self.send(after, Message::Claim(ClaimMessage::Watched { sender, seen }));
+    }
+
+    fn try_claim(&mut self, i: usize, c: usize) {
+        let now = self.now;
+        if self.nodes[i].cells[c].claim.claiming {
+            return;
+        }
+        let day_ms = (now * 1000.0) as u64;
+        let turn_s = self.turn_s(i, c);
+        let own = &mut self.nodes[i].cells[c].own;
+        match own.next(now, day_ms, true, turn_s) {
+            Next::Nothing => {}
+            Next::Grant => self.call(i, c, ClaimCall::Grant),
+            Next::Claim { lease, over } => {
+                let claim = own.trying(lease, day_ms);
+                self.call(i, c, ClaimCall::Claim { lease, over, claim, raises: false });
+            }
+            Next::Adopt { version } => _ = own.claimed(version),
+            Next::GiveWay { over } => self.call(i, c, ClaimCall::GiveWay { over }),
+        }
+    }
+
+    /// An owner takes its own claim anew.
+    pub(crate) fn raise(&mut self, i: usize, c: usize, token: u64) {
+        let day_ms = (self.now * 1000.0) as u64;
+        let held = &mut self.nodes[i].cells[c];
+        let Some(lease) = held.own.lease().filter(|_| !held.claim.claiming) else { return };
+        let claim = held.own.trying(lease, day_ms);
+        self.call(i, c, ClaimCall::Claim { lease, over: token, claim, raises: true });
+    }
+
+    /// How long a controller leaves a claim that nobody holds to the others.
+    fn turn_s(&self, i: usize, c: usize) -> f64 {
+        if self.cells == 1 {
+            return 0.0;
+        }
+        let names: Vec<&str> = self.nodes.iter().map(|n| n.name.as_str()).collect();
+        let owned = self.nodes[i].cells.iter().filter(|h| h.own.token().is_some()).count();
+        claims_after_s(names[i], &names, CellIx(c as u32), owned)
+    }
+
+    pub(crate) fn on_claim_message(&mut self, message: ClaimMessage) {
+        let (ClaimMessage::Request { sender, .. }
+        | ClaimMessage::Answer { sender, .. }
+        | ClaimMessage::Watched { sender, .. }) = &message;
+        let sender = *sender;
+        if let ClaimMessage::Request { call, answered, .. } = message {
+            return self.execute_claim_call(sender, call, answered);
+        }
+        let node = &self.nodes[sender.node];
+        if node.life != sender.life {
+            return;
+        }
+        if self.now < node.still {
+            let after = node.still - self.now;
+            return self.send(after, Message::Claim(message));
+        }
+        match message {
+            ClaimMessage::Answer { outcome, renews, .. } => self.on_claim_answer(sender, outcome, renews),
+            ClaimMessage::Watched { seen, .. } => {
+                self.claim_state(sender.node, sender.cell).watching = false;
+                self.saw_claim(sender.node, sender.cell, seen);
+            }
+            ClaimMessage::Request { .. } => {}
+        }
+    }
+
+    fn execute_claim_call(&mut self, sender: Sender, call: ClaimCall, answered: Option<f64>) {
+        let renews = call.renews();
+        let up = self.store.up(self.now);
+        let outcome = if up { self.outcome_of_claim_call(sender.cell, call) } else { ClaimOutcome::NotExecuted };
+        if let Some(after) = answered {
+            self.send(after, Message::Claim(ClaimMessage::Answer { sender, outcome, renews }));
+        }
+    }
+
+    /// What the state service makes of a request about a lease or a claim.
+    fn outcome_of_claim_call(&mut self, cell: usize, call: ClaimCall) -> ClaimOutcome {
+        let (now, key) = (self.now, self.claim_key(cell));
+        match call {
+            ClaimCall::Renew { lease } if self.store.renew(lease, now) => ClaimOutcome::Renewed(lease),
+            ClaimCall::Renew { lease } => ClaimOutcome::NoSuchLease(lease),
+            ClaimCall::Grant => ClaimOutcome::Granted(self.store.grant(now, CLAIM_S)),
+            ClaimCall::Claim { lease, .. } if !self.store.leases.contains_key(&lease) => {
+                ClaimOutcome::NoSuchLease(lease)
+            }
+            ClaimCall::Claim { lease, over, claim, raises } => {
+                let value = serde_json::to_value(&claim).expect("a claim");
+                let change = Change::Put { key: key.clone(), value, lease: Some(lease) };
+                match self.store.commit(&[(key, over)], &[change], Some(lease)) {
+                    Some(version) => {
+                        self.counts.claims += u64::from(!raises);
+                        self.counts.raised += u64::from(raises);
+                        ClaimOutcome::Claimed { version, raises }
+                    }
+                    None => ClaimOutcome::InDoubt,
+                }
+            }
+            ClaimCall::GiveWay { over } => {
+                let gone = Change::Delete { key: key.clone() };
+                match self.store.commit(&[(key, over)], &[gone], None) {
+                    Some(_) => ClaimOutcome::GaveWay,
+                    None => ClaimOutcome::InDoubt,
+                }
+            }
+        }
+    }
+
+    fn on_claim_answer(&mut self, sender: Sender, outcome: ClaimOutcome, renews: bool) {
+        let (now, i, c) = (self.now, sender.node, sender.cell);
+        let state = self.claim_state(i, c);
+        if renews {
+            state.renewing = false;
+        } else {
+            state.claiming = false;
+        }
+        let held = &mut self.nodes[i].cells[c];
+        match outcome {
+            // The answer may be about an earlier lease.
+            ClaimOutcome::Renewed(lease) if held.own.lease() != Some(lease) => {}
+            ClaimOutcome::Renewed(lease) | ClaimOutcome::Granted(lease) => held.own.confirmed(lease, sender.sent),
+            ClaimOutcome::Claimed { version, raises } => {
+                if raises {
+                    held.shard = None;
+                }
+                held.own.claimed(version);
+            }
+            ClaimOutcome::GaveWay => {
+                held.own.gave_way(now);
+                held.own.saw(None, now);
+            }
+            ClaimOutcome::NoSuchLease(lease) => {
+                if held.own.lease_ended(lease) {
+                    held.shard = None;
+                }
+            }
+            ClaimOutcome::InDoubt if !renews => self.look_at_claim(i, c),
+            ClaimOutcome::InDoubt | ClaimOutcome::NotExecuted => {}
+        }
+    }
+
+    /// Reads the claim, where the state service can be reached.
+    pub(crate) fn look_at_claim(&mut self, i: usize, c: usize) {
+        if self.reaches(i) {
+            let seen = self.store.claim(&self.claim_key(c));
+            self.saw_claim(i, c, seen);
+        }
+    }
+
+    fn saw_claim(&mut self, i: usize, c: usize, seen: Option<SeenClaim>) {
+        let held = &mut self.nodes[i].cells[c];
+        if held.own.saw(seen, self.now) {
+            held.shard = None;
+        }
+    }
+
+    /// The owner gives its claim up, so that others go first.
+    pub(crate) fn step_down(&mut self, i: usize, c: usize) {
+        let (now, reaches) = (self.now, self.reaches(i));
+        let held = &mut self.nodes[i].cells[c];
+        let lease = held.own.step_down(now);
+        held.shard = None;
+        if let Some(l) = lease.filter(|_| reaches)
+            && let Some((until, ..)) = self.store.leases.get_mut(&l)
+        {
+            *until = now;
+        }
+    }
+
+    /// A new owner reads what is stored, which takes a while where the state service is slow.
+    fn take_over(&mut self, i: usize, c: usize) {
+        let now = self.now;
+        let held = &self.nodes[i].cells[c];
+        let Some(token) = held.own.token() else { return };
+        if held.shard.as_ref().is_some_and(|s| s.token == token) {
+            return;
+        }
+        let ready_at = match held.claim.loading {
+            Some((of, at)) if of == token => at,
+            _ => {
+                let slow = now < self.state_troubles.slow;
+                let at = now + if slow { self.rng.f64() * 4.0 } else { 0.0 };
+                self.claim_state(i, c).loading = Some((token, at));
+                at
+            }
+        };
+        if now + STEP / 2.0 < ready_at {
+            return;
+        }
+        let loaded = self.read_for(c);
+        let mut params = self.params.clone();
+        if self.wrong == Some(Wrong::Limits) {
+            params.teams.iter_mut().for_each(|t| t.cpus_max *= 4.0);
+        }
+        let tuning = Tuning { claim_s: CLAIM_S, ..Tuning::default() };
+        let mut shard = Shard::new(&params, tuning, token, types(), loaded, now);
+        let ledger = self.store.read::<Ledger>(LEDGER_KEY).filter(|_| self.wrong != Some(Wrong::Shares));
+        if let Some((ledger, _)) = ledger {
+            shard.set_shares(&self.params.teams, &ledger, CellIx(c as u32));
+        }
+        let held = &mut self.nodes[i].cells[c];
+        held.watched = self.store.revision;
+        held.commits = 0;
+        held.shard = Some(shard);
+    }
+
+    /// What the state service holds of a cell.
+    fn read_for(&self, c: usize) -> Loaded {
+        let (mut loaded, _) = stored::loaded(&inner(c, &self.store.keys), self.store.revision);
+        if self.cells == 1 {
+            return loaded;
+        }
+        let (ours, gone) = loaded.jobs.into_iter().partition(|(r, _)| concerns(c, r));
+        loaded.jobs = ours;
+        loaded.checkpoint.gone = gone.into_iter().map(|(r, _)| r.job.id).collect();
+        let known: BTreeSet<&str> = loaded.jobs.iter().map(|(r, _)| r.job.id.as_str()).collect();
+        loaded.progress.retain(|p| p.0.split('/').nth(1).is_some_and(|id| known.contains(id)));
+        let hands = stored::readable::<Handover>(&self.store.keys, handover::PREFIX);
+        let from_here = hands.iter().filter(|h| h.1.from.ix() == c);
+        loaded.away = from_here.flat_map(|h| &h.1.machines).map(|m| m.machine.clone()).collect();
+        loaded
+    }
+}
--- a/crates/model/src/controllers.rs
+++ b/crates/model/src/controllers.rs
@@ -1,26 +1,21 @@
 //! Controllers: their claims, and the shell's part around each owner's decisions.
 
-use crate::between::{LEDGER_KEY, Seen, concerns, inner};
+use crate::between::{Seen, concerns};
+use crate::claims::ClaimState;
 use crate::machines::Machine;
 use crate::messages::Message;
-use crate::store::Store;
-use crate::stored::{self, types};
+use crate::transactions::OwnerCommit;
 use crate::trouble::Wrong;
 use crate::world::{World, ZONES};
 use crate::{CLAIM_S, STEP};
-use lupinspur_cells::CellIx;
-use lupinspur_cells::escrow::Ledger;
-use lupinspur_cells::handover::{self, Handover};
-use lupinspur_cells::member::claims_after_s;
 use lupinspur_cells::reassign::Leader;
 use lupinspur_scheduler::intern::Index;
 use lupinspur_scheduler::jobs::{JOB_PREFIX, JobRecord};
-use lupinspur_scheduler::ownership::{Claim, Next, Ownership};
-use lupinspur_scheduler::params::Tuning;
-use lupinspur_scheduler::shard::{CloudCall, Direct, DirectSend, Shard, Write};
-use lupinspur_wire::{Change, ListedMachine};
+use lupinspur_scheduler::ownership::{Claim, Ownership};
+use lupinspur_scheduler::shard::{CloudCall, Direct, DirectSend, Shard};
+use lupinspur_wire::ListedMachine;
 use serde_json::json;
-use std::collections::{BTreeSet, HashMap};
+use std::collections::HashMap;
 use std::time::Instant;
 
 pub(crate) struct Node {
@@ -30,6 +25,9 @@
     pub(crate) no_state: f64,
     pub(crate) no_peers: f64,
     pub(crate) no_workers: f64,
+    /// Until when the zone in which it stands is cut off, with it.
+    pub(crate) zone_cut: f64,
+    pub(crate) acts_past_lease_s: f64,
     /// Which of its lives this is.
     pub(crate) life: u64,
     pub(crate) cells: Vec<Held>,
@@ -45,7 +43,9 @@
     pub(crate) own: Ownership,
     pub(crate) shard: Option<Shard>,
     pub(crate) watched: u64,
-    pub(crate) renewed_at: f64,
+    pub(crate) claim: ClaimState,
+    /// How long it acts past its lease: none, unless that is the decision that is wrong on purpose.
+    pub(crate) acts_past_lease_s: f64,
     pub(crate) listed_at: f64,
     pub(crate) commits: usize,
     pub(crate) looked_at: f64,
@@ -53,11 +53,9 @@
 }
 
 impl Held {
-    /// Over the claim of this version; 0: over none.
-    pub(crate) fn send_claim(&mut self, store: &mut Store, key: String, lease: u64, over: u64, ms: u64) -> Option<u64> {
-        let value = serde_json::to_value(self.own.trying(lease, ms)).expect("a claim");
-        let change = Change::Put { key: key.clone(), value, lease: Some(lease) };
-        store.commit(&[(key, over)], &[change], Some(lease))
+    /// The token, while this controller surely owns the cell.
+    pub(crate) fn may_act(&self, now: f64) -> Option<u64> {
+        self.own.may_act(now - self.acts_past_lease_s)
     }
 }
 
@@ -71,7 +69,8 @@
             own: Ownership::new(Claim::new(self.name.clone(), self.life.to_string()), CLAIM_S),
             shard: None,
             watched: 0,
-            renewed_at: -10.0,
+            claim: ClaimState::default(),
+            acts_past_lease_s: self.acts_past_lease_s,
             listed_at: 0.0,
             commits: 0,
             looked_at: 0.0,
@@ -91,7 +90,7 @@
     /// The shard of a cell, while this controller surely owns it.
     pub(crate) fn acting(&mut self, c: usize, now: f64) -> Option<&mut Shard> {
         let h = &mut self.cells[c];
-        let token = h.own.may_act(now)?;
+        let token = h.may_act(now)?;
         h.shard.as_mut().filter(|s| s.token == token)
     }
 }
@@ -120,7 +119,7 @@
         if self.nodes[i].acting(c, now).is_none() {
             return;
         }
-        let Some(token) = self.nodes[i].cells[c].own.may_act(now) else { return };
+        let Some(token) = self.nodes[i].cells[c].may_act(now) else { return };
         if reaches {
             self.watch(i, c);
             self.look_around(i, c);
@@ -197,119 +196,13 @@
             }
         }
         for writes in writes {
-            let after = self.latency();
-            let (late, lost) = (self.now < self.late_commits, self.rng.u8(..));
-            let m = |writes, answered| Message::Commit { node: i, life, cell: c, token, writes, answered };
-            match lost {
-                // Applied, perhaps much later, and not answered: asked for later, key by key.
-                0..90 if late => {
-                    let copy: Vec<Write> = writes
-                        .iter()
-                        .map(|w| Write {
-                            key: w.key.clone(),
-                            version: w.version,
-                            what: lupinspur_scheduler::shard::What::Cleanup,
-                            change: w.change.clone(),
-                            bytes: 0,
-                        })
-                        .collect();
-                    let at = if lost < 45 { after } else { 1.0 + self.rng.f64() * 25.0 };
-                    self.send(at, m(copy, false));
-                    // What is asked afterwards: the same conditions fail if it was applied.
-                    self.send(2.5, m(writes, true));
-                }
-                _ => self.send(after, m(writes, true)),
-            }
+            self.send_commit(OwnerCommit { node: i, life, cell: c, token, writes });
         }
         if let Some(CloudCall::Delete(machines, names)) = deletion {
             self.send(0.3, Message::Deleted { node: i, life, token, machines, names });
         }
         if deaf {
-            let n = &mut self.nodes[i].cells[c];
-            let lease = n.own.step_down(now);
-            n.shard = None;
-            if let (Some(l), true) = (lease, reaches)
-                && let Some((until, ..)) = self.store.leases.get_mut(&l)
-            {
-                *until = now;
-            }
-        }
-    }
-
-    pub(crate) fn keep_claim(&mut self, i: usize, c: usize) {
-        let now = self.now;
-        let key = self.claim_key(c);
-        let owned = self.nodes[i].cells.iter().filter(|h| h.own.token().is_some()).count();
-        let names: Vec<String> = self.nodes.iter().map(|n| n.name.clone()).collect();
-        let names: Vec<&str> = names.iter().map(String::as_str).collect();
-        let turn_s = if self.cells == 1 { 0.0 } else { claims_after_s(names[i], &names, CellIx(c as u32), owned) };
-        let n = &mut self.nodes[i].cells[c];
-        if let Some(l) = n.own.lease()
-            && now - n.renewed_at >= 0.8
-        {
-            n.renewed_at = now;
-            if self.store.renew(l, now) {
-                n.own.confirmed(l, now);
-            } else {
-                n.own.lease_ended(l);
-                n.shard = None;
-            }
-        }
-        if n.own.saw(self.store.claim(&key), now) {
-            n.shard = None;
-        }
-        let day_ms = (now * 1000.0) as u64;
-        match n.own.next(now, day_ms, true, turn_s) {
-            Next::Nothing => {}
-            Next::Grant => {
-                let l = self.store.grant(now, CLAIM_S);
-                n.own.confirmed(l, now);
-            }
-            Next::Claim { lease, over } => {
-                if let Some(v) = n.send_claim(&mut self.store, key, lease, over, day_ms) {
-                    // Now and then the answer is lost, and the claim is found by looking.
-                    self.counts.claims += 1;
-                    if now >= self.late_commits || self.rng.bool() {
-                        n.own.claimed(v);
-                    }
-                } else if !self.store.leases.contains_key(&lease) {
-                    n.own.lease_ended(lease);
-                }
-            }
-            Next::Adopt { version } => _ = n.own.claimed(version),
-            Next::GiveWay { over } => {
-                let gone = Change::Delete { key: key.clone() };
-                if self.store.commit(&[(key, over)], &[gone], None).is_some() {
-                    n.own.gave_way(now);
-                    n.own.saw(None, now);
-                }
-            }
-        }
-        let Some(token) = n.own.token() else { return };
-        if n.shard.as_ref().is_none_or(|s| s.token != token) {
-            let (mut loaded, _) = stored::loaded(&inner(c, &self.store.keys), self.store.revision);
-            if self.cells > 1 {
-                let (ours, gone) = loaded.jobs.into_iter().partition(|(r, _)| concerns(c, r));
-                loaded.jobs = ours;
-                loaded.checkpoint.gone = gone.into_iter().map(|(r, _)| r.job.id).collect();
-                let known: BTreeSet<&str> = loaded.jobs.iter().map(|(r, _)| r.job.id.as_str()).collect();
-                loaded.progress.retain(|p| p.0.split('/').nth(1).is_some_and(|id| known.contains(id)));
-                let hands = stored::readable::<Handover>(&self.store.keys, handover::PREFIX);
-                let from_here = hands.iter().filter(|h| h.1.from.ix() == c);
-                loaded.away = from_here.flat_map(|h| &h.1.machines).map(|m| m.machine.clone()).collect();
-            }
-            n.watched = self.store.revision;
-            let mut params = self.params.clone();
-            if self.wrong == Some(Wrong::Limits) {
-                params.teams.iter_mut().for_each(|t| t.cpus_max *= 4.0);
-            }
-            let tuning = Tuning { claim_s: CLAIM_S, ..Tuning::default() };
-            n.commits = 0;
-            let mut shard = Shard::new(&params, tuning, token, types(), loaded, now);
-            if let Some((l, _)) = self.store.read::<Ledger>(LEDGER_KEY).filter(|_| self.wrong != Some(Wrong::Shares)) {
-                shard.set_shares(&self.params.teams, &l, CellIx(c as u32));
-            }
-            n.shard = Some(shard);
+            self.step_down(i, c);
         }
     }
 
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -8,12 +8,14 @@
 //! - [`scenario`]: what is played, and the file that says it
 //! - [`trouble`]: what goes wrong
 //! - `controllers`, `between`: the shell's part around the decisions, of one cell and between several
+//! - `claims`, `transactions`: leases, claims and writes on their way to the state service and back
 //! - `machines`, `store`, `users`, `messages`: the stand-ins
 //! - `rules`: what must not be
 //! - [`report`]: what came of it
 //! - [`stored`]: what a successor reads of the state service's keys
 
 mod between;
+mod claims;
 mod controllers;
 mod machines;
 mod messages;
@@ -22,6 +24,7 @@
 pub mod scenario;
 mod store;
 pub mod stored;
+mod transactions;
 pub mod trouble;
 mod users;
 mod world;
@@ -29,7 +32,7 @@
 pub use lupinspur_files::Fault;
 pub use report::{Counts, Run, play, simulate};
 pub use scenario::Scenario;
-pub use trouble::{KINDS, Kind, Trouble, Wrong};
+pub use trouble::{CONTROLLER_KINDS, KINDS, Kind, OWNER, SAME_OWNER, Trouble, Wrong};
 
 /// Seconds between two looks at everything.
 const STEP: f64 = 0.05;
@@ -39,6 +42,8 @@
 /// Seconds within which nothing of a cancelled job runs any more.
 const CANCEL_S: f64 = 45.0;
 const CLAIM_S: f64 = 4.0;
+/// How long an owner acts past its lease where that is the decision that is wrong on purpose.
+const ACTS_PAST_LEASE_S: f64 = 30.0;
 /// How long after all troubles a question about any job may be without an answer.
 const ANSWERED_WITHIN_S: f64 = 30.0;
 /// And within how long after all troubles every job has begun, where there is room for all of them.
--- a/crates/model/src/machines.rs
+++ b/crates/model/src/machines.rs
@@ -151,8 +151,8 @@
             m.next_report = now + REPORT_S * (0.75 + self.rng.f64() * 0.5);
             let report = m.report();
             m.waits = Some((now, now + 4.0));
-            let (node, cut) = (m.at, now < m.cut);
-            if cut {
+            let node = m.at;
+            if !self.linked(node, i) {
                 return;
             }
             let after = self.latency();
--- a/crates/model/src/messages.rs
+++ b/crates/model/src/messages.rs
@@ -1,9 +1,10 @@
 //! What is under way between controllers, machines, the state service and the cloud.
 
-use crate::between::{outer, outer_change};
+use crate::claims::ClaimMessage;
+use crate::transactions::{CommitOutcome, OwnerCommit};
 use crate::world::World;
 use lupinspur_scheduler::ownership::{CLAIM_KEY, cell_claim_key};
-use lupinspur_scheduler::shard::{Direct, DirectSend, Heard, Write};
+use lupinspur_scheduler::shard::{Direct, DirectSend, Heard};
 use lupinspur_wire::{Change, Command, DirectCommands, Report};
 use std::time::Instant;
 
@@ -35,12 +36,8 @@
         outcome: Direct,
     },
     Commit {
-        node: usize,
-        life: u64,
-        cell: usize,
-        token: u64,
-        writes: Vec<Write>,
-        answered: bool,
+        commit: OwnerCommit,
+        answered: Option<f64>,
     },
     /// A write of what passes between cells that comes once more, late.
     Again {
@@ -54,6 +51,11 @@
         machines: Vec<lupinspur_scheduler::intern::MachineIx>,
         names: Vec<String>,
     },
+    CommitAnswer {
+        commit: OwnerCommit,
+        outcome: CommitOutcome,
+    },
+    Claim(ClaimMessage),
 }
 
 impl World {
@@ -88,9 +90,10 @@
                 }
             }
             Message::Answer { machine, session, sent, answer, to } => {
+                let linked = self.linked(self.machines[machine].at, machine);
                 let m = &mut self.machines[machine];
                 let waited = m.waits == Some((sent, sent + 4.0));
-                if !m.there(now) || now < m.hangs || now < m.cut || now < m.deaf_answers || !waited {
+                if !m.there(now) || now < m.hangs || !linked || now < m.deaf_answers || !waited {
                     return;
                 }
                 m.waits = None;
@@ -107,8 +110,9 @@
                 }
             }
             Message::Commands { node, life, to: i, send, outcome } => {
+                let linked = self.linked(node, i);
                 let m = &mut self.machines[i];
-                if !m.there(now) || now < m.hangs || now < m.cut || now < m.deaf_commands {
+                if !m.there(now) || now < m.hangs || !linked || now < m.deaf_commands {
                     return self.send(1.2, Message::Outcome { node, life, send, outcome: Direct::Unknown });
                 }
                 let DirectCommands { token, session, commands } = send.body.clone();
@@ -142,42 +146,9 @@
                     self.store.commit(&conditions, &changes, None);
                 }
             }
-            Message::Commit { node, life, cell, token, writes, answered } => {
-                let up = self.store.up(now);
-                let claim_key = self.claim_key(cell);
-                let mut conditions = vec![(claim_key.clone(), token)];
-                conditions.extend(writes.iter().map(|w| (outer(cell, &w.key), w.version)));
-                let changes: Vec<Change> = writes.iter().map(|w| outer_change(cell, &w.change)).collect();
-                let applied = if up { self.store.commit(&conditions, &changes, None) } else { None };
-                self.counts.writes[cell] += if applied.is_some() { changes.len() as u64 } else { 0 };
-                let n = &mut self.nodes[node];
-                if n.life != life || !answered {
-                    return;
-                }
-                if now < n.still {
-                    // Its outcome is read when the process goes on; here it is as if it came then.
-                    let after = n.still - now;
-                    if applied.is_none() {
-                        return self.send(after, Message::Commit { node, life, cell, token, writes, answered });
-                    }
-                }
-                let h = &mut n.cells[cell];
-                h.commits = h.commits.saturating_sub(1);
-                let Some(s) = h.shard.as_mut().filter(|s| s.token == token) else { return };
-                match applied {
-                    Some(revision) => s.on_applied(writes, revision, now),
-                    None if !up => s.on_not_applied(writes),
-                    None => {
-                        for w in &writes {
-                            s.on_version(&w.key, self.store.version(&outer(cell, &w.key)));
-                        }
-                        s.on_not_applied(writes);
-                        if h.own.saw(self.store.claim(&claim_key), now) {
-                            h.shard = None;
-                        }
-                    }
-                }
-            }
+            Message::Commit { commit, answered } => self.execute(commit, answered),
+            Message::CommitAnswer { commit, outcome } => self.on_commit_answer(commit, outcome),
+            Message::Claim(message) => self.on_claim_message(message),
             Message::Deleted { node, life, token, machines, names } => {
                 for n in &names {
                     if let Some(i) = self.by_name.get(n) {
--- /dev/null
+++ b/crates/model/src/transactions.rs
@@ -0,0 +1,177 @@
+//! Requests to the state service on their way: how long they take, whose answers are lost, which are
+//! executed late, and what an owner does about a write whose outcome it does not know.
+
+use crate::between::{outer, outer_change};
+use crate::messages::Message;
+use crate::world::World;
+use lupinspur_scheduler::jobs::job_key;
+use lupinspur_scheduler::shard::{What, Write};
+use lupinspur_wire::Change;
+
+/// After these times the controllers give a request up, as the shell does.
+pub(crate) const COMMIT_LIMIT_S: f64 = 2.5;
+pub(crate) const RENEWAL_LIMIT_S: f64 = 1.2;
+pub(crate) const GRANT_LIMIT_S: f64 = 2.0;
+/// A key whose value is in doubt is asked for again after this.
+const RETRY_S: f64 = 0.2;
+/// Of 256 requests, those that a trouble of the answers concerns.
+const LOST: u8 = 90;
+
+/// Until when the state service's requests and answers suffer, by the kind of the trouble.
+#[derive(Debug, Default)]
+pub(crate) struct StateTroubles {
+    pub(crate) late_writes: f64,
+    pub(crate) lost_answers: f64,
+    pub(crate) slow: f64,
+}
+
+/// When a request is executed, in seconds after it was sent, and how long its answer then takes.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Delivery {
+    pub(crate) executed: f64,
+    pub(crate) answered: Option<f64>,
+}
+
+/// One transaction of an owner.
+pub(crate) struct OwnerCommit {
+    pub(crate) node: usize,
+    pub(crate) life: u64,
+    pub(crate) cell: usize,
+    pub(crate) token: u64,
+    pub(crate) writes: Vec<Write>,
+}
+
+/// What the state service made of a transaction.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) enum CommitOutcome {
+    Applied(u64),
+    /// A condition did not hold.
+    Failed,
+    /// The service was down.
+    NotExecuted,
+    /// No answer came in time.
+    Unknown,
+}
+
+/// The same writes once more. Nobody is told their outcome, so that what they are for does not matter.
+fn copies(writes: &[Write]) -> Vec<Write> {
+    let copy = |w: &Write| Write {
+        key: w.key.clone(),
+        version: w.version,
+        what: What::Cleanup,
+        change: w.change.clone(),
+        bytes: w.bytes,
+    };
+    writes.iter().map(copy).collect()
+}
+
+impl World {
+    /// What becomes of a request that its sender gives up after `limit_s`.
+    pub(crate) fn delivery(&mut self, limit_s: f64) -> Delivery {
+        let now = self.now;
+        let mut executed = self.latency();
+        let mut back = self.latency();
+        if now < self.state_troubles.slow {
+            executed += 0.2 + self.rng.f64();
+            back += 0.2 + self.rng.f64() * 1.5;
+        }
+        let answered = Some(back).filter(|back| executed + back < limit_s);
+        let concerned = self.rng.u8(..) < LOST;
+        if concerned && now < self.state_troubles.late_writes {
+            return Delivery { executed: 2.0 + self.rng.f64() * 10.0, answered: None };
+        }
+        if concerned && now < self.state_troubles.lost_answers {
+            return Delivery { executed, answered: None };
+        }
+        if concerned && now < self.late_commits {
+            let late = self.rng.bool();
+            let executed = if late { 1.0 + self.rng.f64() * 25.0 } else { executed };
+            return Delivery { executed, answered: None };
+        }
+        Delivery { executed, answered }
+    }
+
+    /// Sends an owner's writes.
+    pub(crate) fn send_commit(&mut self, commit: OwnerCommit) {
+        let Delivery { executed, answered } = self.delivery(COMMIT_LIMIT_S);
+        if answered.is_some() {
+            return self.send(executed, Message::Commit { commit, answered });
+        }
+        let copy = OwnerCommit { writes: copies(&commit.writes), ..commit };
+        self.send(executed, Message::Commit { commit: copy, answered });
+        self.send(COMMIT_LIMIT_S, Message::CommitAnswer { commit, outcome: CommitOutcome::Unknown });
+    }
+
+    /// The state service executes a transaction.
+    pub(crate) fn execute(&mut self, commit: OwnerCommit, answered: Option<f64>) {
+        let outcome = self.outcome_of(&commit);
+        if let Some(after) = answered {
+            self.send(after, Message::CommitAnswer { commit, outcome });
+        }
+    }
+
+    fn outcome_of(&mut self, commit: &OwnerCommit) -> CommitOutcome {
+        if !self.store.up(self.now) {
+            return CommitOutcome::NotExecuted;
+        }
+        let cell = commit.cell;
+        let mut conditions = vec![(self.claim_key(cell), commit.token)];
+        conditions.extend(commit.writes.iter().map(|w| (outer(cell, &w.key), w.version)));
+        let changes: Vec<Change> = commit.writes.iter().map(|w| outer_change(cell, &w.change)).collect();
+        match self.store.commit(&conditions, &changes, None) {
+            Some(revision) => {
+                self.counts.writes[cell] += changes.len() as u64;
+                CommitOutcome::Applied(revision)
+            }
+            None => CommitOutcome::Failed,
+        }
+    }
+
+    /// The owner learns what became of its transaction, or that it will not learn it.
+    pub(crate) fn on_commit_answer(&mut self, commit: OwnerCommit, outcome: CommitOutcome) {
+        let now = self.now;
+        let OwnerCommit { node, life, cell, token, .. } = commit;
+        let n = &self.nodes[node];
+        if n.life != life {
+            return;
+        }
+        if now < n.still {
+            let after = n.still - now;
+            return self.send(after, Message::CommitAnswer { commit, outcome });
+        }
+        let owns = n.cells[cell].shard.as_ref().is_some_and(|s| s.token == token);
+        let in_doubt = matches!(outcome, CommitOutcome::Failed | CommitOutcome::Unknown);
+        if owns && in_doubt && !self.reaches(node) {
+            return self.send(RETRY_S, Message::CommitAnswer { commit, outcome });
+        }
+        let held = &mut self.nodes[node].cells[cell];
+        held.commits = held.commits.saturating_sub(1);
+        let Some(shard) = held.shard.as_mut().filter(|s| s.token == token) else { return };
+        match outcome {
+            CommitOutcome::Applied(revision) => shard.on_applied(commit.writes, revision, now),
+            CommitOutcome::NotExecuted => shard.on_not_applied(commit.writes),
+            CommitOutcome::Failed | CommitOutcome::Unknown => {
+                for write in &commit.writes {
+                    shard.on_version(&write.key, self.store.version(&outer(cell, &write.key)));
+                }
+                shard.on_not_applied(commit.writes);
+                self.look_at_claim(node, cell);
+            }
+        }
+    }
+
+    /// A user's submission is committed; true if its answer arrives.
+    pub(crate) fn submit(&mut self, id: &str, change: Change) -> bool {
+        let conditions = vec![(job_key(id), 0)];
+        let concerned = self.rng.u8(..) < LOST;
+        if concerned && self.now < self.state_troubles.late_writes {
+            let after = 2.0 + self.rng.f64() * 10.0;
+            self.send(after, Message::Again { conditions, changes: vec![change] });
+            return false;
+        }
+        self.store.commit(&conditions, &[change], None);
+        let lost = concerned && self.now < self.state_troubles.lost_answers;
+        let lost_at_random = self.now < self.late_commits && self.rng.bool();
+        !(lost || lost_at_random)
+    }
+}
--- a/crates/model/src/trouble.rs
+++ b/crates/model/src/trouble.rs
@@ -42,6 +42,24 @@
     Copies,
     /// Whatever runs there fails.
     Faulty,
+    /// The state service refuses a controller, which the other controllers still reach.
+    RefusedByState,
+    /// Transactions get no answer and are executed 2 to 12 s later, after newer ones of the same controller.
+    LateWrites,
+    /// Transactions are executed at once, and only their answers are lost.
+    LostAnswers,
+    /// The state service takes seconds for each answer.
+    SlowState,
+    /// A controller gives up what it owns.
+    StepsDown,
+    /// All controllers end; the one that is named is back within a second.
+    AllEnd,
+    /// All controllers end, and none is back before the time is over.
+    AllAway,
+    /// A controller's zone is cut off together with it.
+    CutZoneWithController,
+    /// Users cancel all services that run, spread over the time.
+    CancelServices,
 }
 
 pub const KINDS: [Kind; 18] = [
@@ -65,6 +83,24 @@
     Kind::Faulty,
 ];
 
+/// Those of controllers and of what they send to the state service.
+pub const CONTROLLER_KINDS: [Kind; 9] = [
+    Kind::RefusedByState,
+    Kind::LateWrites,
+    Kind::LostAnswers,
+    Kind::SlowState,
+    Kind::StepsDown,
+    Kind::AllEnd,
+    Kind::AllAway,
+    Kind::CutZoneWithController,
+    Kind::CancelServices,
+];
+
+/// As the number of a controller, `OWNER + cell`: whichever owns that cell when the trouble begins.
+pub const OWNER: usize = 1_000_000;
+/// As the number of a controller: the one that `OWNER` meant last.
+pub const SAME_OWNER: usize = 2_000_000;
+
 /// One trouble: what, to whom, from when on and for how long, in seconds.
 #[derive(Debug, Clone, Copy, PartialEq, Deserialize, JsonSchema, Validate)]
 #[serde(deny_unknown_fields)]
@@ -115,4 +151,6 @@
     Silent,
     /// Each cell may use the whole of every limit.
     Shares,
+    /// An owner acts for 30 s past its lease.
+    ActsPastLease,
 }
--- a/crates/model/src/users.rs
+++ b/crates/model/src/users.rs
@@ -85,11 +85,14 @@
     /// What a user hears who asks this controller.
     pub(crate) fn ask(&mut self, node: usize, id: &str, cancel: bool) -> Option<JobState> {
         let now = self.now;
-        if !self.nodes[node].runs(now) || self.wrong == Some(Wrong::Silent) && id.ends_with('3') {
+        if !self.nodes[node].runs(now)
+            || now < self.nodes[node].zone_cut
+            || self.wrong == Some(Wrong::Silent) && id.ends_with('3')
+        {
             return None;
         }
         let c = self.cell_of_job(node, id)?;
-        let owns = self.nodes[node].cells[c].own.may_act(now).is_some();
+        let owns = self.nodes[node].cells[c].may_act(now).is_some();
         if owns {
             return self.owner_says(node, c, id, cancel);
         }
@@ -125,8 +128,7 @@
                 let value = serde_json::to_value(&record).expect("a record");
                 let change = Change::Put { key: job_key(&id), value, lease: None };
                 // The answer may be lost; the repetition finds it accepted.
-                let told = now >= self.late_commits || self.rng.bool();
-                self.store.commit(&[(job_key(&id), 0)], &[change], None);
+                let told = self.submit(&id, change);
                 if let Some(j) = self.jobs.get_mut(&id) {
                     j.next_poll = now + 1.0;
                     if told {
--- a/crates/model/src/world.rs
+++ b/crates/model/src/world.rs
@@ -7,9 +7,10 @@
 use crate::report::Counts;
 use crate::scenario::{self, Scenario};
 use crate::store::Store;
-use crate::trouble::{Kind, Trouble, Wrong};
+use crate::transactions::StateTroubles;
+use crate::trouble::{Kind, OWNER, SAME_OWNER, Trouble, Wrong};
 use crate::users::{Job, spec};
-use crate::{CANCEL_S, LEASE_S, REPORT_S, STEP};
+use crate::{ACTS_PAST_LEASE_S, CANCEL_S, LEASE_S, REPORT_S, STEP};
 use fastrand::Rng;
 use lupinspur_accounts::{Milestone, Terms};
 use lupinspur_cells::escrow::Ledger;
@@ -17,8 +18,17 @@
 use lupinspur_cells::{CellIx, Plan};
 use lupinspur_scheduler::params::{Params, Team};
 use lupinspur_scheduler::shard::limits;
+use lupinspur_wire::JobState;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
+/// After this one controller is back where all have ended.
+const BACK_AT_ONCE_S: f64 = 0.5;
+
+/// The zone in which a controller stands.
+fn zone_of(node: usize) -> usize {
+    node % ZONES.len()
+}
+
 pub(crate) const ZONES: [&str; 3] = ["a", "b", "c"];
 
 /// What the platform says: small values and transactions, so that much has to be parted.
@@ -65,6 +75,9 @@
     pub(crate) late_commits: f64,
     pub(crate) late_commands: f64,
     pub(crate) copies: f64,
+    pub(crate) state_troubles: StateTroubles,
+    /// The controller that a trouble of the owner struck last.
+    pub(crate) struck_owner: usize,
     /// Rental names, and what they returned.
     pub(crate) rented: HashMap<String, Vec<String>>,
     pub(crate) trouble_until: f64,
@@ -100,6 +113,8 @@
             late_commits: 0.0,
             late_commands: 0.0,
             copies: 0.0,
+            state_troubles: StateTroubles::default(),
+            struck_owner: 0,
             rented: HashMap::new(),
             trouble_until: 0.0,
             wrong,
@@ -114,6 +129,8 @@
                 no_state: 0.0,
                 no_peers: 0.0,
                 no_workers: 0.0,
+                zone_cut: 0.0,
+                acts_past_lease_s: if wrong == Some(Wrong::ActsPastLease) { ACTS_PAST_LEASE_S } else { 0.0 },
                 life: 0,
                 cells: Vec::new(),
                 seen: Seen::default(),
@@ -178,15 +195,10 @@
     pub(crate) fn strikes(&mut self, t: Trouble) {
         let (now, until) = (self.now, self.now + t.for_s);
         self.trouble_until = self.trouble_until.max(until);
-        let n = t.which % self.controllers;
+        let n = self.controller_of(t.which);
         let m = t.which % self.machines.len();
         match t.kind {
-            Kind::Ends => {
-                let (cells, node) = (self.cells, &mut self.nodes[n]);
-                node.back_at = now + (t.for_s / 10.0).max(STEP);
-                node.life += 1;
-                node.begin(cells);
-            }
+            Kind::Ends => self.ends(n, (t.for_s / 10.0).max(STEP)),
             Kind::StandsStill => self.nodes[n].still = until,
             Kind::Alone => (self.nodes[n].no_state, self.nodes[n].no_peers) = (until, until),
             Kind::LosesWorkers => self.nodes[n].no_workers = until,
@@ -216,6 +228,70 @@
             }
             Kind::CutZone => self.machines.iter_mut().filter(|x| x.zone == t.which % 3).for_each(|x| x.cut = until),
             Kind::Faulty => self.machines[m].faulty = until,
+            Kind::RefusedByState => self.nodes[n].no_state = until,
+            Kind::LateWrites => self.state_troubles.late_writes = until,
+            Kind::LostAnswers => self.state_troubles.lost_answers = until,
+            Kind::SlowState => self.state_troubles.slow = until,
+            Kind::StepsDown => (0..self.cells).for_each(|c| self.hand_back(n, c)),
+            Kind::AllEnd | Kind::AllAway => {
+                let sooner = (t.kind == Kind::AllEnd).then_some(n);
+                for i in 0..self.controllers {
+                    self.ends(i, if sooner == Some(i) { BACK_AT_ONCE_S } else { t.for_s.max(STEP) });
+                }
+            }
+            Kind::CutZoneWithController => {
+                let zone = zone_of(n);
+                self.machines.iter_mut().filter(|x| x.zone == zone).for_each(|x| x.cut = until);
+                let node = &mut self.nodes[n];
+                (node.zone_cut, node.no_state, node.no_peers) = (until, until, until);
+            }
+            Kind::CancelServices => self.cancel_services(t.for_s),
+        }
+    }
+
+    /// The controller that a trouble's number means.
+    fn controller_of(&mut self, which: usize) -> usize {
+        let cell = which.wrapping_sub(OWNER);
+        if cell < self.cells {
+            let owns = |n: &Node| n.cells[cell].may_act(self.now).is_some();
+            let owner = self.nodes.iter().position(owns).unwrap_or(self.struck_owner);
+            self.struck_owner = owner;
+        }
+        if cell < self.cells || which == SAME_OWNER { self.struck_owner } else { which % self.controllers }
+    }
+
+    /// A controller's process ends, and another begins after a while.
+    fn ends(&mut self, n: usize, back_after_s: f64) {
+        let node = &mut self.nodes[n];
+        node.back_at = self.now + back_after_s;
+        node.life += 1;
+        node.begin(self.cells);
+    }
+
+    fn hand_back(&mut self, n: usize, cell: usize) {
+        if self.nodes[n].runs(self.now) && self.nodes[n].cells[cell].own.token().is_some() {
+            self.step_down(n, cell);
+        }
+    }
+
+    /// Can a controller and a machine send each other anything?
+    pub(crate) fn linked(&self, node: usize, machine: usize) -> bool {
+        let (n, m) = (&self.nodes[node], &self.machines[machine]);
+        let inside = self.now < n.zone_cut && zone_of(node) == m.zone;
+        inside || self.now >= n.zone_cut && self.now >= m.cut
+    }
+
+    /// Users cancel every service that runs, each at some moment within this time.
+    fn cancel_services(&mut self, within_s: f64) {
+        let now = self.now;
+        for j in self.jobs.values_mut() {
+            let over = matches!(j.told, Some(JobState::Done | JobState::Cancelled));
+            let service = j.spec.estimate_s == 0.0;
+            if service && j.begun.is_some() && !over && j.cancel_at.is_none_or(|t| t > now) {
+                let at = now + self.rng.f64() * within_s;
+                j.cancel_at = Some(at);
+                j.next_poll = j.next_poll.min(at);
+            }
         }
     }
 
