--- a/crates/model/src/controllers.rs
+++ b/crates/model/src/controllers.rs
@@ -7,6 +7,7 @@
 use crate::stored::{self, types};
 use crate::trouble::Wrong;
 use crate::world::{World, ZONES};
+use crate::wrong_decisions;
 use crate::{CLAIM_S, STEP};
 use lupinspur_cells::CellIx;
 use lupinspur_cells::escrow::Ledger;
@@ -148,6 +149,7 @@
             let all: Vec<_> = s.machines.present.iter().copied().collect();
             all.into_iter().for_each(|m| s.machines.at_mut(m).spot = false);
         }
+        wrong_decisions::apply(wrong, s);
         let deaf = s.deaf(now);
         let mut directs: Vec<(usize, DirectSend)> = Vec::new();
         while let Some(d) = s.next_direct(now) {
@@ -181,6 +183,7 @@
         for l in rentals {
             self.rent(i, token, &l);
         }
+        self.start_cancelled(&mut directs);
         let no_workers = now < self.nodes[i].no_workers;
         for (to, send) in directs {
             let after = self.latency();
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -9,27 +9,38 @@
 //! - [`trouble`]: what goes wrong
 //! - `controllers`, `between`: the shell's part around the decisions, of one cell and between several
 //! - `machines`, `store`, `users`, `messages`: the stand-ins
-//! - `rules`: what must not be
+//! - `questions`, `odd_requests`, `late_reports`, `spells`: troubles that users, machines and reports bring
+//! - `rules`, `cancelled`, `waiting`: what must not be
+//! - `wrong_decisions`: decisions that are wrong on purpose
 //! - [`report`]: what came of it
 //! - [`stored`]: what a successor reads of the state service's keys
 
 mod between;
+mod cancelled;
 mod controllers;
+mod late_reports;
 mod machines;
 mod messages;
+mod odd_requests;
+mod questions;
 pub mod report;
 mod rules;
 pub mod scenario;
+mod spells;
 mod store;
 pub mod stored;
 pub mod trouble;
 mod users;
+mod waiting;
+mod work;
 mod world;
+mod wrong_decisions;
 
 pub use lupinspur_files::Fault;
 pub use report::{Counts, Run, play, simulate};
 pub use scenario::Scenario;
-pub use trouble::{KINDS, Kind, Trouble, Wrong};
+pub use trouble::{KINDS, Kind, Trouble, USER_AND_MACHINE_KINDS, Wrong};
+pub use work::Work;
 
 /// Seconds between two looks at everything.
 const STEP: f64 = 0.05;
@@ -43,3 +54,5 @@
 const ANSWERED_WITHIN_S: f64 = 30.0;
 /// And within how long after all troubles every job has begun, where there is room for all of them.
 const BEGUN_WITHIN_S: f64 = 100.0;
+/// How long after all troubles a job may wait while a machine has room for it and its team is under its limit.
+const WAITS_WITHIN_S: f64 = 90.0;
--- a/crates/model/src/machines.rs
+++ b/crates/model/src/machines.rs
@@ -2,6 +2,7 @@
 
 use crate::messages::Message;
 use crate::trouble::Wrong;
+use crate::users::job_done;
 use crate::world::{World, ZONES};
 use crate::{LEASE_S, REPORT_S};
 use lupinspur_wire::{Command, Op, Report, TaskReport};
@@ -39,6 +40,8 @@
     pub(crate) deaf_answers: f64,
     pub(crate) deaf_commands: f64,
     pub(crate) cut: f64,
+    /// Until when it reaches no controller, while direct commands reach it.
+    pub(crate) mute: f64,
     pub(crate) faulty: f64,
     pub(crate) at: usize,
     pub(crate) next_report: f64,
@@ -84,6 +87,11 @@
     }
 }
 
+/// The number of a task within its job.
+fn task_number(task: &str) -> u32 {
+    task.rsplit('/').next().and_then(|n| n.parse().ok()).unwrap_or(0)
+}
+
 impl World {
     pub(crate) fn step_machine(&mut self, i: usize) {
         let now = self.now;
@@ -117,10 +125,11 @@
             t.state = next;
         }
         // Arrays' tasks complete.
+        let work = self.scenario.work;
         let ended: Vec<String> = m
             .tasks
             .iter()
-            .filter(|(_, t)| matches!(t.state, State::Runs(since) if now - since > 5.0))
+            .filter(|(n, t)| matches!(t.state, State::Runs(since) if now - since > work.task_runs_s(task_number(n))))
             .map(|(n, _)| n.clone())
             .filter(|n| self.jobs.get(n.split('/').next().unwrap_or("")).is_some_and(|j| j.spec.estimate_s > 0.0))
             .collect();
@@ -131,6 +140,9 @@
             let (job, task) = name.split_once('/').expect("a task");
             if let Some(j) = self.jobs.get_mut(job) {
                 j.done.insert(task.parse().expect("a number"));
+                if job_done(j) {
+                    self.last_task_ended(job);
+                }
             }
             changed = true;
         }
@@ -151,11 +163,12 @@
             m.next_report = now + REPORT_S * (0.75 + self.rng.f64() * 0.5);
             let report = m.report();
             m.waits = Some((now, now + 4.0));
-            let (node, cut) = (m.at, now < m.cut);
+            let (node, cut) = (m.at, now < m.cut.max(m.mute));
             if cut {
                 return;
             }
             let after = self.latency();
+            self.keep_report(&report);
             if now < self.copies {
                 let late = 1.0 + self.rng.f64() * LEASE_S * 2.0;
                 let to = self.rng.usize(0..self.controllers);
@@ -168,7 +181,8 @@
     pub(crate) fn obey(&mut self, i: usize, commands: &[Command]) {
         let now = self.now;
         let wrong = self.wrong;
-        let (fetch, m) = (0.3 + self.rng.f64(), &mut self.machines[i]);
+        let fetch = 0.3 + self.rng.f64() + self.slow_fetch();
+        let m = &mut self.machines[i];
         for c in commands {
             match c.op {
                 Op::Start => {
@@ -177,6 +191,7 @@
                         .or_insert(Task { attempt: c.attempt, state: State::Fetches(now + fetch) });
                 }
                 Op::Stop if wrong == Some(Wrong::Stops) => {}
+                Op::Stop if wrong == Some(Wrong::IgnoresStopsAfterHang) && m.hangs > 0.0 => {}
                 Op::Stop => {
                     let saves_s = self.jobs.get(c.task.split('/').next().unwrap_or("")).map_or(0.0, |j| j.spec.save_s);
                     if let Some(t) = m.tasks.get_mut(&c.task).filter(|t| t.attempt == c.attempt) {
--- a/crates/model/src/report.rs
+++ b/crates/model/src/report.rs
@@ -34,6 +34,8 @@
     pub claims: u64,
     pub raised: u64,
     pub starts: u64,
+    /// Tasks that ran after their job's cancellation was confirmed, by commands that were still on their way.
+    pub starts_after_cancellation: u64,
     /// Keys that owners wrote, by cell.
     pub writes: Vec<u64>,
     /// Jobs, machines and teams' homes that changed cells.
--- a/crates/model/src/rules.rs
+++ b/crates/model/src/rules.rs
@@ -2,8 +2,8 @@
 
 use crate::between::LEDGER_KEY;
 use crate::machines::State;
-use crate::world::World;
-use crate::{ANSWERED_WITHIN_S, BEGUN_WITHIN_S, CANCEL_S};
+use crate::world::{World, ZONES};
+use crate::{ANSWERED_WITHIN_S, BEGUN_WITHIN_S};
 use lupinspur_cells::escrow::Ledger;
 use lupinspur_scheduler::intern::Index;
 use lupinspur_scheduler::shard::Shard;
@@ -27,6 +27,7 @@
                 let what = format!("ran_twice: {task} on {} and {}", other.name, self.machines[i].name);
                 self.breaks(what);
             }
+            self.check_started_cancelled(&task);
             let Some(job) = self.jobs.get_mut(&id) else { continue };
             job.begun.get_or_insert(now);
             let (spec, m) = (job.spec.clone(), &self.machines[i]);
@@ -38,9 +39,17 @@
                 let of = |n: &String| n.split('/').next() == Some(&id);
                 there.map(|m| m.tasks.keys().filter(|n| of(n) && m.holds(n, now)).count()).sum::<usize>()
             };
-            if spec.spread && on(Some(self.machines[i].zone)) > (spec.tasks as usize).div_ceil(2) {
+            let zone = self.machines[i].zone;
+            let (here, everywhere) = (on(Some(zone)), on(None));
+            if spec.spread && here > (spec.tasks as usize).div_ceil(2) {
                 self.breaks(format!("wrong_place: {id} is not spread"));
             }
+            if spec.zone.as_ref().is_some_and(|z| z != ZONES[zone]) {
+                self.breaks(format!("wrong_place: {task} in zone {}", ZONES[zone]));
+            }
+            if spec.one_zone && here < everywhere {
+                self.breaks(format!("wrong_place: {id} is in more than one zone"));
+            }
             let limit = self.params.teams.iter().find(|t| t.name == spec.team).map_or(0.0, |t| t.cpus_max);
             if limit > 0.0 {
                 let of = |n: &String| {
@@ -91,12 +100,7 @@
         let calm = now - self.trouble_until;
         let (mut wrong, mut longest) = (Vec::new(), self.counts.unanswered);
         for (id, j) in &self.jobs {
-            if now > j.told_cancelled_at + CANCEL_S {
-                let of = |n: &String| n.split('/').next() == Some(id);
-                if self.machines.iter().any(|m| m.tasks.keys().any(|n| of(n) && m.holds(n, now))) {
-                    wrong.push(format!("ran_cancelled: {id}"));
-                }
-            }
+            wrong.extend(self.still_runs(id, j.told_cancelled_at));
             let over = matches!(j.told, Some(JobState::Done | JobState::Cancelled));
             if j.accepted.is_none() || over || calm < 0.0 {
                 continue;
@@ -112,6 +116,9 @@
             }
         }
         self.counts.unanswered = longest;
+        if calm >= 0.0 {
+            self.check_waiting(&mut wrong);
+        }
         let held = self.nodes.iter().flat_map(|n| &n.cells);
         let mended = held.filter_map(|h| h.shard.as_ref()).map(Shard::mended).sum::<u64>();
         if mended > 0 {
--- a/crates/model/src/scenario.rs
+++ b/crates/model/src/scenario.rs
@@ -1,6 +1,7 @@
 //! What is played: the size of a deployment, its work, and its troubles.
 
 use crate::trouble::Trouble;
+use crate::work::Work;
 use garde::Validate;
 use lupinspur_files::{Fault, out_of_bounds};
 use schemars::JsonSchema;
@@ -28,6 +29,12 @@
     /// One every so many seconds.
     #[garde(range(min = 0.01, max = 3600.0))]
     pub job_every_s: f64,
+    /// What the jobs are like.
+    #[garde(skip)]
+    pub work: Work,
+    /// The share of jobs that their users cancel.
+    #[garde(range(min = 0.0, max = 1.0))]
+    pub cancelled: f64,
     /// The cpus that the services of one team have together at most.
     #[garde(range(min = 1.0, max = 1e6))]
     pub services_cpus: f64,
@@ -75,6 +82,8 @@
             most_machines: 80,
             jobs_for_s: 60.0,
             job_every_s: 1.5,
+            work: Work::Mixed,
+            cancelled: 60.0 / 256.0,
             services_cpus: 40.0,
             calm_s: 120.0,
             room: true,
--- a/crates/model/src/trouble.rs
+++ b/crates/model/src/trouble.rs
@@ -42,6 +42,27 @@
     Copies,
     /// Whatever runs there fails.
     Faulty,
+
+    // What machines, reports and users do: `USER_AND_MACHINE_KINDS`.
+    /// A machine reaches no controller, while direct commands reach it.
+    Mute,
+    /// The same for a whole zone.
+    MuteZone,
+    /// Copies of reports are kept, and reach every controller as soon as a new leader begins.
+    CopiesForNextLeader,
+    /// Users cancel `which % 8 + 1` running jobs within a fifth of a second; their machines hang for `for_s`.
+    CancelNow,
+    /// Half of the jobs that end are cancelled in the same moment.
+    CancelAtEnd,
+    /// Users ask every controller right after a job was accepted, ended or cancelled, and repeat its submission;
+    /// one accepted job in four is cancelled at once.
+    CloseLooks,
+    /// Users submit jobs that cannot run or lack a field, cancel jobs that are done, and ask about unknown jobs.
+    OddRequests,
+    /// Rented machines are up within two seconds.
+    FastBoots,
+    /// Messages between controllers and machines take up to two seconds, and images ten seconds more.
+    SlowLinks,
 }
 
 pub const KINDS: [Kind; 18] = [
@@ -65,6 +86,20 @@
     Kind::Faulty,
 ];
 
+/// The kinds that concern machines, reports and users, which [`KINDS`] does not have: the storms that are played
+/// with a seed would otherwise be others.
+pub const USER_AND_MACHINE_KINDS: [Kind; 9] = [
+    Kind::Mute,
+    Kind::MuteZone,
+    Kind::CopiesForNextLeader,
+    Kind::CancelNow,
+    Kind::CancelAtEnd,
+    Kind::CloseLooks,
+    Kind::OddRequests,
+    Kind::FastBoots,
+    Kind::SlowLinks,
+];
+
 /// One trouble: what, to whom, from when on and for how long, in seconds.
 #[derive(Debug, Clone, Copy, PartialEq, Deserialize, JsonSchema, Validate)]
 #[serde(deny_unknown_fields)]
@@ -115,4 +150,22 @@
     Silent,
     /// Each cell may use the whole of every limit.
     Shares,
+
+    // What machines, reports and users see.
+    /// Jobs whose number ends in 7 are never placed.
+    LeavesWaiting,
+    /// A machine that has hung ignores commands to stop.
+    IgnoresStopsAfterHang,
+    /// An owner commands starts of jobs whose cancellation was confirmed.
+    StartsCancelled,
+    /// Submissions are not judged before they are accepted.
+    Unjudged,
+    /// A field that a submission lacks is filled in.
+    FillsIn,
+    /// A repeated submission is always answered as if the job was new.
+    RepeatedAsNew,
+    /// All machines pass for ones of the same zone.
+    Zones,
+    /// A question about a job that nobody submitted is answered with a state.
+    Invents,
 }
--- a/crates/model/src/users.rs
+++ b/crates/model/src/users.rs
@@ -1,13 +1,10 @@
 //! Users: what they submit, ask and cancel, and what they are told.
 
-use crate::scenario::Team;
 use crate::trouble::Wrong;
 use crate::world::World;
-use fastrand::Rng;
 use lupinspur_scheduler::jobs::{JobRecord, Phase, job_key};
 use lupinspur_scheduler::shard::Shown;
 use lupinspur_wire::{Change, JobRequest, JobState};
-use serde_json::json;
 use std::collections::BTreeSet;
 
 /// A job as its user sees it.
@@ -22,30 +19,32 @@
     pub(crate) done: BTreeSet<u32>,
     /// When its first task ran.
     pub(crate) begun: Option<f64>,
+    /// Since when it waits while a machine has room for it, after all troubles.
+    pub(crate) waits_since: Option<f64>,
 }
 
 impl Job {
+    /// A job that is about to be submitted.
+    pub(crate) fn new(spec: JobRequest, cancel_at: Option<f64>, now: f64) -> Job {
+        Job {
+            spec,
+            accepted: None,
+            cancel_at,
+            told: None,
+            told_cancelled_at: f64::MAX,
+            answered: now,
+            next_poll: now,
+            done: BTreeSet::new(),
+            begun: None,
+            waits_since: None,
+        }
+    }
+
     pub(crate) fn cpus(&self) -> f64 {
         f64::from(self.spec.tasks) * self.spec.cpus
     }
 }
 
-pub(crate) fn spec(id: usize, teams: &[Team], rng: &mut Rng) -> JobRequest {
-    let service = rng.u8(..) < 80;
-    let cpus = [1.0, 2.0, 4.0][rng.usize(0..3)];
-    let saves = if !service && rng.bool() { 1.0 } else { 0.0 };
-    let tasks = if service { rng.u32(1..5) } else { rng.u32(1..12) };
-    serde_json::from_value(json!({
-        "id": format!("req-{id:04}"), "breed": if service { "desk" } else { "match" },
-        "herd": teams[rng.usize(0..teams.len())].name, "habit": if service { "standing" } else { "batch" },
-        "precedence": if service { "critical" } else { "standard" }, "seeds": tasks,
-        "cpus": cpus, "cards": 0.0, "memory_gb": 0.5, "same_place": false,
-        "scatter": service && tasks > 1, "fallow": !service && rng.bool(), "bulb": format!("img-{}", rng.u8(0..4)),
-        "pull_gb": 0.5, "expected_s": if service { 0.0 } else { 6.0 }, "pressing_s": saves, "pressing_cost_s": saves,
-        "harvest_s": null}))
-    .expect("a job")
-}
-
 pub(crate) fn job_done(j: &Job) -> bool {
     j.done.len() == j.spec.tasks as usize
 }
@@ -72,6 +71,9 @@
 
     pub(crate) fn record_says(&mut self, id: &str, cancel: bool) -> Option<JobState> {
         let Some(r) = self.store.job(id) else {
+            if self.jobs.get(id).is_none_or(|j| j.accepted.is_none()) {
+                return None;
+            }
             self.breaks(format!("forgotten: {id} gets 404"));
             return None;
         };
@@ -88,7 +90,14 @@
         if !self.nodes[node].runs(now) || self.wrong == Some(Wrong::Silent) && id.ends_with('3') {
             return None;
         }
-        let c = self.cell_of_job(node, id)?;
+        if self.wrong == Some(Wrong::Invents) && !self.jobs.contains_key(id) {
+            return Some(JobState::Queued);
+        }
+        let Some(c) = self.cell_of_job(node, id) else {
+            // Without a record there is no cell: that is the answer, where the state service says so.
+            let absent = self.reaches(node) && self.store.job(id).is_none();
+            return if absent { self.record_says(id, cancel) } else { None };
+        };
         let owns = self.nodes[node].cells[c].own.may_act(now).is_some();
         if owns {
             return self.owner_says(node, c, id, cancel);
@@ -133,6 +142,9 @@
                         (j.accepted, j.answered) = (Some(now), now);
                     }
                 }
+                if told {
+                    self.told_accepted(&id);
+                }
                 continue;
             }
             let cancels = job.cancel_at.is_some_and(|t| now >= t) && job.told_cancelled_at == f64::MAX;
@@ -141,25 +153,12 @@
                 continue;
             }
             let heard = self.ask(node, &id, cancels && !over);
-            let all_done = job_done(&self.jobs[&id]);
             let cancelled = self.wrong == Some(Wrong::Back) && self.jobs[&id].told == Some(JobState::Cancelled);
             let heard = heard.map(|h| if cancelled { JobState::Running } else { h });
             let Some(j) = self.jobs.get_mut(&id) else { continue };
             j.next_poll = now + if cancels { 1.0 } else { 5.0 };
-            let Some(state) = heard else { continue };
-            j.answered = now;
-            let before = j.told;
-            j.told = Some(state);
-            let asked = j.cancel_at.is_some_and(|t| now >= t);
-            if state == JobState::Cancelled {
-                j.told_cancelled_at = j.told_cancelled_at.min(now);
-            }
-            let goes_back = matches!(before, Some(JobState::Done | JobState::Cancelled)) && before != Some(state);
-            if goes_back || state == JobState::Cancelled && !asked {
-                self.breaks(format!("went_back: {id} is called {state:?} after {before:?}"));
-            }
-            if state == JobState::Done && !all_done {
-                self.breaks(format!("not_done: {id}"));
+            if let Some(state) = heard {
+                self.hear(&id, state);
             }
         }
     }
--- a/crates/model/src/world.rs
+++ b/crates/model/src/world.rs
@@ -2,13 +2,17 @@
 
 use crate::between::{LEDGER_KEY, Seen, put};
 use crate::controllers::Node;
+use crate::late_reports::LateReports;
 use crate::machines::Machine;
 use crate::messages::Message;
+use crate::questions::Question;
 use crate::report::Counts;
 use crate::scenario::{self, Scenario};
+use crate::spells::Spells;
 use crate::store::Store;
 use crate::trouble::{Kind, Trouble, Wrong};
-use crate::users::{Job, spec};
+use crate::users::Job;
+use crate::work::spec;
 use crate::{CANCEL_S, LEASE_S, REPORT_S, STEP};
 use fastrand::Rng;
 use lupinspur_accounts::{Milestone, Terms};
@@ -17,7 +21,7 @@
 use lupinspur_cells::{CellIx, Plan};
 use lupinspur_scheduler::params::{Params, Team};
 use lupinspur_scheduler::shard::limits;
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, HashMap};
 
 pub(crate) const ZONES: [&str; 3] = ["a", "b", "c"];
 
@@ -71,6 +75,14 @@
     pub(crate) wrong: Option<Wrong>,
     pub(crate) broken: Option<String>,
     pub(crate) counts: Counts,
+    /// Draws for the troubles of machines, reports and users; other draws are the same with and without them.
+    pub(crate) chance: Rng,
+    pub(crate) spells: Spells,
+    pub(crate) late_reports: LateReports,
+    /// Questions that users will ask at every controller.
+    pub(crate) questions: Vec<Question>,
+    /// Submissions so far that no controller may accept.
+    pub(crate) odd_requests: u32,
 }
 
 impl World {
@@ -105,6 +117,11 @@
             wrong,
             broken: None,
             counts: Counts::of(cells),
+            chance: Rng::with_seed(seed.rotate_left(32) ^ 0x5eed),
+            spells: Spells::default(),
+            late_reports: LateReports::default(),
+            questions: Vec::new(),
+            odd_requests: 0,
         };
         for i in 0..controllers {
             w.nodes.push(Node {
@@ -138,6 +155,7 @@
         let name = format!("host-{:06}", self.machines.len());
         self.by_name.insert(name.clone(), self.machines.len());
         let at = self.rng.usize(0..self.controllers);
+        let up_at = self.boots_at(up_at);
         self.machines.push(Machine {
             name: name.clone(),
             zone,
@@ -154,6 +172,7 @@
             deaf_answers: 0.0,
             deaf_commands: 0.0,
             cut: 0.0,
+            mute: 0.0,
             faulty: 0.0,
             at,
             next_report: up_at + self.rng.f64() * REPORT_S,
@@ -168,11 +187,12 @@
     }
 
     pub(crate) fn send(&mut self, after: f64, m: Message) {
+        self.check_commanded(&m);
         self.under_way.push((self.now + after, m));
     }
 
     pub(crate) fn latency(&mut self) -> f64 {
-        0.02 + self.rng.f64() * 0.08
+        0.02 + self.rng.f64() * 0.08 + self.slow_link()
     }
 
     pub(crate) fn strikes(&mut self, t: Trouble) {
@@ -216,6 +236,7 @@
             }
             Kind::CutZone => self.machines.iter_mut().filter(|x| x.zone == t.which % 3).for_each(|x| x.cut = until),
             Kind::Faulty => self.machines[m].faulty = until,
+            _ => self.strikes_users_and_machines(t, m, until),
         }
     }
 
@@ -236,20 +257,10 @@
             }
             while self.now > 3.0 && self.now < jobs_for && self.now >= f64::from(next_job) * self.scenario.job_every_s {
                 next_job += 1;
-                let spec = spec(next_job as usize, &self.scenario.teams, &mut self.rng);
-                let cancels = self.rng.u8(..) < 60;
+                let spec = spec(next_job as usize, &self.scenario, &mut self.rng);
+                let cancels = f64::from(self.rng.u8(..)) < self.scenario.cancelled * 256.0;
                 let cancel_at = cancels.then(|| self.now + 2.0 + self.rng.f64() * 30.0);
-                let job = Job {
-                    spec,
-                    accepted: None,
-                    cancel_at,
-                    told: None,
-                    told_cancelled_at: f64::MAX,
-                    answered: self.now,
-                    next_poll: self.now,
-                    done: BTreeSet::new(),
-                    begun: None,
-                };
+                let job = Job::new(spec, cancel_at, self.now);
                 // A team's services must not fill its limit: then others wait rightly.
                 let held: f64 = self
                     .jobs
@@ -270,6 +281,9 @@
             (0..self.controllers).for_each(|i| self.step_node(i));
             (0..self.machines.len()).for_each(|i| self.step_machine(i));
             self.step_users();
+            self.step_questions();
+            self.step_odd_requests(steps);
+            self.step_late_reports();
             if steps.is_multiple_of(10) {
                 self.check();
             }
--- /dev/null
+++ b/crates/model/tests/meetings_machines.rs
@@ -0,0 +1,290 @@
+//! Two troubles at once, where machines, their reports and users take part: each with several seeds, with one cell
+//! and with three. `MEETING_SEEDS=200 cargo test -p lupinspur-model --test meetings_machines` plays more of each.
+
+use fastrand::Rng;
+use lupinspur_model::scenario::Team;
+use lupinspur_model::{Counts, KINDS, Kind, Run, Scenario, Trouble, USER_AND_MACHINE_KINDS, Work, play};
+use std::ops::Range;
+
+const SEEDS: u64 = 12;
+/// Runs that are played at the same time.
+const THREADS: u64 = 2;
+/// Troubles begin this long after jobs do.
+const BEGINS_S: f64 = 20.0;
+
+fn seeds() -> u64 {
+    std::env::var("MEETING_SEEDS").ok().and_then(|v| v.parse().ok()).unwrap_or(SEEDS)
+}
+
+fn trouble(at: f64, kind: Kind, which: usize, for_s: f64) -> Trouble {
+    Trouble { at, kind, which, for_s }
+}
+
+/// The leaders change: all controllers end at once, or one after the other ends or loses the state service.
+/// It begins within so many seconds of `from`.
+fn change_of_leader(rng: &mut Rng, from: f64, within_s: f64) -> Vec<Trouble> {
+    let at = from + rng.f64() * within_s;
+    match rng.u8(0..3) {
+        0 => (0..3).map(|n| trouble(at, Kind::Ends, n, 10.0)).collect(),
+        1 => (0..3).map(|n| trouble(at + 1.5 * n as f64, Kind::Ends, n, 40.0)).collect(),
+        _ => (0..3).map(|n| trouble(at + 7.0 * n as f64, Kind::Alone, n, 7.0)).collect(),
+    }
+}
+
+/// The kind strikes so many different machines within a second, for between the least and the most time.
+fn machines(rng: &mut Rng, kind: Kind, count: usize, at: f64, for_s: Range<f64>) -> Vec<Trouble> {
+    let for_s = for_s.start + rng.f64() * (for_s.end - for_s.start);
+    let first = rng.usize(0..9);
+    (0..count).map(|n| trouble(at + rng.f64(), kind, first + n, for_s)).collect()
+}
+
+fn small(cells: u32) -> Scenario {
+    let most_machines = if cells > 1 { 12 } else { 80 };
+    Scenario { cells, most_machines, jobs_for_s: 45.0, ..Scenario::default() }
+}
+
+/// Both teams reach their limits.
+fn at_limits(cells: u32) -> Scenario {
+    let team = |name: &str, cpus| Team { name: name.into(), cpus, cpus_max: 2.0 * cpus };
+    let teams = vec![team("red", 12.0), team("blue", 16.0)];
+    Scenario { teams, job_every_s: 0.8, services_cpus: 16.0, room: false, work: Work::Long, ..small(cells) }
+}
+
+/// Plays the meeting with one cell and with three, and tells what happened in all runs.
+fn meets(scenario: fn(u32) -> Scenario, troubles: fn(&mut Rng) -> Vec<Trouble>) -> Vec<Run> {
+    let run = |cells: u32, seed: u64| {
+        let troubles = troubles(&mut Rng::with_seed(seed));
+        (cells, troubles.clone(), play(&scenario(cells), seed, &troubles, None))
+    };
+    let cases: Vec<(u32, u64)> = [1, 3].into_iter().flat_map(|c| (0..seeds()).map(move |s| (c, s))).collect();
+    let share = |t: u64| cases.iter().skip(t as usize).step_by(THREADS as usize).map(|(c, s)| run(*c, *s)).collect();
+    let runs: Vec<(u32, Vec<Trouble>, Run)> = std::thread::scope(|s| {
+        let all: Vec<_> = (0..THREADS).map(|t| s.spawn(move || -> Vec<_> { share(t) })).collect();
+        all.into_iter().flat_map(|t| t.join().expect("a run")).collect()
+    });
+    let broken: Vec<String> = runs
+        .iter()
+        .filter_map(|(cells, troubles, r)| {
+            Some(format!("{cells} cells, seed {}: {}\n  {troubles:?}", r.seed, r.broken.as_ref()?))
+        })
+        .collect();
+    assert!(broken.is_empty(), "{} of {} runs broke a rule:\n{}", broken.len(), runs.len(), broken.join("\n"));
+    runs.into_iter().map(|r| r.2).collect()
+}
+
+fn all(runs: &[Run], of: fn(&Counts) -> u64) -> u64 {
+    runs.iter().map(|r| of(&r.counts)).sum()
+}
+
+/// Machines reach no controller, while direct commands reach them; jobs are cancelled, and the leader changes.
+#[test]
+fn mute_machines_and_a_change_of_leader() {
+    let runs = meets(small, |rng| {
+        let mut troubles = machines(rng, Kind::Mute, 5, BEGINS_S, 4.0..44.0);
+        troubles.extend(change_of_leader(rng, BEGINS_S, 10.0));
+        troubles.push(trouble(BEGINS_S + rng.f64() * 10.0, Kind::CancelNow, rng.usize(0..8), 0.0));
+        troubles
+    });
+    assert!(all(&runs, |c| c.claims) > 2 * runs.len() as u64, "leaders change");
+}
+
+/// A whole zone reaches no controller, and its machines hold what others must not be given meanwhile.
+#[test]
+fn a_mute_zone_and_a_change_of_leader() {
+    meets(small, |rng| {
+        let zone = rng.usize(0..3);
+        let mut troubles = vec![trouble(BEGINS_S, Kind::MuteZone, zone, 10.0 + rng.f64() * 30.0)];
+        troubles.extend(change_of_leader(rng, BEGINS_S, 15.0));
+        troubles
+    });
+}
+
+/// Copies of reports reach every controller just as a new leader begins, also from an earlier session or attempt.
+#[test]
+fn copies_of_reports_for_the_next_leader() {
+    meets(small, |rng| {
+        let mut troubles = vec![trouble(BEGINS_S - 10.0, Kind::CopiesForNextLeader, 0, 40.0)];
+        let at = BEGINS_S + rng.f64() * 5.0;
+        troubles.extend(machines(rng, Kind::Restarts, 4, at, 0.0..0.0));
+        troubles.extend(machines(rng, Kind::DeafToAnswers, 3, at, 25.0..25.0));
+        troubles.extend(change_of_leader(rng, at, 5.0));
+        troubles.extend(change_of_leader(rng, at + 20.0, 5.0));
+        troubles
+    });
+}
+
+/// Old reports, of an earlier session or attempt, come seconds to more than a lease late; machines are lost and
+/// return in the meantime.
+#[test]
+fn old_reports_after_newer_ones() {
+    meets(small, |rng| {
+        let mut troubles = vec![trouble(BEGINS_S - 10.0, Kind::Copies, 0, 50.0)];
+        troubles.extend(machines(rng, Kind::Restarts, 5, BEGINS_S, 0.0..0.0));
+        troubles.extend(machines(rng, Kind::Deaf, 3, BEGINS_S, 30.0..30.0));
+        troubles.extend(machines(rng, Kind::Faulty, 2, BEGINS_S + 5.0, 15.0..15.0));
+        troubles.extend(change_of_leader(rng, BEGINS_S, 30.0));
+        troubles
+    });
+}
+
+/// Jobs are cancelled at the end of their last task, with no other trouble but users who ask everywhere.
+#[test]
+fn cancellations_at_the_end_of_the_last_task() {
+    let runs =
+        meets(small, |_| vec![trouble(0.0, Kind::CancelAtEnd, 0, 60.0), trouble(0.0, Kind::CloseLooks, 0, 60.0)]);
+    assert!(runs.iter().any(|r| r.done > 0) && runs.iter().any(|r| r.cancelled > 0));
+}
+
+/// The same while answers to commits are lost and the leader changes.
+#[test]
+fn cancellations_at_the_end_and_lost_answers() {
+    meets(small, |rng| {
+        let mut troubles = vec![
+            trouble(0.0, Kind::CancelAtEnd, 0, 70.0),
+            trouble(0.0, Kind::CloseLooks, 0, 70.0),
+            trouble(BEGINS_S - 5.0, Kind::LateCommits, 0, 30.0),
+        ];
+        troubles.extend(change_of_leader(rng, BEGINS_S, 10.0));
+        troubles
+    });
+}
+
+/// Jobs are cancelled in the second of a change of leader; their machines hang and go on within their leases.
+#[test]
+fn cancellations_in_the_second_of_a_change_of_leader_with_hanging_machines() {
+    let runs = meets(small, |rng| {
+        let at = BEGINS_S + rng.f64() * 10.0;
+        let mut troubles = change_of_leader(rng, at, 0.0);
+        for _ in 0..3 {
+            let hang_s = 2.0 + rng.f64() * 20.0;
+            troubles.push(trouble(at - 0.5 + rng.f64() * 1.5, Kind::CancelNow, rng.usize(0..8), hang_s));
+        }
+        troubles
+    });
+    assert!(runs.iter().any(|r| r.cancelled > 10));
+}
+
+/// Users ask every controller at once, repeat the submission and cancel, while leaders change and answers are lost.
+#[test]
+fn users_ask_every_controller_while_leaders_change() {
+    meets(small, |rng| {
+        let mut troubles = vec![trouble(0.0, Kind::CloseLooks, 0, 70.0)];
+        troubles.extend(change_of_leader(rng, BEGINS_S, 5.0));
+        troubles.extend(change_of_leader(rng, BEGINS_S + 15.0, 5.0));
+        troubles.push(trouble(BEGINS_S + rng.f64() * 10.0, Kind::LateCommits, 0, 20.0));
+        troubles
+    });
+}
+
+/// Odd requests: jobs that cannot run or lack a field, repeated submissions, cancellations of jobs that are done.
+#[test]
+fn odd_requests_while_leaders_change() {
+    meets(small, |rng| {
+        let mut troubles = vec![trouble(0.0, Kind::OddRequests, 0, 70.0), trouble(0.0, Kind::CloseLooks, 0, 70.0)];
+        troubles.extend(change_of_leader(rng, BEGINS_S, 20.0));
+        troubles.push(trouble(BEGINS_S + rng.f64() * 20.0, Kind::Outage, 0, 10.0));
+        troubles
+    });
+}
+
+/// New machines are up within two seconds and get work at once while writes lag, and the leader ends.
+#[test]
+fn fast_boots_beside_lagging_writes() {
+    let scenario = |cells| Scenario { machines: 3, job_every_s: 0.8, ..small(cells) };
+    meets(scenario, |rng| {
+        let mut troubles = vec![
+            trouble(0.0, Kind::FastBoots, 0, 60.0),
+            trouble(2.0, Kind::LateCommits, 0, 40.0),
+            trouble(2.0, Kind::LateCommands, 0, 30.0),
+        ];
+        troubles.extend(change_of_leader(rng, 4.0, 15.0));
+        troubles.extend(machines(rng, Kind::Hangs, 3, 10.0, 5.0..20.0));
+        troubles
+    });
+}
+
+/// Jobs of two or three tasks end far apart across changes of leader.
+#[test]
+fn few_tasks_end_far_apart_across_changes_of_leader() {
+    let scenario = |cells| Scenario { work: Work::FewTasks, ..small(cells) };
+    let runs = meets(scenario, |rng| {
+        let mut troubles = vec![trouble(0.0, Kind::CloseLooks, 0, 80.0)];
+        troubles.extend(change_of_leader(rng, BEGINS_S, 0.0));
+        troubles.extend(change_of_leader(rng, BEGINS_S + 25.0, 5.0));
+        troubles.extend(machines(rng, Kind::Restarts, 2, BEGINS_S + 10.0, 0.0..0.0));
+        troubles
+    });
+    assert!(runs.iter().any(|r| r.done > 10));
+}
+
+/// Jobs of one task come four a second, and a quarter of them is cancelled.
+#[test]
+fn one_task_jobs_four_a_second() {
+    let scenario = |cells| {
+        let (work, jobs_for_s) = (Work::OneTask, 40.0);
+        Scenario { work, jobs_for_s, job_every_s: 0.25, cancelled: 0.25, ..small(cells) }
+    };
+    let runs = meets(scenario, |rng| {
+        let mut troubles = vec![trouble(0.0, Kind::CancelAtEnd, 0, 20.0), trouble(0.0, Kind::CloseLooks, 0, 30.0)];
+        troubles.extend(change_of_leader(rng, BEGINS_S, 10.0));
+        troubles
+    });
+    assert!(runs.iter().all(|r| r.jobs > 100), "four a second");
+}
+
+/// Every team is at its limit while jobs are cancelled whose machines are cut off or hang, and the leader changes.
+#[test]
+fn every_team_at_its_limit_while_machines_are_cut_off_and_the_leader_changes() {
+    let runs = meets(at_limits, |rng| {
+        let at = BEGINS_S + rng.f64() * 10.0;
+        let mut troubles = change_of_leader(rng, at, 0.0);
+        troubles.push(trouble(at - 1.0, Kind::CancelNow, 7, 5.0 + rng.f64() * 14.0));
+        troubles.push(trouble(at - 2.0, Kind::CutZone, rng.usize(0..3), 5.0 + rng.f64() * 25.0));
+        troubles.push(trouble(at + 1.0, Kind::CancelNow, 3, 10.0));
+        troubles
+    });
+    assert!(runs.iter().any(|r| r.cancelled > 5));
+}
+
+/// Direct commands are held up for seconds and executed late, also those of a leader that was deposed since.
+#[test]
+fn late_commands_of_a_deposed_leader() {
+    let runs = meets(small, |rng| {
+        let mut troubles = vec![trouble(BEGINS_S - 10.0, Kind::LateCommands, 0, 45.0)];
+        troubles.extend(machines(rng, Kind::DeafToAnswers, 4, BEGINS_S, 15.0..15.0));
+        troubles.extend(change_of_leader(rng, BEGINS_S, 10.0));
+        troubles.push(trouble(BEGINS_S + rng.f64() * 15.0, Kind::CancelNow, 7, 6.0));
+        troubles
+    });
+    assert!(runs.iter().any(|r| r.cancelled > 5));
+}
+
+/// Machines with long tasks cannot be reached, or do not hear the new leader's answer, when the leader ends.
+#[test]
+fn long_tasks_on_machines_that_the_new_leader_does_not_reach() {
+    let scenario = |cells| Scenario { work: Work::Long, jobs_for_s: 25.0, ..small(cells) };
+    meets(scenario, |rng| {
+        let at = BEGINS_S + rng.f64() * 5.0;
+        let mut troubles = change_of_leader(rng, at, 0.0);
+        troubles.extend(machines(rng, Kind::DeafToAnswers, 3, at - 1.0, 10.0..35.0));
+        troubles.extend(machines(rng, Kind::DeafToCommands, 3, at - 1.0, 10.0..35.0));
+        troubles.extend(machines(rng, Kind::Hangs, 3, at - 1.0, 5.0..25.0));
+        troubles
+    });
+}
+
+/// Two to five troubles of any kind within seconds of a change of leader.
+#[test]
+fn random_meetings_around_a_change_of_leader() {
+    meets(small, |rng| {
+        let at = BEGINS_S + rng.f64() * 10.0;
+        let mut troubles = change_of_leader(rng, at, 0.0);
+        for _ in 0..rng.usize(2..6) {
+            let kind = rng.usize(0..KINDS.len() + USER_AND_MACHINE_KINDS.len());
+            let kind = *KINDS.iter().chain(&USER_AND_MACHINE_KINDS).nth(kind).expect("a kind");
+            let begins = at - 4.0 + rng.f64() * 8.0;
+            troubles.push(trouble(begins, kind, rng.usize(0..64), 0.2 + rng.f64() * 30.0));
+        }
+        troubles
+    });
+}
