A zone without machines gets one for a job that is bound to it

Cause: the number of machines follows from the demand of all jobs, and new ones are spread over the zones. Where a zone lost its machines and those of the others met the demand, nothing was rented there: a job that may run in that zone only waited for ever (`sizing.rs`, `adjust` and `rent` never look at a job's zone).

Change: `shard/bound_zones.rs`: a job bound to a zone that waits there for eight seconds without a task on a machine, within its team's limit, gets a machine of that zone: a cordoned one is used again, else one is rented. Machines of that zone are not cordoned meanwhile, and not its last one while such a job is open.

--- a/crates/model/tests/meetings_machines.rs
+++ b/crates/model/tests/meetings_machines.rs
@@ -203,6 +203,19 @@
     });
 }
 
+/// Jobs bound to one zone, services and arrays, lose machines.
+#[test]
+fn one_zone_jobs_lose_machines() {
+    let scenario = |cells| Scenario { work: Work::OneZone, ..small(cells) };
+    meets(scenario, |rng| {
+        let mut troubles = machines(rng, Kind::Dies, 3, BEGINS_S, 0.0..0.0);
+        troubles.extend(machines(rng, Kind::Restarts, 3, BEGINS_S + 3.0, 0.0..0.0));
+        troubles.push(trouble(BEGINS_S + rng.f64() * 5.0, Kind::CutZone, rng.usize(0..3), 10.0 + rng.f64() * 20.0));
+        troubles.extend(change_of_leader(rng, BEGINS_S, 15.0));
+        troubles
+    });
+}
+
 /// Jobs of two or three tasks end far apart across changes of leader.
 #[test]
 fn few_tasks_end_far_apart_across_changes_of_leader() {
--- a/crates/scheduler/src/shard/mod.rs
+++ b/crates/scheduler/src/shard/mod.rs
@@ -4,6 +4,7 @@
 //! and what is wanted comes out as writes, commands and cloud calls that the
 //! node's loops carry out. Traces in tests/ drive it directly.
 
+mod bound_zones;
 mod cell;
 mod compare;
 mod elastic;
@@ -138,6 +139,7 @@
     pub(crate) all_mute: bool,
     /// When all machines of a zone were last asked whether they are there.
     zones_asked: BTreeMap<ZoneIx, f64>,
+    bound_zones: bound_zones::BoundZones,
     /// The time of day at the steady clock's zero, in milliseconds.
     pub day_ms: f64,
     pub report_s: f64,
--- a/crates/scheduler/src/shard/sizing.rs
+++ b/crates/scheduler/src/shard/sizing.rs
@@ -388,7 +388,7 @@
     }
 
     /// The cheapest type on which a job's tasks fit.
-    fn pool_of(&self, r: &crate::wire::JobRequest) -> Option<TypeIx> {
+    pub(super) fn pool_of(&self, r: &crate::wire::JobRequest) -> Option<TypeIx> {
         (0..self.types.list.len()).map(TypeIx::new).filter(|&t| type_fits(r, self.types.get(t))).min_by(|&a, &b| {
             let cost = |t: TypeIx| {
                 let p = self.types.get(t);
@@ -460,6 +460,9 @@
             let pending = self.launches.pending_count(false);
             self.adjust(ty, false, mix.base + mix.fallback, ordinary_now, pending, now);
         }
+        if gathered {
+            self.serve_bound_zones(now);
+        }
         // A replica stopped while nothing can be written would stay down: its start
         // elsewhere needs the machine's record first.
         if self.writable && now - self.moved_at >= MOVE_EVERY_S {
@@ -526,7 +529,12 @@
                 })
                 .collect();
             spare.sort_by(|a, b| (a.0, a.1).cmp(&(b.0, b.1)).then(a.2.total_cmp(&b.2)));
-            for (_, _, _, i) in spare.into_iter().take(there - wanted) {
+            let mut in_zones: BTreeMap<ZoneIx, usize> = BTreeMap::new();
+            for (_, m) in self.machines.iter().filter(|(_, m)| m.ty == ty && m.spot == spot && staying(m, now)) {
+                *in_zones.entry(m.zone).or_default() += 1;
+            }
+            let spare = spare.into_iter().map(|(_, _, _, i)| (self.machines.at(i).zone, i));
+            for i in self.bound_zones.may_go(spare, in_zones, there - wanted) {
                 self.machines.at_mut(i).cordoned = true;
             }
         }
@@ -656,6 +664,6 @@
 }
 
 /// Does this machine count as part of the fleet?
-fn staying(m: &Machine, now: f64) -> bool {
+pub(super) fn staying(m: &Machine, now: f64) -> bool {
     present(m) && !m.unproven && !m.cordoned && m.notice_until.is_none() && now >= m.quarantined_until
 }
--- a/crates/scheduler/src/shard/takeover.rs
+++ b/crates/scheduler/src/shard/takeover.rs
@@ -71,6 +71,7 @@
             stages: Stages::default(),
             all_mute: false,
             zones_asked: BTreeMap::new(),
+            bound_zones: Default::default(),
             fresh: loaded.machines.is_empty() && loaded.racks.is_empty(),
             day_ms: 0.0,
             report_s: s.report_s,
