A large job that waits long in a cell goes where one of its tasks has room

Cause: a job went to another cell only if the whole of it fitted half of the room that the cell told. One larger than that stayed in a cell without machines for ever while a machine of another cell stood idle and nothing more could be rented (`cells/src/spill.rs`, `spills`).

Change: once it has waited for a boot and twice `spill_after_s`, room for one of its tasks is enough.

--- a/crates/cells/src/spill.rs
+++ b/crates/cells/src/spill.rs
@@ -20,6 +20,8 @@
     pub job: J,
     /// Of all its tasks together.
     pub cpus: f64,
+    /// Of one of them.
+    pub task_cpus: f64,
     pub waited_s: f64,
     pub moves: u8,
 }
@@ -53,9 +55,12 @@
         // on machines, or of a kind, that it may not use.
         let waits_long = w.waited_s >= boot_s + 2.0 * plan.spill_after_s;
         let here_s = mine.expected_start_s(w.cpus, boot_s).max(if waits_long { w.waited_s } else { 0.0 });
-        let best = room.iter_mut().filter(|r| r.1 >= w.cpus).max_by(|a, b| a.1.total_cmp(&b.1));
+        // A job that is larger than any cell's room would wait for ever in one without machines: after so long
+        // it goes where it can begin.
+        let needs = if waits_long { w.task_cpus } else { w.cpus };
+        let best = room.iter_mut().filter(|r| r.1 >= needs).max_by(|a, b| a.1.total_cmp(&b.1));
         let Some((cell, left, p)) = best else { continue };
-        if p.expected_start_s(w.cpus, boot_s) + plan.spill_gain_s <= here_s {
+        if p.expected_start_s(needs, boot_s) + plan.spill_gain_s <= here_s {
             *left -= w.cpus;
             out.push((w.job.clone(), *cell));
         }
--- a/crates/cells/tests/cells.rs
+++ b/crates/cells/tests/cells.rs
@@ -142,7 +142,13 @@
 #[test]
 fn what_waits_goes_where_it_starts_sooner_and_not_round_and_round() {
     let plan = Plan::of(3);
-    let w = |job: &'static str, cpus: f64, waited_s: f64, moves: u8| Waiting { job, cpus, waited_s, moves };
+    let w = |job: &'static str, cpus: f64, waited_s: f64, moves: u8| Waiting {
+        job,
+        cpus,
+        task_cpus: cpus,
+        waited_s,
+        moves,
+    };
     let mine = picture(0, 5.0, 400.0);
     let others = [picture(1, 100.0, 20.0), picture(2, 30.0, 0.0)];
     let waiting =
@@ -164,6 +170,17 @@
     assert!(spills(&plan, &moved, &others, &waiting[..1], 5.0).is_empty(), "machines of its own are there sooner");
 }
 
+/// A job that was larger than half of what any cell had room for stayed in a cell without machines for ever.
+#[test]
+fn a_job_larger_than_any_room_goes_where_it_can_begin_once_it_has_waited_long() {
+    let plan = Plan::of(3);
+    let large = |waited_s| [Waiting { job: "large", cpus: 44.0, task_cpus: 4.0, waited_s, moves: 0 }];
+    let (mine, others) = (Picture { held: 0.0, ..picture(0, 0.0, 44.0) }, [picture(1, 32.0, 0.0)]);
+    assert!(spills(&plan, &mine, &others, &large(24.0), 15.0).is_empty(), "it waits for machines of its own");
+    assert_eq!(spills(&plan, &mine, &others, &large(25.0), 15.0), [("large", CellIx(1))]);
+    assert!(spills(&plan, &mine, &[picture(1, 7.0, 0.0)], &large(25.0), 15.0).is_empty(), "no room for a task");
+}
+
 /// A cell as the property knows it.
 #[derive(Debug, Clone, Default)]
 struct Cell {
--- a/crates/model/tests/meetings_machines.rs
+++ b/crates/model/tests/meetings_machines.rs
@@ -216,6 +216,24 @@
     });
 }
 
+/// There is more work than room, over slow links, and the leader changes.
+#[test]
+fn more_work_than_room_over_slow_links() {
+    let scenario = |cells| {
+        let teams = vec![
+            Team { name: "red".into(), cpus: 40.0, cpus_max: 120.0 },
+            Team { name: "blue".into(), cpus: 0.0, cpus_max: 0.0 },
+        ];
+        Scenario { machines: 6, most_machines: 6, job_every_s: 0.4, room: false, teams, ..small(cells) }
+    };
+    meets(scenario, |rng| {
+        let mut troubles = vec![trouble(0.0, Kind::SlowLinks, 0, 60.0)];
+        troubles.extend(change_of_leader(rng, BEGINS_S, 10.0));
+        troubles.push(trouble(BEGINS_S + rng.f64() * 20.0, Kind::CancelNow, 7, 10.0));
+        troubles
+    });
+}
+
 /// Jobs of two or three tasks end far apart across changes of leader.
 #[test]
 fn few_tasks_end_far_apart_across_changes_of_leader() {
--- a/crates/scheduler/src/shard/cell.rs
+++ b/crates/scheduler/src/shard/cell.rs
@@ -91,6 +91,7 @@
         let waiting = |job: &Job| Waiting {
             job: job.ix,
             cpus: f64::from(job.spec.tasks) * job.spec.cpus,
+            task_cpus: job.spec.cpus,
             waited_s: now_ms.saturating_sub(job.freed_ms) as f64 / 1000.0,
             moves: job.moves,
         };
