--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -10,29 +10,40 @@
 //! - `controllers`, `between`: the shell's part around the decisions, of one cell and between several
 //! - `claims`, `transactions`: leases, claims and writes on their way to the state service and back
 //! - `machines`, `store`, `users`, `messages`: the stand-ins
-//! - `rules`: what must not be
+//! - `questions`, `odd_requests`, `late_reports`, `spells`: troubles that users, machines and reports bring
+//! - `rules`, `cancelled`, `waiting`: what must not be
+//! - `wrong_decisions`: decisions that are wrong on purpose
 //! - [`report`]: what came of it
 //! - [`stored`]: what a successor reads of the state service's keys
 
 mod between;
+mod cancelled;
 mod claims;
 mod controllers;
+mod late_reports;
 mod machines;
 mod messages;
+mod odd_requests;
+mod questions;
 pub mod report;
 mod rules;
 pub mod scenario;
+mod spells;
 mod store;
 pub mod stored;
 mod transactions;
 pub mod trouble;
 mod users;
+mod waiting;
+mod work;
 mod world;
+mod wrong_decisions;
 
 pub use lupinspur_files::Fault;
 pub use report::{Counts, Run, play, simulate};
 pub use scenario::Scenario;
-pub use trouble::{CONTROLLER_KINDS, KINDS, Kind, OWNER, SAME_OWNER, Trouble, Wrong};
+pub use trouble::{CONTROLLER_KINDS, KINDS, Kind, OWNER, SAME_OWNER, Trouble, USER_AND_MACHINE_KINDS, Wrong};
+pub use work::Work;
 
 /// Seconds between two looks at everything.
 const STEP: f64 = 0.05;
@@ -48,3 +59,5 @@
 const ANSWERED_WITHIN_S: f64 = 30.0;
 /// And within how long after all troubles every job has begun, where there is room for all of them.
 const BEGUN_WITHIN_S: f64 = 100.0;
+/// How long after all troubles a job may wait while a machine has room for it and its team is under its limit.
+const WAITS_WITHIN_S: f64 = 90.0;
