Nothing is told of a job that is cancelled with its need until that is stored

Cause: an owner told such a job as queued until the write of its end was sent. After an outage longer than cancel_s, or a takeover after one, a question that came before that write was answered queued more than cancel_s after the word on the job before it (orphaned). With many such jobs the writes take seconds.

Change: Shard::show says that it is being stored from the moment that the owner knows of it; a user's own cancellation of such a job changes nothing of that, and its write presses.

--- a/crates/scheduler/src/shard/mod.rs
+++ b/crates/scheduler/src/shard/mod.rs
@@ -247,8 +247,10 @@
     pub fn show(&self, id: &str) -> Option<Shown> {
         let j = self.jobs.at(self.jobs.find(id)?);
         // Another node may have read the final phase already, and told it: a slow answer
-        // to our write once made a cancelled job "queued" again.
-        if j.phase == Phase::Open && (j.final_sent || j.leaving) {
+        // to our write once made a cancelled job "queued" again. One that is cancelled with a job
+        // that it needs may be told neither as it was, long after that one's user was told, nor as
+        // cancelled before that is stored.
+        if j.phase == Phase::Open && (j.final_sent || j.leaving || j.doomed.is_some()) {
             return Some(Shown::Settling);
         }
         Some(Shown::Told(j.state(), u64::from(j.done), u64::from(j.running)))
@@ -267,8 +269,9 @@
             self.finals.insert(j);
             self.stop_all(j);
         }
-        // Its user waits for the answer now.
-        self.jobs.at_mut(j).doomed = None;
+        // Its user waits for the answer now, whatever else it is cancelled for.
+        let doomed = &mut self.jobs.at_mut(j).doomed;
+        *doomed = doomed.map(|_| f64::MIN);
         true
     }
 
