A job whose move to another cell is in doubt is looked up until its record tells whose it is

Cause: after a move that was lost and then failed, one look told whether the job is the other cell's. Where that look got no answer the job stayed set aside: started by nobody, and told as unable by its owner, until the next takeover.

Change: Cell::is_elsewhere asks until there is an answer or the claim is lost, as for the shares.

--- a/src/node/between.rs
+++ b/src/node/between.rs
@@ -537,6 +537,22 @@
         }
     }
 
+    /// Is this job another cell's, as its record tells? Asked until there is an answer: one that stays
+    /// here, set aside for the other cell, would be started by nobody. None where the claim is lost, or
+    /// the record can't be read.
+    async fn is_elsewhere(&self, token: u64, key: &str) -> Option<bool> {
+        while lock(&self.own).token() == Some(token) {
+            match self.state.get(key, Turn::InTurn).await {
+                Ok(item) => {
+                    let record = item.and_then(|i| job_of(&i.key, &i.value).ok())?;
+                    return Some(self.cell_of_record(&record) != self.ix);
+                }
+                Err(_) => Timer::after(Duration::from_millis(300)).await,
+            };
+        }
+        None
+    }
+
     /// Waiting work goes to cells where it starts sooner, whole and one job at a time.
     async fn let_go(self: &Arc<Self>, token: u64, plan: &lupinspur_cells::Plan, mine: &Picture) {
         let others = self.fresh_pictures(plan, mine.at_ms);
@@ -575,10 +591,7 @@
             let stored = self.part_with(token, (ledger, version), given, conditions, changes).await;
             // Its own record has the last word on whose it is.
             let theirs = match stored {
-                Some(true) | None => match self.state.get(&key, Turn::InTurn).await {
-                    Ok(Some(i)) => job_of(&i.key, &i.value).ok().map(|r| self.cell_of_record(&r) != self.ix),
-                    _ => None,
-                },
+                Some(true) | None => self.is_elsewhere(token, &key).await,
                 Some(false) => Some(false),
             };
             match theirs {
--- a/tests/claims.rs
+++ b/tests/claims.rs
@@ -63,12 +63,26 @@
     revision: u64,
     /// Transactions of owners are carried out, and their answers are lost.
     loses_answers: bool,
+    conflict: Option<Conflict>,
 }
 
+/// The first transaction on this key is lost, and the shares of limits change before it is sent again. The
+/// next look at the key is refused.
+struct Conflict {
+    key: &'static str,
+    lost: bool,
+    refused: bool,
+}
+
+const SHARES_KEY: &str = "cells/escrow";
+/// The test itself tells how it stands with the second cell.
+const TOLD_BY_TEST: &str = "cells/pic/1";
+
 /// Is this transaction an owner's? Those are conditional on its claim.
 fn is_fenced(transaction: &Value) -> bool {
     let conditions = transaction["if"].as_array().into_iter().flatten();
-    conditions.into_iter().any(|c| c["path"] == CLAIM_KEY && c["stamp"] != 0)
+    let claim = |c: &Value| c["path"].as_str().is_some_and(|p| p == CLAIM_KEY || p.starts_with("own/c/"));
+    conditions.into_iter().any(|c| claim(c) && c["stamp"] != 0)
 }
 
 impl Store {
@@ -78,6 +92,32 @@
         self.events.push(json!({"drop": key, "stamp": self.revision}));
     }
 
+    fn put(&mut self, key: &str, value: Value, lease: Option<u64>) {
+        self.events.push(json!({"set": key, "v": value, "stamp": self.revision}));
+        self.values.insert(key.to_owned(), StoredValue { value, version: self.revision, lease });
+    }
+
+    fn put_anew(&mut self, key: &str, value: Value) {
+        self.revision += 1;
+        self.put(key, value, None);
+    }
+
+    /// Is this the transaction that is to be lost? The shares have changed then.
+    fn loses(&mut self, transaction: &Value) -> bool {
+        let key = &transaction["writes"][0]["set"];
+        let wanted = |c: &&mut Conflict| !c.lost && *key == c.key && is_fenced(transaction);
+        let Some(conflict) = self.conflict.as_mut().filter(wanted) else { return false };
+        conflict.lost = true;
+        let shares = self.values.get(SHARES_KEY).map(|v| v.value.clone()).expect("shares");
+        self.put_anew(SHARES_KEY, shares);
+        true
+    }
+
+    fn refuses(&mut self, key: &str) -> bool {
+        let wanted = |c: &&mut Conflict| c.key == key && c.lost && !c.refused;
+        self.conflict.as_mut().filter(wanted).map(|c| c.refused = true).is_some()
+    }
+
     fn expire_leases(&mut self) {
         let over: Vec<u64> =
             self.leases.iter().filter(|(_, l)| l.renewed_at.elapsed() > l.life).map(|(id, _)| *id).collect();
@@ -107,9 +147,9 @@
         self.revision += 1;
         for w in writes {
             if let Some(key) = w["set"].as_str() {
-                let stored = StoredValue { value: w["v"].clone(), version: self.revision, lease: w["tether"].as_u64() };
-                self.values.insert(key.to_owned(), stored);
-                self.events.push(json!({"set": key, "v": w["v"], "stamp": self.revision}));
+                if key != TOLD_BY_TEST {
+                    self.put(key, w["v"].clone(), w["tether"].as_u64());
+                }
             } else if let Some(key) = w["drop"].as_str() {
                 self.values.remove(key);
                 self.events.push(json!({"drop": key, "stamp": self.revision}));
@@ -155,7 +195,10 @@
     let body: Value = serde_json::from_slice(&request.body).unwrap_or_default();
     match (request.method, first, rest) {
         (Method::Get, "kv", Some(key)) => {
-            let s = lock(&store);
+            let mut s = lock(&store);
+            if s.refuses(key) {
+                return Outgoing::json(503, &json!({"error": "not now"}));
+            }
             match s.values.get(key) {
                 Some(v) => Outgoing::json(200, &json!({"path": key, "v": v.value, "stamp": v.version})),
                 None => Outgoing::json(404, &json!({"almanac": s.revision})),
@@ -166,6 +209,9 @@
             if body["writes"][0]["set"] == CLAIM_KEY {
                 Timer::after(CLAIM_TAKES).await;
             }
+            if lock(&store).loses(&body) {
+                Timer::after(Duration::from_secs(30)).await;
+            }
             let answer = lock(&store).commit(&body);
             if is_fenced(&body) && lock(&store).loses_answers {
                 Timer::after(Duration::from_secs(30)).await;
@@ -227,6 +273,11 @@
 impl Controllers {
     /// So many controllers, which begin together; the state service takes so many requests a second.
     fn start(name: &str, count: usize, requests_per_s: f64) -> Controllers {
+        Controllers::start_with(name, count, requests_per_s, None)
+    }
+
+    /// The same, with a file of cells.
+    fn start_with(name: &str, count: usize, requests_per_s: f64, cells: Option<&str>) -> Controllers {
         static RUNS: Once = Once::new();
         RUNS.call_once(|| {
             std::thread::spawn(|| async_io::block_on(EXECUTOR.run(std::future::pending::<()>())));
@@ -239,6 +290,10 @@
         let peers: Vec<SocketAddr> = (0..count).map(|_| free_address()).collect();
         let folder = std::env::temp_dir().join(format!("lupinspur-{name}-{}", std::process::id()));
         std::fs::create_dir_all(&folder).expect("a folder");
+        let cells_file = folder.join("cells.toml");
+        if let Some(text) = cells {
+            std::fs::write(&cells_file, text).expect("a file of cells");
+        }
         let begin = |i: usize| {
             let others = (0..count).filter(|j| *j != i);
             let others: String = others
@@ -255,7 +310,11 @@
             );
             let file = folder.join(format!("n{i}.toml"));
             std::fs::write(&file, text).expect("a settings file");
-            Command::new(env!("CARGO_BIN_EXE_lupinspur"))
+            let mut program = Command::new(env!("CARGO_BIN_EXE_lupinspur"));
+            if cells.is_some() {
+                program.arg("--cells").arg(&cells_file);
+            }
+            program
                 .arg("--config")
                 .arg(file)
                 .env("LOG_LEVEL", std::env::var("TEST_LOG").unwrap_or("error".into()))
@@ -372,6 +431,37 @@
     assert!(started, "no start in {:?}", began.elapsed());
 }
 
+/// A job goes to another cell; the transaction is lost, is sent again and fails, and the look that would
+/// tell whose the job is gets no answer. The job once stayed set aside for good: nobody started it.
+#[test]
+fn a_job_whose_way_to_another_cell_is_in_doubt_is_not_set_aside_for_good() {
+    const KEY: &str = "job/req-000009";
+    let cells = "cells = 2\npicture_s = 0.5\nspill_after_s = 0.5\nspill_gain_s = 1.0\n\
+        [[team]]\nname = \"red\"\ncell = 0\n";
+    let controllers = Controllers::start_with("set-aside", 2, 400.0, Some(cells));
+    let in_time = |what: &str, done: &dyn Fn(&mut Store) -> bool| {
+        let began = Instant::now();
+        while !done(&mut lock(&controllers.store)) {
+            assert!(began.elapsed() < Duration::from_secs(20), "{what}");
+            std::thread::sleep(Duration::from_millis(100));
+        }
+    };
+    in_time("both cells are owned", &|s| s.values.contains_key("own/c/0") && s.values.contains_key("own/c/1"));
+    lock(&controllers.store).conflict = Some(Conflict { key: KEY, lost: false, refused: false });
+    // Without machines it waits in its own cell; the other one has room.
+    assert_eq!(controllers.submit(0, "req-000009"), 201);
+    let moved = |s: &mut Store| {
+        let at_ms = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).expect("a time").as_millis();
+        let picture = json!({"cell": 1, "token": 1, "at_ms": at_ms as u64, "room": 100.0, "idle": 0.0, "waits": 0.0,
+            "held": 0.0, "boots": 0.0, "longest_s": 0.0, "teams": {}});
+        s.put_anew(TOLD_BY_TEST, picture);
+        s.values[KEY].value["cell"] == 1
+    };
+    in_time("it goes to the other cell after all", &moved);
+    let met = lock(&controllers.store).conflict.as_ref().is_some_and(|c| c.lost && c.refused);
+    assert!(met, "the trouble was met");
+}
+
 /// Guards against counting on a value that a transaction still under way may replace: one that stands at
 /// the version that the write was conditional on, whatever is in it.
 #[test]
