A stop that was lost is sent again where only direct calls arrive

Cause: a stop is sent directly once and then repeated in replies to reports. A machine whose reports reach no controller gets no replies: when the direct call was lost, a cancelled task ran until the lease was over, though the machine answered direct questions. Each direct call also counted as one that carried every stop (stop_sent), whether it did or not: a start that came late after its stop was not stopped directly. Change: stop_again, after each direct answer; only stops in the commands count as sent.

--- a/crates/scheduler/src/shard/reports.rs
+++ b/crates/scheduler/src/shard/reports.rs
@@ -44,6 +44,8 @@
 const DIRECT_PAUSE_S: f64 = 4.0;
 /// A machine whose report is overdue is asked again sooner.
 const ASKED_AGAIN_S: f64 = 0.3;
+/// A task that was told to stop is seen to have ended, or to save, within this.
+const STOPS_WITHIN_S: f64 = 3.0;
 const MOST_COMMANDS: usize = 200;
 /// Workers drop a reply that takes 4 s.
 const REPLY_DROPPED_S: f64 = 6.0;
@@ -565,6 +567,7 @@
         let (Some(addr), true) = (addr, fit) else { return None };
         let mut commands = Vec::new();
         let mut starts = Vec::new();
+        let mut stops = Vec::new();
         if !probing {
             for (k, h) in &machine.tasks {
                 match (h.state, h.stop) {
@@ -574,6 +577,7 @@
                     }
                     (HeldState::Fetching | HeldState::Running | HeldState::Saving, Some(g)) if h.stop_sent < 0.0 => {
                         commands.push(self.command(Op::Stop, *k, h.attempt, Some(g)));
+                        stops.push(*k);
                     }
                     _ => {}
                 }
@@ -603,8 +607,8 @@
         }
         // An earlier command with the same start may still arrive, whatever becomes of this one.
         starts.retain(|(k, attempt)| machine.loose.insert(*k, *attempt) != Some(*attempt));
-        for h in machine.tasks.values_mut() {
-            if h.stop.is_some() {
+        for k in &stops {
+            if let Some(h) = machine.tasks.get_mut(k) {
                 h.stop_sent = now;
             }
         }
@@ -613,6 +617,23 @@
         Some(DirectSend { machine: m, addr, body: DirectCommands { token, session, commands }, starts })
     }
 
+    /// The machine answers, and what it was told to stop a while ago runs still: the command was lost. Replies to
+    /// its reports repeat it, and those may not come.
+    fn stop_again(&mut self, m: MachineIx, now: f64) {
+        let machine = self.machines.at_mut(m);
+        let saves = |h: &Held| h.state == HeldState::Saving && h.stop.is_some_and(|grace| grace > 0.0);
+        let mut lost = false;
+        for h in machine.tasks.values_mut().filter(|h| h.stop.is_some() && h.state.begun() && !saves(h)) {
+            if now - h.stop_sent > STOPS_WITHIN_S {
+                h.stop_sent = -1.0;
+                lost = true;
+            }
+        }
+        if lost {
+            self.machines.direct_due.insert(m);
+        }
+    }
+
     /// What became of commands sent directly.
     pub fn on_direct(&mut self, sent: &DirectSend, outcome: Direct, now: f64) {
         let m = sent.machine;
@@ -643,6 +664,7 @@
                 } else if machine.tasks.values().any(|h| h.sent < 0.0 && h.state == HeldState::Commanded) {
                     self.machines.direct_due.insert(m);
                 }
+                self.stop_again(m, now);
             }
             Direct::NotSent | Direct::Unknown => {
                 machine.unanswered += 1;
