--- a/tests/loopback/cluster.rs
+++ b/tests/loopback/cluster.rs
@@ -170,6 +170,7 @@
                 deleted: false,
                 deaf: false,
                 deaf_to_commands: false,
+                mute: false,
                 command_delay: Duration::ZERO,
                 commands_held_up: 0,
                 saves: Duration::ZERO,
--- a/tests/loopback/meetings_refusal.rs
+++ b/tests/loopback/meetings_refusal.rs
@@ -97,8 +97,9 @@
 }
 
 /// Six services are cancelled while the state service refuses the leader alone, four of them through
-/// the new leader without the old one; as soon as the last is confirmed it refuses everybody for longer than `cancel_s`. One worker hears only answers, one
-/// only commands, one hangs within its lease and one for longer: no task of the cancelled services
+/// the new leader without the old one; as soon as the last is confirmed it refuses everybody for
+/// longer than `cancel_s`. One worker hears only answers, one only commands, one reaches no
+/// controller, one hangs within its lease and one for longer: no task of the cancelled services
 /// outlives `cancel_s` on any of them, and none starts afterwards.
 fn cancelled_tasks_are_gone(name: &str, old_leader: OldLeader) {
     let mut cluster = Cluster::start(name, Size { cancel: CANCEL, cuttable: true, ..Size::of(3, 12, 4) });
@@ -111,7 +112,7 @@
     let whole = |from: usize| (from..SERVICE_COUNT).all(|i| cluster.running(&service_id(i)) == REPLICAS as usize);
     wait_until("services are not whole", WHOLE_WITHIN, || whole(0));
     let leader = cluster.until_owned();
-    let chosen = busiest(&cluster, 4);
+    let chosen = busiest(&cluster, 5);
 
     lock(&cluster.store).faults.refused.insert(leader);
     cluster.links.isolate(leader, old_leader == OldLeader::IsCutOff);
@@ -119,6 +120,7 @@
         let mut workers = lock(&cluster.workers);
         workers[chosen[0]].deaf_to_commands = true;
         workers[chosen[1]].deaf = true;
+        workers[chosen[4]].mute = true;
     }
     let mut confirmed = cancel(&listen, 0..CANCELLED_AT_ONCE);
     assert_ne!(cluster.owner(), Some(leader), "nobody took over, and all was confirmed");
@@ -158,7 +160,7 @@
     }
     cluster.links.isolate(leader, false);
     for w in lock(&cluster.workers).iter_mut() {
-        (w.deaf, w.deaf_to_commands) = (false, false);
+        (w.deaf, w.deaf_to_commands, w.mute) = (false, false, false);
     }
 
     let cancelled = |s: u16, v: &Value| s == 200 && v["bloom"] == "cancelled";
--- a/tests/loopback/workers.rs
+++ b/tests/loopback/workers.rs
@@ -38,6 +38,8 @@
     /// It says what it has to say, and nothing that is said to it arrives: in answers, in commands.
     pub deaf: bool,
     pub deaf_to_commands: bool,
+    /// It reaches no controller, and commands reach it.
+    pub mute: bool,
     /// Commands are executed so long after they came, and never answered.
     pub command_delay: Duration,
     /// Messages with commands that were held up so far.
@@ -169,10 +171,10 @@
             if me.deleted {
                 return;
             }
-            (!me.hangs).then(|| {
+            if !me.hangs {
                 me.look_at_lease();
-                (me.report(), me.session)
-            })
+            }
+            (!me.hangs && !me.mute).then(|| (me.report(), me.session))
         };
         let Some((report, session)) = said else {
             Timer::after(Duration::from_millis(20)).await;
