--- a/tests/loopback/meetings_answers.rs
+++ b/tests/loopback/meetings_answers.rs
@@ -35,6 +35,9 @@
         let again = round % 3 == 2 && answers.known(id) != Known::Nothing;
         let request = if again { Request::Submit(&submission) } else { Request::Poll };
         let state = answers.ask(&user, cluster.listen[node], id, request);
+        if state.as_deref() == Some("done") {
+            assert!(cluster.has_begun(id) && cluster.running(id) == 0, "{id} is called done before it is");
+        }
         if known_since.is_none() && state.is_some_and(|s| s == "done" || s == "cancelled") {
             known_since = Some(Instant::now());
         }
