--- a/crates/scheduler/tests/owner/main.rs
+++ b/crates/scheduler/tests/owner/main.rs
@@ -2,6 +2,7 @@
 //! (`tests/guards/` at the root, `scripts/guards`). Longer stories stand in the golden traces.
 
 mod cancelling;
+mod checkpoint;
 mod placing;
 mod reports;
 mod starts;
