--- a/crates/scheduler/tests/owner/takeover.rs
+++ b/crates/scheduler/tests/owner/takeover.rs
@@ -91,6 +91,10 @@
     world.stored_rack(1, "h1", &["req-2"], false);
     world.take_over(100.0);
     assert!(!started_on_h2(&mut world, 100.1, 105.0), "both jobs wait for h1");
+    world.hear(&report_of("h1", (1, 5), NEXT_TOKEN, &[]), 105.1);
+    world.tick_until(105.2, 106.0);
+    let placed = world.machine("h1").tasks.len() + world.machine("h2").tasks.len();
+    assert_eq!(placed, 2, "it holds neither: no job goes on waiting for it");
 }
 
 /// retiring-stays: its deletion may be on its way.
