--- a/crates/model/tests/meetings.rs
+++ b/crates/model/tests/meetings.rs
@@ -246,3 +246,53 @@
         assert!(broken.is_empty(), "over {cells} cells: {broken:#?}");
     }
 }
+
+/// Jobs are cancelled at the moment at which the state service refuses the leader, a second before it is down.
+#[test]
+fn cancelled_as_the_leader_is_refused_a_second_before_the_outage() {
+    let refused = at(30.0, Kind::RefusedByState, OWNER, 14.0);
+    let troubles = [refused, at(29.7, Kind::CancelServices, 0, 0.6), at(31.0, Kind::Outage, 0, LONG_OUTAGE_S)];
+    no_rule_is_broken(&troubles);
+}
+
+/// The same while answers of the state service are lost, so that the leader doesn't know what it stored.
+#[test]
+fn cancelled_with_lost_answers_as_the_leader_is_refused_before_the_outage() {
+    let lost = at(28.0, Kind::LostAnswers, 0, 4.0);
+    let troubles = [
+        lost,
+        at(29.0, Kind::CancelServices, 0, 1.0),
+        at(30.0, Kind::RefusedByState, OWNER, 14.0),
+        at(32.0, Kind::Outage, 0, LONG_OUTAGE_S),
+    ];
+    no_rule_is_broken(&troubles);
+}
+
+/// Work is handed over and back, then all controllers end, and one returns within a second.
+#[test]
+fn hands_over_and_back_then_all_end_and_one_returns() {
+    let hands = [20.0, 26.0].map(|t| at(t, Kind::StepsDown, OWNER, 1.0));
+    let ends = [at(28.0, Kind::CancelServices, 0, 2.0), at(29.0, Kind::AllEnd, SAME_OWNER, PAST_A_LEASE_S)];
+    no_rule_is_broken(&with(hands.to_vec(), ends));
+}
+
+/// A leader ends while a zone's machines with long tasks cannot be reached.
+#[test]
+fn leader_ends_while_a_zone_cannot_be_reached() {
+    let cut = at(28.0, Kind::CutZone, 0, 15.0);
+    no_rule_is_broken(&[cut, at(30.0, Kind::Ends, OWNER, 50.0), at(31.0, Kind::CancelServices, 0, 4.0)]);
+}
+
+/// Every team is at its limit while jobs are cancelled whose machines hang, and the leader changes.
+#[test]
+fn teams_at_their_limits_while_machines_hang_and_the_leader_changes() {
+    let hangs = (0..4).map(|m| at(28.0, Kind::Hangs, m, 15.0));
+    let changes = [at(29.0, Kind::CancelServices, 0, 1.0), at(30.0, Kind::Ends, OWNER, 50.0)];
+    let troubles = with(changes.to_vec(), hangs);
+    for cells in [1, 3] {
+        let mut scenario = Scenario { room: false, job_every_s: 0.6, services_cpus: 16.0, ..deployment(cells) };
+        scenario.teams.iter_mut().for_each(|t| (t.cpus, t.cpus_max) = (12.0, 24.0));
+        let broken = broken(&scenario, &troubles, None);
+        assert!(broken.is_empty(), "over {cells} cells: {broken:#?}");
+    }
+}
