--- /dev/null
+++ b/src/http/client.rs
@@ -0,0 +1,114 @@
+//! Calls to other services, over a small pool of open connections.
+
+use super::{Conn, timed};
+use futures_lite::AsyncReadExt;
+use http_types::{Body, Method, Request, Url};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::time::{Duration, Instant};
+
+/// Largest response body that is read (a watch may return many changes).
+const MAX_RESPONSE: u64 = 16 * 1024 * 1024;
+const POOL_IDLE: Duration = Duration::from_secs(20);
+
+/// How a call went wrong.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum CallError {
+    #[error("could not connect")]
+    NotSent,
+    #[error("no answer")]
+    NoAnswer,
+}
+
+/// A client with a small pool of open connections per address.
+pub struct Client {
+    idle: Mutex<Idle>,
+    per_addr: usize,
+    /// Most idle connections in all.
+    most: usize,
+}
+
+#[derive(Default)]
+struct Idle {
+    open: HashMap<SocketAddr, Vec<(Conn, Instant)>>,
+    count: usize,
+    swept: Option<Instant>,
+}
+
+impl Client {
+    pub fn new(per_addr: usize, most: usize) -> Client {
+        Client { idle: Mutex::default(), per_addr, most }
+    }
+
+    fn pooled(&self, addr: SocketAddr) -> Option<Conn> {
+        let mut idle = self.idle.lock().unwrap_or_else(|e| e.into_inner());
+        loop {
+            let (c, since) = idle.open.get_mut(&addr)?.pop()?;
+            idle.count -= 1;
+            if since.elapsed() < POOL_IDLE {
+                return Some(c);
+            }
+        }
+    }
+
+    fn keep(&self, addr: SocketAddr, c: Conn) {
+        let mut idle = self.idle.lock().unwrap_or_else(|e| e.into_inner());
+        let now = Instant::now();
+        // Now and then, not for each call: there may be hundreds of addresses.
+        if idle.swept.is_none_or(|t| now - t > POOL_IDLE / 4) {
+            idle.swept = Some(now);
+            idle.open.retain(|_, l| {
+                l.retain(|(_, since)| now - *since < POOL_IDLE);
+                !l.is_empty()
+            });
+            idle.count = idle.open.values().map(Vec::len).sum();
+        }
+        if idle.count >= self.most {
+            return;
+        }
+        let list = idle.open.entry(addr).or_default();
+        if list.len() < self.per_addr {
+            list.push((c, now));
+            idle.count += 1;
+        }
+    }
+
+    /// One request and its response. A failure on the way to the first byte of a
+    /// new connection is `NotSent`; anything later may have been executed.
+    pub async fn call(
+        &self,
+        addr: SocketAddr,
+        method: Method,
+        path: &str,
+        body: Option<Vec<u8>>,
+        limit: Duration,
+    ) -> Result<(u16, Vec<u8>), CallError> {
+        let conn = match self.pooled(addr) {
+            Some(c) => c,
+            None => Conn::open(addr, limit.min(Duration::from_millis(1500))).await.map_err(|_| CallError::NotSent)?,
+        };
+        let url = Url::parse(&format!("http://{addr}{path}")).map_err(|_| CallError::NotSent)?;
+        let mut req = Request::new(method, url);
+        if let Some(b) = body {
+            req.set_body(Body::from_bytes(b));
+        }
+        let exchange = async {
+            let mut res = async_h1::connect(conn.clone(), req).await.map_err(|_| CallError::NoAnswer)?;
+            let close = res.header("connection").is_some_and(|h| h.as_str().eq_ignore_ascii_case("close"));
+            let mut out = Vec::new();
+            let mut body = res.take_body().take(MAX_RESPONSE);
+            body.read_to_end(&mut out).await.map_err(|_| CallError::NoAnswer)?;
+            Ok::<_, CallError>((res.status() as u16, out, close))
+        };
+        match timed(limit, exchange).await {
+            Ok(Ok((status, out, close))) => {
+                if !close {
+                    self.keep(addr, conn);
+                }
+                Ok((status, out))
+            }
+            _ => Err(CallError::NoAnswer),
+        }
+    }
+}
--- /dev/null
+++ b/src/http/mod.rs
@@ -0,0 +1,68 @@
+//! HTTP/1.1 over async-io sockets, both sides, on async-h1's encoder and decoder.
+//!
+//! Every exchange has a time limit and every body a size limit, so that a slow
+//! or hostile peer costs a bounded amount.
+
+mod admission;
+mod client;
+mod message;
+mod server;
+#[cfg(test)]
+mod tests;
+
+pub use admission::Bounds;
+pub use client::{CallError, Client};
+pub use message::{Incoming, Outgoing};
+pub use server::serve;
+
+use async_io::{Async, Timer};
+use futures_lite::{AsyncRead, AsyncWrite, FutureExt, io};
+use std::future::Future;
+use std::net::{SocketAddr, TcpStream};
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+/// Largest request body that is read.
+pub const MAX_BODY: usize = 64 * 1024;
+
+/// A socket shared by the two directions of an exchange.
+#[derive(Clone)]
+pub struct Conn(Arc<Async<TcpStream>>);
+
+impl Conn {
+    pub async fn open(addr: SocketAddr, limit: Duration) -> io::Result<Conn> {
+        let s = timed(limit, Async::<TcpStream>::connect(addr)).await??;
+        s.get_ref().set_nodelay(true)?;
+        Ok(Conn(Arc::new(s)))
+    }
+}
+
+impl AsyncRead for Conn {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut [u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut &*self.0).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for Conn {
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut &*self.0).poll_write(cx, buf)
+    }
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut &*self.0).poll_flush(cx)
+    }
+    fn poll_close(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(self.0.get_ref().shutdown(std::net::Shutdown::Write))
+    }
+}
+
+/// Runs a future for no longer than `limit`.
+pub async fn timed<T>(limit: Duration, fut: impl Future<Output = T>) -> io::Result<T> {
+    async { Ok(fut.await) }
+        .or(async {
+            Timer::after(limit).await;
+            Err(io::ErrorKind::TimedOut.into())
+        })
+        .await
+}
