--- /dev/null
+++ b/tests/claims/controllers.rs
@@ -0,0 +1,158 @@
+//! Controllers of the real program, between stand-ins for the state service and the cloud.
+
+use crate::state_service::{CLAIM_KEY, Store, lock, state_service};
+use async_executor::Executor;
+use async_io::Async;
+use http_types::Method;
+use lupinspur::http::{Bounds, Client, Incoming, Outgoing, serve};
+use serde_json::{Value, json};
+use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Mutex, Once};
+use std::time::{Duration, Instant};
+
+static EXECUTOR: Executor<'static> = Executor::new();
+const BOUNDS: Bounds = Bounds { connections: 500, body_bytes: 4 << 20 };
+
+/// Answers requests at an address of its own.
+pub fn listen<F, Fut>(handler: F) -> SocketAddr
+where
+    F: Fn(Incoming) -> Fut + Send + Sync + 'static,
+    Fut: Future<Output = Outgoing> + Send + 'static,
+{
+    let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).expect("a port");
+    let addr = listener.get_ref().local_addr().expect("its address");
+    EXECUTOR.spawn(serve(&EXECUTOR, listener, BOUNDS, Arc::new(handler))).detach();
+    addr
+}
+
+pub async fn cloud(request: Incoming) -> Outgoing {
+    match (request.method, request.path.as_str()) {
+        (_, "/flavors") => Outgoing::json(
+            200,
+            &json!({"strains": [{"name": "m8", "cpus": 8, "cards": 0, "memory_gb": 16, "local_gb": 10,
+                "pull_gb_per_s": 1.0, "hourly": 1.0, "spot_price": 0.3, "ready_s": 2, "fields": ["a"]}]}),
+        ),
+        (Method::Get, _) => Outgoing::json(200, &json!({"plots": [], "has_next": false})),
+        _ => Outgoing::json(503, &json!({"error": "no capacity"})),
+    }
+}
+
+pub fn free_address() -> SocketAddr {
+    TcpListener::bind(("127.0.0.1", 0)).and_then(|l| l.local_addr()).expect("a free port")
+}
+
+pub fn job_request(id: &str) -> Value {
+    json!({"id": id, "breed": "any", "herd": "red", "habit": "batch", "precedence": "standard", "seeds": 1,
+        "cpus": 1.0, "cards": 0.0, "memory_gb": 1.0, "same_place": false, "scatter": false, "fallow": false,
+        "pull_gb": 0.0, "expected_s": 1.0, "pressing_s": 0.0, "pressing_cost_s": 0.0})
+}
+
+pub struct Controllers {
+    pub store: Arc<Mutex<Store>>,
+    addresses: Vec<SocketAddr>,
+    commands: Vec<Command>,
+    processes: Vec<Child>,
+    folder: PathBuf,
+}
+
+impl Controllers {
+    /// So many controllers, which begin together; the state service takes so many requests a second.
+    pub fn start(name: &str, count: usize, requests_per_s: f64) -> Controllers {
+        Controllers::start_with(name, count, requests_per_s, None)
+    }
+
+    /// The same, with a file of cells.
+    pub fn start_with(name: &str, count: usize, requests_per_s: f64, cells: Option<&str>) -> Controllers {
+        let mut controllers = Controllers::prepare(name, count, requests_per_s, cells);
+        (0..count).for_each(|i| controllers.begin(i));
+        controllers
+    }
+
+    /// The same, with none of them begun.
+    pub fn prepare(name: &str, count: usize, requests_per_s: f64, cells: Option<&str>) -> Controllers {
+        static RUNS: Once = Once::new();
+        RUNS.call_once(|| {
+            std::thread::spawn(|| async_io::block_on(EXECUTOR.run(std::future::pending::<()>())));
+        });
+        let store: Arc<Mutex<Store>> = Arc::default();
+        let cloud_address = listen(cloud);
+        let addresses: Vec<SocketAddr> = (0..count).map(|_| free_address()).collect();
+        let peers: Vec<SocketAddr> = (0..count).map(|_| free_address()).collect();
+        let folder = std::env::temp_dir().join(format!("lupinspur-{name}-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).expect("a folder");
+        let cells_file = folder.join("cells.toml");
+        if let Some(text) = cells {
+            std::fs::write(&cells_file, text).expect("a file of cells");
+        }
+        let command = |i: usize| {
+            let held = store.clone();
+            let state_address = listen(move |r| state_service(held.clone(), i, r));
+            let others = (0..count).filter(|j| *j != i);
+            let others: String = others
+                .map(|j| format!("[[seeds]]\nhost_name = \"n{j}\"\ndomain = \"a\"\naddress = \"{}\"\n", peers[j]))
+                .collect();
+            let text = format!(
+                "host_name = \"n{i}\"\ndomain = \"a\"\nbind = \"{}\"\npeer_listen = \"{}\"\n{others}\
+                 [services]\ncloud = \"{cloud_address}\"\nstate = \"{state_address}\"\n\
+                 [cluster]\nzones = [\"a\"]\n[[cluster.teams]]\nname = \"red\"\ncpus_max = 8.0\n\
+                 [cluster.workers]\nreport_s = 1.0\nlease_s = 10.0\ncancel_s = 25.0\n\
+                 [cluster.state]\nrps = {requests_per_s:.1}\nwrite_rps = 50.0\nvalue_kb = 16.0\ntxn_ops = 16\n\
+                 [cluster.cloud]\nrps = 20.0\nlist_lag_s = 0.5\n",
+                addresses[i], peers[i]
+            );
+            let file = folder.join(format!("n{i}.toml"));
+            std::fs::write(&file, text).expect("a settings file");
+            let mut program = Command::new(env!("CARGO_BIN_EXE_lupinspur"));
+            if cells.is_some() {
+                program.arg("--cells").arg(&cells_file);
+            }
+            let level = std::env::var("TEST_LOG").unwrap_or("error".into());
+            program.arg("--config").arg(file).env("LOG_LEVEL", level).stderr(Stdio::inherit());
+            program
+        };
+        let commands = (0..count).map(command).collect();
+        Controllers { store, addresses, commands, processes: Vec::new(), folder }
+    }
+
+    pub fn begin(&mut self, i: usize) {
+        self.processes.push(self.commands[i].spawn().expect("the program starts"));
+    }
+
+    pub fn until_claimed(&self) {
+        let began = Instant::now();
+        while !lock(&self.store).values.contains_key(CLAIM_KEY) {
+            assert!(began.elapsed() < Duration::from_secs(20), "nobody claims");
+            std::thread::sleep(Duration::from_millis(20));
+        }
+    }
+
+    pub fn owner(&self) -> usize {
+        let store = lock(&self.store);
+        let node = store.values.get(CLAIM_KEY).and_then(|v| v.value["node"].as_str()).expect("an owner");
+        node.trim_start_matches('n').parse().expect("a controller's number")
+    }
+
+    pub fn ask(&self, at: usize, method: Method, path: &str, body: Option<Value>) -> (u16, Value) {
+        let client = Client::new(0, 0);
+        let body = body.map(|b| b.to_string().into_bytes());
+        let call = client.call(self.addresses[at], method, path, body, Duration::from_secs(5));
+        let (status, answer) = async_io::block_on(call).unwrap_or((0, Vec::new()));
+        (status, serde_json::from_slice(&answer).unwrap_or_default())
+    }
+
+    pub fn submit(&self, at: usize, id: &str) -> u16 {
+        self.ask(at, Method::Post, "/work", Some(job_request(id))).0
+    }
+}
+
+impl Drop for Controllers {
+    fn drop(&mut self) {
+        for p in &mut self.processes {
+            let _ = p.kill();
+            let _ = p.wait();
+        }
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
