A repeated submission is not refused where a limit was lowered after its acceptance

Cause: whether a submission can ever run was judged before anybody looked whether it was accepted. A controller that had begun with a lower limit, or without the team, answered 422 to the repetition of an accepted job.

Change: what is known here is answered first, and 422 is said only when the state service has no such job, as for needs and for a description that is too long. Without the state service that is 503.

--- a/src/api.rs
+++ b/src/api.rs
@@ -208,11 +208,6 @@
 
     async fn submit(&self, job: JobRequest) -> Outgoing {
         let id = job.id.clone();
-        match judge(&job, &self.settings.teams, &self.types()) {
-            Ok(()) => {}
-            Err(Unfit::Never(why)) => return Outgoing::error(422, &why),
-            Err(Unfit::CannotTell) => return unable(),
-        }
         let began = clock::now();
         if let Some(cell) = self.knows_job(&id, began) {
             return match cell.about_here(Verb::Show, &id).await {
@@ -223,6 +218,11 @@
         if let Some(t) = self.final_known(&id) {
             return job_answer(200, &id, t, false);
         }
+        match judge(&job, &self.settings.teams, &self.types()) {
+            Ok(()) => {}
+            Err(Unfit::Never(why)) => return self.never(&id, &why).await,
+            Err(Unfit::CannotTell) => return unable(),
+        }
         let mut record = JobRecord::accepted(job, clock::wall_ms());
         let home = self.home(&record.job.team);
         record.cell = home.map(|c| c.0).filter(|c| *c != 0);
--- a/tests/claims/controllers.rs
+++ b/tests/claims/controllers.rs
@@ -116,6 +116,14 @@
         Controllers { store, addresses, commands, processes: Vec::new(), folder }
     }
 
+    /// Other settings for one of them, before it begins.
+    pub fn change_settings(&self, i: usize, from: &str, to: &str) {
+        let file = self.folder.join(format!("n{i}.toml"));
+        let text = std::fs::read_to_string(&file).expect("a settings file");
+        assert!(text.contains(from), "{from} stands in it");
+        std::fs::write(file, text.replace(from, to)).expect("a settings file");
+    }
+
     pub fn begin(&mut self, i: usize) {
         self.processes.push(self.commands[i].spawn().expect("the program starts"));
     }
--- a/tests/claims/main.rs
+++ b/tests/claims/main.rs
@@ -150,6 +150,31 @@
     }
 }
 
+/// A team's limit is lower from some controller's start on, as where all are started again one after the
+/// other. What was accepted before stays so, whoever is asked; what was not can never run.
+#[test]
+fn an_accepted_job_that_no_longer_fits_is_not_refused() {
+    let mut controllers = Controllers::prepare("lower-limit", 2, 200.0, None);
+    controllers.change_settings(1, "cpus_max = 8.0", "cpus_max = 0.5");
+    controllers.begin(0);
+    controllers.until_claimed();
+    controllers.begin(1);
+    let in_time = |at: usize, id: &str, wanted: &[u16]| {
+        let began = Instant::now();
+        loop {
+            let status = controllers.submit(at, id);
+            // Until it has begun, and knows the machine types.
+            if wanted.contains(&status) || !matches!(status, 0 | 503) || began.elapsed() > Duration::from_secs(10) {
+                return status;
+            }
+            std::thread::sleep(Duration::from_millis(100));
+        }
+    };
+    assert_eq!(in_time(0, "req-000021", &[201]), 201);
+    assert_eq!(in_time(1, "req-000022", &[422]), 422, "never accepted");
+    assert_eq!(in_time(1, "req-000021", &[200]), 200, "accepted before");
+}
+
 /// Guards against counting on a value that a transaction still under way may replace: one that stands at
 /// the version that the write was conditional on, whatever is in it.
 #[test]
