What is kept for the largest jobs is opened to all for a moment every 75 s

Cause: a machine is kept for a large job, and its team's limit too, until it fits. The 90 s for a machine were no bound: the same one was kept again in the next pass, and a limit had none. Meanwhile other jobs waited beside machines that fit them, with their teams under their limits, for longer than 90 s. Change: after 75 s in which anything was kept without a gap, nothing is kept for 2 s, so that whatever fits is placed.

--- a/crates/scheduler/src/shard/largest.rs
+++ b/crates/scheduler/src/shard/largest.rs
@@ -40,6 +40,12 @@
 const KEPT_FOR_S: f64 = 90.0;
 /// Machines kept at a time, one in so many, and at least one.
 const KEPT_SHARE: usize = 50;
+/// Machines and limits are kept for so long without a break, in seconds: nobody waits for 90 s beside a machine that fits.
+const KEPT_IN_A_ROW_S: f64 = 75.0;
+/// In a break everybody may take what was kept, for so long, in seconds.
+const BREAK_S: f64 = 2.0;
+/// Where nothing was kept for so long, in seconds, what is kept next is kept anew.
+const GAP_S: f64 = 5.0;
 
 /// The sizes of a class's jobs that came last.
 #[derive(Debug, Default)]
@@ -57,6 +63,33 @@
     pub(super) credit: f64,
     /// Machines that take nothing new until a task of this job fits, and since when.
     kept: BTreeMap<MachineIx, (JobIx, f64)>,
+    in_a_row: InARow,
+}
+
+/// Since when machines or limits are kept without a break, when that was last so, and until when the present
+/// break lasts.
+#[derive(Debug, Default, Clone, Copy)]
+struct InARow {
+    since: f64,
+    last: f64,
+    break_until: f64,
+}
+
+impl InARow {
+    fn kept(&mut self, now: f64) {
+        if now - self.last > GAP_S {
+            self.since = now;
+        }
+        self.last = now;
+    }
+
+    /// May anything be kept now? A break begins where that has lasted for too long.
+    fn may_keep(&mut self, now: f64) -> bool {
+        if now - self.last <= GAP_S && now - self.since > KEPT_IN_A_ROW_S {
+            *self = InARow { since: now + BREAK_S, last: f64::MIN, break_until: now + BREAK_S };
+        }
+        now >= self.break_until
+    }
 }
 
 fn size(r: &crate::wire::JobRequest) -> (f64, u32) {
@@ -188,7 +221,7 @@
         let job = self.jobs.at(j);
         let kept = self.largest.kept.iter().find(|(_, k)| k.0 == j).map(|(m, _)| *m);
         let most = (self.machines.present.len() / KEPT_SHARE).max(1);
-        if kept.is_none() && self.largest.kept.len() >= most {
+        if now < self.largest.in_a_row.break_until || kept.is_none() && self.largest.kept.len() >= most {
             return;
         }
         let silent_s = self.fresh_s();
@@ -214,6 +247,7 @@
             clears.min_by(|a, b| a.0.total_cmp(&b.0)).map(|o| o.1)
         });
         let Some(m) = m else { return };
+        self.largest.in_a_row.kept(now);
         if kept != Some(m) {
             self.largest.kept.retain(|_, k| k.0 != j);
             log::info!("machine {} is kept for {}", self.machines.at(m).name, self.jobs.at(j).id);
@@ -233,13 +267,28 @@
         self.largest.kept.get(&m).is_some_and(|k| k.0 != j)
     }
 
+    /// Its team's limit is kept for a large job, if there is no break.
+    pub(crate) fn keep_limit(&mut self, now: f64) -> bool {
+        let may_keep = now >= self.largest.in_a_row.break_until;
+        if may_keep {
+            self.largest.in_a_row.kept(now);
+        }
+        may_keep
+    }
+
     /// Machines are kept for jobs that still wait for them, and for a while; once a pass.
     pub(crate) fn look_at_kept(&mut self, now: f64) {
+        if !self.largest.in_a_row.may_keep(now) {
+            self.largest.kept.clear();
+        }
         let (jobs, machines) = (&self.jobs, &self.machines);
         self.largest.kept.retain(|m, (j, since)| {
             let waits = jobs.get(*j).is_some_and(|j| j.open() && j.unfinished() > j.held);
             let there = machines.list.get(*m).is_some_and(|m| m.phase == MachinePhase::Up && !m.cordoned);
             waits && there && now - *since < KEPT_FOR_S
         });
+        if !self.largest.kept.is_empty() {
+            self.largest.in_a_row.kept(now);
+        }
     }
 }
--- a/crates/scheduler/src/shard/placement.rs
+++ b/crates/scheduler/src/shard/placement.rs
@@ -447,8 +447,9 @@
                 }
                 continue;
             }
-            if turn.first_part && s.limit_will_do(turn.job) {
-                waits_for_it.entry(job.team).or_insert(turn.job);
+            let team = job.team;
+            if turn.first_part && s.limit_will_do(turn.job) && s.keep_limit(now) {
+                waits_for_it.entry(team).or_insert(turn.job);
             }
             continue;
         }
