A submission without its image is malformed

Cause: the image was optional in the reading of a submission, since it is in records of earlier versions; by the protocol it may not be null, and a missing field is 400. It was answered with 201 (loopback, odd requests: 'without bulb, left: 201, right: 400'). Change: parse_job asks for it; stored records are read as before.

--- a/src/api.rs
+++ b/src/api.rs
@@ -48,6 +48,10 @@
     if r.tasks == 0 || r.tasks > MOST_TASKS {
         return Err(format!("the number of tasks must be from 1 to {MOST_TASKS}"));
     }
+    // Stored records of earlier versions may lack it, a submission may not.
+    if r.image.is_none() {
+        return Err("the image is missing".into());
+    }
     let amounts = [
         ("cpus", r.cpus),
         ("cards", r.cards),
--- a/tests/loopback/meetings_odd.rs
+++ b/tests/loopback/meetings_odd.rs
@@ -12,7 +12,7 @@
 use std::net::SocketAddr;
 
 /// Fields without which a submission is malformed; the others may be null, and so may be missing.
-const REQUIRED: [&str; 16] = [
+const REQUIRED: [&str; 17] = [
     "id",
     "breed",
     "herd",
@@ -25,6 +25,7 @@
     "same_place",
     "scatter",
     "fallow",
+    "bulb",
     "pull_gb",
     "expected_s",
     "pressing_s",
