--- a/tests/loopback/cloud.rs
+++ b/tests/loopback/cloud.rs
@@ -18,7 +18,7 @@
     pub machines: Workers,
     /// Questions for the machine types so far.
     pub asked: Arc<AtomicUsize>,
-    /// It tells no machine types.
+    /// It answers nothing: it tells no machine types and takes no machine back.
     pub down: Arc<AtomicBool>,
 }
 
@@ -27,7 +27,7 @@
         let early = r.path == "/flavors" && self.asked.fetch_add(1, Ordering::Relaxed) < REFUSED_AT_FIRST;
         let claimed = || lock(&self.store).keys.contains_key("own/0");
         assert!(!early || !claimed(), "claimed without knowing the machine types");
-        if r.path == "/flavors" && self.down.load(Ordering::Relaxed) {
+        if self.down.load(Ordering::Relaxed) {
             return Outgoing::json(503, &json!({"error": "trouble"}));
         }
         match r.path.as_str() {
--- a/tests/loopback/cluster.rs
+++ b/tests/loopback/cluster.rs
@@ -72,7 +72,7 @@
     pub twice: Arc<Mutex<Vec<String>>>,
     /// Questions for the machine types so far.
     pub asked: Arc<AtomicUsize>,
-    /// The cloud tells no machine types.
+    /// The cloud answers nothing: it tells no machine types and takes no machine back.
     pub cloud_down: Arc<AtomicBool>,
     pub listen: Vec<SocketAddr>,
     pub peer: Vec<SocketAddr>,
--- a/tests/loopback/meetings_machines.rs
+++ b/tests/loopback/meetings_machines.rs
@@ -7,6 +7,7 @@
 use http_types::Method;
 use lupinspur::http::Client;
 use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 const WORKERS: usize = 12;
@@ -155,12 +156,14 @@
         busy.iter().for_each(|i| workers[*i].hangs = true);
         busy
     };
+    // Machines that are not heard would be taken back, with all that is on them.
+    cluster.cloud_down.store(true, Ordering::Relaxed);
     cluster.kill(leader);
     cluster.until_owned_by_another(leader);
-    // Not for so long that they are given up.
-    deliver(&cluster, &user, &before, Duration::from_millis(700));
+    deliver(&cluster, &user, &before, Duration::from_secs(2));
     hanging.iter().for_each(|i| lock(&cluster.workers)[*i].hangs = false);
     deliver(&cluster, &user, &before, Duration::from_secs(2));
+    cluster.cloud_down.store(false, Ordering::Relaxed);
     cluster.begin(leader);
     wait_whole(&cluster, &ids);
 
--- a/tests/loopback/meetings_refusal.rs
+++ b/tests/loopback/meetings_refusal.rs
@@ -11,6 +11,7 @@
 use serde_json::Value;
 use std::net::SocketAddr;
 use std::ops::Range;
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 const SERVICE_COUNT: usize = 10;
@@ -123,6 +124,8 @@
     let chosen = busiest(&cluster, 5);
 
     lock(&cluster.store).faults.refused.insert(leader);
+    // Machines that are not heard would be taken back, with all that is on them.
+    cluster.cloud_down.store(true, Ordering::Relaxed);
     cluster.links.isolate(leader, old_leader == OldLeader::IsCutOff);
     {
         let mut workers = lock(&cluster.workers);
@@ -165,6 +168,7 @@
         store.faults.refused.clear();
     }
     cluster.links.isolate(leader, false);
+    cluster.cloud_down.store(false, Ordering::Relaxed);
     for w in lock(&cluster.workers).iter_mut() {
         (w.deaf, w.deaf_to_commands, w.mute) = (false, false, false);
     }
