Guards: tests of commands after the lease and of machines known by old reports alone

The shard under its lease: answers were still held back when they are sent, and commands were looked at by no test. A machine known by an old report alone was counted by no trace.

--- a/crates/scheduler/tests/owner/takeover.rs
+++ b/crates/scheduler/tests/owner/takeover.rs
@@ -124,3 +124,20 @@
     world.write(12.1);
     assert!(world.shard.next_delete().is_some());
 }
+
+/// unproven-gets-nothing: a report that an earlier owner's token shows may be a late copy, of a machine that is long
+/// gone.
+#[test]
+fn a_machine_known_by_an_old_report_alone_counts_for_nothing() {
+    let rented = |old_report: bool| {
+        let mut world = World::new();
+        if old_report {
+            world.hear(&report_of("h1", (1, 5), TOKEN - 1, &[]), 0.1);
+        }
+        world.accept(job("req-1", 40, json!({"fallow": false})), 0.2);
+        world.tick_until(0.3, 5.0);
+        world.shard.launches.pending.iter().map(|l| l.count).sum::<usize>()
+    };
+    assert!(rented(false) > 0);
+    assert_eq!(rented(true), rented(false));
+}
--- a/tests/fencing.rs
+++ b/tests/fencing/main.rs
@@ -2,16 +2,21 @@
 //! the controller's writes are conditional on, and until when it answers workers.
 
 use async_executor::Executor;
-use async_io::{Async, Timer};
+use async_io::Async;
 use http_types::Method;
 use lupinspur::http::{Bounds, Client, Incoming, Outgoing, serve};
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpListener};
 use std::process::{Child, Command};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, Once};
 use std::time::{Duration, Instant};
 
+mod store;
+
+use store::{Store, state};
+
 static EXECUTOR: Executor<'static> = Executor::new();
 const BOUNDS: Bounds = Bounds { connections: 200, body_bytes: 16 << 20 };
 const CLAIM: &str = "own/0";
@@ -48,125 +53,6 @@
     address
 }
 
-/// A transaction as it was sent, and which keys had no value then.
-struct Transaction {
-    conditions: BTreeMap<String, u64>,
-    writes: Vec<String>,
-    absent: Vec<String>,
-    claim_version: u64,
-}
-
-/// The state service: leases never end by themselves, and a renewal is answered late.
-#[derive(Default)]
-struct Store {
-    keys: BTreeMap<String, (Value, u64)>,
-    revision: u64,
-    events: Vec<Value>,
-    transactions: Vec<Transaction>,
-    /// Nobody is served any more.
-    down: bool,
-    /// When the last renewal that was granted arrived.
-    renewed: Option<Instant>,
-}
-
-impl Store {
-    fn version(&self, key: &str) -> u64 {
-        self.keys.get(key).map_or(0, |k| k.1)
-    }
-
-    fn commit(&mut self, transaction: &Value) -> Outgoing {
-        let list = |name: &str| transaction[name].as_array().cloned().unwrap_or_default();
-        let text = |v: &Value| v.as_str().unwrap_or_default().to_owned();
-        let conditions: BTreeMap<String, u64> =
-            list("if").iter().map(|c| (text(&c["path"]), c["stamp"].as_u64().unwrap_or(0))).collect();
-        let changes = list("writes");
-        let writes: Vec<String> = changes.iter().map(|w| text(w.get("set").unwrap_or(&w["drop"]))).collect();
-        let absent = writes.iter().filter(|k| !self.keys.contains_key(*k)).cloned().collect();
-        let failed: Vec<&String> = conditions.iter().filter(|(k, v)| self.version(k) != **v).map(|c| c.0).collect();
-        if !failed.is_empty() {
-            return Outgoing::json(409, &json!({"failed": failed, "almanac": self.revision}));
-        }
-        let claim_version = self.version(CLAIM);
-        self.transactions.push(Transaction { conditions, writes, absent, claim_version });
-        self.revision += 1;
-        for change in changes {
-            match change["set"].as_str() {
-                Some(key) => _ = self.keys.insert(key.to_owned(), (change["v"].clone(), self.revision)),
-                None => _ = self.keys.remove(&text(&change["drop"])),
-            }
-            let mut event = change;
-            event["stamp"] = json!(self.revision);
-            self.events.push(event);
-        }
-        Outgoing::json(200, &json!({"almanac": self.revision}))
-    }
-
-    fn list(&self, prefix: &str, after: &str) -> Outgoing {
-        let under = self.keys.iter().filter(|(k, _)| k.starts_with(prefix) && k.as_str() > after);
-        let pairs: Vec<Value> = under.map(|(k, (v, n))| json!({"path": k, "v": v, "stamp": n})).collect();
-        Outgoing::json(200, &json!({"pairs": pairs, "has_next": false, "almanac": self.revision}))
-    }
-
-    fn get(&self, key: &str) -> Outgoing {
-        match self.keys.get(key) {
-            Some((v, n)) => Outgoing::json(200, &json!({"path": key, "v": v, "stamp": n})),
-            None => Outgoing::json(404, &json!({"almanac": self.revision})),
-        }
-    }
-
-    /// The changes under a prefix after a revision, if there are any.
-    fn news(&self, prefix: &str, after: u64) -> Option<Outgoing> {
-        let under = |e: &&Value| {
-            let key = e["set"].as_str().or(e["drop"].as_str()).unwrap_or_default();
-            key.starts_with(prefix) && e["stamp"].as_u64() > Some(after)
-        };
-        let news: Vec<&Value> = self.events.iter().filter(under).collect();
-        (!news.is_empty()).then(|| Outgoing::json(200, &json!({"almanac": self.revision, "news": news})))
-    }
-}
-
-async fn follow(store: &Mutex<Store>, query: &str) -> Outgoing {
-    let after = parameter(query, "from").parse().unwrap_or(0);
-    let within = Duration::from_millis(parameter(query, "block_ms").parse().unwrap_or(0));
-    let began = Instant::now();
-    loop {
-        let news = lock(store).news(parameter(query, "under"), after);
-        if let Some(news) = news {
-            return news;
-        }
-        if began.elapsed() >= within {
-            return Outgoing::json(200, &json!({"almanac": lock(store).revision, "news": []}));
-        }
-        Timer::after(Duration::from_millis(10)).await;
-    }
-}
-
-async fn renew(store: &Mutex<Store>) -> Outgoing {
-    let arrived = Instant::now();
-    Timer::after(SLOW_RENEWAL).await;
-    let mut store = lock(store);
-    if store.down {
-        return Outgoing::json(503, &json!({"error": "trouble"}));
-    }
-    store.renewed = Some(arrived);
-    Outgoing::json(200, &json!({}))
-}
-
-async fn state(store: Arc<Mutex<Store>>, request: Incoming) -> Outgoing {
-    if lock(&store).down {
-        return Outgoing::json(503, &json!({"error": "trouble"}));
-    }
-    let path = request.path.trim_start_matches('/').to_owned();
-    match path.split_once('/') {
-        Some(("kv", key)) => lock(&store).get(key),
-        Some(("grants", _)) => renew(&store).await,
-        _ if path == "kv" => lock(&store).list(parameter(&request.query, "under"), parameter(&request.query, "from")),
-        _ if path == "follow" => follow(&store, &request.query).await,
-        _ if path == "grants" => Outgoing::json(200, &json!({"tether": 1})),
-        _ => lock(&store).commit(&body(&request)),
-    }
-}
-
 /// One type of machines, and none to be had: a machine comes by its reports.
 async fn cloud(request: Incoming) -> Outgoing {
     let strain = json!({"name": "m8", "cpus": 8, "cards": 0, "memory_gb": 16, "local_gb": 10, "pull_gb_per_s": 1.0,
@@ -245,7 +131,10 @@
 /// A machine that reports, and whose tasks are done as soon as they are started.
 #[derive(Default)]
 struct Machine {
-    counter: u64,
+    /// Where it takes direct commands; empty: nowhere.
+    address: String,
+    /// Counts reports and answers to commands.
+    counter: Arc<AtomicU64>,
     token: u64,
     /// Attempts by task.
     tasks: BTreeMap<String, u64>,
@@ -254,11 +143,11 @@
 impl Machine {
     /// Sends one report, does what the answer says, and returns its status.
     fn report(&mut self, to: &Controller) -> u16 {
-        self.counter += 1;
+        let counter = self.counter.fetch_add(1, Ordering::Relaxed) + 1;
         let ended = |(task, attempt): (&String, &u64)| json!({"seed": task, "sowing": attempt, "bloom": "ended", "wilt": "done"});
         let tasks: Vec<Value> = self.tasks.iter().map(ended).collect();
-        let report = json!({"plot": "host-1", "addr": "127.0.0.1:1", "strain": "m8", "field": "a", "fallow": false,
-            "season": 1, "tally": self.counter, "warrant": self.token, "reclaim_s": null, "seeds": tasks});
+        let report = json!({"plot": "host-1", "addr": self.address, "strain": "m8", "field": "a", "fallow": false,
+            "season": 1, "tally": counter, "warrant": self.token, "reclaim_s": null, "seeds": tasks});
         let (status, answer) = to.ask(Method::Post, "/checkin", &report);
         self.token = self.token.max(answer["warrant"].as_u64().unwrap_or(0));
         for command in answer["tidings"].as_array().into_iter().flatten() {
@@ -366,3 +255,33 @@
     }
     assert!(by_owner > 5 && by_others > 5, "asked while it owned and afterwards: {by_owner}, {by_others}");
 }
+
+/// A machine's own server: notes when commands arrive, and answers them with a report of nothing.
+fn takes_commands(counter: Arc<AtomicU64>, arrived: Arc<Mutex<Vec<Instant>>>) -> SocketAddr {
+    listen(move |request| {
+        lock(&arrived).push(Instant::now());
+        let counter = counter.fetch_add(1, Ordering::Relaxed) + 1;
+        let report = json!({"plot": "host-1", "addr": "", "strain": "m8", "field": "a", "fallow": false, "season": 1,
+            "tally": counter, "warrant": body(&request)["warrant"], "reclaim_s": null, "seeds": []});
+        async move { Outgoing::json(200, &report) }
+    })
+}
+
+/// Guards against commands of an owner that may not act any more. The machine stops reporting, so that it is
+/// asked directly again and again; after the lease nobody asks it.
+#[test]
+fn no_command_is_sent_after_the_lease() {
+    let controller = Controller::start("commands");
+    let arrived: Arc<Mutex<Vec<Instant>>> = Arc::default();
+    let mut machine = Machine::default();
+    machine.address = takes_commands(machine.counter.clone(), arrived.clone()).to_string();
+    let owned = |status, store: &Store| status == 200 && store.renewed.is_some();
+    machine.report_until(&controller, "a report is answered", owned);
+    lock(&controller.store).down = true;
+    let (down, renewed) = (Instant::now(), lock(&controller.store).renewed.expect("a renewal"));
+    std::thread::sleep(CLAIM_LASTS + Duration::from_secs(4));
+    let arrived = lock(&arrived);
+    assert!(arrived.iter().any(|t| *t > down), "within the lease it is asked");
+    let last = arrived.last().map(|t| t.duration_since(renewed));
+    assert!(last < Some(CLAIM_LASTS + Duration::from_secs(1)), "a command {last:?} after the renewal");
+}
