--- /dev/null
+++ b/crates/model/tests/handing.rs
@@ -0,0 +1,100 @@
+//! One cell's shard alone: which of its machines it sets aside for another cell.
+
+use lupinspur_cells::CellIx;
+use lupinspur_model::stored::types;
+use lupinspur_scheduler::params::{Params, Team, Tuning};
+use lupinspur_scheduler::shard::{Loaded, Shard};
+use lupinspur_wire::{ListedMachine, Report};
+use serde_json::json;
+use std::collections::HashMap;
+
+const TOKEN: u64 = 7;
+const REPORT_S: f64 = 3.0;
+const MACHINES: usize = 6;
+const STEP_S: f64 = 0.1;
+/// Long enough that machines that nobody needs have been paid for their first minute.
+const PLAYED_S: f64 = 120.0;
+
+fn params() -> Params {
+    let team = Team { name: "red".into(), cpus: 0.0, cpus_max: 0.0, cards: 0.0, cards_max: 0.0 };
+    Params {
+        teams: vec![team],
+        zones: vec!["a".into(), "b".into(), "c".into()],
+        terms: HashMap::new(),
+        report_s: REPORT_S,
+        lease_s: 20.0,
+        cancel_s: 45.0,
+        list_lag_s: 5.0,
+        time_bound_s: 0.0,
+        value_kb: 4.0,
+        value_bytes: 3968,
+    }
+}
+
+fn name(machine: usize) -> String {
+    format!("host-{machine:06}")
+}
+
+fn zone(machine: usize) -> &'static str {
+    ["a", "b", "c"][machine % 3]
+}
+
+fn report(machine: usize, seq: u64) -> Report {
+    Report {
+        machine: name(machine),
+        addr: "127.0.0.1:9".into(),
+        type_name: "m32".into(),
+        zone: zone(machine).into(),
+        spot: false,
+        session: 1,
+        seq,
+        token: TOKEN,
+        notice_s: None,
+        tasks: Vec::new(),
+    }
+}
+
+fn listed(machine: usize, now: f64) -> ListedMachine {
+    serde_json::from_value(json!({"id": name(machine), "addr": "127.0.0.1:9", "strain": "m32",
+        "field": zone(machine), "fallow": false, "bloom": "running", "held_s": now + 100.0}))
+    .expect("a machine")
+}
+
+/// Plays a cell of idle machines to which the leader has ordered so many cpus for another cell; how many
+/// machines it has set aside by then.
+fn set_aside(ordered_cpus: f64) -> usize {
+    let tuning = Tuning { claim_s: 4.0, ..Tuning::default() };
+    let mut shard = Shard::new(&params(), tuning, TOKEN, types(), Loaded::default(), 0.0);
+    let other_cell = CellIx(1);
+    let mut revision = 100;
+    let reports_every = (REPORT_S / STEP_S) as u64;
+    for step in 0..(PLAYED_S / STEP_S) as u64 {
+        let now = step as f64 * STEP_S;
+        shard.writable = true;
+        if step % reports_every == 0 {
+            (0..MACHINES).for_each(|m| _ = shard.on_report(&report(m, step + 1), now));
+            let list: Vec<ListedMachine> = (0..MACHINES).map(|m| listed(m, now)).collect();
+            shard.on_list(&list, false, now);
+        }
+        if shard.set_aside().is_empty() {
+            shard.set_order(Some((other_cell, ordered_cpus)), 6.0);
+        }
+        shard.tick(now);
+        let writes = shard.next_writes(8, 50_000, 8, now);
+        revision += 1;
+        shard.on_applied(writes, revision, now);
+        _ = shard.next_direct(now);
+    }
+    shard.set_aside().len()
+}
+
+/// A cell that was short by less than a machine got none, and its job waited for ever.
+#[test]
+fn a_whole_machine_is_set_aside_for_a_part_of_one() {
+    assert_eq!(set_aside(3.0), 1);
+}
+
+#[test]
+fn nothing_is_set_aside_without_an_order() {
+    assert_eq!(set_aside(0.0), 0);
+}
