--- a/crates/model/src/odd_requests.rs
+++ b/crates/model/src/odd_requests.rs
@@ -1,7 +1,7 @@
 //! Requests that no careful user sends: jobs that cannot run or lack a field, cancellations of jobs that are
 //! done, questions about jobs that nobody submitted.
 
-use crate::stored::types;
+use crate::stored::known_types;
 use crate::trouble::Wrong;
 use crate::world::World;
 use lupinspur_scheduler::jobs::{JobRecord, job_key};
@@ -103,7 +103,7 @@
         }
         let job: JobRequest = serde_json::from_value(request).map_err(|_| Refused::Malformed)?;
         if self.wrong != Some(Wrong::Unjudged) {
-            judge(&job, &self.params.teams, &types()).map_err(Refused::Unfit)?;
+            judge(&job, &self.params.teams, known_types()).map_err(Refused::Unfit)?;
         }
         Ok(job)
     }
--- a/crates/model/src/stored.rs
+++ b/crates/model/src/stored.rs
@@ -9,6 +9,7 @@
 use serde::de::DeserializeOwned;
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
+use std::sync::LazyLock;
 
 /// Keys with their values and versions.
 pub type Keys = BTreeMap<String, (Value, u64)>;
@@ -20,6 +21,12 @@
     .expect("types")
 }
 
+/// The same, made once: submissions are judged by it thousands of times in a run.
+pub(crate) fn known_types() -> &'static [MachineType] {
+    static TYPES: LazyLock<Vec<MachineType>> = LazyLock::new(types);
+    &TYPES
+}
+
 /// What stands under a prefix and can be read, as the node does it.
 pub fn readable<T: DeserializeOwned>(store: &Keys, prefix: &str) -> Vec<(String, T, u64)> {
     let under = store.iter().filter(|(k, _)| k.starts_with(prefix));
--- a/crates/model/src/waiting.rs
+++ b/crates/model/src/waiting.rs
@@ -2,7 +2,7 @@
 
 use crate::WAITS_WITHIN_S;
 use crate::machines::{Machine, State};
-use crate::stored::types;
+use crate::stored::known_types;
 use crate::users::{Job, job_done};
 use crate::world::{World, ZONES};
 use lupinspur_wire::JobState;
@@ -74,7 +74,7 @@
 
     /// A machine on which a task of the job would fit.
     fn machine_for(&self, job: &Job, used: &InUse) -> Option<&str> {
-        let whole = types().into_iter().next()?;
+        let whole = known_types().first()?;
         let fits = |(i, m): &(usize, &Machine)| {
             let cpus = whole.cpus - used.cpus[*i];
             let memory_gb = whole.memory_gb - used.memory_gb[*i];
