A controller alone claims anew when its claim's answer comes after the claim's end

Cause (found by the model): after a pause for longer than its lease a controller read the watch's word that its claim was gone, then the claim's own answer, then the 404 of its lease. What it had seen last was its own claim, tied to a lease that it no longer had: Ownership::next says Nothing, and no event comes any more where nobody else claims. Users got no answer for good. Change: keep_lease looks at the claim when its lease is gone (src/node/claim.rs); the model does the same, its watch tells a claim's end even if it came and went between two looks, and a process that goes on reads what waits in any order. Test: a_controller_alone_pauses_with_its_claim_under_way.

--- a/crates/model/src/claims.rs
+++ b/crates/model/src/claims.rs
@@ -22,6 +22,9 @@
 const RENEW_EVERY_S: f64 = 0.8;
 const RETRY_EVERY_S: f64 = 0.15;
 
+/// A process that goes on after a pause reads what came meanwhile in any order, within this.
+const AFTER_PAUSE_S: f64 = 0.4;
+
 /// What a controller has under way about one cell's claim.
 #[derive(Debug)]
 pub(crate) struct ClaimState {
@@ -29,8 +32,8 @@
     renewing: bool,
     claiming: bool,
     watching: bool,
-    /// The claim's version that the watch has told last.
-    watched_version: Option<u64>,
+    /// The last change of the claim, its end included, that the watch has told.
+    watched_change: Option<u64>,
     /// The token whose keys are being read, and until when.
     loading: Option<(u64, f64)>,
 }
@@ -42,7 +45,7 @@
             renewing: false,
             claiming: false,
             watching: false,
-            watched_version: None,
+            watched_change: None,
             loading: None,
         }
     }
@@ -160,14 +163,15 @@
 
     /// Tells a change of the claim a moment later, one after the other.
     fn watch_claim(&mut self, i: usize, c: usize) {
-        let seen = self.store.claim(&self.claim_key(c));
-        let version = seen.as_ref().map_or(0, |s| s.version);
+        let key = self.claim_key(c);
+        let seen = self.store.claim(&key);
+        let changed = self.store.changed(&key);
         let state = self.claim_state(i, c);
-        if state.watching || state.watched_version == Some(version) {
+        if state.watching || state.watched_change == Some(changed) {
             return;
         }
         state.watching = true;
-        state.watched_version = Some(version);
+        state.watched_change = Some(changed);
         let slow = self.now < self.state_troubles.slow;
         let after = self.latency() + if slow { self.rng.f64() * 2.0 } else { 0.0 };
         let sender = self.sender(i, c);
@@ -226,7 +230,7 @@
             return;
         }
         if self.now < node.still {
-            let after = node.still - self.now;
+            let after = node.still - self.now + self.rng.f64() * AFTER_PAUSE_S;
             return self.send(after, Message::Claim(message));
         }
         match message {
@@ -307,6 +311,9 @@
                 if held.own.lease_ended(lease) {
                     held.shard = None;
                 }
+                if renews {
+                    self.look_at_claim(i, c);
+                }
             }
             ClaimOutcome::InDoubt if !renews => self.look_at_claim(i, c),
             ClaimOutcome::InDoubt | ClaimOutcome::NotExecuted => {}
--- a/crates/model/src/store.rs
+++ b/crates/model/src/store.rs
@@ -12,6 +12,8 @@
     pub(crate) keys: Keys,
     /// Until when each lease lives, how long it is renewed for, and the keys tied to it.
     pub(crate) leases: BTreeMap<u64, (f64, f64, BTreeSet<String>)>,
+    /// The revision of the last change of each key that is gone.
+    gone: BTreeMap<String, u64>,
     pub(crate) next_lease: u64,
     pub(crate) revision: u64,
     pub(crate) down_until: f64,
@@ -37,6 +39,7 @@
             for k in keys {
                 self.revision += 1;
                 self.keys.remove(&k);
+                self.gone.insert(k, self.revision);
             }
         }
     }
@@ -55,6 +58,12 @@
         self.keys.get(key).map_or(0, |k| k.1)
     }
 
+    /// The revision of a key's last change, its end included; 0: it never was.
+    pub(crate) fn changed(&self, key: &str) -> u64 {
+        let gone = self.gone.get(key).copied().unwrap_or(0);
+        self.version(key).max(gone)
+    }
+
     pub(crate) fn commit(
         &mut self,
         conditions: &[(String, u64)],
@@ -75,7 +84,10 @@
                     }
                     self.keys.insert(key.clone(), (value.clone(), self.revision));
                 }
-                Change::Delete { key } => _ = self.keys.remove(key),
+                Change::Delete { key } => {
+                    self.keys.remove(key);
+                    self.gone.insert(key.clone(), self.revision);
+                }
             }
         }
         Some(self.revision)
--- a/crates/model/tests/meetings.rs
+++ b/crates/model/tests/meetings.rs
@@ -319,3 +319,15 @@
     let troubles = [meets(14.0, 0), meets(30.0, 1), meets(46.0, 0)].concat();
     no_rule_is_broken(&with(troubles, [late]));
 }
+
+/// A controller alone stands still with its claim under way, for longer than its lease: the claim's answer
+/// comes after that of a renewal that tells the lease is gone. It has to claim anew.
+#[test]
+fn a_controller_alone_pauses_with_its_claim_under_way() {
+    let scenario = Scenario { controllers: 1, ..deployment(1) };
+    let all_end = at(30.0, Kind::AllEnd, 0, 1.0);
+    let slow = at(29.0, Kind::SlowState, 0, 4.0);
+    let pause = at(32.3, Kind::StandsStill, 0, 8.0);
+    let broken = broken(&scenario, &[all_end, slow, pause], None);
+    assert!(broken.is_empty(), "{broken:#?}");
+}
--- a/src/node/claim.rs
+++ b/src/node/claim.rs
@@ -21,6 +21,9 @@
                     Err(StateError::NoSuchLease) => {
                         log::warn!("the lease is gone");
                         self.lease_ended(id);
+                        // The watch may have told the claim's end before the claim's own answer came, after
+                        // a pause: nothing else would show then that nobody holds it.
+                        self.look_at_claim().await;
                     }
                     Err(e) => log::debug!("renewal: {e}"),
                 }
