--- a/crates/model/src/claims.rs
+++ b/crates/model/src/claims.rs
@@ -1,22 +1,14 @@
 //! A controller's lease and claim of a cell: requests that take time, answers that are late or lost, and a
 //! watch that tells of the claim a moment after it has changed.
 
-use crate::between::{LEDGER_KEY, concerns, inner};
+use crate::CLAIM_S;
 use crate::messages::Message;
-use crate::stored::{self, types};
 use crate::transactions::{COMMIT_LIMIT_S, GRANT_LIMIT_S, RENEWAL_LIMIT_S};
-use crate::trouble::Wrong;
 use crate::world::World;
-use crate::{CLAIM_S, STEP};
 use lupinspur_cells::CellIx;
-use lupinspur_cells::escrow::Ledger;
-use lupinspur_cells::handover::{self, Handover};
 use lupinspur_cells::member::claims_after_s;
 use lupinspur_scheduler::ownership::{Claim, Next, SeenClaim};
-use lupinspur_scheduler::params::Tuning;
-use lupinspur_scheduler::shard::{Loaded, Shard};
 use lupinspur_wire::Change;
-use std::collections::BTreeSet;
 
 /// How often an owner renews its lease, and how often whoever may not act tries.
 const RENEW_EVERY_S: f64 = 0.8;
@@ -35,7 +27,7 @@
     /// The last change of the claim, its end included, that the watch has told.
     watched_change: Option<u64>,
     /// The token whose keys are being read, and until when.
-    loading: Option<(u64, f64)>,
+    pub(crate) loading: Option<(u64, f64)>,
 }
 
 impl Default for ClaimState {
@@ -122,7 +114,7 @@
         self.take_over(i, c);
     }
 
-    fn claim_state(&mut self, i: usize, c: usize) -> &mut ClaimState {
+    pub(crate) fn claim_state(&mut self, i: usize, c: usize) -> &mut ClaimState {
         &mut self.nodes[i].cells[c].claim
     }
 
@@ -347,58 +339,4 @@
             *until = now;
         }
     }
-
-    /// A new owner reads what is stored, which takes a while where the state service is slow.
-    fn take_over(&mut self, i: usize, c: usize) {
-        let now = self.now;
-        let held = &self.nodes[i].cells[c];
-        let Some(token) = held.own.token() else { return };
-        if held.shard.as_ref().is_some_and(|s| s.token == token) {
-            return;
-        }
-        let ready_at = match held.claim.loading {
-            Some((of, at)) if of == token => at,
-            _ => {
-                let slow = now < self.state_troubles.slow;
-                let at = now + if slow { self.rng.f64() * 4.0 } else { 0.0 };
-                self.claim_state(i, c).loading = Some((token, at));
-                at
-            }
-        };
-        if now + STEP / 2.0 < ready_at {
-            return;
-        }
-        let loaded = self.read_for(c);
-        let mut params = self.params.clone();
-        if self.wrong == Some(Wrong::Limits) {
-            params.teams.iter_mut().for_each(|t| t.cpus_max *= 4.0);
-        }
-        let tuning = Tuning { claim_s: CLAIM_S, ..Tuning::default() };
-        let mut shard = Shard::new(&params, tuning, token, types(), loaded, now);
-        let ledger = self.store.read::<Ledger>(LEDGER_KEY).filter(|_| self.wrong != Some(Wrong::Shares));
-        if let Some((ledger, _)) = ledger {
-            shard.set_shares(&self.params.teams, &ledger, CellIx(c as u32));
-        }
-        let held = &mut self.nodes[i].cells[c];
-        held.watched = self.store.revision;
-        held.commits = 0;
-        held.shard = Some(shard);
-    }
-
-    /// What the state service holds of a cell.
-    fn read_for(&self, c: usize) -> Loaded {
-        let (mut loaded, _) = stored::loaded(&inner(c, &self.store.keys), self.store.revision);
-        if self.cells == 1 {
-            return loaded;
-        }
-        let (ours, gone) = loaded.jobs.into_iter().partition(|(r, _)| concerns(c, r));
-        loaded.jobs = ours;
-        loaded.checkpoint.gone = gone.into_iter().map(|(r, _)| r.job.id).collect();
-        let known: BTreeSet<&str> = loaded.jobs.iter().map(|(r, _)| r.job.id.as_str()).collect();
-        loaded.progress.retain(|p| p.0.split('/').nth(1).is_some_and(|id| known.contains(id)));
-        let hands = stored::readable::<Handover>(&self.store.keys, handover::PREFIX);
-        let from_here = hands.iter().filter(|h| h.1.from.ix() == c);
-        loaded.away = from_here.flat_map(|h| &h.1.machines).map(|m| m.machine.clone()).collect();
-        loaded
-    }
 }
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`trouble`]: what goes wrong
 //! - `controllers`, `between`: the shell's part around the decisions, of one cell and between several
 //! - `claims`, `transactions`: leases, claims and writes on their way to the state service and back
+//! - `takeover`: how a new owner begins
 //! - `machines`, `store`, `users`, `messages`: the stand-ins
 //! - `rules`: what must not be
 //! - [`report`]: what came of it
@@ -24,6 +25,7 @@
 pub mod scenario;
 mod store;
 pub mod stored;
+mod takeover;
 mod transactions;
 pub mod trouble;
 mod users;
