--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`trouble`]: what goes wrong
 //! - `controllers`, `between`: the shell's part around the decisions, of one cell and between several
 //! - `claims`, `transactions`: leases, claims and writes on their way to the state service and back
+//! - `takeover`: how a new owner begins
 //! - `machines`, `store`, `users`, `messages`: the stand-ins
 //! - `questions`, `odd_requests`, `late_reports`, `spells`: troubles that users, machines and reports bring
 //! - `rules`, `cancelled`, `waiting`: what must not be
@@ -31,6 +32,7 @@
 mod spells;
 mod store;
 pub mod stored;
+mod takeover;
 mod transactions;
 pub mod trouble;
 mod users;
