--- a/crates/model/src/trouble.rs
+++ b/crates/model/src/trouble.rs
@@ -42,6 +42,45 @@
     Copies,
     /// Whatever runs there fails.
     Faulty,
+    /// The state service refuses a controller, which the other controllers still reach.
+    RefusedByState,
+    /// Transactions get no answer and are executed 2 to 12 s later, after newer ones of the same controller.
+    LateWrites,
+    /// Transactions are executed at once, and only their answers are lost.
+    LostAnswers,
+    /// The state service takes seconds for each answer.
+    SlowState,
+    /// A controller gives up what it owns.
+    StepsDown,
+    /// All controllers end; the one that is named is back within a second.
+    AllEnd,
+    /// All controllers end, and none is back before the time is over.
+    AllAway,
+    /// A controller's zone is cut off together with it.
+    CutZoneWithController,
+    /// Users cancel all services that run, spread over the time.
+    CancelServices,
+
+    // What machines, reports and users do: `USER_AND_MACHINE_KINDS`.
+    /// A machine reaches no controller, while direct commands reach it.
+    Mute,
+    /// The same for a whole zone.
+    MuteZone,
+    /// Copies of reports are kept, and reach every controller as soon as a new leader begins.
+    CopiesForNextLeader,
+    /// Users cancel `which % 8 + 1` running jobs within a fifth of a second; their machines hang for `for_s`.
+    CancelNow,
+    /// Half of the jobs that end are cancelled within a second of the end.
+    CancelAtEnd,
+    /// Users ask every controller right after a job was accepted, ended or cancelled, and repeat its submission;
+    /// one accepted job in four is cancelled at once.
+    CloseLooks,
+    /// Users submit jobs that cannot run or lack a field, cancel jobs that are done, and ask about unknown jobs.
+    OddRequests,
+    /// Rented machines are up within two seconds.
+    FastBoots,
+    /// Messages between controllers and machines take up to two seconds, and images ten seconds more.
+    SlowLinks,
 }
 
 pub const KINDS: [Kind; 18] = [
@@ -65,6 +104,38 @@
     Kind::Faulty,
 ];
 
+/// Those of controllers and of what they send to the state service.
+pub const CONTROLLER_KINDS: [Kind; 9] = [
+    Kind::RefusedByState,
+    Kind::LateWrites,
+    Kind::LostAnswers,
+    Kind::SlowState,
+    Kind::StepsDown,
+    Kind::AllEnd,
+    Kind::AllAway,
+    Kind::CutZoneWithController,
+    Kind::CancelServices,
+];
+
+/// As the number of a controller, `OWNER + cell`: whichever owns that cell when the trouble begins.
+pub const OWNER: usize = 1_000_000;
+/// As the number of a controller: the one that `OWNER` meant last.
+pub const SAME_OWNER: usize = 2_000_000;
+
+/// The kinds that concern machines, reports and users, which [`KINDS`] does not have: the storms that are played
+/// with a seed would otherwise be others.
+pub const USER_AND_MACHINE_KINDS: [Kind; 9] = [
+    Kind::Mute,
+    Kind::MuteZone,
+    Kind::CopiesForNextLeader,
+    Kind::CancelNow,
+    Kind::CancelAtEnd,
+    Kind::CloseLooks,
+    Kind::OddRequests,
+    Kind::FastBoots,
+    Kind::SlowLinks,
+];
+
 /// One trouble: what, to whom, from when on and for how long, in seconds.
 #[derive(Debug, Clone, Copy, PartialEq, Deserialize, JsonSchema, Validate)]
 #[serde(deny_unknown_fields)]
@@ -115,4 +186,24 @@
     Silent,
     /// Each cell may use the whole of every limit.
     Shares,
+    /// An owner acts for 30 s past its lease.
+    ActsPastLease,
+
+    // What machines, reports and users see.
+    /// Jobs whose number ends in 7 are never placed.
+    LeavesWaiting,
+    /// A machine that has hung ignores commands to stop.
+    IgnoresStopsAfterHang,
+    /// An owner commands starts of jobs whose cancellation was confirmed.
+    StartsCancelled,
+    /// Submissions are not judged before they are accepted.
+    Unjudged,
+    /// A field that a submission lacks is filled in.
+    FillsIn,
+    /// A repeated submission is always answered as if the job was new.
+    RepeatedAsNew,
+    /// All machines pass for ones of the same zone.
+    Zones,
+    /// A question about a job that nobody submitted is answered with a state.
+    Invents,
 }
--- a/crates/scheduler/src/ownership.rs
+++ b/crates/scheduler/src/ownership.rs
@@ -73,13 +73,17 @@
 }
 
 /// The lease and claim of one controller.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Ownership {
     me: Claim,
     ttl_s: f64,
     lease: Option<Lease>,
     token: Option<u64>,
     seen: Option<SeenClaim>,
+    /// A write is under way by which others may own: nothing is decided until its outcome is known.
+    suspended: bool,
+    /// The newest revision of which there was news of the claim.
+    newest: u64,
     /// Whether the seen claim was read at all since the start.
     looked: bool,
     /// Others go first until then, unless nobody claims for so many seconds.
@@ -133,6 +137,8 @@
             lease: None,
             token: None,
             seen: None,
+            suspended: false,
+            newest: 0,
             looked: false,
             not_before: 0.0,
             nobody_else_s: NOBODY_ELSE_S,
@@ -149,9 +155,21 @@
         self.lease.as_ref().map(|l| l.id)
     }
 
+    /// The lease that is to be renewed now; `due`: the usual interval since the last renewal is over. One
+    /// with a claim is renewed sooner, since its owner waits for it. One without only saves a request when
+    /// the claim is free.
+    pub fn lease_to_renew(&self, due: bool) -> Option<u64> {
+        self.lease().filter(|_| due || self.token.is_some())
+    }
+
     /// The fencing token, while this controller has one and its lease is surely valid.
     pub fn may_act(&self, now: f64) -> Option<u64> {
-        self.token.filter(|_| self.acts_until().is_some_and(|t| now < t))
+        self.token.filter(|_| !self.suspended).filter(|_| self.acts_until().is_some_and(|t| now < t))
+    }
+
+    /// From here on this controller does not act, though it has the claim, or does so again.
+    pub fn suspend(&mut self, suspended: bool) {
+        self.suspended = suspended;
     }
 
     /// Until when this controller may act, by its steady clock, if nothing renews that: what is
@@ -206,8 +224,25 @@
         l
     }
 
-    /// What a read or watch showed; true if this controller's own claim is gone.
+    /// There was no claim at this revision.
+    pub fn saw_none(&mut self, revision: u64, now: f64) {
+        if revision >= self.newest {
+            self.newest = revision;
+            self.saw(None, now);
+        }
+    }
+
+    /// What a read or watch showed; true if this controller's own claim is gone. Reads and the watch
+    /// overtake one another: a claim that is known to be gone, or followed by another, is no news. One
+    /// that was read before its end and told after it would be believed in for ever, since nothing more
+    /// is heard of it.
     pub fn saw(&mut self, seen: Option<SeenClaim>, now: f64) -> bool {
+        if let Some(s) = &seen {
+            if s.version < self.newest {
+                return false;
+            }
+            self.newest = s.version;
+        }
         self.looked = true;
         match &seen {
             None => _ = self.absent_since.get_or_insert(now),
@@ -257,7 +292,8 @@
         if self.lease.is_none() || self.lease() != self.tried_with {
             return false;
         }
-        self.token = Some(version);
+        (self.token, self.suspended) = (Some(version), false);
+        self.newest = self.newest.max(version);
         self.seen = Some(SeenClaim { claim: self.me.clone(), version });
         self.absent_since = None;
         true
@@ -397,6 +433,23 @@
         assert_eq!(o.may_act(1.0), None);
     }
 
+    /// Guards against a controller that believes in an owner that is gone, and never claims: a slow answer
+    /// to its look at the claim came after the watch had told the claim's end. Where it is the last that is
+    /// left, nobody would own any more.
+    #[test]
+    fn a_claim_that_was_read_before_its_end_is_no_news_after_it() {
+        let mut o = Ownership::new(claim("a", "1"), 6.0);
+        let of_b = || Some(SeenClaim { claim: claim("b", "1"), version: 5 });
+        o.saw(of_b(), 0.0);
+        o.saw_none(9, 1.0);
+        o.saw(of_b(), 1.1);
+        assert_eq!((o.other_owner(), next(&o, 1.2)), (None, Next::Grant));
+        o.saw(Some(SeenClaim { claim: claim("c", "1"), version: 12 }), 2.0);
+        o.saw(of_b(), 2.1);
+        o.saw_none(9, 2.2);
+        assert_eq!(o.other_owner(), Some("c"));
+    }
+
     /// A controller that keeps ending: each of its lives finds the claim of the one before. The
     /// first time it is back before anybody else could claim; from the second on it would read
     /// everything again and again, give workers a new token each time, and be gone.
--- a/crates/scheduler/src/shard/mod.rs
+++ b/crates/scheduler/src/shard/mod.rs
@@ -4,6 +4,7 @@
 //! and what is wanted comes out as writes, commands and cloud calls that the
 //! node's loops carry out. Traces in tests/ drive it directly.
 
+mod bound;
 mod cell;
 mod compare;
 mod elastic;
@@ -219,6 +220,10 @@
         let known = self.versions.entry(key).or_insert(version);
         *known = (*known).max(version);
         if let Some(j) = self.jobs.find(&r.job.id) {
+            // Our own write, whose answer comes later or never: nobody else ends jobs of ours.
+            if self.jobs.at(j).final_sent && self.jobs.at(j).wanted == r.phase {
+                self.end_stands(j, r.phase, now);
+            }
             return Some(j);
         }
         let Some(team) = self.team_names.find(&r.job.team) else {
@@ -243,8 +248,10 @@
     pub fn show(&self, id: &str) -> Option<Shown> {
         let j = self.jobs.at(self.jobs.find(id)?);
         // Another node may have read the final phase already, and told it: a slow answer
-        // to our write once made a cancelled job "queued" again.
-        if j.phase == Phase::Open && (j.final_sent || j.leaving) {
+        // to our write once made a cancelled job "queued" again. One that is cancelled with a job
+        // that it needs may be told neither as it was, long after that one's user was told, nor as
+        // cancelled before that is stored.
+        if j.phase == Phase::Open && (j.final_sent || j.leaving || j.doomed.is_some()) {
             return Some(Shown::Settling);
         }
         Some(Shown::Told(j.state(), u64::from(j.done), u64::from(j.running)))
@@ -263,8 +270,9 @@
             self.finals.insert(j);
             self.stop_all(j);
         }
-        // Its user waits for the answer now.
-        self.jobs.at_mut(j).doomed = None;
+        // Its user waits for the answer now, whatever else it is cancelled for.
+        let doomed = &mut self.jobs.at_mut(j).doomed;
+        *doomed = doomed.map(|_| f64::MIN);
         true
     }
 
--- a/crates/scheduler/src/shard/placement.rs
+++ b/crates/scheduler/src/shard/placement.rs
@@ -7,7 +7,7 @@
 use crate::fleet::{HeldState, Machine};
 use crate::intern::{Index, JobIx, MachineIx, TeamIx, ZoneIx};
 use crate::jobs::Job;
-use crate::shard::{EPS, Prospect, Shard};
+use crate::shard::{EPS, Prospect, Shard, type_fits};
 use crate::wire::Priority;
 use std::collections::{HashMap, HashSet, VecDeque};
 
@@ -15,6 +15,9 @@
 const SERVICE_ROOM: f64 = 4.0;
 /// Seconds for which work that may not use spot machines leaves that room to services.
 const BASE_PATIENCE_S: f64 = 20.0;
+/// Seconds after which a job of which nothing was started may take that room with one task: nobody waits for
+/// 90 s beside a machine that fits.
+const LONGEST_BESIDE_ROOM_S: f64 = 75.0;
 /// Seconds that a service gains on a machine of the base, and batch work off it.
 const BASE_WORTH_S: f64 = 4.0;
 /// Seconds of fetching that a spot machine is worth more than an on-demand one.
@@ -27,6 +30,8 @@
 const ROOM_WAIT_S: f64 = 0.6;
 /// Seconds that a machine on which a job failed is worth less to it.
 const FAILED_THERE_S: f64 = 60.0;
+/// Seconds after its last failure for which a job goes nowhere that it failed, as long as there are other machines.
+const AVOIDS_FAILED_FOR_S: f64 = 60.0;
 /// The class of what is not within a guarantee, after services and guarantees.
 const BORROWS: u8 = 2;
 /// Of the cpus that batch work gets which can be in time, so many more are set apart for what
@@ -90,28 +95,38 @@
         && spec.zone.as_ref().is_none_or(|z| **z == **s.types.zones.name(m.zone))
 }
 
+/// May a task of this job run on this machine beside so many others of it, whatever room there is?
+pub(super) fn may_run_beside(s: &Shard, job: &Job, m: &Machine, held: u32, in_zone: u32) -> bool {
+    allows(s, job, m)
+        && in_zone < job.zone_limit()
+        && !(job.spec.one_zone && held > in_zone)
+        && s.record_has_room(m, job.ix, &job.id)
+}
+
 fn fits_beside(s: &Shard, job: &Job, m: &Machine, held: u32, in_zone: u32) -> bool {
     let t = s.types.get(m.ty);
     let spec = &job.spec;
-    if !allows(s, job, m) {
-        return false;
-    }
-    if m.cpus_used + spec.cpus > t.cpus + EPS
-        || m.cards_used + spec.cards > t.cards + EPS
-        || m.memory_used + spec.memory_gb > t.memory_gb + EPS
-    {
-        return false;
-    }
-    in_zone < job.zone_limit() && s.record_has_room(m, job.ix, &job.id) && !(spec.one_zone && held > in_zone)
+    let has_room = m.cpus_used + spec.cpus <= t.cpus + EPS
+        && m.cards_used + spec.cards <= t.cards + EPS
+        && m.memory_used + spec.memory_gb <= t.memory_gb + EPS;
+    has_room && may_run_beside(s, job, m, held, in_zone)
 }
 
-/// Does the machine keep enough room for services if batch work takes this? Work that may not go on
+/// May this job take the room on the base that batch work leaves to services? Work that may not go on
 /// spot machines has nowhere else to go: where the base was just large enough it once waited there for
 /// ever, beside room that no service asked for.
+fn may_fill_base(s: &Shard, job: &Job) -> bool {
+    let waited_s = s.ticked - job.since;
+    let not_started = job.held + job.done == 0;
+    job.spec.priority == Priority::Production
+        || !job.spec.spot && waited_s > BASE_PATIENCE_S
+        || not_started && waited_s > LONGEST_BESIDE_ROOM_S
+}
+
+/// Does the machine keep enough room for services if batch work takes this?
 fn leaves_room(s: &Shard, job: &Job, m: &Machine) -> bool {
     !m.base
-        || job.spec.priority == Priority::Production
-        || !job.spec.spot && s.ticked - job.since > BASE_PATIENCE_S
+        || may_fill_base(s, job)
         || m.cpus_used + job.spec.cpus + SERVICE_ROOM * s.service_cpus <= s.types.get(m.ty).cpus + EPS
 }
 
@@ -137,48 +152,86 @@
     fetch + dear + base + pack * full
 }
 
+/// Does this job leave the machine out for now, because it failed there lately or one of its replicas is leaving it?
+/// It goes elsewhere than where it failed, if there is anywhere else. The others may be full, or in zones that
+/// it may not use: so not for ever.
+fn avoids(s: &Shard, job: &Job, m: MachineIx, now: f64) -> bool {
+    let lately = now - job.failed_at < AVOIDS_FAILED_FOR_S;
+    let elsewhere = lately && !job.at_fault() && job.failed_on.len() < s.machines.present.len();
+    elsewhere && job.failed_on.contains(&m) || job.avoid.is_some_and(|(a, until)| a == m && now <= until)
+}
+
+/// May an earlier start of this very task yet arrive on the machine? What became of that one can't be forgotten in
+/// this session, and the machine takes no second attempt beside it.
+fn barred(m: &Machine, key: &crate::jobs::TaskKey) -> bool {
+    m.loose.contains_key(key)
+}
+
 /// Machines that could take this job, the best first, of those that have any room.
 fn options(s: &Shard, job: &Job, roomy: &[MachineIx], now: f64) -> Vec<(f64, MachineIx)> {
-    // It goes elsewhere than where it failed, if there is anywhere else.
-    let elsewhere = !job.at_fault() && job.failed_on.len() < s.machines.present.len();
-    let again = |i: &MachineIx| job.failed_on.contains(i);
+    let again = |i: MachineIx| if job.failed_on.contains(&i) { FAILED_THERE_S } else { 0.0 };
     let mut out: Vec<(f64, MachineIx)> = roomy
         .iter()
         .map(|&i| (i, s.machines.at(i)))
-        .filter(|(i, m)| {
-            fits(s, job, m)
-                && leaves_room(s, job, m)
-                && !(elsewhere && again(i))
-                && job.avoid.is_none_or(|(a, until)| a != *i || now > until)
-        })
-        .map(|(i, m)| (cost(s, job, m) + if again(&i) { FAILED_THERE_S } else { 0.0 }, i))
+        .filter(|(i, m)| fits(s, job, m) && leaves_room(s, job, m) && !avoids(s, job, *i, now))
+        .map(|(i, m)| (cost(s, job, m) + again(i), i))
         .collect();
     out.sort_unstable_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
     out
 }
 
-/// What decides whether a plain job fits anywhere. One that asks for no less than
-/// another that found nothing, and may go nowhere else, finds nothing either: with many
-/// jobs waiting, looking through all machines for each of them took the whole processor.
-struct Hopeless(Vec<(bool, bool, f64, f64, f64)>);
+/// What decides whether a plain job fits anywhere.
+#[derive(Clone, Copy)]
+struct Shape {
+    spot: bool,
+    production: bool,
+    fills_base: bool,
+    cpus: f64,
+    memory_gb: f64,
+    cards: f64,
+}
 
-impl Hopeless {
-    fn shape(job: &Job) -> (bool, bool, f64, f64, f64) {
+impl Shape {
+    fn of(s: &Shard, job: &Job) -> Shape {
         let r = &job.spec;
-        (r.spot, r.priority == Priority::Production, r.cpus, r.memory_gb, r.cards)
+        Shape {
+            spot: r.spot,
+            production: r.priority == Priority::Production,
+            fills_base: may_fill_base(s, job),
+            cpus: r.cpus,
+            memory_gb: r.memory_gb,
+            cards: r.cards,
+        }
     }
 
-    fn covers(&self, job: &Job) -> bool {
-        let j = Self::shape(job);
-        self.0.iter().any(|h| (h.0 || !j.0) && h.1 == j.1 && h.2 <= j.2 && h.3 <= j.3 && h.4 <= j.4)
+    /// Does every machine that takes the other one take this one, too?
+    fn fits_wherever(&self, other: &Shape) -> bool {
+        (self.spot || !other.spot)
+            && self.production == other.production
+            && (self.fills_base || !other.fills_base)
+            && self.cpus <= other.cpus
+            && self.memory_gb <= other.memory_gb
+            && self.cards <= other.cards
+    }
+}
+
+/// Shapes that found no machine. One that asks for no less, and may go nowhere else, finds
+/// nothing either: with many jobs waiting, looking through all machines for each of them took
+/// the whole processor.
+struct Hopeless(Vec<Shape>);
+
+impl Hopeless {
+    fn covers(&self, s: &Shard, job: &Job) -> bool {
+        let shape = Shape::of(s, job);
+        self.0.iter().any(|h| h.fits_wherever(&shape))
     }
 
     /// This job found nothing. Only if nothing but its size stood in the way.
-    fn note(&mut self, job: &Job) {
+    fn note(&mut self, s: &Shard, job: &Job) {
         let r = &job.spec;
         let plain = r.types.is_none() && r.zone.is_none() && !r.one_zone && !r.spread;
-        if plain && job.failed_on.is_empty() && job.avoid.is_none() && !self.covers(job) {
-            self.0.push(Self::shape(job));
+        if plain && job.failed_on.is_empty() && job.avoid.is_none() && !self.covers(s, job) {
+            self.0.push(Shape::of(s, job));
         }
     }
 }
@@ -394,8 +447,9 @@
                 }
                 continue;
             }
-            if turn.first_part && s.limit_will_do(turn.job) {
-                waits_for_it.entry(job.team).or_insert(turn.job);
+            let team = job.team;
+            if turn.first_part && s.limit_will_do(turn.job) && s.keep_limit(now) {
+                waits_for_it.entry(team).or_insert(turn.job);
             }
             continue;
         }
@@ -406,7 +460,7 @@
         if turn.rank.0 == GROWS && s.others_wait {
             break;
         }
-        if !urgent && (roomy.is_empty() || hopeless.covers(job)) {
+        if !urgent && (roomy.is_empty() || hopeless.covers(s, job)) {
             s.others_wait |= turn.rank.0 != GROWS;
             if turn.first_part {
                 s.keep_machine(turn.job, now);
@@ -416,7 +470,7 @@
         s.looked_at += roomy.len() as u64;
         let mut options = options(s, s.jobs.at(turn.job), &roomy, now);
         if options.is_empty() {
-            hopeless.note(s.jobs.at(turn.job));
+            hopeless.note(s, s.jobs.at(turn.job));
             if turn.first_part {
                 s.keep_machine(turn.job, now);
             }
@@ -547,6 +601,7 @@
     let job = s.jobs.at(turn.job);
     let silent_s = s.fresh_s();
     let surpluses = s.surpluses();
+    let next = job.queue.front().map(|task| (turn.job, *task));
     let mut options: Vec<(f64, MachineIx, Vec<crate::jobs::TaskKey>)> = Vec::new();
     for (i, m) in s.machines.iter() {
         // Of services nothing can be stopped; the cheap questions come first.
@@ -557,15 +612,21 @@
         {
             continue;
         }
-        let in_zone = job.in_zone(m.zone);
-        if in_zone >= job.zone_limit() {
+        // Room where the job may not run is no room for it: it would be waited for without end.
+        let t = s.types.get(m.ty);
+        if !type_fits(&job.spec, t)
+            || !may_run_beside(s, job, m, job.held, job.in_zone(m.zone))
+            || avoids(s, job, i, now)
+            || next.is_some_and(|key| barred(m, &key))
+        {
             continue;
         }
-        let t = s.types.get(m.ty);
         // What is being stopped already will be free soon: wait for that first.
-        let coming: f64 = m.tasks.iter().filter(|(_, h)| h.stop.is_some()).map(|(k, _)| s.jobs.at(k.0).spec.cpus).sum();
+        let coming: f64 =
+            m.tasks.iter().filter(|(k, h)| m.is_leaving(k, h)).map(|(k, _)| s.jobs.at(k.0).spec.cpus).sum();
         let mut free = t.cpus - m.cpus_used + coming;
         let mut memory = t.memory_gb - m.memory_used;
+        let mut cards = t.cards - m.cards_used;
         let mut victims = Vec::new();
         let mut stoppable: Vec<_> = m
             .tasks
@@ -595,15 +656,17 @@
             }
         };
         for (surplus, k) in order {
-            if free + EPS >= job.spec.cpus && memory + EPS >= job.spec.memory_gb {
+            if free + EPS >= job.spec.cpus && memory + EPS >= job.spec.memory_gb && cards + EPS >= job.spec.cards {
                 break;
             }
             free += s.jobs.at(k.0).spec.cpus;
             memory += s.jobs.at(k.0).spec.memory_gb;
+            cards += s.jobs.at(k.0).spec.cards;
             kept += if surplus { SURPLUS_WORTH_S } else { 1.0 };
             victims.push(k);
         }
-        if free + EPS >= job.spec.cpus && (memory + EPS >= job.spec.memory_gb || coming > 0.0) {
+        let others_fit = memory + EPS >= job.spec.memory_gb && cards + EPS >= job.spec.cards;
+        if free + EPS >= job.spec.cpus && (others_fit || coming > 0.0) {
             options.push((cost(s, job, m) + kept, i, victims));
         }
     }
@@ -618,8 +681,14 @@
     let Some(image) = job.image else { return false };
     let mut choice = None;
     let mut tried = 0;
-    for (i, m) in s.machines.iter().filter(|(_, m)| !m.spot && m.has_image(image) && m.usable(now, silent_s)) {
-        if m.tasks.values().any(|h| h.stop.is_some()) {
+    let serves = |m: &Machine| {
+        !m.spot
+            && m.has_image(image)
+            && m.usable(now, silent_s)
+            && may_run_beside(s, job, m, job.held, job.in_zone(m.zone))
+    };
+    for (i, m) in s.machines.iter().filter(|(_, m)| serves(m)) {
+        if m.tasks.iter().any(|(k, h)| m.is_leaving(k, h)) {
             return true;
         }
         for (k, h) in &m.tasks {
--- a/crates/scheduler/src/shard/reports.rs
+++ b/crates/scheduler/src/shard/reports.rs
@@ -37,12 +37,15 @@
     pub machine: MachineIx,
     pub addr: SocketAddr,
     pub body: DirectCommands,
+    /// The starts in it that no earlier unanswered command carries: its outcome settles these.
     pub starts: Vec<(TaskKey, u64)>,
 }
 
 const DIRECT_PAUSE_S: f64 = 4.0;
 /// A machine whose report is overdue is asked again sooner.
 const ASKED_AGAIN_S: f64 = 0.3;
+/// A task that was told to stop is seen to have ended, or to save, within this.
+const STOPS_WITHIN_S: f64 = 3.0;
 const MOST_COMMANDS: usize = 200;
 /// Workers drop a reply that takes 4 s.
 const REPLY_DROPPED_S: f64 = 6.0;
@@ -412,12 +415,13 @@
 
     /// A start that is wanted no more, is not on the machine, and cannot arrive late:
     /// not by an unanswered direct command, nor in the reply to a report that is still
-    /// on its way while a direct answer overtakes it.
+    /// on its way while a direct answer overtakes it. A direct start counts as unanswered from the
+    /// moment it is sent: another call that is under way to the machine doesn't carry it.
     fn maybe_never(&mut self, m: MachineIx, k: TaskKey, own: bool, now: f64) {
         let machine = self.machines.at(m);
         let Some(h) = machine.tasks.get(&k) else { return };
         let reply_through = own || now - h.replied > REPLY_DROPPED_S;
-        if h.stop.is_some() && reply_through && !machine.loose.contains_key(&k) && !machine.direct_busy {
+        if h.stop.is_some() && reply_through && !machine.loose.contains_key(&k) {
             self.release(m, k);
             self.requeue(k);
         }
@@ -486,11 +490,25 @@
         job.phase != Phase::Open || !matches!(job.tasks.get(k.1 as usize), Some(Slot::Done { stored: false }))
     }
 
+    /// What no owner can want to run: tasks of cancelled jobs, and of jobs that nobody knows any more.
+    /// The first answer after a takeover renews the machine's lease like any other, and may be the last
+    /// that reaches it for as long as that lasts: it cannot wait until the machine has shown our token.
+    fn stops_of_cancelled(&self, r: &Report) -> Vec<Command> {
+        let cancelled = |t: &&TaskReport| {
+            let job = self.key_of(&t.task).map(|k| self.jobs.at(k.0));
+            job.is_none_or(|j| j.wanted == Phase::Cancelled)
+        };
+        let stop =
+            |t: &TaskReport| Command { op: Op::Stop, task: t.task.clone(), attempt: t.attempt, grace_s: Some(0.0) };
+        let running = r.tasks.iter().filter(|t| t.state != TaskState::Exited);
+        running.filter(cancelled).take(MOST_COMMANDS).map(stop).collect()
+    }
+
     /// Everything that the machine should be told, in the reply to its report.
     fn report_commands(&mut self, m: MachineIx, r: &Report, now: f64) -> Vec<Command> {
         let machine = self.machines.at(m);
         if !machine.reported_token {
-            return Vec::new();
+            return self.stops_of_cancelled(r);
         }
         let mut out = Vec::new();
         for t in &r.tasks {
@@ -563,6 +581,7 @@
         let (Some(addr), true) = (addr, fit) else { return None };
         let mut commands = Vec::new();
         let mut starts = Vec::new();
+        let mut stops = Vec::new();
         if !probing {
             for (k, h) in &machine.tasks {
                 match (h.state, h.stop) {
@@ -572,6 +591,7 @@
                     }
                     (HeldState::Fetching | HeldState::Running | HeldState::Saving, Some(g)) if h.stop_sent < 0.0 => {
                         commands.push(self.command(Op::Stop, *k, h.attempt, Some(g)));
+                        stops.push(*k);
                     }
                     _ => {}
                 }
@@ -594,14 +614,15 @@
         if commands.is_empty() && !probing && !machine.suspect {
             return None;
         }
-        for (k, a) in &starts {
-            machine.loose.insert(*k, *a);
+        for (k, _) in &starts {
             if let Some(h) = machine.tasks.get_mut(k) {
                 h.sent = now;
             }
         }
-        for h in machine.tasks.values_mut() {
-            if h.stop.is_some() {
+        // An earlier command with the same start may still arrive, whatever becomes of this one.
+        starts.retain(|(k, attempt)| machine.loose.insert(*k, *attempt) != Some(*attempt));
+        for k in &stops {
+            if let Some(h) = machine.tasks.get_mut(k) {
                 h.stop_sent = now;
             }
         }
@@ -610,6 +631,23 @@
         Some(DirectSend { machine: m, addr, body: DirectCommands { token, session, commands }, starts })
     }
 
+    /// The machine answers, and what it was told to stop a while ago runs still: the command was lost. Replies to
+    /// its reports repeat it, and those may not come.
+    fn stop_again(&mut self, m: MachineIx, now: f64) {
+        let machine = self.machines.at_mut(m);
+        let saves = |h: &Held| h.state == HeldState::Saving && h.stop.is_some_and(|grace| grace > 0.0);
+        let mut lost = false;
+        for h in machine.tasks.values_mut().filter(|h| h.stop.is_some() && h.state.begun() && !saves(h)) {
+            if now - h.stop_sent > STOPS_WITHIN_S {
+                h.stop_sent = -1.0;
+                lost = true;
+            }
+        }
+        if lost {
+            self.machines.direct_due.insert(m);
+        }
+    }
+
     /// What became of commands sent directly.
     pub fn on_direct(&mut self, sent: &DirectSend, outcome: Direct, now: f64) {
         let m = sent.machine;
@@ -640,6 +678,7 @@
                 } else if machine.tasks.values().any(|h| h.sent < 0.0 && h.state == HeldState::Commanded) {
                     self.machines.direct_due.insert(m);
                 }
+                self.stop_again(m, now);
             }
             Direct::NotSent | Direct::Unknown => {
                 machine.unanswered += 1;
--- a/src/node/between.rs
+++ b/src/node/between.rs
@@ -126,17 +126,23 @@
             Change::Put { key: LEDGER_KEY.into(), value: shares, lease: None },
             Change::Put { key: CLAIM_KEY.into(), value: claim, lease: None },
         ];
+        // From the moment that it is sent the cells may be owned by others, who wait for nobody.
+        lock(&cell.own).suspend(true);
         match self.state.commit(conditions, changes, Turn::First).await {
             Ok(Commit::Applied(_)) => self.enter_cells(plan.clone()),
+            // It may be stored, now or later. Without this claim it can't be any more.
+            Err(StateError::Unknown) => {
+                log::warn!("nobody knows whether the plan of cells came into force: giving the claim up");
+                cell.leave_claim();
+            }
+            // Whoever still holds the claim knows that it was not stored; later it cannot be, since what it
+            // was conditional on would have to change first.
             outcome => {
                 log::info!("the plan of cells did not come into force: {outcome:?}");
+                lock(&cell.own).suspend(false);
                 cell.look_at_claim().await;
-                // Whoever still holds the claim then knows that it was not stored; later it cannot
-                // be, since what it was conditional on would have to change first.
-                if matches!(outcome, Ok(Commit::Failed(_)) | Err(StateError::NotExecuted(_))) {
-                    let whole = Ledger::begin(&limits(&self.settings.teams), 1, CellIx(0));
-                    cell.with_shard(clock::now(), |s| s.set_shares(&self.settings.teams, &whole, CellIx(0)));
-                }
+                let whole = Ledger::begin(&limits(&self.settings.teams), 1, CellIx(0));
+                cell.with_shard(clock::now(), |s| s.set_shares(&self.settings.teams, &whole, CellIx(0)));
             }
         }
     }
@@ -537,6 +543,22 @@
         }
     }
 
+    /// Is this job another cell's, as its record tells? Asked until there is an answer: one that stays
+    /// here, set aside for the other cell, would be started by nobody. None where the claim is lost, or
+    /// the record can't be read.
+    async fn is_elsewhere(&self, token: u64, key: &str) -> Option<bool> {
+        while lock(&self.own).token() == Some(token) {
+            match self.state.get(key, Turn::InTurn).await {
+                Ok(item) => {
+                    let record = item.and_then(|i| job_of(&i.key, &i.value).ok())?;
+                    return Some(self.cell_of_record(&record) != self.ix);
+                }
+                Err(_) => Timer::after(Duration::from_millis(300)).await,
+            };
+        }
+        None
+    }
+
     /// Waiting work goes to cells where it starts sooner, whole and one job at a time.
     async fn let_go(self: &Arc<Self>, token: u64, plan: &lupinspur_cells::Plan, mine: &Picture) {
         let others = self.fresh_pictures(plan, mine.at_ms);
@@ -575,10 +597,7 @@
             let stored = self.part_with(token, (ledger, version), given, conditions, changes).await;
             // Its own record has the last word on whose it is.
             let theirs = match stored {
-                Some(true) | None => match self.state.get(&key, Turn::InTurn).await {
-                    Ok(Some(i)) => job_of(&i.key, &i.value).ok().map(|r| self.cell_of_record(&r) != self.ix),
-                    _ => None,
-                },
+                Some(true) | None => self.is_elsewhere(token, &key).await,
                 Some(false) => Some(false),
             };
             match theirs {
--- a/src/node/claim.rs
+++ b/src/node/claim.rs
@@ -3,13 +3,31 @@
 use super::*;
 use lupinspur_cells::member::claims_after_s;
 
+/// What a watch or a list tells of one key.
+enum News {
+    Stands(Item),
+    Gone { revision: u64 },
+}
+
+impl News {
+    fn item(&self) -> Option<&Item> {
+        match self {
+            News::Stands(i) => Some(i),
+            News::Gone { .. } => None,
+        }
+    }
+}
+
 impl Cell {
     pub(super) async fn keep_lease(self: Arc<Self>) {
         let every = Duration::from_secs_f64((self.tuning.claim_s / 5.0).min(1.5));
+        let mut renewal_sent_at = f64::MIN;
         while self.open() {
-            let lease = lock(&self.own).lease();
+            let due = clock::now() - renewal_sent_at >= every.as_secs_f64();
+            let lease = lock(&self.own).lease_to_renew(due);
             if let Some(id) = lease {
                 let sent = clock::now();
+                renewal_sent_at = sent;
                 match self.state.renew(id, Duration::from_millis(1200)).await {
                     Ok(()) => {
                         self.state_answered();
@@ -21,6 +39,9 @@
                     Err(StateError::NoSuchLease) => {
                         log::warn!("the lease is gone");
                         self.lease_ended(id);
+                        // The watch may have told the claim's end before the claim's own answer came, after
+                        // a pause: nothing else would show then that nobody holds it.
+                        self.look_at_claim().await;
                     }
                     Err(e) => log::debug!("renewal: {e}"),
                 }
@@ -185,7 +206,8 @@
             Timer::after(KEEP_TYPES_EVERY).await;
             let Some(token) = self.with_shard(clock::now(), |s| s.token) else { continue };
             let types = self.types();
-            let known = lock(&self.types_stored).as_ref().is_some_and(|s| sizes(s) == sizes(&types));
+            let stored = lock(&self.types_stored).clone();
+            let known = stored.as_ref().is_some_and(|s| sizes(&s.types) == sizes(&types));
             if known || !self.types_asked.load(Ordering::Relaxed) {
                 continue;
             }
@@ -193,14 +215,29 @@
             if value.to_string().len() > self.settings.value_bytes() {
                 continue;
             }
-            let condition = Condition { key: self.claim_key.clone(), version: token };
+            // On their own version as well: one that is applied late must not bring back older types.
+            let conditions = vec![
+                Condition { key: self.claim_key.clone(), version: token },
+                Condition { key: TYPES_KEY.into(), version: stored.map_or(0, |s| s.version) },
+            ];
             let change = Change::Put { key: TYPES_KEY.into(), value, lease: None };
-            if let Ok(Commit::Applied(_)) = self.state.commit(vec![condition], vec![change], Turn::InTurn).await {
-                *lock(&self.types_stored) = Some(types.to_vec());
+            match self.state.commit(conditions, vec![change], Turn::InTurn).await {
+                Ok(Commit::Applied(version)) => self.note_stored_types(types.to_vec(), version),
+                Ok(Commit::Failed(_)) | Err(StateError::Unknown) => self.look_at_types().await,
+                Err(e) => log::debug!("storing the machine types: {e}"),
             }
         }
     }
 
+    /// Reads the stored machine types again: they are others than was thought, or nobody knows.
+    async fn look_at_types(&self) {
+        match self.state.get(TYPES_KEY, Turn::InTurn).await {
+            Ok(Some(item)) => self.saw_beside_claim(item),
+            Ok(None) => *lock(&self.types_stored) = None,
+            Err(e) => log::debug!("reading the machine types: {e}"),
+        }
+    }
+
     pub(super) async fn look_at_claim(&self) {
         if let Ok(item) = self.state.get(&self.claim_key, Turn::First).await {
             self.state_answered();
@@ -208,6 +245,11 @@
         }
     }
 
+    /// There was no claim at this revision, as a watch or a list tells.
+    fn claim_gone(&self, revision: u64) {
+        lock(&self.own).saw_none(revision, clock::now());
+    }
+
     pub(super) fn saw_claim(&self, item: Option<Item>) {
         // Nobody's claim, with a plan in it: there are several cells from now on.
         if let Some(plan) = item.as_ref().and_then(Cell::plan_in) {
@@ -237,14 +279,14 @@
                             None => self.leave_cells(),
                         }
                         for c in self.cells().iter().filter(|c| items.iter().all(|i| i.key != c.claim_key)) {
-                            c.saw_claim(None);
+                            c.claim_gone(revision);
                         }
                         // What stands beside the claims first: it may say that they are not ours.
                         let (claims, beside): (Vec<Item>, Vec<Item>) =
                             items.into_iter().partition(|i| self.cell_claimed_by(&i.key).is_some());
-                        beside.into_iter().for_each(|i| self.saw_beside_claim(&i.key, i.value));
+                        beside.into_iter().for_each(|i| self.saw_beside_claim(i));
                         for i in claims {
-                            self.saw(i.key.clone(), Some(i));
+                            self.saw(i.key.clone(), News::Stands(i));
                         }
                         // A claim of its own earlier self, or none: there is nothing to wait for.
                         self.try_claims().await;
@@ -263,10 +305,10 @@
                     from = Some(ev.revision.max(revision));
                     for e in ev.events {
                         if let Some(key) = e.delete {
-                            self.saw(key, None);
+                            self.saw(key, News::Gone { revision: e.version });
                         } else if let Some(key) = e.put {
                             let value = e.value.unwrap_or_default();
-                            self.saw(key.clone(), Some(Item { key, value, version: e.version, lease: None }));
+                            self.saw(key.clone(), News::Stands(Item { key, value, version: e.version, lease: None }));
                         }
                     }
                     self.try_claims().await;
@@ -281,43 +323,50 @@
     }
 
     /// What stands beside the claim: the machine types, and whether this controller gave way.
-    fn saw_beside_claim(&self, key: &str, value: serde_json::Value) {
-        if key == TYPES_KEY {
-            match serde_json::from_value::<Vec<MachineType>>(value) {
-                Ok(t) if !t.is_empty() => {
-                    *lock(&self.types_stored) = Some(t.clone());
-                    let mut types = lock(&self.types);
-                    if types.is_empty() {
-                        *types = Arc::new(t);
-                    }
-                }
-                Ok(_) => {}
-                Err(e) => log::error!("{TYPES_KEY} holds something unknown: {e}"),
+    fn saw_beside_claim(&self, item: Item) {
+        if item.key == TYPES_KEY {
+            let stored: Vec<MachineType> = serde_json::from_value(item.value).unwrap_or_else(|e| {
+                log::error!("{TYPES_KEY} holds something unknown: {e}");
+                Vec::new()
+            });
+            self.note_stored_types(stored.clone(), item.version);
+            let mut types = lock(&self.types);
+            if types.is_empty() && !stored.is_empty() {
+                *types = Arc::new(stored);
             }
-        } else if key == away_key(&self.settings.node) {
+        } else if item.key == away_key(&self.settings.node) {
             for c in self.cells().iter() {
                 lock(&c.own).gave_way(clock::now());
             }
         }
     }
 
+    /// What a watch shows may be older than what was written or read since.
+    fn note_stored_types(&self, types: Vec<MachineType>, version: u64) {
+        let mut stored = lock(&self.types_stored);
+        if stored.as_ref().is_none_or(|s| s.version < version) {
+            *stored = Some(StoredTypes { types, version });
+        }
+    }
+
     fn cell_claimed_by(&self, key: &str) -> Option<Arc<Cell>> {
         self.cells().iter().find(|c| c.claim_key == key).cloned()
     }
 
     /// A key under the claims' prefix has this value now, or is gone.
-    fn saw(self: &Arc<Self>, key: String, item: Option<Item>) {
+    fn saw(self: &Arc<Self>, key: String, news: News) {
         // Where there are several cells this key is no cell's claim, but the plan.
         if key == CLAIM_KEY && self.cells().len() > 1 {
-            return match item.as_ref().and_then(Cell::plan_in) {
+            return match news.item().and_then(Cell::plan_in) {
                 Some(plan) => self.saw_plan(plan),
                 None => self.leave_cells(),
             };
         }
-        match (self.cell_claimed_by(&key), item) {
-            (Some(c), item) => c.saw_claim(item),
-            (None, Some(i)) => self.saw_beside_claim(&key, i.value),
-            (None, None) => {}
+        match (self.cell_claimed_by(&key), news) {
+            (Some(c), News::Stands(i)) => c.saw_claim(Some(i)),
+            (Some(c), News::Gone { revision }) => c.claim_gone(revision),
+            (None, News::Stands(i)) => self.saw_beside_claim(i),
+            (None, News::Gone { .. }) => {}
         }
     }
 
