--- a/tests/loopback/meetings_machines.rs
+++ b/tests/loopback/meetings_machines.rs
@@ -59,8 +59,9 @@
     let began = Instant::now();
     let ids = service_ids(0..10);
     submit(&user, &listen, &ids);
-    wait_until("no machine is told to start anything", WHOLE_WITHIN, || {
-        lock(&cluster.workers).iter().map(|w| w.commands_held_up).sum::<usize>() > 0
+    // On a busy machine the starts leave one after the other.
+    wait_until("too few machines are told to start anything", WHOLE_WITHIN, || {
+        lock(&cluster.workers).iter().filter(|w| w.commands_held_up > 0).count() > STARTS_REFUSED
     });
     std::thread::sleep(Duration::from_millis(300));
     cluster.kill(leader);
