One choice of the cheapest type, one way to use cordoned machines again

Moves: bound.rs said again how sizing.rs chooses a type and uncordons; place() said again what barred() says; three places asked in their own words whether keeping has a break. No decision changes.

--- a/crates/scheduler/src/shard/bound.rs
+++ b/crates/scheduler/src/shard/bound.rs
@@ -3,12 +3,12 @@
 //! The fleet's rule counts machines over all zones, and chooses zones by price and refusals. There may be machines
 //! enough, and no room in the one zone that a job may use: it would wait for as long as that lasts.
 
-use super::{Shard, type_fits};
+use super::Shard;
 use crate::fleet::Machine;
 use crate::fleet::launch::MOST_PER_RENTAL;
-use crate::intern::{Index, MachineIx, TypeIx, ZoneIx};
+use crate::intern::{Index, TypeIx, ZoneIx};
 use crate::jobs::Job;
-use crate::shard::sizing::{present, staying};
+use crate::shard::sizing::staying;
 use std::collections::BTreeMap;
 
 /// A job waits for so long, in seconds, before its zone gets a machine for it: mostly it finds room sooner.
@@ -52,16 +52,7 @@
     /// The cheapest type that fits the job and is offered in its zone.
     fn type_in_zone(&self, job: &Job, zone: ZoneIx) -> Option<TypeIx> {
         let name = self.types.zones.name(zone);
-        let cost = |ty: TypeIx| {
-            let t = self.types.get(ty);
-            self.share(&job.spec, ty) * if job.spec.spot && t.spot_price > 0.0 { t.spot_price } else { t.price }
-        };
-        let offered = |ty: &TypeIx| {
-            let t = self.types.get(*ty);
-            type_fits(&job.spec, t) && t.zones.iter().any(|z| **z == **name)
-        };
-        let types = (0..self.types.list.len()).map(TypeIx::new).filter(offered);
-        types.min_by(|&a, &b| cost(a).total_cmp(&cost(b)))
+        self.cheapest_type(&job.spec, |t| t.zones.iter().any(|z| **z == **name))
     }
 
     /// What waits for one zone only, as far as its teams' limits let it start.
@@ -122,15 +113,8 @@
 
     /// What was to be returned is used again first.
     fn rent_in_zone(&mut self, sort: (TypeIx, ZoneIx, bool), mut short: usize, now: f64) {
-        let again =
-            |m: &Machine| (m.ty, m.zone, m.spot) == sort && m.cordoned && present(m) && m.notice_until.is_none();
-        let cordoned: Vec<MachineIx> =
-            self.machines.iter().filter(|(_, m)| again(m)).map(|(i, _)| i).take(short).collect();
-        for m in cordoned {
-            self.machines.at_mut(m).cordoned = false;
-            self.place_due = true;
-            short -= 1;
-        }
+        let cordoned = self.cordoned(|m| (m.ty, m.zone, m.spot) == sort);
+        short -= self.use_again(cordoned.into_iter().take(short));
         let (ty, zone, spot) = sort;
         if short > 0 && self.launches.may_ask(ty, zone, spot, now) {
             let launch = self.launches.ask(ty, zone, spot, short.min(MOST_PER_RENTAL));
--- a/crates/scheduler/src/shard/largest.rs
+++ b/crates/scheduler/src/shard/largest.rs
@@ -83,12 +83,16 @@
         self.last = now;
     }
 
+    fn in_break(&self, now: f64) -> bool {
+        now < self.break_until
+    }
+
     /// May anything be kept now? A break begins where that has lasted for too long.
     fn may_keep(&mut self, now: f64) -> bool {
         if now - self.last <= GAP_S && now - self.since > KEPT_IN_A_ROW_S {
             *self = InARow { since: now + BREAK_S, last: f64::MIN, break_until: now + BREAK_S };
         }
-        now >= self.break_until
+        !self.in_break(now)
     }
 }
 
@@ -221,7 +225,7 @@
         let job = self.jobs.at(j);
         let kept = self.largest.kept.iter().find(|(_, k)| k.0 == j).map(|(m, _)| *m);
         let most = (self.machines.present.len() / KEPT_SHARE).max(1);
-        if now < self.largest.in_a_row.break_until || kept.is_none() && self.largest.kept.len() >= most {
+        if self.largest.in_a_row.in_break(now) || kept.is_none() && self.largest.kept.len() >= most {
             return;
         }
         let silent_s = self.fresh_s();
@@ -269,7 +273,7 @@
 
     /// Its team's limit is kept for a large job, if there is no break.
     pub(crate) fn keep_limit(&mut self, now: f64) -> bool {
-        let may_keep = now >= self.largest.in_a_row.break_until;
+        let may_keep = !self.largest.in_a_row.in_break(now);
         if may_keep {
             self.largest.in_a_row.kept(now);
         }
--- a/crates/scheduler/src/shard/placement.rs
+++ b/crates/scheduler/src/shard/placement.rs
@@ -501,10 +501,8 @@
             while options.get(at).is_some_and(|o| !takes(o.1)) {
                 at += 1;
             }
-            // Where an earlier start of this very task may yet arrive, what became of that one can't be
-            // forgotten in this session, and a machine takes no second attempt beside it.
-            let barred = |m: MachineIx| s.machines.at(m).loose.contains_key(&(turn.job, task));
-            let found = options.iter().skip(at).map(|o| o.1).find(|&m| !barred(m) && takes(m));
+            let is_barred = |m: MachineIx| barred(s.machines.at(m), &(turn.job, task));
+            let found = options.iter().skip(at).map(|o| o.1).find(|&m| !is_barred(m) && takes(m));
             // A service waits a moment for room where its image is, rather than for the image.
             let fetches = found.is_some_and(|m| job.image.is_some_and(|i| !s.machines.at(m).has_image(i)));
             let patient = now - job.since < ROOM_WAIT_S;
--- a/crates/scheduler/src/shard/sizing.rs
+++ b/crates/scheduler/src/shard/sizing.rs
@@ -11,7 +11,7 @@
 use crate::jobs::TaskKey;
 use crate::shard::placement::{Promised, taken_by};
 use crate::times::stretched;
-use crate::wire::{ListedMachine, ListedState};
+use crate::wire::{ListedMachine, ListedState, MachineType};
 use std::collections::{BTreeMap, HashMap};
 
 /// A call that the node's loop makes to the cloud.
@@ -390,13 +390,25 @@
 
     /// The cheapest type on which a job's tasks fit.
     fn pool_of(&self, r: &crate::wire::JobRequest) -> Option<TypeIx> {
-        (0..self.types.list.len()).map(TypeIx::new).filter(|&t| type_fits(r, self.types.get(t))).min_by(|&a, &b| {
-            let cost = |t: TypeIx| {
-                let p = self.types.get(t);
-                self.share(r, t) * if r.spot && p.spot_price > 0.0 { p.spot_price } else { p.price }
-            };
-            cost(a).total_cmp(&cost(b))
-        })
+        self.cheapest_type(r, |_| true)
+    }
+
+    /// The cheapest type, of those that are `offered`, on which a job's tasks fit.
+    pub(super) fn cheapest_type(
+        &self,
+        r: &crate::wire::JobRequest,
+        offered: impl Fn(&MachineType) -> bool,
+    ) -> Option<TypeIx> {
+        let cost = |ty: TypeIx| {
+            let t = self.types.get(ty);
+            self.share(r, ty) * if r.spot && t.spot_price > 0.0 { t.spot_price } else { t.price }
+        };
+        let suits = |ty: &TypeIx| {
+            let t = self.types.get(*ty);
+            type_fits(r, t) && offered(t)
+        };
+        let types = (0..self.types.list.len()).map(TypeIx::new).filter(suits);
+        types.min_by(|&a, &b| cost(a).total_cmp(&cost(b)))
     }
 
     /// Demand in machines, per type: that may use spot machines, and that may not.
@@ -509,17 +521,8 @@
     ) {
         if wanted > there + pending {
             let mut short = wanted - there - pending;
-            let mut cordoned: Vec<MachineIx> = self
-                .machines
-                .iter()
-                .filter(|(_, m)| m.ty == ty && m.spot == spot && m.cordoned && present(m) && m.notice_until.is_none())
-                .map(|(i, _)| i)
-                .collect();
-            while let (true, Some(m)) = (short > 0, cordoned.pop()) {
-                self.machines.at_mut(m).cordoned = false;
-                self.place_due = true;
-                short -= 1;
-            }
+            let cordoned = self.cordoned(|m| m.ty == ty && m.spot == spot);
+            short -= self.use_again(cordoned.into_iter().rev().take(short));
             if short > 0 {
                 self.rent(ty, spot, short, now);
             }
@@ -545,6 +548,23 @@
         }
     }
 
+    /// Machines that were to be returned, and can be used still.
+    pub(super) fn cordoned(&self, of_sort: impl Fn(&Machine) -> bool) -> Vec<MachineIx> {
+        let usable = |m: &Machine| m.cordoned && present(m) && m.notice_until.is_none();
+        self.machines.iter().filter(|(_, m)| usable(m) && of_sort(m)).map(|(i, _)| i).collect()
+    }
+
+    /// Keeps these machines, which were to be returned; how many they are.
+    pub(super) fn use_again(&mut self, machines: impl Iterator<Item = MachineIx>) -> usize {
+        let mut kept = 0;
+        for m in machines {
+            self.machines.at_mut(m).cordoned = false;
+            self.place_due = true;
+            kept += 1;
+        }
+        kept
+    }
+
     fn rent(&mut self, ty: TypeIx, spot: bool, short: usize, now: f64) {
         let zones = self.types.zones.len();
         let mut current = self.launches.pending_in(spot, zones);
