--- a/src/answering.rs
+++ b/src/answering.rs
@@ -20,12 +20,17 @@
     Outgoing::json(status, &answer)
 }
 
-/// The answer to a question or a cancellation. What may yet change is sent only until `acts_until`, the
-/// end of this controller's lease if it owns the job; ends never change.
+/// What is known of a job. What may yet change is sent only until `acts_until`, the end of this
+/// controller's lease if it owns the job; ends never change.
+fn known_answer(id: &str, told: Told, counts: bool, acts_until: Option<f64>) -> Outgoing {
+    let answer = job_answer(200, id, told, counts);
+    if told.is_final() { answer } else { answer.until(acts_until) }
+}
+
+/// The answer to a question or a cancellation.
 pub fn about_answer(verb: Verb, id: &str, word: Word, acts_until: Option<f64>) -> Outgoing {
     match word {
-        Word::Known(told) if told.is_final() => job_answer(200, id, told, verb == Verb::Show),
-        Word::Known(told) => job_answer(200, id, told, verb == Verb::Show).until(acts_until),
+        Word::Known(told) => known_answer(id, told, verb == Verb::Show, acts_until),
         Word::Absent => Outgoing::error(404, "no such job"),
         Word::Unable => unable(),
     }
@@ -34,8 +39,7 @@
 /// The answer to a submission of a job that was accepted before.
 pub fn resubmission_answer(id: &str, word: Word, acts_until: Option<f64>) -> Outgoing {
     match word {
-        Word::Known(told) if told.is_final() => job_answer(200, id, told, false),
-        Word::Known(told) => job_answer(200, id, told, false).until(acts_until),
+        Word::Known(told) => known_answer(id, told, false, acts_until),
         Word::Absent | Word::Unable => unable(),
     }
 }
