--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -32,10 +32,15 @@
 pub struct Conn(Arc<Async<TcpStream>>);
 
 impl Conn {
+    /// A connection that was accepted.
+    pub fn new(stream: Async<TcpStream>) -> Conn {
+        Conn(Arc::new(stream))
+    }
+
     pub async fn open(addr: SocketAddr, limit: Duration) -> io::Result<Conn> {
         let s = timed(limit, Async::<TcpStream>::connect(addr)).await??;
         s.get_ref().set_nodelay(true)?;
-        Ok(Conn(Arc::new(s)))
+        Ok(Conn::new(s))
     }
 }
 
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -157,7 +157,7 @@
         ex.spawn(async move {
             let Some(_slot) = reserve(&admission.open, 1, admission.bounds.connections) else { return };
             let _ = stream.get_ref().set_nodelay(true);
-            let _ = serve_conn(Conn(Arc::new(stream)), &admission, &*handler).await;
+            let _ = serve_conn(Conn::new(stream), &admission, &*handler).await;
         })
         .detach();
     }
--- a/tests/loopback/http.rs
+++ b/tests/loopback/http.rs
@@ -2,14 +2,12 @@
 
 use async_executor::Executor;
 use async_io::Async;
-use futures_lite::{AsyncRead, AsyncReadExt, AsyncWrite, io};
+use futures_lite::{AsyncReadExt, io};
 use http_types::{Response, StatusCode};
-use lupinspur::http::{Bounds, Incoming, Outgoing, serve};
+use lupinspur::http::{Bounds, Conn, Incoming, Outgoing, serve};
 use serde_json::Value;
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::pin::Pin;
+use std::net::{SocketAddr, TcpListener};
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::task::{Context, Poll};
 
 pub static EX: Executor<'static> = Executor::new();
 
@@ -38,28 +36,6 @@
     addr
 }
 
-/// A connection whose two directions are used apart.
-#[derive(Clone)]
-struct Conn(Arc<Async<TcpStream>>);
-
-impl AsyncRead for Conn {
-    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut [u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut &*self.0).poll_read(cx, buf)
-    }
-}
-
-impl AsyncWrite for Conn {
-    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut &*self.0).poll_write(cx, buf)
-    }
-    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut &*self.0).poll_flush(cx)
-    }
-    fn poll_close(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(self.0.get_ref().shutdown(Shutdown::Write))
-    }
-}
-
 /// Like [`server`], but where the handler gives no answer the connection is closed without one.
 pub fn server_that_loses<F, Fut>(handler: F) -> SocketAddr
 where
@@ -72,7 +48,7 @@
     EX.spawn(async move {
         while let Ok((stream, _)) = listener.accept().await {
             let _ = stream.get_ref().set_nodelay(true);
-            let (conn, handler) = (Conn(Arc::new(stream)), handler.clone());
+            let (conn, handler) = (Conn::new(stream), handler.clone());
             EX.spawn(async move { _ = serve_until_lost(conn, &*handler).await }).detach();
         }
     })
