--- a/tests/claims/controllers.rs
+++ b/tests/claims/controllers.rs
@@ -1,32 +1,16 @@
 //! Controllers of the real program, between stand-ins for the state service and the cloud.
 
-use crate::state_service::{CLAIM_KEY, Store, lock, state_service};
-use async_executor::Executor;
-use async_io::Async;
+use crate::http::{free_port, lock, server};
+use crate::state_service::{CLAIM_KEY, Store, state_service};
 use http_types::Method;
-use lupinspur::http::{Bounds, Client, Incoming, Outgoing, serve};
+use lupinspur::http::{Client, Incoming, Outgoing};
 use serde_json::{Value, json};
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::sync::{Arc, Mutex, Once};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-static EXECUTOR: Executor<'static> = Executor::new();
-const BOUNDS: Bounds = Bounds { connections: 500, body_bytes: 4 << 20 };
-
-/// Answers requests at an address of its own.
-pub fn listen<F, Fut>(handler: F) -> SocketAddr
-where
-    F: Fn(Incoming) -> Fut + Send + Sync + 'static,
-    Fut: Future<Output = Outgoing> + Send + 'static,
-{
-    let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).expect("a port");
-    let addr = listener.get_ref().local_addr().expect("its address");
-    EXECUTOR.spawn(serve(&EXECUTOR, listener, BOUNDS, Arc::new(handler))).detach();
-    addr
-}
-
 pub async fn cloud(request: Incoming) -> Outgoing {
     match (request.method, request.path.as_str()) {
         (_, "/flavors") => Outgoing::json(
@@ -39,10 +23,6 @@
     }
 }
 
-pub fn free_address() -> SocketAddr {
-    TcpListener::bind(("127.0.0.1", 0)).and_then(|l| l.local_addr()).expect("a free port")
-}
-
 pub fn job_request(id: &str) -> Value {
     json!({"id": id, "breed": "any", "herd": "red", "habit": "batch", "precedence": "standard", "seeds": 1,
         "cpus": 1.0, "cards": 0.0, "memory_gb": 1.0, "same_place": false, "scatter": false, "fallow": false,
@@ -72,14 +52,10 @@
 
     /// The same, with none of them begun.
     pub fn prepare(name: &str, count: usize, requests_per_s: f64, cells: Option<&str>) -> Controllers {
-        static RUNS: Once = Once::new();
-        RUNS.call_once(|| {
-            std::thread::spawn(|| async_io::block_on(EXECUTOR.run(std::future::pending::<()>())));
-        });
         let store: Arc<Mutex<Store>> = Arc::default();
-        let cloud_address = listen(cloud);
-        let addresses: Vec<SocketAddr> = (0..count).map(|_| free_address()).collect();
-        let peers: Vec<SocketAddr> = (0..count).map(|_| free_address()).collect();
+        let cloud_address = server(cloud);
+        let addresses: Vec<SocketAddr> = (0..count).map(|_| free_port()).collect();
+        let peers: Vec<SocketAddr> = (0..count).map(|_| free_port()).collect();
         let folder = std::env::temp_dir().join(format!("lupinspur-{name}-{}", std::process::id()));
         std::fs::create_dir_all(&folder).expect("a folder");
         let cells_file = folder.join("cells.toml");
@@ -88,7 +64,7 @@
         }
         let command = |i: usize| {
             let held = store.clone();
-            let state_address = listen(move |r| state_service(held.clone(), i, r));
+            let state_address = server(move |r| state_service(held.clone(), i, r));
             let others = (0..count).filter(|j| *j != i);
             let others: String = others
                 .map(|j| format!("[[seeds]]\nhost_name = \"n{j}\"\ndomain = \"a\"\naddress = \"{}\"\n", peers[j]))
--- a/tests/claims/main.rs
+++ b/tests/claims/main.rs
@@ -2,16 +2,20 @@
 //! cost a controller, and how soon an owner knows what it has stored.
 
 mod controllers;
+#[allow(dead_code)]
+#[path = "../common/http.rs"]
+mod http;
 mod state_service;
 
 use controllers::Controllers;
+use http::lock;
 use http_types::Method;
 use lupinspur::intern::{Index, JobIx};
 use lupinspur::jobs::Phase;
 use lupinspur::shard::{What, Write};
 use lupinspur::wire::{Change, Item};
 use serde_json::{Value, json};
-use state_service::{Conflict, Store, TOLD_BY_TEST, lock};
+use state_service::{Conflict, Store, TOLD_BY_TEST};
 use std::time::{Duration, Instant};
 
 /// Whoever came too late with its claim holds a lease all the same. Renewing it as often as an owner
--- a/tests/claims/state_service.rs
+++ b/tests/claims/state_service.rs
@@ -1,25 +1,18 @@
 //! A stand-in for the state service, which loses answers and more on demand.
 
+use crate::http::{body, lock, param};
 use async_io::Timer;
 use http_types::Method;
 use lupinspur::http::{Incoming, Outgoing};
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 pub const CLAIM_KEY: &str = "own/0";
 /// Controllers that begin together all find no claim while the first one is being stored.
 const CLAIM_TAKES: Duration = Duration::from_millis(400);
 
-pub fn lock<T>(m: &Mutex<T>) -> MutexGuard<'_, T> {
-    m.lock().unwrap_or_else(|e| e.into_inner())
-}
-
-fn query_value(query: &str, name: &str) -> Option<String> {
-    query.split('&').find_map(|p| p.strip_prefix(name)?.strip_prefix('=').map(str::to_owned))
-}
-
 pub struct StoredValue {
     pub value: Value,
     version: u64,
@@ -159,8 +152,8 @@
 }
 
 pub async fn follow(store: Arc<Mutex<Store>>, node: usize, query: &str) -> Outgoing {
-    let prefix = query_value(query, "under").unwrap_or_default();
-    let number = |name: &str| query_value(query, name).and_then(|v| v.parse::<u64>().ok()).unwrap_or(0);
+    let prefix = param(query, "under").unwrap_or_default();
+    let number = |name: &str| param(query, name).and_then(|v| v.parse::<u64>().ok()).unwrap_or(0);
     let (from, until) = (number("from"), Instant::now() + Duration::from_millis(number("block_ms")));
     loop {
         {
@@ -182,7 +175,7 @@
     lock(&store).expire_leases();
     let path = request.path.trim_start_matches('/').to_owned();
     let (first, rest) = path.split_once('/').map_or((path.as_str(), None), |(f, r)| (f, Some(r)));
-    let body: Value = serde_json::from_slice(&request.body).unwrap_or_default();
+    let body = body(&request);
     match (request.method, first, rest) {
         (Method::Get, "kv", Some(key)) => {
             let mut s = lock(&store);
@@ -194,7 +187,7 @@
                 None => Outgoing::json(404, &json!({"almanac": s.revision})),
             }
         }
-        (Method::Get, "kv", None) => lock(&store).list(&query_value(&request.query, "under").unwrap_or_default()),
+        (Method::Get, "kv", None) => lock(&store).list(&param(&request.query, "under").unwrap_or_default()),
         (Method::Post, "commit", None) => {
             if body["writes"][0]["set"] == CLAIM_KEY {
                 Timer::after(CLAIM_TAKES).await;
--- a/tests/loopback/http.rs
+++ b/tests/common/http.rs
@@ -1,4 +1,4 @@
-//! What all stand-ins share: an executor, a server and the reading of requests.
+//! What all stand-ins share: an executor, a server, ports and the reading of requests.
 
 use async_executor::Executor;
 use async_io::Async;
@@ -7,12 +7,22 @@
 use lupinspur::http::{Bounds, Conn, Incoming, Outgoing, serve};
 use serde_json::Value;
 use std::net::{SocketAddr, TcpListener};
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, Once};
+
+static RUNS: Once = Once::new();
 
 pub static EX: Executor<'static> = Executor::new();
 
 pub const ROOM: Bounds = Bounds { connections: 2000, body_bytes: 16 << 20 };
 
+/// A thread for all that the stand-ins do.
+fn run_executor() {
+    RUNS.call_once(|| {
+        std::thread::spawn(|| async_io::block_on(EX.run(std::future::pending::<()>())));
+    });
+}
+
 pub fn lock<T>(m: &Mutex<T>) -> MutexGuard<'_, T> {
     m.lock().unwrap_or_else(|e| e.into_inner())
 }
@@ -30,18 +40,33 @@
     F: Fn(Incoming) -> Fut + Send + Sync + 'static,
     Fut: Future<Output = Outgoing> + Send + 'static,
 {
+    run_executor();
     let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).expect("a port");
     let addr = listener.get_ref().local_addr().expect("its address");
     EX.spawn(serve(&EX, listener, ROOM, Arc::new(handler))).detach();
     addr
 }
 
+/// A port for a program that is started later. Below those that the system hands out by
+/// itself: one of them was taken by somebody's connection before the program was there.
+pub fn free_port() -> SocketAddr {
+    static NEXT: AtomicUsize = AtomicUsize::new(0);
+    let first = std::process::id() as usize * 16;
+    loop {
+        let port = 10_000 + (first + NEXT.fetch_add(1, Ordering::Relaxed)) % 20_000;
+        if let Ok(l) = TcpListener::bind(("127.0.0.1", port as u16)) {
+            return l.local_addr().expect("its address");
+        }
+    }
+}
+
 /// Like [`server`], but where the handler gives no answer the connection is closed without one.
 pub fn server_that_loses<F, Fut>(handler: F) -> SocketAddr
 where
     F: Fn(Incoming) -> Fut + Send + Sync + 'static,
     Fut: Future<Output = Option<Outgoing>> + Send + 'static,
 {
+    run_executor();
     let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).expect("a port");
     let addr = listener.get_ref().local_addr().expect("its address");
     let handler = Arc::new(handler);
--- a/tests/fencing/main.rs
+++ b/tests/fencing/main.rs
@@ -1,24 +1,24 @@
 //! One real controller in front of a state service that is written here and notes all that it is asked: what
 //! the controller's writes are conditional on, and until when it answers workers.
 
-use async_executor::Executor;
-use async_io::Async;
 use http_types::Method;
-use lupinspur::http::{Bounds, Client, Incoming, Outgoing, serve};
+use lupinspur::http::{Client, Incoming, Outgoing};
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::process::{Child, Command};
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, Once};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+#[allow(dead_code)]
+#[path = "../common/http.rs"]
+mod http;
 mod store;
 
+use http::{body, free_port, lock, server};
 use store::{Store, state};
 
-static EXECUTOR: Executor<'static> = Executor::new();
-const BOUNDS: Bounds = Bounds { connections: 200, body_bytes: 16 << 20 };
 const CLAIM: &str = "own/0";
 /// How long a claim lasts without a renewal, as the controller asks for it.
 const CLAIM_LASTS: Duration = Duration::from_secs(4);
@@ -26,33 +26,6 @@
 const SLOW_RENEWAL: Duration = Duration::from_millis(800);
 const WAITS_AT_MOST: Duration = Duration::from_secs(40);
 
-fn lock<T>(m: &Mutex<T>) -> MutexGuard<'_, T> {
-    m.lock().unwrap_or_else(|e| e.into_inner())
-}
-
-fn body(request: &Incoming) -> Value {
-    serde_json::from_slice(&request.body).unwrap_or_default()
-}
-
-fn parameter<'a>(query: &'a str, name: &str) -> &'a str {
-    query.split('&').find_map(|p| p.strip_prefix(name)?.strip_prefix('=')).unwrap_or_default()
-}
-
-fn listen<F, Fut>(handler: F) -> SocketAddr
-where
-    F: Fn(Incoming) -> Fut + Send + Sync + 'static,
-    Fut: Future<Output = Outgoing> + Send + 'static,
-{
-    static RUNS: Once = Once::new();
-    RUNS.call_once(|| {
-        std::thread::spawn(|| async_io::block_on(EXECUTOR.run(std::future::pending::<()>())));
-    });
-    let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).expect("a port");
-    let address = listener.get_ref().local_addr().expect("its address");
-    EXECUTOR.spawn(serve(&EXECUTOR, listener, BOUNDS, Arc::new(handler))).detach();
-    address
-}
-
 /// One type of machines, and none to be had: a machine comes by its reports.
 async fn cloud(request: Incoming) -> Outgoing {
     let strain = json!({"name": "m8", "cpus": 8, "cards": 0, "memory_gb": 16, "local_gb": 10, "pull_gb_per_s": 1.0,
@@ -85,11 +58,10 @@
 impl Controller {
     fn start(name: &str) -> Controller {
         let store: Arc<Mutex<Store>> = Arc::default();
-        let (served, port) = (store.clone(), || TcpListener::bind(("127.0.0.1", 0)).expect("a port"));
-        let state = listen(move |r| state(served.clone(), r));
-        let cloud = listen(cloud);
-        let (users, peers) = (port(), port());
-        let address = users.local_addr().expect("its address");
+        let served = store.clone();
+        let state = server(move |r| state(served.clone(), r));
+        let cloud = server(cloud);
+        let (address, peers) = (free_port(), free_port());
         let text = format!(
             "host_name = \"n0\"\ndomain = \"a\"\nbind = \"{address}\"\npeer_listen = \"{}\"\n\
              [services]\ncloud = \"{cloud}\"\nstate = \"{state}\"\n\
@@ -97,11 +69,10 @@
              [cluster.workers]\nreport_s = 0.3\nlease_s = 9.0\ncancel_s = 10.0\n\
              [cluster.state]\nrps = 500.0\nwrite_rps = 300.0\nvalue_kb = 16.0\ntxn_ops = 16\n\
              [cluster.cloud]\nrps = 20.0\nlist_lag_s = 0.5\n",
-            peers.local_addr().expect("its address")
+            peers
         );
         let settings = std::env::temp_dir().join(format!("lupinspur-fencing-{name}-{}.toml", std::process::id()));
         std::fs::write(&settings, text).expect("a settings file");
-        drop((users, peers));
         let mut program = Command::new(env!("CARGO_BIN_EXE_lupinspur"));
         let process = program.arg("--config").arg(&settings).env("LOG_LEVEL", "error").spawn().expect("it starts");
         Controller { store, address, process, settings, client: Client::new(1, 1) }
@@ -258,7 +229,7 @@
 
 /// A machine's own server: notes when commands arrive, and answers them with a report of nothing.
 fn takes_commands(counter: Arc<AtomicU64>, arrived: Arc<Mutex<Vec<Instant>>>) -> SocketAddr {
-    listen(move |request| {
+    server(move |request| {
         lock(&arrived).push(Instant::now());
         let counter = counter.fetch_add(1, Ordering::Relaxed) + 1;
         let report = json!({"plot": "host-1", "addr": "", "strain": "m8", "field": "a", "fallow": false, "season": 1,
--- a/tests/fencing/store.rs
+++ b/tests/fencing/store.rs
@@ -1,6 +1,7 @@
 //! The state service: leases never end by themselves, and a renewal is answered late.
 
-use super::{CLAIM, SLOW_RENEWAL, body, lock, parameter};
+use super::{CLAIM, SLOW_RENEWAL};
+use crate::http::{body, lock, param};
 use async_io::Timer;
 use lupinspur::http::{Incoming, Outgoing};
 use serde_json::{Value, json};
@@ -86,11 +87,11 @@
 }
 
 async fn follow(store: &Mutex<Store>, query: &str) -> Outgoing {
-    let after = parameter(query, "from").parse().unwrap_or(0);
-    let within = Duration::from_millis(parameter(query, "block_ms").parse().unwrap_or(0));
+    let after = param(query, "from").and_then(|v| v.parse().ok()).unwrap_or(0);
+    let within = Duration::from_millis(param(query, "block_ms").and_then(|v| v.parse().ok()).unwrap_or(0));
     let began = Instant::now();
     loop {
-        let news = lock(store).news(parameter(query, "under"), after);
+        let news = lock(store).news(&param(query, "under").unwrap_or_default(), after);
         if let Some(news) = news {
             return news;
         }
@@ -121,7 +122,10 @@
     match path.split_once('/') {
         Some(("kv", key)) => lock(&store).get(key),
         Some(("grants", _)) => renew(&store).await,
-        _ if path == "kv" => lock(&store).list(parameter(&request.query, "under"), parameter(&request.query, "from")),
+        _ if path == "kv" => {
+            let value = |name| param(&request.query, name).unwrap_or_default();
+            lock(&store).list(&value("under"), &value("from"))
+        }
         _ if path == "follow" => follow(&store, &request.query).await,
         _ if path == "grants" => Outgoing::json(200, &json!({"tether": 1})),
         _ => lock(&store).commit(&body(&request)),
--- a/tests/loopback/cluster.rs
+++ b/tests/loopback/cluster.rs
@@ -1,9 +1,9 @@
 //! Real controllers as processes, in front of stand-ins for everything else.
 
 use crate::cloud::Cloud;
-use crate::http::{EX, body, lock, server, server_that_loses};
+use crate::http::{EX, body, free_port, lock, server, server_that_loses};
 use crate::links::Links;
-use crate::settings::{Size, free_port, settings};
+use crate::settings::{Size, settings};
 use crate::state_service::{Store, state};
 use crate::workers::{Worker, Workers, execute_late, obey, work};
 use async_io::Timer;
@@ -15,7 +15,7 @@
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicUsize};
-use std::sync::{Arc, Condvar, Mutex, Once};
+use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
 pub struct Nodes(pub Vec<Option<Child>>);
@@ -93,10 +93,6 @@
     /// In front of a state service that holds so many jobs which ended long ago.
     pub fn start_with(name: &str, size: Size, ended: u32) -> Cluster {
         let turn = Turn::take();
-        static RUNS: Once = Once::new();
-        RUNS.call_once(|| {
-            std::thread::spawn(|| async_io::block_on(EX.run(std::future::pending::<()>())));
-        });
         let store = Arc::new(Mutex::new(Store { ended, ..Store::default() }));
         // Each controller has its own address of the state service, which may refuse it alone.
         let state_addr: Vec<SocketAddr> = (0..size.nodes)
--- a/tests/loopback/main.rs
+++ b/tests/loopback/main.rs
@@ -9,6 +9,7 @@
 mod elastic;
 mod faults;
 mod history;
+#[path = "../common/http.rs"]
 mod http;
 mod links;
 mod meetings_answers;
--- a/tests/loopback/quotas.rs
+++ b/tests/loopback/quotas.rs
@@ -1,9 +1,9 @@
 //! Organisations whose quotas nest.
 
 use crate::cluster::Cluster;
-use crate::http::lock;
+use crate::http::{free_port, lock};
 use crate::requests::{LONG, SERVICES, User, job};
-use crate::settings::{Size, free_port};
+use crate::settings::Size;
 use http_types::Method;
 use lupinspur::http::Client;
 use serde_json::{Value, json};
--- a/tests/loopback/settings.rs
+++ b/tests/loopback/settings.rs
@@ -1,22 +1,8 @@
 //! Sizes of stand-in clusters, and the settings files of their controllers.
 
-use std::net::{SocketAddr, TcpListener};
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::net::SocketAddr;
 use std::time::Duration;
 
-/// A port for a program that is started later. Below those that the system hands out by
-/// itself: one of them was taken by somebody's connection before the program was there.
-pub fn free_port() -> SocketAddr {
-    static NEXT: AtomicUsize = AtomicUsize::new(0);
-    let first = std::process::id() as usize * 16;
-    loop {
-        let port = 10_000 + (first + NEXT.fetch_add(1, Ordering::Relaxed)) % 20_000;
-        if let Ok(l) = TcpListener::bind(("127.0.0.1", port as u16)) {
-            return l.local_addr().expect("its address");
-        }
-    }
-}
-
 pub fn settings(
     i: usize,
     listen: &[SocketAddr],
--- a/tests/loopback/settings_file.rs
+++ b/tests/loopback/settings_file.rs
@@ -1,6 +1,7 @@
 //! Wrong settings files.
 
-use crate::settings::{Size, free_port, settings};
+use crate::http::free_port;
+use crate::settings::{Size, settings};
 use std::ffi::OsStr;
 use std::process::Command;
 
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -29,16 +29,10 @@
 
 use lupinspur_model::stored::{self, types};
 
-const SETTINGS: &str = r#"
-host_name = "n0"
-domain = "a"
-bind = "127.0.0.1:1"
-peer_listen = "127.0.0.1:2"
-[services]
-cloud = "127.0.0.1:3"
-state = "127.0.0.1:4"
-[cluster]
-zones = ["a", "b", "c"]
+#[path = "common/settings.rs"]
+mod settings;
+
+const TEAMS: &str = r#"
 [[cluster.teams]]
 name = "red"
 cpus = 16.0
@@ -65,18 +59,6 @@
 kind = "wait"
 class = "desk"
 within_s = 1.0
-[cluster.workers]
-report_s = 3.0
-lease_s = 20.0
-cancel_s = 45.0
-[cluster.state]
-rps = 100.0
-write_rps = 30.0
-value_kb = 4.0
-txn_ops = 8
-[cluster.cloud]
-rps = 5.0
-list_lag_s = 5.0
 "#;
 
 struct World {
@@ -628,7 +610,7 @@
 
 fn world() -> World {
     World {
-        settings: Settings::parse(SETTINGS).expect("settings"),
+        settings: Settings::parse(&settings::settings(TEAMS)).expect("settings"),
         shard: None,
         store: BTreeMap::new(),
         revision: 0,
@@ -843,7 +825,7 @@
     assert!(most > 1984, "the largest value has {most} bytes");
     assert_eq!(before.values().map(BTreeSet::len).sum::<usize>(), 30);
     let next = "[cluster.state.next]\nvalue_kb = 2.0\ntxn_ops = 4\n[cluster.cloud]";
-    w.settings = Settings::parse(&SETTINGS.replace("[cluster.cloud]", next)).expect("settings");
+    w.settings = Settings::parse(&settings::settings(TEAMS).replace("[cluster.cloud]", next)).expect("settings");
     w.event(1.0, "takeover", &["20"]);
     for step in 0..100 {
         let writes = w.s().next_writes(4, 50_000, 4, 1.1);
--- a/tests/waiting.rs
+++ b/tests/waiting.rs
@@ -16,16 +16,10 @@
 use serde_json::json;
 use std::collections::{BTreeMap, HashMap};
 
-const SETTINGS: &str = r#"
-host_name = "n0"
-domain = "a"
-bind = "127.0.0.1:1"
-peer_listen = "127.0.0.1:2"
-[services]
-cloud = "127.0.0.1:3"
-state = "127.0.0.1:4"
-[cluster]
-zones = ["a", "b", "c"]
+#[path = "common/settings.rs"]
+mod settings;
+
+const TEAMS: &str = r#"
 [[cluster.teams]]
 name = "red"
 cpus = 32.0
@@ -33,18 +27,6 @@
 [[cluster.teams]]
 name = "blue"
 cpus = 64.0
-[cluster.workers]
-report_s = 3.0
-lease_s = 20.0
-cancel_s = 45.0
-[cluster.state]
-rps = 100.0
-write_rps = 30.0
-value_kb = 4.0
-txn_ops = 8
-[cluster.cloud]
-rps = 5.0
-list_lag_s = 5.0
 "#;
 
 const ZONES: [&str; 3] = ["a", "b", "c"];
@@ -145,7 +127,7 @@
 
 impl Day {
     fn new(seed: u64) -> Day {
-        let settings = Settings::parse(SETTINGS).expect("settings");
+        let settings = Settings::parse(&settings::settings(TEAMS)).expect("settings");
         let tuning = Tuning { extra: 2, window_s: 4.0, hold_s: 15.0, claim_s: 6.0 };
         let shard = Shard::new(&settings.params(), tuning, TOKEN, types(), Loaded::default(), 0.0);
         let mut random = fastrand::Rng::with_seed(seed);
