--- a/crates/scheduler/src/shard/mod.rs
+++ b/crates/scheduler/src/shard/mod.rs
@@ -219,6 +219,10 @@
         let known = self.versions.entry(key).or_insert(version);
         *known = (*known).max(version);
         if let Some(j) = self.jobs.find(&r.job.id) {
+            // Our own write, whose answer comes later or never: nobody else ends jobs of ours.
+            if self.jobs.at(j).final_sent && self.jobs.at(j).wanted == r.phase {
+                self.end_stands(j, r.phase, now);
+            }
             return Some(j);
         }
         let Some(team) = self.team_names.find(&r.job.team) else {
--- a/crates/scheduler/src/shard/writes.rs
+++ b/crates/scheduler/src/shard/writes.rs
@@ -9,7 +9,8 @@
 use crate::fleet::{FLEET_KEY, Held, HeldState, MACHINE_PREFIX, Phase as MachinePhase};
 use crate::intern::{Index, JobIx, MachineIx, RackIx};
 use crate::jobs::{JobRecord, Phase, ProgressRecord, TaskKey, job_key};
-use crate::wire::Change;
+use crate::wire::{Change, Item};
+use serde::Deserialize;
 use std::collections::HashMap;
 
 /// What a stored value says of a machine: the jobs that it may hold, and whether it is
@@ -38,6 +39,26 @@
     pub bytes: usize,
 }
 
+impl Write {
+    /// Was this write carried out, or an earlier one to the same effect, as what the state service holds
+    /// under its key tells? Only where the key has changed since: what was sent before and is still under
+    /// way is conditional on the version before, and can't change it any more. A value that stands as it
+    /// stood proves nothing.
+    pub fn stands_as(&self, item: Option<&Item>) -> bool {
+        if item.map_or(0, |i| i.version) == self.version {
+            return false;
+        }
+        match (&self.change, &self.what, item) {
+            (Change::Delete { .. }, _, None) => true,
+            (Change::Put { .. }, What::Final(_, phase), Some(i)) => {
+                JobRecord::deserialize(&i.value).is_ok_and(|r| r.phase == *phase)
+            }
+            (Change::Put { value, .. }, _, Some(i)) => i.value == *value,
+            _ => false,
+        }
+    }
+}
+
 /// Besides what can be spared, one cancellation that follows from another each so often,
 /// until they press.
 const EASED_EVERY_S: f64 = 0.25;
@@ -369,17 +390,7 @@
                     self.value_names(&w.key, &[]);
                     continue;
                 }
-                What::Final(j, phase) => {
-                    let chunks: Vec<String> =
-                        self.jobs.progress_keys(j).filter(|k| self.versions.contains_key(k)).collect();
-                    self.cleanup.extend(chunks);
-                    self.finals.remove(&j);
-                    self.progress_due.remove(&j);
-                    self.jobs.settled(j, phase);
-                    self.account_end(j, phase, now);
-                    self.end_stored(j, now);
-                    self.after_end(j, phase, now);
-                }
+                What::Final(j, phase) => self.end_stands(j, phase, now),
                 What::Rack(_, contents) => {
                     // Its value may have room for names again.
                     self.place_due = true;
@@ -404,6 +415,21 @@
         }
     }
 
+    /// The end of this job is stored, as the answer to its write or the watch tells, whichever comes first.
+    pub(super) fn end_stands(&mut self, j: JobIx, phase: Phase, now: f64) {
+        if self.jobs.get(j).is_none_or(|job| job.phase != Phase::Open) {
+            return;
+        }
+        let chunks: Vec<String> = self.jobs.progress_keys(j).filter(|k| self.versions.contains_key(k)).collect();
+        self.cleanup.extend(chunks);
+        self.finals.remove(&j);
+        self.progress_due.remove(&j);
+        self.jobs.settled(j, phase);
+        self.account_end(j, phase, now);
+        self.end_stored(j, now);
+        self.after_end(j, phase, now);
+    }
+
     fn record_applied(&mut self, m: MachineIx, jobs: Vec<JobIx>, retiring: bool) {
         if self.machines.get_mut(m).is_none() {
             return;
--- a/src/node/loops.rs
+++ b/src/node/loops.rs
@@ -111,26 +111,11 @@
             }
         };
         match outcome {
-            Ok(Commit::Applied(revision)) => {
-                let mut writes = Some(writes);
-                let now = clock::now();
-                let mut ended = Vec::new();
-                mine(&mut |s| {
-                    let writes = writes.take().unwrap_or_default();
-                    ended = s.ends_of(&writes);
-                    s.on_applied(writes, revision, now);
-                });
-                // Told from here on without the state service, when the shard has given them back.
-                for (id, state, done) in ended {
-                    self.note_final(&id, Told { state, done, running: 0 });
-                }
-                let _ = self.wakes.direct.0.try_send(());
-                // What waited for a job that is stored as done may start.
-                self.wake();
-            }
+            Ok(Commit::Applied(revision)) => self.stored(token, writes, revision),
             Ok(Commit::Failed(_)) | Err(StateError::Unknown) => {
                 // Some version is not what was thought, or nobody knows: ask for each key.
-                for w in &writes {
+                let (mut stand, mut wanted) = (Vec::new(), Vec::new());
+                for w in writes {
                     let item = loop {
                         match self.state.get(&self.outer(&w.key), Turn::InTurn).await {
                             Ok(i) => break i,
@@ -140,11 +125,16 @@
                             return;
                         }
                     };
-                    mine(&mut |s| s.on_version(&w.key, item.as_ref().map_or(0, |i| i.version)));
+                    let version = item.as_ref().map_or(0, |i| i.version);
+                    mine(&mut |s| s.on_version(&w.key, version));
+                    if w.stands_as(item.as_ref()) { stand.push((w, version)) } else { wanted.push(w) }
                 }
                 self.look_at_claim().await;
-                let mut writes = Some(writes);
-                mine(&mut |s| s.on_not_applied(writes.take().unwrap_or_default()));
+                for (w, version) in stand {
+                    self.stored(token, vec![w], version);
+                }
+                let mut wanted = Some(wanted);
+                mine(&mut |s| s.on_not_applied(wanted.take().unwrap_or_default()));
             }
             Err(_) => {
                 Timer::after(Duration::from_millis(100)).await;
@@ -154,6 +144,23 @@
         }
     }
 
+    /// These writes of the owner with this token stand at the state service, by this revision.
+    fn stored(&self, token: u64, writes: Vec<crate::shard::Write>, revision: u64) {
+        let now = clock::now();
+        let mut ended = Vec::new();
+        if let Some(s) = lock(&self.shard).as_mut().filter(|s| s.token == token) {
+            ended = s.ends_of(&writes);
+            s.on_applied(writes, revision, now);
+        }
+        // Told from here on without the state service, when the shard has given them back.
+        for (id, state, done) in ended {
+            self.note_final(&id, Told { state, done, running: 0 });
+        }
+        let _ = self.wakes.direct.0.try_send(());
+        // What waited for a job that is stored as done may start.
+        self.wake();
+    }
+
     pub(super) async fn direct(self: Arc<Self>) {
         // Machines that are silent keep a call for a second and more each, hundreds at once.
         let most = (self.settings.sockets / 8).clamp(8, 512);
