--- a/tests/loopback/cluster.rs
+++ b/tests/loopback/cluster.rs
@@ -9,7 +9,7 @@
 use async_io::Timer;
 use http_types::Method;
 use lupinspur::http::{Incoming, Outgoing};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::ffi::OsString;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -171,8 +171,10 @@
                 deaf: false,
                 deaf_to_commands: false,
                 command_delay: Duration::ZERO,
+                commands_held_up: 0,
                 saves: Duration::ZERO,
                 tasks,
+                begun: BTreeSet::new(),
                 elsewhere: 0,
             };
             lock(&workers).push(worker);
@@ -272,6 +274,11 @@
         peak.trim().trim_end_matches("kB").trim().parse::<f64>().expect("kB") / 1024.0
     }
 
+    /// Has any worker ever started a task of this job?
+    pub fn has_begun(&self, job: &str) -> bool {
+        lock(&self.workers).iter().any(|w| w.begun.contains(job))
+    }
+
     /// How many tasks of a job run, counted at the workers.
     pub fn running(&self, job: &str) -> usize {
         let of = |n: &str| n.rsplit_once('/').is_some_and(|(j, _)| j == job);
--- a/tests/loopback/main.rs
+++ b/tests/loopback/main.rs
@@ -2,6 +2,7 @@
 //! cloud and the workers that are written here: starts, bad input, an array, a
 //! service with its cancellation, and the end of the owner in between.
 
+mod answers;
 mod cells;
 mod cloud;
 mod cluster;
@@ -10,6 +11,9 @@
 mod history;
 mod http;
 mod links;
+mod meetings_answers;
+mod meetings_machines;
+mod meetings_odd;
 mod meetings_refusal;
 mod quotas;
 mod requests;
--- /dev/null
+++ b/tests/loopback/meetings_odd.rs
@@ -0,0 +1,155 @@
+//! Odd requests: what can never run, what lacks a field, and what comes again after its end.
+
+use crate::answers::{Answers, Request};
+use crate::cluster::Cluster;
+use crate::http::lock;
+use crate::requests::{SERVICES, User, job};
+use crate::settings::Size;
+use http_types::Method;
+use lupinspur::http::Client;
+use serde_json::{Value, json};
+use std::cell::Cell;
+use std::net::SocketAddr;
+
+/// Fields without which a submission is malformed; the others may be null, and so may be missing.
+const REQUIRED: [&str; 16] = [
+    "id",
+    "breed",
+    "herd",
+    "habit",
+    "precedence",
+    "seeds",
+    "cpus",
+    "cards",
+    "memory_gb",
+    "same_place",
+    "scatter",
+    "fallow",
+    "pull_gb",
+    "expected_s",
+    "pressing_s",
+    "pressing_cost_s",
+];
+const LIMIT_CPUS: f64 = 6.0;
+const NEVER_ACCEPTED: &str = "req-0555";
+
+fn post(user: &User, at: SocketAddr, body: &Value) -> u16 {
+    user.ask(at, Method::Post, "/work", serde_json::to_vec(body).ok()).0
+}
+
+fn with(changes: &[(&str, Value)]) -> Value {
+    let mut submission = job(NEVER_ACCEPTED, "batch", 1);
+    for (field, value) in changes {
+        submission[*field] = value.clone();
+    }
+    submission
+}
+
+/// Asks until the answer is no 503: a controller may not know the machine types yet.
+fn settled(user: &User, at: SocketAddr, body: &Value) -> u16 {
+    let status = Cell::new(0);
+    user.until(&[at], Method::Post, "/work", Some(body), |s, _| {
+        status.set(s);
+        s != 503 && s != 0
+    });
+    status.get()
+}
+
+fn refuses_what_cannot_be(user: &User, at: SocketAddr) {
+    for field in REQUIRED {
+        let mut submission = with(&[]);
+        submission.as_object_mut().expect("an object").remove(field);
+        assert_eq!(post(user, at, &submission), 400, "without {field}");
+        assert_eq!(post(user, at, &with(&[(field, Value::Null)])), 400, "{field} is null");
+    }
+    let cannot_run = [
+        with(&[("cpus", json!(9.0))]),
+        with(&[("memory_gb", json!(17.0))]),
+        with(&[("cards", json!(1.0))]),
+        with(&[("strains", json!(["m9"]))]),
+        with(&[("herd", json!("nobody"))]),
+        with(&[("cpus", json!(LIMIT_CPUS + 0.5))]),
+        with(&[("habit", json!("standing")), ("seeds", json!(7))]),
+    ];
+    for submission in cannot_run {
+        assert_eq!(settled(user, at, &submission), 422, "{submission}");
+    }
+    let (status, answer) = user.ask(at, Method::Get, &format!("/work/{NEVER_ACCEPTED}"), None);
+    assert_eq!(status, 404, "{answer}");
+}
+
+/// Every controller refuses jobs that fit no machine or lack a field, and none of them is known
+/// afterwards. Unfinished jobs may be submitted again anywhere, and one that is done stays so,
+/// whoever cancels it.
+#[test]
+fn odd_requests_are_answered_as_they_should_be() {
+    let cluster = Cluster::start("odd", Size { cpus_max: LIMIT_CPUS, ..Size::of(3, 2, 4) });
+    let listen = cluster.listen.clone();
+    let user = User { client: Client::new(1, 4) };
+    let answers = Answers::default();
+    let (array, service) = (job("req-0401", "batch", 2), job(&format!("{SERVICES}01"), "standing", 2));
+    user.until(&listen, Method::Get, "/up", None, |s, _| s == 200);
+    for at in &listen {
+        refuses_what_cannot_be(&user, *at);
+    }
+    user.until(&listen, Method::Post, "/work", Some(&service), |s, _| s == 201);
+    user.until(&listen, Method::Post, "/work", Some(&array), |s, _| s == 201);
+    for (id, submission) in [("req-0401", &array), ("req-000701", &service)] {
+        for at in &listen {
+            user.until(&[*at], Method::Get, "/up", None, |_, _| {
+                answers.ask(&user, *at, id, Request::Submit(submission)).is_some()
+            });
+        }
+    }
+    user.until(&listen, Method::Get, "/work/req-0401", None, |s, v| s == 200 && v["bloom"] == "done");
+    for at in &listen {
+        let done = |s: u16, v: &Value| {
+            assert!(s != 200 || v["bloom"] == "done", "it is done: {v}");
+            s == 200
+        };
+        user.until(&[*at], Method::Post, "/work/req-0401/withdraw", None, done);
+        user.until(&[*at], Method::Get, "/work/req-0401", None, done);
+        user.until(&[*at], Method::Post, "/work", Some(&array), done);
+    }
+    answers.check();
+    cluster.nothing_broken();
+}
+
+/// Guards against a repetition that hears of a refusal: the job was accepted, and its team's limit is
+/// lower since. Controllers that are started with the lower limit, of which one is asked before the
+/// owner of the job is known to it, once said that it could never run.
+#[test]
+fn a_lower_limit_does_not_refuse_what_was_accepted() {
+    let mut cluster = Cluster::start("lower-limit", Size { cpus_max: LIMIT_CPUS, ..Size::of(3, 2, 4) });
+    let listen = cluster.listen.clone();
+    let user = User { client: Client::new(1, 4) };
+    let services: Vec<Value> = (1..3).map(|i| job(&format!("{SERVICES}0{i}"), "standing", 3)).collect();
+    let mut array = job("req-0401", "batch", 1);
+    array["cpus"] = json!(LIMIT_CPUS);
+    for submission in services.iter().chain([&array]) {
+        user.until(&listen, Method::Post, "/work", Some(submission), |s, _| s == 201 || s == 200);
+    }
+    user.until(&listen, Method::Post, "/work/req-000702/withdraw", None, |s, v| s == 200 && v["bloom"] == "cancelled");
+    for i in 0..listen.len() {
+        let path = cluster.dir.join(format!("n{i}.toml"));
+        let text = std::fs::read_to_string(&path).expect("a settings file");
+        let (higher, lower) = (format!("cpus_max = {LIMIT_CPUS:.1}"), "cpus_max = 2.0");
+        assert!(text.contains(&higher), "{text}");
+        std::fs::write(&path, text.replace(&higher, lower)).expect("a settings file");
+    }
+    cluster.restart_all();
+    for at in &listen {
+        for submission in services.iter().chain([&array]) {
+            user.until(&[*at], Method::Post, "/work", Some(submission), |s, v| {
+                assert!(s != 400 && s != 422, "{} was accepted, and is refused with {s} {v}", submission["id"]);
+                s == 200
+            });
+        }
+    }
+    // What nobody accepted is refused.
+    let mut new = job(NEVER_ACCEPTED, "batch", 1);
+    new["cpus"] = json!(LIMIT_CPUS);
+    assert_eq!(settled(&user, listen[0], &new), 422);
+    assert!(!lock(&cluster.store).keys.contains_key(&format!("job/{NEVER_ACCEPTED}")));
+    cluster.nothing_broken();
+}
--- a/tests/loopback/workers.rs
+++ b/tests/loopback/workers.rs
@@ -6,7 +6,7 @@
 use http_types::Method;
 use lupinspur::http::{Client, Outgoing};
 use serde_json::{Value, json};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -40,9 +40,13 @@
     pub deaf_to_commands: bool,
     /// Commands are executed so long after they came, and never answered.
     pub command_delay: Duration,
+    /// Messages with commands that were held up so far.
+    pub commands_held_up: usize,
     /// How long its tasks take to save when they may.
     pub saves: Duration,
     pub tasks: BTreeMap<String, Task>,
+    /// Jobs of which it has started a task.
+    pub begun: BTreeSet<String>,
     /// Reports that were sent on or turned away.
     pub elsewhere: usize,
 }
@@ -109,6 +113,7 @@
                 }
                 let service = task.starts_with(SERVICES) || task.starts_with(LONG);
                 let began = Instant::now();
+                all[w].begun.extend(task.split('/').next().map(str::to_owned));
                 all[w].tasks.insert(task, Task { attempt, began, stopped: false, saves_until: None, service });
             }
             Some("halt") => {
@@ -138,6 +143,8 @@
     twice: Arc<Mutex<Vec<String>>>,
     delay: Duration,
 ) -> Outgoing {
+    let has_commands = commands["tidings"].as_array().is_some_and(|c| !c.is_empty());
+    lock(&all)[w].commands_held_up += usize::from(has_commands);
     EX.spawn(async move {
         Timer::after(delay).await;
         let matches = {
