--- a/src/node/claim.rs
+++ b/src/node/claim.rs
@@ -185,7 +185,8 @@
             Timer::after(KEEP_TYPES_EVERY).await;
             let Some(token) = self.with_shard(clock::now(), |s| s.token) else { continue };
             let types = self.types();
-            let known = lock(&self.types_stored).as_ref().is_some_and(|s| sizes(s) == sizes(&types));
+            let stored = lock(&self.types_stored).clone();
+            let known = stored.as_ref().is_some_and(|s| sizes(&s.types) == sizes(&types));
             if known || !self.types_asked.load(Ordering::Relaxed) {
                 continue;
             }
@@ -193,14 +194,29 @@
             if value.to_string().len() > self.settings.value_bytes() {
                 continue;
             }
-            let condition = Condition { key: self.claim_key.clone(), version: token };
+            // On their own version as well: one that is applied late must not bring back older types.
+            let conditions = vec![
+                Condition { key: self.claim_key.clone(), version: token },
+                Condition { key: TYPES_KEY.into(), version: stored.map_or(0, |s| s.version) },
+            ];
             let change = Change::Put { key: TYPES_KEY.into(), value, lease: None };
-            if let Ok(Commit::Applied(_)) = self.state.commit(vec![condition], vec![change], Turn::InTurn).await {
-                *lock(&self.types_stored) = Some(types.to_vec());
+            match self.state.commit(conditions, vec![change], Turn::InTurn).await {
+                Ok(Commit::Applied(version)) => self.note_stored_types(types.to_vec(), version),
+                Ok(Commit::Failed(_)) | Err(StateError::Unknown) => self.look_at_types().await,
+                Err(e) => log::debug!("storing the machine types: {e}"),
             }
         }
     }
 
+    /// Reads the stored machine types again: they are others than was thought, or nobody knows.
+    async fn look_at_types(&self) {
+        match self.state.get(TYPES_KEY, Turn::InTurn).await {
+            Ok(Some(item)) => self.saw_beside_claim(item),
+            Ok(None) => *lock(&self.types_stored) = None,
+            Err(e) => log::debug!("reading the machine types: {e}"),
+        }
+    }
+
     pub(super) async fn look_at_claim(&self) {
         if let Ok(item) = self.state.get(&self.claim_key, Turn::First).await {
             self.state_answered();
@@ -242,7 +258,7 @@
                         // What stands beside the claims first: it may say that they are not ours.
                         let (claims, beside): (Vec<Item>, Vec<Item>) =
                             items.into_iter().partition(|i| self.cell_claimed_by(&i.key).is_some());
-                        beside.into_iter().for_each(|i| self.saw_beside_claim(&i.key, i.value));
+                        beside.into_iter().for_each(|i| self.saw_beside_claim(i));
                         for i in claims {
                             self.saw(i.key.clone(), Some(i));
                         }
@@ -281,26 +297,32 @@
     }
 
     /// What stands beside the claim: the machine types, and whether this controller gave way.
-    fn saw_beside_claim(&self, key: &str, value: serde_json::Value) {
-        if key == TYPES_KEY {
-            match serde_json::from_value::<Vec<MachineType>>(value) {
-                Ok(t) if !t.is_empty() => {
-                    *lock(&self.types_stored) = Some(t.clone());
-                    let mut types = lock(&self.types);
-                    if types.is_empty() {
-                        *types = Arc::new(t);
-                    }
-                }
-                Ok(_) => {}
-                Err(e) => log::error!("{TYPES_KEY} holds something unknown: {e}"),
+    fn saw_beside_claim(&self, item: Item) {
+        if item.key == TYPES_KEY {
+            let stored: Vec<MachineType> = serde_json::from_value(item.value).unwrap_or_else(|e| {
+                log::error!("{TYPES_KEY} holds something unknown: {e}");
+                Vec::new()
+            });
+            self.note_stored_types(stored.clone(), item.version);
+            let mut types = lock(&self.types);
+            if types.is_empty() && !stored.is_empty() {
+                *types = Arc::new(stored);
             }
-        } else if key == away_key(&self.settings.node) {
+        } else if item.key == away_key(&self.settings.node) {
             for c in self.cells().iter() {
                 lock(&c.own).gave_way(clock::now());
             }
         }
     }
 
+    /// What a watch shows may be older than what was written or read since.
+    fn note_stored_types(&self, types: Vec<MachineType>, version: u64) {
+        let mut stored = lock(&self.types_stored);
+        if stored.as_ref().is_none_or(|s| s.version < version) {
+            *stored = Some(StoredTypes { types, version });
+        }
+    }
+
     fn cell_claimed_by(&self, key: &str) -> Option<Arc<Cell>> {
         self.cells().iter().find(|c| c.claim_key == key).cloned()
     }
@@ -316,7 +338,7 @@
         }
         match (self.cell_claimed_by(&key), item) {
             (Some(c), item) => c.saw_claim(item),
-            (None, Some(i)) => self.saw_beside_claim(&key, i.value),
+            (None, Some(i)) => self.saw_beside_claim(i),
             (None, None) => {}
         }
     }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -119,7 +119,7 @@
     state_ok: Mutex<f64>,
     health: Mutex<Health>,
     /// The machine types as the state service has them.
-    types_stored: Mutex<Option<Vec<MachineType>>>,
+    types_stored: Mutex<Option<StoredTypes>>,
     /// Whether the cloud itself told the types.
     types_asked: AtomicBool,
     /// Reports that were sent on to the owner, and those that could not be answered at all.
@@ -127,6 +127,13 @@
     turned_away: AtomicU64,
 }
 
+/// The machine types that the state service holds, and the revision of their last change.
+#[derive(Clone)]
+struct StoredTypes {
+    types: Vec<MachineType>,
+    version: u64,
+}
+
 pub type Cells = Arc<Vec<Arc<Cell>>>;
 
 /// One owner's place in this process: its claim, its shard while it is owned here, its loops.
--- a/tests/loopback/meetings_machines.rs
+++ b/tests/loopback/meetings_machines.rs
@@ -2,7 +2,7 @@
 
 use crate::cluster::{Cluster, wait_until};
 use crate::http::lock;
-use crate::requests::{SERVICES, User, job};
+use crate::requests::{LONG, SERVICES, User, job};
 use crate::settings::Size;
 use http_types::Method;
 use lupinspur::http::Client;
@@ -116,7 +116,7 @@
     }
 }
 
-/// Reports from before any task was started reach every controller just as a new leader begins, while
+/// Reports from before the tasks were started reach every controller just as a new leader begins, while
 /// those with the most tasks hang: they say nothing of what those machines hold. Later copies carry the
 /// new leader's token, and are older than what it has heard.
 #[test]
@@ -131,7 +131,14 @@
     wait_until("the workers hear nothing of the leader", WHOLE_WITHIN, || {
         lock(&cluster.workers).iter().all(|w| w.token > 0)
     });
+    // In these the machines are full of something else, so that they look like no place for anything.
+    let array = job(LONG, "batch", 32);
+    user.until(&listen, Method::Post, "/work", Some(&array), |s, _| s == 201 || s == 200);
+    wait_until("the array does not run", WHOLE_WITHIN, || cluster.running(LONG) == 32);
     let before = copies(&cluster);
+    let path = format!("/work/{LONG}/withdraw");
+    user.until(&listen, Method::Post, &path, None, |s, v| s == 200 && v["bloom"] == "cancelled");
+    wait_until("a cancelled array runs on", WHOLE_WITHIN, || cluster.running(LONG) == 0);
     let ids = service_ids(0..8);
     submit(&user, &listen, &ids);
     wait_whole(&cluster, &ids);
