--- a/tests/fencing.rs
+++ b/tests/fencing.rs
@@ -341,3 +341,28 @@
     assert!(after < CLAIM_LASTS, "answered {:.2} s after the renewal", after.as_secs_f64());
     assert!(after > CLAIM_LASTS / 4, "within its lease it answers: {:.2} s", after.as_secs_f64());
 }
+
+/// 404 is said on the state service's word alone: while it serves nobody a job that is not known here may have
+/// been accepted by another controller, whether this one owns or not.
+#[test]
+fn an_unknown_job_is_absent_only_on_the_state_service_s_word() {
+    let controller = Controller::start("absent");
+    let mut machine = Machine::default();
+    machine.report_until(&controller, "a report is answered", |status, _| status == 200);
+    let ask = |id: &str| controller.ask(Method::Get, &format!("/work/{id}"), &Value::Null).0;
+    let began = Instant::now();
+    while ask("req-000404") != 404 {
+        assert!(began.elapsed() < WAITS_AT_MOST, "an unknown job never gets 404");
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    lock(&controller.store).down = true;
+    let down = Instant::now();
+    let (mut by_owner, mut by_others) = (0, 0);
+    while down.elapsed() < CLAIM_LASTS + Duration::from_secs(2) {
+        let owns = machine.report(&controller) == 200;
+        assert_ne!(ask("req-000405"), 404, "{:.1} s into the outage", down.elapsed().as_secs_f64());
+        (by_owner, by_others) = (by_owner + i32::from(owns), by_others + i32::from(!owns));
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    assert!(by_owner > 5 && by_others > 5, "asked while it owned and afterwards: {by_owner}, {by_others}");
+}
