--- a/crates/scheduler/src/ownership.rs
+++ b/crates/scheduler/src/ownership.rs
@@ -80,6 +80,8 @@
     lease: Option<Lease>,
     token: Option<u64>,
     seen: Option<SeenClaim>,
+    /// A write is under way by which others may own: nothing is decided until its outcome is known.
+    suspended: bool,
     /// The newest revision of which there was news of the claim.
     newest: u64,
     /// Whether the seen claim was read at all since the start.
@@ -135,6 +137,7 @@
             lease: None,
             token: None,
             seen: None,
+            suspended: false,
             newest: 0,
             looked: false,
             not_before: 0.0,
@@ -161,7 +164,12 @@
 
     /// The fencing token, while this controller has one and its lease is surely valid.
     pub fn may_act(&self, now: f64) -> Option<u64> {
-        self.token.filter(|_| self.acts_until().is_some_and(|t| now < t))
+        self.token.filter(|_| !self.suspended).filter(|_| self.acts_until().is_some_and(|t| now < t))
+    }
+
+    /// From here on this controller does not act, though it has the claim, or does so again.
+    pub fn suspend(&mut self, suspended: bool) {
+        self.suspended = suspended;
     }
 
     /// Until when this controller may act, by its steady clock, if nothing renews that: what is
@@ -284,7 +292,7 @@
         if self.lease.is_none() || self.lease() != self.tried_with {
             return false;
         }
-        self.token = Some(version);
+        (self.token, self.suspended) = (Some(version), false);
         self.newest = self.newest.max(version);
         self.seen = Some(SeenClaim { claim: self.me.clone(), version });
         self.absent_since = None;
--- a/src/node/between.rs
+++ b/src/node/between.rs
@@ -126,17 +126,23 @@
             Change::Put { key: LEDGER_KEY.into(), value: shares, lease: None },
             Change::Put { key: CLAIM_KEY.into(), value: claim, lease: None },
         ];
+        // From the moment that it is sent the cells may be owned by others, who wait for nobody.
+        lock(&cell.own).suspend(true);
         match self.state.commit(conditions, changes, Turn::First).await {
             Ok(Commit::Applied(_)) => self.enter_cells(plan.clone()),
+            // It may be stored, now or later. Without this claim it can't be any more.
+            Err(StateError::Unknown) => {
+                log::warn!("nobody knows whether the plan of cells came into force: giving the claim up");
+                cell.leave_claim();
+            }
+            // Whoever still holds the claim knows that it was not stored; later it cannot be, since what it
+            // was conditional on would have to change first.
             outcome => {
                 log::info!("the plan of cells did not come into force: {outcome:?}");
+                lock(&cell.own).suspend(false);
                 cell.look_at_claim().await;
-                // Whoever still holds the claim then knows that it was not stored; later it cannot
-                // be, since what it was conditional on would have to change first.
-                if matches!(outcome, Ok(Commit::Failed(_)) | Err(StateError::NotExecuted(_))) {
-                    let whole = Ledger::begin(&limits(&self.settings.teams), 1, CellIx(0));
-                    cell.with_shard(clock::now(), |s| s.set_shares(&self.settings.teams, &whole, CellIx(0)));
-                }
+                let whole = Ledger::begin(&limits(&self.settings.teams), 1, CellIx(0));
+                cell.with_shard(clock::now(), |s| s.set_shares(&self.settings.teams, &whole, CellIx(0)));
             }
         }
     }
--- a/src/node/merging.rs
+++ b/src/node/merging.rs
@@ -86,7 +86,7 @@
     }
 
     /// Steps down, so that the claim goes at once.
-    fn leave_claim(self: &Arc<Self>) {
+    pub(super) fn leave_claim(self: &Arc<Self>) {
         let mut lease = None;
         self.lose(|o| lease = o.step_down(clock::now()));
         if let Some(l) = lease {
