--- a/tests/fencing/main.rs
+++ b/tests/fencing/main.rs
@@ -17,6 +17,7 @@
 mod http;
 mod reclaim;
 mod services;
+mod stand_ins;
 mod store;
 
 use http::{body, free_port, lock, server};
--- a/tests/fencing/services.rs
+++ b/tests/fencing/services.rs
@@ -1,6 +1,6 @@
 //! What a controller does when the state service or the cloud refuses, forgets or does not answer.
 
-use crate::reclaim::{Services, is_list_of, start, until, writes};
+use crate::stand_ins::{Services, is_list_of, start, until, writes};
 use crate::*;
 
 /// Guards against a job that was accepted and never known to the owner: the changes by which it would have come are
