--- a/tests/fencing/services.rs
+++ b/tests/fencing/services.rs
@@ -182,3 +182,14 @@
         assert_eq!((status, answer["bloom"].as_str()), (200, Some("cancelled")));
     }
 }
+
+/// The machine types that an owner stores are fenced as all that it writes: late, they replace no newer ones.
+#[test]
+fn machine_types_are_stored_under_the_claim_and_over_their_version() {
+    let (services, _controller) = start("types");
+    until("the types are stored", || services.value("own/types").is_some());
+    let store = lock(&services.store);
+    let write = store.transactions.iter().find(|t| t.writes.iter().any(|k| k == "own/types")).expect("their write");
+    assert_eq!(write.conditions.get("own/types"), Some(&0), "there were none");
+    assert_eq!(write.conditions.get(CLAIM), Some(&write.claim_version), "under the claim");
+}
