--- a/tests/fencing/main.rs
+++ b/tests/fencing/main.rs
@@ -11,9 +11,13 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+mod gate;
 #[allow(dead_code)]
 #[path = "../common/http.rs"]
 mod http;
+mod reclaim;
+mod services;
+mod stand_ins;
 mod store;
 
 use http::{body, free_port, lock, server};
@@ -44,6 +48,8 @@
     address: SocketAddr,
     process: Child,
     settings: std::path::PathBuf,
+    /// What the process writes to its standard error.
+    output: std::path::PathBuf,
     client: Client,
 }
 
@@ -51,7 +57,11 @@
     fn drop(&mut self) {
         let _ = self.process.kill();
         let _ = self.process.wait();
+        if std::thread::panicking() {
+            eprintln!("{}", self.said());
+        }
         let _ = std::fs::remove_file(&self.settings);
+        let _ = std::fs::remove_file(&self.output);
     }
 }
 
@@ -59,11 +69,21 @@
     fn start(name: &str) -> Controller {
         let store: Arc<Mutex<Store>> = Arc::default();
         let served = store.clone();
-        let state = server(move |r| state(served.clone(), r));
-        let cloud = server(cloud);
+        Controller::start_between(name, store, server(move |r| state(served.clone(), r)), server(cloud), "")
+    }
+
+    /// The same, with these addresses of the state service and the cloud, and more lines of settings; `store`: what
+    /// the state service holds.
+    fn start_between(
+        name: &str,
+        store: Arc<Mutex<Store>>,
+        state: SocketAddr,
+        cloud: SocketAddr,
+        more: &str,
+    ) -> Controller {
         let (address, peers) = (free_port(), free_port());
         let text = format!(
-            "host_name = \"n0\"\ndomain = \"a\"\nbind = \"{address}\"\npeer_listen = \"{}\"\n\
+            "host_name = \"n0\"\ndomain = \"a\"\nbind = \"{address}\"\npeer_listen = \"{}\"\n{more}\
              [services]\ncloud = \"{cloud}\"\nstate = \"{state}\"\n\
              [cluster]\nzones = [\"a\"]\n[[cluster.teams]]\nname = \"red\"\n\
              [cluster.workers]\nreport_s = 0.3\nlease_s = 9.0\ncancel_s = 10.0\n\
@@ -73,9 +93,17 @@
         );
         let settings = std::env::temp_dir().join(format!("lupinspur-fencing-{name}-{}.toml", std::process::id()));
         std::fs::write(&settings, text).expect("a settings file");
+        let output = settings.with_extension("log");
+        let said = std::fs::File::create(&output).expect("a file for its output");
         let mut program = Command::new(env!("CARGO_BIN_EXE_lupinspur"));
+        program.stderr(said);
         let process = program.arg("--config").arg(&settings).env("LOG_LEVEL", "error").spawn().expect("it starts");
-        Controller { store, address, process, settings, client: Client::new(1, 1) }
+        Controller { store, address, process, settings, output, client: Client::new(1, 1) }
+    }
+
+    /// What the process has written to its standard error.
+    fn said(&self) -> String {
+        std::fs::read_to_string(&self.output).unwrap_or_default()
     }
 
     /// The status and body of an answer; status 0 if there is none.
@@ -102,6 +130,10 @@
 /// A machine that reports, and whose tasks are done as soon as they are started.
 #[derive(Default)]
 struct Machine {
+    /// Its number; its name is "host-1" for 0.
+    number: u32,
+    /// Tasks run for ever instead.
+    runs_on: bool,
     /// Where it takes direct commands; empty: nowhere.
     address: String,
     /// Counts reports and answers to commands.
@@ -116,8 +148,13 @@
     fn report(&mut self, to: &Controller) -> u16 {
         let counter = self.counter.fetch_add(1, Ordering::Relaxed) + 1;
         let ended = |(task, attempt): (&String, &u64)| json!({"seed": task, "sowing": attempt, "bloom": "ended", "wilt": "done"});
-        let tasks: Vec<Value> = self.tasks.iter().map(ended).collect();
-        let report = json!({"plot": "host-1", "addr": self.address, "strain": "m8", "field": "a", "fallow": false,
+        let running = |(task, attempt): (&String, &u64)| json!({"seed": task, "sowing": attempt, "bloom": "running"});
+        let tasks: Vec<Value> = if self.runs_on {
+            self.tasks.iter().map(running).collect()
+        } else {
+            self.tasks.iter().map(ended).collect()
+        };
+        let report = json!({"plot": format!("host-{}", self.number + 1), "addr": self.address, "strain": "m8", "field": "a", "fallow": false,
             "season": 1, "tally": counter, "warrant": self.token, "reclaim_s": null, "seeds": tasks});
         let (status, answer) = to.ask(Method::Post, "/checkin", &report);
         self.token = self.token.max(answer["warrant"].as_u64().unwrap_or(0));
