Nothing is told of a job whose needs a takeover has not read yet

Cause: a successor that goes by a checkpoint meets no record of what ended before it. A job whose need had ended as cancelled was called queued until that record was looked up, one to two seconds later, though users had been told of the cancellation. Change: needs that a takeover has not met are read at once, and until then the jobs that wait for them, at any remove, are answered as those whose end is being stored.

--- a/crates/scheduler/src/shard/mod.rs
+++ b/crates/scheduler/src/shard/mod.rs
@@ -246,12 +246,14 @@
 
     /// What a user may be told of a job, if it is known here.
     pub fn show(&self, id: &str) -> Option<Shown> {
-        let j = self.jobs.at(self.jobs.find(id)?);
+        let ix = self.jobs.find(id)?;
+        let j = self.jobs.at(ix);
         // Another node may have read the final phase already, and told it: a slow answer
         // to our write once made a cancelled job "queued" again. One that is cancelled with a job
         // that it needs may be told neither as it was, long after that one's user was told, nor as
-        // cancelled before that is stored.
-        if j.phase == Phase::Open && (j.final_sent || j.leaving || j.doomed.is_some()) {
+        // cancelled before that is stored. After a takeover that holds until all that it needs is read.
+        let open = j.phase == Phase::Open;
+        if open && (j.final_sent || j.leaving || j.doomed.is_some() || self.waits_for_unread(ix)) {
             return Some(Shown::Settling);
         }
         Some(Shown::Told(j.state(), u64::from(j.done), u64::from(j.running)))
--- a/crates/scheduler/src/shard/recovery.rs
+++ b/crates/scheduler/src/shard/recovery.rs
@@ -11,7 +11,7 @@
 use crate::wire::JobState;
 use lupinspur_recovery::{Known, Put, Read, Writer};
 use serde_json::Value;
-use std::collections::{HashSet, VecDeque};
+use std::collections::{BTreeSet, HashSet, VecDeque};
 
 /// A job that is over stays known for so long, in seconds: its user polls once more.
 const OVER_FOR_S: f64 = 60.0;
@@ -23,6 +23,8 @@
 const PRESSING_EVERY_S: f64 = 1.0;
 /// A need that nobody has told of is looked up, so many at a time.
 const MOST_LOOKED_UP: usize = 10;
+/// Nothing is told of jobs whose needs a takeover has not met: those are looked up faster.
+const MOST_READ_AT_ONCE: usize = 40;
 
 /// What a takeover found of a checkpoint.
 #[derive(Debug, Default)]
@@ -50,6 +52,8 @@
     swept_at: f64,
     over: VecDeque<(f64, JobIx)>,
     gone: VecDeque<(f64, MachineIx)>,
+    /// Needs that ended before the checkpoint, or are another cell's, and whose records were not read yet.
+    unread_needs: BTreeSet<String>,
 }
 
 impl Glue {
@@ -75,6 +79,7 @@
     /// A job that was taken in: it belongs into the checkpoint, or is over already.
     pub(super) fn remember(&mut self, j: JobIx, now: f64) {
         let job = self.jobs.at(j);
+        self.recovery.unread_needs.remove(&*job.id);
         if job.phase == Phase::Open {
             self.recovery.writer.opened(&job.id);
         } else {
@@ -192,6 +197,39 @@
         self.graph.strangers().take(MOST_LOOKED_UP).map(str::to_owned).collect()
     }
 
+    /// The takeover is through: needs that it has not met have to be read before anything is told of the
+    /// jobs that wait for them.
+    pub(super) fn note_unread_needs(&mut self) {
+        self.recovery.unread_needs = self.graph.strangers().map(str::to_owned).collect();
+    }
+
+    /// Needs to be read at once, so many at a time.
+    pub fn unread_needs(&self) -> Vec<String> {
+        self.recovery.unread_needs.iter().take(MOST_READ_AT_ONCE).cloned().collect()
+    }
+
+    /// The record of this need was read, and taken in if it concerns this shard.
+    pub fn need_was_read(&mut self, id: &str) {
+        self.recovery.unread_needs.remove(id);
+    }
+
+    /// Does this job wait, at any remove, for one whose record was not read yet? That one may have been
+    /// cancelled, and its user told, before this owner began.
+    pub(super) fn waits_for_unread(&self, j: JobIx) -> bool {
+        let unread = &self.recovery.unread_needs;
+        if unread.is_empty() {
+            return false;
+        }
+        let (mut due, mut seen) = (vec![j], HashSet::from([j]));
+        while let Some(j) = due.pop() {
+            if self.jobs.at(j).spec.needs().iter().any(|need| unread.contains(need)) {
+                return true;
+            }
+            due.extend(self.graph.needs(j).iter().filter(|n| seen.insert(**n)));
+        }
+        false
+    }
+
     /// A job that is no longer this shard's leaves its memory at once.
     pub(super) fn forget_job(&mut self, j: JobIx) {
         let id = self.jobs.at(j).id.clone();
--- a/crates/scheduler/src/shard/takeover.rs
+++ b/crates/scheduler/src/shard/takeover.rs
@@ -153,6 +153,7 @@
             shard.on_types(types, now);
         }
         shard.loading = false;
+        shard.note_unread_needs();
         shard
     }
 
--- a/crates/scheduler/tests/owner/main.rs
+++ b/crates/scheduler/tests/owner/main.rs
@@ -3,6 +3,7 @@
 
 mod cancelling;
 mod checkpoint;
+mod needs;
 mod placing;
 mod reports;
 mod starts;
--- a/src/node/takeover.rs
+++ b/src/node/takeover.rs
@@ -230,11 +230,14 @@
         let mut before: Vec<String> = Vec::new();
         while self.open() {
             Timer::after(LOOK_UP_EVERY).await;
-            let wanted = self.with_shard(clock::now(), |s| s.to_look_up()).unwrap_or_default();
-            // One that is new here may only be late by the watch.
-            for id in wanted.iter().filter(|id| before.contains(id)) {
+            let to_read = |s: &mut Shard| (s.unread_needs(), s.to_look_up());
+            let (unread, wanted) = self.with_shard(clock::now(), to_read).unwrap_or_default();
+            // One that is new here may only be late by the watch; those of a takeover are not.
+            let again = wanted.iter().filter(|id| before.contains(id) && !unread.contains(id));
+            for id in unread.iter().chain(again) {
                 if let Ok(Some(item)) = self.state.get(&crate::jobs::job_key(id), Turn::InTurn).await {
                     self.take_job(&item);
+                    self.with_shard(clock::now(), |s| s.need_was_read(id));
                 }
             }
             before = wanted;
