--- a/crates/scheduler/tests/owner/lost_starts.rs
+++ b/crates/scheduler/tests/owner/lost_starts.rs
@@ -55,7 +55,17 @@
     assert!(world.held(other).is_some(), "its team has room again");
 }
 
-/// A machine with other work loses none of it.
+/// no-start-after-cancellation: nothing of a job starts long after its cancellation was confirmed.
+#[test]
+fn a_lost_start_of_a_job_that_was_cancelled_is_not_sent_again() {
+    let mut world = World::with(&MACHINES);
+    let (on, _) = lost_start(&mut world);
+    let told = world.answer(&report(on, 5, &[]), 13.0);
+    assert_eq!(tasks(&told, Op::Start), [""; 0]);
+    assert_eq!(tasks(&told, Op::Stop), ["req-1/0"]);
+}
+
+/// emptied-before-return: a machine with other work loses none of it.
 #[test]
 fn a_machine_with_a_lost_start_keeps_what_runs_there() {
     let mut world = World::with(&["h1"]);
@@ -78,7 +88,7 @@
     assert_eq!(world.state("req-9"), Some(JobState::Running));
 }
 
-/// start-and-stop: of a job that is done a start is harmless, so that it is made to end however late.
+/// start-of-done-ends: of a job that is done a start is harmless, so that it is made to end however late.
 #[test]
 fn a_lost_start_of_a_job_that_is_done_is_made_to_end() {
     let mut world = World::with(&MACHINES);
