--- a/tests/loopback/main.rs
+++ b/tests/loopback/main.rs
@@ -3,6 +3,7 @@
 //! service with its cancellation, and the end of the owner in between.
 
 mod answers;
+mod answers_across_nodes;
 mod cells;
 mod cloud;
 mod cluster;
@@ -12,6 +13,7 @@
 #[path = "../common/http.rs"]
 mod http;
 mod links;
+mod malformed;
 mod meetings_answers;
 mod meetings_machines;
 mod meetings_needs;
@@ -24,5 +26,6 @@
 mod settings_file;
 mod standstill;
 mod state_service;
+mod traffic;
 mod users;
 mod workers;
