Loopback: cancellations in the second in which one controller's work changes hands

Change: two tests (the leader ends, the leader is deposed while workers and users reach it), all controllers being asked about all jobs; each asserts how many cancellations were asked for before the next claim and confirmed within a second of it.

--- a/tests/loopback/answers.rs
+++ b/tests/loopback/answers.rs
@@ -38,6 +38,11 @@
         lock(&self.known).get(id).cloned().unwrap_or_default()
     }
 
+    /// A job that this one needs is being cancelled, and this one with it.
+    pub fn need_is_cancelled(&self, id: &str) {
+        lock(&self.cancel_asked).insert(id.to_owned());
+    }
+
     /// Asks one controller. Returns the job's state, if the answer tells one.
     pub fn ask(&self, user: &User, at: SocketAddr, id: &str, request: Request<'_>) -> Option<String> {
         let before = self.known(id);
--- /dev/null
+++ b/tests/loopback/cancelled_in_takeovers.rs
@@ -0,0 +1,195 @@
+//! Jobs are cancelled in the second in which the work of one controller changes hands.
+
+use crate::answers::{Answers, Known, Request};
+use crate::cluster::{Cluster, wait_until};
+use crate::http::lock;
+use crate::requests::{LONG, SERVICES, User, job};
+use crate::rules::RuleWatch;
+use crate::settings::Size;
+use lupinspur::http::Client;
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+const WORKERS: usize = 10;
+const LEASE_S: u64 = 9;
+/// Less than the lease: what runs on is not ended by that.
+const CANCEL: Duration = Duration::from_secs(6);
+const WITHIN: Duration = Duration::from_secs(40);
+const PAUSE: Duration = Duration::from_millis(10);
+/// Jobs of each kind: services, long arrays, and long jobs that others need.
+const JOBS_OF_KIND: usize = 6;
+/// Of each kind, those that are cancelled.
+const CANCELLED_OF_KIND: usize = 4;
+const TASKS: u32 = 2;
+/// A cancellation that is confirmed so soon after the claim fell into the change.
+const CHANGE: Duration = Duration::from_secs(1);
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Change {
+    /// The leader's process ends.
+    Ended,
+    /// The state service refuses the leader alone, which is also cut from the other controllers; workers
+    /// and users still reach it.
+    Deposed,
+}
+
+fn service_id(i: usize) -> String {
+    format!("{SERVICES}{i:02}")
+}
+
+fn long_id(i: usize) -> String {
+    format!("{LONG}0{i}")
+}
+
+/// It needs the long job of the same number, and is cancelled with it.
+fn dependent_id(i: usize) -> String {
+    format!("req-03{i:02}")
+}
+
+fn submission(id: &str) -> Value {
+    let service = id.starts_with(SERVICES);
+    job(id, if service { "standing" } else { "batch" }, TASKS)
+}
+
+fn submit(cluster: &Cluster, answers: &Answers, id: &str, needs: Option<&str>) {
+    let user = User { client: Client::new(1, 4) };
+    let mut submission = submission(id);
+    if let Some(needs) = needs {
+        submission["awaits"] = json!([needs]);
+    }
+    wait_until("a job is not accepted", WITHIN, || {
+        let accepts = |at: &_| answers.ask(&user, *at, id, Request::Submit(&submission)).is_some();
+        cluster.listen.iter().any(accepts)
+    });
+}
+
+/// Asks for a cancellation at all controllers until one confirms it. Returns when it was asked for
+/// first, and when it was confirmed.
+fn cancel(cluster: &Cluster, answers: &Answers, watch: &RuleWatch, id: &str) -> (Instant, Instant) {
+    let user = User { client: Client::new(1, 4) };
+    let asked = Instant::now();
+    wait_until("a cancellation is not confirmed", WITHIN, || {
+        let confirms = |at: &_| answers.ask(&user, *at, id, Request::Cancel).as_deref() == Some("cancelled");
+        cluster.listen.iter().any(confirms)
+    });
+    watch.confirmed(id);
+    (asked, Instant::now())
+}
+
+/// Asks one controller about all jobs, again and again.
+fn keep_asking(cluster: &Cluster, answers: &Answers, node: usize, over: &AtomicBool) {
+    let user = User { client: Client::new(1, 4) };
+    while !over.load(Ordering::Relaxed) {
+        for i in 0..JOBS_OF_KIND {
+            for id in [service_id(i), long_id(i), dependent_id(i)] {
+                answers.ask(&user, cluster.listen[node], &id, Request::Poll);
+            }
+        }
+        std::thread::sleep(PAUSE);
+    }
+}
+
+/// Half of the jobs are cancelled just before the change and half of them while nobody leads, in the
+/// middle of their first starts; they are confirmed by whoever takes over, or by the leader at its end.
+fn cancelled_as_work_changes_hands(name: &str, change: Change) {
+    let size = Size { cancel: CANCEL, cuttable: true, ..Size::of(3, WORKERS, LEASE_S) };
+    let mut cluster = Cluster::start(name, size);
+    let answers = Answers::default();
+    let watch = RuleWatch::start(&cluster, CANCEL, &[]);
+    let leader = cluster.until_owned();
+    wait_until("the workers hear nothing of the leader", WITHIN, || lock(&cluster.workers).iter().all(|w| w.token > 0));
+    for i in 0..JOBS_OF_KIND {
+        submit(&cluster, &answers, &service_id(i), None);
+        submit(&cluster, &answers, &long_id(i), None);
+        submit(&cluster, &answers, &dependent_id(i), Some(&long_id(i)));
+    }
+    wait_until("the first jobs do not begin", WITHIN, || {
+        cluster.has_begun(&service_id(0)) && cluster.has_begun(&long_id(0))
+    });
+    match change {
+        Change::Ended => {}
+        Change::Deposed => {
+            lock(&cluster.store).faults.refused.insert(leader);
+            cluster.links.isolate(leader, true);
+        }
+    }
+    let confirmed: Mutex<BTreeMap<String, (Instant, Instant)>> = Mutex::default();
+    let over = AtomicBool::new(false);
+    let mut process = (change == Change::Ended).then(|| cluster.nodes.0[leader].take()).flatten();
+    let (cluster_ref, answers_ref, watch_ref, confirmed_ref, over_ref) =
+        (&cluster, &answers, &watch, &confirmed, &over);
+    let claimed = std::thread::scope(|scope| {
+        for node in 0..cluster_ref.listen.len() {
+            scope.spawn(move || keep_asking(cluster_ref, answers_ref, node, over_ref));
+        }
+        let cancel_all = |jobs: std::ops::Range<usize>| -> Vec<_> {
+            let ids = jobs.flat_map(|i| [service_id(i), long_id(i)]);
+            let one = |id: String| {
+                scope.spawn(move || {
+                    let when = cancel(cluster_ref, answers_ref, watch_ref, &id);
+                    lock(confirmed_ref).insert(id, when);
+                })
+            };
+            ids.map(one).collect()
+        };
+        let half = CANCELLED_OF_KIND / 2;
+        (0..CANCELLED_OF_KIND).for_each(|i| answers_ref.need_is_cancelled(&dependent_id(i)));
+        let mut threads = cancel_all(0..half);
+        if let Some(process) = process.as_mut() {
+            process.kill().expect("killed");
+            process.wait().expect("ended");
+        }
+        threads.extend(cancel_all(half..CANCELLED_OF_KIND));
+        cluster_ref.until_owned_by_another(leader);
+        let claimed = Instant::now();
+        for thread in threads {
+            thread.join().expect("confirmed");
+        }
+        // What is confirmed is told by all for as long as its tasks may take to be gone.
+        wait_until("the cancelled tasks are not gone", CANCEL, || {
+            (0..CANCELLED_OF_KIND).all(|i| cluster_ref.running(&service_id(i)) + cluster_ref.running(&long_id(i)) == 0)
+        });
+        watch_ref.check_all_gone(cluster_ref);
+        over_ref.store(true, Ordering::Relaxed);
+        claimed
+    });
+    let in_change = lock(&confirmed).values().filter(|(asked, at)| *asked < claimed && *at < claimed + CHANGE).count();
+    assert!(in_change > 0, "no cancellation was confirmed as the work changed hands");
+    println!("{in_change} of {} cancellations were confirmed as the work changed hands", lock(&confirmed).len());
+    lock(&cluster.store).faults.refused.clear();
+    cluster.links.isolate(leader, false);
+    if change == Change::Ended {
+        cluster.begin(leader);
+    }
+    let user = User { client: Client::new(1, 4) };
+    for at in &cluster.listen {
+        for id in (0..CANCELLED_OF_KIND).flat_map(|i| [service_id(i), long_id(i)]) {
+            wait_until("an end is not told", WITHIN, || answers.ask(&user, *at, &id, Request::Poll).is_some());
+            assert_eq!(answers.known(&id), Known::Final("cancelled".to_owned()));
+        }
+    }
+    // What needs a cancelled job never begins; the rest goes on.
+    wait_until("what was not cancelled is not whole", WITHIN, || {
+        watch.check(&cluster);
+        let whole = |id: String| cluster.running(&id) == TASKS as usize;
+        (CANCELLED_OF_KIND..JOBS_OF_KIND).all(|i| whole(service_id(i)) && whole(long_id(i)))
+    });
+    for i in 0..JOBS_OF_KIND {
+        assert!(!cluster.has_begun(&dependent_id(i)), "{} began before its need was done", dependent_id(i));
+    }
+    answers.check();
+    watch.check(&cluster);
+}
+
+#[test]
+fn jobs_are_cancelled_in_the_second_in_which_the_leader_ends() {
+    cancelled_as_work_changes_hands("cancel-ended", Change::Ended);
+}
+
+#[test]
+fn jobs_are_cancelled_in_the_second_in_which_the_leader_is_deposed() {
+    cancelled_as_work_changes_hands("cancel-deposed", Change::Deposed);
+}
--- a/tests/loopback/main.rs
+++ b/tests/loopback/main.rs
@@ -3,6 +3,7 @@
 //! service with its cancellation, and the end of the owner in between.
 
 mod answers;
+mod cancelled_in_takeovers;
 mod cells;
 mod cloud;
 mod cluster;
