Loopback: one-task jobs four a second, a quarter cancelled, across a change of leader

Change: a test with a user for each job, who asks all controllers, while workers carry out direct commands late; and machines that report nothing are silent for over half of their leases before the change as well.

--- a/tests/loopback/main.rs
+++ b/tests/loopback/main.rs
@@ -18,6 +18,7 @@
 mod meetings_needs;
 mod meetings_odd;
 mod meetings_refusal;
+mod one_task_floods;
 mod quotas;
 mod requests;
 mod restarts;
--- /dev/null
+++ b/tests/loopback/one_task_floods.rs
@@ -0,0 +1,105 @@
+//! One-task jobs come four a second, a quarter of them is cancelled, and the leader changes.
+
+use crate::answers::{Answers, Known, Request};
+use crate::cluster::{Cluster, wait_until};
+use crate::http::lock;
+use crate::requests::{User, job};
+use crate::rules::RuleWatch;
+use crate::settings::Size;
+use lupinspur::http::Client;
+use std::time::{Duration, Instant};
+
+const WORKERS: usize = 6;
+const LEASE_S: u64 = 9;
+const CANCEL: Duration = Duration::from_secs(8);
+const JOBS: usize = 36;
+const EVERY: Duration = Duration::from_millis(250);
+/// The job at whose submission the leader ends.
+const LEADER_ENDS_AT: usize = 16;
+/// Direct commands are carried out so much later, and not answered.
+const HELD_UP: Duration = Duration::from_secs(3);
+const WITHIN: Duration = Duration::from_secs(40);
+const PAUSE: Duration = Duration::from_millis(50);
+
+fn id(number: usize) -> String {
+    format!("req-06{number:02}")
+}
+
+fn is_cancelled(number: usize) -> bool {
+    number % 4 == 1
+}
+
+/// Asks all controllers in turn until one answers with a state. Returns it.
+fn ask_all(cluster: &Cluster, answers: &Answers, user: &User, id: &str, request: Request<'_>) -> Option<String> {
+    cluster.listen.iter().find_map(|at| answers.ask(user, *at, id, request))
+}
+
+/// One job's user, from its submission to its end; a quarter of them cancels as soon as it is accepted.
+fn follow(cluster: &Cluster, answers: &Answers, watch: &RuleWatch, number: usize) {
+    let (id, user) = (id(number), User { client: Client::new(1, 4) });
+    let submission = job(&id, "batch", 1);
+    wait_until("a job is not accepted", WITHIN, || {
+        ask_all(cluster, answers, &user, &id, Request::Submit(&submission)).is_some()
+    });
+    if is_cancelled(number) {
+        wait_until("a cancellation is not confirmed", WITHIN, || {
+            ask_all(cluster, answers, &user, &id, Request::Cancel).is_some()
+        });
+        if answers.known(&id) == Known::Final("cancelled".to_owned()) {
+            watch.confirmed(&id);
+        }
+    }
+    wait_until("a job has no end", WITHIN, || {
+        let is_final = |at: &_| {
+            answers.ask(&user, *at, &id, Request::Poll);
+            matches!(answers.known(&id), Known::Final(_))
+        };
+        let all = cluster.listen.iter().all(is_final);
+        std::thread::sleep(PAUSE);
+        all
+    });
+}
+
+/// Workers carry out direct commands three seconds late and answer none, so that starts arrive
+/// after their jobs were cancelled: none of them runs, before and after the change of leader.
+#[test]
+fn one_task_jobs_come_four_a_second_and_a_quarter_is_cancelled() {
+    let size = Size { cancel: CANCEL, ..Size::of(3, WORKERS, LEASE_S) };
+    let mut cluster = Cluster::start("flood", size);
+    let answers = Answers::default();
+    let watch = RuleWatch::start(&cluster, CANCEL, &[]);
+    let leader = cluster.until_owned();
+    wait_until("the workers hear nothing of the leader", WITHIN, || lock(&cluster.workers).iter().all(|w| w.token > 0));
+    lock(&cluster.workers).iter_mut().for_each(|w| w.command_delay = HELD_UP);
+    let mut process = cluster.nodes.0[leader].take();
+    let (all, seen, judge) = (&cluster, &answers, &watch);
+    std::thread::scope(|scope| {
+        let began = Instant::now();
+        for number in 0..JOBS {
+            std::thread::sleep((began + EVERY * number as u32).saturating_duration_since(Instant::now()));
+            scope.spawn(move || follow(all, seen, judge, number));
+            if number == LEADER_ENDS_AT
+                && let Some(mut process) = process.take()
+            {
+                process.kill().expect("killed");
+                process.wait().expect("ended");
+            }
+        }
+    });
+    assert_ne!(cluster.owner(), Some(leader), "the leader did not change");
+    let held_up: usize = lock(&cluster.workers).iter().map(|w| w.commands_held_up).sum();
+    assert!(held_up > 0, "no command was held up");
+    let ended_as = |end: &str| {
+        (0..JOBS).filter(|n| answers.known(&id(*n)) == Known::Final(end.to_owned())).collect::<Vec<usize>>()
+    };
+    let cancelled = ended_as("cancelled");
+    println!("{} of {JOBS} jobs were cancelled, {held_up} messages with commands were held up", cancelled.len());
+    assert!(cancelled.iter().any(|n| *n < LEADER_ENDS_AT), "nothing was cancelled before the change");
+    assert!(cancelled.iter().any(|n| *n > LEADER_ENDS_AT), "nothing was cancelled after the change");
+    watch.check_all_gone(&cluster);
+    for number in (0..JOBS).filter(|n| !is_cancelled(*n)) {
+        assert_eq!(answers.known(&id(number)), Known::Final("done".to_owned()), "{}", id(number));
+        assert_eq!(watch.completed(&id(number)), 1, "{} is called done and no worker completed it", id(number));
+    }
+    answers.check();
+}
--- a/tests/loopback/unreachable_machines.rs
+++ b/tests/loopback/unreachable_machines.rs
@@ -13,7 +13,9 @@
 use std::time::Duration;
 
 const WORKERS: usize = 8;
-const LEASE_S: u64 = 8;
+const LEASE_S: u64 = 9;
+/// Over half of the lease.
+const SILENT_BEFORE_THE_CHANGE: Duration = Duration::from_millis(5300);
 /// Well under the lease: only commands can end the tasks of machines that report nothing.
 const CANCEL: Duration = Duration::from_secs(4);
 const SERVICE_COUNT: usize = 8;
@@ -35,7 +37,8 @@
     all
 }
 
-/// Half of the workers, those with the most tasks, open no connection to any controller. The leader ends,
+/// Half of the workers, those with the most tasks, open no connection to any controller, for over half of
+/// their leases, and again after a few reports. The leader ends,
 /// services are cancelled through the next one, and their tasks on these machines end by direct commands.
 /// The others' tasks start nowhere else while they are there.
 #[test]
@@ -58,10 +61,24 @@
 
     let mute = busiest(&cluster, WORKERS / 2);
     let leader = cluster.until_owned();
+    let set_mute = |cluster: &Cluster, on: bool| mute.iter().for_each(|w| lock(&cluster.workers)[*w].mute = on);
+    let silent_for = |cluster: &Cluster| {
+        let workers = lock(&cluster.workers);
+        mute.iter().map(|w| workers[*w].renewed.elapsed()).min().unwrap_or_default()
+    };
     let first_token = lock(&cluster.store).keys["own/0"].1;
     // Machines that are not heard would be taken back, with all that is on them.
     cluster.cloud_down.store(true, Ordering::Relaxed);
-    mute.iter().for_each(|w| lock(&cluster.workers)[*w].mute = true);
+    set_mute(&cluster, true);
+    // What they hold starts nowhere else while they are silent for a good part of their lease.
+    wait_until("they are not silent", WHOLE_WITHIN, || {
+        watch.check(&cluster);
+        silent_for(&cluster) > SILENT_BEFORE_THE_CHANGE
+    });
+    assert!(whole(&cluster, 0), "a task on a machine that reports nothing ended");
+    set_mute(&cluster, false);
+    wait_until("they do not report again", WHOLE_WITHIN, || silent_for(&cluster) < Duration::from_secs(1));
+    set_mute(&cluster, true);
     // They say nothing of their own accord from now on, and their leases run.
     let sessions: Vec<u64> = mute.iter().map(|w| lock(&cluster.workers)[*w].session).collect();
     cluster.kill(leader);
@@ -92,7 +109,7 @@
         watch.check(&cluster);
         whole(&cluster, CANCELLED)
     });
-    lock(&cluster.workers).iter_mut().for_each(|w| w.mute = false);
+    set_mute(&cluster, false);
     cluster.cloud_down.store(false, Ordering::Relaxed);
     cluster.begin(leader);
     for at in &listen {
