--- a/tests/loopback/answers.rs
+++ b/tests/loopback/answers.rs
@@ -64,6 +64,11 @@
         matches!(self.known(id), Known::Ended(_))
     }
 
+    /// A job that this one needs is being cancelled, and this one with it.
+    pub fn need_is_cancelled(&self, id: &str) {
+        lock(&self.cancel_asked).insert(id.to_owned());
+    }
+
     /// Asks one controller. Returns the job's state, if the answer tells one.
     pub fn ask(&self, user: &User, node: usize, id: &str, request: Request<'_>) -> Option<JobState> {
         let at = self.listen[node];
--- a/tests/loopback/main.rs
+++ b/tests/loopback/main.rs
@@ -4,6 +4,7 @@
 
 mod answers;
 mod answers_across_nodes;
+mod cancelled_in_takeovers;
 mod cells;
 mod cloud;
 mod cluster;
@@ -19,13 +20,17 @@
 mod meetings_needs;
 mod meetings_odd;
 mod meetings_refusal;
+mod one_task_floods;
 mod quotas;
 mod requests;
 mod restarts;
+mod rules;
 mod settings;
 mod settings_file;
 mod standstill;
 mod state_service;
 mod traffic;
+mod team_limits;
+mod unreachable_machines;
 mod users;
 mod workers;
