--- a/tests/loopback/cluster.rs
+++ b/tests/loopback/cluster.rs
@@ -80,6 +80,8 @@
     pub links: Links,
     pub nodes: Nodes,
     pub dir: PathBuf,
+    /// How long a claim outlives its last renewal.
+    pub claim: Duration,
     pub _turn: Turn,
 }
 
@@ -171,15 +173,17 @@
                 commands_held_up: 0,
                 saves: Duration::ZERO,
                 tasks,
-                begun: BTreeSet::new(),
+                begun: BTreeMap::new(),
+                cut_from: BTreeSet::new(),
                 elsewhere: 0,
             };
             lock(&workers).push(worker);
             EX.spawn(work(workers.clone(), w, listen.clone(), twice.clone())).detach();
         }
         let nodes = Nodes((0..size.nodes).map(|_| None).collect());
+        let claim = size.claim;
         let mut cluster =
-            Cluster { store, workers, twice, asked, cloud_down, listen, peer, links, nodes, dir, _turn: turn };
+            Cluster { store, workers, twice, asked, cloud_down, listen, peer, links, nodes, dir, claim, _turn: turn };
         (0..size.nodes).for_each(|i| cluster.begin(i));
         cluster
     }
@@ -196,6 +200,7 @@
             .arg("--config")
             .arg(self.dir.join(format!("n{i}.toml")))
             .args(flag)
+            .args(["--claim-s", &self.claim.as_secs_f64().to_string()])
             .env("LOG_LEVEL", std::env::var("TEST_LOG").unwrap_or("error".into()))
             .stderr(Stdio::inherit())
             .spawn()
@@ -273,7 +278,7 @@
 
     /// Has any worker ever started a task of this job?
     pub fn has_begun(&self, job: &str) -> bool {
-        lock(&self.workers).iter().any(|w| w.begun.contains(job))
+        lock(&self.workers).iter().any(|w| w.begun.contains_key(job))
     }
 
     /// How many tasks of a job run, counted at the workers.
--- /dev/null
+++ b/tests/loopback/controllers_away.rs
@@ -0,0 +1,103 @@
+//! Controllers that are away for longer than a worker's lease: all of them, or one that is cut off
+//! together with the workers of its zone.
+
+use crate::cluster::{Cluster, wait_until};
+use crate::http::lock;
+use crate::services::{Services, WHOLE_WITHIN, busiest, others, set_unreachable};
+use crate::settings::Size;
+use std::collections::BTreeSet;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+const WORKERS: usize = 8;
+const LEASE_S: u64 = 4;
+const CANCEL: Duration = Duration::from_secs(7);
+const SERVICE_COUNT: usize = 8;
+const REPLICAS: u32 = 4;
+const CANCELLED: usize = 4;
+const AWAY: Duration = Duration::from_millis(5500);
+
+fn sessions(cluster: &Cluster) -> Vec<u64> {
+    lock(&cluster.workers).iter().map(|w| w.session).collect()
+}
+
+/// Jobs are cancelled, and at once all controllers stand still, or end, for longer than a worker's lease.
+/// Three workers can be reached a second later than the others.
+fn all_controllers_are_away(name: &str, end: bool) {
+    let mut cluster = Cluster::start(name, Size { cancel: CANCEL, ..Size::of(3, WORKERS, LEASE_S) });
+    let mut services = Services::start(&cluster, CANCEL, SERVICE_COUNT, REPLICAS);
+    let unreachable = busiest(&cluster, 3);
+    cluster.cloud_down.store(true, Ordering::Relaxed);
+    let before = sessions(&cluster);
+    services.cancel(&cluster.listen, 0..CANCELLED - 1);
+    services.begin_cancelling(&cluster.listen, CANCELLED - 1);
+    set_unreachable(&cluster, &unreachable, true);
+    for i in 0..3 {
+        if end { cluster.kill(i) } else { cluster.signal(i, "-STOP") }
+    }
+    std::thread::sleep(AWAY);
+    let without_tasks = lock(&cluster.workers).iter().filter(|w| w.on_it().count() == 0).count();
+    assert_eq!(without_tasks, WORKERS, "leases lasted until the controllers came back");
+    for i in 0..3 {
+        if end { cluster.begin(i) } else { cluster.signal(i, "-CONT") }
+    }
+    wait_until("a worker goes on with its earlier session", WHOLE_WITHIN, || {
+        sessions(&cluster).iter().zip(&before).all(|(now, then)| now > then)
+    });
+    std::thread::sleep(Duration::from_secs(1));
+    set_unreachable(&cluster, &unreachable, false);
+    cluster.cloud_down.store(false, Ordering::Relaxed);
+    services.finish(&cluster, CANCELLED);
+}
+
+#[test]
+fn all_controllers_stand_still_for_longer_than_a_lease() {
+    all_controllers_are_away("all-still", false);
+}
+
+#[test]
+fn all_controllers_end_and_are_back_after_a_lease() {
+    all_controllers_are_away("all-ended", true);
+}
+
+/// The leader and half of the workers reach one another and nobody else, for longer than a lease. Their
+/// reports are answered until its own lease ends; what they run starts elsewhere only once it is gone. Jobs are
+/// cancelled just before, and outside.
+#[test]
+fn a_zone_with_workers_and_the_leader_is_cut_off() {
+    let size = Size { cancel: CANCEL, cuttable: true, ..Size::of(3, 10, LEASE_S) };
+    let cluster = Cluster::start("cut-zone", size);
+    let mut services = Services::start(&cluster, CANCEL, SERVICE_COUNT, REPLICAS);
+    let leader = cluster.until_owned();
+    let inside = busiest(&cluster, 4);
+    cluster.cloud_down.store(true, Ordering::Relaxed);
+    let before = sessions(&cluster);
+    services.begin_cancelling(&cluster.listen, 0);
+    services.cancel(&cluster.listen, 1..2);
+    lock(&cluster.store).faults.refused.insert(leader);
+    cluster.links.isolate(leader, true);
+    for (i, w) in lock(&cluster.workers).iter_mut().enumerate() {
+        let outside: BTreeSet<usize> = (0..3).filter(|n| *n != leader).collect();
+        w.cut_from = if inside.contains(&i) { outside } else { BTreeSet::from([leader]) };
+        w.deaf_to_commands = inside.contains(&i);
+    }
+    cluster.until_owned_by_another(leader);
+    services.cancel(&others(&cluster, leader), 2..CANCELLED);
+    let held = |i: &usize| lock(&cluster.workers)[*i].on_it().count() > 0;
+    assert!(inside.iter().any(held), "no worker of the zone holds a task as the next leader begins");
+    // Longer than a lease after the last answer inside.
+    wait_until("leases inside do not end", WHOLE_WITHIN, || {
+        cluster.nothing_broken();
+        let now = sessions(&cluster);
+        inside.iter().all(|i| now[*i] > before[*i])
+    });
+    services.wait_whole(&cluster, CANCELLED);
+    lock(&cluster.store).faults.refused.clear();
+    cluster.links.isolate(leader, false);
+    for w in lock(&cluster.workers).iter_mut() {
+        w.cut_from.clear();
+        w.deaf_to_commands = false;
+    }
+    cluster.cloud_down.store(false, Ordering::Relaxed);
+    services.finish(&cluster, CANCELLED);
+}
--- a/tests/loopback/faults.rs
+++ b/tests/loopback/faults.rs
@@ -18,6 +18,10 @@
     pub late_by: Duration,
     /// The other transactions are applied at once and answered so much later.
     pub slow_answers: Duration,
+    /// Every request takes so long, half of it before it is carried out and half of it after.
+    pub slow_requests: Duration,
+    /// Requests that were slowed down so far.
+    pub slowed: usize,
     /// Transactions so far.
     transactions: usize,
 }
--- a/tests/loopback/main.rs
+++ b/tests/loopback/main.rs
@@ -3,14 +3,17 @@
 //! service with its cancellation, and the end of the owner in between.
 
 mod answers;
+mod cancelled_at_refusal;
 mod cells;
 mod cloud;
 mod cluster;
+mod controllers_away;
 mod elastic;
 mod faults;
 mod history;
 #[path = "../common/http.rs"]
 mod http;
+mod leader_changes;
 mod links;
 mod meetings_answers;
 mod meetings_machines;
@@ -20,9 +23,12 @@
 mod quotas;
 mod requests;
 mod restarts;
+mod services;
 mod settings;
 mod settings_file;
+mod slow_state_service;
 mod standstill;
 mod state_service;
+mod unreachable_workers;
 mod users;
 mod workers;
--- a/tests/loopback/settings.rs
+++ b/tests/loopback/settings.rs
@@ -39,6 +39,8 @@
     pub lease: Duration,
     /// When the tasks of a cancelled job must be gone.
     pub cancel: Duration,
+    /// How long a controller's claim outlives its last renewal.
+    pub claim: Duration,
     pub cpus_max: f64,
     /// The operators' file of quotas, if quotas nest.
     pub quotas: Option<String>,
@@ -59,6 +61,7 @@
             workers,
             lease,
             cancel: Duration::from_secs(10),
+            claim: Duration::from_secs(4),
             cpus_max: 0.0,
             quotas: None,
             elastic: None,
--- /dev/null
+++ b/tests/loopback/slow_state_service.rs
@@ -0,0 +1,69 @@
+//! The state service answers every request slowly while users cancel and ask at all controllers.
+
+use crate::cluster::{Cluster, wait_until};
+use crate::http::lock;
+use crate::services::{Services, others};
+use crate::settings::Size;
+use std::time::Duration;
+
+const SERVICE_COUNT: usize = 10;
+const REPLICAS: u32 = 4;
+const CANCEL: Duration = Duration::from_secs(7);
+const OUTAGE: Duration = Duration::from_millis(8500);
+/// Below the time limits of the controllers' requests.
+const SLOW: Duration = Duration::from_millis(700);
+/// Almost the time limit of a renewal, and longer than a user's request waits for a stored end.
+const SLOWER: Duration = Duration::from_millis(1000);
+
+fn start(name: &str) -> (Cluster, Services) {
+    let cluster = Cluster::start(name, Size { cancel: CANCEL, ..Size::of(3, 8, 4) });
+    let services = Services::start(&cluster, CANCEL, SERVICE_COUNT, REPLICAS);
+    (cluster, services)
+}
+
+fn slow_down(cluster: &Cluster, time: Duration) {
+    lock(&cluster.store).faults.slow_requests = time;
+}
+
+/// Nothing else is wrong: cancellations are confirmed once they are stored, in spite of the time that
+/// takes, and no controller answers something older meanwhile.
+#[test]
+fn users_cancel_and_ask_while_the_state_service_is_slow() {
+    let (cluster, services) = start("slow-state");
+    slow_down(&cluster, SLOW);
+    services.cancel(&cluster.listen, 0..4);
+    slow_down(&cluster, SLOWER);
+    services.cancel(&cluster.listen, 4..7);
+    assert!(lock(&cluster.store).faults.slowed > 0, "no request was slow");
+    assert!(services.answered_meanwhile() > 0, "nothing was answered while cancellations were on their way");
+    slow_down(&cluster, Duration::ZERO);
+    services.finish(&cluster, 7);
+}
+
+/// Then it refuses the leader alone while more is cancelled, and once another controller has confirmed
+/// the rest it is out for everybody, for longer than `cancel_s`.
+#[test]
+fn a_slow_state_service_refuses_the_leader_and_then_everybody() {
+    let (cluster, mut services) = start("slow-refused-out");
+    let leader = cluster.until_owned();
+    slow_down(&cluster, SLOW);
+    services.cancel(&cluster.listen, 0..2);
+    services.begin_cancelling(&cluster.listen, 2);
+    services.begin_cancelling(&cluster.listen, 3);
+    wait_until("users do not cancel", CANCEL, || services.pending() == 2);
+    lock(&cluster.store).faults.refused.insert(leader);
+    cluster.until_owned_by_another(leader);
+    services.cancel(&others(&cluster, leader), 4..6);
+    lock(&cluster.store).set_outage(true);
+    services.begin_cancelling(&cluster.listen, 6);
+    std::thread::sleep(OUTAGE);
+    assert!(services.pending() > 0, "a cancellation was confirmed during the outage");
+    assert!(services.answered_meanwhile() > 0, "nothing was answered while cancellations were on their way");
+    {
+        let mut store = lock(&cluster.store);
+        store.set_outage(false);
+        store.faults.refused.clear();
+    }
+    slow_down(&cluster, Duration::ZERO);
+    services.finish(&cluster, 7);
+}
--- a/tests/loopback/state_service.rs
+++ b/tests/loopback/state_service.rs
@@ -148,6 +148,12 @@
 /// Answers one controller, or loses the answer.
 pub async fn state(store: Arc<Mutex<Store>>, node: usize, req: Incoming) -> Option<Outgoing> {
     let commit = req.path == "/commit";
+    let way = {
+        let faults = &mut lock(&store).faults;
+        faults.slowed += usize::from(!faults.slow_requests.is_zero());
+        faults.slow_requests / 2
+    };
+    Timer::after(way).await;
     let (refused, fate) = {
         let mut s = lock(&store);
         let refused = s.faults.refuses(node);
@@ -159,7 +165,7 @@
     match fate {
         Fate::Answered(delay) => {
             let out = answer(store, node, req).await;
-            Timer::after(delay).await;
+            Timer::after(delay + way).await;
             Some(out)
         }
         Fate::AnswerLost => {
--- a/tests/loopback/workers.rs
+++ b/tests/loopback/workers.rs
@@ -47,8 +47,10 @@
     /// How long its tasks take to save when they may.
     pub saves: Duration,
     pub tasks: BTreeMap<String, Task>,
-    /// Jobs of which it has started a task.
-    pub begun: BTreeSet<String>,
+    /// Jobs of which it has started a task, and when it last did.
+    pub begun: BTreeMap<String, Instant>,
+    /// Controllers that its reports do not reach.
+    pub cut_from: BTreeSet<usize>,
     /// Reports that were sent on or turned away.
     pub elsewhere: usize,
 }
@@ -115,7 +117,7 @@
                 }
                 let service = task.starts_with(SERVICES) || task.starts_with(LONG);
                 let began = Instant::now();
-                all[w].begun.extend(task.split('/').next().map(str::to_owned));
+                all[w].begun.extend(task.split('/').next().map(|job| (job.to_owned(), began)));
                 all[w].tasks.insert(task, Task { attempt, began, stopped: false, saves_until: None, service });
             }
             Some("halt") => {
@@ -180,6 +182,11 @@
             Timer::after(Duration::from_millis(20)).await;
             continue;
         };
+        if lock(&all)[w].cut_from.contains(&at) {
+            at = (at + 1) % nodes.len();
+            Timer::after(Duration::from_millis(150)).await;
+            continue;
+        }
         let bytes = serde_json::to_vec(&report).expect("a report");
         let answer = client.call(nodes[at], Method::Post, "/checkin", Some(bytes), Duration::from_secs(4)).await;
         let deaf = lock(&all)[w].deaf;
