A submission whose answer is late is stored again after 350 ms

It is conditional on the record's absence, so that it may be sent again at once; the time limit doubles with each try.

--- a/src/api.rs
+++ b/src/api.rs
@@ -9,7 +9,7 @@
 use crate::node::{Cell, Node, Place, Standing};
 use crate::peer::{JobAnswer as PeerAnswer, Outcome, Verb};
 use crate::shard::{Heard, Unfit, judge};
-use crate::state::{Commit, StateError, Turn};
+use crate::state::{COMMIT_TIMEOUT, Commit, StateError, Turn};
 use crate::told::{Told, Word, told_of_item, valid_id};
 use crate::wire::{self, Change, Condition, JobRequest, JobState, Kind, Report};
 use http_types::Method;
@@ -19,6 +19,10 @@
 
 const MOST_TASKS: u32 = 100_000;
 const ACCEPT_WITHIN_S: f64 = 4.0;
+/// An acceptance without an answer for so long is sent again, then after twice as long each time: it is
+/// conditional on the record's absence, so that it may be. The state service mostly answers within
+/// milliseconds, and sometimes takes a few hundred.
+const ACCEPT_FIRST_TIMEOUT: Duration = Duration::from_millis(350);
 /// How long a question waits for a final state that is just being stored.
 const SETTLES_WITHIN_S: f64 = 0.9;
 const CANCELS_WITHIN_S: f64 = 3.2;
@@ -222,11 +226,12 @@
                 Need::CannotTell => return unable(),
             }
         }
+        let mut limit = ACCEPT_FIRST_TIMEOUT;
         loop {
             // If absent: of a submission and its repetitions, on any nodes, one is accepted.
             let condition = Condition { key: key.clone(), version: 0 };
             let change = Change::Put { key: key.clone(), value: value.clone(), lease: None };
-            match self.state.commit(vec![condition], vec![change], Turn::First).await {
+            match self.state.commit_within(limit, vec![condition], vec![change], Turn::First).await {
                 Ok(Commit::Applied(version)) => {
                     let now = clock::now();
                     let cell = home.unwrap_or_default();
@@ -240,7 +245,9 @@
                 }
                 Ok(Commit::Failed(_)) => return self.accepted_before(&id).await,
                 // It may or may not be stored: the next try tells.
-                Err(StateError::Unknown) if clock::now() - began < ACCEPT_WITHIN_S => {}
+                Err(StateError::Unknown) if clock::now() - began < ACCEPT_WITHIN_S => {
+                    limit = (limit * 2).min(COMMIT_TIMEOUT);
+                }
                 Err(_) => return unable(),
             }
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -77,6 +77,8 @@
 }
 
 /// So many refusals within a moment are more than bursts that meet.
+/// How long the answer to a transaction is waited for.
+pub const COMMIT_TIMEOUT: Duration = Duration::from_millis(2500);
 const REFUSALS: usize = 4;
 const REFUSALS_WITHIN_S: f64 = 2.0;
 const LOWERED_FOR_S: f64 = 20.0;
@@ -230,6 +232,17 @@
         limit: Duration,
     ) -> Result<(u16, Vec<u8>), StateError> {
         self.take_request(turn, limit).await?;
+        self.send(method, path, body, limit).await
+    }
+
+    /// One call whose part of the request budget is taken already.
+    async fn send(
+        &self,
+        method: Method,
+        path: &str,
+        body: Option<Vec<u8>>,
+        limit: Duration,
+    ) -> Result<(u16, Vec<u8>), StateError> {
         let outcome = self.http.call(self.addr, method, path, body, limit).await;
         match &outcome {
             Ok((503, _)) | Err(_) => lock(&self.heard).1 = clock::now(),
@@ -291,16 +304,26 @@
         conditions: Vec<Condition>,
         changes: Vec<Change>,
         turn: Turn,
+    ) -> Result<Commit, StateError> {
+        self.commit_within(COMMIT_TIMEOUT, conditions, changes, turn).await
+    }
+
+    /// The same with a time limit of its own for the answer, once the transaction is sent. Only one that may be
+    /// sent again, such as one that is conditional on a key's absence, should wait for less than the usual time.
+    pub async fn commit_within(
+        &self,
+        limit: Duration,
+        conditions: Vec<Condition>,
+        changes: Vec<Change>,
+        turn: Turn,
     ) -> Result<Commit, StateError> {
         let n = changes.len();
         let body = serde_json::to_vec(&Txn { conditions, changes }).map_err(|_| StateError::NotExecuted(400))?;
-        let until = clock::now() + 2.5;
+        let until = clock::now() + COMMIT_TIMEOUT.as_secs_f64();
         loop {
             self.take(&self.writes, turn, n, Duration::from_secs(3)).await?;
-            match self
-                .call(Turn::InTurn, Method::Post, wire::TXN_PATH, Some(body.clone()), Duration::from_millis(2500))
-                .await
-            {
+            self.take_request(Turn::InTurn, COMMIT_TIMEOUT).await?;
+            match self.send(Method::Post, wire::TXN_PATH, Some(body.clone()), limit).await {
                 Ok((200, b)) => return Ok(Commit::Applied(parse::<Revision>(&b)?.revision)),
                 Ok((409, b)) => return Ok(Commit::Failed(parse::<Revision>(&b)?.failed)),
                 Ok((400, b)) if b.windows(13).any(|w| w == b"no such lease") => return Err(StateError::NoSuchLease),
