--- a/src/api.rs
+++ b/src/api.rs
@@ -8,10 +8,11 @@
 use crate::jobs::{JobRecord, RECORD_GROWS_BY, job_key};
 use crate::node::{Cell, Node, Place, Standing};
 use crate::peer::{JobAnswer as PeerAnswer, Outcome, Verb};
+use crate::reports::parse_report;
 use crate::shard::{Heard, Unfit, judge};
 use crate::state::{Commit, StateError, Turn};
 use crate::told::{Told, Word, told_of_item, valid_id};
-use crate::wire::{self, Change, Condition, JobRequest, JobState, Kind, Report};
+use crate::wire::{self, Change, Condition, JobRequest, JobState, Kind};
 use http_types::Method;
 use lupinspur_accounts::Reading;
 use lupinspur_elastic::Sizes;
@@ -157,8 +158,9 @@
     }
 
     async fn report(&self, body: &[u8]) -> Outgoing {
-        let Ok(r) = serde_json::from_slice::<Report>(body) else {
-            return Outgoing::error(400, "not a report");
+        let r = match parse_report(body) {
+            Ok(r) => r,
+            Err(why) => return Outgoing::error(400, &why),
         };
         let Some(cell) = self.cell_of_machine(&r.machine, r.token).await else { return unable() };
         let now = clock::now();
@@ -222,6 +224,9 @@
                 Need::CannotTell => return unable(),
             }
         }
+        let cell = self.cell(home.unwrap_or_default());
+        // Another owner may have ended the job by the time of the answer: only the shard of this moment takes it in.
+        let token = cell.as_ref().and_then(|c| c.with_shard(began, |s| s.token));
         loop {
             // If absent: of a submission and its repetitions, on any nodes, one is accepted.
             let condition = Condition { key: key.clone(), version: 0 };
@@ -229,11 +234,11 @@
             match self.state.commit(vec![condition], vec![change], Turn::First).await {
                 Ok(Commit::Applied(version)) => {
                     let now = clock::now();
-                    let cell = home.unwrap_or_default();
-                    self.note_cell(&id, cell);
-                    let cell = self.cell(cell);
-                    let added = cell.and_then(|c| c.with_shard(now, |s| s.add_job(record.clone(), version, now)));
-                    if added.is_some() {
+                    self.note_cell(&id, home.unwrap_or_default());
+                    let add = |s: &mut crate::shard::Shard| {
+                        (Some(s.token) == token).then(|| s.add_job(record.clone(), version, now)).flatten()
+                    };
+                    if cell.as_ref().and_then(|c| c.with_shard(now, add)).flatten().is_some() {
                         self.wake();
                     }
                     return job_answer(201, &id, Told { state: JobState::Queued, done: 0, running: 0 }, false);
@@ -371,11 +376,11 @@
                 if verb == Verb::Cancel {
                     s.cancel(id);
                 }
-                s.show(id)
+                (s.token, s.show(id))
             });
+            let Some((token, seen)) = seen else { return Word::Unable };
             match seen {
-                None => return Word::Unable,
-                Some(Some(shown)) => {
+                Some(shown) => {
                     if let Some(told) = owner_tells(verb, shown) {
                         return Word::Known(told);
                     }
@@ -386,8 +391,8 @@
                     self.wake();
                     async_io::Timer::after(Duration::from_millis(10)).await;
                 }
-                Some(None) if looked => return Word::Unable,
-                Some(None) => {
+                None if looked => return Word::Unable,
+                None => {
                     if let Some(t) = self.final_known(id) {
                         return Word::Known(t);
                     }
@@ -402,7 +407,7 @@
                             _ => {
                                 // Another cell's is not taken in, and nothing can be said of it here.
                                 looked = true;
-                                self.take_job(&item);
+                                self.take_job(token, &item);
                             }
                         },
                         Err(_) => return Word::Unable,
--- a/tests/loopback/main.rs
+++ b/tests/loopback/main.rs
@@ -3,26 +3,40 @@
 //! service with its cancellation, and the end of the owner in between.
 
 mod answers;
+mod answers_across_nodes;
+mod cancelled_at_refusal;
+mod cancelled_in_takeovers;
 mod cells;
 mod cloud;
 mod cluster;
+mod controllers_away;
 mod elastic;
 mod faults;
 mod history;
 #[path = "../common/http.rs"]
 mod http;
+mod leader_changes;
 mod links;
+mod malformed;
 mod meetings_answers;
 mod meetings_machines;
 mod meetings_needs;
 mod meetings_odd;
 mod meetings_refusal;
+mod one_task_floods;
 mod quotas;
 mod requests;
 mod restarts;
+mod rules;
+mod services;
 mod settings;
 mod settings_file;
+mod slow_state_service;
 mod standstill;
 mod state_service;
+mod team_limits;
+mod traffic;
+mod unreachable_machines;
+mod unreachable_workers;
 mod users;
 mod workers;
