--- a/tests/fencing/main.rs
+++ b/tests/fencing/main.rs
@@ -28,6 +28,8 @@
 const CLAIM_LASTS: Duration = Duration::from_secs(4);
 /// How long the state service takes to answer a renewal: the controller waits for it a little longer.
 const SLOW_RENEWAL: Duration = Duration::from_millis(800);
+/// An address at which nobody listens.
+const NOWHERE: &str = "127.0.0.1:9";
 const WAITS_AT_MOST: Duration = Duration::from_secs(40);
 
 /// One type of machines, and none to be had: a machine comes by its reports.
@@ -154,7 +156,8 @@
         } else {
             self.tasks.iter().map(ended).collect()
         };
-        let report = json!({"plot": format!("host-{}", self.number + 1), "addr": self.address, "strain": "m8", "field": "a", "fallow": false,
+        let address = if self.address.is_empty() { NOWHERE } else { &self.address };
+        let report = json!({"plot": format!("host-{}", self.number + 1), "addr": address, "strain": "m8", "field": "a", "fallow": false,
             "season": 1, "tally": counter, "warrant": self.token, "reclaim_s": null, "seeds": tasks});
         let (status, answer) = to.ask(Method::Post, "/checkin", &report);
         self.token = self.token.max(answer["warrant"].as_u64().unwrap_or(0));
@@ -269,7 +272,7 @@
     server(move |request| {
         lock(&arrived).push(Instant::now());
         let counter = counter.fetch_add(1, Ordering::Relaxed) + 1;
-        let report = json!({"plot": "host-1", "addr": "", "strain": "m8", "field": "a", "fallow": false, "season": 1,
+        let report = json!({"plot": "host-1", "addr": NOWHERE, "strain": "m8", "field": "a", "fallow": false, "season": 1,
             "tally": counter, "warrant": body(&request)["warrant"], "reclaim_s": null, "seeds": []});
         async move { Outgoing::json(200, &report) }
     })
--- a/tests/fencing/reclaim.rs
+++ b/tests/fencing/reclaim.rs
@@ -152,7 +152,7 @@
         let (gate, counter) = (gate.clone(), counter.clone());
         async move {
             let counter = counter.fetch_add(1, Ordering::Relaxed) + 1;
-            let report = json!({"plot": "host-1", "addr": "", "strain": "m8", "field": "a", "fallow": false, "season": 1,
+            let report = json!({"plot": "host-1", "addr": NOWHERE, "strain": "m8", "field": "a", "fallow": false, "season": 1,
                 "tally": counter, "warrant": body(&request)["warrant"], "reclaim_s": null, "seeds": []});
             let answer = Outgoing::json(200, &report);
             gate.pass(&request, &answer).await;
