What machines of an unknown type may hold starts nowhere else within a lease

Cause, found by reading: a stored rack whose machine type this owner does not know was passed over, with the jobs that it names. Change: those jobs wait until the leases of such machines are surely over.

--- a/crates/scheduler/src/shard/takeover.rs
+++ b/crates/scheduler/src/shard/takeover.rs
@@ -222,6 +222,7 @@
     pub(super) fn restore_rack(&mut self, i: RackIx, mut r: RackRecord, version: u64, now: f64) {
         let Some(ty) = self.types.names.find(&r.type_name) else {
             log::warn!("{} is of unknown type {}", rack_key(i), r.type_name);
+            self.hold_back(&r.jobs);
             return;
         };
         let zone = self.types.zones.intern(&r.zone);
@@ -259,6 +260,17 @@
         }
     }
 
+    /// Machines that cannot be taken in may hold tasks of these jobs until their leases are surely over.
+    fn hold_back(&mut self, jobs: &[String]) {
+        let until = self.began + stretched(self.lease_s);
+        for id in jobs {
+            if let Some(j) = self.jobs.find(id) {
+                let job = self.jobs.at_mut(j);
+                job.not_before = job.not_before.max(until);
+            }
+        }
+    }
+
     /// This value names the machine besides its rack's.
     pub(super) fn names_too(&mut self, key: &Arc<str>, m: MachineIx) {
         if self.racks.old_values.entry(key.clone()).or_default().insert(m) {
@@ -272,6 +284,7 @@
     pub(super) fn restore_machine(&mut self, name: &str, r: MachineRecord, now: f64) -> Option<MachineIx> {
         let Some(ty) = self.types.names.find(&r.type_name) else {
             log::warn!("machine {name} is of unknown type {}", r.type_name);
+            self.hold_back(&r.jobs);
             return None;
         };
         let zone = self.types.zones.intern(&r.zone);
--- a/crates/scheduler/tests/owner/ends.rs
+++ b/crates/scheduler/tests/owner/ends.rs
@@ -6,7 +6,8 @@
 use lupinspur_scheduler::wire::{JobState, ListedMachine, Op};
 use serde_json::json;
 
-/// cancelled-plan-is-dropped: nothing of a job starts after its cancellation was confirmed, not even to be stopped.
+/// Nothing of a job starts after its cancellation was confirmed, not even to be stopped. No single guard keeps that:
+/// the planned start is dropped, and a withdrawn one is given up at the next report, before it is sent.
 #[test]
 fn a_job_cancelled_between_its_plan_and_the_record_is_never_started() {
     let mut world = World::with(&["h1"]);
@@ -22,6 +23,19 @@
     assert_eq!(tasks(&world.answer(&report("h1", 3, &[]), 1.2), Op::Start), [""; 0]);
 }
 
+/// withdrawn-start-is-not-sent: the record is stored, and the command has not left yet.
+#[test]
+fn a_job_cancelled_between_the_record_and_the_command_is_never_started() {
+    let mut world = World::with(&["h1"]);
+    world.started("h1", "req-1", 0.7);
+    world.shard.cancel("req-1");
+    world.write(0.8);
+    assert_eq!(world.state("req-1"), Some(JobState::Cancelled));
+    let directly: Vec<_> = world.direct(0.9).iter().flat_map(|d| d.body.commands.clone()).collect();
+    assert_eq!(tasks(&directly, Op::Start), [""; 0]);
+    assert_eq!(tasks(&world.answer(&report("h1", 3, &[]), 1.0), Op::Start), [""; 0]);
+}
+
 /// cancelled-is-not-placed: its cancellation is on its way to the state service while room comes up.
 #[test]
 fn a_job_that_is_being_cancelled_is_not_placed() {
--- a/crates/scheduler/tests/owner/takeover.rs
+++ b/crates/scheduler/tests/owner/takeover.rs
@@ -202,3 +202,19 @@
     world.tick_until(100.2, 102.0);
     assert!(world.machine("h1").resolved() && world.held("h1").is_none());
 }
+
+/// unknown-type-holds: the types that this owner knows may be older than its predecessor's.
+#[test]
+fn what_machines_of_an_unknown_type_may_hold_starts_nowhere_else_within_their_lease() {
+    let mut world = World::new();
+    world.stored_job(job("req-1", 1, json!({})), Phase::Open);
+    let machine = json!({"machine": "h1", "addr": "127.0.0.1:9", "retiring": false, "jobs": [0]});
+    let rack = json!({"shard": 0, "type": "new", "zone": "a", "spot": false, "jobs": ["req-1"], "machines": [machine]});
+    world.stored("rack/0", rack);
+    world.take_over(100.0);
+    assert!(!started_on_h2(&mut world, 100.1, 99.0 + LEASE_S), "within the lease");
+    world.tick_until(100.0 + LEASE_S, 101.0 + LEASE_S);
+    // As the owner does now and then.
+    world.shard.look_again();
+    assert!(started_on_h2(&mut world, 101.1 + LEASE_S, 104.0 + LEASE_S), "after it");
+}
