Tests: the machine with a lost start is not returned for want of work before

The work that wants more machines now comes first, and the test asserts that the machine was not set aside.

--- a/crates/scheduler/tests/owner/lost_starts.rs
+++ b/crates/scheduler/tests/owner/lost_starts.rs
@@ -42,9 +42,10 @@
 #[test]
 fn a_machine_with_a_lost_start_of_a_cancelled_job_is_replaced() {
     let mut world = World::with(&MACHINES);
-    let (on, other) = lost_start(&mut world);
     // Work that these machines may not run: more of them are wanted than there are, and none is returned for that.
-    world.accept(job("req-8", 6, json!({"field": "b", "cpus": 32.0})), 13.0);
+    world.accept(job("req-8", 6, json!({"field": "b", "cpus": 32.0})), 0.65);
+    let (on, other) = lost_start(&mut world);
+    assert!(!world.machine(on).cordoned);
     world.accept(job("req-2", 1, json!({"herd": "limited", "cpus": LIMIT})), 13.0);
     let mut now = 13.0;
     while now < 90.0 && world.held(other).is_none() {
