--- a/crates/scheduler/src/shard/mod.rs
+++ b/crates/scheduler/src/shard/mod.rs
@@ -6,6 +6,7 @@
 
 mod bound;
 mod cell;
+mod commands;
 mod compare;
 mod elastic;
 mod faults;
@@ -17,6 +18,7 @@
 pub mod placement;
 mod quotas;
 mod recovery;
+mod reported_tasks;
 mod reports;
 mod service;
 mod sizing;
@@ -25,11 +27,12 @@
 mod writes;
 
 pub use cell::limits;
+pub use commands::{Direct, DirectSend};
 pub use elastic::{Told as ElasticTold, bound as elastic_bound};
 pub use judging::{Unfit, judge, type_fits};
 pub use quotas::{LoadedQuotas, Quotas, Row as QuotaRow, Told as QuotasTold, fits_values, team_limits};
 pub use recovery::{Found, job_of};
-pub use reports::{Direct, DirectSend, Heard};
+pub use reports::Heard;
 pub use service::{ACCOUNTS_PREFIX, Prospect, handed};
 pub use sizing::CloudCall;
 pub use takeover::Loaded;
--- /dev/null
+++ b/crates/scheduler/src/shard/reported_tasks.rs
@@ -0,0 +1,267 @@
+//! What a report says of the tasks on its machine, and what becomes of those that it does not name.
+
+use super::Shard;
+use super::faults::RUNS_WELL_S;
+use crate::fleet::{First, Held, HeldState, Leftover, UNHEEDED};
+use crate::intern::MachineIx;
+use crate::jobs::{Phase, Slot, TaskKey};
+use crate::wire::{Report, TaskReport, TaskState, Why};
+use std::collections::BTreeMap;
+
+/// Workers drop a reply that takes 4 s.
+const REPLY_DROPPED_S: f64 = 6.0;
+
+impl Shard {
+    /// Notes an attempt that is not held, or is no more. One that still runs takes room
+    /// and counts against its team's limit until its end is seen: after a takeover, those
+    /// of cancelled jobs once did not, and others were started beside them.
+    pub(super) fn leave(&mut self, m: MachineIx, k: TaskKey, attempt: u64, what: Leftover) {
+        self.drop_leftovers(m, |key, _| *key != k);
+        if what == Leftover::Stray {
+            self.count_use(m, k.0, 1.0);
+        }
+        self.machines.at_mut(m).leftovers.insert(k, (attempt, what));
+    }
+
+    /// Forgets all leftovers of a machine but those to be kept.
+    pub(super) fn drop_leftovers(&mut self, m: MachineIx, keep: impl Fn(&TaskKey, u64) -> bool) {
+        let leftovers = &mut self.machines.at_mut(m).leftovers;
+        let gone: Vec<(TaskKey, Leftover)> =
+            leftovers.iter().filter(|(k, (a, _))| !keep(k, *a)).map(|(k, (_, what))| (*k, *what)).collect();
+        for (k, what) in gone {
+            self.machines.at_mut(m).leftovers.remove(&k);
+            if what == Leftover::Stray {
+                self.count_use(m, k.0, -1.0);
+                self.place_due = true;
+            }
+        }
+    }
+
+    /// Brings what is known of a machine's tasks in line with its report; `own`: one
+    /// that it sent by itself, so that the reply to the one before is through or dropped.
+    pub(super) fn take_tasks(&mut self, m: MachineIx, r: &Report, own: bool, now: f64) {
+        // A task may be listed with several attempts, in any order: one that ended or was refused beside one that
+        // runs.
+        let mut listed: BTreeMap<(TaskKey, u64), &TaskReport> = BTreeMap::new();
+        for t in &r.tasks {
+            if let Some(k) = self.key_of(&t.task) {
+                listed.insert((k, t.attempt), t);
+            } else {
+                log::warn!("machine {} reports {}, which is no task known here", r.machine, t.task);
+            }
+        }
+        let unknown = r.tasks.iter().filter(|t| t.state != TaskState::Exited && self.key_of(&t.task).is_none());
+        let unknown: Vec<(String, u64)> = unknown.map(|t| (t.task.clone(), t.attempt)).collect();
+        let before = std::mem::replace(&mut self.machines.at_mut(m).unknown, unknown);
+        if self.machines.at(m).unknown.iter().any(|u| !before.contains(u)) {
+            self.machines.direct_first(m, First::Cancelled);
+        }
+        let held: Vec<(TaskKey, u64, HeldState)> =
+            self.machines.at(m).tasks.iter().map(|(k, h)| (*k, h.attempt, h.state)).collect();
+        let (mut heeded, mut missed) = (false, Vec::new());
+        for (k, attempt, state) in held {
+            // Told in an answer before; this report was sent after that came, or was given up.
+            let told = own
+                && state == HeldState::Commanded
+                && self.machines.at(m).tasks.get(&k).is_some_and(|h| h.stop.is_none() && h.replied > f64::MIN);
+            match listed.get(&(k, attempt)) {
+                Some(t) => {
+                    heeded |= told;
+                    if t.state == TaskState::Exited {
+                        self.exited(m, k, t, now);
+                    } else {
+                        self.seen(m, k, t.state, now);
+                    }
+                }
+                // Not there (yet): a start that may still be on its way is not gone.
+                _ if matches!(state, HeldState::Planned | HeldState::Commanded) => {
+                    if told {
+                        missed.push(k);
+                    }
+                    self.maybe_never(m, k, own, now)
+                }
+                _ => {
+                    self.release(m, k);
+                    self.requeue(k);
+                }
+            }
+        }
+        self.take_heed(m, heeded, missed, now);
+        // A fetch that no task waits for any more is given up.
+        let waited_for: Vec<_> = self.machines.at(m).tasks.keys().filter_map(|k| self.jobs.at(k.0).image).collect();
+        self.machines.at_mut(m).images.retain(|i| i.ready || waited_for.contains(&i.image));
+        self.drop_leftovers(m, |k, a| listed.contains_key(&(*k, a)));
+        for ((k, _), t) in listed {
+            let machine = self.machines.at(m);
+            if machine.tasks.get(&k).is_some_and(|h| h.attempt == t.attempt) {
+                continue;
+            }
+            if t.state == TaskState::Exited {
+                if t.why == Some(Why::Done) {
+                    self.done_elsewhere(k);
+                    self.task_done(k);
+                }
+                // What runs on counts for as long as it is listed; what ended beside it comes after.
+                let beside = self.machines.at(m).leftovers.get(&k);
+                let runs_on = beside.is_some_and(|(a, what)| *a != t.attempt && *what == Leftover::Stray);
+                if !runs_on {
+                    self.leave(m, k, t.attempt, Leftover::Ended);
+                }
+                continue;
+            }
+            let job = self.jobs.at(k.0);
+            let free = job.tasks.get(k.1 as usize) == Some(&Slot::Queued);
+            // Of a job that waits for others nothing may run, whoever started it.
+            let wanted = free && job.open() && !self.graph.waits(k.0);
+            if wanted && !machine.tasks.contains_key(&k) {
+                self.adopt(m, k, t, now);
+                continue;
+            }
+            if self.machines.at(m).leftovers.get(&k) != Some(&(t.attempt, Leftover::Stray)) {
+                self.leave(m, k, t.attempt, Leftover::Stray);
+                if self.jobs.at(k.0).wanted == Phase::Cancelled {
+                    self.machines.direct_first(m, First::Cancelled);
+                } else {
+                    self.machines.direct_due.insert(m);
+                }
+            }
+        }
+    }
+
+    /// Has the machine taken up what the answers to its reports told it? What it missed is told
+    /// directly, if that reaches it. A machine whose reports came, and which nothing reached, once got
+    /// one start after another, and none was ever taken back.
+    fn take_heed(&mut self, m: MachineIx, heeded: bool, missed: Vec<TaskKey>, now: f64) {
+        let machine = self.machines.at_mut(m);
+        if missed.is_empty() {
+            if heeded {
+                machine.unheeded = 0;
+            }
+            return;
+        }
+        machine.unheeded += 1;
+        machine.direct_not_before = machine.direct_not_before.min(now);
+        for k in missed {
+            if let Some(h) = machine.tasks.get_mut(&k) {
+                h.sent = -1.0;
+            }
+        }
+        if machine.unheeded >= UNHEEDED {
+            self.ask(m);
+        } else {
+            self.machines.direct_due.insert(m);
+        }
+    }
+
+    /// An earlier owner's start goes on under this one.
+    fn adopt(&mut self, m: MachineIx, k: TaskKey, t: &TaskReport, now: f64) {
+        self.hold(
+            m,
+            k,
+            Held {
+                attempt: t.attempt,
+                state: HeldState::Commanded,
+                since: now,
+                running_since: now,
+                stop: None,
+                stop_sent: -1.0,
+                sent: now,
+                replied: f64::MIN,
+            },
+        );
+        self.seen(m, k, t.state, now);
+    }
+
+    /// The task completed under another attempt: a planned start of it is of no use.
+    fn done_elsewhere(&mut self, k: TaskKey) {
+        if let Some(Slot::Held(m)) = self.jobs.at(k.0).tasks.get(k.1 as usize).copied() {
+            self.stop_task(m, k, 0.0);
+        }
+    }
+
+    pub(super) fn seen(&mut self, m: MachineIx, k: TaskKey, state: TaskState, now: f64) {
+        let Some(h) = self.machines.at_mut(m).tasks.get_mut(&k) else { return };
+        let (was_running, had_begun) = (h.state == HeldState::Running, h.state.begun());
+        h.state = match state {
+            TaskState::Running => HeldState::Running,
+            TaskState::Saving => HeldState::Saving,
+            _ => HeldState::Fetching,
+        };
+        let runs = h.state == HeldState::Running;
+        if runs && !was_running {
+            h.running_since = now;
+            let waited = now - h.since;
+            log::debug!("{}/{} runs after {waited:.2} s", self.jobs.at(k.0).id, k.1);
+        }
+        let since = h.running_since;
+        let job = self.jobs.at_mut(k.0);
+        job.running = job.running + u32::from(runs) - u32::from(was_running);
+        job.begun += u32::from(!had_begun);
+        if runs != was_running || !had_begun {
+            self.account_runs(k.0, now);
+        }
+        if runs {
+            self.image_seen(m, k);
+        }
+        let job = self.jobs.at(k.0);
+        if runs && now - since > RUNS_WELL_S && job.is_service() && !job.failed_on.is_empty() {
+            self.absolve(k.0);
+        }
+    }
+
+    /// The task runs or ran here, and so its image is here.
+    fn image_seen(&mut self, m: MachineIx, k: TaskKey) {
+        let job = self.jobs.at(k.0);
+        if let Some(i) = job.image {
+            self.machines.at_mut(m).image_ready(i, job.spec.image_gb);
+        }
+    }
+
+    /// A start that is wanted no more, is not on the machine, and cannot arrive late:
+    /// not by an unanswered direct command, nor in the reply to a report that is still
+    /// on its way while a direct answer overtakes it. A direct start counts as unanswered from the
+    /// moment it is sent: another call that is under way to the machine doesn't carry it.
+    fn maybe_never(&mut self, m: MachineIx, k: TaskKey, own: bool, now: f64) {
+        let machine = self.machines.at(m);
+        let Some(h) = machine.tasks.get(&k) else { return };
+        let reply_through = own || now - h.replied > REPLY_DROPPED_S;
+        if h.stop.is_some() && reply_through && !machine.loose.contains_key(&k) {
+            self.release(m, k);
+            self.requeue(k);
+        }
+    }
+
+    fn exited(&mut self, m: MachineIx, k: TaskKey, t: &TaskReport, now: f64) {
+        let Some(held) = self.release(m, k) else { return };
+        if t.why == Some(Why::Done) {
+            self.image_seen(m, k);
+        }
+        self.leave(m, k, t.attempt, Leftover::Ended);
+        match t.why {
+            Some(Why::Done) => {
+                let machine = self.machines.at_mut(m);
+                machine.fails.clear();
+                self.absolve(k.0);
+                self.task_done(k);
+            }
+            Some(Why::Error) => self.task_failed(m, k, now),
+            Some(Why::NoRoom) => {
+                // It counts something that is not known here: look again after its next report.
+                let until = now + self.report_s;
+                let machine = self.machines.at_mut(m);
+                machine.quarantined_until = machine.quarantined_until.max(until);
+            }
+            Some(Why::Unknown) => self.jobs.at_mut(k.0).not_before = now + 2.0,
+            _ => {}
+        }
+        log::debug!(
+            "{}/{} on {} ended: {:?} (attempt {})",
+            self.jobs.at(k.0).id,
+            k.1,
+            self.machines.at(m).name,
+            t.why,
+            held.attempt
+        );
+        self.requeue(k);
+    }
+}
