Cells: a job that waits long takes room that is of no use where it is

A picture now tells the most that one machine has free which nothing that waits there may take; what waits long goes there, one job a picture. And time alone did not make an owner look at waiting work again: now every 5 s while something waits.

--- a/crates/cells/src/picture.rs
+++ b/crates/cells/src/picture.rs
@@ -5,6 +5,24 @@
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
+/// The most cpus that one machine of a cell has free while nothing that waits in this cell may take them: the
+/// waiting work is for another kind of machine, or is too large, or has to leave room to services. Work of
+/// another cell may fit.
+#[derive(Debug, Clone, Copy, PartialEq, Default, Serialize, Deserialize)]
+pub struct UnusableRoom {
+    /// For work that may not use spot machines.
+    pub on_demand: f64,
+    /// For work that may use any machine.
+    pub any_kind: f64,
+}
+
+impl UnusableRoom {
+    /// What a task finds that may use spot machines, or may not.
+    pub fn for_task(&self, spot: bool) -> f64 {
+        if spot { self.any_kind } else { self.on_demand }
+    }
+}
+
 /// One cell, seen by its owner. Amounts in cpus, times in seconds.
 #[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
 pub struct Picture {
@@ -18,6 +36,9 @@
     /// On machines that stand empty and are not needed here, so that another cell may have them.
     #[serde(default)]
     pub idle: f64,
+    /// Free beside work that waits and cannot use it.
+    #[serde(default)]
+    pub unusable: UnusableRoom,
     /// Wanted by what waits.
     pub waits: f64,
     /// Held by what runs.
--- a/crates/cells/src/spill.rs
+++ b/crates/cells/src/spill.rs
@@ -1,7 +1,7 @@
 //! Which waiting work goes where. A cell gives its own work away; nobody takes any, so that
 //! what is offered to several is started by one.
 
-use crate::picture::Picture;
+use crate::picture::{Picture, UnusableRoom};
 use crate::{CellIx, Plan};
 
 /// A job goes to another cell so often at the most; then it is started where it is. Unless it goes on waiting
@@ -24,6 +24,8 @@
     pub task_cpus: f64,
     pub waited_s: f64,
     pub moves: u8,
+    /// It may use spot machines.
+    pub spot: bool,
 }
 
 /// Where each of these jobs goes, the ones that have waited longest first. `pictures`: of the
@@ -46,6 +48,8 @@
     let mut due: Vec<&Waiting<J>> =
         waiting.iter().filter(|w| w.waited_s >= plan.spill_after_s && (w.moves < MOST_MOVES || goes_on(w))).collect();
     due.sort_by(|a, b| b.waited_s.total_cmp(&a.waited_s));
+    let mut unusable: Vec<(CellIx, UnusableRoom)> =
+        pictures.iter().filter(|p| p.cell != mine.cell).map(|p| (p.cell, p.unusable)).collect();
     let mut out = Vec::new();
     for w in due {
         if out.len() >= MOST_AT_ONCE {
@@ -59,11 +63,26 @@
         // it goes where it can begin.
         let needs = if waits_long { w.task_cpus } else { w.cpus };
         let best = room.iter_mut().filter(|r| r.1 >= needs).max_by(|a, b| a.1.total_cmp(&b.1));
-        let Some((cell, left, p)) = best else { continue };
-        if p.expected_start_s(needs, boot_s) + plan.spill_gain_s <= here_s {
-            *left -= w.cpus;
-            out.push((w.job.clone(), *cell));
+        if let Some((cell, left, p)) = best {
+            if p.expected_start_s(needs, boot_s) + plan.spill_gain_s <= here_s {
+                *left -= w.cpus;
+                out.push((w.job.clone(), *cell));
+            }
+        } else if waits_long
+            && plan.spill_gain_s <= here_s
+            && let Some(cell) = take_unusable(&mut unusable, w)
+        {
+            out.push((w.job.clone(), cell));
         }
     }
     out
 }
+
+/// The cell that can begin this job in room that its own waiting work cannot use, however much of that there
+/// is. The room is for this one job until the next picture.
+fn take_unusable<J>(cells: &mut [(CellIx, UnusableRoom)], w: &Waiting<J>) -> Option<CellIx> {
+    let room = |c: &(CellIx, UnusableRoom)| c.1.for_task(w.spot);
+    let most = cells.iter_mut().filter(|c| room(c) >= w.task_cpus).max_by(|a, b| room(a).total_cmp(&room(b)))?;
+    most.1 = UnusableRoom::default();
+    Some(most.0)
+}
--- a/crates/cells/tests/cells.rs
+++ b/crates/cells/tests/cells.rs
@@ -148,6 +148,7 @@
         task_cpus: cpus,
         waited_s,
         moves,
+        spot: true,
     };
     let mine = picture(0, 5.0, 400.0);
     let others = [picture(1, 100.0, 20.0), picture(2, 30.0, 0.0)];
@@ -174,7 +175,7 @@
 #[test]
 fn a_job_larger_than_any_room_goes_where_it_can_begin_once_it_has_waited_long() {
     let plan = Plan::of(3);
-    let large = |waited_s| [Waiting { job: "large", cpus: 44.0, task_cpus: 4.0, waited_s, moves: 0 }];
+    let large = |waited_s| [Waiting { job: "large", cpus: 44.0, task_cpus: 4.0, waited_s, moves: 0, spot: true }];
     let (mine, others) = (Picture { held: 0.0, ..picture(0, 0.0, 44.0) }, [picture(1, 32.0, 0.0)]);
     assert!(spills(&plan, &mine, &others, &large(24.0), 15.0).is_empty(), "it waits for machines of its own");
     assert_eq!(spills(&plan, &mine, &others, &large(25.0), 15.0), [("large", CellIx(1))]);
--- a/crates/scheduler/src/shard/cell.rs
+++ b/crates/scheduler/src/shard/cell.rs
@@ -1,7 +1,7 @@
 //! What a shard is to other cells: its part of the teams' limits, its picture, and jobs that come
 //! from them or go to them.
 
-use super::Shard;
+use super::{Shard, placement};
 use crate::fleet::Phase as MachinePhase;
 use crate::intern::{Index, JobIx, TeamIx};
 use crate::jobs::{Job, JobRecord, Phase, job_key};
@@ -64,6 +64,7 @@
             }
         }
         p.idle = self.idle_cpus();
+        p.unusable = placement::room_unusable_here(self, now);
         let now_ms = p.at_ms;
         let mut wanted = vec![Amount::default(); self.teams.len()];
         for job in self.jobs.live.iter().map(|&j| self.jobs.at(j)).filter(|j| j.open()) {
@@ -94,6 +95,7 @@
             task_cpus: job.spec.cpus,
             waited_s: now_ms.saturating_sub(job.freed_ms) as f64 / 1000.0,
             moves: job.moves,
+            spot: job.spec.spot,
         };
         let all = self.jobs.live.iter().map(|&j| self.jobs.at(j)).filter(never);
         all.filter(|j| self.graph.after(j.ix).is_empty() && !self.named_anywhere(j.ix))
--- a/crates/scheduler/src/shard/mod.rs
+++ b/crates/scheduler/src/shard/mod.rs
@@ -182,6 +182,7 @@
     /// Where the next search for tasks to move goes on.
     move_from: MachineIx,
     pub(crate) service_cpus: f64,
+    looked_again_at: f64,
     sized_at: f64,
     moved_at: f64,
     deletes: BTreeSet<MachineIx>,
@@ -212,6 +213,8 @@
 const LATE_S: f64 = 0.6;
 /// Ticks come as often as there is something to place; machines change more slowly.
 const WATCH_EVERY_S: f64 = 0.09;
+/// How often waiting work is looked at where nothing else changes.
+const LOOK_AGAIN_EVERY_S: f64 = 5.0;
 
 impl Shard {
     /// Takes in a job that the state service holds.
@@ -328,6 +331,11 @@
             self.watched_at = now;
             self.watch_machines(now);
         }
+        // Time alone changes what waiting work may take.
+        if self.others_wait && now - self.looked_again_at >= LOOK_AGAIN_EVERY_S {
+            self.looked_again_at = now;
+            self.place_due = true;
+        }
         if now - self.sized_at >= 0.5 && self.types.known() {
             self.sized_at = now;
             self.size_fleet(now);
--- a/crates/scheduler/src/shard/placement.rs
+++ b/crates/scheduler/src/shard/placement.rs
@@ -9,14 +9,15 @@
 use crate::jobs::Job;
 use crate::shard::{EPS, Prospect, Shard, type_fits};
 use crate::wire::Priority;
+use lupinspur_cells::picture::UnusableRoom;
 use std::collections::{HashMap, HashSet, VecDeque};
 
 /// Cpu room on a machine of the on-demand base that batch work leaves to services, in their tasks.
 const SERVICE_ROOM: f64 = 4.0;
 /// Seconds for which work that may not use spot machines leaves that room to services.
 const BASE_PATIENCE_S: f64 = 20.0;
-/// Seconds after which a job of which nothing was started may take that room with one task: nobody waits for
-/// 90 s beside a machine that fits.
+/// Seconds after which a job of which nothing runs may take that room with one task at a time: nobody waits for
+/// 90 s beside a machine that fits, also not the rest of a job of which a part is done.
 const LONGEST_BESIDE_ROOM_S: f64 = 75.0;
 /// Seconds that a service gains on a machine of the base, and batch work off it.
 const BASE_WORTH_S: f64 = 4.0;
@@ -116,11 +117,13 @@
 /// spot machines has nowhere else to go: where the base was just large enough it once waited there for
 /// ever, beside room that no service asked for.
 fn may_fill_base(s: &Shard, job: &Job) -> bool {
-    let waited_s = s.ticked - job.since;
-    let not_started = job.held + job.done == 0;
+    // In its cell; what came from another one has waited there, too, or each move would cost it all patience.
+    let age_s = s.day_now_ms(s.ticked).saturating_sub(job.freed_ms) as f64 / 1000.0;
+    let waited_s = if job.moves > 0 { age_s } else { s.ticked - job.since };
+    let nothing_runs = job.held == 0;
     job.spec.priority == Priority::Production
         || !job.spec.spot && waited_s > BASE_PATIENCE_S
-        || not_started && waited_s > LONGEST_BESIDE_ROOM_S
+        || nothing_runs && waited_s > LONGEST_BESIDE_ROOM_S
 }
 
 /// Does the machine keep enough room for services if batch work takes this?
@@ -236,6 +239,39 @@
     }
 }
 
+/// Most kinds of waiting work that are compared with the machines that have room.
+const MOST_SHAPES: usize = 64;
+
+/// The room beside waiting work that none of it may take, whatever would be placed next.
+pub(super) fn room_unusable_here(s: &Shard, now: f64) -> UnusableRoom {
+    let shadow = (shadow(s), shadow_cards(s));
+    let (mut shapes, mut waiting) = (Hopeless(Vec::new()), Vec::new());
+    for job in s.jobs.live.iter().map(|&j| s.jobs.at(j)) {
+        let held_up = job.shadowed_by > 0 || job.leaving || now < job.not_before || job.unfinished() <= job.held;
+        if !job.open() || held_up || shapes.covers(s, job) || !within_limit(s, job, shadow) {
+            continue;
+        }
+        if waiting.len() == MOST_SHAPES {
+            return UnusableRoom::default();
+        }
+        shapes.note(s, job);
+        waiting.push(job);
+    }
+    let mut most = UnusableRoom::default();
+    for (i, m) in s.machines.iter().filter(|(_, m)| m.usable(now, s.fresh_s())) {
+        if waiting.iter().any(|job| fits(s, job, m) && leaves_room(s, job, m) && !avoids(s, job, i, now)) {
+            continue;
+        }
+        let free = s.types.get(m.ty).cpus - m.cpus_used;
+        let for_services = if m.base { SERVICE_ROOM * s.service_cpus } else { 0.0 };
+        most.any_kind = most.any_kind.max(free - for_services);
+        if !m.spot {
+            most.on_demand = most.on_demand.max(free);
+        }
+    }
+    most
+}
+
 /// Cpus that machines with an unknown load may be using of a team's limit.
 fn shadow(s: &Shard) -> f64 {
     s.machines.iter().filter(|(_, m)| !m.resolved()).map(|(_, m)| s.types.get(m.ty).cpus).sum()
--- a/crates/scheduler/tests/owner/main.rs
+++ b/crates/scheduler/tests/owner/main.rs
@@ -5,6 +5,7 @@
 mod checkpoint;
 mod placing;
 mod reports;
+mod service_room;
 mod starts;
 mod takeover;
 mod world;
