Cells: a job that went to another cell is not taken in again by its old record

What departed is remembered for 15 minutes with the version of the record that the move replaced; only a newer record takes it in again.

--- a/crates/scheduler/src/shard/cell.rs
+++ b/crates/scheduler/src/shard/cell.rs
@@ -141,6 +141,10 @@
             log::error!("{id} is another cell's, and has {} tasks here", job.held);
             return;
         }
+        let key = job_key(id);
+        if let Some(&replaced) = self.versions.get(&key) {
+            self.departed.note(key, replaced, now);
+        }
         // Nobody here counts it, neither as served nor as missed.
         self.account_end(j, Phase::Cancelled, now);
         self.elastic_leave(j);
--- a/crates/scheduler/src/shard/mod.rs
+++ b/crates/scheduler/src/shard/mod.rs
@@ -7,6 +7,7 @@
 mod bound;
 mod cell;
 mod compare;
+mod departed;
 mod elastic;
 mod faults;
 mod handing;
@@ -150,6 +151,7 @@
     value_bytes: usize,
     attempts: u64,
     versions: HashMap<String, u64>,
+    departed: departed::Departed,
     in_flight: HashSet<String>,
     finals: BTreeSet<JobIx>,
     /// When a cancellation that follows from another one was last written in its turn.
@@ -220,6 +222,9 @@
     /// Takes in a job that the state service holds.
     pub fn add_job(&mut self, r: JobRecord, version: u64, now: f64) -> Option<JobIx> {
         let key = crate::jobs::job_key(&r.job.id);
+        if self.departed.is_outdated(&key, version) {
+            return None;
+        }
         let known = self.versions.entry(key).or_insert(version);
         *known = (*known).max(version);
         if let Some(j) = self.jobs.find(&r.job.id) {
--- a/crates/scheduler/src/shard/takeover.rs
+++ b/crates/scheduler/src/shard/takeover.rs
@@ -102,6 +102,7 @@
             watched_at: f64::MIN,
             move_from: MachineIx::new(0),
             service_cpus: 0.0,
+            departed: Default::default(),
             looked_again_at: now,
             sized_at: now - 10.0,
             moved_at: now,
--- a/crates/scheduler/tests/owner/main.rs
+++ b/crates/scheduler/tests/owner/main.rs
@@ -3,6 +3,7 @@
 
 mod cancelling;
 mod checkpoint;
+mod moving;
 mod placing;
 mod reports;
 mod service_room;
