--- a/crates/scheduler/src/shard/mod.rs
+++ b/crates/scheduler/src/shard/mod.rs
@@ -8,6 +8,7 @@
 mod cell;
 mod commands;
 mod compare;
+mod departed;
 mod elastic;
 mod faults;
 mod handing;
@@ -153,6 +154,7 @@
     value_bytes: usize,
     attempts: u64,
     versions: HashMap<String, u64>,
+    departed: departed::Departed,
     in_flight: HashSet<String>,
     finals: BTreeSet<JobIx>,
     /// When a cancellation that follows from another one was last written in its turn.
@@ -185,6 +187,7 @@
     /// Where the next search for tasks to move goes on.
     move_from: MachineIx,
     pub(crate) service_cpus: f64,
+    looked_again_at: f64,
     sized_at: f64,
     moved_at: f64,
     deletes: BTreeSet<MachineIx>,
@@ -215,11 +218,16 @@
 const LATE_S: f64 = 0.6;
 /// Ticks come as often as there is something to place; machines change more slowly.
 const WATCH_EVERY_S: f64 = 0.09;
+/// How often waiting work is looked at where nothing else changes.
+const LOOK_AGAIN_EVERY_S: f64 = 5.0;
 
 impl Shard {
     /// Takes in a job that the state service holds.
     pub fn add_job(&mut self, r: JobRecord, version: u64, now: f64) -> Option<JobIx> {
         let key = crate::jobs::job_key(&r.job.id);
+        if self.departed.is_outdated(&key, version) {
+            return None;
+        }
         let known = self.versions.entry(key).or_insert(version);
         *known = (*known).max(version);
         if let Some(j) = self.jobs.find(&r.job.id) {
@@ -333,6 +341,11 @@
             self.watched_at = now;
             self.watch_machines(now);
         }
+        // Time alone changes what waiting work may take.
+        if self.others_wait && now - self.looked_again_at >= LOOK_AGAIN_EVERY_S {
+            self.looked_again_at = now;
+            self.place_due = true;
+        }
         if now - self.sized_at >= 0.5 && self.types.known() {
             self.sized_at = now;
             self.size_fleet(now);
