Model: random fault combinations of every kind, over five deployments

Cause: the random combinations drew neither the kinds of users, machines and reports nor two changes of leader, and only one kind of work with room for all. Direct commands to a machine that hangs are executed when it goes on (as the protocol says; they were lost before), half of those held up by a cut when the cut is over.

--- a/crates/model/src/messages.rs
+++ b/crates/model/src/messages.rs
@@ -8,6 +8,16 @@
 use lupinspur_wire::{Change, Command, DirectCommands, Report};
 use std::time::Instant;
 
+/// After this a controller knows that direct commands have no answer.
+const UNANSWERED_S: f64 = 1.2;
+
+/// Why direct commands do not reach a machine.
+enum HeldUp {
+    Lost,
+    /// They may arrive after this.
+    Until(f64),
+}
+
 pub(crate) enum Message {
     Report {
         node: usize,
@@ -110,11 +120,10 @@
                 }
             }
             Message::Commands { node, life, to: i, send, outcome } => {
-                let linked = self.linked(node, i);
-                let m = &mut self.machines[i];
-                if !m.there(now) || now < m.hangs || !linked || now < m.deaf_commands {
-                    return self.send(1.2, Message::Outcome { node, life, send, outcome: Direct::Unknown });
+                if let Some(held) = self.held_up(node, i) {
+                    return self.hold_commands(held, node, life, i, send, outcome);
                 }
+                let m = &mut self.machines[i];
                 let DirectCommands { token, session, commands } = send.body.clone();
                 let good = token >= m.token && session == m.session;
                 if good {
@@ -166,6 +175,33 @@
         }
     }
 
+    /// Why direct commands do not reach a machine now, if they do not.
+    fn held_up(&self, node: usize, machine: usize) -> Option<HeldUp> {
+        let (now, n, m) = (self.now, &self.nodes[node], &self.machines[machine]);
+        let until = |until| Some(HeldUp::Until(until));
+        match () {
+            () if !m.there(now) || now < m.deaf_commands => Some(HeldUp::Lost),
+            () if !self.linked(node, machine) => until(m.cut.max(n.zone_cut)),
+            () if now < m.hangs => until(m.hangs),
+            () => None,
+        }
+    }
+
+    /// Their sender does not learn what becomes of them. What is held up by a hang is executed when the machine
+    /// goes on, and half of what is held up by a cut when the cut is over.
+    fn hold_commands(&mut self, held: HeldUp, node: usize, life: u64, to: usize, send: DirectSend, outcome: bool) {
+        if let HeldUp::Until(until) = held
+            && (self.linked(node, to) || self.chance.bool())
+        {
+            let copy = DirectSend { starts: send.starts.clone(), body: send.body.clone(), ..send };
+            let message = Message::Commands { node, life, to, send: copy, outcome: false };
+            self.under_way.push((until, message));
+        }
+        if outcome {
+            self.send(UNANSWERED_S, Message::Outcome { node, life, send, outcome: Direct::Unknown });
+        }
+    }
+
     pub(crate) fn claim_key(&self, cell: usize) -> String {
         if self.cells == 1 { CLAIM_KEY.to_owned() } else { cell_claim_key(cell as u32) }
     }
--- a/crates/model/tests/random_meetings.rs
+++ b/crates/model/tests/random_meetings.rs
@@ -1,102 +1,181 @@
-//! Two to four troubles within seconds of one another, around a change of leader, by seeds.
-//! `MEETINGS=2000 cargo test --release -p lupinspur-model --test random_meetings` plays more of them, from
+//! Random fault combinations: two to four faults of any kind within seconds of one another and of one change of leader
+//! or two, for each kind of work, with one cell and with several, by seeds.
+//! `MEETINGS=2000 cargo test --release -p lupinspur-model --test random_meetings` plays so many of each deployment, from
 //! `MEETING_SEED` on, over `MEETING_CELLS` cells.
 
 use fastrand::Rng;
-use lupinspur_model::{CONTROLLER_KINDS, KINDS, Kind, OWNER, SAME_OWNER, Scenario, Trouble, play};
+use lupinspur_model::scenario::Team;
+use lupinspur_model::{
+    CONTROLLER_KINDS, KINDS, Kind, OWNER, SAME_OWNER, Scenario, Trouble, USER_AND_MACHINE_KINDS, Work, play,
+};
 use std::sync::atomic::{AtomicU64, Ordering};
 
-/// Meetings over one cell and over three that are played unless more are asked for.
-const MEETINGS: u64 = 16;
-/// The troubles of a meeting begin within this.
+/// Combinations of each deployment that are played unless more are asked for.
+const COMBINATIONS: u64 = 6;
+/// Runs that are played at the same time.
+const THREADS: usize = 3;
+/// The faults of a combination begin within this.
 const WITHIN_S: f64 = 6.0;
 const FIRST_AT_S: f64 = 15.0;
 const LAST_AT_S: f64 = 40.0;
 const LONGEST_S: f64 = 55.0;
+/// A second change of leader begins within this after the first.
+const SECOND_CHANGE_WITHIN_S: f64 = 12.0;
+/// Cancellations of services are spread over this at most.
+const CANCEL_WITHIN_S: f64 = 5.0;
 
 /// By which a leader changes.
-const CHANGES: [Kind; 7] = [
+const CHANGES: [Kind; 8] = [
     Kind::Ends,
     Kind::StepsDown,
     Kind::RefusedByState,
     Kind::Alone,
     Kind::StandsStill,
     Kind::AllEnd,
+    Kind::AllAway,
     Kind::CutZoneWithController,
 ];
 
+/// What is played: sizes, limits and work.
+#[derive(Debug, Clone, Copy)]
+enum Deployment {
+    /// Services and arrays, with room for all.
+    Mixed,
+    /// Every team reaches its limit.
+    TeamsAtLimit,
+    /// Four jobs of one task a second, a quarter of them cancelled.
+    OneTaskFlood,
+    /// Jobs of two or three tasks that end far apart.
+    FewTasks,
+    /// Jobs whose tasks have to be in one zone.
+    OneZone,
+}
+
+impl Deployment {
+    fn scenario(self, cells: u32) -> Scenario {
+        let base = Scenario { cells, most_machines: if cells > 1 { 24 } else { 80 }, ..Scenario::default() };
+        match self {
+            Deployment::Mixed => base,
+            Deployment::TeamsAtLimit => {
+                let team = |name: &str, cpus| Team { name: name.into(), cpus, cpus_max: 2.0 * cpus };
+                let teams = vec![team("red", 12.0), team("blue", 16.0)];
+                Scenario { teams, job_every_s: 0.8, services_cpus: 16.0, room: false, ..base }
+            }
+            Deployment::OneTaskFlood => {
+                Scenario { work: Work::OneTask, jobs_for_s: 50.0, job_every_s: 0.25, cancelled: 0.25, ..base }
+            }
+            Deployment::FewTasks => Scenario { work: Work::FewTasks, ..base },
+            Deployment::OneZone => Scenario { work: Work::OneZone, ..base },
+        }
+    }
+
+    /// By which users cancel jobs that run.
+    fn cancellation(self) -> Kind {
+        match self {
+            Deployment::OneTaskFlood | Deployment::FewTasks => Kind::CancelNow,
+            Deployment::Mixed | Deployment::TeamsAtLimit | Deployment::OneZone => Kind::CancelServices,
+        }
+    }
+}
+
 fn from_env(name: &str, otherwise: u64) -> u64 {
     std::env::var(name).ok().and_then(|v| v.parse().ok()).unwrap_or(otherwise)
 }
 
-/// A change of leader, cancellations and one to three other troubles, all within seconds.
-fn meeting(seed: u64, cells: u32) -> Vec<Trouble> {
+/// Short ones are as likely as long ones.
+fn lasts(rng: &mut Rng) -> f64 {
+    0.2 + rng.f64().powi(2) * LONGEST_S
+}
+
+fn any_kind(rng: &mut Rng) -> Kind {
+    let kinds: Vec<Kind> = KINDS.into_iter().chain(CONTROLLER_KINDS).chain(USER_AND_MACHINE_KINDS).collect();
+    kinds[rng.usize(0..kinds.len())]
+}
+
+fn change_of_leader(rng: &mut Rng, at: f64, which: usize) -> Trouble {
+    Trouble { at, kind: CHANGES[rng.usize(0..CHANGES.len())], which, for_s: lasts(rng) }
+}
+
+/// One change of leader or two, cancellations, and one to three other faults of any kind, all within seconds.
+fn combination(deployment: Deployment, seed: u64, cells: u32) -> Vec<Trouble> {
     let mut rng = Rng::with_seed(seed);
     let begins = FIRST_AT_S + rng.f64() * (LAST_AT_S - FIRST_AT_S);
-    let kinds: Vec<Kind> = KINDS.into_iter().chain(CONTROLLER_KINDS).collect();
+    let at = |rng: &mut Rng| begins + rng.f64() * WITHIN_S;
     let leader = OWNER + rng.usize(0..cells as usize);
-    let change = Trouble {
-        at: begins + rng.f64() * WITHIN_S,
-        kind: CHANGES[rng.usize(0..CHANGES.len())],
-        which: leader,
-        for_s: 0.2 + rng.f64() * LONGEST_S,
-    };
-    let cancels =
-        Trouble { at: begins + rng.f64() * WITHIN_S, kind: Kind::CancelServices, which: 0, for_s: rng.f64() * 5.0 };
-    let mut troubles = vec![change, cancels];
+    let changes_at = at(&mut rng);
+    let mut troubles = vec![change_of_leader(&mut rng, changes_at, leader)];
+    if rng.bool() {
+        let again = changes_at + rng.f64() * SECOND_CHANGE_WITHIN_S;
+        troubles.push(change_of_leader(&mut rng, again, leader));
+    }
+    let kind = deployment.cancellation();
+    let for_s = rng.f64() * CANCEL_WITHIN_S;
+    troubles.push(Trouble { at: at(&mut rng), kind, which: rng.usize(0..8), for_s });
     for _ in 0..rng.usize(1..4) {
         let which = match rng.u8(0..4) {
             0 => leader,
             1 => SAME_OWNER,
             _ => rng.usize(0..64),
         };
-        troubles.push(Trouble {
-            at: begins + rng.f64() * WITHIN_S,
-            kind: kinds[rng.usize(0..kinds.len())],
-            which,
-            for_s: 0.2 + rng.f64() * LONGEST_S,
-        });
+        let kind = any_kind(&mut rng);
+        troubles.push(Trouble { at: at(&mut rng), kind, which, for_s: lasts(&mut rng) });
     }
     troubles
 }
 
-/// What was broken in these meetings, with its troubles.
-fn broken(cells: u32, first: u64, meetings: u64) -> Vec<String> {
-    let scenario = Scenario { cells, most_machines: if cells > 1 { 24 } else { 80 }, ..Scenario::default() };
+/// What was broken in these combinations, with their faults.
+fn broken(deployment: Deployment, cells: u32, first: u64, combinations: u64) -> Vec<String> {
+    let scenario = deployment.scenario(cells);
     let next = AtomicU64::new(first);
     let play_some = || {
         let mut broken = Vec::new();
         loop {
             let seed = next.fetch_add(1, Ordering::Relaxed);
-            if seed >= first + meetings {
+            if seed >= first + combinations {
                 return broken;
             }
-            let troubles = meeting(seed, cells);
+            let troubles = combination(deployment, seed, cells);
             if let Some(what) = play(&scenario, seed, &troubles, None).broken {
-                broken.push(format!("{cells} cells, seed {seed}: {what}; {troubles:?}"));
+                broken.push(format!("{deployment:?}, {cells} cells, seed {seed}: {what}; {troubles:?}"));
             }
         }
     };
-    let threads = std::thread::available_parallelism().map_or(1, usize::from).min(4);
     std::thread::scope(|s| {
-        let all: Vec<_> = (0..threads).map(|_| s.spawn(play_some)).collect();
+        let all: Vec<_> = (0..THREADS).map(|_| s.spawn(play_some)).collect();
         all.into_iter().flat_map(|t| t.join().expect("played")).collect()
     })
 }
 
-fn no_meeting_breaks_a_rule(cells: u32) {
-    let meetings = from_env("MEETINGS", MEETINGS);
-    let broken = broken(cells, from_env("MEETING_SEED", 1), meetings);
-    println!("{meetings} meetings over {cells} cells");
-    assert!(broken.is_empty(), "{} of {meetings}: {broken:#?}", broken.len());
+fn no_combination_breaks_a_rule(deployment: Deployment) {
+    let (combinations, first) = (from_env("MEETINGS", COMBINATIONS), from_env("MEETING_SEED", 1));
+    for cells in [1, from_env("MEETING_CELLS", 3) as u32] {
+        let broken = broken(deployment, cells, first, combinations);
+        println!("{deployment:?}: {combinations} combinations over {cells} cells from seed {first}");
+        assert!(broken.is_empty(), "{} of {combinations}: {broken:#?}", broken.len());
+    }
+}
+
+#[test]
+fn no_combination_breaks_a_rule_with_mixed_work() {
+    no_combination_breaks_a_rule(Deployment::Mixed);
+}
+
+#[test]
+fn no_combination_breaks_a_rule_with_every_team_at_its_limit() {
+    no_combination_breaks_a_rule(Deployment::TeamsAtLimit);
+}
+
+#[test]
+fn no_combination_breaks_a_rule_in_a_flood_of_one_task_jobs() {
+    no_combination_breaks_a_rule(Deployment::OneTaskFlood);
 }
 
 #[test]
-fn no_meeting_breaks_a_rule_over_one_cell() {
-    no_meeting_breaks_a_rule(1);
+fn no_combination_breaks_a_rule_with_jobs_of_few_tasks() {
+    no_combination_breaks_a_rule(Deployment::FewTasks);
 }
 
 #[test]
-fn no_meeting_breaks_a_rule_over_cells() {
-    no_meeting_breaks_a_rule(from_env("MEETING_CELLS", 3) as u32);
+fn no_combination_breaks_a_rule_with_jobs_in_one_zone() {
+    no_combination_breaks_a_rule(Deployment::OneZone);
 }
