--- a/crates/model/src/controllers.rs
+++ b/crates/model/src/controllers.rs
@@ -3,7 +3,7 @@
 use crate::between::{Seen, concerns};
 use crate::claims::ClaimState;
 use crate::machines::Machine;
-use crate::messages::Message;
+use crate::messages::{Message, UNANSWERED_S};
 use crate::transactions::OwnerCommit;
 use crate::trouble::Wrong;
 use crate::world::{World, ZONES};
@@ -125,6 +125,7 @@
             self.watch(i, c);
             self.look_around(i, c);
         }
+        self.misjudge_silence(i, c);
         let wrong = self.wrong;
         let (life, one) = (self.nodes[i].life, self.cells == 1);
         let n = &mut self.nodes[i].cells[c];
@@ -148,7 +149,7 @@
             let all: Vec<_> = s.machines.present.iter().copied().collect();
             all.into_iter().for_each(|m| s.machines.at_mut(m).spot = false);
         }
-        wrong_decisions::apply(wrong, s);
+        wrong_decisions::apply(wrong, s, now);
         let deaf = s.deaf(now);
         let mut directs: Vec<(usize, DirectSend)> = Vec::new();
         while let Some(d) = s.next_direct(now) {
@@ -188,9 +189,9 @@
             let after = self.latency();
             if no_workers {
                 self.send(1.2, Message::Outcome { node: i, life, send, outcome: Direct::Unknown });
-            } else if now < self.late_commands && self.rng.bool() {
-                // Given up, and executed much later all the same.
-                let late = 2.0 + self.rng.f64() * 30.0;
+            } else if now < self.late_commands && self.rng.bool() || after > UNANSWERED_S {
+                // Given up, and executed later all the same.
+                let late = if after > UNANSWERED_S { after } else { 2.0 + self.rng.f64() * 30.0 };
                 let copy = DirectSend { starts: send.starts.clone(), body: send.body.clone(), ..send };
                 self.send(late, Message::Commands { node: i, life, to, send, outcome: false });
                 self.send(2.5, Message::Outcome { node: i, life, send: copy, outcome: Direct::Unknown });
--- a/crates/model/src/machines.rs
+++ b/crates/model/src/machines.rs
@@ -23,6 +23,7 @@
     pub(crate) state: State,
 }
 
+#[derive(Clone)]
 pub(crate) struct Machine {
     pub(crate) name: String,
     pub(crate) zone: usize,
@@ -60,13 +61,15 @@
         alive && self.tasks.get(task).is_some_and(|t| matches!(t.state, State::Runs(_) | State::Saves(_)))
     }
 
-    pub(crate) fn report(&mut self) -> Report {
+    pub(crate) fn report(&mut self, wrong: Option<Wrong>) -> Report {
+        let errors_are_done = wrong == Some(Wrong::ErrorsAreDone);
         self.seq += 1;
         let task = |(n, t): (&String, &Task)| -> TaskReport {
             let (bloom, wilt) = match t.state {
                 State::Fetches(_) => ("pulling", None),
                 State::Runs(_) => ("running", None),
                 State::Saves(_) => ("flushing", None),
+                State::Ended("error") if errors_are_done => ("ended", Some("done")),
                 State::Ended(why) => ("ended", Some(why)),
             };
             serde_json::from_value(json!({"seed": n, "sowing": t.attempt, "bloom": bloom, "wilt": wilt}))
@@ -166,7 +169,7 @@
         }
         if now >= m.next_report {
             m.next_report = now + REPORT_S * (0.75 + self.rng.f64() * 0.5);
-            let report = m.report();
+            let report = m.report(self.wrong);
             m.waits = Some((now, now + 4.0));
             let node = m.at;
             if now < m.mute || !self.linked(node, i) {
--- a/crates/model/src/messages.rs
+++ b/crates/model/src/messages.rs
@@ -2,6 +2,7 @@
 
 use crate::claims::ClaimMessage;
 use crate::transactions::{CommitOutcome, OwnerCommit};
+use crate::trouble::Wrong;
 use crate::world::World;
 use lupinspur_scheduler::ownership::{CLAIM_KEY, cell_claim_key};
 use lupinspur_scheduler::shard::{Direct, DirectSend, Heard};
@@ -9,7 +10,7 @@
 use std::time::Instant;
 
 /// After this a controller knows that direct commands have no answer.
-const UNANSWERED_S: f64 = 1.2;
+pub(crate) const UNANSWERED_S: f64 = 1.2;
 
 /// Why direct commands do not reach a machine.
 enum HeldUp {
@@ -70,7 +71,7 @@
 
 impl World {
     pub(crate) fn deliver(&mut self, m: Message) {
-        let now = self.now;
+        let (now, wrong) = (self.now, self.wrong);
         match m {
             Message::Report { node, report, machine, sent } => {
                 let n = &mut self.nodes[node];
@@ -82,6 +83,8 @@
                     let after = n.still - now;
                     return self.send(after, Message::Report { node, report, machine, sent });
                 }
+                let session = report.session;
+                let report = self.misread(report, machine == usize::MAX);
                 let cell = self.cell_of_machine(node, &report.machine, report.token);
                 let began = Instant::now();
                 let heard = cell.and_then(|c| Some(self.nodes[node].acting(c, now)?.on_report(&report, now)));
@@ -99,7 +102,6 @@
                 };
                 if machine != usize::MAX {
                     let after = self.latency();
-                    let session = report.session;
                     self.send(after, Message::Answer { machine, session, sent, answer, to });
                 }
             }
@@ -130,13 +132,14 @@
                 }
                 let m = &self.machines[i];
                 let DirectCommands { token, session, commands } = send.body.clone();
-                let good = token >= m.token && session == m.session;
+                let token_holds = token >= m.token || wrong == Some(Wrong::IgnoresTokens);
+                let good = token_holds && session == m.session;
                 self.observe_commands(i, &send, !outcome, good);
                 if good {
-                    self.machines[i].token = token;
+                    self.machines[i].token = token.max(self.machines[i].token);
                     self.obey(i, &commands);
                 }
-                let report = self.machines[i].report();
+                let report = self.machines[i].report(self.wrong);
                 if outcome {
                     let after = self.latency();
                     let outcome = Direct::Answered { executed: good, report: Some(report) };
--- a/crates/model/src/trouble.rs
+++ b/crates/model/src/trouble.rs
@@ -206,4 +206,20 @@
     Zones,
     /// A question about a job that nobody submitted is answered with a state.
     Invents,
+
+    // Those that only one kind of fault reveals.
+    /// A cancellation is confirmed before it is stored.
+    ConfirmsUnstored,
+    /// Machines execute direct commands whatever their token.
+    IgnoresTokens,
+    /// An owner never gives a silent machine up.
+    NeverGivesUp,
+    /// A machine that has not reported for some seconds passes for one whose session is over.
+    TakesSilenceForEnd,
+    /// Tasks whose user asked to cancel them pass for gone.
+    CancelledIsGone,
+    /// A copy of a report passes for the newest one.
+    TakesOldReports,
+    /// A task that failed passes for one that is done.
+    ErrorsAreDone,
 }
--- a/crates/model/src/users.rs
+++ b/crates/model/src/users.rs
@@ -57,6 +57,9 @@
         let s = self.nodes[node].acting(c, now)?;
         if cancel {
             s.cancel(id);
+            if self.wrong == Some(Wrong::ConfirmsUnstored) {
+                return Some(JobState::Cancelled);
+            }
         }
         match s.show(id) {
             Some(Shown::Told(state, ..)) => {
