--- a/crates/model/src/questions.rs
+++ b/crates/model/src/questions.rs
@@ -45,8 +45,12 @@
                 continue;
             }
             for node in 0..self.controllers {
-                self.request(node, &q.job, Request::Poll);
-                self.request(node, &q.job, Request::SUBMIT);
+                if self.request(node, &q.job, Request::Poll).is_some() {
+                    self.counts.coincidences.close_answers += 1;
+                }
+                if self.request(node, &q.job, Request::SUBMIT).is_some() {
+                    self.counts.coincidences.close_repetitions += 1;
+                }
             }
         }
     }
