--- a/crates/model/src/report.rs
+++ b/crates/model/src/report.rs
@@ -30,6 +30,8 @@
 pub struct Counts {
     /// The longest that a question about a job was without an answer after all troubles.
     pub unanswered: f64,
+    /// Answers that told a job's state, by controller.
+    pub answers: Vec<u64>,
     /// Claims that were made, and those that were taken anew by their owners.
     pub claims: u64,
     pub raised: u64,
@@ -47,8 +49,13 @@
 }
 
 impl Counts {
-    pub(crate) fn of(cells: usize) -> Counts {
-        Counts { writes: vec![0; cells], processor: vec![0.0; cells], ..Counts::default() }
+    pub(crate) fn of(cells: usize, controllers: usize) -> Counts {
+        Counts {
+            answers: vec![0; controllers],
+            writes: vec![0; cells],
+            processor: vec![0.0; cells],
+            ..Counts::default()
+        }
     }
 }
 
--- a/crates/model/src/users.rs
+++ b/crates/model/src/users.rs
@@ -110,6 +110,7 @@
         }
         let pending = self.history.sent(id, node, request);
         let Some(answer) = answer else { return };
+        self.counts.answers[node] += u64::from(answer.told().is_some());
         let violation = self.history.answered(pending, answer).map(ToString::to_string);
         violation.into_iter().for_each(|v| self.breaks(v));
     }
--- a/crates/model/src/world.rs
+++ b/crates/model/src/world.rs
@@ -134,7 +134,7 @@
             trouble_until: 0.0,
             wrong,
             broken: None,
-            counts: Counts::of(cells),
+            counts: Counts::of(cells, controllers),
             chance: Rng::with_seed(seed.rotate_left(32) ^ 0x5eed),
             spells: Spells::default(),
             late_reports: LateReports::default(),
--- a/tests/loopback/answers_across_nodes.rs
+++ b/tests/loopback/answers_across_nodes.rs
@@ -10,6 +10,8 @@
 use lupinspur::http::Client;
 use lupinspur::wire::JobState;
 use lupinspur_histories::{Known, Operation};
+use serde_json::json;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 const NODES: usize = 3;
@@ -120,6 +122,13 @@
         every_controller_serves(&traffic);
         lock(&cluster.store).faults.refused.insert(leader);
         cluster.links.isolate(leader, true);
+        // Accepted by another controller, while the leader's lease still lasts: it cannot know that, nor ask for it.
+        traffic.submit(&others(leader), &job(&long_id(2), "batch", 1));
+        let accepted = traffic.answers.now();
+        wait_until("the leader's lease was over too soon", WITHIN, || {
+            called(&traffic, 1, leader, accepted, JobState::Running) > 0
+                && traffic.answers.operations(&long_id(2)).iter().any(|o| o.node == leader && o.answered.is_some())
+        });
         let cut_off = traffic.answers.now();
         let user = User { client: Client::new(1, 1) };
         let confirmed = traffic.answers.ask(&user, leader, &long_id(0), Request::Cancel);
@@ -127,7 +136,7 @@
         let by_record = |node: &usize| called(&traffic, 0, *node, cut_off, JobState::Queued);
         assert!(others(leader).iter().map(by_record).sum::<usize>() > 0, "the others told nothing meanwhile");
         cluster.until_owned_by_another(leader);
-        (0..2).for_each(|number| traffic.cancel(&others(leader), &long_id(number)));
+        (0..3).for_each(|number| traffic.cancel(&others(leader), &long_id(number)));
         std::thread::sleep(A_WHILE);
         lock(&cluster.store).faults.refused.clear();
         cluster.links.isolate(leader, false);
@@ -221,3 +230,44 @@
     });
     assert!((0..4).all(|number| traffic.answers.known(&long_id(number)) == Known::Ended(JobState::Cancelled)));
 }
+
+/// Three cells, with a running job in each. Each controller ends and is started again in turn: it remembers neither
+/// ends nor whose cell a job is in. After each a job is cancelled, and all controllers tell so.
+#[test]
+fn no_answer_is_older_across_three_cells_while_each_controller_is_started_again() {
+    const CELLS: &str = "cells = 3\npicture_s = 0.5\nspill_after_s = 0.5\nspill_gain_s = 1.0\n\
+        [[team]]\nname = \"red\"\ncell = 0\n[[team]]\nname = \"n1\"\ncell = 1\n[[team]]\nname = \"n2\"\ncell = 2\n";
+    let size = Size { cells: Some(CELLS.into()), ..Size::of(NODES, 12, 4) };
+    let mut cluster = Cluster::start("answers-cells", size);
+    let owned = |cluster: &Cluster| {
+        let store = lock(&cluster.store);
+        (0..3).filter(|cell| store.keys.contains_key(&format!("own/c/{cell}"))).count()
+    };
+    wait_until("not every cell is owned", 2 * WITHIN, || owned(&cluster) == 3);
+    let traffic = Traffic::of(&cluster);
+    traffic.during(&mut cluster, |cluster| {
+        for (number, team) in ["red", "n1", "n2"].iter().enumerate() {
+            let mut long = job(&long_id(number), "batch", 1);
+            long["herd"] = json!(team);
+            traffic.submit(&[0, 1, 2], &long);
+            wait_until("a job does not run", 2 * WITHIN, || cluster.has_begun(&long_id(number)));
+        }
+        let cells: BTreeSet<u64> = {
+            let store = lock(&cluster.store);
+            (0..3)
+                .map(|number| store.keys[&format!("job/{}", long_id(number))].0["cell"].as_u64().unwrap_or(0))
+                .collect()
+        };
+        assert!(cells.len() > 1, "all jobs are in one cell");
+        for node in 0..NODES {
+            cluster.kill(node);
+            let ended = traffic.answers.now();
+            cluster.begin(node);
+            traffic.cancel(&others(node), &long_id(node));
+            wait_until("a restarted controller does not tell of the cancellation", 2 * WITHIN, || {
+                called(&traffic, node, node, ended, JobState::Cancelled) > 0
+            });
+            (0..NODES).for_each(|node| traffic.until_told_by(node, SOME_ANSWERS, 2 * WITHIN));
+        }
+    });
+}
