Loopback: one asker of each controller polls only; what cannot run is refused to the end

Repeated submissions wait for slow transactions, and kept the askers from polling. Every controller has to refuse what cannot run or lacks a field during and after each trouble.

--- a/tests/loopback/traffic.rs
+++ b/tests/loopback/traffic.rs
@@ -70,7 +70,7 @@
     }
 
     /// Users ask and submit while `trouble` does its worst. Afterwards every controller has to tell how every job
-    /// that has ended did, and no answer may have been older than one before.
+    /// that has ended did, and to have refused what cannot run, and no answer may have been older than one before.
     pub fn during(&self, cluster: &mut Cluster, trouble: impl FnOnce(&mut Cluster)) {
         std::thread::scope(|scope| {
             // Also when the trouble panics.
@@ -83,6 +83,7 @@
             drop(over);
         });
         self.every_controller_tells();
+        (0..self.answers.nodes()).for_each(|node| self.refuses_unfit(node));
         self.answers.check();
         cluster.nothing_broken();
     }
@@ -174,11 +175,14 @@
             if self.over.load(Ordering::Relaxed) {
                 return;
             }
-            for (id, submission) in self.latest().iter().skip(asker).step_by(ASKERS_PER_NODE) {
-                let request = if round % 3 == 2 { Request::Submit(submission) } else { Request::Poll };
+            // The first asker polls all of them; the others share them, and repeat submissions, which may take longer.
+            let (skipped, every) = if asker == 0 { (0, 1) } else { (asker - 1, ASKERS_PER_NODE - 1) };
+            for (id, submission) in self.latest().iter().skip(skipped).step_by(every) {
+                let repeats = asker > 0 && round % 3 == 2;
+                let request = if repeats { Request::Submit(submission) } else { Request::Poll };
                 self.answers.ask(&user, node, id, request);
             }
-            if round % UNFIT_EVERY == asker {
+            if asker > 0 && round % UNFIT_EVERY == asker {
                 let why = if round % (2 * UNFIT_EVERY) == asker { Unfit::LacksField } else { Unfit::CannotRun };
                 let (id, submission) = unfit(node, why);
                 self.answers.ask(&user, node, &id, Request::SubmitUnfit(&submission, why));
@@ -189,6 +193,21 @@
         }
     }
 
+    /// A controller has refused jobs that cannot run or lack a field all the while, and still does.
+    fn refuses_unfit(&self, node: usize) {
+        assert!(self.refused_by(node, 0) > 0, "controller {node} refused nothing while it was asked to");
+        let user = user();
+        for why in [Unfit::LacksField, Unfit::CannotRun] {
+            let (id, submission) = unfit(node, why);
+            let before = self.refused_by(node, 0);
+            wait_until(&format!("controller {node} does not refuse what {why}"), TOLD_WITHIN, || {
+                self.answers.ask(&user, node, &id, Request::SubmitUnfit(&submission, why));
+                self.refused_by(node, 0) > before
+            });
+            assert_eq!(self.answers.known(&id), Known::Nothing, "a job that {why} was accepted");
+        }
+    }
+
     /// Each controller tells each job that is over so.
     fn every_controller_tells(&self) {
         let submitted = self.submitted.lock().unwrap_or_else(|e| e.into_inner()).clone();
