--- a/src/http/tests.rs
+++ b/src/http/tests.rs
@@ -130,3 +130,20 @@
         assert_eq!(client.call(addr, Method::Post, "/", Some(b"{}".to_vec()), limit).await.map(|h| h.0), Ok(200));
     }));
 }
+
+/// Guards against half an answer: a server that is killed while it answers has said nothing.
+#[test]
+fn an_answer_that_ends_before_its_announced_length_is_none() {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).expect("a port");
+    let addr = listener.local_addr().expect("its address");
+    let server = std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a connection");
+        let mut request = [0; 1024];
+        let _ = std::io::Read::read(&mut stream, &mut request).expect("a request");
+        let cut = b"HTTP/1.1 200 OK\r\ncontent-length: 20\r\n\r\n{\"a\"";
+        std::io::Write::write_all(&mut stream, cut).expect("sent");
+    });
+    let call = async { Client::new(0, 0).call(addr, Method::Get, "/up", None, Duration::from_secs(2)).await };
+    assert_eq!(async_io::block_on(call), Err(CallError::NoAnswer));
+    server.join().expect("served");
+}
