Loopback: jobs of two and three tasks end far apart across two changes of leader

Change: tasks of some jobs of the stand-in workers run six seconds longer each than the one before; the leader ends after the first task of each and after the second.

--- a/tests/loopback/main.rs
+++ b/tests/loopback/main.rs
@@ -27,6 +27,7 @@
 mod settings_file;
 mod standstill;
 mod state_service;
+mod tasks_end_apart;
 mod team_limits;
 mod unreachable_machines;
 mod users;
--- a/tests/loopback/requests.rs
+++ b/tests/loopback/requests.rs
@@ -12,6 +12,9 @@
 /// A job whose tasks do not end while a test lasts.
 pub const LONG: &str = "req-0299";
 
+/// The tasks of jobs named like this end far apart, in the order of their numbers.
+pub const APART: &str = "req-0288";
+
 pub fn job(id: &str, habit: &str, tasks: u32) -> Value {
     json!({"id": id, "breed": "any", "herd": "red", "habit": habit, "precedence": "standard", "seeds": tasks,
         "cpus": 1.0, "cards": 0.0, "memory_gb": 1.0, "bulb": "img", "pull_gb": 0.1, "strains": null, "field": null,
--- /dev/null
+++ b/tests/loopback/tasks_end_apart.rs
@@ -0,0 +1,92 @@
+//! Jobs of two or three tasks end far apart, across changes of leader.
+
+use crate::answers::{Answers, Request};
+use crate::cluster::{Cluster, wait_until};
+use crate::requests::{APART, User, job};
+use crate::rules::RuleWatch;
+use crate::settings::Size;
+use lupinspur::http::Client;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+const LEASE_S: u64 = 9;
+const JOBS: usize = 6;
+const WITHIN: Duration = Duration::from_secs(40);
+const PAUSE: Duration = Duration::from_millis(20);
+
+fn id(number: usize) -> String {
+    format!("{APART}0{number}")
+}
+
+/// Half of the jobs have two tasks, half of them three.
+fn tasks(number: usize) -> u32 {
+    2 + (number % 2) as u32
+}
+
+/// Asks one controller about all jobs. None may be called done before each of its tasks is.
+fn keep_asking(cluster: &Cluster, answers: &Answers, watch: &RuleWatch, node: usize, over: &AtomicBool) {
+    let user = User { client: Client::new(1, 4) };
+    while !over.load(Ordering::Relaxed) {
+        for number in 0..JOBS {
+            let state = answers.ask(&user, cluster.listen[node], &id(number), Request::Poll);
+            if state.as_deref() == Some("done") {
+                let completed = watch.completed(&id(number));
+                assert_eq!(completed, tasks(number) as usize, "{} is called done before it is", id(number));
+            }
+        }
+        std::thread::sleep(PAUSE);
+    }
+}
+
+/// The leader ends after the first task of each job, and the next one after the second. What has ended is
+/// not started again, and a job is done when its last task is.
+#[test]
+fn tasks_end_far_apart_across_changes_of_leader() {
+    let mut cluster = Cluster::start("apart", Size::of(3, 6, LEASE_S));
+    let answers = Answers::default();
+    let watch = RuleWatch::start(&cluster, Duration::from_secs(10), &[]);
+    let user = User { client: Client::new(1, 4) };
+    cluster.until_owned();
+    for number in 0..JOBS {
+        let submission = job(&id(number), "batch", tasks(number));
+        wait_until("a job is not accepted", WITHIN, || {
+            let accepts = |at: &_| answers.ask(&user, *at, &id(number), Request::Submit(&submission)).is_some();
+            cluster.listen.iter().any(accepts)
+        });
+    }
+    for ended in 1..=2 {
+        wait_until("too few tasks end", WITHIN, || {
+            watch.check(&cluster);
+            (0..JOBS).all(|n| watch.completed(&id(n)) >= ended)
+        });
+        let unfinished = (0..JOBS).filter(|n| watch.completed(&id(*n)) < tasks(*n) as usize).count();
+        assert!(unfinished > 0, "all jobs are over before the leader changes");
+        let leader = cluster.until_owned();
+        let process = cluster.nodes.0[leader].take();
+        let over = AtomicBool::new(false);
+        std::thread::scope(|scope| {
+            let (cluster, answers, watch, over) = (&cluster, &answers, &watch, &over);
+            for node in 0..cluster.listen.len() {
+                scope.spawn(move || keep_asking(cluster, answers, watch, node, over));
+            }
+            if let Some(mut process) = process {
+                process.kill().expect("killed");
+                process.wait().expect("ended");
+            }
+            cluster.until_owned_by_another(leader);
+            over.store(true, Ordering::Relaxed);
+        });
+        cluster.begin(leader);
+    }
+    for number in 0..JOBS {
+        for at in &cluster.listen {
+            wait_until("a job has no end", WITHIN, || {
+                watch.check(&cluster);
+                answers.ask(&user, *at, &id(number), Request::Poll).as_deref() == Some("done")
+            });
+        }
+        assert_eq!(watch.completed(&id(number)), tasks(number) as usize, "{} lacks a task", id(number));
+    }
+    answers.check();
+    watch.check(&cluster);
+}
--- a/tests/loopback/workers.rs
+++ b/tests/loopback/workers.rs
@@ -1,7 +1,7 @@
 //! The stand-in workers.
 
 use crate::http::{EX, lock};
-use crate::requests::{LONG, SERVICES};
+use crate::requests::{APART, LONG, SERVICES};
 use async_io::Timer;
 use http_types::Method;
 use lupinspur::http::{Client, Outgoing};
@@ -13,6 +13,9 @@
 
 pub const RUN_TIME: Duration = Duration::from_millis(400);
 
+/// Of jobs whose tasks end far apart each runs so much longer than the one before.
+pub const ENDS_APART: Duration = Duration::from_secs(6);
+
 pub struct Task {
     pub attempt: u64,
     pub began: Instant,
@@ -20,6 +23,13 @@
     /// It saves, and will have done so then.
     pub saves_until: Option<Instant>,
     pub service: bool,
+    /// How long it runs if it is not a service's.
+    pub run_time: Duration,
+}
+
+fn run_time(task: &str) -> Duration {
+    let number = task.rsplit_once('/').and_then(|(_, n)| n.parse().ok()).unwrap_or(0);
+    RUN_TIME + if task.starts_with(APART) { ENDS_APART * number } else { Duration::ZERO }
 }
 
 /// A worker; what several of them run at the same time is checked at every start.
@@ -60,7 +70,7 @@
         if self.stopped || self.saves_until.is_some_and(|t| Instant::now() >= t) {
             Some("stopped")
         } else {
-            (!self.service && self.began.elapsed() > RUN_TIME).then_some("done")
+            (!self.service && self.began.elapsed() > self.run_time).then_some("done")
         }
     }
 }
@@ -116,7 +126,9 @@
                 let service = task.starts_with(SERVICES) || task.starts_with(LONG);
                 let began = Instant::now();
                 all[w].begun.extend(task.split('/').next().map(str::to_owned));
-                all[w].tasks.insert(task, Task { attempt, began, stopped: false, saves_until: None, service });
+                let run_time = run_time(&task);
+                let started = Task { attempt, began, stopped: false, saves_until: None, service, run_time };
+                all[w].tasks.insert(task, started);
             }
             Some("halt") => {
                 let saves = all[w].saves;
