--- a/tests/loopback/main.rs
+++ b/tests/loopback/main.rs
@@ -34,6 +34,7 @@
 mod slow_state_service;
 mod standstill;
 mod state_service;
+mod tasks_end_apart;
 mod team_limits;
 mod traffic;
 mod unreachable_machines;
