HTTP client: a body that is cut short is no answer

Cause: a process that is killed while it answers ends the connection in the middle; the client took what had come as the whole body, with its status. Change: fewer bytes than content-length says are NoAnswer. With it: the new loopback tests wait for conditions where they slept, the state service can be slow to one controller alone, and the guards that these tests were seen to need name them.

--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -96,9 +96,14 @@
         let exchange = async {
             let mut res = async_h1::connect(conn.clone(), req).await.map_err(|_| CallError::NoAnswer)?;
             let close = res.header("connection").is_some_and(|h| h.as_str().eq_ignore_ascii_case("close"));
+            let declared = res.len();
             let mut out = Vec::new();
             let mut body = res.take_body().take(MAX_RESPONSE);
             body.read_to_end(&mut out).await.map_err(|_| CallError::NoAnswer)?;
+            // The connection ended in the middle: who answers may have been killed.
+            if declared.is_some_and(|n| out.len() < n) {
+                return Err(CallError::NoAnswer);
+            }
             Ok::<_, CallError>((res.status() as u16, out, close))
         };
         match timed(limit, exchange).await {
--- a/tests/loopback/faults.rs
+++ b/tests/loopback/faults.rs
@@ -20,6 +20,8 @@
     pub slow_answers: Duration,
     /// Every request takes so long, half of it before it is carried out and half of it after.
     pub slow_requests: Duration,
+    /// Only those of this controller do.
+    pub slow_only_for: Option<usize>,
     /// Requests that were slowed down so far.
     pub slowed: usize,
     /// Transactions so far.
@@ -39,6 +41,15 @@
         self.outage || self.refused.contains(&node)
     }
 
+    /// How long each half of a request takes.
+    pub fn slow_down(&mut self, node: usize) -> Duration {
+        if self.slow_requests.is_zero() || self.slow_only_for.is_some_and(|only| only != node) {
+            return Duration::ZERO;
+        }
+        self.slowed += 1;
+        self.slow_requests / 2
+    }
+
     pub fn fate(&mut self) -> Fate {
         self.transactions += 1;
         let is_due = |one_in: usize| one_in > 0 && self.transactions.is_multiple_of(one_in);
--- a/tests/loopback/leader_changes.rs
+++ b/tests/loopback/leader_changes.rs
@@ -2,12 +2,14 @@
 
 use crate::cluster::{Cluster, wait_until};
 use crate::http::lock;
-use crate::services::{Services, WHOLE_WITHIN, busiest, others, set_unreachable};
+use crate::services::{Services, WHOLE_WITHIN, busiest, hold_tasks, set_unreachable, until_heard_except};
 use crate::settings::Size;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 const REPLICAS: u32 = 3;
+/// So long after the others have heard a new leader, some workers still reach nobody.
+const UNREACHABLE_AFTER: Duration = Duration::from_secs(1);
 const CHANGED_WITHIN: Duration = Duration::from_secs(20);
 
 /// No worker reaches this controller or is reached by any, until it has given its claim up.
@@ -38,8 +40,6 @@
 fn controllers_hand_over_and_back_all_end_and_one_returns() {
     const CANCEL: Duration = Duration::from_secs(11);
     const RETURNS_AFTER: Duration = Duration::from_millis(500);
-    /// The leader must not know these workers as it takes over.
-    const UNREACHABLE_AFTER: Duration = Duration::from_secs(2);
     let size = Size { cancel: CANCEL, claim: Duration::from_millis(2500), ..Size::of(2, 8, 9) };
     let mut cluster = Cluster::start("hand-over", size);
     let mut services = Services::start(&cluster, CANCEL, 10, REPLICAS);
@@ -55,48 +55,53 @@
     services.cancel(&cluster.listen, 3..4);
     services.wait_whole(&cluster, 4);
 
+    services.cancel(&cluster.listen, 4..5);
+    services.wait_whole(&cluster, 5);
+    services.wait_gone(&cluster, 5);
+
     // Deletions would confirm that their tasks are gone.
     cluster.cloud_down.store(true, Ordering::Relaxed);
-    let unreachable = busiest(&cluster, 3);
-    services.cancel(&cluster.listen, 4..5);
+    let unreachable = busiest(&cluster, 2);
     set_unreachable(&cluster, &unreachable, true);
+    services.begin_cancelling(&cluster.listen, 5);
     let claims = cluster.claims();
     (cluster.kill(first), cluster.kill(second));
     std::thread::sleep(RETURNS_AFTER);
     cluster.begin(second);
     wait_until("the one that is back does not own", CHANGED_WITHIN, || cluster.owner() == Some(second));
     assert!(cluster.claims()[second] > claims[second], "it did not claim anew");
+    until_heard_except(&cluster, &unreachable);
+    assert!(hold_tasks(&cluster, &unreachable), "unreachable workers hold no tasks as the next leader begins");
     std::thread::sleep(UNREACHABLE_AFTER);
-    let held = lock(&cluster.workers)
-        .iter()
-        .enumerate()
-        .filter(|(i, w)| unreachable.contains(i) && w.on_it().count() > 0)
-        .count();
-    assert!(held > 0, "no unreachable worker holds a task when the next leader acts");
     set_unreachable(&cluster, &unreachable, false);
-    services.cancel(&[cluster.listen[second]], 5..6);
+    services.cancel(&[cluster.listen[second]], 6..7);
     cluster.cloud_down.store(false, Ordering::Relaxed);
-    services.wait_whole(&cluster, 6);
+    services.wait_whole(&cluster, 7);
     cluster.begin(first);
-    services.finish(&cluster, 6);
+    services.finish(&cluster, 7);
 }
 
 /// Ten changes within seconds, a fifth of the time that the protocol's day takes for them: the leader is
 /// refused alone until another owns, or ends and comes back; twice it ends within an outage. At
-/// each change a job is cancelled.
+/// each change a job is cancelled, and two workers are out of reach.
 #[test]
 fn leaders_change_ten_times_also_inside_an_outage() {
     const CHANGES: usize = 10;
+    const LONGER_OUT_OF_REACH: [usize; 2] = [2, 6];
     const ALL_WITHIN: Duration = Duration::from_secs(60);
-    const CANCEL: Duration = Duration::from_secs(8);
+    const CANCEL: Duration = Duration::from_secs(7);
     const IN_OUTAGE: Duration = Duration::from_millis(700);
     let size = Size { cancel: CANCEL, claim: Duration::from_millis(1500), ..Size::of(3, 8, 6) };
     let mut cluster = Cluster::start("ten-changes", size);
     let mut services = Services::start(&cluster, CANCEL, CHANGES + 3, REPLICAS);
     let began = Instant::now();
     let mut leaders = vec![cluster.until_owned()];
+    // Deletions would confirm that their tasks are gone.
+    cluster.cloud_down.store(true, Ordering::Relaxed);
     for change in 0..CHANGES {
         let leader = cluster.until_owned();
+        let unreachable = busiest(&cluster, 2);
+        set_unreachable(&cluster, &unreachable, true);
         services.begin_cancelling(&cluster.listen, change);
         match change {
             3 | 7 => {
@@ -116,7 +121,16 @@
             _ => _ = refuse_until_taken_over(&cluster, leader),
         }
         leaders.push(cluster.until_owned());
+        until_heard_except(&cluster, &unreachable);
+        if LONGER_OUT_OF_REACH.contains(&change) {
+            assert!(hold_tasks(&cluster, &unreachable), "unreachable workers hold no tasks as a leader begins");
+            std::thread::sleep(UNREACHABLE_AFTER);
+        }
+        set_unreachable(&cluster, &unreachable, false);
+        // What was out of reach goes on, or starts elsewhere once its lease is over.
+        services.wait_whole(&cluster, change + 1);
     }
+    cluster.cloud_down.store(false, Ordering::Relaxed);
     let changes = leaders.windows(2).filter(|w| w[0] != w[1]).count();
     assert!(
         changes == CHANGES && began.elapsed() < ALL_WITHIN,
@@ -124,8 +138,6 @@
         began.elapsed()
     );
     assert!(services.answered_meanwhile() > 0, "nothing was answered while cancellations were on their way");
-    let next = cluster.until_owned();
-    assert!(others(&cluster, next).len() == 2);
     wait_until("not all cancellations are confirmed", WHOLE_WITHIN, || services.confirmed() == CHANGES);
     services.finish(&cluster, CHANGES);
 }
--- a/tests/loopback/services.rs
+++ b/tests/loopback/services.rs
@@ -65,9 +65,9 @@
                 let again = (round + i) % SUBMITTED_AGAIN_EVERY == 0;
                 let request = if again { Request::Submit(&submission) } else { Request::Poll };
                 let pending = self.pending.load(Ordering::Relaxed) > 0;
-                if self.answers.ask(&user, at, id, request).is_some() && pending {
-                    self.answered_meanwhile.fetch_add(1, Ordering::Relaxed);
-                }
+                let state = self.answers.ask(&user, at, id, request);
+                let meanwhile = state.is_some() && pending;
+                self.answered_meanwhile.fetch_add(usize::from(meanwhile), Ordering::Relaxed);
                 std::thread::sleep(ASKED_EVERY);
             }
         }
@@ -158,6 +158,12 @@
         });
     }
 
+    /// Waits until no task of the services before this one runs.
+    pub fn wait_gone(&self, cluster: &Cluster, before: usize) {
+        let ids = &self.shared.ids[..before];
+        wait_until("cancelled services go on", WHOLE_WITHIN, || ids.iter().all(|id| cluster.running(id) == 0));
+    }
+
     /// Users cancel this service at these controllers until one confirms it.
     pub fn begin_cancelling(&mut self, at: &[SocketAddr], i: usize) {
         let (shared, at) = (self.shared.clone(), at.to_vec());
@@ -181,6 +187,17 @@
         self.shared.pending.load(Ordering::Relaxed)
     }
 
+    /// Asks these controllers until one tells of this service's end; was that before its cancellation was
+    /// confirmed to the user who asked for it?
+    pub fn is_read_before_confirmed(&self, at: &[SocketAddr], i: usize) -> bool {
+        let (user, id) = (User { client: Client::new(1, 4) }, &self.shared.ids[i]);
+        wait_until("an end is not told", WHOLE_WITHIN, || {
+            let answer = |a: &SocketAddr| self.shared.answers.ask(&user, *a, id, Request::Poll);
+            at.iter().any(|a| answer(a).as_deref() == Some("cancelled"))
+        });
+        !lock(&self.shared.confirmed).contains_key(id)
+    }
+
     pub fn confirmed(&self) -> usize {
         lock(&self.shared.confirmed).len()
     }
@@ -243,6 +260,22 @@
     }
 }
 
+/// Does each of these workers hold tasks?
+pub fn hold_tasks(cluster: &Cluster, chosen: &[usize]) -> bool {
+    let workers = lock(&cluster.workers);
+    chosen.iter().all(|i| workers[*i].on_it().count() > 0)
+}
+
+/// Waits until all workers but these have heard the present leader.
+pub fn until_heard_except(cluster: &Cluster, chosen: &[usize]) {
+    wait_until("workers do not hear the leader", WHOLE_WITHIN, || {
+        let claim = lock(&cluster.store).keys.get("own/0").map(|k| k.1);
+        let workers = lock(&cluster.workers);
+        let there = workers.iter().enumerate().filter(|(i, w)| !chosen.contains(i) && !w.deleted);
+        claim.is_some_and(|token| there.clone().all(|(_, w)| w.token >= token))
+    });
+}
+
 /// The workers with the most tasks.
 pub fn busiest(cluster: &Cluster, count: usize) -> Vec<usize> {
     let workers = lock(&cluster.workers);
--- a/tests/loopback/slow_state_service.rs
+++ b/tests/loopback/slow_state_service.rs
@@ -16,7 +16,7 @@
 const SLOWER: Duration = Duration::from_millis(1000);
 
 fn start(name: &str) -> (Cluster, Services) {
-    let cluster = Cluster::start(name, Size { cancel: CANCEL, ..Size::of(3, 8, 4) });
+    let cluster = Cluster::start(name, Size { cancel: CANCEL, cuttable: true, ..Size::of(3, 8, 4) });
     let services = Services::start(&cluster, CANCEL, SERVICE_COUNT, REPLICAS);
     (cluster, services)
 }
@@ -40,6 +40,28 @@
     services.finish(&cluster, 7);
 }
 
+/// The state service is slow to the leader alone, which hears of its transactions later than the other
+/// controllers read what they wrote; these cannot ask it meanwhile.
+#[test]
+fn others_read_ends_of_which_a_slow_state_service_has_not_told_the_leader() {
+    let (cluster, mut services) = start("slow-answers");
+    let leader = cluster.until_owned();
+    cluster.links.isolate(leader, true);
+    lock(&cluster.store).faults.slow_only_for = Some(leader);
+    slow_down(&cluster, SLOWER);
+    let others = others(&cluster, leader);
+    let mut read_first = 0;
+    for i in 0..4 {
+        services.begin_cancelling(&cluster.listen[leader..=leader], i);
+        read_first += usize::from(services.is_read_before_confirmed(&others, i));
+    }
+    assert!(read_first > 0, "the leader knew of each end before anybody else read it");
+    assert_eq!(cluster.owner(), Some(leader), "the leader changed");
+    slow_down(&cluster, Duration::ZERO);
+    cluster.links.isolate(leader, false);
+    services.finish(&cluster, 4);
+}
+
 /// Then it refuses the leader alone while more is cancelled, and once another controller has confirmed
 /// the rest it is out for everybody, for longer than `cancel_s`.
 #[test]
--- a/tests/loopback/state_service.rs
+++ b/tests/loopback/state_service.rs
@@ -148,11 +148,7 @@
 /// Answers one controller, or loses the answer.
 pub async fn state(store: Arc<Mutex<Store>>, node: usize, req: Incoming) -> Option<Outgoing> {
     let commit = req.path == "/commit";
-    let way = {
-        let faults = &mut lock(&store).faults;
-        faults.slowed += usize::from(!faults.slow_requests.is_zero());
-        faults.slow_requests / 2
-    };
+    let way = lock(&store).faults.slow_down(node);
     Timer::after(way).await;
     let (refused, fate) = {
         let mut s = lock(&store);
--- a/tests/loopback/unreachable_workers.rs
+++ b/tests/loopback/unreachable_workers.rs
@@ -3,7 +3,7 @@
 use crate::cluster::{Cluster, wait_until};
 use crate::http::lock;
 use crate::requests::{LONG, User, job};
-use crate::services::{Services, WHOLE_WITHIN, busiest, others, set_unreachable};
+use crate::services::{Services, WHOLE_WITHIN, busiest, hold_tasks, others, set_unreachable, until_heard_except};
 use crate::settings::Size;
 use http_types::Method;
 use lupinspur::http::Client;
@@ -27,11 +27,6 @@
     }
 }
 
-fn hold_tasks(cluster: &Cluster, chosen: &[usize]) -> bool {
-    let workers = lock(&cluster.workers);
-    chosen.iter().all(|i| workers[*i].on_it().count() > 0)
-}
-
 /// Two workers are reached by nobody as the leader ends, and two report and hear nothing. One of each
 /// is back within its lease; the leases of the others end, and what they held runs elsewhere only then. Jobs with
 /// tasks on them are cancelled as the leader ends and through the next one.
@@ -59,11 +54,7 @@
     services.begin_cancelling(&cluster.listen, 0);
     cluster.kill(leader);
     cluster.until_owned_by_another(leader);
-    let token = lock(&cluster.store).keys["own/0"].1;
-    wait_until("the other workers do not hear the next leader", WHOLE_WITHIN, || {
-        let workers = lock(&cluster.workers);
-        workers.iter().enumerate().filter(|(i, _)| !chosen.contains(i)).all(|(_, w)| w.token >= token)
-    });
+    until_heard_except(&cluster, &chosen);
     assert!(hold_tasks(&cluster, &chosen), "their tasks were over before the next leader acted");
     assert!(cut.elapsed() < BACK_SOON, "the takeover took too long: {:?}", cut.elapsed());
     services.cancel(&others(&cluster, leader), 1..CANCELLED);
