--- a/tests/loopback/leader_changes.rs
+++ b/tests/loopback/leader_changes.rs
@@ -65,7 +65,8 @@
     set_unreachable(&cluster, &unreachable, true);
     services.begin_cancelling(&cluster.listen, 5);
     let claims = cluster.claims();
-    (cluster.kill(first), cluster.kill(second));
+    cluster.kill(first);
+    cluster.kill(second);
     std::thread::sleep(RETURNS_AFTER);
     cluster.begin(second);
     wait_until("the one that is back does not own", CHANGED_WITHIN, || cluster.owner() == Some(second));
@@ -129,6 +130,8 @@
         set_unreachable(&cluster, &unreachable, false);
         // What was out of reach goes on, or starts elsewhere once its lease is over.
         services.wait_whole(&cluster, change + 1);
+        wait_until("a cancellation is not confirmed", WHOLE_WITHIN, || services.confirmed() == change + 1);
+        services.wait_gone(&cluster, change + 1);
     }
     cluster.cloud_down.store(false, Ordering::Relaxed);
     let changes = leaders.windows(2).filter(|w| w[0] != w[1]).count();
@@ -138,6 +141,5 @@
         began.elapsed()
     );
     assert!(services.answered_meanwhile() > 0, "nothing was answered while cancellations were on their way");
-    wait_until("not all cancellations are confirmed", WHOLE_WITHIN, || services.confirmed() == CHANGES);
     services.finish(&cluster, CHANGES);
 }
