--- a/tests/fencing/main.rs
+++ b/tests/fencing/main.rs
@@ -269,13 +269,17 @@
 
 /// A machine's own server: notes when commands arrive, and answers them with a report of nothing.
 fn takes_commands(counter: Arc<AtomicU64>, arrived: Arc<Mutex<Vec<Instant>>>) -> SocketAddr {
-    server(move |request| {
+    let own: Arc<Mutex<String>> = Arc::default();
+    let reported = own.clone();
+    let address = server(move |request| {
         lock(&arrived).push(Instant::now());
         let counter = counter.fetch_add(1, Ordering::Relaxed) + 1;
-        let report = json!({"plot": "host-1", "addr": NOWHERE, "strain": "m8", "field": "a", "fallow": false, "season": 1,
+        let report = json!({"plot": "host-1", "addr": *lock(&reported), "strain": "m8", "field": "a", "fallow": false, "season": 1,
             "tally": counter, "warrant": body(&request)["warrant"], "reclaim_s": null, "seeds": []});
         async move { Outgoing::json(200, &report) }
-    })
+    });
+    *lock(&own) = address.to_string();
+    address
 }
 
 /// Guards against commands of an owner that may not act any more. The machine stops reporting, so that it is
--- a/tests/fencing/reclaim.rs
+++ b/tests/fencing/reclaim.rs
@@ -147,12 +147,14 @@
     let commands: Arc<Gate> = Arc::default();
     commands.hold(|r| r.path == "/do" && !body(r)["tidings"].as_array().is_none_or(Vec::is_empty));
     let mut machine = Machine { runs_on: true, ..Machine::default() };
-    let (gate, counter) = (commands.clone(), machine.counter.clone());
+    let address: Arc<Mutex<String>> = Arc::default();
+    let (gate, counter, own) = (commands.clone(), machine.counter.clone(), address.clone());
     machine.address = server(move |request| {
-        let (gate, counter) = (gate.clone(), counter.clone());
+        let (gate, counter, own) = (gate.clone(), counter.clone(), own.clone());
         async move {
             let counter = counter.fetch_add(1, Ordering::Relaxed) + 1;
-            let report = json!({"plot": "host-1", "addr": NOWHERE, "strain": "m8", "field": "a", "fallow": false, "season": 1,
+            let own = lock(&own).clone();
+            let report = json!({"plot": "host-1", "addr": own, "strain": "m8", "field": "a", "fallow": false, "season": 1,
                 "tally": counter, "warrant": body(&request)["warrant"], "reclaim_s": null, "seeds": []});
             let answer = Outgoing::json(200, &report);
             gate.pass(&request, &answer).await;
@@ -160,6 +162,7 @@
         }
     })
     .to_string();
+    lock(&address).clone_from(&machine.address);
     machine.report_until(&controller, "a report is answered", |status, _| status == 200);
     controller.submit("req-000001");
     commands.until_held(1);
