--- /dev/null
+++ b/src/node/cell_exchange/leader.rs
@@ -0,0 +1,56 @@
+//! What the owner of cell 0 decides for all cells: the homes of teams, and machines that are to change cells.
+
+use super::*;
+
+impl Node {
+    /// A team's home, by the leader's word or else by the plan's.
+    pub(in crate::node) fn home_by(&self, plan: &lupinspur_cells::Plan, team: &str) -> CellIx {
+        match &lock(&self.cell_exchange).orders {
+            Some((o, _)) => o.home(plan, team),
+            None => plan.home(team),
+        }
+    }
+}
+
+impl Cell {
+    /// The leader's look at all cells: its word is stored, and every cell goes by it.
+    pub(super) async fn lead(&self, token: u64, plan: &lupinspur_cells::Plan, mine: &Picture) {
+        let mut pictures = self.fresh_pictures(plan, mine.at_ms);
+        pictures.retain(|p| p.cell != self.ix);
+        pictures.push(mine.clone());
+        let known = lock(&self.cell_exchange).orders.clone();
+        let (stored, version) = match known {
+            Some(o) => o,
+            None => match self.state.get(ORDERS_KEY, Turn::InTurn).await {
+                Ok(None) => (Orders::default(), 0),
+                Ok(Some(item)) => return self.observe(item),
+                Err(_) => return,
+            },
+        };
+        let next = {
+            let mut b = lock(&self.cell_exchange);
+            if b.leader.0 != token {
+                b.leader = (token, Leader::default());
+            }
+            b.leader.1.look(plan, &pictures, &stored, mine.at_ms)
+        };
+        if !next.differ(&stored, plan) {
+            return;
+        }
+        for (team, home) in next.homes.iter().filter(|(t, c)| stored.home(plan, t) != **c) {
+            log::info!("the home of {team} is cell {} from now on", home.0);
+        }
+        let Ok(value) = serde_json::to_value(&next) else { return };
+        if value.to_string().len() > self.settings.value_bytes() {
+            return;
+        }
+        let conditions = vec![
+            Condition { key: self.claim_key.clone(), version: token },
+            Condition { key: ORDERS_KEY.into(), version },
+        ];
+        let changes = vec![Change::Put { key: ORDERS_KEY.into(), value: value.clone(), lease: None }];
+        if let Ok(Commit::Applied(version)) = self.state.commit(conditions, changes, Turn::InTurn).await {
+            self.observe(Item { key: ORDERS_KEY.into(), value, version, lease: None });
+        }
+    }
+}
--- /dev/null
+++ b/src/node/cell_exchange/plan.rs
@@ -0,0 +1,141 @@
+//! How a plan of cells comes into force.
+
+use super::*;
+
+impl Node {
+    /// Offers the plan of this controller's file until it is in force.
+    pub(in crate::node) async fn offer_plan(self: Arc<Self>) {
+        let Some(plan) = self.plan.clone() else { return };
+        let present = Presence { node: self.settings.node.clone(), plan: Some(plan.clone()) };
+        let Ok(value) = serde_json::to_value(&present) else { return };
+        let mut lease = None;
+        // At once, and before submissions: a deployment that begins is parted before its first flood.
+        loop {
+            let in_force = lock(&self.in_force).clone();
+            if !offers(&plan, in_force.as_ref()) {
+                lease = None;
+                Timer::after(OFFER_EVERY).await;
+                continue;
+            }
+            let renewed = match lease {
+                Some(l) => self.state.renew(l, Duration::from_secs(1)).await.is_ok(),
+                None => false,
+            };
+            if !renewed {
+                lease = self.state.grant(PRESENT_MS).await.ok();
+                let key = format!("{PRESENT_PREFIX}{}", self.settings.node);
+                let change = Change::Put { key, value: value.clone(), lease };
+                if lease.is_some() && self.state.commit(vec![], vec![change], Turn::First).await.is_err() {
+                    lease = None;
+                }
+            }
+            if in_force.is_none() && self.owns_some(clock::now()) {
+                self.bring_into_force(&plan).await;
+            }
+            Timer::after(OFFER_EVERY).await;
+        }
+    }
+
+    /// The owner of the one cell that there is puts the plan in its claim's place, once everybody
+    /// understands it.
+    async fn bring_into_force(self: &Arc<Self>, plan: &lupinspur_cells::Plan) {
+        let Ok((items, _)) = self.state.list(PRESENT_PREFIX, Turn::First).await else { return };
+        let present: Vec<Presence> = parse_items(items).map(|(_, p, _)| p).collect();
+        if !comes_into_force(plan, &self.settings.nodes(), &present) {
+            return;
+        }
+        let Ok(before) = self.state.get(LEDGER_KEY, Turn::First).await else { return };
+        let cells = self.cells();
+        let Some(cell) = cells.first().filter(|_| cells.len() == 1) else { return };
+        let now = clock::now();
+        // What is in use stays cell 0's, and nothing is added to it from here on; the rest goes to
+        // the teams' homes.
+        let made = cell.with_shard(now, |s| {
+            let (token, in_use) = (s.token, s.in_use());
+            let mut ledger = Ledger::begin(&limits(&self.settings.teams), plan.cells, CellIx(0));
+            for (team, used) in &in_use {
+                let Some(own) = ledger.share(team, CellIx(0)) else { continue };
+                let home = plan.home(team);
+                let amount = own.less(*used);
+                let gift = Gift { team: team.clone(), from: CellIx(0), to: home, amount };
+                if home != CellIx(0)
+                    && let Some(l) = ledger.after(&[gift])
+                {
+                    ledger = l;
+                }
+            }
+            s.set_shares(&self.settings.teams, &ledger, CellIx(0));
+            (token, ledger)
+        });
+        let Some((token, ledger)) = made else { return };
+        let (Ok(claim), Ok(shares)) = (serde_json::to_value(InForce::new(plan.clone())), serde_json::to_value(&ledger))
+        else {
+            return;
+        };
+        let most = self.settings.value_bytes();
+        if claim.to_string().len().max(shares.to_string().len()) > most {
+            log::error!("the plan of cells, or what it parts, does not fit a value of {most} bytes");
+            return;
+        }
+        // Of a merging in which not all places of claims could be cleared at once.
+        let Ok((left, _)) = self.state.list(CELL_CLAIMS, Turn::First).await else { return };
+        for some in left.chunks(self.state.txn_ops) {
+            let mut conditions = vec![Condition { key: CLAIM_KEY.into(), version: token }];
+            conditions.extend(some.iter().map(|i| Condition { key: i.key.clone(), version: i.version }));
+            let gone = some.iter().map(|i| Change::Delete { key: i.key.clone() }).collect();
+            if !matches!(self.state.commit(conditions, gone, Turn::First).await, Ok(Commit::Applied(_))) {
+                return;
+            }
+        }
+        let conditions = vec![
+            Condition { key: CLAIM_KEY.into(), version: token },
+            Condition { key: LEDGER_KEY.into(), version: before.map_or(0, |i| i.version) },
+        ];
+        let changes = vec![
+            Change::Put { key: LEDGER_KEY.into(), value: shares, lease: None },
+            Change::Put { key: CLAIM_KEY.into(), value: claim, lease: None },
+        ];
+        // From the moment that it is sent the cells may be owned by others, who wait for nobody.
+        lock(&cell.own).suspend(true);
+        match self.state.commit(conditions, changes, Turn::First).await {
+            Ok(Commit::Applied(_)) => self.enter_cells(plan.clone()),
+            // It may be stored, now or later. Without this claim it can't be any more.
+            Err(StateError::Unknown) => {
+                log::warn!("nobody knows whether the plan of cells came into force: giving the claim up");
+                cell.leave_claim();
+            }
+            // Whoever still holds the claim knows that it was not stored; later it cannot be, since what it
+            // was conditional on would have to change first.
+            outcome => {
+                log::info!("the plan of cells did not come into force: {outcome:?}");
+                lock(&cell.own).suspend(false);
+                cell.look_at_claim().await;
+                let whole = Ledger::begin(&limits(&self.settings.teams), 1, CellIx(0));
+                cell.with_shard(clock::now(), |s| s.set_shares(&self.settings.teams, &whole, CellIx(0)));
+            }
+        }
+    }
+
+    /// The plan is in force: this process takes part in its cells from now on.
+    pub(in crate::node) fn enter_cells(self: &Arc<Self>, plan: lupinspur_cells::Plan) {
+        {
+            let mut in_force = lock(&self.in_force);
+            match &*in_force {
+                Some(p) if *p == plan => return,
+                Some(_) => {
+                    log::error!("another plan of cells is in force than was: this process keeps to the first");
+                    return;
+                }
+                None => *in_force = Some(plan.clone()),
+            }
+        }
+        log::info!("{} cells are in force", plan.cells);
+        let cell = |c| Cell::new(self.clone(), CellIx(c), crate::ownership::cell_claim_key(c));
+        let cells: Vec<Arc<Cell>> = (0..plan.cells).map(cell).collect();
+        // As far as this process knows nobody has claimed them: what it hears next may say more.
+        cells.iter().for_each(|c| c.saw_claim(None));
+        self.put_cells(cells);
+        *lock(&self.cell_exchange) = CellExchange::default();
+        EX.spawn(self.clone().watch_cells()).detach();
+    }
+}
--- /dev/null
+++ b/src/node/cell_exchange/shares.rs
@@ -0,0 +1,104 @@
+//! The cells' shares of teams' limits.
+
+use super::*;
+
+impl Node {
+    /// A newer word on the shares: every cell that is owned here goes by it, unless it is giving.
+    pub(super) fn observe_ledger(&self, ledger: Ledger, version: u64) {
+        {
+            let mut b = lock(&self.cell_exchange);
+            if b.ledger.as_ref().is_some_and(|l| l.1 >= version) {
+                return;
+            }
+            b.ledger = Some((ledger.clone(), version));
+        }
+        for c in self.cells().iter().filter(|c| !c.giving.load(Ordering::Relaxed) && !c.takes_all()) {
+            c.with_shard(clock::now(), |s| s.set_shares(&self.settings.teams, &ledger, c.ix));
+        }
+    }
+}
+
+impl Cell {
+    /// The shares that this cell begins with. Nothing is begun before they are known.
+    pub(in crate::node) async fn read_shares(&self) -> Result<Option<Ledger>, StateError> {
+        if lock(&self.in_force).is_none() || self.takes_all() {
+            return Ok(None);
+        }
+        let item = self.state.get(LEDGER_KEY, Turn::InTurn).await?;
+        let read = item.and_then(|i| Some((serde_json::from_value::<Ledger>(i.value).ok()?, i.version)));
+        match read {
+            Some((l, version)) => {
+                self.observe_ledger(l.clone(), version);
+                Ok(Some(l))
+            }
+            // Where there is none nothing may be used of any limit.
+            None => Ok(Some(Ledger::begin(&limits(&self.settings.teams), 1, CellIx(u32::MAX)))),
+        }
+    }
+
+    pub(super) async fn give(&self, token: u64, plan: &lupinspur_cells::Plan, mine: &Picture) {
+        let Some((ledger, version)) = lock(&self.cell_exchange).ledger.clone() else { return };
+        let pictures = self.fresh_pictures(plan, mine.at_ms);
+        let mut all: Vec<Gift> = Vec::new();
+        for team in ledger.teams.keys() {
+            let of = |c: u32| -> Option<Use> {
+                let p = if c == self.ix.0 { mine } else { pictures.iter().find(|p| p.cell.0 == c)? };
+                Some(p.teams.get(team).copied().unwrap_or_default())
+            };
+            let uses: Vec<Option<Use>> = (0..plan.cells).map(of).collect();
+            all.extend(gifts(self.ix, team, &ledger, &uses, self.home_by(plan, team)));
+        }
+        if !all.is_empty() {
+            self.part_with(token, (ledger, version), all, Vec::new(), Vec::new()).await;
+        }
+    }
+
+    /// Stores gifts, and what goes with them, in one write. What is given is not counted on from
+    /// before the write is sent until it is known what became of it.
+    pub(super) async fn part_with(
+        &self,
+        token: u64,
+        (ledger, version): (Ledger, u64),
+        given: Vec<Gift>,
+        mut conditions: Vec<Condition>,
+        mut changes: Vec<Change>,
+    ) -> Option<bool> {
+        let next = ledger.after(&given)?;
+        self.giving.store(true, Ordering::Relaxed);
+        let fits = self.with_shard(clock::now(), |s| {
+            // What has come into use since the picture is not given after all.
+            let used = s.in_use();
+            let ok =
+                s.token == token && used.iter().all(|(t, u)| next.share(t, self.ix).is_none_or(|left| u.fits(left)));
+            if ok {
+                s.set_shares(&self.settings.teams, &next, self.ix);
+            }
+            ok
+        });
+        let mut stored = Some(false);
+        if fits == Some(true) {
+            let value = serde_json::to_value(&next).unwrap_or_default();
+            conditions.push(Condition { key: self.claim_key.clone(), version: token });
+            conditions.push(Condition { key: LEDGER_KEY.into(), version });
+            changes.push(Change::Put { key: LEDGER_KEY.into(), value, lease: None });
+            stored = self.surely(token, conditions, changes).await;
+            // Whatever became of it: the state service's own word on the shares, before anything is
+            // counted on again.
+            while stored != Some(false) && lock(&self.own).token() == Some(token) {
+                if let Ok(Some(item)) = self.state.get(LEDGER_KEY, Turn::InTurn).await
+                    && let Ok(l) = serde_json::from_value::<Ledger>(item.value)
+                {
+                    self.observe_ledger(l, item.version);
+                    break;
+                }
+                Timer::after(Duration::from_millis(300)).await;
+            }
+        }
+        self.giving.store(false, Ordering::Relaxed);
+        let known = lock(&self.cell_exchange).ledger.clone();
+        if let Some((l, _)) = known {
+            self.with_shard(clock::now(), |s| s.set_shares(&self.settings.teams, &l, self.ix));
+        }
+        stored
+    }
+}
--- a/src/node/merging.rs
+++ b/src/node/merging.rs
@@ -10,7 +10,7 @@
 //! Each step is stored, and whoever owns cell 0 goes on with the next. Until the last one a version
 //! that knows of no cells is kept away as before.
 
-use super::between::{CELLS_PREFIX, PRESENT_PREFIX};
+use super::cell_exchange::{CELLS_PREFIX, PRESENT_PREFIX};
 use super::*;
 use crate::fleet::racks::RackRecord;
 use lupinspur_cells::member::{InForce, NOBODY, Presence, comes_into_force, may_take_in};
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -1,6 +1,6 @@
 //! The node: sockets, clocks and loops around one shard's decisions.
 
-mod between;
+mod cell_exchange;
 mod claim;
 mod loops;
 mod merging;
@@ -106,7 +106,7 @@
     in_force: Mutex<Option<lupinspur_cells::Plan>>,
     /// The cells in force are on their way back to one.
     merging: AtomicBool,
-    between: Mutex<between::Between>,
+    cell_exchange: Mutex<cell_exchange::CellExchange>,
     /// Which cell a job, or a machine, was last found in.
     job_cells: Mutex<LruCache<String, CellIx>>,
     machine_cells: Mutex<LruCache<String, CellIx>>,
@@ -204,7 +204,7 @@
             plan: features.cells,
             in_force: Mutex::default(),
             merging: AtomicBool::new(false),
-            between: Mutex::default(),
+            cell_exchange: Mutex::default(),
             job_cells: Mutex::new(LruCache::new(MOST_KEPT)),
             machine_cells: Mutex::new(LruCache::new(MOST_KEPT)),
             types: Mutex::default(),
