--- a/tests/fencing/main.rs
+++ b/tests/fencing/main.rs
@@ -11,6 +11,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+mod acceptance;
 mod gate;
 #[allow(dead_code)]
 #[path = "../common/http.rs"]
