--- a/crates/model/src/messages.rs
+++ b/crates/model/src/messages.rs
@@ -2,12 +2,23 @@
 
 use crate::claims::ClaimMessage;
 use crate::transactions::{CommitOutcome, OwnerCommit};
+use crate::trouble::Wrong;
 use crate::world::World;
 use lupinspur_scheduler::ownership::{CLAIM_KEY, cell_claim_key};
 use lupinspur_scheduler::shard::{Direct, DirectSend, Heard};
 use lupinspur_wire::{Change, Command, DirectCommands, Report};
 use std::time::Instant;
 
+/// After this a controller knows that direct commands have no answer.
+pub(crate) const UNANSWERED_S: f64 = 1.2;
+
+/// Why direct commands do not reach a machine.
+enum HeldUp {
+    Lost,
+    /// They may arrive after this.
+    Until(f64),
+}
+
 pub(crate) enum Message {
     Report {
         node: usize,
@@ -60,7 +71,7 @@
 
 impl World {
     pub(crate) fn deliver(&mut self, m: Message) {
-        let now = self.now;
+        let (now, wrong) = (self.now, self.wrong);
         match m {
             Message::Report { node, report, machine, sent } => {
                 let n = &mut self.nodes[node];
@@ -72,12 +83,18 @@
                     let after = n.still - now;
                     return self.send(after, Message::Report { node, report, machine, sent });
                 }
+                let session = report.session;
+                let report = self.misread(report, machine == usize::MAX);
                 let cell = self.cell_of_machine(node, &report.machine, report.token);
                 let began = Instant::now();
                 let heard = cell.and_then(|c| Some(self.nodes[node].acting(c, now)?.on_report(&report, now)));
                 if let Some(c) = cell {
                     self.counts.processor[c] += began.elapsed().as_secs_f64();
                 }
+                if let Some(c) = cell.filter(|_| heard.is_some()) {
+                    let answered = matches!(heard, Some(Heard::Reply(_)));
+                    self.observe_report(node, c, &report, machine == usize::MAX, answered);
+                }
                 let (answer, to) = match (heard, cell) {
                     (Some(Heard::Reply(r)), _) => (Some((r.token, r.commands)), node),
                     (Some(Heard::Stale), _) | (_, None) => (None, usize::MAX),
@@ -85,7 +102,6 @@
                 };
                 if machine != usize::MAX {
                     let after = self.latency();
-                    let session = report.session;
                     self.send(after, Message::Answer { machine, session, sent, answer, to });
                 }
             }
@@ -94,6 +110,7 @@
                 let m = &mut self.machines[machine];
                 let waited = m.waits == Some((sent, sent + 4.0));
                 if !m.there(now) || now < m.hangs || !linked || now < m.deaf_answers || !waited {
+                    self.counts.coincidences.answers_lost += 1;
                     return;
                 }
                 m.waits = None;
@@ -110,18 +127,19 @@
                 }
             }
             Message::Commands { node, life, to: i, send, outcome } => {
-                let linked = self.linked(node, i);
-                let m = &mut self.machines[i];
-                if !m.there(now) || now < m.hangs || !linked || now < m.deaf_commands {
-                    return self.send(1.2, Message::Outcome { node, life, send, outcome: Direct::Unknown });
+                if let Some(held) = self.held_up(node, i) {
+                    return self.hold_commands(held, node, life, i, send, outcome);
                 }
+                let m = &self.machines[i];
                 let DirectCommands { token, session, commands } = send.body.clone();
-                let good = token >= m.token && session == m.session;
+                let token_holds = token >= m.token || wrong == Some(Wrong::IgnoresTokens);
+                let good = token_holds && session == m.session;
+                self.observe_commands(i, &send, !outcome, good);
                 if good {
-                    m.token = token;
+                    self.machines[i].token = token.max(self.machines[i].token);
                     self.obey(i, &commands);
                 }
-                let report = self.machines[i].report();
+                let report = self.machines[i].report(self.wrong);
                 if outcome {
                     let after = self.latency();
                     let outcome = Direct::Answered { executed: good, report: Some(report) };
@@ -166,6 +184,33 @@
         }
     }
 
+    /// Why direct commands do not reach a machine now, if they do not.
+    fn held_up(&self, node: usize, machine: usize) -> Option<HeldUp> {
+        let (now, n, m) = (self.now, &self.nodes[node], &self.machines[machine]);
+        let until = |until| Some(HeldUp::Until(until));
+        match () {
+            () if !m.there(now) || now < m.deaf_commands => Some(HeldUp::Lost),
+            () if !self.linked(node, machine) => until(m.cut.max(n.zone_cut)),
+            () if now < m.hangs => until(m.hangs),
+            () => None,
+        }
+    }
+
+    /// Their sender does not learn what becomes of them. What is held up by a hang is executed when the machine
+    /// goes on, and half of what is held up by a cut when the cut is over.
+    fn hold_commands(&mut self, held: HeldUp, node: usize, life: u64, to: usize, send: DirectSend, outcome: bool) {
+        if let HeldUp::Until(until) = held
+            && (self.linked(node, to) || self.chance.bool())
+        {
+            let copy = DirectSend { starts: send.starts.clone(), body: send.body.clone(), ..send };
+            let message = Message::Commands { node, life, to, send: copy, outcome: false };
+            self.under_way.push((until, message));
+        }
+        if outcome {
+            self.send(UNANSWERED_S, Message::Outcome { node, life, send, outcome: Direct::Unknown });
+        }
+    }
+
     pub(crate) fn claim_key(&self, cell: usize) -> String {
         if self.cells == 1 { CLAIM_KEY.to_owned() } else { cell_claim_key(cell as u32) }
     }
--- a/crates/model/src/report.rs
+++ b/crates/model/src/report.rs
@@ -1,5 +1,6 @@
 //! What came of a scenario.
 
+use crate::coincidences::Coincidences;
 use crate::scenario::Scenario;
 use crate::trouble::{Trouble, Wrong, random};
 use crate::world::World;
@@ -30,6 +31,8 @@
 pub struct Counts {
     /// The longest that a question about a job was without an answer after all troubles.
     pub unanswered: f64,
+    /// Answers that told a job's state, by controller.
+    pub answers: Vec<u64>,
     /// Claims that were made, and those that were taken anew by their owners.
     pub claims: u64,
     pub raised: u64,
@@ -42,13 +45,20 @@
     pub spilled: u64,
     pub handed: u64,
     pub homes: u64,
+    #[serde(flatten)]
+    pub coincidences: Coincidences,
     /// Real seconds that the decisions took, by cell; the only thing here that differs from run to run.
     pub processor: Vec<f64>,
 }
 
 impl Counts {
-    pub(crate) fn of(cells: usize) -> Counts {
-        Counts { writes: vec![0; cells], processor: vec![0.0; cells], ..Counts::default() }
+    pub(crate) fn of(cells: usize, controllers: usize) -> Counts {
+        Counts {
+            answers: vec![0; controllers],
+            writes: vec![0; cells],
+            processor: vec![0.0; cells],
+            ..Counts::default()
+        }
     }
 }
 
--- a/crates/model/src/users.rs
+++ b/crates/model/src/users.rs
@@ -59,6 +59,9 @@
         let s = self.nodes[node].acting(c, now)?;
         if cancel {
             s.cancel(id);
+            if self.wrong == Some(Wrong::ConfirmsUnstored) {
+                return Some(Answer::known(JobState::Cancelled));
+            }
         }
         match s.show(id) {
             Some(Shown::Told(state, ..)) => {
@@ -72,7 +75,8 @@
     }
 
     /// What the job's record says: None, it allows no answer to a cancellation.
-    pub(crate) fn record_says(&self, id: &str, cancel: bool) -> Option<Answer> {
+    pub(crate) fn record_says(&mut self, id: &str, cancel: bool) -> Option<Answer> {
+        self.observe_read(&job_key(id));
         let Some(record) = self.store.job(id) else { return Some(Answer::ABSENT) };
         match record.phase {
             Phase::Done => Some(Answer::known(JobState::Done)),
@@ -81,8 +85,8 @@
         }
     }
 
-    /// A user's request to one controller, and what comes of it.
-    pub(crate) fn request(&mut self, node: usize, id: &str, request: Request) {
+    /// A user's request to one controller, and what comes of it. Returns the state that it is told, if any.
+    pub(crate) fn request(&mut self, node: usize, id: &str, request: Request) -> Option<JobState> {
         let answer = match request {
             Request::Poll => self.lookup(node, id, false),
             Request::Cancel => self.lookup(node, id, true),
@@ -98,9 +102,9 @@
         } else {
             self.judge_answer(node, id, request, answer);
         }
-        if let Some(state) = answer.and_then(Answer::told) {
-            self.hear(id, state);
-        }
+        let state = answer.and_then(Answer::told)?;
+        self.hear(id, state);
+        Some(state)
     }
 
     /// Notes a request that is answered at once or never, and breaks a rule if the answer does.
@@ -110,6 +114,7 @@
         }
         let pending = self.history.sent(id, node, request);
         let Some(answer) = answer else { return };
+        self.counts.answers[node] += u64::from(answer.told().is_some());
         let violation = self.history.answered(pending, answer).map(ToString::to_string);
         violation.into_iter().for_each(|v| self.breaks(v));
     }
@@ -123,6 +128,9 @@
         if state == JobState::Cancelled {
             j.told_cancelled_at = j.told_cancelled_at.min(now);
         }
+        if state == JobState::Cancelled && before != Some(state) {
+            self.observe_cancellation(id);
+        }
         if matches!(state, JobState::Done | JobState::Cancelled) && before != Some(state) {
             self.look_closely(id);
         }
@@ -131,6 +139,9 @@
     /// What this controller answers to a poll or a cancellation, if anything.
     pub(crate) fn lookup(&mut self, node: usize, id: &str, cancel: bool) -> Option<Answer> {
         let now = self.now;
+        if cancel {
+            self.observe_cancel_request(id);
+        }
         if !self.nodes[node].runs(now)
             || now < self.nodes[node].zone_cut
             || self.wrong == Some(Wrong::Silent) && id.ends_with('3')
--- a/crates/model/src/world.rs
+++ b/crates/model/src/world.rs
@@ -5,6 +5,7 @@
 use crate::late_reports::LateReports;
 use crate::machines::Machine;
 use crate::messages::Message;
+use crate::observer::Observer;
 use crate::questions::Question;
 use crate::report::Counts;
 use crate::scenario::{self, Scenario};
@@ -93,6 +94,9 @@
     pub(crate) chance: Rng,
     pub(crate) spells: Spells,
     pub(crate) late_reports: LateReports,
+    pub(crate) observer: Observer,
+    /// Transactions that owners have sent so far.
+    pub(crate) transactions: u64,
     /// Questions that users will ask at every controller.
     pub(crate) questions: Vec<Question>,
     /// What users asked and were answered.
@@ -134,10 +138,12 @@
             trouble_until: 0.0,
             wrong,
             broken: None,
-            counts: Counts::of(cells),
+            counts: Counts::of(cells, controllers),
             chance: Rng::with_seed(seed.rotate_left(32) ^ 0x5eed),
             spells: Spells::default(),
             late_reports: LateReports::default(),
+            observer: Observer::default(),
+            transactions: 0,
             questions: Vec::new(),
             history: History::default(),
             odd_requests: 0,
@@ -236,12 +242,16 @@
             Kind::Copies => self.copies = until,
             Kind::Hangs => self.machines[m].hangs = until,
             Kind::Restarts => {
+                self.observe_loss(m);
                 let machine = &mut self.machines[m];
                 machine.tasks.clear();
                 machine.session += 1;
                 (machine.renewed, machine.waits) = (now, None);
             }
-            Kind::Dies => self.machines[m].gone = true,
+            Kind::Dies => {
+                self.observe_loss(m);
+                self.machines[m].gone = true;
+            }
             Kind::DeafToAnswers => self.machines[m].deaf_answers = until,
             Kind::DeafToCommands => self.machines[m].deaf_commands = until,
             Kind::Deaf => (self.machines[m].deaf_answers, self.machines[m].deaf_commands) = (until, until),
@@ -364,6 +374,7 @@
             self.step_questions();
             self.step_odd_requests(steps);
             self.step_late_reports();
+            self.observe();
             if steps.is_multiple_of(10) {
                 self.check();
             }
