--- a/tests/clients.rs
+++ b/tests/clients.rs
@@ -1,13 +1,16 @@
 //! What the clients make of the answers of the state service and of the cloud: lists that come in pages, refusals,
 //! and answers that cannot be read. What is not known for certain is taken for nothing.
 
+#[path = "common/one_service.rs"]
+mod one_service;
+
 use async_executor::Executor;
 use async_io::Async;
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use lupinspur::cloud::{CloudClient, CloudError};
-use lupinspur::settings::Settings;
 use lupinspur::state::{Commit, StateClient, StateError, Turn};
 use lupinspur::wire::{Change, RentRequest};
+use one_service::settings;
 use serde_json::{Value, json};
 use std::net::{SocketAddr, TcpListener};
 use std::sync::{Arc, Mutex};
@@ -41,19 +44,6 @@
     (address, asked)
 }
 
-/// Settings with this address for all services.
-fn settings(services: SocketAddr) -> Settings {
-    let text = format!(
-        "host_name = \"n0\"\ndomain = \"a\"\nbind = \"127.0.0.1:1\"\npeer_listen = \"127.0.0.1:2\"\n\
-         [services]\ncloud = \"{services}\"\nstate = \"{services}\"\n\
-         [cluster]\nzones = [\"a\"]\n[[cluster.teams]]\nname = \"red\"\n\
-         [cluster.workers]\nreport_s = 3.0\nlease_s = 20.0\ncancel_s = 45.0\n\
-         [cluster.state]\nrps = 100.0\nwrite_rps = 100.0\nvalue_kb = 4.0\ntxn_ops = 8\n\
-         [cluster.cloud]\nrps = 1000.0\nlist_lag_s = 5.0\n"
-    );
-    Settings::parse(&text).expect("settings")
-}
-
 fn page(keys: &[&str], revision: u64, more: bool) -> String {
     let pairs: Vec<Value> = keys.iter().map(|k| json!({"path": k, "v": {}, "stamp": 1})).collect();
     json!({"pairs": pairs, "has_next": more, "almanac": revision}).to_string()
--- a/tests/unanswered.rs
+++ b/tests/unanswered.rs
@@ -1,15 +1,18 @@
 //! What the clients make of a call whose answer never comes. A transaction may have been executed, a command or a
 //! rental may yet be: none may be taken for one that was not sent, nor a deletion for one that was confirmed.
 
+#[path = "common/one_service.rs"]
+mod one_service;
+
 use async_executor::Executor;
 use async_io::Async;
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use lupinspur::cloud::{CloudClient, CloudError};
-use lupinspur::settings::Settings;
 use lupinspur::shard::Direct;
 use lupinspur::state::{Commit, StateClient, StateError, Turn};
 use lupinspur::wire::{Change, Condition, DirectCommands, RentRequest};
 use lupinspur::worker::WorkerClient;
+use one_service::settings;
 use serde_json::json;
 use std::net::{SocketAddr, TcpListener};
 
@@ -51,19 +54,6 @@
     listener.local_addr().expect("its address")
 }
 
-/// Settings with this address for all services.
-fn settings(services: SocketAddr) -> Settings {
-    let text = format!(
-        "host_name = \"n0\"\ndomain = \"a\"\nbind = \"127.0.0.1:1\"\npeer_listen = \"127.0.0.1:2\"\n\
-         [services]\ncloud = \"{services}\"\nstate = \"{services}\"\n\
-         [cluster]\nzones = [\"a\"]\n[[cluster.teams]]\nname = \"red\"\n\
-         [cluster.workers]\nreport_s = 3.0\nlease_s = 20.0\ncancel_s = 45.0\n\
-         [cluster.state]\nrps = 100.0\nwrite_rps = 100.0\nvalue_kb = 4.0\ntxn_ops = 8\n\
-         [cluster.cloud]\nrps = 1000.0\nlist_lag_s = 5.0\n"
-    );
-    Settings::parse(&text).expect("settings")
-}
-
 /// Guards against an end, a start or a claim that is taken for not stored, and decided once more otherwise,
 /// while it is stored or comes later.
 #[test]
