Fencing: who has not heard from the state service sends machines to nobody

A reading of conditions that no test saw: a report that a controller cannot take is sent to an owner only if the state service was heard within a claim.

--- a/tests/fencing/services.rs
+++ b/tests/fencing/services.rs
@@ -193,3 +193,21 @@
     assert_eq!(write.conditions.get("own/types"), Some(&0), "there were none");
     assert_eq!(write.conditions.get(CLAIM), Some(&write.claim_version), "under the claim");
 }
+
+/// Whoever has not heard from the state service for longer than a claim lasts does not know who owns: it sends
+/// machines to nobody, who would wait in vain for an owner that is gone.
+#[test]
+fn who_does_not_hear_the_state_service_sends_machines_to_nobody() {
+    let services: Arc<Services> = Arc::default();
+    services.write(CLAIM, &json!({"node": "n1", "nonce": "another"}));
+    let seeds = format!("[[seeds]]\nhost_name = \"n1\"\ndomain = \"a\"\naddress = \"{}\"\n", free_port());
+    let controller = services.start_with("elsewhere", &seeds);
+    let mut machine = Machine::default();
+    until("machines are sent to the owner", || machine.report(&controller) == 421);
+    services.answer_instead(|_| true, 503, json!({"error": "trouble"}));
+    until("the state service refuses", || services.answered_instead() > 0);
+    until("machines are sent to nobody", || machine.report(&controller) == 503);
+    assert!(services.value(CLAIM).is_some(), "the claim stands all the while");
+    services.answer_as_usual();
+    until("machines are sent to the owner again", || machine.report(&controller) == 421);
+}
