Loopback: jobs change cells while owners end, and while the state service refuses one and then all

Here the home cell is full: a limited team's jobs and all others have to go elsewhere, and each test waits until records made under the new claims name other cells.

--- a/tests/loopback/main.rs
+++ b/tests/loopback/main.rs
@@ -15,6 +15,7 @@
 mod history;
 #[path = "../common/http.rs"]
 mod http;
+mod jobs_between_cells;
 mod leader_changes;
 mod links;
 mod malformed;
@@ -31,6 +32,7 @@
 mod services;
 mod settings;
 mod settings_file;
+mod several_cells;
 mod slow_state_service;
 mod standstill;
 mod state_service;
