Loopback: a job on its way to another cell is started by one, whichever owners end meanwhile

A job's transaction to another cell is held up at the stand-in for the state service while its own cell comes to have room; the owner ends as it is carried out. In the second test the job stands in its cell's checkpoint meanwhile, and the owner after the next goes on with that checkpoint's successor. Each waits until its combination is there (the held transaction, the stored checkpoint, another job that begins at home), not for time to pass.

--- a/tests/loopback/main.rs
+++ b/tests/loopback/main.rs
@@ -15,6 +15,7 @@
 mod history;
 #[path = "../common/http.rs"]
 mod http;
+mod job_on_its_way;
 mod jobs_between_cells;
 mod leader_changes;
 mod links;
--- a/tests/loopback/state_service.rs
+++ b/tests/loopback/state_service.rs
@@ -17,6 +17,9 @@
 /// Jobs named like this ended long ago.
 pub const ENDED: &str = "req-8";
 
+/// How often what is held up looks whether it may go on.
+const LOOK: Duration = Duration::from_millis(5);
+
 #[derive(Default)]
 pub struct Store {
     pub keys: BTreeMap<String, (Value, u64, Option<u64>)>,
@@ -98,6 +101,22 @@
         self.leases.values_mut().for_each(|l| l.0 = Instant::now());
     }
 
+    /// Does this transaction make a job another cell's, and is it to wait?
+    fn holds_move(&mut self, transaction: &Value) -> bool {
+        if !self.faults.hold_moves {
+            return false;
+        }
+        let writes = transaction["writes"].as_array().into_iter().flatten();
+        let moved: Vec<String> = writes
+            .filter(|write| write["v"]["moves"].as_u64() > Some(0))
+            .filter_map(|write| Some(write["set"].as_str()?.to_owned()))
+            .filter(|key| self.keys.get(key).is_some_and(|stored| stored.0["moves"].as_u64().unwrap_or(0) == 0))
+            .collect();
+        let holds = !moved.is_empty();
+        self.faults.held_moves.extend(moved);
+        holds
+    }
+
     pub fn commit(&mut self, txn: &Value) -> Outgoing {
         let list = |n: &str| txn[n].as_array().cloned().unwrap_or_default();
         let written = |key: &str| list("writes").iter().any(|w| w["set"] == key || w["drop"] == key);
@@ -150,6 +169,9 @@
     let commit = req.path == "/commit";
     let way = lock(&store).faults.slow_down(node);
     Timer::after(way).await;
+    while commit && lock(&store).holds_move(&body(&req)) {
+        Timer::after(LOOK).await;
+    }
     let (refused, fate) = {
         let mut s = lock(&store);
         let refused = s.faults.refuses(node);
