Loopback: starts held up for seconds, past a cancellation and past a move

The row of the meetings in which a command or its answer is held up while the machine goes on had no test with real processes. The stand-in workers now keep messages with starts until the test lets them arrive, or carry them out and lose the answer; how their machines are made, and their direct interface, have files of their own.

One test cancels half of the jobs meanwhile, the other moves tasks off a machine under notice; the starts then arrive with token and session that match.

--- a/tests/loopback/cluster.rs
+++ b/tests/loopback/cluster.rs
@@ -1,15 +1,13 @@
 //! Real controllers as processes, in front of stand-ins for everything else.
 
 use crate::cloud::Cloud;
-use crate::http::{EX, body, free_port, lock, server, server_that_loses};
+use crate::direct::{Delivered, deliver};
+use crate::http::{free_port, lock, server, server_that_loses};
 use crate::links::Links;
-use crate::settings::{Size, settings};
+use crate::machines::Machines;
+use crate::settings::{FIRST_ZONE, Size, settings};
 use crate::state_service::{Store, state};
-use crate::workers::{Worker, Workers, execute_late, obey, work};
-use async_io::Timer;
-use http_types::Method;
-use lupinspur::http::{Incoming, Outgoing};
-use std::collections::{BTreeMap, BTreeSet};
+use crate::workers::{Worker, Workers};
 use std::ffi::OsString;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -131,56 +129,9 @@
         if let Some(text) = &size.elastic {
             std::fs::write(dir.join("elastic.toml"), text).expect("a file of elastic jobs");
         }
-        for w in 0..size.workers {
-            let (all, t) = (workers.clone(), twice.clone());
-            let addr = server(move |r: Incoming| {
-                let (all, t) = (all.clone(), t.clone());
-                async move {
-                    let b = body(&r);
-                    let held_up = lock(&all)[w].command_delay;
-                    if r.method == Method::Post && !held_up.is_zero() {
-                        return execute_late(all, w, b, t, held_up).await;
-                    }
-                    while (lock(&all)[w].hangs || lock(&all)[w].deaf_to_commands) && !lock(&all)[w].deleted {
-                        Timer::after(Duration::from_millis(20)).await;
-                    }
-                    if lock(&all)[w].deleted {
-                        std::future::pending::<()>().await;
-                    }
-                    let ours = b["season"].as_u64().is_none_or(|s| s == lock(&all)[w].session);
-                    let ok = r.method == Method::Get || ours && obey(&all, w, &b, &t);
-                    let report = lock(&all)[w].report();
-                    Outgoing::json(if ok { 200 } else { 409 }, &report)
-                }
-            });
-            let name = format!("host-{w}");
-            let renewed = Instant::now();
-            let (lease, tasks) = (size.lease, BTreeMap::new());
-            let worker = Worker {
-                name,
-                addr,
-                session: 1,
-                seq: 0,
-                token: 0,
-                renewed,
-                lease,
-                hangs: false,
-                deleted: false,
-                deaf: false,
-                deaf_to_commands: false,
-                mute: false,
-                command_delay: Duration::ZERO,
-                commands_held_up: 0,
-                saves: Duration::ZERO,
-                tasks,
-                completed: BTreeSet::new(),
-                begun: BTreeMap::new(),
-                cut_from: BTreeSet::new(),
-                elsewhere: 0,
-            };
-            lock(&workers).push(worker);
-            EX.spawn(work(workers.clone(), w, listen.clone(), twice.clone())).detach();
-        }
+        let machines =
+            Machines { workers: workers.clone(), twice: twice.clone(), controllers: listen.clone(), lease: size.lease };
+        (0..size.workers).for_each(|_| _ = machines.add(FIRST_ZONE));
         let nodes = Nodes((0..size.nodes).map(|_| None).collect());
         let claim = size.claim;
         let mut cluster =
@@ -282,6 +233,11 @@
         lock(&self.workers).iter().any(|w| w.begun.contains_key(job))
     }
 
+    /// The starts that were held up on their way to a worker arrive.
+    pub fn deliver_held_starts(&self, w: usize) -> Delivered {
+        deliver(&self.workers, w, &self.twice)
+    }
+
     /// How many tasks of a job run, counted at the workers.
     pub fn running(&self, job: &str) -> usize {
         let of = |n: &str| n.rsplit_once('/').is_some_and(|(j, _)| j == job);
--- a/tests/loopback/main.rs
+++ b/tests/loopback/main.rs
@@ -10,13 +10,16 @@
 mod cloud;
 mod cluster;
 mod controllers_away;
+mod direct;
 mod elastic;
 mod faults;
+mod held_up_starts;
 mod history;
 #[path = "../common/http.rs"]
 mod http;
 mod leader_changes;
 mod links;
+mod machines;
 mod malformed;
 mod meetings_answers;
 mod meetings_machines;
--- a/tests/loopback/settings.rs
+++ b/tests/loopback/settings.rs
@@ -3,6 +3,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+/// The zone of machines for which a test asks for no other.
+pub const FIRST_ZONE: &str = "a";
+
 pub fn settings(
     i: usize,
     listen: &[SocketAddr],
--- a/tests/loopback/workers.rs
+++ b/tests/loopback/workers.rs
@@ -1,10 +1,11 @@
 //! The stand-in workers.
 
-use crate::http::{EX, lock};
+use crate::direct::{Starts, starts_in};
+use crate::http::lock;
 use crate::requests::{APART, LONG, SERVICES};
 use async_io::Timer;
 use http_types::Method;
-use lupinspur::http::{Client, Outgoing};
+use lupinspur::http::Client;
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -16,6 +17,12 @@
 /// Of jobs whose tasks end far apart each runs so much longer than the one before.
 pub const ENDS_APART: Duration = Duration::from_secs(6);
 
+const REPORT_EVERY: Duration = Duration::from_millis(150);
+
+/// A worker drops answers that take longer, and where its connection fails it tries again after a while.
+const ANSWERED_WITHIN: Duration = Duration::from_secs(4);
+const TRIED_AGAIN_AFTER: Duration = Duration::from_secs(1);
+
 pub struct Task {
     pub attempt: u64,
     pub began: Instant,
@@ -35,6 +42,7 @@
 /// A worker; what several of them run at the same time is checked at every start.
 pub struct Worker {
     pub name: String,
+    pub zone: &'static str,
     pub addr: SocketAddr,
     pub session: u64,
     pub seq: u64,
@@ -54,6 +62,17 @@
     pub command_delay: Duration,
     /// Messages with commands that were held up so far.
     pub commands_held_up: usize,
+    /// What becomes of starts on their way to it, and the messages that wait for their delivery.
+    pub starts: Starts,
+    pub held_starts: Vec<Value>,
+    /// Tasks that it was told to start by direct messages whose answers were lost.
+    pub starts_unanswered: Vec<String>,
+    /// The highest token in an answer to its reports that it never took in.
+    pub dropped_token: u64,
+    /// The counter of the latest report whose answer it never took in.
+    pub dropped_seq: u64,
+    /// Seconds until the cloud takes its machine away, as it says.
+    pub notice_s: Option<f64>,
     /// How long its tasks take to save when they may.
     pub saves: Duration,
     pub tasks: BTreeMap<String, Task>,
@@ -80,6 +99,44 @@
 }
 
 impl Worker {
+    pub fn new(name: String, addr: SocketAddr, zone: &'static str, lease: Duration) -> Worker {
+        Worker {
+            name,
+            zone,
+            addr,
+            session: 1,
+            seq: 0,
+            token: 0,
+            renewed: Instant::now(),
+            lease,
+            hangs: false,
+            deleted: false,
+            deaf: false,
+            deaf_to_commands: false,
+            mute: false,
+            command_delay: Duration::ZERO,
+            commands_held_up: 0,
+            starts: Starts::Arrive,
+            held_starts: Vec::new(),
+            starts_unanswered: Vec::new(),
+            dropped_token: 0,
+            dropped_seq: 0,
+            notice_s: None,
+            saves: Duration::ZERO,
+            tasks: BTreeMap::new(),
+            completed: BTreeSet::new(),
+            begun: BTreeMap::new(),
+            cut_from: BTreeSet::new(),
+            elsewhere: 0,
+        }
+    }
+
+    /// The answer to this report came too late, or never.
+    fn drop_answer(&mut self, report: &Value, reply: &Value) {
+        self.dropped_token = self.dropped_token.max(reply["warrant"].as_u64().unwrap_or(0));
+        self.dropped_seq = report["tally"].as_u64().unwrap_or(0);
+    }
+
     /// When its lease is over, it ends all its tasks and goes on with the next session.
     pub fn look_at_lease(&mut self) {
         if self.renewed.elapsed() > self.lease {
@@ -108,8 +165,8 @@
                 None => json!({"seed": n, "sowing": t.attempt, "bloom": "running"}),
             })
             .collect();
-        json!({"plot": self.name, "addr": self.addr.to_string(), "strain": "m8", "field": "a", "fallow": false,
-            "season": self.session, "tally": self.seq, "warrant": self.token, "reclaim_s": null, "seeds": seeds})
+        json!({"plot": self.name, "addr": self.addr.to_string(), "strain": "m8", "field": self.zone, "fallow": false,
+            "season": self.session, "tally": self.seq, "warrant": self.token, "reclaim_s": self.notice_s, "seeds": seeds})
     }
 }
 
@@ -154,31 +211,6 @@
     true
 }
 
-/// Executes commands that were held up on their way, if token and session still match. Whoever
-/// sent them has given up by then.
-pub async fn execute_late(
-    all: Workers,
-    w: usize,
-    commands: Value,
-    twice: Arc<Mutex<Vec<String>>>,
-    delay: Duration,
-) -> Outgoing {
-    let has_commands = commands["tidings"].as_array().is_some_and(|c| !c.is_empty());
-    lock(&all)[w].commands_held_up += usize::from(has_commands);
-    EX.spawn(async move {
-        Timer::after(delay).await;
-        let matches = {
-            let worker = &lock(&all)[w];
-            !worker.deleted && commands["season"].as_u64() == Some(worker.session)
-        };
-        if matches {
-            obey(&all, w, &commands, &twice);
-        }
-    })
-    .detach();
-    std::future::pending().await
-}
-
 pub async fn work(all: Workers, w: usize, nodes: Vec<SocketAddr>, twice: Arc<Mutex<Vec<String>>>) {
     let client = Client::new(1, 1);
     let mut at = w % nodes.len();
@@ -200,26 +232,37 @@
         };
         if lock(&all)[w].cut_from.contains(&at) {
             at = (at + 1) % nodes.len();
-            Timer::after(Duration::from_millis(150)).await;
+            Timer::after(REPORT_EVERY).await;
             continue;
         }
         let bytes = serde_json::to_vec(&report).expect("a report");
-        let answer = client.call(nodes[at], Method::Post, "/checkin", Some(bytes), Duration::from_secs(4)).await;
-        let deaf = lock(&all)[w].deaf;
+        let answer = client.call(nodes[at], Method::Post, "/checkin", Some(bytes), ANSWERED_WITHIN).await;
+        let reply: Value = match &answer {
+            Ok((200, b)) => serde_json::from_slice(b).unwrap_or_default(),
+            _ => Value::Null,
+        };
+        let waits_in_vain = {
+            let me = &lock(&all)[w];
+            let cut_off = me.starts == Starts::HeldUp && !starts_in(&reply).is_empty();
+            me.deaf.then_some(ANSWERED_WITHIN).or(cut_off.then_some(TRIED_AGAIN_AFTER))
+        };
+        if let Some(pause) = waits_in_vain {
+            lock(&all)[w].drop_answer(&report, &reply);
+            // It asks the next one then.
+            Timer::after(pause).await;
+            at = (at + 1) % nodes.len();
+            Timer::after(REPORT_EVERY).await;
+            continue;
+        }
         match answer {
-            _ if deaf => {
-                // It waits in vain, and asks the next.
-                Timer::after(Duration::from_secs(4)).await;
-                at = (at + 1) % nodes.len();
-            }
-            Ok((200, b)) => {
+            Ok((200, _)) => {
                 let in_time = {
                     let me = &mut lock(&all)[w];
                     me.look_at_lease();
                     me.session == session && !me.hangs && !me.deleted
                 };
                 // Answers to an earlier session, and those of an earlier owner, renew nothing.
-                if in_time && obey(&all, w, &serde_json::from_slice(&b).unwrap_or_default(), &twice) {
+                if in_time && obey(&all, w, &reply, &twice) {
                     lock(&all)[w].renewed = sent;
                 }
             }
@@ -234,6 +277,6 @@
                 at = (at + 1) % nodes.len();
             }
         }
-        Timer::after(Duration::from_millis(150)).await;
+        Timer::after(REPORT_EVERY).await;
     }
 }
