--- a/tests/loopback/main.rs
+++ b/tests/loopback/main.rs
@@ -10,8 +10,10 @@
 mod cloud;
 mod cluster;
 mod controllers_away;
+mod direct;
 mod elastic;
 mod faults;
+mod held_up_starts;
 mod history;
 #[path = "../common/http.rs"]
 mod http;
@@ -19,6 +21,7 @@
 mod jobs_between_cells;
 mod leader_changes;
 mod links;
+mod machines;
 mod malformed;
 mod meetings_answers;
 mod meetings_machines;
