Owner: machines that the cloud does not list are no sign that the owner is cut off

After all machines had died at once, each owner heard nobody, took itself for the one that is cut off and stepped down after 5.75 s, and so did the next: none stayed for long enough to give the machines up and rent others.

An owner now counts only machines that the cloud's newest list names, if it has read one.

--- /dev/null
+++ b/crates/model/tests/all_machines_die.rs
@@ -0,0 +1,51 @@
+//! All machines die at once, and for a while no worker is there to be heard. An owner that took itself for the one
+//! that is cut off stepped down, and so did each after it: none stayed for long enough to rent others.
+
+use lupinspur_model::{Kind, OWNER, Run, Scenario, Trouble, play};
+
+/// In one of four or five of them nothing else than the owner's own machines would tell that it is not cut off.
+const SEEDS: u64 = 24;
+/// Jobs go on coming in after the machines have died.
+const JOBS_FOR_S: f64 = 45.0;
+const DIE_AT_S: f64 = 20.0;
+/// A machine that is missed and another that is rented take at least so long.
+const LEAST_WAIT_S: f64 = 5.0;
+
+/// The machines that there are have room for all jobs: nothing is rented before they die.
+fn few_jobs(cells: u32) -> Scenario {
+    Scenario { cells, jobs_for_s: JOBS_FOR_S, job_every_s: 4.0, cancelled: 0.0, ..Scenario::default() }
+}
+
+fn runs(scenario: &Scenario, besides: &[Trouble]) -> Vec<Run> {
+    let dies = |which| Trouble { at: DIE_AT_S, kind: Kind::Dies, which, for_s: 0.0 };
+    let troubles: Vec<Trouble> = (0..scenario.machines).map(dies).chain(besides.iter().copied()).collect();
+    (0..SEEDS).map(|seed| play(scenario, seed, &troubles, None)).collect()
+}
+
+/// Every job that was accepted has begun, those too that came when no machine was left; in most runs some had to wait
+/// for a rented machine.
+fn all_jobs_begin(runs: &[Run]) {
+    for run in runs {
+        assert_eq!((&run.broken, run.begun), (&None, run.jobs), "seed {}", run.seed);
+    }
+    let waited = |run: &&Run| run.waits.is_some_and(|[.., longest]| longest > LEAST_WAIT_S);
+    let waited = runs.iter().filter(waited).count();
+    assert!(waited * 2 > runs.len(), "jobs had to wait in {waited} of {} runs", runs.len());
+}
+
+#[test]
+fn jobs_begin_after_all_machines_have_died() {
+    for cells in [1, 3] {
+        all_jobs_begin(&runs(&few_jobs(cells), &[]));
+    }
+}
+
+#[test]
+fn jobs_begin_after_all_machines_have_died_with_the_leader() {
+    let ends = Trouble { at: DIE_AT_S, kind: Kind::Ends, which: OWNER, for_s: 30.0 };
+    for cells in [1, 3] {
+        let runs = runs(&few_jobs(cells), &[ends]);
+        all_jobs_begin(&runs);
+        assert!(runs.iter().all(|r| r.counts.coincidences.takeovers > 0), "{runs:?}");
+    }
+}
--- a/crates/scheduler/src/shard/mod.rs
+++ b/crates/scheduler/src/shard/mod.rs
@@ -141,6 +141,8 @@
     stages: takeover::Stages,
     /// Most machines were asked whether they are there, and did not answer.
     pub(crate) all_mute: bool,
+    /// Has the cloud told this owner which machines there are?
+    pub(crate) list_read: bool,
     /// When all machines of a zone were last asked whether they are there.
     zones_asked: BTreeMap<ZoneIx, f64>,
     /// The time of day at the steady clock's zero, in milliseconds.
@@ -310,19 +312,21 @@
         now - m.own_report.max(self.resumed)
     }
 
-    /// Is no worker heard at all, though several should report?
+    /// Is no worker heard at all, though several should report? Of a machine that the cloud does not list
+    /// nobody hears anything: after all machines had died, each owner took itself for the one that is cut off,
+    /// and none stayed for long enough to rent others.
     pub fn deaf(&self, now: f64) -> bool {
         // Those that were asked because their reports are overdue say nothing, and nobody else
         // said anything just now either: that tells sooner than the last one's silence.
         let limit = if self.all_mute { self.report_s / 2.0 + 1.0 } else { self.report_s * 1.25 + 2.0 };
-        let mut known = 0;
+        let mut expected = 0;
         for (_, m) in self.machines.iter().filter(|(_, m)| m.phase == MachinePhase::Up) {
-            known += 1;
+            expected += usize::from(!self.list_read || m.listed && m.missing == 0);
             if self.silence(m, now) < limit {
                 return false;
             }
         }
-        known >= 3 && now - self.began > self.report_s * 1.25 + 2.0
+        expected >= 3 && now - self.began > self.report_s * 1.25 + 2.0
     }
 
     pub fn tick(&mut self, now: f64) {
--- a/crates/scheduler/src/shard/sizing.rs
+++ b/crates/scheduler/src/shard/sizing.rs
@@ -353,6 +353,7 @@
     /// The cloud's list, which lags and may be older than the one before. `all`: whatever is not
     /// known is to be taken in; where there are several cells it may be another's.
     pub fn on_list(&mut self, list: &[ListedMachine], all: bool, now: f64) {
+        self.list_read = true;
         let mut listed = std::collections::HashSet::new();
         for l in list {
             let known = self.machines.find(&l.id);
--- a/crates/scheduler/src/shard/takeover.rs
+++ b/crates/scheduler/src/shard/takeover.rs
@@ -70,6 +70,7 @@
             late_at: f64::MIN,
             stages: Stages::default(),
             all_mute: false,
+            list_read: false,
             zones_asked: BTreeMap::new(),
             fresh: loaded.machines.is_empty() && loaded.racks.is_empty(),
             day_ms: 0.0,
--- a/crates/scheduler/tests/owner/takeover.rs
+++ b/crates/scheduler/tests/owner/takeover.rs
@@ -4,6 +4,7 @@
 use lupinspur_scheduler::fleet::Phase as MachinePhase;
 use lupinspur_scheduler::jobs::Phase;
 use lupinspur_scheduler::shard::CloudCall;
+use lupinspur_scheduler::wire::ListedMachine;
 use serde_json::json;
 
 /// The next owner at 100 s: h1 is recorded with a job and silent, h2 is there.
@@ -215,3 +216,38 @@
     world.shard.look_again();
     assert!(started_on_h2(&mut world, 101.1 + LEASE_S, 104.0 + LEASE_S), "after it");
 }
+
+/// The next owner at 100 s: three machines are recorded, and none of them is heard.
+fn nobody_heard(world: &mut World) {
+    for (number, name) in ["h1", "h2", "h3"].into_iter().enumerate() {
+        world.stored_rack(number as u32, name, &[], false);
+    }
+    world.take_over(100.0);
+}
+
+/// unlisted-tells-nothing: machines that the cloud lists and that nobody hears speak for an owner that is cut off;
+/// those that it does not list are gone.
+#[test]
+fn an_owner_hears_nobody_only_if_there_is_somebody_to_hear() {
+    let listed = |name: &str| -> ListedMachine {
+        let machine = json!({"id": name, "addr": "127.0.0.1:9", "strain": "m32", "field": "a", "fallow": false,
+            "bloom": "running", "held_s": 60.0});
+        serde_json::from_value(machine).expect("a listed machine")
+    };
+    let all = ["h1", "h2", "h3"].map(listed);
+    let cases: [(&str, Option<&[ListedMachine]>, bool); 4] = [
+        ("no list came", None, true),
+        ("all are listed", Some(&all), true),
+        ("one is not", Some(&all[1..]), false),
+        ("none is", Some(&[]), false),
+    ];
+    for (told, list, deaf) in cases {
+        let mut world = World::new();
+        nobody_heard(&mut world);
+        if let Some(list) = list {
+            world.shard.on_list(list, true, 101.0);
+        }
+        world.tick_until(101.0, 107.0);
+        assert_eq!(world.shard.deaf(107.0), deaf, "{told}");
+    }
+}
