Move: placement parted by job into fitting, limits, turns, pass, room and unplaceable

The pass is now a struct with a short function for each step; machines that make room and ranks are functions of their own. Published names stay where they were.

--- /dev/null
+++ b/crates/scheduler/src/shard/placement/fitting.rs
@@ -0,0 +1,158 @@
+//! Which machines could take a task of a job, and which of them is best.
+
+use super::SERVICE_ROOM;
+use crate::fleet::Machine;
+use crate::intern::{MachineIx, ZoneIx};
+use crate::jobs::Job;
+use crate::shard::{EPS, Shard};
+use crate::wire::Priority;
+use std::collections::HashMap;
+
+/// Seconds for which work that may not use spot machines leaves that room to services.
+const BASE_PATIENCE_S: f64 = 20.0;
+/// Seconds after which a job of which nothing runs may take that room with one task at a time: nobody waits for
+/// 90 s beside a machine that fits, also not the rest of a job of which a part is done.
+const LONGEST_BESIDE_ROOM_S: f64 = 75.0;
+/// Seconds that a service gains on a machine of the base, and batch work off it.
+const BASE_WORTH_S: f64 = 4.0;
+/// Seconds of fetching that a spot machine is worth more than an on-demand one.
+const SPOT_WORTH_S: f64 = 6.0;
+/// Seconds that a full machine is preferred by over an empty one.
+const PACK_WORTH_S: f64 = 3.0;
+/// Seconds that an empty machine of the base is preferred by over a full one, by services.
+const SPREAD_WORTH_S: f64 = 1.0;
+/// Seconds that a machine on which a job failed is worth less to it.
+const FAILED_THERE_S: f64 = 60.0;
+/// Seconds after its last failure for which a job goes nowhere that it failed, as long as there are other machines.
+const AVOIDS_FAILED_FOR_S: f64 = 60.0;
+
+/// Would one task of this job fit on the machine, all constraints counted?
+pub fn fits(s: &Shard, job: &Job, m: &Machine) -> bool {
+    fits_beside(s, job, m, job.held, job.in_zone(m.zone))
+}
+
+/// Would a task that leaves a machine in zone `from` fit on this one? It does not
+/// stand in its own way: else replicas that must be spread could not change machines
+/// within their zone.
+pub(super) fn fits_after_leaving(s: &Shard, job: &Job, m: &Machine, from: ZoneIx) -> bool {
+    let in_zone = job.in_zone(m.zone);
+    let itself = u32::from(m.zone == from);
+    fits_beside(s, job, m, job.held.saturating_sub(1), in_zone.saturating_sub(itself))
+}
+
+/// Could another machine take a task of this job from `leaving`, with no fetch?
+pub fn taken_at_once(s: &Shard, job: &Job, leaving: MachineIx, now: f64) -> bool {
+    taken_by(s, job, leaving, &Promised::default(), now).is_some()
+}
+
+/// Cpus that machines are to give to tasks that are about to leave others.
+pub type Promised = HashMap<MachineIx, f64>;
+
+/// The machine that could, besides what was promised already.
+pub fn taken_by(s: &Shard, job: &Job, leaving: MachineIx, promised: &Promised, now: f64) -> Option<MachineIx> {
+    let from = s.machines.at(leaving).zone;
+    let takes = |i: MachineIx, m: &Machine| {
+        let promised = promised.get(&i).copied().unwrap_or(0.0);
+        i != leaving
+            && m.cpus_used + promised + job.spec.cpus <= s.types.get(m.ty).cpus + EPS
+            && job.image.is_none_or(|image| m.has_image(image))
+            && m.usable(now, s.fresh_s())
+            && fits_after_leaving(s, job, m, from)
+    };
+    s.machines.iter().find(|(i, m)| takes(*i, m)).map(|(i, _)| i)
+}
+
+/// Does the job allow machines of this kind, type and zone, whatever is on them?
+pub fn allows(s: &Shard, job: &Job, m: &Machine) -> bool {
+    let spec = &job.spec;
+    (spec.spot || !m.spot)
+        && spec.types.as_ref().is_none_or(|l| l.contains(&s.types.get(m.ty).name))
+        && spec.zone.as_ref().is_none_or(|z| **z == **s.types.zones.name(m.zone))
+}
+
+/// May a task of this job run on this machine beside so many others of it, whatever room there is?
+pub(in crate::shard) fn may_run_beside(s: &Shard, job: &Job, m: &Machine, held: u32, in_zone: u32) -> bool {
+    allows(s, job, m)
+        && in_zone < job.zone_limit()
+        && !(job.spec.one_zone && held > in_zone)
+        && s.record_has_room(m, job.ix, &job.id)
+}
+
+pub(super) fn fits_beside(s: &Shard, job: &Job, m: &Machine, held: u32, in_zone: u32) -> bool {
+    let t = s.types.get(m.ty);
+    let spec = &job.spec;
+    let has_room = m.cpus_used + spec.cpus <= t.cpus + EPS
+        && m.cards_used + spec.cards <= t.cards + EPS
+        && m.memory_used + spec.memory_gb <= t.memory_gb + EPS;
+    has_room && may_run_beside(s, job, m, held, in_zone)
+}
+
+/// May this job take the room on the base that batch work leaves to services? Work that may not go on
+/// spot machines has nowhere else to go: where the base was just large enough it once waited there for
+/// ever, beside room that no service asked for.
+pub(super) fn may_fill_base(s: &Shard, job: &Job) -> bool {
+    // In its cell; what came from another one has waited there, too, or each move would cost it all patience.
+    let age_s = s.day_now_ms(s.ticked).saturating_sub(job.freed_ms) as f64 / 1000.0;
+    let waited_s = if job.moves > 0 { age_s } else { s.ticked - job.since };
+    let nothing_runs = job.held == 0;
+    job.spec.priority == Priority::Production
+        || !job.spec.spot && waited_s > BASE_PATIENCE_S
+        || nothing_runs && waited_s > LONGEST_BESIDE_ROOM_S
+}
+
+/// Does the machine keep enough room for services if batch work takes this?
+pub(super) fn leaves_room(s: &Shard, job: &Job, m: &Machine) -> bool {
+    !m.base
+        || may_fill_base(s, job)
+        || m.cpus_used + job.spec.cpus + SERVICE_ROOM * s.service_cpus <= s.types.get(m.ty).cpus + EPS
+}
+
+/// Lower is better: seconds lost, roughly.
+pub(super) fn cost(s: &Shard, job: &Job, m: &Machine) -> f64 {
+    let t = s.types.get(m.ty);
+    let fetch = job.image.map_or(0.0, |i| m.to_fetch_gb(i, job.spec.image_gb) / t.fetch_gb_per_s.max(0.01));
+    let full = m.cpus_used / t.cpus.max(EPS);
+    // Of an array that others wait for, one task that is lost with its spot machine holds
+    // up the whole pipeline: on-demand machines that are there anyway are preferred.
+    let dear = match job.spec.spot && !m.spot {
+        true if job.in_pipeline() => -SPOT_WORTH_S,
+        true => SPOT_WORTH_S,
+        false => 0.0,
+    };
+    let base = match (m.base, job.spec.priority == Priority::Production) {
+        (true, true) => -BASE_WORTH_S,
+        (true, false) => BASE_WORTH_S,
+        _ => 0.0,
+    };
+    // Services are spread over the base, so that room stays wherever an image is.
+    let pack = if m.base && job.is_service() { SPREAD_WORTH_S } else { -PACK_WORTH_S };
+    fetch + dear + base + pack * full
+}
+
+/// Does this job leave the machine out for now, because it failed there lately or one of its replicas is leaving it?
+/// It goes elsewhere than where it failed, if there is anywhere else. The others may be full, or in zones that
+/// it may not use: so not for ever.
+pub(super) fn avoids(s: &Shard, job: &Job, m: MachineIx, now: f64) -> bool {
+    let lately = now - job.failed_at < AVOIDS_FAILED_FOR_S;
+    let elsewhere = lately && !job.at_fault() && job.failed_on.len() < s.machines.present.len();
+    elsewhere && job.failed_on.contains(&m) || job.avoid.is_some_and(|(a, until)| a == m && now <= until)
+}
+
+/// May an earlier start of this very task yet arrive on the machine? What became of that one can't be forgotten in
+/// this session, and the machine takes no second attempt beside it.
+pub(super) fn barred(m: &Machine, key: &crate::jobs::TaskKey) -> bool {
+    m.loose.contains_key(key)
+}
+
+/// Machines that could take this job, the best first, of those that have any room.
+pub(super) fn options(s: &Shard, job: &Job, roomy: &[MachineIx], now: f64) -> Vec<(f64, MachineIx)> {
+    let again = |i: MachineIx| if job.failed_on.contains(&i) { FAILED_THERE_S } else { 0.0 };
+    let mut out: Vec<(f64, MachineIx)> = roomy
+        .iter()
+        .map(|&i| (i, s.machines.at(i)))
+        .filter(|(i, m)| fits(s, job, m) && leaves_room(s, job, m) && !avoids(s, job, *i, now))
+        .map(|(i, m)| (cost(s, job, m) + again(i), i))
+        .collect();
+    out.sort_unstable_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+    out
+}
--- /dev/null
+++ b/crates/scheduler/src/shard/placement/limits.rs
@@ -0,0 +1,46 @@
+//! Whether tasks stay within their team's limit, with all that machines not heard yet may hold.
+
+use crate::intern::{Index, MachineIx};
+use crate::jobs::Job;
+use crate::shard::{EPS, Shard};
+
+/// Cpus that machines with an unknown load may be using of a team's limit.
+pub(super) fn shadow(s: &Shard) -> f64 {
+    s.machines.iter().filter(|(_, m)| !m.resolved()).map(|(_, m)| s.types.get(m.ty).cpus).sum()
+}
+
+pub(super) fn shadow_cards(s: &Shard) -> f64 {
+    s.machines.iter().filter(|(_, m)| !m.resolved()).map(|(_, m)| s.types.get(m.ty).cards).sum()
+}
+
+/// Does one more task stay within the team's limit?
+pub(super) fn within_limit(s: &Shard, job: &Job, shadow: (f64, f64)) -> bool {
+    if !s.quota_allows(job) {
+        return false;
+    }
+    let team = &s.teams[job.team.ix()];
+    let ok =
+        |max: f64, used: f64, need: f64, shadow: f64| max <= 0.0 || need <= 0.0 || used + need + shadow <= max + EPS;
+    ok(team.spec.cpus_max, team.cpus_used, job.spec.cpus, shadow.0)
+        && ok(team.spec.cards_max, team.cards_used, job.spec.cards, shadow.1)
+}
+
+/// Would so many tasks of this job find room on these machines together, within its limits?
+pub(super) fn fits_at_once(s: &Shard, job: &Job, options: &[(f64, MachineIx)], n: u32, shadow: (f64, f64)) -> bool {
+    let r = &job.spec;
+    let many = |free: f64, need: f64| if need > 0.0 { (free + EPS) / need } else { f64::from(n) };
+    let team = &s.teams[job.team.ix()];
+    let left = |max: f64, used: f64, unseen: f64| if max > 0.0 { max - used - unseen } else { f64::INFINITY };
+    let within = many(left(team.spec.cpus_max, team.cpus_used, shadow.0), r.cpus)
+        .min(many(left(team.spec.cards_max, team.cards_used, shadow.1), r.cards))
+        .min(s.quota_room(job));
+    if within.floor() < f64::from(n) {
+        return false;
+    }
+    let on = |&(_, i): &(f64, MachineIx)| {
+        let (m, t) = (s.machines.at(i), s.types.get(s.machines.at(i).ty));
+        let most = many(t.cpus - m.cpus_used, r.cpus).min(many(t.memory_gb - m.memory_used, r.memory_gb));
+        most.min(many(t.cards - m.cards_used, r.cards)).max(0.0).floor()
+    };
+    options.iter().map(on).sum::<f64>() >= f64::from(n)
+}
--- /dev/null
+++ b/crates/scheduler/src/shard/placement/mod.rs
@@ -0,0 +1,27 @@
+//! Which task goes on which machine.
+//!
+//! Services first, then work within its team's guarantee, then borrowing; by
+//! priority and deadline within each. Machines are packed, and those that have
+//! the image are preferred.
+//!
+//! - [`pass`]: one pass over all that waits
+//! - [`turns`]: the order in which jobs get machines
+//! - [`fitting`]: which machines could take a task, and which is best
+//! - [`limits`]: whether tasks stay within their team's limit
+//! - [`unplaceable`]: work that fits nowhere, and room that no work may take
+//! - [`room`]: room for services, made by stopping other work
+
+mod fitting;
+mod limits;
+mod pass;
+mod room;
+mod turns;
+mod unplaceable;
+
+pub(super) use fitting::may_run_beside;
+pub use fitting::{Promised, allows, fits, taken_at_once, taken_by};
+pub use pass::place;
+pub(super) use unplaceable::room_unusable_here;
+
+/// Cpu room on a machine of the on-demand base that batch work leaves to services, in their tasks.
+const SERVICE_ROOM: f64 = 4.0;
--- /dev/null
+++ b/crates/scheduler/src/shard/placement/room.rs
@@ -0,0 +1,164 @@
+//! Room for services: work of lower priority is stopped, or a replica goes elsewhere.
+
+use super::fitting::{avoids, barred, cost, may_run_beside, options, taken_at_once};
+use super::turns::Turn;
+use crate::fleet::{HeldState, Machine};
+use crate::intern::{JobIx, MachineIx};
+use crate::jobs::{Job, TaskKey};
+use crate::shard::{EPS, Shard, type_fits};
+use std::collections::HashMap;
+
+/// Seconds that a task of a surplus counts for where room is made; any other counts for one.
+const SURPLUS_WORTH_S: f64 = 0.1;
+/// Most replicas for which another machine is looked for before one moves.
+const MOST_MOVES_TRIED: usize = 16;
+
+/// Would a task of this job start now, or be made room for, if its limit let it?
+pub(super) fn has_place(s: &Shard, turn: &Turn, roomy: &[MachineIx], now: f64) -> bool {
+    !options(s, s.jobs.at(turn.job), roomy, now).is_empty() || room_for(s, turn, false, now).is_some()
+}
+
+/// Stops work of lower priority where that lets a task of this job start, on one
+/// machine a pass; `with_image`: only where its image is. True if room is coming.
+pub(super) fn make_room(s: &mut Shard, turn: &Turn, with_image: bool, now: f64) -> bool {
+    if !s.writable {
+        return false;
+    }
+    let Some((m, victims)) = room_for(s, turn, with_image, now) else {
+        return with_image && move_replica(s, turn.job, now);
+    };
+    for k in victims {
+        log::debug!("{}/{} makes room", s.jobs.at(k.0).id, k.1);
+        s.give_room(m, k);
+    }
+    true
+}
+
+/// Where that would cost least, and what would be stopped there.
+fn room_for(s: &Shard, turn: &Turn, with_image: bool, now: f64) -> Option<(MachineIx, Vec<TaskKey>)> {
+    let job = s.jobs.at(turn.job);
+    let silent_s = s.fresh_s();
+    let surpluses = s.surpluses();
+    let next = job.queue.front().map(|task| (turn.job, *task));
+    let mut options: Vec<(f64, MachineIx, Vec<TaskKey>)> = Vec::new();
+    for (i, m) in s.machines.iter() {
+        // Of services nothing can be stopped; the cheap questions come first.
+        if m.services == m.tasks.len() && s.types.get(m.ty).cpus < m.cpus_used + job.spec.cpus
+            || m.spot && !job.spec.spot
+            || with_image && !job.image.is_some_and(|i| m.has_image(i))
+            || !m.usable(now, silent_s)
+        {
+            continue;
+        }
+        // Room where the job may not run is no room for it: it would be waited for without end.
+        let t = s.types.get(m.ty);
+        if !type_fits(&job.spec, t)
+            || !may_run_beside(s, job, m, job.held, job.in_zone(m.zone))
+            || avoids(s, job, i, now)
+            || next.is_some_and(|key| barred(m, &key))
+        {
+            continue;
+        }
+        if let Some((cost, victims)) = room_on(s, job, m, &surpluses) {
+            options.push((cost, i, victims));
+        }
+    }
+    options.into_iter().min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, m, victims)| (m, victims))
+}
+
+/// What would be stopped on this machine for one task of a job, and what that would cost; nothing if it would not do.
+fn room_on(s: &Shard, job: &Job, m: &Machine, surpluses: &HashMap<JobIx, u32>) -> Option<(f64, Vec<TaskKey>)> {
+    // What is being stopped already will be free soon: wait for that first.
+    let coming: f64 = m.tasks.iter().filter(|(k, h)| m.is_leaving(k, h)).map(|(k, _)| s.jobs.at(k.0).spec.cpus).sum();
+    let t = s.types.get(m.ty);
+    let mut free = t.cpus - m.cpus_used + coming;
+    let mut memory = t.memory_gb - m.memory_used;
+    let mut cards = t.cards - m.cards_used;
+    let mut victims = Vec::new();
+    let mut kept = 0.0;
+    for (surplus, k) in stoppable(s, job, m, surpluses) {
+        if free + EPS >= job.spec.cpus && memory + EPS >= job.spec.memory_gb && cards + EPS >= job.spec.cards {
+            break;
+        }
+        free += s.jobs.at(k.0).spec.cpus;
+        memory += s.jobs.at(k.0).spec.memory_gb;
+        cards += s.jobs.at(k.0).spec.cards;
+        kept += if surplus { SURPLUS_WORTH_S } else { 1.0 };
+        victims.push(k);
+    }
+    let others_fit = memory + EPS >= job.spec.memory_gb && cards + EPS >= job.spec.cards;
+    let enough = free + EPS >= job.spec.cpus && (others_fit || coming > 0.0);
+    enough.then(|| (cost(s, job, m) + kept, victims))
+}
+
+/// Tasks of lower priority on this machine, in the order in which they would be stopped, and whether each is of a
+/// surplus.
+fn stoppable(s: &Shard, job: &Job, m: &Machine, surpluses: &HashMap<JobIx, u32>) -> Vec<(bool, TaskKey)> {
+    let mut stoppable: Vec<_> = m
+        .tasks
+        .iter()
+        .filter(|(k, h)| {
+            h.stop.is_none() && h.state != HeldState::Saving && s.jobs.at(k.0).spec.priority > job.spec.priority
+        })
+        .collect();
+    // The least important first, then what has lost the least.
+    stoppable.sort_by(|a, b| {
+        let (ja, jb) = (s.jobs.at(a.0.0), s.jobs.at(b.0.0));
+        jb.spec.priority.cmp(&ja.spec.priority).then(b.1.since.total_cmp(&a.1.since))
+    });
+    if surpluses.is_empty() {
+        return stoppable.iter().map(|(k, _)| (false, **k)).collect();
+    }
+    // What elastic jobs hold beyond their smallest size is the first to go.
+    let mut left = surpluses.clone();
+    let mut beyond = |k: &TaskKey| {
+        let n = left.get_mut(&k.0).filter(|n| **n > 0);
+        n.map(|n| *n -= 1).is_some()
+    };
+    let (first, then): (Vec<_>, Vec<_>) =
+        stoppable.iter().map(|(k, _)| (beyond(k), **k)).partition(|(surplus, _)| *surplus);
+    first.into_iter().chain(then).collect()
+}
+
+/// Where a service's image is, only services are. One replica that can go on at
+/// once elsewhere leaves its place; true if one does, or is about to.
+fn move_replica(s: &mut Shard, waiting: JobIx, now: f64) -> bool {
+    let silent_s = s.fresh_s();
+    let job = s.jobs.at(waiting);
+    let Some(image) = job.image else { return false };
+    let mut choice = None;
+    let mut tried = 0;
+    let serves = |m: &Machine| {
+        !m.spot
+            && m.has_image(image)
+            && m.usable(now, silent_s)
+            && may_run_beside(s, job, m, job.held, job.in_zone(m.zone))
+    };
+    for (i, m) in s.machines.iter().filter(|(_, m)| serves(m)) {
+        if m.tasks.iter().any(|(k, h)| m.is_leaving(k, h)) {
+            return true;
+        }
+        for (k, h) in &m.tasks {
+            let other = s.jobs.at(k.0);
+            let enough = other.spec.cpus + EPS >= job.spec.cpus && other.spec.memory_gb + EPS >= job.spec.memory_gb;
+            if !other.is_service() || !enough || k.0 == waiting || h.state != HeldState::Running || !other.open() {
+                continue;
+            }
+            tried += 1;
+            if taken_at_once(s, other, i, now) {
+                choice = Some((i, *k));
+            }
+            if choice.is_some() || tried >= MOST_MOVES_TRIED {
+                break;
+            }
+        }
+        if choice.is_some() || tried >= MOST_MOVES_TRIED {
+            break;
+        }
+    }
+    let Some((m, k)) = choice else { return false };
+    log::debug!("{}/{} moves for {}", s.jobs.at(k.0).id, k.1, s.jobs.at(waiting).id);
+    s.jobs.at_mut(k.0).avoid = Some((m, now + 5.0));
+    s.stop_gently(m, k);
+    true
+}
--- /dev/null
+++ b/crates/scheduler/src/shard/placement/unplaceable.rs
@@ -0,0 +1,99 @@
+//! Waiting work that fits on no machine, and the room that no waiting work may take.
+
+use super::SERVICE_ROOM;
+use super::fitting::{avoids, fits, leaves_room, may_fill_base};
+use super::limits::{shadow, shadow_cards, within_limit};
+use crate::jobs::Job;
+use crate::shard::Shard;
+use crate::wire::Priority;
+use lupinspur_cells::picture::UnusableRoom;
+
+/// Most kinds of waiting work that are compared with the machines that have room.
+const MOST_SHAPES: usize = 64;
+
+/// What decides whether a plain job fits anywhere.
+#[derive(Clone, Copy)]
+struct Shape {
+    spot: bool,
+    production: bool,
+    fills_base: bool,
+    cpus: f64,
+    memory_gb: f64,
+    cards: f64,
+}
+
+impl Shape {
+    fn of(s: &Shard, job: &Job) -> Shape {
+        let r = &job.spec;
+        Shape {
+            spot: r.spot,
+            production: r.priority == Priority::Production,
+            fills_base: may_fill_base(s, job),
+            cpus: r.cpus,
+            memory_gb: r.memory_gb,
+            cards: r.cards,
+        }
+    }
+
+    /// Does every machine that takes the other one take this one, too?
+    fn fits_wherever(&self, other: &Shape) -> bool {
+        (self.spot || !other.spot)
+            && self.production == other.production
+            && (self.fills_base || !other.fills_base)
+            && self.cpus <= other.cpus
+            && self.memory_gb <= other.memory_gb
+            && self.cards <= other.cards
+    }
+}
+
+/// Shapes that found no machine. One that asks for no less, and may go nowhere else, finds
+/// nothing either: with many jobs waiting, looking through all machines for each of them took
+/// the whole processor.
+#[derive(Default)]
+pub(super) struct Hopeless(Vec<Shape>);
+
+impl Hopeless {
+    pub(super) fn covers(&self, s: &Shard, job: &Job) -> bool {
+        let shape = Shape::of(s, job);
+        self.0.iter().any(|h| h.fits_wherever(&shape))
+    }
+
+    /// This job found nothing. Only if nothing but its size stood in the way.
+    pub(super) fn note(&mut self, s: &Shard, job: &Job) {
+        let r = &job.spec;
+        let plain = r.types.is_none() && r.zone.is_none() && !r.one_zone && !r.spread;
+        if plain && job.failed_on.is_empty() && job.avoid.is_none() && !self.covers(s, job) {
+            self.0.push(Shape::of(s, job));
+        }
+    }
+}
+
+/// The room beside waiting work that none of it may take, whatever would be placed next.
+pub(in crate::shard) fn room_unusable_here(s: &Shard, now: f64) -> UnusableRoom {
+    let shadow = (shadow(s), shadow_cards(s));
+    let (mut shapes, mut waiting) = (Hopeless::default(), Vec::new());
+    for job in s.jobs.live.iter().map(|&j| s.jobs.at(j)) {
+        let held_up = job.shadowed_by > 0 || job.leaving || now < job.not_before || job.unfinished() <= job.held;
+        if !job.open() || held_up || shapes.covers(s, job) || !within_limit(s, job, shadow) {
+            continue;
+        }
+        if waiting.len() == MOST_SHAPES {
+            return UnusableRoom::default();
+        }
+        shapes.note(s, job);
+        waiting.push(job);
+    }
+    let mut most = UnusableRoom::default();
+    for (i, m) in s.machines.iter().filter(|(_, m)| m.usable(now, s.fresh_s())) {
+        if waiting.iter().any(|job| fits(s, job, m) && leaves_room(s, job, m) && !avoids(s, job, i, now)) {
+            continue;
+        }
+        let free = s.types.get(m.ty).cpus - m.cpus_used;
+        let for_services = if m.base { SERVICE_ROOM * s.service_cpus } else { 0.0 };
+        most.any_kind = most.any_kind.max(free - for_services);
+        if !m.spot {
+            most.on_demand = most.on_demand.max(free);
+        }
+    }
+    most
+}
