Move: sizing parted by job into hearing, watching, cloud_calls, moving_off and sizing

What is heard of all machines and whom silence is to blame on is a struct of its own (hearing); the watch has a short function for leases, boots and machines that are up. Names in the moved code: mute is unresponsive, deaf is unreached; the log says what it said.

--- /dev/null
+++ b/crates/scheduler/src/shard/cloud_calls.rs
@@ -0,0 +1,182 @@
+//! What the cloud is asked for and answers: machines rented, deleted and listed.
+
+use super::sizing::REPORT_SPREAD;
+use super::{Shard, sizing::staying};
+use crate::fleet::Phase as MachinePhase;
+use crate::fleet::launch::Launch;
+use crate::intern::{Index, MachineIx, TypeIx, ZoneIx};
+use crate::wire::{ListedMachine, ListedState};
+use std::collections::BTreeMap;
+
+/// A call that the node's loop makes to the cloud.
+#[derive(Debug)]
+pub enum CloudCall {
+    Rent(Launch),
+    Delete(Vec<MachineIx>, Vec<String>),
+}
+
+const MOST_DELETED: usize = 100;
+
+impl Shard {
+    /// Marked in the state service first, then deleted; never used again.
+    pub(super) fn retire(&mut self, m: MachineIx) {
+        let machine = self.machines.at_mut(m);
+        if matches!(machine.phase, MachinePhase::Leaving | MachinePhase::Retiring | MachinePhase::Gone) {
+            return;
+        }
+        machine.phase = MachinePhase::Retiring;
+        if machine.rack.is_some() || !machine.old_values.is_empty() {
+            self.want_record(m);
+            // What was on a machine that is lost waits for its deletion, and that for this: by
+            // starts alone, such racks once stood behind all others until the leases were over.
+            let machine = self.machines.at(m);
+            let (tasks, services) = (machine.tasks.len(), machine.services > 0);
+            if let Some(rack) = machine.rack.and_then(|r| self.racks.list.get_mut(&r)) {
+                rack.held_up(tasks, services);
+            }
+        } else {
+            self.deletes.insert(m);
+        }
+    }
+
+    /// The cloud said that these machines are gone, with all that was on them.
+    pub fn on_deleted(&mut self, machines: &[MachineIx]) {
+        for &m in machines {
+            self.deletes.remove(&m);
+            self.kept_no_more(m);
+            self.all_gone(m);
+            self.take_out(m);
+        }
+    }
+
+    /// A machine is no longer this shard's, and no value that is stored from now on names it.
+    pub(super) fn take_out(&mut self, m: MachineIx) {
+        let machine = self.machines.at_mut(m);
+        machine.phase = MachinePhase::Gone;
+        machine.deleting = false;
+        let rack = machine.rack.take();
+        self.recorded_or_gone(m);
+        if let Some(r) = rack {
+            if let Some(rack) = self.racks.list.get_mut(&r) {
+                rack.members.remove(&m);
+            }
+            self.rack_due(r);
+        }
+        self.machines.present.remove(&m);
+        self.machine_gone(m);
+    }
+
+    pub fn on_delete_failed(&mut self, machines: &[MachineIx]) {
+        for &m in machines {
+            self.machines.at_mut(m).deleting = false;
+        }
+    }
+
+    pub fn next_delete(&mut self) -> Option<CloudCall> {
+        let due: Vec<MachineIx> =
+            self.deletes.iter().copied().filter(|&m| !self.machines.at(m).deleting).take(MOST_DELETED).collect();
+        if due.is_empty() {
+            return None;
+        }
+        let names = due.iter().map(|&m| self.machines.at(m).name.to_string()).collect();
+        for &m in &due {
+            self.machines.at_mut(m).deleting = true;
+        }
+        Some(CloudCall::Delete(due, names))
+    }
+
+    pub fn on_rented(&mut self, l: &Launch, names: &[String], now: f64) {
+        self.launches.finished(&l.name);
+        for n in names {
+            self.machines.add(n, l.ty, l.zone, l.spot, now);
+        }
+        if names.len() < l.count {
+            self.refused(l, now);
+        } else {
+            self.launches.granted(l.ty, l.zone, l.spot);
+        }
+    }
+
+    /// No capacity, or not for all: this zone is preemptive for now.
+    pub fn refused(&mut self, l: &Launch, now: f64) {
+        self.launches.finished(&l.name);
+        self.launches.refused(l.ty, l.zone, l.spot, now);
+        if let (true, Some(p)) = (l.spot, self.pools.get_mut(&l.ty)) {
+            p.zones.failed(l.zone);
+        }
+    }
+
+    /// The cloud's list, which lags and may be older than the one before. `all`: whatever is not
+    /// known is to be taken in; where there are several cells it may be another's.
+    pub fn on_list(&mut self, list: &[ListedMachine], all: bool, now: f64) {
+        let mut listed = std::collections::HashSet::new();
+        for l in list {
+            let known = self.machines.find(&l.id);
+            let m = match known {
+                Some(m) => m,
+                None if !all => continue,
+                None => {
+                    let Some(ty) = self.types.names.find(&l.type_name) else { continue };
+                    let zone = self.types.zones.intern(&l.zone);
+                    log::info!("machine {} was not expected: adopted from the list", l.id);
+                    self.machines.add(&l.id, ty, zone, l.spot, now - l.age_s - self.list_lag_s)
+                }
+            };
+            listed.insert(m);
+            let machine = self.machines.at_mut(m);
+            machine.listed = true;
+            machine.missing = 0;
+            // A successor does not know how old a machine is that it found recorded: until it
+            // counted it from the cloud's word, every takeover kept what was not needed for
+            // another minute, hundreds of machines of it.
+            machine.born = machine.born.min(now - l.age_s);
+            if machine.addr.is_none() {
+                machine.addr = l.addr.parse().ok();
+            }
+            if l.state == ListedState::Failed {
+                self.retire(m);
+            }
+        }
+        let missing: Vec<MachineIx> =
+            self.machines.iter().filter(|(i, m)| m.listed && !listed.contains(i)).map(|(i, _)| i).collect();
+        for i in missing {
+            let m = self.machines.at_mut(i);
+            m.missing += 1;
+            // Gone from two lists and silent: a deletion says for certain that it is gone.
+            if m.missing >= 2 && now - m.last_heard > self.report_s * REPORT_SPREAD + 0.5 {
+                self.retire(i);
+            }
+        }
+    }
+
+    pub(super) fn rent(&mut self, ty: TypeIx, spot: bool, short: usize, now: f64) {
+        let zones = self.types.zones.len();
+        let mut current = self.launches.pending_in(spot, zones);
+        for (_, m) in self.machines.iter().filter(|(_, m)| m.ty == ty && m.spot == spot && staying(m, now)) {
+            current[m.zone.ix()] += 1;
+        }
+        let mut asked: BTreeMap<ZoneIx, usize> = BTreeMap::new();
+        let t = self.types.get(ty);
+        let price = if spot { t.spot_price } else { t.price };
+        let offered: Vec<ZoneIx> = t.zones.iter().filter_map(|z| self.types.zones.find(z)).collect();
+        let all = crate::fleet::zones::ZoneLists::new(offered.iter().copied());
+        let Some(pool) = self.pools.get(&ty) else { return };
+        // On-demand machines go to the zone with the fewest, whatever the lists say.
+        let lists = if spot { &pool.zones } else { &all };
+        for _ in 0..short {
+            let usable = |z: ZoneIx| offered.contains(&z) && self.launches.may_ask(ty, z, spot, now);
+            let Some(z) = lists.choose(|_| price, &current, usable) else { break };
+            current[z.ix()] += 1;
+            *asked.entry(z).or_default() += 1;
+        }
+        for (z, n) in asked {
+            let l = self.launches.ask(ty, z, spot, n);
+            log::info!(
+                "renting {} {} machines in zone {}",
+                l.count,
+                if spot { "spot" } else { "on-demand" },
+                self.types.zones.name(z)
+            );
+        }
+    }
+}
--- a/crates/scheduler/src/shard/mod.rs
+++ b/crates/scheduler/src/shard/mod.rs
@@ -6,14 +6,17 @@
 
 mod bound;
 mod cell;
+mod cloud_calls;
 mod commands;
 mod compare;
 mod departed;
 mod elastic;
 mod faults;
 mod handing;
+mod hearing;
 mod judging;
 mod largest;
+mod moving_off;
 mod naming;
 mod pipelines;
 pub mod placement;
@@ -25,9 +28,11 @@
 mod sizing;
 mod starts;
 mod takeover;
+mod watching;
 mod writes;
 
 pub use cell::limits;
+pub use cloud_calls::CloudCall;
 pub use commands::{Direct, DirectSend};
 pub use elastic::{Told as ElasticTold, bound as elastic_bound};
 pub use judging::{Unfit, judge, type_fits};
@@ -35,7 +40,6 @@
 pub use recovery::{Found, job_of};
 pub use reports::Heard;
 pub use service::{ACCOUNTS_PREFIX, Prospect, handed};
-pub use sizing::CloudCall;
 pub use takeover::Loaded;
 pub use writes::{What, Write};
 
