--- /dev/null
+++ b/crates/scheduler/src/shard/writes/rack_values.rs
@@ -0,0 +1,127 @@
+//! The value of a rack: every machine of it with the jobs that it holds or may come to hold.
+
+use super::{Content, What, Write, sized};
+use crate::fleet::racks::{RackMachine, RackRecord, rack_key};
+use crate::fleet::{Held, HeldState, Phase as MachinePhase};
+use crate::intern::{JobIx, MachineIx, RackIx};
+use crate::jobs::TaskKey;
+use crate::shard::Shard;
+use std::collections::HashMap;
+
+impl Shard {
+    /// No machine is left in this rack.
+    pub(super) fn rack_gone(&mut self, r: RackIx) -> Option<Write> {
+        self.racks_due.remove(&r);
+        self.racks.list.remove(&r);
+        self.delete_write(rack_key(r))
+    }
+
+    /// The write of a rack's value. Until it is known which value stands, only what
+    /// both name counts as stored.
+    pub(super) fn rack_write(&mut self, r: RackIx) -> Option<Write> {
+        self.racks_due.remove(&r);
+        if let Some(rack) = self.racks.list.get_mut(&r) {
+            rack.being_written();
+        }
+        let (value, contents) = self.rack_value(r)?;
+        for (m, jobs, _) in &contents {
+            let machine = self.machines.at_mut(*m);
+            if machine.resolved() {
+                machine.stored_jobs.retain(|j| jobs.contains(j));
+            }
+        }
+        Some(self.put_sized(rack_key(r), What::Rack(r, contents), value))
+    }
+
+    /// The value of a rack, and what it says of each machine. The names of images are a
+    /// help and not a need: they give way to the jobs. So do, at last, starts that were
+    /// planned and can still wait: a value over the limit would never be stored.
+    fn rack_value(&mut self, r: RackIx) -> Option<((serde_json::Value, usize), Vec<Content>)> {
+        for (with_images, with_planned) in [(true, true), (false, true), (false, false)] {
+            if !with_planned {
+                self.put_off_planned(r);
+            }
+            let (record, contents) = self.rack_record(r, with_images)?;
+            let value = sized(&record)?;
+            let bytes = value.1;
+            let names: Vec<JobIx> = contents.iter().flat_map(|c| c.1.iter().copied()).collect();
+            self.racks.list.get_mut(&r)?.made(bytes.saturating_sub(record.image_bytes()), names.into_iter());
+            if bytes <= self.value_bytes {
+                return Some((value, contents));
+            }
+        }
+        // What stands must stay until it can be replaced: a machine alone with more jobs than
+        // a value can name waits until some of them are over; its old value names them all.
+        if self.racks.list.get(&r).is_some_and(|r| r.members.len() > 1) {
+            self.split_rack(r);
+        } else {
+            self.racks_due.insert(r);
+        }
+        None
+    }
+
+    fn put_off_planned(&mut self, r: RackIx) {
+        let members: Vec<MachineIx> = self.racks.list.get(&r).into_iter().flat_map(|r| r.members.clone()).collect();
+        for m in members {
+            let machine = self.machines.at(m);
+            let unnamed =
+                |(k, h): &(&TaskKey, &Held)| h.state == HeldState::Planned && !machine.stored_jobs.contains(&k.0);
+            let keys: Vec<TaskKey> = machine.tasks.iter().filter(unnamed).map(|(k, _)| *k).collect();
+            for k in keys {
+                self.release(m, k);
+                self.requeue(k);
+            }
+        }
+    }
+
+    /// Every machine with every job that it holds or may come to hold.
+    fn rack_record(&self, r: RackIx, with_images: bool) -> Option<(RackRecord, Vec<Content>)> {
+        let rack = self.racks.list.get(&r)?;
+        let mut record = RackRecord {
+            shard: 0,
+            type_name: self.types.names.name(rack.ty).to_string(),
+            zone: self.types.zones.name(rack.zone).to_string(),
+            spot: rack.spot,
+            ..RackRecord::default()
+        };
+        let mut contents = Vec::with_capacity(rack.members.len());
+        let (mut job_at, mut image_at) = (HashMap::new(), HashMap::new());
+        for &m in &rack.members {
+            let machine = self.machines.at(m);
+            let mut jobs: Vec<JobIx> = machine.tasks.keys().map(|k| k.0).collect();
+            if !machine.resolved() {
+                jobs.extend(machine.stored_jobs.iter().copied());
+            }
+            jobs.extend(machine.loose.keys().map(|k| k.0));
+            jobs.sort_unstable();
+            jobs.dedup();
+            let mut place = |j: &JobIx| {
+                *job_at.entry(*j).or_insert_with(|| {
+                    record.jobs.push(self.jobs.at(*j).id.to_string());
+                    record.jobs.len() as u32 - 1
+                })
+            };
+            let places = jobs.iter().map(&mut place).collect();
+            let ready = machine.images.iter().filter(|i| i.ready && with_images);
+            let images = ready
+                .map(|i| {
+                    *image_at.entry(i.image).or_insert_with(|| {
+                        record.images.push((self.jobs.images.name(i.image).to_string(), i.gb));
+                        record.images.len() as u32 - 1
+                    })
+                })
+                .collect();
+            let retiring = machine.phase == MachinePhase::Retiring;
+            record.machines.push(RackMachine {
+                machine: machine.name.to_string(),
+                addr: machine.addr.map(|a| a.to_string()).unwrap_or_default(),
+                retiring,
+                faulty: machine.faulty(),
+                jobs: places,
+                images,
+            });
+            contents.push((m, jobs, retiring));
+        }
+        Some((record, contents))
+    }
+}
