--- /dev/null
+++ b/crates/scheduler/src/fleet/machines.rs
@@ -0,0 +1,100 @@
+//! All machines, and which of them should hear from this owner first.
+
+use super::Machine;
+use crate::intern::{Index, MachineIx, Pages, TypeIx, ZoneIx};
+use std::collections::{BTreeSet, HashMap};
+use std::sync::Arc;
+
+/// All machines, by index; gone ones stay as names so that late news is recognised.
+#[derive(Debug, Default)]
+pub struct Machines {
+    pub list: Pages<MachineIx, Machine>,
+    by_name: HashMap<Arc<str>, MachineIx>,
+    pub present: BTreeSet<MachineIx>,
+    /// Machines that should hear from us directly: at hundreds of machines, looking
+    /// through all of them for each command took most of the time there is.
+    pub direct_due: BTreeSet<MachineIx>,
+    /// Those among them that go before all others, by rank.
+    direct_first: BTreeSet<(First, MachineIx)>,
+}
+
+/// Why a machine hears from us before others do.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum First {
+    /// Something of a job that was cancelled runs there, or may by its record.
+    Cancelled,
+    /// Its record names a job that is over, nobody knows how.
+    Over,
+}
+
+impl Machines {
+    pub fn at(&self, m: MachineIx) -> &Machine {
+        &self.list[m.ix()]
+    }
+
+    pub fn at_mut(&mut self, m: MachineIx) -> &mut Machine {
+        &mut self.list[m.ix()]
+    }
+
+    pub fn find(&self, name: &str) -> Option<MachineIx> {
+        self.by_name.get(name).copied()
+    }
+
+    /// A machine that may have been given back.
+    pub fn get_mut(&mut self, m: MachineIx) -> Option<&mut Machine> {
+        self.list.get_mut(m)
+    }
+
+    /// This machine should hear from us directly, before others do. A cancellation has
+    /// its time from when its user was told, whoever owns meanwhile: owners that ended within a
+    /// second, sixty in a row, each began with the same machines and never came to the one where
+    /// a cancelled task ran on.
+    pub fn direct_first(&mut self, m: MachineIx, why: First) {
+        self.direct_due.insert(m);
+        self.direct_first.insert((why, m));
+    }
+
+    /// The next machine that should hear from us directly, of those that may.
+    pub fn next_direct(&mut self, ready: impl Fn(&Machine) -> bool) -> Option<MachineIx> {
+        let first = self.direct_first.iter().copied().find(|f| ready(self.at(f.1)));
+        if let Some(f) = first {
+            self.direct_first.remove(&f);
+            return Some(f.1);
+        }
+        let m = self.direct_due.iter().copied().find(|&m| ready(self.at(m)))?;
+        self.direct_due.remove(&m);
+        Some(m)
+    }
+
+    /// A machine that is long gone leaves, with its name.
+    pub fn give_back(&mut self, m: MachineIx) {
+        self.direct_due.remove(&m);
+        self.direct_first.retain(|f| f.1 != m);
+        self.forget_name(m);
+        self.list.remove(m);
+    }
+
+    /// Whoever asks for this name finds it no more, unless it is another machine's by now.
+    pub fn forget_name(&mut self, m: MachineIx) {
+        if let Some(machine) = self.list.get(m)
+            && self.by_name.get(&machine.name) == Some(&m)
+        {
+            self.by_name.remove(&machine.name);
+        }
+    }
+
+    pub fn add(&mut self, name: &str, ty: TypeIx, zone: ZoneIx, spot: bool, now: f64) -> MachineIx {
+        if let Some(m) = self.find(name) {
+            return m;
+        }
+        let shared: Arc<str> = name.into();
+        let m = self.list.push(Machine::new(shared.clone(), ty, zone, spot, now));
+        self.by_name.insert(shared, m);
+        self.present.insert(m);
+        m
+    }
+
+    pub fn iter(&self) -> impl Iterator<Item = (MachineIx, &Machine)> {
+        self.present.iter().map(|&m| (m, self.at(m)))
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/fleet/types.rs
@@ -0,0 +1,36 @@
+//! The machine types and zones.
+
+use crate::intern::{Index, Names, TypeIx, ZoneIx};
+use crate::wire::MachineType;
+
+/// The machine types and zones, interned.
+#[derive(Debug, Default)]
+pub struct Types {
+    pub names: Names<TypeIx>,
+    pub list: Vec<MachineType>,
+    pub zones: Names<ZoneIx>,
+}
+
+impl Types {
+    pub fn update(&mut self, types: Vec<MachineType>) {
+        for t in types {
+            for z in &t.zones {
+                self.zones.intern(z);
+            }
+            let i = self.names.intern(&t.name);
+            if i.ix() < self.list.len() {
+                self.list[i.ix()] = t;
+            } else {
+                self.list.push(t);
+            }
+        }
+    }
+
+    pub fn get(&self, t: TypeIx) -> &MachineType {
+        &self.list[t.ix()]
+    }
+
+    pub fn known(&self) -> bool {
+        !self.list.is_empty()
+    }
+}
