--- a/src/answering.rs
+++ b/src/answering.rs
@@ -2,10 +2,10 @@
 //! moment. Decisions alone: `api` asks, and sends what comes out.
 
 use crate::http::Outgoing;
+use crate::job_status::{JobStatus, Lookup, status_of_item};
 use crate::jobs::{JobRecord, Phase};
 use crate::peer::Verb;
 use crate::shard::{Heard, Shown};
-use crate::told::{Told, Word, told_of_item};
 use crate::wire::{Item, JobAnswer, Redirect};
 
 /// The answer of whoever cannot or may not act.
@@ -14,33 +14,33 @@
 }
 
 /// A job as its user is told about it; `counts`: with how many tasks are done and running.
-pub fn job_answer(status: u16, id: &str, told: Told, counts: bool) -> Outgoing {
+pub fn job_answer(status: u16, id: &str, job: JobStatus, counts: bool) -> Outgoing {
     let count = |n| counts.then_some(n);
-    let answer = JobAnswer { id, state: told.state, done: count(told.done), running: count(told.running) };
+    let answer = JobAnswer { id, state: job.state, done: count(job.done), running: count(job.running) };
     Outgoing::json(status, &answer)
 }
 
 /// What is known of a job. What may yet change is sent only until `acts_until`, the end of this
 /// controller's lease if it owns the job; ends never change.
-fn known_answer(id: &str, told: Told, counts: bool, acts_until: Option<f64>) -> Outgoing {
-    let answer = job_answer(200, id, told, counts);
-    if told.is_final() { answer } else { answer.until(acts_until) }
+fn known_answer(id: &str, job: JobStatus, counts: bool, acts_until: Option<f64>) -> Outgoing {
+    let answer = job_answer(200, id, job, counts);
+    if job.is_final() { answer } else { answer.until(acts_until) }
 }
 
 /// The answer to a question or a cancellation.
-pub fn about_answer(verb: Verb, id: &str, word: Word, acts_until: Option<f64>) -> Outgoing {
-    match word {
-        Word::Known(told) => known_answer(id, told, verb == Verb::Show, acts_until),
-        Word::Absent => Outgoing::error(404, "no such job"),
-        Word::Unable => unable(),
+pub fn about_answer(verb: Verb, id: &str, lookup: Lookup, acts_until: Option<f64>) -> Outgoing {
+    match lookup {
+        Lookup::Known(job) => known_answer(id, job, verb == Verb::Show, acts_until),
+        Lookup::Absent => Outgoing::error(404, "no such job"),
+        Lookup::Unable => unable(),
     }
 }
 
 /// The answer to a submission of a job that was accepted before.
-pub fn resubmission_answer(id: &str, word: Word, acts_until: Option<f64>) -> Outgoing {
-    match word {
-        Word::Known(told) => known_answer(id, told, false, acts_until),
-        Word::Absent | Word::Unable => unable(),
+pub fn resubmission_answer(id: &str, lookup: Lookup, acts_until: Option<f64>) -> Outgoing {
+    match lookup {
+        Lookup::Known(job) => known_answer(id, job, false, acts_until),
+        Lookup::Absent | Lookup::Unable => unable(),
     }
 }
 
@@ -64,11 +64,11 @@
 
 /// What the owner tells of a job that it knows; none: not yet. A cancellation is confirmed only once it is
 /// stored, and until then there is nothing to say to it.
-pub fn owner_tells(verb: Verb, shown: Shown) -> Option<Told> {
+pub fn owner_tells(verb: Verb, shown: Shown) -> Option<JobStatus> {
     match shown {
         Shown::Told(state, done, running) => {
-            let told = Told { state, done, running };
-            (verb == Verb::Show || told.is_final()).then_some(told)
+            let job = JobStatus { state, done, running };
+            (verb == Verb::Show || job.is_final()).then_some(job)
         }
         Shown::Settling => None,
     }
@@ -78,11 +78,11 @@
 /// told of them, so that an open record was true when it was read, unless the job may be cancelled together
 /// with one that it needs: that is stored for the needed one first. A cancellation is confirmed by nobody
 /// who cannot store it.
-pub fn record_tells(verb: Verb, item: &Item) -> Word {
-    match told_of_item(item) {
-        Some(told) if told.is_final() => Word::Known(told),
-        Some(told) if verb == Verb::Show && !may_be_doomed(item) => Word::Known(told),
-        _ => Word::Unable,
+pub fn record_tells(verb: Verb, item: &Item) -> Lookup {
+    match status_of_item(item) {
+        Some(job) if job.is_final() => Lookup::Known(job),
+        Some(job) if verb == Verb::Show && !may_be_doomed(item) => Lookup::Known(job),
+        _ => Lookup::Unable,
     }
 }
 
--- a/src/answers.rs
+++ b/src/answers.rs
@@ -1,12 +1,12 @@
 //! What other controllers and operators are answered, by gRPC.
 
 use crate::clock;
+use crate::job_status::{Lookup, valid_id};
 use crate::node::{Cell, Node, Standing};
 use crate::peer::{
     JobAnswer, JobQuestion, MachineAnswer, MachineQuestion, Outcome, Owner, QuotaAnswer, QuotaQuestion, ServiceAnswer,
     ServiceQuestion,
 };
-use crate::told::{Word, valid_id};
 use lupinspur_accounts::{Reading, Told as ServiceTold};
 use lupinspur_cells::CellIx;
 use std::sync::Arc;
@@ -112,20 +112,20 @@
         }
         let verb = q.verb();
         let cell = self.cell(q.cell)?;
-        let word = match cell.standing(clock::now()) {
+        let lookup = match cell.standing(clock::now()) {
             Standing::Owner => cell.about_here(verb, &q.job).await,
-            _ => Word::Unable,
+            _ => Lookup::Unable,
         };
         let mut a = JobAnswer::default();
-        match word {
-            Word::Known(t) => {
+        match lookup {
+            Lookup::Known(t) => {
                 a.set_outcome(Outcome::Known);
                 a.state = t.state.as_str().to_owned();
                 a.done = t.done;
                 a.running = t.running;
             }
-            Word::Absent => a.set_outcome(Outcome::Unknown),
-            Word::Unable => a.set_outcome(Outcome::Unable),
+            Lookup::Absent => a.set_outcome(Outcome::Unknown),
+            Lookup::Unable => a.set_outcome(Outcome::Unable),
         }
         Ok(tonic::Response::new(a))
     }
--- a/src/api.rs
+++ b/src/api.rs
@@ -5,13 +5,13 @@
 };
 use crate::clock;
 use crate::http::{Incoming, Outgoing};
+use crate::job_status::{JobStatus, Lookup, status_of_item, valid_id};
 use crate::jobs::{JobRecord, RECORD_GROWS_BY, job_key};
 use crate::node::{Cell, Node, Place, Standing};
 use crate::peer::{JobAnswer as PeerAnswer, Outcome, Verb};
 use crate::reports::parse_report;
 use crate::shard::{Heard, Unfit, judge};
 use crate::state::{COMMIT_TIMEOUT, Commit, StateError, Turn};
-use crate::told::{Told, Word, told_of_item, valid_id};
 use crate::wire::{self, Change, Condition, JobRequest, JobState, Kind};
 use http_types::Method;
 use lupinspur_accounts::Reading;
@@ -146,17 +146,17 @@
                     return Outgoing::error(400, "job id is malformed");
                 }
                 let began = clock::now();
-                let word = self.about(verb, id).await;
-                if verb == Verb::Cancel && word != Word::Absent {
+                let lookup = self.about(verb, id).await;
+                if verb == Verb::Cancel && lookup != Lookup::Absent {
                     let job = |s: &mut crate::shard::Shard| s.whose(id);
                     // Elsewhere than at the owner nobody knows whose job it is.
                     let unknown = || ("(unknown)".to_owned(), "(unknown)".to_owned());
                     let here = self.knows_job(id, began).and_then(|c| c.with_shard(began, job).flatten());
                     let (class, team) = here.unwrap_or_else(unknown);
-                    self.note_answer(&class, &team, Reading::Cancelled, word != Word::Unable, began);
+                    self.note_answer(&class, &team, Reading::Cancelled, lookup != Lookup::Unable, began);
                 }
-                log::debug!("{verb:?} {id} is answered with {word:?}");
-                about_answer(verb, id, word, self.owner_acts_until(id))
+                log::debug!("{verb:?} {id} is answered with {lookup:?}");
+                about_answer(verb, id, lookup, self.owner_acts_until(id))
             }
         }
     }
@@ -198,8 +198,8 @@
         let id = job.id.clone();
         let began = clock::now();
         if let Some(cell) = self.knows_job(&id, began) {
-            let word = cell.about_here(Verb::Show, &id).await;
-            return resubmission_answer(&id, word, cell.acts_until());
+            let lookup = cell.about_here(Verb::Show, &id).await;
+            return resubmission_answer(&id, lookup, cell.acts_until());
         }
         if let Some(t) = self.final_known(&id) {
             return job_answer(200, &id, t, false);
@@ -246,7 +246,7 @@
                     if cell.as_ref().and_then(|c| c.with_shard(now, add)).flatten().is_some() {
                         self.wake();
                     }
-                    return job_answer(201, &id, Told { state: JobState::Queued, done: 0, running: 0 }, false);
+                    return job_answer(201, &id, JobStatus { state: JobState::Queued, done: 0, running: 0 }, false);
                 }
                 Ok(Commit::Failed(_)) => return self.accepted_before(&id).await,
                 // It may or may not be stored: the next try tells.
@@ -260,15 +260,15 @@
 
     /// The answer to a submission of a job that is stored.
     async fn accepted_before(&self, id: &str) -> Outgoing {
-        let mut word = self.about(Verb::Show, id).await;
-        if !matches!(word, Word::Known(_)) {
+        let mut lookup = self.about(Verb::Show, id).await;
+        if !matches!(lookup, Lookup::Known(_)) {
             // It is stored, and so accepted: what its record says was true after it was submitted again.
-            word = match self.state.get(&job_key(id), Turn::InTurn).await {
+            lookup = match self.state.get(&job_key(id), Turn::InTurn).await {
                 Ok(Some(item)) => record_tells(Verb::Show, &item),
-                _ => Word::Unable,
+                _ => Lookup::Unable,
             };
         }
-        resubmission_answer(id, word, self.owner_acts_until(id))
+        resubmission_answer(id, lookup, self.owner_acts_until(id))
     }
 
     /// A submission that can never run, unless it was accepted already: then a repetition
@@ -314,16 +314,16 @@
     }
 
     /// Shows or cancels a job, here if this is its owner, else by asking the owner.
-    pub async fn about(&self, verb: Verb, id: &str) -> Word {
+    pub async fn about(&self, verb: Verb, id: &str) -> Lookup {
         let cell = match self.place_of(id, turn(verb)).await {
             Place::In(c) => c,
-            Place::Told(w) => return w,
+            Place::Answered(w) => return w,
         };
-        let word = match cell.standing(clock::now()) {
+        let lookup = match cell.standing(clock::now()) {
             Standing::Owner => cell.about_here(verb, id).await,
             Standing::Other(node) => {
                 if let Some(t) = self.final_known(id) {
-                    return Word::Known(t);
+                    return Lookup::Known(t);
                 }
                 let limit = (verb == Verb::Cancel).then_some(Duration::from_millis(3500));
                 match self.peers.ask(&node, verb, (id, cell.ix.0), limit).await {
@@ -333,48 +333,48 @@
             }
             Standing::Nobody => self.about_stored(verb, id).await,
         };
-        if word == Word::Unable {
+        if lookup == Lookup::Unable {
             self.forget_cell(id);
         }
-        word
+        lookup
     }
 
-    fn heard_from_peer(&self, id: &str, a: &PeerAnswer) -> Word {
+    fn heard_from_peer(&self, id: &str, a: &PeerAnswer) -> Lookup {
         match (a.outcome(), JobState::parse(&a.state)) {
             (Outcome::Known, Some(state)) => {
-                let t = Told { state, done: a.done, running: a.running };
+                let t = JobStatus { state, done: a.done, running: a.running };
                 self.note_final(id, t);
-                Word::Known(t)
+                Lookup::Known(t)
             }
-            (Outcome::Unknown, _) => Word::Absent,
-            _ => Word::Unable,
+            (Outcome::Unknown, _) => Lookup::Absent,
+            _ => Lookup::Unable,
         }
     }
 
     /// Without the owner: what the record says. One that is open was open when it was read, which
     /// was after the question: ends are stored before anybody is told of them. Questions about open
     /// jobs once got no answer by nodes that could not reach the owner, for as long as that lasted.
-    async fn about_stored(&self, verb: Verb, id: &str) -> Word {
+    async fn about_stored(&self, verb: Verb, id: &str) -> Lookup {
         if let Some(t) = self.final_known(id) {
-            return Word::Known(t);
+            return Lookup::Known(t);
         }
         match self.state.get(&job_key(id), turn(verb)).await {
-            Ok(None) => Word::Absent,
+            Ok(None) => Lookup::Absent,
             Ok(Some(item)) => {
-                let word = record_tells(verb, &item);
-                if let Word::Known(told) = word {
+                let lookup = record_tells(verb, &item);
+                if let Lookup::Known(told) = lookup {
                     self.note_final(id, told);
                 }
-                word
+                lookup
             }
-            Err(_) => Word::Unable,
+            Err(_) => Lookup::Unable,
         }
     }
 }
 
 impl Cell {
     /// The owner's own answer.
-    pub async fn about_here(&self, verb: Verb, id: &str) -> Word {
+    pub async fn about_here(&self, verb: Verb, id: &str) -> Lookup {
         let began = clock::now();
         let mut looked = false;
         loop {
@@ -385,31 +385,31 @@
                 }
                 (s.token, s.show(id))
             });
-            let Some((token, seen)) = seen else { return Word::Unable };
+            let Some((token, seen)) = seen else { return Lookup::Unable };
             match seen {
                 Some(shown) => {
                     if let Some(told) = owner_tells(verb, shown) {
-                        return Word::Known(told);
+                        return Lookup::Known(told);
                     }
                     if now - began > if verb == Verb::Show { SETTLES_WITHIN_S } else { CANCELS_WITHIN_S } {
-                        return Word::Unable;
+                        return Lookup::Unable;
                     }
                     // A final state is told only once it is stored.
                     self.wake();
                     async_io::Timer::after(Duration::from_millis(10)).await;
                 }
-                None if looked => return Word::Unable,
+                None if looked => return Lookup::Unable,
                 None => {
                     if let Some(t) = self.final_known(id) {
-                        return Word::Known(t);
+                        return Lookup::Known(t);
                     }
                     match self.state.get(&job_key(id), turn(verb)).await {
-                        Ok(None) => return Word::Absent,
+                        Ok(None) => return Lookup::Absent,
                         // What is over need not be known here: its record says it all.
-                        Ok(Some(item)) => match told_of_item(&item) {
+                        Ok(Some(item)) => match status_of_item(&item) {
                             Some(t) if t.is_final() => {
                                 self.note_final(id, t);
-                                return Word::Known(t);
+                                return Lookup::Known(t);
                             }
                             _ => {
                                 // Another cell's is not taken in, and nothing can be said of it here.
@@ -417,7 +417,7 @@
                                 self.take_job(token, &item);
                             }
                         },
-                        Err(_) => return Word::Unable,
+                        Err(_) => return Lookup::Unable,
                     }
                 }
             }
--- a/src/told.rs
+++ b/src/job_status.rs
@@ -5,13 +5,13 @@
 
 /// A job as a user is told about it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Told {
+pub struct JobStatus {
     pub state: JobState,
     pub done: u64,
     pub running: u64,
 }
 
-impl Told {
+impl JobStatus {
     /// Ends never change: whoever has learnt of one may tell it for ever.
     pub fn is_final(&self) -> bool {
         matches!(self.state, JobState::Done | JobState::Cancelled)
@@ -20,8 +20,8 @@
 
 /// What can be said of a job by whoever was asked.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Word {
-    Known(Told),
+pub enum Lookup {
+    Known(JobStatus),
     /// The state service itself has no such job.
     Absent,
     Unable,
@@ -35,15 +35,15 @@
 /// What a stored record alone tells of a job. A repeated submission was once answered
 /// with "queued" because the record was there, whatever it said: the job had been
 /// called cancelled before.
-pub fn told_of_item(item: &Item) -> Option<Told> {
+pub fn status_of_item(item: &Item) -> Option<JobStatus> {
     let r: JobRecord = serde::Deserialize::deserialize(&item.value).ok()?;
-    Some(told_of(&r))
+    Some(status_of(&r))
 }
 
-pub fn told_of(r: &JobRecord) -> Told {
+pub fn status_of(r: &JobRecord) -> JobStatus {
     match r.phase {
-        Phase::Open => Told { state: JobState::Queued, done: 0, running: 0 },
-        Phase::Done => Told { state: JobState::Done, done: u64::from(r.job.tasks), running: 0 },
-        Phase::Cancelled => Told { state: JobState::Cancelled, done: 0, running: 0 },
+        Phase::Open => JobStatus { state: JobState::Queued, done: 0, running: 0 },
+        Phase::Done => JobStatus { state: JobState::Done, done: u64::from(r.job.tasks), running: 0 },
+        Phase::Cancelled => JobStatus { state: JobState::Cancelled, done: 0, running: 0 },
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod cloud;
 pub mod health;
 pub mod http;
+pub mod job_status;
 pub mod logging;
 pub mod node;
 pub mod peer;
@@ -18,7 +19,6 @@
 pub mod run;
 pub mod settings;
 pub mod state;
-pub mod told;
 pub mod tuning;
 pub mod worker;
 
--- a/src/node/loops.rs
+++ b/src/node/loops.rs
@@ -152,9 +152,9 @@
             ended = s.ends_of(&writes);
             s.on_applied(writes, revision, now);
         }
-        // Told from here on without the state service, when the shard has given them back.
+        // JobStatus from here on without the state service, when the shard has given them back.
         for (id, state, done) in ended {
-            self.note_final(&id, Told { state, done, running: 0 });
+            self.note_final(&id, JobStatus { state, done, running: 0 });
         }
         let _ = self.wakes.direct.0.try_send(());
         // What waited for a job that is stored as done may start.
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -15,13 +15,13 @@
 use crate::fleet::{FLEET_KEY, MACHINE_PREFIX};
 use crate::health::Health;
 use crate::intern::{Index, RackIx};
+use crate::job_status::{JobStatus, Lookup};
 use crate::jobs::{JOB_PREFIX, JobRecord, PART_PREFIX, PROGRESS_PREFIX, Phase};
 use crate::ownership::{AWAY_S, CLAIM_KEY, CLAIM_PREFIX, Claim, Next, Ownership, SeenClaim, TYPES_KEY, away_key};
 use crate::peer::Peers;
 use crate::settings::Settings;
 use crate::shard::{CloudCall, Counts, Found, Loaded, LoadedQuotas, Shard, job_of};
 use crate::state::{Commit, StateClient, StateError, TXN_BYTES, Turn};
-use crate::told::{Told, Word};
 use crate::tuning::Tuning;
 use crate::wire::{Change, Condition, Item, Kind, MachineType, RentRequest};
 use crate::worker::WorkerClient;
@@ -111,7 +111,7 @@
     job_cells: Mutex<LruCache<String, CellIx>>,
     machine_cells: Mutex<LruCache<String, CellIx>>,
     types: Mutex<Arc<Vec<MachineType>>>,
-    finals: Mutex<LruCache<String, Told>>,
+    finals: Mutex<LruCache<String, JobStatus>>,
     /// Jobs that this node has seen to be accepted: they stay so.
     accepted: Mutex<LruCache<String, Kind>>,
     /// What users were answered at this controller's door, by class and team.
@@ -278,11 +278,11 @@
     }
 
     /// Final states never change: any node may tell them once it has learnt them.
-    pub fn final_known(&self, id: &str) -> Option<Told> {
+    pub fn final_known(&self, id: &str) -> Option<JobStatus> {
         lock(&self.finals).get(id).copied()
     }
 
-    pub fn note_final(&self, id: &str, t: Told) {
+    pub fn note_final(&self, id: &str, t: JobStatus) {
         if t.is_final() {
             lock(&self.finals).put(id.to_owned(), t);
         }
--- a/src/node/routing.rs
+++ b/src/node/routing.rs
@@ -9,7 +9,7 @@
     /// This cell has it, or would have it.
     In(Arc<Cell>),
     /// What can be said without any cell.
-    Told(Word),
+    Answered(Lookup),
 }
 
 impl Node {
@@ -57,7 +57,7 @@
             return Place::In(c);
         }
         if let Some(t) = self.final_known(id) {
-            return Place::Told(Word::Known(t));
+            return Place::Answered(Lookup::Known(t));
         }
         if let Some(c) = self.knows_job(id, clock::now()) {
             return Place::In(c);
@@ -76,21 +76,21 @@
             }
         }
         match self.state.get(&crate::jobs::job_key(id), turn).await {
-            Ok(None) => Place::Told(Word::Absent),
+            Ok(None) => Place::Answered(Lookup::Absent),
             Ok(Some(item)) => match job_of(&item.key, &item.value) {
                 Ok(r) if r.phase == Phase::Open => {
                     let cell = self.cell_of_record(&r);
                     self.note_cell(id, cell);
-                    self.cell(cell).map_or(Place::Told(Word::Unable), Place::In)
+                    self.cell(cell).map_or(Place::Answered(Lookup::Unable), Place::In)
                 }
                 Ok(r) => {
-                    let told = crate::told::told_of(&r);
+                    let told = crate::job_status::status_of(&r);
                     self.note_final(id, told);
-                    Place::Told(Word::Known(told))
+                    Place::Answered(Lookup::Known(told))
                 }
-                Err(_) => Place::Told(Word::Unable),
+                Err(_) => Place::Answered(Lookup::Unable),
             },
-            Err(_) => Place::Told(Word::Unable),
+            Err(_) => Place::Answered(Lookup::Unable),
         }
     }
 
--- a/src/node/takeover.rs
+++ b/src/node/takeover.rs
@@ -109,7 +109,7 @@
                     now - began
                 );
                 for (r, _) in loaded.jobs.iter().filter(|(r, _)| r.phase != Phase::Open) {
-                    self.note_final(&r.job.id, crate::told::told_of(r));
+                    self.note_final(&r.job.id, crate::job_status::status_of(r));
                 }
                 let mut shard = Shard::new(
                     &self.settings.params(),
--- a/tests/answering.rs
+++ b/tests/answering.rs
@@ -2,15 +2,15 @@
 //! "cancelled" and a worker's lease rest.
 
 use lupinspur::answering::{about_answer, owner_tells, record_tells, report_answer, resubmission_answer};
+use lupinspur::job_status::{JobStatus, Lookup, status_of_item};
 use lupinspur::peer::Verb;
 use lupinspur::shard::{Heard, Shown};
-use lupinspur::told::{Told, Word, told_of_item};
 use lupinspur::wire::{Item, JobState, ReportReply};
 use serde_json::{Value, json};
 
 const ID: &str = "req-000001";
-const QUEUED: Told = Told { state: JobState::Queued, done: 0, running: 0 };
-const CANCELLED: Told = Told { state: JobState::Cancelled, done: 0, running: 0 };
+const QUEUED: JobStatus = JobStatus { state: JobState::Queued, done: 0, running: 0 };
+const CANCELLED: JobStatus = JobStatus { state: JobState::Cancelled, done: 0, running: 0 };
 /// The end of a lease, by the steady clock.
 const LEASE_ENDS: f64 = 12.5;
 
@@ -34,7 +34,7 @@
 /// the owner cannot be asked is answered by the record, and the record says how it ended.
 #[test]
 fn a_repeated_submission_hears_what_the_record_says() {
-    let told = |phase| told_of_item(&stored(phase, &[])).map(|t| t.state);
+    let told = |phase| status_of_item(&stored(phase, &[])).map(|t| t.state);
     assert_eq!(told("cancelled"), Some(JobState::Cancelled));
     assert_eq!(told("done"), Some(JobState::Done));
     assert_eq!(told("open"), Some(JobState::Queued));
@@ -45,16 +45,16 @@
 /// reads the open record afterwards would tell "queued" of a job that its user may know as cancelled.
 #[test]
 fn an_open_record_of_a_job_that_needs_others_tells_nothing() {
-    assert_eq!(record_tells(Verb::Show, &stored("open", &[])), Word::Known(QUEUED));
-    assert_eq!(record_tells(Verb::Show, &stored("open", &["req-000002"])), Word::Unable);
-    assert_eq!(record_tells(Verb::Show, &stored("cancelled", &["req-000002"])), Word::Known(CANCELLED));
+    assert_eq!(record_tells(Verb::Show, &stored("open", &[])), Lookup::Known(QUEUED));
+    assert_eq!(record_tells(Verb::Show, &stored("open", &["req-000002"])), Lookup::Unable);
+    assert_eq!(record_tells(Verb::Show, &stored("cancelled", &["req-000002"])), Lookup::Known(CANCELLED));
 }
 
 /// Who does not own the job can store no cancellation, and so confirms none; an end that is stored it tells.
 #[test]
 fn a_cancellation_is_not_answered_by_an_open_record() {
-    assert_eq!(record_tells(Verb::Cancel, &stored("open", &[])), Word::Unable);
-    assert_eq!(record_tells(Verb::Cancel, &stored("cancelled", &[])), Word::Known(CANCELLED));
+    assert_eq!(record_tells(Verb::Cancel, &stored("open", &[])), Lookup::Unable);
+    assert_eq!(record_tells(Verb::Cancel, &stored("cancelled", &[])), Lookup::Known(CANCELLED));
 }
 
 /// The owner confirms a cancellation once it is stored, and tells nothing while an end is being stored.
@@ -100,15 +100,15 @@
         assert_eq!((poll.status, submission.status), (200, 200));
         (poll.good_until, submission.good_until)
     };
-    assert_eq!(until(Word::Known(QUEUED)), (Some(LEASE_ENDS), Some(LEASE_ENDS)));
-    assert_eq!(until(Word::Known(CANCELLED)), (None, None), "an end never changes");
+    assert_eq!(until(Lookup::Known(QUEUED)), (Some(LEASE_ENDS), Some(LEASE_ENDS)));
+    assert_eq!(until(Lookup::Known(CANCELLED)), (None, None), "an end never changes");
 }
 
 /// 404 is the state service's own word; not being able to tell is 503, and an accepted job never gets 404
 /// when it is submitted again.
 #[test]
 fn only_an_absent_job_gets_404() {
-    assert_eq!(about_answer(Verb::Show, ID, Word::Absent, None).status, 404);
-    assert_eq!(about_answer(Verb::Show, ID, Word::Unable, None).status, 503);
-    assert_eq!(resubmission_answer(ID, Word::Absent, None).status, 503);
+    assert_eq!(about_answer(Verb::Show, ID, Lookup::Absent, None).status, 404);
+    assert_eq!(about_answer(Verb::Show, ID, Lookup::Unable, None).status, 503);
+    assert_eq!(resubmission_answer(ID, Lookup::Absent, None).status, 503);
 }
