Move: what people are told of quotas into shard/quotas/report

Rows, the summary and the reason why a job waits are in quotas/report.rs; published names stay where they were.

--- a/crates/scheduler/src/shard/quotas.rs
+++ b/crates/scheduler/src/shard/quotas/mod.rs
@@ -4,6 +4,10 @@
 //! higher generation stores that first, in as many values as it takes, and follows it from
 //! the write on that switches the head. One whose file is older follows what is stored.
 
+mod report;
+
+pub use report::{Row, Told};
+
 use super::{Shard, What, Write};
 use crate::fleet::HeldState;
 use crate::intern::{Index, JobIx, MachineIx, TeamIx};
@@ -12,11 +16,7 @@
 use lupinspur_quota as quota;
 use quota::stored::{HEAD, Head, PREFIX, Part, generation_of, part_key};
 use quota::{Amount, Held, Ledger, LevelIx, Plan, TeamLimits, Tree};
-use serde::{Deserialize, Serialize};
-use std::collections::HashMap;
-
-/// Most levels that the summary line names.
-const MOST_IN_SUMMARY: usize = 8;
+use serde::Serialize;
 
 /// What the state service holds, and the operators' file.
 #[derive(Debug, Clone)]
@@ -43,34 +43,6 @@
     stored_parts: usize,
 }
 
-/// One level as people are told about it.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Row {
-    pub level: String,
-    pub depth: usize,
-    pub team: bool,
-    pub guarantee_cpus: f64,
-    pub limit_cpus: f64,
-    pub used_cpus: f64,
-    pub guarantee_gpus: f64,
-    pub limit_gpus: f64,
-    pub used_gpus: f64,
-    /// What others use of its guarantee, at the most, and what it uses beyond it.
-    pub lends_cpus: f64,
-    pub borrows_cpus: f64,
-    /// What its tasks that wait would take.
-    pub waits_cpus: f64,
-}
-
-/// Everything that a query is answered with.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Told {
-    pub generation: u64,
-    pub levels: Vec<Row>,
-    /// Why the job that was asked for waits, if it does.
-    pub job: Option<String>,
-}
-
 /// The settings' teams as a plan is checked against them.
 pub fn team_limits(teams: &[Team]) -> Vec<TeamLimits> {
     let limits = |t: &Team| TeamLimits {
@@ -153,11 +125,11 @@
 }
 
 /// What is wanted, counted against the limits of every level.
-pub(super) struct Demand(Ledger);
+pub(in crate::shard) struct Demand(Ledger);
 
 impl Demand {
     /// So many of these tasks may run beside what was taken before; they are taken.
-    pub(super) fn take(&mut self, job: &Job, n: f64) -> f64 {
+    pub(in crate::shard) fn take(&mut self, job: &Job, n: f64) -> f64 {
         let (team, need) = (of_team(job.team), need_of(job));
         let n = n.min(self.0.room(team, need));
         self.0.count(team, need.times(n));
@@ -166,12 +138,12 @@
 }
 
 impl Shard {
-    pub(super) fn quota_demand(&self) -> Option<Demand> {
+    pub(in crate::shard) fn quota_demand(&self) -> Option<Demand> {
         self.quotas.as_ref().map(|q| Demand(q.ledger.empty()))
     }
 
     /// One task's use begins (1) or ends (-1) at every level above it.
-    pub(super) fn count_quota(&mut self, j: JobIx, sign: f64) {
+    pub(in crate::shard) fn count_quota(&mut self, j: JobIx, sign: f64) {
         let Some(q) = &mut self.quotas else { return };
         let job = self.jobs.at(j);
         q.ledger.count(of_team(job.team), need_of(job).times(sign));
@@ -216,7 +188,7 @@
     }
 
     /// The next write on the way to the file's tree.
-    pub(super) fn quota_write(&mut self) -> Option<Write> {
+    pub(in crate::shard) fn quota_write(&mut self) -> Option<Write> {
         let q = self.quotas.as_ref()?;
         let (plan, _, parts) = q.next.as_ref()?;
         let head = Head { generation: plan.generation, parts: parts.len() };
@@ -233,7 +205,7 @@
         }
     }
 
-    pub(super) fn quota_applied(&mut self, step: Step) {
+    pub(in crate::shard) fn quota_applied(&mut self, step: Step) {
         let Some(q) = &mut self.quotas else { return };
         match step {
             Step::Part(n) => q.stored_parts = n + 1,
@@ -259,7 +231,7 @@
 
     /// After a parent shrank: what is over its limit gives way. Each is told once; until its
     /// end is seen it counts, and nothing else is stopped in its place.
-    pub(super) fn quota_gives_way(&mut self) {
+    pub(in crate::shard) fn quota_gives_way(&mut self) {
         let Some(q) = &self.quotas else { return };
         if !self.writable || q.ledger.over().is_empty() {
             return;
@@ -345,79 +317,4 @@
             self.stop_gently(m, k);
         }
     }
-
-    /// What people are told: every level, and why a job waits.
-    pub fn quotas_told(&self, job: &str) -> Option<Told> {
-        let q = self.quotas.as_ref()?;
-        let tree = q.ledger.tree();
-        let mut waits: HashMap<LevelIx, f64> = HashMap::new();
-        for &j in &self.jobs.live {
-            let job = self.jobs.at(j);
-            let n = if job.open() { job.unfinished().saturating_sub(job.held) } else { 0 };
-            for l in tree.path(of_team(job.team)) {
-                *waits.entry(*l).or_default() += f64::from(n) * job.spec.cpus;
-            }
-        }
-        let row = |(i, l): (usize, &quota::Level)| {
-            let ix = LevelIx(i as u32);
-            let used = q.ledger.used(ix);
-            Row {
-                level: if l.name.is_empty() { "(all)".into() } else { l.name.clone() },
-                depth: if l.name.is_empty() { 0 } else { l.name.matches('.').count() + 1 },
-                team: l.team.is_some(),
-                guarantee_cpus: l.guarantee.cpus,
-                limit_cpus: l.limit.cpus,
-                used_cpus: used.cpus,
-                guarantee_gpus: l.guarantee.gpus,
-                limit_gpus: l.limit.gpus,
-                used_gpus: used.gpus,
-                lends_cpus: (l.guarantee.cpus - used.cpus).max(0.0),
-                borrows_cpus: (used.cpus - l.guarantee.cpus).max(0.0),
-                waits_cpus: waits.get(&ix).copied().unwrap_or(0.0),
-            }
-        };
-        let mut levels: Vec<Row> = tree.levels.iter().enumerate().map(row).collect();
-        levels.sort_by(|a, b| (a.depth > 0).cmp(&(b.depth > 0)).then(a.level.cmp(&b.level)));
-        let job = (!job.is_empty()).then(|| self.why_waits(job));
-        Some(Told { generation: tree.generation, levels, job })
-    }
-
-    /// For operators' summary line: the levels below the whole that use anything, as they stand.
-    pub(super) fn quotas_summary(&self) -> String {
-        let Some(q) = &self.quotas else { return String::new() };
-        let tree = q.ledger.tree();
-        let top = tree.levels.iter().enumerate().filter(|(_, l)| l.parent == Some(quota::tree::WHOLE));
-        let used = |(i, l): (usize, &quota::Level)| {
-            let used = q.ledger.used(LevelIx(i as u32)).cpus;
-            (used > 0.0).then(|| format!("{} {used:.0}/{:.0}/{:.0}", l.name, l.guarantee.cpus, l.limit.cpus))
-        };
-        let told: Vec<String> = top.filter_map(used).take(MOST_IN_SUMMARY).collect();
-        format!("; quotas {} used/guaranteed/limit: {}", tree.generation, told.join(", "))
-    }
-
-    fn why_waits(&self, id: &str) -> String {
-        let (Some(j), Some(q)) = (self.jobs.find(id), self.quotas.as_ref()) else { return "no such job here".into() };
-        let job = self.jobs.at(j);
-        if !job.open() {
-            return "it is over".into();
-        }
-        if self.graph.waits(j) {
-            return "it waits for jobs that it needs".into();
-        }
-        if job.unfinished() <= job.held {
-            return "it does not wait".into();
-        }
-        if !q.in_force {
-            return "the quotas are being stored".into();
-        }
-        let need = need_of(job);
-        match q.ledger.may_start(of_team(job.team), need) {
-            Err(l) => format!("{} is at its limit", q.ledger.tree().at(l).name),
-            Ok(()) if job.shadowed_by > 0 => "machines that may hold its tasks were not heard yet".into(),
-            Ok(()) => match q.ledger.standing(of_team(job.team), need).distance {
-                0 => "it is within its guarantee and waits for room".into(),
-                d => format!("it would borrow, from {d} levels up, and waits for room"),
-            },
-        }
-    }
 }
--- /dev/null
+++ b/crates/scheduler/src/shard/quotas/report.rs
@@ -0,0 +1,116 @@
+//! What people are told of quotas: every level, and why a job waits.
+
+use super::{need_of, of_team};
+use crate::shard::Shard;
+use lupinspur_quota as quota;
+use quota::LevelIx;
+use serde::{Deserialize, Serialize};
+use std::collections::HashMap;
+
+/// Most levels that the summary line names.
+const MOST_IN_SUMMARY: usize = 8;
+
+/// One level as people are told about it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Row {
+    pub level: String,
+    pub depth: usize,
+    pub team: bool,
+    pub guarantee_cpus: f64,
+    pub limit_cpus: f64,
+    pub used_cpus: f64,
+    pub guarantee_gpus: f64,
+    pub limit_gpus: f64,
+    pub used_gpus: f64,
+    /// What others use of its guarantee, at the most, and what it uses beyond it.
+    pub lends_cpus: f64,
+    pub borrows_cpus: f64,
+    /// What its tasks that wait would take.
+    pub waits_cpus: f64,
+}
+
+/// Everything that a query is answered with.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Told {
+    pub generation: u64,
+    pub levels: Vec<Row>,
+    /// Why the job that was asked for waits, if it does.
+    pub job: Option<String>,
+}
+
+impl Shard {
+    /// What people are told: every level, and why a job waits.
+    pub fn quotas_told(&self, job: &str) -> Option<Told> {
+        let q = self.quotas.as_ref()?;
+        let tree = q.ledger.tree();
+        let mut waits: HashMap<LevelIx, f64> = HashMap::new();
+        for &j in &self.jobs.live {
+            let job = self.jobs.at(j);
+            let n = if job.open() { job.unfinished().saturating_sub(job.held) } else { 0 };
+            for l in tree.path(of_team(job.team)) {
+                *waits.entry(*l).or_default() += f64::from(n) * job.spec.cpus;
+            }
+        }
+        let row = |(i, l): (usize, &quota::Level)| {
+            let ix = LevelIx(i as u32);
+            let used = q.ledger.used(ix);
+            Row {
+                level: if l.name.is_empty() { "(all)".into() } else { l.name.clone() },
+                depth: if l.name.is_empty() { 0 } else { l.name.matches('.').count() + 1 },
+                team: l.team.is_some(),
+                guarantee_cpus: l.guarantee.cpus,
+                limit_cpus: l.limit.cpus,
+                used_cpus: used.cpus,
+                guarantee_gpus: l.guarantee.gpus,
+                limit_gpus: l.limit.gpus,
+                used_gpus: used.gpus,
+                lends_cpus: (l.guarantee.cpus - used.cpus).max(0.0),
+                borrows_cpus: (used.cpus - l.guarantee.cpus).max(0.0),
+                waits_cpus: waits.get(&ix).copied().unwrap_or(0.0),
+            }
+        };
+        let mut levels: Vec<Row> = tree.levels.iter().enumerate().map(row).collect();
+        levels.sort_by(|a, b| (a.depth > 0).cmp(&(b.depth > 0)).then(a.level.cmp(&b.level)));
+        let job = (!job.is_empty()).then(|| self.why_waits(job));
+        Some(Told { generation: tree.generation, levels, job })
+    }
+
+    /// For operators' summary line: the levels below the whole that use anything, as they stand.
+    pub(in crate::shard) fn quotas_summary(&self) -> String {
+        let Some(q) = &self.quotas else { return String::new() };
+        let tree = q.ledger.tree();
+        let top = tree.levels.iter().enumerate().filter(|(_, l)| l.parent == Some(quota::tree::WHOLE));
+        let used = |(i, l): (usize, &quota::Level)| {
+            let used = q.ledger.used(LevelIx(i as u32)).cpus;
+            (used > 0.0).then(|| format!("{} {used:.0}/{:.0}/{:.0}", l.name, l.guarantee.cpus, l.limit.cpus))
+        };
+        let told: Vec<String> = top.filter_map(used).take(MOST_IN_SUMMARY).collect();
+        format!("; quotas {} used/guaranteed/limit: {}", tree.generation, told.join(", "))
+    }
+
+    fn why_waits(&self, id: &str) -> String {
+        let (Some(j), Some(q)) = (self.jobs.find(id), self.quotas.as_ref()) else { return "no such job here".into() };
+        let job = self.jobs.at(j);
+        if !job.open() {
+            return "it is over".into();
+        }
+        if self.graph.waits(j) {
+            return "it waits for jobs that it needs".into();
+        }
+        if job.unfinished() <= job.held {
+            return "it does not wait".into();
+        }
+        if !q.in_force {
+            return "the quotas are being stored".into();
+        }
+        let need = need_of(job);
+        match q.ledger.may_start(of_team(job.team), need) {
+            Err(l) => format!("{} is at its limit", q.ledger.tree().at(l).name),
+            Ok(()) if job.shadowed_by > 0 => "machines that may hold its tasks were not heard yet".into(),
+            Ok(()) => match q.ledger.standing(of_team(job.team), need).distance {
+                0 => "it is within its guarantee and waits for room".into(),
+                d => format!("it would borrow, from {d} levels up, and waits for room"),
+            },
+        }
+    }
+}
