--- a/crates/scheduler/src/shard/service.rs
+++ b/crates/scheduler/src/shard/service/mod.rs
@@ -2,6 +2,11 @@
 //!
 //! Times in the accounts are seconds of the day, by the steady clock since this owner began.
 
+mod arrivals;
+#[cfg(test)]
+mod tests;
+
+use self::arrivals::Arrivals;
 use super::{Shard, What, Write};
 use crate::fleet::Phase as MachinePhase;
 use crate::intern::{Index, JobIx, TeamIx};
@@ -42,44 +47,9 @@
 /// Of a type's usual time to boot, so much is enough for most machines.
 const BOOTS_WITHIN: f64 = 1.5;
 
-/// A pause in which nothing was accepted, so many times the usual and so many seconds at least,
-/// is one in which nobody could be reached: whoever is accepted in the seconds after it may have
-/// asked all the while.
-const PAUSE_TIMES: f64 = 8.0;
-const PAUSE_S: f64 = 4.0;
-const AFTER_PAUSE_S: f64 = 6.0;
-/// So many acceptances tell what is usual.
-const USUAL_AFTER: u32 = 10;
-
-/// When jobs were accepted, to tell pauses. Times are seconds of the day.
-#[derive(Debug, Default)]
-struct Arrivals {
-    seen: u32,
-    last: f64,
-    usual_s: f64,
-    pause_s: f64,
-    doubted_until: f64,
-}
-
-impl Arrivals {
-    /// How long before its acceptance this job's user may have asked first, in seconds. Jobs
-    /// come in the order of their acceptance, more or less.
-    fn take(&mut self, at: f64) -> f64 {
-        let gap = (at - self.last).max(0.0);
-        if self.seen >= USUAL_AFTER && gap > PAUSE_S.max(PAUSE_TIMES * self.usual_s) {
-            (self.pause_s, self.doubted_until) = (gap, at + AFTER_PAUSE_S);
-        } else if self.seen > 0 {
-            let part = 1.0 / f64::from(self.seen.min(50));
-            self.usual_s += (gap - self.usual_s) * part;
-        }
-        (self.seen, self.last) = (self.seen.saturating_add(1), self.last.max(at));
-        if at <= self.doubted_until && at >= self.doubted_until - AFTER_PAUSE_S { self.pause_s } else { 0.0 }
-    }
-}
-
 /// What stands between the shard and its accounts.
 #[derive(Debug, Default)]
-pub(super) struct Glue {
+pub(in crate::shard) struct Glue {
     /// Jobs whose time begins or that are over, not entered yet.
     due: Vec<JobIx>,
     looked_at: f64,
@@ -96,7 +66,7 @@
 }
 
 impl Glue {
-    pub(super) fn new(token: u64, now: f64) -> Glue {
+    pub(in crate::shard) fn new(token: u64, now: f64) -> Glue {
         Glue { chain: token, handed_at: now, ..Glue::default() }
     }
 }
@@ -142,7 +112,7 @@
 
     /// The next value of the accounts as the next owner finds them, if it is time. One that is
     /// not stored spoils its round; the one before stays whole.
-    pub(super) fn accounts_write(&mut self, spare: bool, now: f64) -> Option<Write> {
+    pub(in crate::shard) fn accounts_write(&mut self, spare: bool, now: f64) -> Option<Write> {
         let waited = now - self.accounts.handed_at;
         let due = waited >= if spare { HANDED_EVERY_S } else { HANDED_AT_LEAST_S };
         if due && self.accounts.to_send.is_empty() && self.gathered(now) {
@@ -162,7 +132,7 @@
         self.put(key, What::Accounts(part.round(), 1 - self.accounts.place.min(1)), &part)
     }
 
-    pub(super) fn accounts_applied(&mut self, round: u64, place: u8) {
+    pub(in crate::shard) fn accounts_applied(&mut self, round: u64, place: u8) {
         let glue = &mut self.accounts;
         if round == glue.round {
             glue.left = glue.left.saturating_sub(1);
@@ -178,7 +148,7 @@
     }
 
     /// A job's time begins, or it is over by its record: the next tick enters it.
-    pub(super) fn account_due(&mut self, j: JobIx) {
+    pub(in crate::shard) fn account_due(&mut self, j: JobIx) {
         if self.jobs.at(j).phase != Phase::Open || self.jobs.live.contains(&j) {
             self.accounts.due.push(j);
         }
@@ -186,7 +156,7 @@
 
     /// One that goes to another cell before it was entered: the next look would find it gone, and
     /// once ended the process.
-    pub(super) fn accounts_forget(&mut self, j: JobIx) {
+    pub(in crate::shard) fn accounts_forget(&mut self, j: JobIx) {
         self.accounts.due.retain(|d| *d != j);
     }
 
@@ -200,7 +170,7 @@
     }
 
     /// Tasks of a job that its team's limit lets run at one time.
-    pub(super) fn most_at_once(&self, job: &Job) -> u32 {
+    pub(in crate::shard) fn most_at_once(&self, job: &Job) -> u32 {
         let limit = self.teams[job.team.ix()].spec.cpus_max;
         if limit > 0.0 && job.spec.cpus > 0.0 { (limit / job.spec.cpus) as u32 } else { u32::MAX }
     }
@@ -254,7 +224,7 @@
     }
 
     /// The number of its tasks that run, or are done, has changed.
-    pub(super) fn account_runs(&mut self, j: JobIx, now: f64) {
+    pub(in crate::shard) fn account_runs(&mut self, j: JobIx, now: f64) {
         let t = self.account_now(now);
         let job = self.jobs.at(j);
         if let Some(ticket) = job.ticket {
@@ -262,7 +232,7 @@
         }
     }
 
-    pub(super) fn account_end(&mut self, j: JobIx, phase: Phase, now: f64) {
+    pub(in crate::shard) fn account_end(&mut self, j: JobIx, phase: Phase, now: f64) {
         let t = self.account_now(now);
         let job = self.jobs.at_mut(j);
         let ended = if job.ended_ms > 0 { job.ended_ms as f64 / 1000.0 } else { t };
@@ -272,7 +242,7 @@
     }
 
     /// Enters what is due, and looks now and then at who has sunk.
-    pub(super) fn keep_accounts(&mut self, now: f64) {
+    pub(in crate::shard) fn keep_accounts(&mut self, now: f64) {
         let mut due = std::mem::take(&mut self.accounts.due);
         due.sort_by_key(|j| self.jobs.at(*j).at_ms);
         for j in due {
@@ -366,7 +336,7 @@
     }
 
     /// For operators' summary line: the class and the team that are served least.
-    pub(super) fn service_summary(&self) -> String {
+    pub(in crate::shard) fn service_summary(&self) -> String {
         let t = self.account_now(self.ticked);
         let least = |side: Side, what: &str| {
             let l = self.book.lowest(side, t);
@@ -401,22 +371,3 @@
         }
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    /// Guards against waits that nobody saw: users whose submissions reached nobody for half a
-    /// minute seemed to be served at once.
-    #[test]
-    fn who_is_accepted_after_a_pause_may_have_asked_all_the_while() {
-        let mut a = Arrivals::default();
-        assert!((0..40).all(|i| a.take(1000.0 + f64::from(i) * 0.5) == 0.0));
-        assert_eq!(a.take(1050.0), 30.5);
-        assert_eq!(a.take(1053.0), 30.5);
-        assert_eq!(a.take(1019.0), 0.0, "of an earlier moment, by another clock");
-        assert_eq!(a.take(1056.5), 0.0);
-        let mut seldom = Arrivals::default();
-        assert!((0..40).all(|i| seldom.take(f64::from(i) * 7.0) == 0.0), "a job now and then");
-    }
-}
