--- /dev/null
+++ b/crates/scheduler/src/shard/summary.rs
@@ -0,0 +1,65 @@
+//! One line for operators now and then: what was done, and what stands.
+
+use super::Shard;
+use crate::fleet::{Machine, Phase as MachinePhase};
+use std::collections::BTreeMap;
+
+/// What this owner has done so far; operators see the differences in the log.
+#[derive(Debug, Default, Clone, Copy)]
+pub struct Counts {
+    pub reports: u64,
+    pub directs: u64,
+    pub starts: u64,
+    pub finals: u64,
+    pub racks: u64,
+    pub progress: u64,
+    pub checkpoint: u64,
+    pub other_writes: u64,
+}
+
+impl Shard {
+    /// One line for operators: what was done since `before`, and what stands now.
+    pub fn summary(&self, before: &Counts) -> String {
+        let c = &self.counts;
+        let waiting: u32 = self
+            .jobs
+            .live
+            .iter()
+            .map(|&j| self.jobs.at(j))
+            .filter(|j| j.open())
+            .map(|j| j.unfinished().saturating_sub(j.held))
+            .sum();
+        let up = |spot: bool, cordoned: bool| {
+            let up = |m: &Machine| m.phase == MachinePhase::Up && m.spot == spot && m.cordoned == cordoned;
+            self.machines.iter().filter(|(_, m)| up(m)).count()
+        };
+        let booting = self.machines.iter().filter(|(_, m)| m.phase == MachinePhase::Booting).count();
+        let unresolved = self.machines.iter().filter(|(_, m)| !m.resolved()).count();
+        let mut held = BTreeMap::new();
+        for (k, h) in self.machines.iter().flat_map(|(_, m)| &m.tasks) {
+            *held.entry(h.state).or_insert(0.0) += self.jobs.at(k.0).spec.cpus;
+        }
+        let mix = self.pools.values().next().map(|p| p.mix).unwrap_or_default();
+        format!(
+            "{} reports, {} direct, {} starts; writes: {} final, {} racks, {} progress, {} checkpoint, {} other; {} live jobs, \
+             {waiting} tasks wait; machines up {} spot and {} on-demand, {}+{} cordoned, {booting} boot, \
+             {unresolved} unresolved; cpus {held:.0?}; wanted {mix:?}{}{}{}",
+            c.reports - before.reports,
+            c.directs - before.directs,
+            c.starts - before.starts,
+            c.finals - before.finals,
+            c.racks - before.racks,
+            c.progress - before.progress,
+            c.checkpoint - before.checkpoint,
+            c.other_writes - before.other_writes,
+            self.jobs.live.len(),
+            up(true, false),
+            up(false, false),
+            up(true, true),
+            up(false, true),
+            self.quotas_summary(),
+            self.service_summary(),
+            self.elastic_summary(),
+        )
+    }
+}
