--- /dev/null
+++ b/crates/accounts/src/book/account.rs
@@ -0,0 +1,80 @@
+//! One account: the sums of what was asked for and served.
+
+use crate::window::{Share, Sums, TEN_MINUTES_S};
+use crate::{READINGS, Reading, Side};
+use hdrhistogram::Histogram;
+
+/// Waits are kept in milliseconds up to a day, to one part in a hundred.
+const MOST_WAIT_MS: u64 = 86_400_000;
+
+/// One account, dense, classes and teams apart.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct AccountIx(pub(super) u32);
+
+impl AccountIx {
+    pub(crate) fn of(i: usize) -> AccountIx {
+        AccountIx(i as u32)
+    }
+
+    pub fn ix(self) -> usize {
+        self.0 as usize
+    }
+}
+
+#[derive(Debug)]
+pub struct Account {
+    pub name: String,
+    pub side: Side,
+    pub(super) sums: [Sums; READINGS.len()],
+    /// Jobs of which a reading is not known, after a takeover.
+    pub unknown: [u64; READINGS.len()],
+    /// How long jobs waited until all their tasks were begun, in milliseconds.
+    pub waits: Histogram<u32>,
+    /// Replicas asked for and up, beyond the time that their class grants.
+    pub(super) replicas: Share,
+    since: f64,
+}
+
+impl Account {
+    pub(super) fn new(name: &str, side: Side, now: f64) -> Account {
+        let waits = Histogram::new_with_max(MOST_WAIT_MS, 2).unwrap_or_else(|_| {
+            // The bounds are constants for which the library has a histogram.
+            unreachable!("a histogram of a day in milliseconds")
+        });
+        Account {
+            name: name.to_owned(),
+            side,
+            sums: std::array::from_fn(|_| Sums::default()),
+            unknown: [0; READINGS.len()],
+            waits,
+            replicas: Share::default(),
+            since: now,
+        }
+    }
+
+    pub fn sums(&self, r: Reading) -> &Sums {
+        &self.sums[r as usize]
+    }
+
+    /// What an earlier owner counted in all, and in ten minutes.
+    pub(crate) fn carried(&mut self, r: Reading, all: Share, unknown: u64, ten: Share, as_of: f64, now: f64) {
+        let sums = &mut self.sums[r as usize];
+        sums.add_at(as_of - TEN_MINUTES_S / 2.0, now, ten.asked, ten.served);
+        sums.total.add(all.asked - ten.asked, all.served - ten.served);
+        self.unknown[r as usize] += unknown;
+    }
+
+    pub(super) fn add(&mut self, r: Reading, now: f64, asked: f64, served: f64) {
+        self.sums[r as usize].add(now, asked, served);
+    }
+
+    /// Brings the replica time up to now.
+    pub(super) fn integrate(&mut self, now: f64) {
+        let dt = now - self.since;
+        if dt > 0.0 && self.replicas.asked > 0.0 {
+            let Share { asked, served } = self.replicas;
+            self.add(Reading::Up, now, asked * dt, served.clamp(0.0, asked) * dt);
+        }
+        self.since = self.since.max(now);
+    }
+}
--- a/crates/accounts/src/book.rs
+++ b/crates/accounts/src/book/mod.rs
@@ -1,150 +1,17 @@
 //! The accounts, fed job by job.
 
+mod account;
+mod ticket;
+
+pub use account::{Account, AccountIx};
+pub use ticket::{Entry, Tasks, TicketIx};
+
 use crate::terms::Terms;
-use crate::window::{Share, Span, Sums, TEN_MINUTES_S};
-use crate::{MOST_CLASSES, MOST_LEVELS, MOST_TEAMS, OTHERS, READINGS, Reading, Side};
-use hdrhistogram::Histogram;
+use crate::window::{Share, Span};
+use crate::{MOST_CLASSES, MOST_LEVELS, MOST_TEAMS, OTHERS, Reading, Side};
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, HashSet};
-
-/// Waits are kept in milliseconds up to a day, to one part in a hundred.
-const MOST_WAIT_MS: u64 = 86_400_000;
-
-/// An open job in the book. Valid until [`Book::ended`].
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub struct TicketIx(u32);
-
-/// One account, dense, classes and teams apart.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub struct AccountIx(u32);
-
-impl AccountIx {
-    pub(crate) fn of(i: usize) -> AccountIx {
-        AccountIx(i as u32)
-    }
-
-    pub fn ix(self) -> usize {
-        self.0 as usize
-    }
-}
-
-/// A job as it enters the book. Times are seconds of the day.
-#[derive(Debug, Clone)]
-pub struct Entry<'a> {
-    pub class: &'a str,
-    pub team: &'a str,
-    pub service: bool,
-    /// Tasks that count: no more than its team's limit lets run at one time.
-    pub tasks: u32,
-    /// From when its times count, its deadline aside.
-    pub from: f64,
-    /// From when its wait counts, where that is later: a cluster that has only just begun has
-    /// nothing to start anything on.
-    pub waits_from: f64,
-    /// Its user may have asked long before it was accepted: whether it waited cannot be told
-    /// where its class is promised less than so many seconds.
-    pub may_have_waited_s: f64,
-    /// The submission, from which the deadline counts, and its deadline in seconds after it.
-    pub submitted: f64,
-    pub deadline_s: Option<f64>,
-    /// Whether all its tasks ran before this book was opened cannot be told.
-    pub may_have_started: bool,
-    /// Nothing is known of its replicas before this.
-    pub seen_from: f64,
-}
-
-/// How many of a job's tasks are how far.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-pub struct Tasks {
-    /// Their machines have taken the start: users' waits end here, though an image may have to
-    /// be fetched yet.
-    pub begun: u32,
-    /// They have their image and run.
-    pub running: u32,
-    pub done: u32,
-}
-
-#[derive(Debug)]
-pub struct Account {
-    pub name: String,
-    pub side: Side,
-    sums: [Sums; READINGS.len()],
-    /// Jobs of which a reading is not known, after a takeover.
-    pub unknown: [u64; READINGS.len()],
-    /// How long jobs waited until all their tasks were begun, in milliseconds.
-    pub waits: Histogram<u32>,
-    /// Replicas asked for and up, beyond the time that their class grants.
-    replicas: Share,
-    since: f64,
-}
-
-impl Account {
-    fn new(name: &str, side: Side, now: f64) -> Account {
-        let waits = Histogram::new_with_max(MOST_WAIT_MS, 2).unwrap_or_else(|_| {
-            // The bounds are constants for which the library has a histogram.
-            unreachable!("a histogram of a day in milliseconds")
-        });
-        Account {
-            name: name.to_owned(),
-            side,
-            sums: std::array::from_fn(|_| Sums::default()),
-            unknown: [0; READINGS.len()],
-            waits,
-            replicas: Share::default(),
-            since: now,
-        }
-    }
-
-    pub fn sums(&self, r: Reading) -> &Sums {
-        &self.sums[r as usize]
-    }
-
-    /// What an earlier owner counted in all, and in ten minutes.
-    pub(crate) fn carried(&mut self, r: Reading, all: Share, unknown: u64, ten: Share, as_of: f64, now: f64) {
-        let sums = &mut self.sums[r as usize];
-        sums.add_at(as_of - TEN_MINUTES_S / 2.0, now, ten.asked, ten.served);
-        sums.total.add(all.asked - ten.asked, all.served - ten.served);
-        self.unknown[r as usize] += unknown;
-    }
-
-    fn add(&mut self, r: Reading, now: f64, asked: f64, served: f64) {
-        self.sums[r as usize].add(now, asked, served);
-    }
-
-    /// Brings the replica time up to now.
-    fn integrate(&mut self, now: f64) {
-        let dt = now - self.since;
-        if dt > 0.0 && self.replicas.asked > 0.0 {
-            let Share { asked, served } = self.replicas;
-            self.add(Reading::Up, now, asked * dt, served.clamp(0.0, asked) * dt);
-        }
-        self.since = self.since.max(now);
-    }
-}
-
-#[derive(Debug)]
-struct Ticket {
-    accounts: [AccountIx; 2],
-    service: bool,
-    tasks: u32,
-    from: f64,
-    start_due: Option<f64>,
-    done_due: Option<f64>,
-    running: u32,
-    /// The most of its tasks that were begun or done, as long as a start was in time.
-    best: u32,
-    /// All of it was begun once, or that cannot be told.
-    waited: bool,
-    /// Its replicas count by now.
-    counted: bool,
-}
-
-impl Ticket {
-    /// Of its tasks, those that were begun in time.
-    fn begun(&self) -> f64 {
-        f64::from(self.best.min(self.tasks)) / f64::from(self.tasks.max(1))
-    }
-}
+use ticket::Ticket;
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Due {
