Move: published names parted by interface

wire/src/lib.rs had 584 lines: now paths, settings, users, workers, cloud and state, all of them exported where they were. Every line but imports and headings is as it was, checked by comparing the sorted lines of old and new.

--- /dev/null
+++ b/crates/wire/src/users.rs
@@ -0,0 +1,120 @@
+//! What users send and are answered.
+
+use lupinspur_elastic::Sizes;
+use serde::{Deserialize, Serialize};
+
+#[derive(Deserialize, Serialize, Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Kind {
+    #[serde(rename = "batch")]
+    Array,
+    #[serde(rename = "standing")]
+    Service,
+}
+
+#[derive(Deserialize, Serialize, Clone, Copy, PartialEq, Eq, Debug, PartialOrd, Ord)]
+pub enum Priority {
+    #[serde(rename = "critical")]
+    Production,
+    #[serde(rename = "urgent")]
+    High,
+    #[serde(rename = "standard")]
+    Normal,
+    #[serde(rename = "idle")]
+    Low,
+}
+
+#[derive(Deserialize, Serialize, Clone, Debug)]
+pub struct JobRequest {
+    pub id: String,
+    #[serde(rename = "breed")]
+    pub class: String,
+    #[serde(rename = "herd")]
+    pub team: String,
+    #[serde(rename = "habit")]
+    pub kind: Kind,
+    #[serde(rename = "precedence")]
+    pub priority: Priority,
+    #[serde(rename = "seeds")]
+    pub tasks: u32,
+    pub cpus: f64,
+    #[serde(rename = "cards")]
+    pub cards: f64,
+    pub memory_gb: f64,
+    #[serde(rename = "strains", default)]
+    pub types: Option<Vec<String>>,
+    #[serde(rename = "field", default)]
+    pub zone: Option<String>,
+    #[serde(rename = "same_place")]
+    pub one_zone: bool,
+    #[serde(rename = "scatter")]
+    pub spread: bool,
+    #[serde(rename = "fallow")]
+    pub spot: bool,
+    #[serde(rename = "bulb", default)]
+    pub image: Option<String>,
+    #[serde(rename = "pull_gb")]
+    pub image_gb: f64,
+    #[serde(rename = "expected_s")]
+    pub estimate_s: f64,
+    #[serde(rename = "pressing_s")]
+    pub checkpoint_s: f64,
+    #[serde(rename = "pressing_cost_s")]
+    pub save_s: f64,
+    #[serde(rename = "harvest_s", default)]
+    pub deadline_s: Option<f64>,
+    /// Jobs that must be done before any task of this one starts. Left out where there are
+    /// none, so that such a job's record is to the letter what earlier versions wrote.
+    #[serde(rename = "awaits", default, skip_serializing_if = "Option::is_none")]
+    pub needs: Option<Vec<String>>,
+    /// Tasks held at one time, where elastic jobs are enabled. Left out where there are none.
+    #[serde(rename = "elastic", default, skip_serializing_if = "Option::is_none")]
+    pub elastic: Option<Sizes>,
+}
+
+/// The field of a submission that is read only where elastic jobs are enabled.
+pub const ELASTIC_FIELD: &str = "elastic";
+
+impl JobRequest {
+    pub fn needs(&self) -> &[String] {
+        self.needs.as_deref().unwrap_or_default()
+    }
+}
+
+#[derive(Serialize, Deserialize, Clone, Copy, PartialEq, Eq, Debug)]
+#[serde(rename_all = "lowercase")]
+pub enum JobState {
+    Queued,
+    Running,
+    Done,
+    Cancelled,
+}
+
+impl JobState {
+    pub fn as_str(self) -> &'static str {
+        match self {
+            JobState::Queued => "queued",
+            JobState::Running => "running",
+            JobState::Done => "done",
+            JobState::Cancelled => "cancelled",
+        }
+    }
+    pub fn parse(s: &str) -> Option<JobState> {
+        [JobState::Queued, JobState::Running, JobState::Done, JobState::Cancelled].into_iter().find(|j| j.as_str() == s)
+    }
+}
+
+#[derive(Serialize)]
+pub struct JobAnswer<'a> {
+    pub id: &'a str,
+    #[serde(rename = "bloom")]
+    pub state: JobState,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub done: Option<u64>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub running: Option<u64>,
+}
+
+#[derive(Serialize)]
+pub struct ErrorAnswer<'a> {
+    pub error: &'a str,
+}
