Move: tests of traces parted into the world they play in, its events and tests by subject

It is a directory test target beside its traces now: world and words (the stand-in of the state service, what is said), events by subject, and tests by subject (golden, racks, placing, many_jobs, cells).

The files of code in the directory are left out when traces are played; every other file there still is one. An event that is not known still ends the test.

A wrong word that a rename had put into one answer was seen by golden::traces_are_as_they_were_judged and taken back.

--- /dev/null
+++ b/tests/traces/events/mod.rs
@@ -0,0 +1,26 @@
+//! What happens at a line of a trace, by subject.
+
+mod cloud;
+mod jobs;
+mod operators;
+mod owner;
+mod questions;
+mod stored;
+mod workers;
+mod writes;
+
+use crate::world::World;
+
+impl World {
+    pub fn event(&mut self, now: f64, what: &str, args: &[&str]) {
+        let known = self.owner_event(now, what, args)
+            || self.writes_event(now, what, args)
+            || self.jobs_event(now, what, args)
+            || self.workers_event(now, what, args)
+            || self.cloud_event(now, what, args)
+            || self.stored_event(what, args)
+            || self.operators_event(what, args)
+            || self.questions_event(now, what, args);
+        assert!(known, "unknown event {what}");
+    }
+}
