--- a/crates/model/src/controllers.rs
+++ b/crates/model/src/controllers.rs
@@ -39,6 +39,14 @@
     pub(crate) machine_cells: HashMap<String, usize>,
 }
 
+/// Machines that were rented under one name.
+#[derive(Clone)]
+pub(crate) struct Rental {
+    pub(crate) names: Vec<String>,
+    /// From then on whoever asks is answered.
+    pub(crate) answered_at: f64,
+}
+
 /// One cell's place in a controller.
 pub(crate) struct Held {
     pub(crate) own: Ownership,
@@ -239,8 +247,8 @@
     pub(crate) fn rent(&mut self, node: usize, token: u64, l: &lupinspur_scheduler::fleet::launch::Launch) {
         let now = self.now;
         let there = self.machines.iter().filter(|m| !m.gone).count();
-        let names = match self.rented.get(&l.name) {
-            Some(names) => names.clone(),
+        let rental = match self.rented.get(&l.name) {
+            Some(rental) => rental.clone(),
             None => {
                 let most = self.scenario.most_machines;
                 let n = l.count.min(usize::saturating_sub(most, there));
@@ -255,10 +263,16 @@
                         self.add_machine(l.zone.ix(), l.spot, now + boots)
                     })
                     .collect();
-                self.rented.insert(l.name.clone(), names.clone());
-                names
+                let rental = Rental { names, answered_at: self.rental_answered_at() };
+                self.rented.insert(l.name.clone(), rental.clone());
+                rental
             }
         };
+        if now < rental.answered_at {
+            return;
+        }
+        let names = rental.names;
+        self.misjudge_rented(node, token, &names);
         let Some(s) = self.nodes[node].shard_of(token) else { return };
         if names.is_empty() { s.refused(l, now) } else { s.on_rented(l, &names, now) }
     }
--- a/crates/model/src/machines.rs
+++ b/crates/model/src/machines.rs
@@ -171,6 +171,9 @@
             m.next_report = now + REPORT_S * (0.75 + self.rng.f64() * 0.5);
             let report = m.report(self.wrong);
             m.waits = Some((now, now + 4.0));
+            if self.wrong == Some(Wrong::RenewsBySending) {
+                m.renewed = now;
+            }
             let node = m.at;
             if now < m.mute || !self.linked(node, i) {
                 return;
--- a/crates/model/src/transactions.rs
+++ b/crates/model/src/transactions.rs
@@ -4,6 +4,7 @@
 use crate::between::{outer, outer_change};
 use crate::messages::Message;
 use crate::observer::SLOW_ANSWER_S;
+use crate::trouble::Wrong;
 use crate::world::World;
 use lupinspur_scheduler::jobs::job_key;
 use lupinspur_scheduler::shard::{What, Write};
@@ -163,12 +164,14 @@
         if owns && in_doubt && !self.reaches(node) {
             return self.send(RETRY_S, Message::CommitAnswer { commit, outcome });
         }
+        let never_looks_up = self.wrong == Some(Wrong::NeverLooksUp);
         let held = &mut self.nodes[node].cells[cell];
         held.commits = held.commits.saturating_sub(1);
         let Some(shard) = held.shard.as_mut().filter(|s| s.token == token) else { return };
         match outcome {
             CommitOutcome::Applied(revision) => shard.on_applied(commit.writes, revision, now),
             CommitOutcome::NotExecuted => shard.on_not_applied(commit.writes),
+            CommitOutcome::Failed | CommitOutcome::Unknown if never_looks_up => shard.on_not_applied(commit.writes),
             CommitOutcome::Failed | CommitOutcome::Unknown => {
                 for write in &commit.writes {
                     shard.on_version(&write.key, self.store.version(&outer(cell, &write.key)));
--- a/crates/model/src/trouble.rs
+++ b/crates/model/src/trouble.rs
@@ -77,9 +77,9 @@
     CloseLooks,
     /// Users submit jobs that cannot run or lack a field, cancel jobs that are done, and ask about unknown jobs.
     OddRequests,
-    /// Rented machines are up within two seconds.
+    /// Rented machines are up within two seconds, most of them before the answer to their rental comes.
     FastBoots,
-    /// Messages between controllers and machines take up to two seconds, and images ten seconds more.
+    /// Messages between controllers and machines take up to two seconds, and images up to ten seconds more.
     SlowLinks,
 }
 
@@ -222,4 +222,16 @@
     TakesOldReports,
     /// A task that failed passes for one that is done.
     ErrorsAreDone,
+    /// A machine's new session passes for the one before, and what ran in that for what runs on.
+    MissesRestarts,
+    /// A machine's lease is renewed by the sending of a report, whether an answer comes or not.
+    RenewsBySending,
+    /// A transaction without an answer passes for one that was not executed, and what it wrote is not read.
+    NeverLooksUp,
+    /// A late copy of a report to an earlier owner passes for a report to this one.
+    TakesOldTokens,
+    /// A machine passes for empty when the answer to its rental comes.
+    RentedAreEmpty,
+    /// A start without an answer passes for one that never arrives.
+    UnansweredNeverArrives,
 }
--- a/crates/model/src/world.rs
+++ b/crates/model/src/world.rs
@@ -1,7 +1,7 @@
 //! Everything there is, in virtual time.
 
 use crate::between::{LEDGER_KEY, Seen, put};
-use crate::controllers::Node;
+use crate::controllers::{Node, Rental};
 use crate::late_reports::LateReports;
 use crate::machines::Machine;
 use crate::messages::Message;
@@ -84,8 +84,8 @@
     pub(crate) state_troubles: StateTroubles,
     /// The controller that a trouble of the owner struck last.
     pub(crate) struck_owner: usize,
-    /// Rental names, and what they returned.
-    pub(crate) rented: HashMap<String, Vec<String>>,
+    /// Rentals by their names.
+    pub(crate) rented: HashMap<String, Rental>,
     pub(crate) trouble_until: f64,
     pub(crate) wrong: Option<Wrong>,
     pub(crate) broken: Option<String>,
--- a/crates/model/src/wrong_decisions.rs
+++ b/crates/model/src/wrong_decisions.rs
@@ -1,9 +1,10 @@
 //! Decisions of owners and machines that are wrong on purpose, by which the checks show that they see them.
 
+use crate::machines::Machine;
 use crate::trouble::Wrong;
 use crate::world::World;
-use lupinspur_scheduler::shard::{DirectSend, Shard};
-use lupinspur_wire::{Command, Op, Report};
+use lupinspur_scheduler::shard::{Direct, DirectSend, Shard};
+use lupinspur_wire::{Command, Op, Report, TaskReport, TaskState, Why};
 
 /// Part of every attempt that an owner makes up, so that none was used before.
 const MADE_UP_ATTEMPT: u64 = 1 << 50;
@@ -39,9 +40,16 @@
     }
 }
 
+/// As if the machine's session was over.
+fn empty_session_after(machine: &Machine) -> Report {
+    let mut end = machine.clone().report(None);
+    (end.session, end.tasks) = (end.session + 1, Vec::new());
+    end
+}
+
 impl World {
     /// A report, or a late copy of one, as the owner takes it.
-    pub(crate) fn misread(&self, mut report: Report, copy: bool) -> Report {
+    pub(crate) fn misread(&self, node: usize, mut report: Report, copy: bool) -> Report {
         let Some(machine) = self.by_name.get(&report.machine).map(|i| &self.machines[*i]) else { return report };
         match self.wrong {
             Some(Wrong::TakesOldReports) if copy => {
@@ -52,11 +60,67 @@
                 let asked = |task: &str| cancelled(task.split('/').next()?).filter(|t| *t <= self.now);
                 report.tasks.retain(|t| asked(&t.task).is_none());
             }
+            Some(Wrong::TakesOldTokens) if copy => {
+                let tokens = self.nodes[node].cells.iter().filter_map(|held| Some(held.shard.as_ref()?.token));
+                report.token = tokens.max().unwrap_or(report.token);
+            }
+            Some(Wrong::MissesRestarts) => self.miss_restart(node, &mut report),
             _ => {}
         }
         report
     }
 
+    /// Names the session that the owner knows, and what ran in it.
+    fn miss_restart(&self, node: usize, report: &mut Report) {
+        let shards = || self.nodes[node].cells.iter().filter_map(|held| held.shard.as_ref());
+        let known = |s: &'_ Shard| s.machines.find(&report.machine);
+        let Some((shard, machine)) = shards().find_map(|s| Some((s, s.machines.at(known(s)?)))) else { return };
+        if machine.session == 0 {
+            return;
+        }
+        report.session = machine.session;
+        let begun = machine.tasks.iter().filter(|(_, held)| held.state.begun());
+        for (key, held) in begun {
+            let task = format!("{}/{}", shard.jobs.at(key.0).id, key.1);
+            let (attempt, state, why) = (held.attempt, TaskState::Running, None);
+            if report.tasks.iter().all(|t| t.task != task) {
+                report.tasks.push(TaskReport { task, attempt, state, why, saved: None });
+            }
+        }
+    }
+
+    /// What becomes of direct commands, as their sender takes it.
+    pub(crate) fn misjudge_outcome(&mut self, node: usize, send: &DirectSend, outcome: Direct) -> Direct {
+        if self.wrong != Some(Wrong::UnansweredNeverArrives) || !matches!(outcome, Direct::Unknown) {
+            return outcome;
+        }
+        let Some(shard) = self.nodes[node].shard_of(send.body.token) else { return outcome };
+        let Some(i) = self.by_name.get(&*shard.machines.at(send.machine).name) else { return outcome };
+        let mut report = self.machines[*i].report(None);
+        for (key, attempt) in send.starts.iter().copied() {
+            let task = format!("{}/{}", shard.jobs.at(key.0).id, key.1);
+            report.tasks.retain(|t| t.task != task);
+            let (state, why) = (TaskState::Exited, Some(Why::Stopped));
+            report.tasks.push(TaskReport { task, attempt, state, why, saved: None });
+        }
+        Direct::Answered { executed: true, report: Some(report) }
+    }
+
+    /// What an owner makes up of machines whose rental has been answered.
+    pub(crate) fn misjudge_rented(&mut self, node: usize, token: u64, names: &[String]) {
+        if self.wrong != Some(Wrong::RentedAreEmpty) {
+            return;
+        }
+        let now = self.now;
+        let Some(shard) = self.nodes[node].shard_of(token) else { return };
+        for machine in names.iter().filter_map(|name| self.by_name.get(name)).map(|i| &self.machines[*i]) {
+            let known = shard.machines.find(&machine.name);
+            if known.is_some_and(|m| shard.machines.at(m).session == machine.session) {
+                _ = shard.on_report(&empty_session_after(machine), now);
+            }
+        }
+    }
+
     /// What an owner makes up of machines that it does not hear of.
     pub(crate) fn misjudge_silence(&mut self, node: usize, cell: usize) {
         if self.wrong != Some(Wrong::TakesSilenceForEnd) {
@@ -70,9 +134,7 @@
             let Some(machine) = self.by_name.get(&*known.name).map(|i| &self.machines[*i]) else { continue };
             let silent = now - known.own_report.max(known.session_since) > SILENT_S;
             if silent && known.session == machine.session {
-                let mut end = machine.clone().report(None);
-                (end.session, end.tasks) = (end.session + 1, Vec::new());
-                _ = shard.on_report(&end, now);
+                _ = shard.on_report(&empty_session_after(machine), now);
             }
         }
     }
