--- a/tests/loopback/main.rs
+++ b/tests/loopback/main.rs
@@ -5,6 +5,7 @@
 mod answers;
 mod answers_across_nodes;
 mod cancelled_at_refusal;
+mod cancelled_by_the_next;
 mod cancelled_in_takeovers;
 mod cells;
 mod cloud;
