--- a/tests/loopback/main.rs
+++ b/tests/loopback/main.rs
@@ -35,6 +35,7 @@
 mod settings;
 mod settings_file;
 mod several_cells;
+mod silent_machines;
 mod slow_state_service;
 mod standstill;
 mod state_service;
