Loopback: starts for sessions that ended while all controllers stood still count no more

Controllers that stand still over loopback showed only cancel-once-stored. Here a job takes all of its team's limit, its starts are held up, and it is cancelled; the controllers stand still until all workers have begun another session, and the same owner goes on with what it remembers (its claim lasts longer than the pause). The team's next job has to run.

--- a/tests/loopback/main.rs
+++ b/tests/loopback/main.rs
@@ -38,6 +38,7 @@
 mod silent_machines;
 mod slow_state_service;
 mod standstill;
+mod starts_of_ended_sessions;
 mod state_service;
 mod tasks_end_apart;
 mod team_limits;
