--- a/tests/loopback/main.rs
+++ b/tests/loopback/main.rs
@@ -5,6 +5,7 @@
 mod answers;
 mod answers_across_nodes;
 mod cancelled_at_refusal;
+mod cancelled_by_the_next;
 mod cancelled_in_takeovers;
 mod cells;
 mod cloud;
@@ -37,8 +38,10 @@
 mod settings;
 mod settings_file;
 mod several_cells;
+mod silent_machines;
 mod slow_state_service;
 mod standstill;
+mod starts_of_ended_sessions;
 mod state_service;
 mod tasks_end_apart;
 mod team_limits;
