Loopback: starts of a leader that ended or was deposed come after the next one has begun

The test that was there held all commands up for 6 s, so that it depended on how soon the next leader takes over. The new one keeps the starts until the next leader has answered every machine, also those that hear none of its answers, and has placed work of its own. Machines that hear it refuse the late starts; the others carry them out, and nothing of that may run elsewhere by then.

Ended and deposed take 15 s each. Without own-token-first both fail: tasks are started twice.

--- a/tests/loopback/main.rs
+++ b/tests/loopback/main.rs
@@ -36,6 +36,7 @@
 mod settings_file;
 mod slow_state_service;
 mod standstill;
+mod starts_of_former_leaders;
 mod state_service;
 mod tasks_end_apart;
 mod team_limits;
--- a/tests/loopback/workers.rs
+++ b/tests/loopback/workers.rs
@@ -56,6 +56,8 @@
     /// It says what it has to say, and nothing that is said to it arrives: in answers, in commands.
     pub deaf: bool,
     pub deaf_to_commands: bool,
+    /// Of each answer to its reports the connection breaks.
+    pub answers_break: bool,
     /// It reaches no controller, and commands reach it.
     pub mute: bool,
     /// Commands are executed so long after they came, and never answered.
@@ -113,6 +115,7 @@
             deleted: false,
             deaf: false,
             deaf_to_commands: false,
+            answers_break: false,
             mute: false,
             command_delay: Duration::ZERO,
             commands_held_up: 0,
@@ -243,8 +246,9 @@
         };
         let waits_in_vain = {
             let me = &lock(&all)[w];
-            let cut_off = me.starts == Starts::HeldUp && !starts_in(&reply).is_empty();
-            me.deaf.then_some(ANSWERED_WITHIN).or(cut_off.then_some(TRIED_AGAIN_AFTER))
+            let tells_starts = me.starts == Starts::HeldUp && !starts_in(&reply).is_empty();
+            let breaks = reply.is_object() && (me.answers_break || tells_starts);
+            me.deaf.then_some(ANSWERED_WITHIN).or(breaks.then_some(TRIED_AGAIN_AFTER))
         };
         if let Some(pause) = waits_in_vain {
             lock(&all)[w].drop_answer(&report, &reply);
