--- a/tests/loopback/main.rs
+++ b/tests/loopback/main.rs
@@ -42,6 +42,7 @@
 mod slow_state_service;
 mod standstill;
 mod starts_of_ended_sessions;
+mod starts_of_former_leaders;
 mod state_service;
 mod tasks_end_apart;
 mod team_limits;
