--- /dev/null
+++ b/src/api/lookup.rs
@@ -0,0 +1,128 @@
+//! Questions about jobs and cancellations: by the owner, by asking it, or by the stored record alone.
+
+use super::turn;
+use crate::answering::{owner_tells, record_tells};
+use crate::clock;
+use crate::job_status::{JobStatus, Lookup, status_of_item};
+use crate::jobs::job_key;
+use crate::node::{Cell, Node, Place, Standing};
+use crate::peer::{JobAnswer as PeerAnswer, Outcome, Verb};
+use crate::wire::JobState;
+use std::time::Duration;
+
+/// How long a question waits for a final state that is just being stored.
+const SETTLES_WITHIN_S: f64 = 0.9;
+const CANCELS_WITHIN_S: f64 = 3.2;
+
+impl Node {
+    /// Shows or cancels a job, here if this is its owner, else by asking the owner.
+    pub async fn about(&self, verb: Verb, id: &str) -> Lookup {
+        let cell = match self.place_of(id, turn(verb)).await {
+            Place::In(c) => c,
+            Place::Answered(w) => return w,
+        };
+        let lookup = match cell.standing(clock::now()) {
+            Standing::Owner => cell.about_here(verb, id).await,
+            Standing::Other(node) => {
+                if let Some(t) = self.final_known(id) {
+                    return Lookup::Known(t);
+                }
+                let limit = (verb == Verb::Cancel).then_some(Duration::from_millis(3500));
+                match self.peers.ask(&node, verb, (id, cell.ix.0), limit).await {
+                    Some(a) => self.heard_from_peer(id, &a),
+                    None => self.about_stored(verb, id).await,
+                }
+            }
+            Standing::Nobody => self.about_stored(verb, id).await,
+        };
+        if lookup == Lookup::Unable {
+            self.forget_cell(id);
+        }
+        lookup
+    }
+
+    fn heard_from_peer(&self, id: &str, a: &PeerAnswer) -> Lookup {
+        match (a.outcome(), JobState::parse(&a.state)) {
+            (Outcome::Known, Some(state)) => {
+                let t = JobStatus { state, done: a.done, running: a.running };
+                self.note_final(id, t);
+                Lookup::Known(t)
+            }
+            (Outcome::Unknown, _) => Lookup::Absent,
+            _ => Lookup::Unable,
+        }
+    }
+
+    /// Without the owner: what the record says. One that is open was open when it was read, which
+    /// was after the question: ends are stored before anybody is told of them. Questions about open
+    /// jobs once got no answer by nodes that could not reach the owner, for as long as that lasted.
+    async fn about_stored(&self, verb: Verb, id: &str) -> Lookup {
+        if let Some(t) = self.final_known(id) {
+            return Lookup::Known(t);
+        }
+        match self.state.get(&job_key(id), turn(verb)).await {
+            Ok(None) => Lookup::Absent,
+            Ok(Some(item)) => {
+                let lookup = record_tells(verb, &item);
+                if let Lookup::Known(told) = lookup {
+                    self.note_final(id, told);
+                }
+                lookup
+            }
+            Err(_) => Lookup::Unable,
+        }
+    }
+}
+
+impl Cell {
+    /// The owner's own answer.
+    pub async fn about_here(&self, verb: Verb, id: &str) -> Lookup {
+        let began = clock::now();
+        let mut looked = false;
+        loop {
+            let now = clock::now();
+            let seen = self.with_shard(now, |s| {
+                if verb == Verb::Cancel {
+                    s.cancel(id);
+                }
+                (s.token, s.show(id))
+            });
+            let Some((token, seen)) = seen else { return Lookup::Unable };
+            match seen {
+                Some(shown) => {
+                    if let Some(told) = owner_tells(verb, shown) {
+                        return Lookup::Known(told);
+                    }
+                    if now - began > if verb == Verb::Show { SETTLES_WITHIN_S } else { CANCELS_WITHIN_S } {
+                        return Lookup::Unable;
+                    }
+                    // A final state is told only once it is stored.
+                    self.wake();
+                    async_io::Timer::after(Duration::from_millis(10)).await;
+                }
+                None if looked => return Lookup::Unable,
+                None => {
+                    if let Some(t) = self.final_known(id) {
+                        return Lookup::Known(t);
+                    }
+                    match self.state.get(&job_key(id), turn(verb)).await {
+                        Ok(None) => return Lookup::Absent,
+                        // What is over need not be known here: its record says it all.
+                        Ok(Some(item)) => match status_of_item(&item) {
+                            Some(t) if t.is_final() => {
+                                self.note_final(id, t);
+                                return Lookup::Known(t);
+                            }
+                            _ => {
+                                // Another cell's is not taken in, and nothing can be said of it here.
+                                looked = true;
+                                self.take_job(token, &item);
+                            }
+                        },
+                        Err(_) => return Lookup::Unable,
+                    }
+                }
+            }
+        }
+    }
+}
--- a/src/api.rs
+++ b/src/api/submission.rs
@@ -1,19 +1,15 @@
-//! The users' door and the workers' reports: requests in, answers out.
+//! Submissions: read, judged, stored, and answered as before where they are repeated.
 
-use crate::answering::{
-    about_answer, job_answer, owner_tells, record_tells, report_answer, resubmission_answer, unable,
-};
+use crate::answering::{job_answer, record_tells, resubmission_answer, unable};
 use crate::clock;
-use crate::http::{Incoming, Outgoing};
-use crate::job_status::{JobStatus, Lookup, status_of_item, valid_id};
+use crate::http::Outgoing;
+use crate::job_status::{JobStatus, Lookup, valid_id};
 use crate::jobs::{JobRecord, RECORD_GROWS_BY, job_key};
-use crate::node::{Cell, Node, Place, Standing};
-use crate::peer::{JobAnswer as PeerAnswer, Outcome, Verb};
-use crate::reports::parse_report;
-use crate::shard::{Heard, Unfit, judge};
+use crate::node::Node;
+use crate::peer::Verb;
+use crate::shard::{Unfit, judge};
 use crate::state::{COMMIT_TIMEOUT, Commit, StateError, Turn};
 use crate::wire::{self, Change, Condition, JobRequest, JobState, Kind};
-use http_types::Method;
 use lupinspur_accounts::Reading;
 use lupinspur_elastic::Sizes;
 use std::time::Duration;
@@ -24,11 +20,7 @@
 /// conditional on the record's absence, so that it may be. The state service mostly answers within
 /// milliseconds, and sometimes takes a few hundred.
 const ACCEPT_FIRST_TIMEOUT: Duration = Duration::from_millis(350);
-/// How long a question waits for a final state that is just being stored.
-const SETTLES_WITHIN_S: f64 = 0.9;
-const CANCELS_WITHIN_S: f64 = 3.2;
 
-/// The sizes that a submission declares, if it does.
 fn sizes_of(v: &serde_json::Value) -> Result<Option<Sizes>, String> {
     let field = wire::ELASTIC_FIELD;
     if v.is_null() {
@@ -96,91 +88,8 @@
     CannotTell,
 }
 
-/// A poll comes again anyway; a cancellation is what its user waits for.
-fn turn(verb: Verb) -> Turn {
-    if verb == Verb::Show { Turn::Spare } else { Turn::InTurn }
-}
-
 impl Node {
-    /// Answers one request of a user, a worker or the load balancer.
-    pub async fn handle(&self, req: Incoming) -> Outgoing {
-        let path = req.path.as_str();
-        match (req.method, path) {
-            (Method::Post, wire::REPORT_PATH) => self.report(&req.body).await,
-            (Method::Get, wire::HEALTH_PATH) => {
-                if self.healthy() {
-                    Outgoing::json(200, &serde_json::json!({}))
-                } else {
-                    unable()
-                }
-            }
-            (Method::Post, wire::JOBS_PATH) => {
-                let began = clock::now();
-                let out = self.submit_counted(&req.body, began).await;
-                log::debug!(
-                    "a submission was answered with {} {} after {:.3} s",
-                    out.status,
-                    String::from_utf8_lossy(&out.body),
-                    clock::now() - began
-                );
-                out
-            }
-            (method, _) => {
-                let Some(rest) = path.strip_prefix(wire::JOBS_PATH).and_then(|p| p.strip_prefix('/')) else {
-                    let known = [wire::REPORT_PATH, wire::HEALTH_PATH, wire::JOBS_PATH].contains(&path);
-                    return if known {
-                        Outgoing::error(405, "method not allowed")
-                    } else {
-                        Outgoing::error(404, "no such path")
-                    };
-                };
-                let (id, verb, wanted) = match rest.split_once('/') {
-                    None => (rest, Verb::Show, Method::Get),
-                    Some((id, wire::CANCEL_END)) => (id, Verb::Cancel, Method::Post),
-                    Some(_) => return Outgoing::error(404, "no such path"),
-                };
-                if method != wanted {
-                    return Outgoing::error(405, "method not allowed");
-                }
-                if !valid_id(id) {
-                    return Outgoing::error(400, "job id is malformed");
-                }
-                let began = clock::now();
-                let lookup = self.about(verb, id).await;
-                if verb == Verb::Cancel && lookup != Lookup::Absent {
-                    let job = |s: &mut crate::shard::Shard| s.whose(id);
-                    // Elsewhere than at the owner nobody knows whose job it is.
-                    let unknown = || ("(unknown)".to_owned(), "(unknown)".to_owned());
-                    let here = self.knows_job(id, began).and_then(|c| c.with_shard(began, job).flatten());
-                    let (class, team) = here.unwrap_or_else(unknown);
-                    self.note_answer(&class, &team, Reading::Cancelled, lookup != Lookup::Unable, began);
-                }
-                log::debug!("{verb:?} {id} is answered with {lookup:?}");
-                about_answer(verb, id, lookup, self.owner_acts_until(id))
-            }
-        }
-    }
-
-    async fn report(&self, body: &[u8]) -> Outgoing {
-        let r = match parse_report(body) {
-            Ok(r) => r,
-            Err(why) => return Outgoing::error(400, &why),
-        };
-        let Some(cell) = self.cell_of_machine(&r.machine, r.token).await else { return unable() };
-        let now = clock::now();
-        let heard = cell.with_shard(now, |s| s.on_report(&r, now));
-        if matches!(heard, Some(Heard::Reply(_))) {
-            cell.wake();
-        }
-        report_answer(heard, cell.acts_until(), || cell.elsewhere(now))
-    }
-
-    /// The end of this controller's lease, if it owns this job.
-    fn owner_acts_until(&self, id: &str) -> Option<f64> {
-        self.knows_job(id, clock::now()).and_then(|c| c.acts_until())
-    }
-
-    async fn submit_counted(&self, body: &[u8], began: f64) -> Outgoing {
+    pub(super) async fn submit_counted(&self, body: &[u8], began: f64) -> Outgoing {
         let job = match parse_job(body, self.elastic.is_some()) {
             Ok(j) => j,
             Err(e) => return Outgoing::error(400, &e),
@@ -312,115 +221,4 @@
             Err(_) => Need::CannotTell,
         }
     }
-
-    /// Shows or cancels a job, here if this is its owner, else by asking the owner.
-    pub async fn about(&self, verb: Verb, id: &str) -> Lookup {
-        let cell = match self.place_of(id, turn(verb)).await {
-            Place::In(c) => c,
-            Place::Answered(w) => return w,
-        };
-        let lookup = match cell.standing(clock::now()) {
-            Standing::Owner => cell.about_here(verb, id).await,
-            Standing::Other(node) => {
-                if let Some(t) = self.final_known(id) {
-                    return Lookup::Known(t);
-                }
-                let limit = (verb == Verb::Cancel).then_some(Duration::from_millis(3500));
-                match self.peers.ask(&node, verb, (id, cell.ix.0), limit).await {
-                    Some(a) => self.heard_from_peer(id, &a),
-                    None => self.about_stored(verb, id).await,
-                }
-            }
-            Standing::Nobody => self.about_stored(verb, id).await,
-        };
-        if lookup == Lookup::Unable {
-            self.forget_cell(id);
-        }
-        lookup
-    }
-
-    fn heard_from_peer(&self, id: &str, a: &PeerAnswer) -> Lookup {
-        match (a.outcome(), JobState::parse(&a.state)) {
-            (Outcome::Known, Some(state)) => {
-                let t = JobStatus { state, done: a.done, running: a.running };
-                self.note_final(id, t);
-                Lookup::Known(t)
-            }
-            (Outcome::Unknown, _) => Lookup::Absent,
-            _ => Lookup::Unable,
-        }
-    }
-
-    /// Without the owner: what the record says. One that is open was open when it was read, which
-    /// was after the question: ends are stored before anybody is told of them. Questions about open
-    /// jobs once got no answer by nodes that could not reach the owner, for as long as that lasted.
-    async fn about_stored(&self, verb: Verb, id: &str) -> Lookup {
-        if let Some(t) = self.final_known(id) {
-            return Lookup::Known(t);
-        }
-        match self.state.get(&job_key(id), turn(verb)).await {
-            Ok(None) => Lookup::Absent,
-            Ok(Some(item)) => {
-                let lookup = record_tells(verb, &item);
-                if let Lookup::Known(told) = lookup {
-                    self.note_final(id, told);
-                }
-                lookup
-            }
-            Err(_) => Lookup::Unable,
-        }
-    }
-}
-
-impl Cell {
-    /// The owner's own answer.
-    pub async fn about_here(&self, verb: Verb, id: &str) -> Lookup {
-        let began = clock::now();
-        let mut looked = false;
-        loop {
-            let now = clock::now();
-            let seen = self.with_shard(now, |s| {
-                if verb == Verb::Cancel {
-                    s.cancel(id);
-                }
-                (s.token, s.show(id))
-            });
-            let Some((token, seen)) = seen else { return Lookup::Unable };
-            match seen {
-                Some(shown) => {
-                    if let Some(told) = owner_tells(verb, shown) {
-                        return Lookup::Known(told);
-                    }
-                    if now - began > if verb == Verb::Show { SETTLES_WITHIN_S } else { CANCELS_WITHIN_S } {
-                        return Lookup::Unable;
-                    }
-                    // A final state is told only once it is stored.
-                    self.wake();
-                    async_io::Timer::after(Duration::from_millis(10)).await;
-                }
-                None if looked => return Lookup::Unable,
-                None => {
-                    if let Some(t) = self.final_known(id) {
-                        return Lookup::Known(t);
-                    }
-                    match self.state.get(&job_key(id), turn(verb)).await {
-                        Ok(None) => return Lookup::Absent,
-                        // What is over need not be known here: its record says it all.
-                        Ok(Some(item)) => match status_of_item(&item) {
-                            Some(t) if t.is_final() => {
-                                self.note_final(id, t);
-                                return Lookup::Known(t);
-                            }
-                            _ => {
-                                // Another cell's is not taken in, and nothing can be said of it here.
-                                looked = true;
-                                self.take_job(token, &item);
-                            }
-                        },
-                        Err(_) => return Lookup::Unable,
-                    }
-                }
-            }
-        }
-    }
 }
--- /dev/null
+++ b/src/node/cell.rs
@@ -0,0 +1,145 @@
+//! One cell in this process: its claim, its shard while it is owned here, and its loops.
+
+use super::*;
+
+/// One owner's place in this process: its claim, its shard while it is owned here, its loops.
+/// Everything that the process has once it finds in its node.
+pub struct Cell {
+    pub(super) node: Arc<Node>,
+    pub ix: CellIx,
+    pub(super) claim_key: String,
+    pub(super) own: Mutex<Ownership>,
+    pub(super) shard: Mutex<Option<Shard>>,
+    pub(super) wakes: Wakes,
+    pub(super) claiming: AtomicBool,
+    pub(super) loading: AtomicBool,
+    /// A part of its share is on its way to another cell.
+    pub(super) giving: AtomicBool,
+    /// Another set of cells has taken its place: its loops end.
+    pub(super) closed: AtomicBool,
+    /// By which claim, and up to which revision, everything was read.
+    pub(super) read_at: Mutex<(u64, u64)>,
+    /// Cell 0, at the end of a merging: whatever the others had is its own.
+    pub(super) takes_all: AtomicBool,
+}
+
+impl std::ops::Deref for Cell {
+    type Target = Node;
+    fn deref(&self) -> &Node {
+        &self.node
+    }
+}
+
+/// Takes a job's record in. Knowing of it needs no right to act: what came while the lease was
+/// in doubt would be missing afterwards. One that is another cell's is not, or no longer, ours.
+pub(super) fn take_into(cell: &Cell, s: &mut Shard, item: &Item, now: f64) {
+    match job_of(&item.key, &item.value) {
+        Ok(r) if cell.concerns(&r) => _ = s.add_job(r, item.version, now),
+        Ok(r) => s.left(&r.job.id, now),
+        Err(e) => {
+            log::error!("{} {e}", item.key);
+            s.cannot_take_in(&item.key);
+        }
+    }
+}
+
+impl Cell {
+    pub(super) fn new(node: Arc<Node>, ix: CellIx, claim_key: String) -> Arc<Cell> {
+        let own = Ownership::new(node.me.clone(), node.tuning.claim_s);
+        Arc::new(Cell {
+            node,
+            ix,
+            claim_key,
+            own: Mutex::new(own),
+            shard: Mutex::new(None),
+            wakes: Wakes {
+                writer: async_channel::bounded(1),
+                direct: async_channel::bounded(1),
+                pace: async_channel::bounded(1),
+            },
+            claiming: AtomicBool::new(false),
+            loading: AtomicBool::new(false),
+            giving: AtomicBool::new(false),
+            closed: AtomicBool::new(false),
+            read_at: Mutex::default(),
+            takes_all: AtomicBool::new(false),
+        })
+    }
+
+    pub(super) fn begin(self: &Arc<Self>) {
+        let c = || self.clone();
+        EX.spawn(c().keep_types()).detach();
+        EX.spawn(c().keep_lease()).detach();
+        EX.spawn(c().ticks()).detach();
+        EX.spawn(c().writer()).detach();
+        EX.spawn(c().direct()).detach();
+        EX.spawn(c().rentals()).detach();
+        EX.spawn(c().deletions()).detach();
+        EX.spawn(c().lists()).detach();
+        EX.spawn(c().look_up_needs()).detach();
+        EX.spawn(c().look_around()).detach();
+    }
+
+    pub(super) fn open(&self) -> bool {
+        !self.closed.load(Ordering::Relaxed)
+    }
+
+    /// Lets `f` see the shard while this node surely owns it.
+    pub fn with_shard<T>(&self, now: f64, f: impl FnOnce(&mut Shard) -> T) -> Option<T> {
+        let token = lock(&self.own).may_act(now)?;
+        let mut guard = lock(&self.shard);
+        guard.as_mut().filter(|s| s.token == token).map(f)
+    }
+
+    pub fn standing(&self, now: f64) -> Standing {
+        let own = lock(&self.own);
+        if own.may_act(now).is_some() {
+            drop(own);
+            return if lock(&self.shard).is_some() { Standing::Owner } else { Standing::Nobody };
+        }
+        own.other_owner().map_or(Standing::Nobody, |n| Standing::Other(n.to_owned()))
+    }
+
+    /// Something may be there to place: the next tick comes soon.
+    pub fn wake(&self) {
+        let _ = self.wakes.pace.0.try_send(());
+    }
+
+    pub(super) fn carry_out(&self) {
+        let _ = self.wakes.writer.0.try_send(());
+        let _ = self.wakes.direct.0.try_send(());
+    }
+
+    /// A stored job that the shard did not know of yet. `token`: of the shard for which it was read. A later
+    /// one has read everything itself, after that: a job that is over need not be known to it, and would be
+    /// open again by an older record.
+    pub fn take_job(&self, token: u64, item: &Item) {
+        let now = clock::now();
+        if let Some(s) = lock(&self.shard).as_mut().filter(|s| s.token == token) {
+            take_into(self, s, item, now);
+        }
+        self.wake();
+    }
+
+    /// Until when what is made up now may be said.
+    pub fn acts_until(&self) -> Option<f64> {
+        lock(&self.own).acts_until()
+    }
+
+    /// How a report is answered that this controller cannot take. Who has not heard from the state
+    /// service for longer than a claim lasts does not know who owns: sent on to an owner that is
+    /// gone, a worker waits for 4 s and more, and may be sent back here.
+    pub fn elsewhere(&self, now: f64) -> Option<String> {
+        let known = now - *lock(&self.state_ok) < self.tuning.claim_s + WATCH_WAIT.as_secs_f64();
+        match self.standing(now) {
+            Standing::Other(node) if known => {
+                self.sent_on.fetch_add(1, Ordering::Relaxed);
+                Some(node)
+            }
+            _ => {
+                self.turned_away.fetch_add(1, Ordering::Relaxed);
+                None
+            }
+        }
+    }
+}
