Names: responses of machines, reports of quotas and of elastic jobs

In the scheduler: hearing (Heard, Hearing) is responses (Responses, FleetResponses), all_mute is most_unresponsive, the Told of quotas and of elastic jobs are QuotaReport and ElasticReport, quotas_told and elastic_told are quota_report and elastic_report. Names of fields, and so what is serialized, are as they were.

--- a/crates/scheduler/src/shard/elastic.rs
+++ b/crates/scheduler/src/shard/elastic.rs
@@ -26,7 +26,7 @@
 
 /// Everything that a query is answered with.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Told {
+pub struct ElasticReport {
     pub jobs: Vec<Row>,
     pub times: Times,
     /// The last shrinks, by task, with the seconds that each took.
@@ -190,7 +190,7 @@
     }
 
     /// What people are told: every elastic job, and the shrinks.
-    pub fn elastic_told(&self) -> Option<Told> {
+    pub fn elastic_report(&self) -> Option<ElasticReport> {
         let pool = self.elastic.as_ref()?;
         let row = |(j, s): (JobIx, Sizes)| {
             let job = self.jobs.get(j)?;
@@ -206,7 +206,12 @@
         let bound = timing(self.report_s, self.lease_s, self.tuning.claim_s, pool.plan()).bound();
         let named = |(k, took): (TaskKey, f64)| Some((format!("{}/{}", self.jobs.get(k.0)?.id, k.1), took));
         let recent = pool.recent().filter_map(named).collect();
-        Some(Told { jobs: pool.jobs().filter_map(row).take(MOST_ROWS).collect(), times: pool.times(), recent, bound })
+        Some(ElasticReport {
+            jobs: pool.jobs().filter_map(row).take(MOST_ROWS).collect(),
+            times: pool.times(),
+            recent,
+            bound,
+        })
     }
 
     /// For operators' summary line.
--- a/crates/scheduler/src/shard/mod.rs
+++ b/crates/scheduler/src/shard/mod.rs
@@ -13,7 +13,6 @@
 mod elastic;
 mod faults;
 mod handing;
-mod hearing;
 mod judging;
 mod largest;
 mod moving_off;
@@ -24,6 +23,7 @@
 mod recovery;
 mod reported_tasks;
 mod reports;
+mod responses;
 mod service;
 mod sizing;
 mod starts;
@@ -35,9 +35,9 @@
 pub use cell::limits;
 pub use cloud_calls::CloudCall;
 pub use commands::{Direct, DirectSend};
-pub use elastic::{Told as ElasticTold, bound as elastic_bound};
+pub use elastic::{ElasticReport, bound as elastic_bound};
 pub use judging::{Unfit, judge, type_fits};
-pub use quotas::{LoadedQuotas, Quotas, Row as QuotaRow, Told as QuotasTold, fits_values, team_limits};
+pub use quotas::{LoadedQuotas, QuotaReport, Quotas, Row as QuotaRow, fits_values, team_limits};
 pub use recovery::{Found, job_of};
 pub use reports::Heard;
 pub use service::{ACCOUNTS_PREFIX, Prospect, handed};
@@ -146,7 +146,7 @@
     /// task was started.
     stages: takeover::Stages,
     /// Most machines were asked whether they are there, and did not answer.
-    pub(crate) all_mute: bool,
+    pub(crate) most_unresponsive: bool,
     /// When all machines of a zone were last asked whether they are there.
     zones_asked: BTreeMap<ZoneIx, f64>,
     /// The time of day at the steady clock's zero, in milliseconds.
@@ -307,7 +307,7 @@
     pub fn deaf(&self, now: f64) -> bool {
         // Those that were asked because their reports are overdue say nothing, and nobody else
         // said anything just now either: that tells sooner than the last one's silence.
-        let limit = if self.all_mute { self.report_s / 2.0 + 1.0 } else { self.report_s * 1.25 + 2.0 };
+        let limit = if self.most_unresponsive { self.report_s / 2.0 + 1.0 } else { self.report_s * 1.25 + 2.0 };
         let mut known = 0;
         for (_, m) in self.machines.iter().filter(|(_, m)| m.phase == MachinePhase::Up) {
             known += 1;
--- a/crates/scheduler/src/shard/quotas/mod.rs
+++ b/crates/scheduler/src/shard/quotas/mod.rs
@@ -6,7 +6,7 @@
 
 mod report;
 
-pub use report::{Row, Told};
+pub use report::{QuotaReport, Row};
 
 use super::{Shard, What, Write};
 use crate::fleet::HeldState;
--- a/crates/scheduler/src/shard/quotas/report.rs
+++ b/crates/scheduler/src/shard/quotas/report.rs
@@ -31,7 +31,7 @@
 
 /// Everything that a query is answered with.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Told {
+pub struct QuotaReport {
     pub generation: u64,
     pub levels: Vec<Row>,
     /// Why the job that was asked for waits, if it does.
@@ -40,7 +40,7 @@
 
 impl Shard {
     /// What people are told: every level, and why a job waits.
-    pub fn quotas_told(&self, job: &str) -> Option<Told> {
+    pub fn quota_report(&self, job: &str) -> Option<QuotaReport> {
         let q = self.quotas.as_ref()?;
         let tree = q.ledger.tree();
         let mut waits: HashMap<LevelIx, f64> = HashMap::new();
@@ -72,7 +72,7 @@
         let mut levels: Vec<Row> = tree.levels.iter().enumerate().map(row).collect();
         levels.sort_by(|a, b| (a.depth > 0).cmp(&(b.depth > 0)).then(a.level.cmp(&b.level)));
         let job = (!job.is_empty()).then(|| self.why_waits(job));
-        Some(Told { generation: tree.generation, levels, job })
+        Some(QuotaReport { generation: tree.generation, levels, job })
     }
 
     /// For operators' summary line: the levels below the whole that use anything, as they stand.
--- a/crates/scheduler/src/shard/hearing.rs
+++ b/crates/scheduler/src/shard/responses.rs
@@ -21,18 +21,18 @@
 
 /// How many machines of some sort are up and were heard.
 #[derive(Debug, Clone, Copy, Default)]
-pub(super) struct Heard {
+pub(super) struct Responses {
     pub(super) up: usize,
     lately: usize,
     just_now: usize,
     /// Asked directly, without an answer.
     pub(super) unresponsive: usize,
-    /// Heard, and what we say does not reach them.
+    /// Responses, and what we say does not reach them.
     unreached: usize,
 }
 
-impl Heard {
-    fn add(&mut self, o: &Heard) {
+impl Responses {
+    fn add(&mut self, o: &Responses) {
         self.up += o.up;
         self.lately += o.lately;
         self.just_now += o.just_now;
@@ -40,8 +40,8 @@
         self.unreached += o.unreached;
     }
 
-    fn less(&self, o: &Heard) -> Heard {
-        Heard {
+    fn less(&self, o: &Responses) -> Responses {
+        Responses {
             up: self.up - o.up,
             lately: self.lately - o.lately,
             just_now: self.just_now - o.just_now,
@@ -70,15 +70,15 @@
 }
 
 /// What is heard of all machines, and of those of each zone.
-pub(super) struct Hearing {
-    whole: Heard,
-    pub(super) by_zone: BTreeMap<ZoneIx, Heard>,
+pub(super) struct FleetResponses {
+    whole: Responses,
+    pub(super) by_zone: BTreeMap<ZoneIx, Responses>,
     /// Did ticks come in time of late?
     pub(super) punctual: bool,
 }
 
-impl Hearing {
-    fn elsewhere(&self, zone: ZoneIx) -> Heard {
+impl FleetResponses {
+    fn elsewhere(&self, zone: ZoneIx) -> Responses {
         let here = self.by_zone.get(&zone).copied().unwrap_or_default();
         self.whole.less(&here)
     }
@@ -112,22 +112,22 @@
 }
 
 impl Shard {
-    pub(super) fn hearing(&self, now: f64) -> Hearing {
-        let mut whole = Heard::default();
-        let mut by_zone: BTreeMap<ZoneIx, Heard> = BTreeMap::new();
+    pub(super) fn responses(&self, now: f64) -> FleetResponses {
+        let mut whole = Responses::default();
+        let mut by_zone: BTreeMap<ZoneIx, Responses> = BTreeMap::new();
         for (_, m) in self.machines.iter().filter(|(_, m)| m.phase == Phase::Up) {
-            let one = self.heard_of(m, now);
+            let one = self.responses_of(m, now);
             whole.add(&one);
             by_zone.entry(m.zone).or_default().add(&one);
         }
-        Hearing { whole, by_zone, punctual: now - self.late_at > LATE_COUNTS_S }
+        FleetResponses { whole, by_zone, punctual: now - self.late_at > LATE_COUNTS_S }
     }
 
-    fn heard_of(&self, m: &Machine, now: f64) -> Heard {
+    fn responses_of(&self, m: &Machine, now: f64) -> Responses {
         let fresh_s = self.report_s / 2.0 + FRESH_EXTRA_S;
         // One that is recorded and was never heard by this owner tells nothing.
         let heard_within = |s: f64| usize::from(m.session > 0 && self.silence(m, now) < s);
-        Heard {
+        Responses {
             up: 1,
             lately: heard_within(self.report_s * REPORT_SPREAD + 1.0),
             just_now: heard_within(fresh_s),
--- a/crates/scheduler/src/shard/service/mod.rs
+++ b/crates/scheduler/src/shard/service/mod.rs
@@ -311,7 +311,7 @@
             }
         }
         // Where quotas nest, each level's use over time stands beside its teams'.
-        for l in self.quotas_told("").iter().flat_map(|q| &q.levels).filter(|l| !l.team && l.depth > 0) {
+        for l in self.quota_report("").iter().flat_map(|q| &q.levels).filter(|l| !l.team && l.depth > 0) {
             let asked = (l.used_cpus + l.waits_cpus).min(l.guarantee_cpus);
             if asked > 0.0 {
                 self.book.held(Side::Level, &l.level, asked * since, l.used_cpus * since, t);
--- a/crates/scheduler/src/shard/takeover.rs
+++ b/crates/scheduler/src/shard/takeover.rs
@@ -69,7 +69,7 @@
             resumed: now,
             late_at: f64::MIN,
             stages: Stages::default(),
-            all_mute: false,
+            most_unresponsive: false,
             zones_asked: BTreeMap::new(),
             fresh: loaded.machines.is_empty() && loaded.racks.is_empty(),
             day_ms: 0.0,
--- a/crates/scheduler/src/shard/watching.rs
+++ b/crates/scheduler/src/shard/watching.rs
@@ -2,7 +2,7 @@
 
 use super::Shard;
 use super::faults::KEPT_ASIDE_S;
-use super::hearing::Hearing;
+use super::responses::FleetResponses;
 use super::sizing::REPORT_SPREAD;
 use crate::fleet::{Phase as MachinePhase, UNHEEDED};
 use crate::intern::MachineIx;
@@ -28,17 +28,17 @@
 
     /// Leases that ran out, machines that fell silent, boots that take too long.
     pub(super) fn watch_machines(&mut self, now: f64) {
-        let hearing = self.hearing(now);
-        self.all_mute = hearing.most_unresponsive();
-        self.ask_suspect_zones(&hearing, now);
+        let responses = self.responses(now);
+        self.most_unresponsive = responses.most_unresponsive();
+        self.ask_suspect_zones(&responses, now);
         let all: Vec<MachineIx> = self.machines.present.iter().copied().collect();
         for i in all {
-            self.watch_machine(i, &hearing, now);
+            self.watch_machine(i, &responses, now);
         }
     }
 
-    fn ask_suspect_zones(&mut self, hearing: &Hearing, now: f64) {
-        for (&zone, h) in &hearing.by_zone {
+    fn ask_suspect_zones(&mut self, responses: &FleetResponses, now: f64) {
+        for (&zone, h) in &responses.by_zone {
             let asked = self.zones_asked.get(&zone).is_some_and(|t| now - t < self.report_s);
             if asked || !h.makes_the_rest_suspect() {
                 continue;
@@ -58,7 +58,7 @@
         }
     }
 
-    fn watch_machine(&mut self, i: MachineIx, hearing: &Hearing, now: f64) {
+    fn watch_machine(&mut self, i: MachineIx, responses: &FleetResponses, now: f64) {
         let m = self.machines.at(i);
         if !m.suspect && m.phase == MachinePhase::Up && self.silence(m, now) > self.overdue_s() {
             self.ask(i);
@@ -74,7 +74,7 @@
         self.replace_for_lost_start(i, now);
         match self.machines.at(i).phase {
             MachinePhase::Booting => self.watch_boot(i, now),
-            MachinePhase::Up => self.watch_up(i, hearing, now),
+            MachinePhase::Up => self.watch_up(i, responses, now),
             MachinePhase::Leaving | MachinePhase::Retiring | MachinePhase::Gone => {}
         }
     }
@@ -115,19 +115,19 @@
     }
 
     /// Gives a machine up that is lost, faulty or not needed any more.
-    fn watch_up(&mut self, i: MachineIx, hearing: &Hearing, now: f64) {
+    fn watch_up(&mut self, i: MachineIx, responses: &FleetResponses, now: f64) {
         let m = self.machines.at(i);
         let quiet = self.silence(m, now);
         let taken = m.notice_until.is_some_and(|t| now > t + 1.0)
-            && hearing.blames_machines(m.zone)
+            && responses.blames_machines(m.zone)
             && quiet > self.report_s * REPORT_SPREAD + 0.5;
-        let lost = self.is_lost(i, hearing, now);
-        // Heard, and neither answers nor commands reach it: only its deletion, or the
+        let lost = self.is_lost(i, responses, now);
+        // Responses, and neither answers nor commands reach it: only its deletion, or the
         // end of its session, tells that what runs there is gone.
         let never_heeds = m.unheeded >= UNHEEDED || m.lost_sessions > 1;
         let unreached = (never_heeds && m.suspect && m.unanswered >= UNREACHED_QUESTIONS || m.lost_sessions > 1)
-            && hearing.punctual
-            && hearing.heeded_around(m.zone);
+            && responses.punctual
+            && responses.heeded_around(m.zone);
         let aside = m.faulty() && now - m.aside_since > KEPT_ASIDE_S;
         let faulty = aside && m.tasks.is_empty() && m.resolved();
         let emptied = m.cordoned && m.is_empty() && m.resolved();
@@ -157,7 +157,7 @@
     /// One that does not answer when it is asked need not be waited for until a
     /// second report is overdue: what hangs or is cut off counts as down from its
     /// first moment, and was replaced after 11 to 18 s.
-    fn is_lost(&self, i: MachineIx, hearing: &Hearing, now: f64) -> bool {
+    fn is_lost(&self, i: MachineIx, responses: &FleetResponses, now: f64) -> bool {
         let m = self.machines.at(i);
         let quiet = self.silence(m, now);
         let zone_asked = self.zones_asked.get(&m.zone).is_some_and(|t| now - t < self.report_s);
@@ -170,8 +170,8 @@
             () => (self.overdue_s(), 1),
         };
         let unresponsive = m.suspect && m.unanswered >= questions && quiet > asked_s + ANSWERS_WITHIN_S;
-        quiet > self.silent_s() && hearing.blames_machines(m.zone)
-            || unresponsive && hearing.believes_unresponsive(m.zone)
+        quiet > self.silent_s() && responses.blames_machines(m.zone)
+            || unresponsive && responses.believes_unresponsive(m.zone)
             || quiet > stretched(self.lease_s) * 2.0
     }
 
--- a/src/answers.rs
+++ b/src/answers.rs
@@ -45,7 +45,7 @@
         let now = clock::now();
         let cell = self.cell(q.cell)?;
         let told = match cell.standing(now) {
-            Standing::Owner => cell.with_shard(now, |s| s.quotas_told(&q.job)),
+            Standing::Owner => cell.with_shard(now, |s| s.quota_report(&q.job)),
             Standing::Other(node) if !q.passed_on => {
                 let passed_on = QuotaQuestion { passed_on: true, ..q };
                 return match self.0.peers.ask_quotas(&node, passed_on).await {
@@ -93,7 +93,7 @@
         let cell = self.cell(q.cell)?;
         let json = match cell.standing(now) {
             Standing::Owner => cell
-                .with_shard(now, |s| s.elastic_told())
+                .with_shard(now, |s| s.elastic_report())
                 .map(|t| t.map(|t| serde_json::to_string(&t)).transpose().map(Option::unwrap_or_default)),
             Standing::Other(node) if !q.passed_on => self.0.peers.ask_elastic(&node, q.cell).await.map(|a| Ok(a.json)),
             _ => None,
--- a/src/query.rs
+++ b/src/query.rs
@@ -1,7 +1,7 @@
 //! What operators ask by the command line: of a running controller, of the state service, of the model.
 
 use crate::settings::Settings;
-use crate::shard::{ElasticTold, QuotaRow, QuotasTold};
+use crate::shard::{ElasticReport, QuotaReport, QuotaRow};
 use async_executor::Executor;
 use clap::Subcommand;
 use lupinspur_accounts::Told;
@@ -164,8 +164,8 @@
     if json {
         return Ok(answer.json);
     }
-    let told: Told = serde_json::from_str(&answer.json).map_err(|e| format!("the answer is malformed: {e}"))?;
-    Ok(service_table(&told))
+    let report: Told = serde_json::from_str(&answer.json).map_err(|e| format!("the answer is malformed: {e}"))?;
+    Ok(service_table(&report))
 }
 
 fn elastic(peer: SocketAddr, cell: u32, json: bool) -> Result<String, String> {
@@ -176,14 +176,15 @@
     if json {
         return Ok(answer.json);
     }
-    let told: ElasticTold = serde_json::from_str(&answer.json).map_err(|e| format!("the answer is malformed: {e}"))?;
-    Ok(elastic_table(&told))
+    let report: ElasticReport =
+        serde_json::from_str(&answer.json).map_err(|e| format!("the answer is malformed: {e}"))?;
+    Ok(elastic_table(&report))
 }
 
 /// Sizes job by job, then the shrinks.
-pub fn elastic_table(told: &ElasticTold) -> String {
+pub fn elastic_table(report: &ElasticReport) -> String {
     let mut rows = vec![["job", "smallest", "largest", "wanted", "held", "shrinks"].map(str::to_owned).to_vec()];
-    for r in &told.jobs {
+    for r in &report.jobs {
         let mut row = vec![r.job.clone()];
         row.extend([r.smallest, r.largest, r.wanted, r.held].map(|n| n.to_string()));
         row.push(r.shrinks.to_string());
@@ -191,7 +192,7 @@
     }
     let mut out = String::new();
     lay_out(&mut out, &rows, 1);
-    let t = &told.times;
+    let t = &report.times;
     let _ = writeln!(
         out,
         "{} shrinks took {:.1} s (half), {:.1} s (19 in 20), {:.1} s (the longest); {} under way\n{}",
@@ -200,7 +201,7 @@
         t.most,
         t.longest,
         t.under_way,
-        told.bound.told()
+        report.bound.told()
     );
     out
 }
@@ -213,8 +214,9 @@
     if json {
         return Ok(answer.json);
     }
-    let told: QuotasTold = serde_json::from_str(&answer.json).map_err(|e| format!("the answer is malformed: {e}"))?;
-    Ok(table(&told))
+    let report: QuotaReport =
+        serde_json::from_str(&answer.json).map_err(|e| format!("the answer is malformed: {e}"))?;
+    Ok(table(&report))
 }
 
 fn amount(v: f64, none: &str) -> String {
@@ -234,11 +236,11 @@
 }
 
 /// Shares, class by class and team by team.
-pub fn service_table(told: &Told) -> String {
+pub fn service_table(report: &Told) -> String {
     let head = ["", "", "reading", "asked", "served", "minute", "10 minutes", "unknown", "waits p50/p90/max s"];
     let mut rows = vec![head.map(str::to_owned).to_vec()];
     let share = |s: Option<f64>| s.map_or("-".to_owned(), |s| format!("{s:.3}"));
-    for r in &told.rows {
+    for r in &report.rows {
         let waits = r.waits_s.map_or(String::new(), |(a, b, c)| format!("{a:.1}/{b:.1}/{c:.1}"));
         let unknown = if r.unknown > 0 { r.unknown.to_string() } else { "-".into() };
         let mut row =
@@ -252,8 +254,8 @@
 }
 
 /// Cpus, level by level; cards too where there are any.
-pub fn table(told: &QuotasTold) -> String {
-    let cards = told.levels.iter().any(|r| r.guarantee_gpus + r.limit_gpus + r.used_gpus > 0.0);
+pub fn table(report: &QuotaReport) -> String {
+    let cards = report.levels.iter().any(|r| r.guarantee_gpus + r.limit_gpus + r.used_gpus > 0.0);
     let mut head = vec!["level", "guaranteed", "limit", "used", "lends", "borrows", "waits"];
     if cards {
         head.extend(["cards guaranteed", "limit", "used"]);
@@ -269,10 +271,10 @@
         c
     };
     let mut rows: Vec<Vec<String>> = vec![head.into_iter().map(str::to_owned).collect()];
-    rows.extend(told.levels.iter().map(cells));
-    let mut out = format!("quotas of generation {}, in cpus\n", told.generation);
+    rows.extend(report.levels.iter().map(cells));
+    let mut out = format!("quotas of generation {}, in cpus\n", report.generation);
     lay_out(&mut out, &rows, 1);
-    if let Some(why) = &told.job {
+    if let Some(why) = &report.job {
         let _ = writeln!(out, "the job: {why}");
     }
     out
--- a/tests/traces/events/questions.rs
+++ b/tests/traces/events/questions.rs
@@ -10,7 +10,7 @@
         match what {
             // What each level uses, of what it has, and why a job waits.
             "levels" => {
-                let Some(report) = self.shard().quotas_told(argument(args, "job").unwrap_or("")) else {
+                let Some(report) = self.shard().quota_report(argument(args, "job").unwrap_or("")) else {
                     self.say("no quotas");
                     return true;
                 };
@@ -45,7 +45,7 @@
             }
             // Each elastic job: what it may have, wants and holds; and the shrinks.
             "sizes" => {
-                let Some(report) = self.shard().elastic_told() else {
+                let Some(report) = self.shard().elastic_report() else {
                     self.say("no job is elastic");
                     return true;
                 };
