--- a/crates/model/tests/meetings.rs
+++ b/crates/model/tests/meetings.rs
@@ -5,7 +5,7 @@
 mod takeover;
 
 use evidence::mostly;
-use lupinspur_model::{Kind, OWNER, SAME_OWNER, Scenario, Trouble};
+use lupinspur_model::{Kind, OWNER, SAME_OWNER, Scenario, Trouble, Work};
 use takeover::{at, deployment, machines, no_rule_is_broken, no_rule_is_broken_in, with};
 
 /// Longer than a machine's lease.
@@ -150,6 +150,21 @@
     no_rule_is_broken(&troubles, evidence);
 }
 
+/// Reports of before reach a new leader, and the machines that sent them are cut off. What began there since is not in
+/// them. So many machines are cut off that the leader takes none of them for gone before their leases end.
+#[test]
+fn late_reports_of_machines_that_are_cut_off() {
+    let copies = at(1.0, Kind::CopiesForNextLeader, 0, 8.0);
+    let cut = [0, 1].map(|zone| at(19.0, Kind::CutZone, zone, 18.0));
+    let troubles = with(vec![copies, at(20.0, Kind::Ends, OWNER, 40.0)], cut);
+    let evidence = mostly(signs![takeovers >= 1, copies_to_new_leader >= 5, unreachable_machines_at_takeover >= 3]);
+    for cells in [1, 3] {
+        let many_long_tasks =
+            Scenario { work: Work::Long, jobs_for_s: 25.0, job_every_s: 0.5, room: false, ..deployment(cells) };
+        no_rule_is_broken_in(&many_long_tasks, &troubles, evidence);
+    }
+}
+
 /// New machines get work at once while writes lag, and the leader ends.
 #[test]
 fn new_machines_beside_lagging_writes_and_the_leader_ends() {
