--- a/crates/model/tests/random_meetings.rs
+++ b/crates/model/tests/random_meetings.rs
@@ -1,7 +1,7 @@
 //! Random fault combinations: two to four faults of any kind within seconds of one another and of one change of leader
 //! or two, for each kind of work, with one cell and with several, by seeds.
 //! `MEETINGS=2000 cargo test --release -p lupinspur-model --test random_meetings` plays so many of each deployment, from
-//! `MEETING_SEED` on, over `MEETING_CELLS` cells.
+//! `MEETING_SEED` on, over `MEETING_CELLS` cells, `MEETING_THREADS` runs at a time.
 
 use fastrand::Rng;
 use lupinspur_model::scenario::Team;
@@ -12,8 +12,8 @@
 
 /// Combinations of each deployment that are played unless more are asked for.
 const COMBINATIONS: u64 = 6;
-/// Runs that are played at the same time.
-const THREADS: usize = 3;
+/// Runs that are played at the same time unless `MEETING_THREADS` says otherwise.
+const THREADS: u64 = 3;
 /// The faults of a combination begin within this.
 const WITHIN_S: f64 = 6.0;
 const FIRST_AT_S: f64 = 15.0;
@@ -140,8 +140,9 @@
             }
         }
     };
+    let threads = from_env("MEETING_THREADS", THREADS);
     std::thread::scope(|s| {
-        let all: Vec<_> = (0..THREADS).map(|_| s.spawn(play_some)).collect();
+        let all: Vec<_> = (0..threads).map(|_| s.spawn(play_some)).collect();
         all.into_iter().flat_map(|t| t.join().expect("played")).collect()
     })
 }
