--- a/tests/loopback/cloud.rs
+++ b/tests/loopback/cloud.rs
@@ -16,6 +16,7 @@
 pub struct Cloud {
     pub store: Arc<Mutex<Store>>,
     pub machines: Workers,
+    pub zones: Vec<&'static str>,
     /// Questions for the machine types so far.
     pub asked: Arc<AtomicUsize>,
     /// It answers nothing: it tells no machine types and takes no machine back.
@@ -35,7 +36,7 @@
             "/flavors" => Outgoing::json(
                 200,
                 &json!({"strains":[{"name":"m8","cpus":8,"cards":0,"memory_gb":16,"local_gb":10,
-                "pull_gb_per_s":1.0,"hourly":1.0,"spot_price":0.3,"ready_s":2,"fields":["a"]}]}),
+                "pull_gb_per_s":1.0,"hourly":1.0,"spot_price":0.3,"ready_s":2,"fields":self.zones}]}),
             ),
             "/machines/delete" => {
                 self.delete(&r);
--- a/tests/loopback/cluster.rs
+++ b/tests/loopback/cluster.rs
@@ -66,6 +66,8 @@
 pub struct Cluster {
     pub store: Arc<Mutex<Store>>,
     pub workers: Workers,
+    /// Where more workers come from.
+    pub machines: Machines,
     /// Tasks that were started on one worker while they were on another.
     pub twice: Arc<Mutex<Vec<String>>>,
     /// Questions for the machine types so far.
@@ -105,8 +107,13 @@
         let twice = Arc::new(Mutex::new(Vec::new()));
         let asked = Arc::new(AtomicUsize::new(0));
         let cloud_down = Arc::new(AtomicBool::new(false));
-        let cloud =
-            Cloud { store: store.clone(), machines: workers.clone(), asked: asked.clone(), down: cloud_down.clone() };
+        let cloud = Cloud {
+            store: store.clone(),
+            machines: workers.clone(),
+            zones: size.zones.clone(),
+            asked: asked.clone(),
+            down: cloud_down.clone(),
+        };
         let cloud_addr = server(move |r| cloud.clone().answer(r));
         let ports = || (0..size.nodes).map(|_| free_port()).collect::<Vec<_>>();
         let (listen, peer) = (ports(), ports());
@@ -134,8 +141,21 @@
         (0..size.workers).for_each(|_| _ = machines.add(FIRST_ZONE));
         let nodes = Nodes((0..size.nodes).map(|_| None).collect());
         let claim = size.claim;
-        let mut cluster =
-            Cluster { store, workers, twice, asked, cloud_down, listen, peer, links, nodes, dir, claim, _turn: turn };
+        let mut cluster = Cluster {
+            store,
+            workers,
+            machines,
+            twice,
+            asked,
+            cloud_down,
+            listen,
+            peer,
+            links,
+            nodes,
+            dir,
+            claim,
+            _turn: turn,
+        };
         (0..size.nodes).for_each(|i| cluster.begin(i));
         cluster
     }
--- a/tests/loopback/main.rs
+++ b/tests/loopback/main.rs
@@ -45,3 +45,4 @@
 mod unreachable_workers;
 mod users;
 mod workers;
+mod zones;
--- a/tests/loopback/rules.rs
+++ b/tests/loopback/rules.rs
@@ -2,7 +2,7 @@
 
 use crate::cluster::Cluster;
 use crate::http::lock;
-use crate::workers::Workers;
+use crate::workers::{Worker, Workers};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
@@ -15,6 +15,16 @@
 /// holds commands up.
 const UNDER_WAY: Duration = Duration::from_secs(1);
 
+/// Where the tasks of a job may be at the same time.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Zones {
+    Only(&'static str),
+    /// All in the same, whichever it is.
+    One,
+    /// At most so many in one.
+    AtMost(usize),
+}
+
 /// What the judge has to know, and what it saw.
 #[derive(Default)]
 struct Ledger {
@@ -23,6 +33,7 @@
     start_grace: Duration,
     limits: BTreeMap<String, usize>,
     team_of: BTreeMap<String, String>,
+    zones_of: BTreeMap<String, Zones>,
     /// When each cancellation was confirmed to its user.
     confirmed: BTreeMap<String, Instant>,
     completed: BTreeMap<String, Instant>,
@@ -41,9 +52,36 @@
     task.split('/').next().unwrap_or(task)
 }
 
+impl Zones {
+    /// Do tasks of one job in these zones, each with its count, break this?
+    fn are_broken_by(self, counts: &BTreeMap<&str, usize>) -> bool {
+        match self {
+            Zones::Only(zone) => counts.keys().any(|z| *z != zone),
+            Zones::One => counts.len() > 1,
+            Zones::AtMost(most) => counts.values().any(|n| *n > most),
+        }
+    }
+}
+
 impl Ledger {
+    fn look_at_zones(&mut self, workers: &[Worker]) {
+        let mut counts: BTreeMap<&str, BTreeMap<&str, usize>> = BTreeMap::new();
+        for worker in workers {
+            for task in worker.on_it() {
+                *counts.entry(job_of(task)).or_default().entry(worker.zone).or_default() += 1;
+            }
+        }
+        for (job, zones) in &self.zones_of {
+            let counts = counts.get(job.as_str()).cloned().unwrap_or_default();
+            if zones.are_broken_by(&counts) {
+                self.broken.insert(format!("{job} may run in {zones:?} and has tasks in {counts:?}"));
+            }
+        }
+    }
+
     fn look(&mut self, workers: &Workers) {
         let workers = lock(workers);
+        self.look_at_zones(&workers);
         let mut used: BTreeMap<&str, usize> = BTreeMap::new();
         for worker in workers.iter() {
             for (task, state) in worker.tasks.iter().filter(|t| t.1.ended() == Some("done")) {
@@ -98,6 +136,11 @@
         lock(&self.ledger).team_of.insert(job.to_owned(), team.to_owned());
     }
 
+    /// The job's tasks may only be in zones like this.
+    pub fn bound(&self, job: &str, zones: Zones) {
+        lock(&self.ledger).zones_of.insert(job.to_owned(), zones);
+    }
+
     /// A user was just told that the job is cancelled.
     pub fn confirmed(&self, job: &str) {
         lock(&self.ledger).confirmed.entry(job.to_owned()).or_insert_with(Instant::now);
--- a/tests/loopback/settings.rs
+++ b/tests/loopback/settings.rs
@@ -1,9 +1,10 @@
 //! Sizes of stand-in clusters, and the settings files of their controllers.
 
+use serde_json::json;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// The zone of machines for which a test asks for no other.
+/// The zone of the controllers, and of the machines with which a cluster starts.
 pub const FIRST_ZONE: &str = "a";
 
 pub fn settings(
@@ -22,6 +23,7 @@
     let limited = |(name, max): &(&str, f64)| format!("[[cluster.teams]]\nname = \"{name}\"\ncpus_max = {max:.1}\n");
     let more = more + &size.teams.iter().map(limited).collect::<String>();
     let (lease, cancel, cpus) = (size.lease.as_secs_f64(), size.cancel.as_secs_f64(), size.cpus_max);
+    let zones = json!(size.zones);
     let mut peers = String::new();
     for (j, a) in peer.iter().enumerate().filter(|(j, _)| *j != i) {
         peers += &format!("[[seeds]]\nhost_name = \"n{j}\"\ndomain = \"a\"\naddress = \"{a}\"\n");
@@ -29,7 +31,7 @@
     format!(
         "host_name = \"n{i}\"\ndomain = \"a\"\nbind = \"{}\"\npeer_listen = \"{}\"\n{peers}\
          [services]\ncloud = \"{cloud}\"\nstate = \"{state}\"\n\
-         [cluster]\nzones = [\"a\"]\n[[cluster.teams]]\nname = \"red\"\ncpus_max = {cpus:.1}\n{more}\
+         [cluster]\nzones = {zones}\n[[cluster.teams]]\nname = \"red\"\ncpus_max = {cpus:.1}\n{more}\
          [cluster.workers]\nreport_s = 0.3\nlease_s = {lease:.1}\ncancel_s = {cancel:.1}\n\
          [cluster.state]\nrps = 500.0\nwrite_rps = 300.0\nvalue_kb = 16.0\ntxn_ops = 16\n\
          [cluster.cloud]\nrps = 20.0\nlist_lag_s = 0.5\n",
@@ -40,7 +42,9 @@
 /// How large a stand-in cluster is, and what is enabled in it.
 pub struct Size {
     pub nodes: usize,
+    /// Those that are there from the start, in [`FIRST_ZONE`].
     pub workers: usize,
+    pub zones: Vec<&'static str>,
     pub lease: Duration,
     /// When the tasks of a cancelled job must be gone.
     pub cancel: Duration,
@@ -66,6 +70,7 @@
         Size {
             nodes,
             workers,
+            zones: vec![FIRST_ZONE],
             lease,
             cancel: Duration::from_secs(10),
             claim: Duration::from_secs(4),
