Loopback: rented machines get work while the records of it lag, and the leader ends

The stand-in cloud rented nothing. It now rents as many machines as a test allows, each up at once; the stand-in state service holds the answers of records of machines, or the records themselves, by the jobs that they name.

A service runs on what was rented once its record stands; the records of later services placed beside it are still on their way when the leader ends and nothing reaches these machines any more.

--- a/tests/loopback/cloud.rs
+++ b/tests/loopback/cloud.rs
@@ -1,21 +1,34 @@
-//! The stand-in cloud: it rents nothing, knows one machine type and takes machines back.
+//! The stand-in cloud: it knows one machine type, takes machines back, and rents as many as a test allows.
 
 use crate::http::{body, lock};
+use crate::machines::Machines;
 use crate::state_service::Store;
-use crate::workers::Workers;
 use http_types::Method;
 use lupinspur::http::{Incoming, Outgoing};
 use serde_json::json;
+use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 
 /// Questions for the machine types that are refused before the first is answered.
 const REFUSED_AT_FIRST: usize = 3;
 
+/// What may be rented, and what was.
+#[derive(Default)]
+pub struct Rentals {
+    /// So many more machines may be rented.
+    pub capacity: AtomicUsize,
+    /// Deletions are refused.
+    pub keeps_machines: AtomicBool,
+    /// What each request was granted, by its name.
+    granted: Mutex<BTreeMap<String, Vec<String>>>,
+}
+
 #[derive(Clone)]
 pub struct Cloud {
     pub store: Arc<Mutex<Store>>,
-    pub machines: Workers,
+    pub machines: Machines,
+    pub rentals: Arc<Rentals>,
     pub zones: Vec<&'static str>,
     /// Questions for the machine types so far.
     pub asked: Arc<AtomicUsize>,
@@ -38,20 +51,43 @@
                 &json!({"strains":[{"name":"m8","cpus":8,"cards":0,"memory_gb":16,"local_gb":10,
                 "pull_gb_per_s":1.0,"hourly":1.0,"spot_price":0.3,"ready_s":2,"fields":self.zones}]}),
             ),
+            "/machines/delete" if self.rentals.keeps_machines.load(Ordering::Relaxed) => {
+                Outgoing::json(503, &json!({"error": "trouble"}))
+            }
             "/machines/delete" => {
                 self.delete(&r);
                 Outgoing::json(200, &json!({}))
             }
             "/machines" if r.method == Method::Get => Outgoing::json(200, &json!({"plots": [], "has_next": false})),
-            "/machines" => Outgoing::json(503, &json!({"error": "no capacity"})),
+            "/machines" => self.rent(&r),
             _ => Outgoing::json(200, &json!({})),
         }
     }
 
+    /// Rents ordinary machines, which are up at once. A request that is repeated is answered as before.
+    fn rent(&self, r: &Incoming) -> Outgoing {
+        let request = body(r);
+        let name = request["tenancy"].as_str().unwrap_or_default().to_owned();
+        let mut granted = lock(&self.rentals.granted);
+        if let Some(machines) = granted.get(&name) {
+            return Outgoing::json(200, &json!({"plots": machines}));
+        }
+        let capacity = self.rentals.capacity.load(Ordering::Relaxed);
+        let count = capacity.min(request["number"].as_u64().unwrap_or(0) as usize);
+        let zone = self.zones.iter().find(|z| request["field"] == **z);
+        let (Some(zone), 1.., Some(false)) = (zone, count, request["fallow"].as_bool()) else {
+            return Outgoing::json(503, &json!({"error": "no capacity"}));
+        };
+        self.rentals.capacity.fetch_sub(count, Ordering::Relaxed);
+        let machines: Vec<String> = (0..count).map(|_| self.machines.add(zone)).collect();
+        granted.insert(name, machines.clone());
+        Outgoing::json(200, &json!({"plots": machines}))
+    }
+
     fn delete(&self, r: &Incoming) {
         let request = body(r);
         let names = request["plots"].as_array().cloned().unwrap_or_default();
-        for w in lock(&self.machines).iter_mut().filter(|w| names.contains(&json!(w.name))) {
+        for w in lock(&self.machines.workers).iter_mut().filter(|w| names.contains(&json!(w.name))) {
             w.deleted = true;
         }
     }
--- a/tests/loopback/cluster.rs
+++ b/tests/loopback/cluster.rs
@@ -1,6 +1,6 @@
 //! Real controllers as processes, in front of stand-ins for everything else.
 
-use crate::cloud::Cloud;
+use crate::cloud::{Cloud, Rentals};
 use crate::direct::{Delivered, deliver};
 use crate::http::{free_port, lock, server, server_that_loses};
 use crate::links::Links;
@@ -68,6 +68,7 @@
     pub workers: Workers,
     /// Where more workers come from.
     pub machines: Machines,
+    pub rentals: Arc<Rentals>,
     /// Tasks that were started on one worker while they were on another.
     pub twice: Arc<Mutex<Vec<String>>>,
     /// Questions for the machine types so far.
@@ -107,16 +108,20 @@
         let twice = Arc::new(Mutex::new(Vec::new()));
         let asked = Arc::new(AtomicUsize::new(0));
         let cloud_down = Arc::new(AtomicBool::new(false));
+        let ports = || (0..size.nodes).map(|_| free_port()).collect::<Vec<_>>();
+        let (listen, peer) = (ports(), ports());
+        let machines =
+            Machines { workers: workers.clone(), twice: twice.clone(), controllers: listen.clone(), lease: size.lease };
+        let rentals: Arc<Rentals> = Arc::default();
         let cloud = Cloud {
             store: store.clone(),
-            machines: workers.clone(),
+            machines: machines.clone(),
+            rentals: rentals.clone(),
             zones: size.zones.clone(),
             asked: asked.clone(),
             down: cloud_down.clone(),
         };
         let cloud_addr = server(move |r| cloud.clone().answer(r));
-        let ports = || (0..size.nodes).map(|_| free_port()).collect::<Vec<_>>();
-        let (listen, peer) = (ports(), ports());
         let mut links = Links::default();
         let dir = std::env::temp_dir().join(format!("lupinspur-{name}-{}", std::process::id()));
         std::fs::create_dir_all(&dir).expect("a folder");
@@ -136,8 +141,6 @@
         if let Some(text) = &size.elastic {
             std::fs::write(dir.join("elastic.toml"), text).expect("a file of elastic jobs");
         }
-        let machines =
-            Machines { workers: workers.clone(), twice: twice.clone(), controllers: listen.clone(), lease: size.lease };
         (0..size.workers).for_each(|_| _ = machines.add(FIRST_ZONE));
         let nodes = Nodes((0..size.nodes).map(|_| None).collect());
         let claim = size.claim;
@@ -145,6 +148,7 @@
             store,
             workers,
             machines,
+            rentals,
             twice,
             asked,
             cloud_down,
--- a/tests/loopback/faults.rs
+++ b/tests/loopback/faults.rs
@@ -1,10 +1,19 @@
 //! What goes wrong at the stand-in state service, as a test asks for it.
 
+use serde_json::Value;
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+/// Keys of records of what is on machines begin like this.
+pub const MACHINE_RECORD: &str = "rack/";
+
 #[derive(Default)]
 pub struct Faults {
+    /// Records of machines that name one of these jobs are neither applied nor answered before
+    /// [`crate::state_service::Store::apply_held`].
+    pub records_held_of: Vec<String>,
+    /// The others are applied at once, and answered only when this is over.
+    pub record_answers_held: bool,
     /// Nobody is served. Set by [`crate::state_service::Store::set_outage`].
     pub outage: bool,
     /// These controllers alone are not served.
@@ -34,6 +43,8 @@
     Answered(Duration),
     AnswerLost,
     Late(Duration),
+    AnswerHeld,
+    Held,
 }
 
 impl Faults {
@@ -50,8 +61,19 @@
         self.slow_requests / 2
     }
 
-    pub fn fate(&mut self) -> Fate {
+    pub fn fate(&mut self, transaction: &Value) -> Fate {
         self.transactions += 1;
+        let writes = transaction["writes"].as_array().into_iter().flatten();
+        let mut keys = writes.filter_map(|w| w["set"].as_str());
+        if keys.any(|key| key.starts_with(MACHINE_RECORD)) {
+            let text = transaction["writes"].to_string();
+            if self.records_held_of.iter().any(|job| text.contains(job)) {
+                return Fate::Held;
+            }
+            if self.record_answers_held {
+                return Fate::AnswerHeld;
+            }
+        }
         let is_due = |one_in: usize| one_in > 0 && self.transactions.is_multiple_of(one_in);
         if is_due(self.delay_one_in) {
             Fate::Late(self.late_by)
--- a/tests/loopback/main.rs
+++ b/tests/loopback/main.rs
@@ -28,6 +28,7 @@
 mod meetings_refusal;
 mod one_task_floods;
 mod quotas;
+mod rented_machines;
 mod requests;
 mod restarts;
 mod rules;
--- a/tests/loopback/state_service.rs
+++ b/tests/loopback/state_service.rs
@@ -1,6 +1,6 @@
 //! The stand-in state service.
 
-use crate::faults::{Fate, Faults};
+use crate::faults::{Fate, Faults, MACHINE_RECORD};
 use crate::http::{EX, body, lock, param};
 use crate::requests::job;
 use async_io::Timer;
@@ -11,6 +11,8 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+const LOOK: Duration = Duration::from_millis(10);
+
 /// A job of which the stand-in for the state service does not speak.
 pub const UNREADABLE: &str = "req-0888";
 
@@ -30,6 +32,8 @@
     pub unfenced: Vec<String>,
     pub pages: Pages,
     pub faults: Faults,
+    /// Transactions that wait on their way.
+    pub held: Vec<Value>,
     /// Keys that a late transaction wrote although they had changed since it was sent.
     pub overwritten: Vec<String>,
 }
@@ -98,6 +102,26 @@
         self.leases.values_mut().for_each(|l| l.0 = Instant::now());
     }
 
+    /// All transactions that wait on their way arrive. Returns how many are applied, and how many refused.
+    pub fn apply_held(&mut self) -> (usize, usize) {
+        let held = std::mem::take(&mut self.held);
+        let applied = held.iter().filter(|t| self.commit(t).status == 200).count();
+        (applied, held.len() - applied)
+    }
+
+    /// Does a stored record of machines name this job?
+    pub fn has_record_of(&self, job: &str) -> bool {
+        let names = |(key, value): (&String, &(Value, u64, Option<u64>))| {
+            key.starts_with(MACHINE_RECORD) && value.0.to_string().contains(job)
+        };
+        self.keys.iter().any(names)
+    }
+
+    /// Does a transaction that waits on its way name this job?
+    pub fn holds_record_of(&self, job: &str) -> bool {
+        self.held.iter().any(|t| t["writes"].to_string().contains(job))
+    }
+
     pub fn commit(&mut self, txn: &Value) -> Outgoing {
         let list = |n: &str| txn[n].as_array().cloned().unwrap_or_default();
         let written = |key: &str| list("writes").iter().any(|w| w["set"] == key || w["drop"] == key);
@@ -153,7 +177,7 @@
     let (refused, fate) = {
         let mut s = lock(&store);
         let refused = s.faults.refuses(node);
-        (refused, if commit && !refused { s.faults.fate() } else { Fate::Answered(Duration::ZERO) })
+        (refused, if commit && !refused { s.faults.fate(&body(&req)) } else { Fate::Answered(Duration::ZERO) })
     };
     if refused {
         return Some(Outgoing::json(503, &json!({"error": "trouble"})));
@@ -168,6 +192,17 @@
             answer(store, node, req).await;
             None
         }
+        Fate::AnswerHeld => {
+            let out = answer(store.clone(), node, req).await;
+            while lock(&store).faults.record_answers_held {
+                Timer::after(LOOK).await;
+            }
+            Some(out)
+        }
+        Fate::Held => {
+            lock(&store).held.push(body(&req));
+            std::future::pending().await
+        }
         Fate::Late(delay) => {
             EX.spawn(apply_late(store, req, delay)).detach();
             None
