--- a/crates/model/src/trouble.rs
+++ b/crates/model/src/trouble.rs
@@ -79,7 +79,7 @@
     OddRequests,
     /// Rented machines are up within two seconds, most of them before the answer to their rental comes.
     FastBoots,
-    /// Messages between controllers and machines take up to two seconds, and images up to ten seconds more.
+    /// Messages between controllers and machines take up to two seconds, and images up to twenty seconds more.
     SlowLinks,
 }
 
