--- a/tests/loopback/cluster.rs
+++ b/tests/loopback/cluster.rs
@@ -29,7 +29,9 @@
 
 /// Not all clusters at once: with a dozen of them on a few cores controllers lose their leases to one another,
 /// and a test waited for what a takeover had put off.
-pub const CLUSTERS_AT_ONCE: usize = 2;
+const CLUSTERS_AT_ONCE: usize = 2;
+const CLUSTERS_AT_ONCE_ON_MANY_CORES: usize = 3;
+const MANY_CORES: usize = 8;
 pub static CLUSTERS: (Mutex<usize>, Condvar) = (Mutex::new(0), Condvar::new());
 
 const TAKEN_OVER_WITHIN: Duration = Duration::from_secs(30);
@@ -43,12 +45,18 @@
     }
 }
 
+fn clusters_at_once() -> usize {
+    let cores = std::thread::available_parallelism().map_or(1, |n| n.get());
+    if cores >= MANY_CORES { CLUSTERS_AT_ONCE_ON_MANY_CORES } else { CLUSTERS_AT_ONCE }
+}
+
 /// One cluster's turn, until it is dropped.
 pub struct Turn;
 
 impl Turn {
     pub fn take() -> Turn {
-        let full = |n: &mut usize| *n >= CLUSTERS_AT_ONCE;
+        let most = clusters_at_once();
+        let full = |n: &mut usize| *n >= most;
         let mut n = CLUSTERS.1.wait_while(lock(&CLUSTERS.0), full).unwrap_or_else(|e| e.into_inner());
         *n += 1;
         Turn
