Fencing: a machine reports while the test waits for a watch to be refused

A watch that is under way lasts up to 5 s; the test's only machine said nothing meanwhile, was given up, and nothing could be rented in its place.

--- a/tests/fencing/services.rs
+++ b/tests/fencing/services.rs
@@ -14,7 +14,11 @@
     let mut record = services.value("job/req-000001").expect("a record");
     record["job"]["id"] = json!("req-000002");
     services.answer_instead(|r| is_list_of(r, "/follow", "job/"), 410, json!({}));
-    until("a watch is refused", || services.answered_instead() > 0);
+    // A watch that is under way may last for seconds. A machine that says nothing meanwhile would be given up.
+    until("a watch is refused", || {
+        machine.report(&controller);
+        services.answered_instead() > 0
+    });
     services.write("job/req-000002", &record);
     let stands = lock(&services.store).keys["job/req-000002"].1;
     let older = move |r: &Incoming| {
