--- a/src/api.rs
+++ b/src/api.rs
@@ -222,6 +222,9 @@
                 Need::CannotTell => return unable(),
             }
         }
+        let cell = self.cell(home.unwrap_or_default());
+        // Another owner may have ended the job by the time of the answer: only the shard of this moment takes it in.
+        let token = cell.as_ref().and_then(|c| c.with_shard(began, |s| s.token));
         loop {
             // If absent: of a submission and its repetitions, on any nodes, one is accepted.
             let condition = Condition { key: key.clone(), version: 0 };
@@ -229,11 +232,11 @@
             match self.state.commit(vec![condition], vec![change], Turn::First).await {
                 Ok(Commit::Applied(version)) => {
                     let now = clock::now();
-                    let cell = home.unwrap_or_default();
-                    self.note_cell(&id, cell);
-                    let cell = self.cell(cell);
-                    let added = cell.and_then(|c| c.with_shard(now, |s| s.add_job(record.clone(), version, now)));
-                    if added.is_some() {
+                    self.note_cell(&id, home.unwrap_or_default());
+                    let add = |s: &mut crate::shard::Shard| {
+                        (Some(s.token) == token).then(|| s.add_job(record.clone(), version, now)).flatten()
+                    };
+                    if cell.as_ref().and_then(|c| c.with_shard(now, add)).flatten().is_some() {
                         self.wake();
                     }
                     return job_answer(201, &id, Told { state: JobState::Queued, done: 0, running: 0 }, false);
@@ -371,11 +374,11 @@
                 if verb == Verb::Cancel {
                     s.cancel(id);
                 }
-                s.show(id)
+                (s.token, s.show(id))
             });
+            let Some((token, seen)) = seen else { return Word::Unable };
             match seen {
-                None => return Word::Unable,
-                Some(Some(shown)) => {
+                Some(shown) => {
                     if let Some(told) = owner_tells(verb, shown) {
                         return Word::Known(told);
                     }
@@ -386,8 +389,8 @@
                     self.wake();
                     async_io::Timer::after(Duration::from_millis(10)).await;
                 }
-                Some(None) if looked => return Word::Unable,
-                Some(None) => {
+                None if looked => return Word::Unable,
+                None => {
                     if let Some(t) = self.final_known(id) {
                         return Word::Known(t);
                     }
@@ -402,7 +405,7 @@
                             _ => {
                                 // Another cell's is not taken in, and nothing can be said of it here.
                                 looked = true;
-                                self.take_job(&item);
+                                self.take_job(token, &item);
                             }
                         },
                         Err(_) => return Word::Unable,
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -385,11 +385,12 @@
         let _ = self.wakes.direct.0.try_send(());
     }
 
-    /// A stored job that the shard did not know of yet.
-    pub fn take_job(&self, item: &Item) {
+    /// A stored job that the shard did not know of yet. `token`: of the shard for which it was read. A later
+    /// one has read everything itself, after that: a job that is over need not be known to it, and would be
+    /// open again by an older record.
+    pub fn take_job(&self, token: u64, item: &Item) {
         let now = clock::now();
-        let token = lock(&self.own).token();
-        if let Some(s) = lock(&self.shard).as_mut().filter(|s| Some(s.token) == token) {
+        if let Some(s) = lock(&self.shard).as_mut().filter(|s| s.token == token) {
             take_into(self, s, item, now);
         }
         self.wake();
--- a/src/node/takeover.rs
+++ b/src/node/takeover.rs
@@ -189,7 +189,7 @@
                     from = ev.revision.max(from);
                     for e in ev.events {
                         if let (Some(key), Some(value)) = (e.put, e.value) {
-                            self.take_job(&Item { key, value, version: e.version, lease: None });
+                            self.take_job(token, &Item { key, value, version: e.version, lease: None });
                         }
                     }
                     self.caught_up(token, from);
@@ -204,7 +204,7 @@
                     let take = |i: Item| {
                         // What is over and not known here changes nothing.
                         if job_of(&i.key, &i.value).map_or(true, |r| r.phase == Phase::Open) {
-                            self.take_job(&i);
+                            self.take_job(token, &i);
                         }
                     };
                     if let Ok(revision) = self.state.each(JOB_PREFIX, Turn::InTurn, take).await {
@@ -230,11 +230,11 @@
         let mut before: Vec<String> = Vec::new();
         while self.open() {
             Timer::after(LOOK_UP_EVERY).await;
-            let wanted = self.with_shard(clock::now(), |s| s.to_look_up()).unwrap_or_default();
+            let (token, wanted) = self.with_shard(clock::now(), |s| (s.token, s.to_look_up())).unwrap_or_default();
             // One that is new here may only be late by the watch.
             for id in wanted.iter().filter(|id| before.contains(id)) {
                 if let Ok(Some(item)) = self.state.get(&crate::jobs::job_key(id), Turn::InTurn).await {
-                    self.take_job(&item);
+                    self.take_job(token, &item);
                 }
             }
             before = wanted;
--- /dev/null
+++ b/tests/fencing/reclaim.rs
@@ -0,0 +1,358 @@
+//! A controller loses its claim and gains a new one while an answer to its earlier self's owner is on its way: what
+//! was asked under the earlier claim changes nothing under the new one. Records, commands and deletions name jobs and
+//! machines by places in the earlier owner's tables, which are other jobs' and machines' places in the new ones.
+
+use super::*;
+use crate::gate::Gate;
+use std::sync::atomic::AtomicBool;
+
+const TASK_RUNS: &str = "a task runs";
+
+/// The state service and the cloud, whose answers can be held back.
+#[derive(Default)]
+struct Services {
+    store: Arc<Mutex<Store>>,
+    gate: Gate,
+    /// The controller's lease has ended; until it asks for another.
+    lease_ended: AtomicBool,
+    /// The cloud's list of machines.
+    listed: Mutex<Vec<Value>>,
+    /// Machines that the cloud was asked to delete.
+    deleted: Mutex<Vec<String>>,
+}
+
+impl Services {
+    async fn state(self: Arc<Self>, request: Incoming) -> Outgoing {
+        let place = self.gate.enter(&request);
+        if request.path == "/grants" {
+            self.lease_ended.store(false, Ordering::Relaxed);
+        }
+        let answer = match request.path.starts_with("/grants/") {
+            true => self.renew(),
+            false => state(self.store.clone(), request).await,
+        };
+        self.gate.pass(place).await;
+        answer
+    }
+
+    fn renew(&self) -> Outgoing {
+        if self.lease_ended.load(Ordering::Relaxed) {
+            return Outgoing::json(404, &json!({}));
+        }
+        lock(&self.store).renewed = Some(Instant::now());
+        Outgoing::json(200, &json!({}))
+    }
+
+    async fn cloud(self: Arc<Self>, request: Incoming) -> Outgoing {
+        let place = self.gate.enter(&request);
+        let answer = match (request.method, request.path.as_str()) {
+            (Method::Get, "/machines") => {
+                Outgoing::json(200, &json!({"plots": lock(&self.listed).clone(), "has_next": false}))
+            }
+            (_, "/machines/delete") => {
+                let names = body(&request)["plots"].as_array().cloned().unwrap_or_default();
+                lock(&self.deleted).extend(names.iter().filter_map(|n| n.as_str().map(str::to_owned)));
+                Outgoing::json(200, &json!({}))
+            }
+            _ => cloud(request).await,
+        };
+        self.gate.pass(place).await;
+        answer
+    }
+
+    fn claim(&self) -> Option<u64> {
+        lock(&self.store).keys.get(CLAIM).map(|c| c.1)
+    }
+
+    /// The controller's lease ends, and its claim with it; returns the claim's version.
+    fn end_lease(&self) -> u64 {
+        let before = self.claim().expect("a claim");
+        self.lease_ended.store(true, Ordering::Relaxed);
+        let drop = json!({"if": [], "writes": [{"drop": CLAIM}]});
+        assert_eq!(lock(&self.store).commit(&drop).status, 200);
+        before
+    }
+
+    /// Waits until the controller has claimed anew.
+    fn until_claimed_after(&self, before: u64) {
+        until("a new claim", || self.claim() > Some(before));
+    }
+
+    /// Some other controller writes this.
+    fn write(&self, key: &str, value: &Value) {
+        let put = json!({"if": [], "writes": [{"set": key, "v": value}]});
+        assert_eq!(lock(&self.store).commit(&put).status, 200);
+    }
+
+    fn value(&self, key: &str) -> Option<Value> {
+        lock(&self.store).keys.get(key).map(|v| v.0.clone())
+    }
+
+    fn list(&self, machines: &[(&str, &str)]) {
+        let machine = |(name, state): &(&str, &str)| {
+            json!({"id": name, "addr": "127.0.0.1:9", "strain": "m8", "field": "a", "fallow": false, "bloom": state,
+                "held_s": 100.0})
+        };
+        *lock(&self.listed) = machines.iter().map(machine).collect();
+    }
+}
+
+fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    let began = Instant::now();
+    while !holds() {
+        assert!(began.elapsed() < WAITS_AT_MOST, "{what}: never");
+        std::thread::sleep(Duration::from_millis(10));
+    }
+}
+
+fn start(name: &str) -> (Arc<Services>, Controller) {
+    let services: Arc<Services> = Arc::default();
+    let (s, c) = (services.clone(), services.clone());
+    let state = server(move |r| s.clone().state(r));
+    let cloud = server(move |r| c.clone().cloud(r));
+    let controller = Controller::start_between(name, services.store.clone(), state, cloud);
+    (services, controller)
+}
+
+/// A transaction that writes this key, by a part of its value.
+fn writes(request: &Incoming, key: &str, part: &str) -> bool {
+    let transaction = body(request);
+    let writes = transaction["writes"].as_array().into_iter().flatten();
+    request.path == "/commit" && writes.into_iter().any(|w| w["set"] == key && w["v"].to_string().contains(part))
+}
+
+fn is_list_of(request: &Incoming, path: &str, prefix: &str) -> bool {
+    request.path == path && http::param(&request.query, "under").is_some_and(|p| p == prefix)
+}
+
+impl Controller {
+    fn state_of(&self, id: &str) -> (u16, String) {
+        let (status, answer) = self.ask(Method::Get, &format!("/work/{id}"), &Value::Null);
+        (status, answer["bloom"].as_str().unwrap_or_default().to_owned())
+    }
+
+    /// For a while, users who ask for this job never hear that.
+    fn never_says(&self, id: &str, wrong: &[&str], during: Duration) -> usize {
+        let (began, mut answered) = (Instant::now(), 0);
+        while began.elapsed() < during {
+            let (status, state) = self.state_of(id);
+            assert!(status != 200 || !wrong.contains(&state.as_str()), "{id} is called {state}");
+            answered += usize::from(status == 200);
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        answered
+    }
+}
+
+/// The answer to the write of a job's end comes under the new claim, in whose tables other jobs stand at that job's
+/// place: none of them is done by it.
+#[test]
+fn the_answer_to_an_end_of_an_earlier_claim_ends_no_other_job() {
+    let (services, controller) = start("end");
+    let mut machine = Machine::default();
+    machine.report_until(&controller, "a report is answered", |status, _| status == 200);
+    services.gate.hold(|r| writes(r, "job/req-000001", "\"done\""));
+    controller.submit("req-000001");
+    let began = Instant::now();
+    while services.value("job/req-000001").is_none_or(|v| v["phase"] != "done") {
+        machine.report(&controller);
+        assert!(began.elapsed() < WAITS_AT_MOST, "the job is never done");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    services.gate.until_held(1);
+    let others: Vec<String> = (2..8).map(|i| format!("req-{i:06}")).collect();
+    others.iter().for_each(|id| controller.submit(id));
+    let before = services.end_lease();
+    services.until_claimed_after(before);
+    until("the new owner knows the jobs", || controller.state_of(&others[0]).0 == 200);
+    std::thread::sleep(Duration::from_millis(300));
+    services.gate.release();
+    std::thread::sleep(Duration::from_millis(100));
+    for id in &others {
+        let answered = controller.never_says(id, &["done", "cancelled"], Duration::from_millis(200));
+        assert!(answered > 0, "{id}: nothing was said");
+    }
+    assert_eq!(controller.state_of("req-000001"), (200, "done".into()));
+}
+
+/// What was read for a takeover under an earlier claim answers nobody under the new one: meanwhile another
+/// controller may have owned, and confirmed a cancellation.
+#[test]
+fn what_was_read_under_an_earlier_claim_answers_nobody() {
+    let (services, controller) = start("read");
+    let mut machine = Machine::default();
+    machine.report_until(&controller, "a report is answered", |status, _| status == 200);
+    controller.submit("req-000001");
+    services.gate.hold(|r| is_list_of(r, "/kv", "prog/") || is_list_of(r, "/follow", "job/"));
+    // The jobs are read again, and the reading is not over yet.
+    let first = services.end_lease();
+    services.until_claimed_after(first);
+    until("the reading is under way", || controller.state_of("req-000001").0 == 200);
+    std::thread::sleep(Duration::from_millis(500));
+    let second = services.end_lease();
+    let mut record = services.value("job/req-000001").expect("a record");
+    record["phase"] = json!("cancelled");
+    services.write("job/req-000001", &record);
+    services.until_claimed_after(second);
+    // The watch of the first owner is held back, too.
+    for _ in 0..4 {
+        services.gate.release();
+        let answered = controller.never_says("req-000001", &["queued", "running"], Duration::from_millis(400));
+        assert!(answered > 0, "nothing was said");
+    }
+}
+
+/// A change of a job that was watched under an earlier claim is told late, when the job is long over and the new
+/// owner has no need to know of it: it is not open once more.
+#[test]
+fn a_late_change_of_an_earlier_claim_opens_no_job_again() {
+    let (services, controller) = start("watch");
+    let mut machine = Machine::default();
+    machine.report_until(&controller, "a report is answered", |status, _| status == 200);
+    controller.submit("req-000001");
+    let mut record = services.value("job/req-000001").expect("a record");
+    record["job"]["id"] = json!("req-000002");
+    services.gate.hold(|r| is_list_of(r, "/follow", "job/"));
+    // The watch that is open now ends with another job; the next one has the news that is held back.
+    controller.submit("req-000003");
+    std::thread::sleep(Duration::from_millis(300));
+    services.write("job/req-000002", &record);
+    services.gate.until_held(1);
+    services.gate.hold_no_more();
+    let before = services.end_lease();
+    record["phase"] = json!("cancelled");
+    services.write("job/req-000002", &record);
+    services.until_claimed_after(before);
+    machine.report_until(&controller, "the new owner answers a report", |status, _| status == 200);
+    assert_eq!(controller.state_of("req-000002"), (200, "cancelled".into()));
+    services.gate.release();
+    let answered = controller.never_says("req-000002", &["queued", "running"], Duration::from_secs(1));
+    assert!(answered > 0, "nothing was said");
+    machine.report(&controller);
+    assert!(machine.tasks.keys().all(|t| !t.starts_with("req-000002")), "a task of it is started");
+}
+
+/// A machine that holds tasks, an unneeded one that was deleted before it was known, and one whose deletion is
+/// confirmed only under the new claim.
+#[test]
+fn the_confirmed_deletion_of_an_earlier_claim_takes_no_other_machine_away() {
+    let (services, controller) = start("deletion");
+    services.list(&[("host-8", "failed"), ("host-9", "running")]);
+    until("the failed machine is deleted", || lock(&services.deleted).iter().any(|n| n == "host-8"));
+    let mut machine = Machine { runs_on: true, ..Machine::default() };
+    machine.report_until(&controller, "a report is answered", |status, _| status == 200);
+    controller.submit("req-000001");
+    let began = Instant::now();
+    while machine.tasks.len() < 2 {
+        machine.report(&controller);
+        assert!(began.elapsed() < WAITS_AT_MOST, "{TASK_RUNS}: never");
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    services.gate.hold(|r| r.path == "/machines/delete");
+    services.list(&[("host-9", "failed")]);
+    until("the other machine is deleted", || {
+        machine.report(&controller);
+        lock(&services.deleted).iter().any(|n| n == "host-9")
+    });
+    services.gate.hold_no_more();
+    let before = services.end_lease();
+    services.until_claimed_after(before);
+    let token = services.claim().expect("a claim");
+    machine.report_until(&controller, "the new owner answers", |status, _| status == 200);
+    assert!(machine.token >= token, "by its own token");
+    services.gate.release();
+    std::thread::sleep(Duration::from_millis(200));
+    let mut other = Machine { number: 1, runs_on: true, ..Machine::default() };
+    for _ in 0..30 {
+        assert_eq!(machine.report(&controller), 200, "the machine that is there is heard");
+        other.report(&controller);
+        assert!(other.tasks.is_empty(), "a task that runs on the first machine is started on a second");
+        std::thread::sleep(Duration::from_millis(50));
+    }
+}
+
+/// The answer to a command of an earlier claim: what it says is of no machine of the new owner's tables.
+#[test]
+fn the_answer_to_a_command_of_an_earlier_claim_is_not_heard() {
+    let (services, controller) = start("command");
+    services.list(&[("host-8", "failed")]);
+    until("the failed machine is deleted", || lock(&services.deleted).iter().any(|n| n == "host-8"));
+    services.list(&[]);
+    let commands: Arc<Gate> = Arc::default();
+    commands.hold(|r| r.path == "/do" && !body(r)["tidings"].as_array().is_none_or(Vec::is_empty));
+    let mut machine = Machine { runs_on: true, ..Machine::default() };
+    let (gate, counter) = (commands.clone(), machine.counter.clone());
+    machine.address = server(move |request| {
+        let (gate, counter) = (gate.clone(), counter.clone());
+        async move {
+            let place = gate.enter(&request);
+            let counter = counter.fetch_add(1, Ordering::Relaxed) + 1;
+            let report = json!({"plot": "host-1", "addr": "", "strain": "m8", "field": "a", "fallow": false, "season": 1,
+                "tally": counter, "warrant": body(&request)["warrant"], "reclaim_s": null, "seeds": []});
+            gate.pass(place).await;
+            Outgoing::json(200, &report)
+        }
+    })
+    .to_string();
+    machine.report_until(&controller, "a report is answered", |status, _| status == 200);
+    controller.submit("req-000001");
+    commands.until_held(1);
+    commands.hold_no_more();
+    let before = services.end_lease();
+    services.until_claimed_after(before);
+    machine.report_until(&controller, "the new owner answers", |status, _| status == 200);
+    commands.release();
+    for _ in 0..20 {
+        std::thread::sleep(Duration::from_millis(50));
+        assert_eq!(machine.report(&controller), 200, "the controller is there, and hears the machine");
+    }
+}
+
+/// Calls that are never answered end by themselves: a lease is kept though a renewal gets no answer, machines that
+/// failed are deleted though a list never comes, and one machine that is silent takes no other's turn.
+#[test]
+fn a_call_that_is_never_answered_holds_nothing_up() {
+    let (services, controller) = start("silence");
+    let mut machine = Machine::default();
+    machine.report_until(&controller, "a report is answered", |status, store| status == 200 && store.renewed.is_some());
+    services.gate.hold(|r| r.path.starts_with("/grants/"));
+    services.gate.until_held(1);
+    services.gate.hold(|r| r.method == Method::Get && r.path == "/machines");
+    let began = Instant::now();
+    while began.elapsed() < CLAIM_LASTS + Duration::from_secs(1) {
+        assert_eq!(machine.report(&controller), 200, "{:.1} s later", began.elapsed().as_secs_f64());
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    services.gate.until_held(2);
+    services.gate.hold_no_more();
+    services.list(&[("host-9", "failed")]);
+    until("a later list is read", || {
+        machine.report(&controller);
+        lock(&services.deleted).iter().any(|n| n == "host-9")
+    });
+}
+
+/// A job is accepted, and the answer to its transaction comes when another controller has cancelled it and this one
+/// owns again: it is not open once more.
+#[test]
+fn the_answer_to_an_acceptance_of_an_earlier_claim_opens_no_job_again() {
+    let (services, controller) = start("acceptance");
+    let mut machine = Machine::default();
+    machine.report_until(&controller, "a report is answered", |status, _| status == 200);
+    services.gate.hold(|r| writes(r, "job/req-000001", "\"open\""));
+    std::thread::scope(|scope| {
+        scope.spawn(|| controller.submit("req-000001"));
+        services.gate.until_held(1);
+        services.gate.hold_no_more();
+        let before = services.end_lease();
+        let mut record = services.value("job/req-000001").expect("a record");
+        record["phase"] = json!("cancelled");
+        services.write("job/req-000001", &record);
+        services.until_claimed_after(before);
+        machine.report_until(&controller, "the new owner answers a report", |status, _| status == 200);
+        assert_eq!(controller.state_of("req-000001"), (200, "cancelled".into()));
+        services.gate.release();
+    });
+    let answered = controller.never_says("req-000001", &["queued", "running"], Duration::from_secs(1));
+    assert!(answered > 0, "nothing was said");
+}
