--- a/crates/model/src/world.rs
+++ b/crates/model/src/world.rs
@@ -20,6 +20,7 @@
 use lupinspur_cells::escrow::Ledger;
 use lupinspur_cells::plan::Home;
 use lupinspur_cells::{CellIx, Plan};
+use lupinspur_histories::History;
 use lupinspur_scheduler::params::{Params, Team};
 use lupinspur_scheduler::shard::limits;
 use lupinspur_wire::JobState;
@@ -94,6 +95,8 @@
     pub(crate) late_reports: LateReports,
     /// Questions that users will ask at every controller.
     pub(crate) questions: Vec<Question>,
+    /// What users asked and were answered.
+    pub(crate) history: History,
     /// Submissions so far that no controller may accept.
     pub(crate) odd_requests: u32,
 }
@@ -136,6 +139,7 @@
             spells: Spells::default(),
             late_reports: LateReports::default(),
             questions: Vec::new(),
+            history: History::default(),
             odd_requests: 0,
         };
         for i in 0..controllers {
--- a/tests/loopback/cluster.rs
+++ b/tests/loopback/cluster.rs
@@ -172,6 +172,7 @@
                 saves: Duration::ZERO,
                 tasks,
                 begun: BTreeSet::new(),
+                completed: BTreeSet::new(),
                 elsewhere: 0,
             };
             lock(&workers).push(worker);
--- a/tests/loopback/main.rs
+++ b/tests/loopback/main.rs
@@ -3,6 +3,7 @@
 //! service with its cancellation, and the end of the owner in between.
 
 mod answers;
+mod answers_across_nodes;
 mod cells;
 mod cloud;
 mod cluster;
@@ -24,5 +25,6 @@
 mod settings_file;
 mod standstill;
 mod state_service;
+mod traffic;
 mod users;
 mod workers;
--- a/tests/loopback/workers.rs
+++ b/tests/loopback/workers.rs
@@ -49,6 +49,8 @@
     pub tasks: BTreeMap<String, Task>,
     /// Jobs of which it has started a task.
     pub begun: BTreeSet<String>,
+    /// Tasks that it has reported as done, also those that it has forgotten since.
+    pub completed: BTreeSet<String>,
     /// Reports that were sent on or turned away.
     pub elsewhere: usize,
 }
@@ -83,6 +85,8 @@
 
     pub fn report(&mut self) -> Value {
         self.seq += 1;
+        let done = self.tasks.iter().filter(|(_, t)| t.ended() == Some("done")).map(|(name, _)| name.clone());
+        self.completed.extend(done);
         let seeds: Vec<Value> = self
             .tasks
             .iter()
