--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -305,7 +305,8 @@
     pub token: u64,
     #[serde(rename = "reclaim_s", default)]
     pub notice_s: Option<f64>,
-    #[serde(rename = "seeds", default)]
+    /// Without this list it is no report: one that was cut short once passed for that of an empty machine.
+    #[serde(rename = "seeds")]
     pub tasks: Vec<TaskReport>,
 }
 
--- a/src/api.rs
+++ b/src/api.rs
@@ -8,10 +8,11 @@
 use crate::jobs::{JobRecord, RECORD_GROWS_BY, job_key};
 use crate::node::{Cell, Node, Place, Standing};
 use crate::peer::{JobAnswer as PeerAnswer, Outcome, Verb};
+use crate::reports::parse_report;
 use crate::shard::{Heard, Unfit, judge};
 use crate::state::{Commit, StateError, Turn};
 use crate::told::{Told, Word, told_of_item, valid_id};
-use crate::wire::{self, Change, Condition, JobRequest, JobState, Kind, Report};
+use crate::wire::{self, Change, Condition, JobRequest, JobState, Kind};
 use http_types::Method;
 use lupinspur_accounts::Reading;
 use lupinspur_elastic::Sizes;
@@ -157,8 +158,9 @@
     }
 
     async fn report(&self, body: &[u8]) -> Outgoing {
-        let Ok(r) = serde_json::from_slice::<Report>(body) else {
-            return Outgoing::error(400, "not a report");
+        let r = match parse_report(body) {
+            Ok(r) => r,
+            Err(why) => return Outgoing::error(400, &why),
         };
         let Some(cell) = self.cell_of_machine(&r.machine, r.token).await else { return unable() };
         let now = clock::now();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod node;
 pub mod peer;
 pub mod query;
+pub mod reports;
 pub mod run;
 pub mod settings;
 pub mod state;
--- a/tests/loopback/answers_across_nodes.rs
+++ b/tests/loopback/answers_across_nodes.rs
@@ -17,6 +17,8 @@
 const WITHIN: Duration = Duration::from_secs(10);
 /// Answers of a controller that show that it serves users.
 const SOME_ANSWERS: usize = 20;
+/// Jobs of which controllers tell that they are done before the leader knows it.
+const SOME_DONE: usize = 6;
 
 fn start(name: &str) -> Cluster {
     let cluster = Cluster::start(name, Size { cuttable: true, ..Size::of(NODES, 8, 4) });
@@ -202,7 +204,9 @@
             (0..4).map(|number| called(&traffic, number, *node, lost, JobState::Cancelled)).sum::<usize>()
         };
         wait_until("the others tell no end", WITHIN, || others(leader).iter().all(|node| by_record(node) > 0));
-        std::thread::sleep(A_WHILE);
+        wait_until("the others do not tell of jobs that are done", WITHIN, || {
+            others(leader).iter().all(|node| traffic.called_done_by(*node, lost) >= SOME_DONE)
+        });
         cluster.signal(leader, "-STOP");
         let next = cluster.until_owned_by_another(leader);
         let ends = others(leader).into_iter().find(|node| *node != next).expect("a third controller");
--- a/tests/loopback/main.rs
+++ b/tests/loopback/main.rs
@@ -13,6 +13,7 @@
 #[path = "../common/http.rs"]
 mod http;
 mod links;
+mod malformed;
 mod meetings_answers;
 mod meetings_machines;
 mod meetings_needs;
--- /dev/null
+++ b/tests/loopback/malformed.rs
@@ -0,0 +1,163 @@
+//! Reports and messages between controllers that are no such thing: they are refused, and change nothing.
+
+use crate::cluster::Cluster;
+use crate::http::{EX, lock};
+use crate::requests::{SERVICES, User, job};
+use crate::settings::Size;
+use http_types::Method;
+use lupinspur::http::Client;
+use lupinspur::peer::{Outcome, Peers, Verb, query_quotas};
+use lupinspur::settings::Settings;
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+
+const NODES: usize = 3;
+const SERVICE: &str = "req-000701";
+const REPLICAS: u32 = 2;
+/// Fields without which a report is malformed; `reclaim_s` may be null, and so may be missing.
+const REQUIRED: [&str; 9] = ["plot", "addr", "strain", "field", "fallow", "season", "tally", "warrant", "seeds"];
+/// If any of them was taken, no later report of the machine would count for a long time.
+const FAR_AHEAD: u64 = 1_000_000;
+/// Several reports of each machine.
+const A_WHILE: Duration = Duration::from_secs(2);
+
+/// A report of a worker as it would be sent, but for its counter.
+fn report(cluster: &Cluster, worker: usize) -> Value {
+    let mut report = lock(&cluster.workers)[worker].report();
+    report["tally"] = json!(FAR_AHEAD);
+    report
+}
+
+fn malformed_reports(good: &Value) -> Vec<Vec<u8>> {
+    let with = |path: &[&str], value: Value| {
+        let mut report = good.clone();
+        match path {
+            [field] => report[*field] = value,
+            [list, field] => report[*list][0][*field] = value,
+            _ => unreachable!("a field, or one of the first task"),
+        }
+        report
+    };
+    let without = |field: &str| {
+        let mut report = good.clone();
+        report.as_object_mut().expect("an object").remove(field);
+        report
+    };
+    let mut all: Vec<Value> = REQUIRED.iter().map(|field| without(field)).collect();
+    all.extend(REQUIRED.iter().map(|field| with(&[field], Value::Null)));
+    all.extend([
+        json!([]),
+        json!(null),
+        with(&["plot"], json!("")),
+        with(&["plot"], json!(7)),
+        with(&["addr"], json!("nowhere")),
+        with(&["fallow"], json!("no")),
+        with(&["season"], json!(0)),
+        with(&["season"], json!(-1)),
+        with(&["tally"], json!(1.5)),
+        with(&["warrant"], json!("41")),
+        with(&["reclaim_s"], json!("soon")),
+        with(&["seeds"], json!({})),
+        with(&["seeds"], json!([7])),
+        with(&["seeds", "seed"], json!(null)),
+        with(&["seeds", "sowing"], json!("1")),
+        with(&["seeds", "bloom"], json!(null)),
+    ]);
+    let mut bytes: Vec<Vec<u8>> = all.iter().map(|v| serde_json::to_vec(v).expect("JSON")).collect();
+    let text = serde_json::to_vec(good).expect("JSON");
+    bytes.extend([Vec::new(), b"not JSON".to_vec(), text[..text.len() - 1].to_vec(), b"\xff\xfe".to_vec()]);
+    bytes
+}
+
+/// Which attempt of each task of the service is on which worker.
+fn placed(cluster: &Cluster) -> BTreeMap<String, (usize, u64)> {
+    let workers = lock(&cluster.workers);
+    let on = |(w, worker): (usize, &crate::workers::Worker)| {
+        let tasks = worker.tasks.iter().filter(|(name, t)| name.starts_with(SERVICE) && t.ended().is_none());
+        tasks.map(|(name, t)| (name.clone(), (w, t.attempt))).collect::<Vec<_>>()
+    };
+    workers.iter().enumerate().flat_map(on).collect()
+}
+
+fn start(name: &str) -> Cluster {
+    let cluster = Cluster::start(name, Size::of(NODES, 2, 4));
+    let user = User { client: Client::new(0, 0) };
+    assert!(SERVICE.starts_with(SERVICES));
+    let service = job(SERVICE, "standing", REPLICAS);
+    user.until(&cluster.listen, Method::Post, "/work", Some(&service), |s, _| s == 201 || s == 200);
+    let path = format!("/work/{SERVICE}");
+    user.until(&cluster.listen, Method::Get, &path, None, |s, v| s == 200 && v["running"] == REPLICAS);
+    cluster
+}
+
+/// All machines are heard and used as before.
+fn nothing_has_changed(cluster: &Cluster, before: &BTreeMap<String, (usize, u64)>) {
+    std::thread::sleep(A_WHILE);
+    assert_eq!(&placed(cluster), before, "tasks were moved or started anew");
+    let user = User { client: Client::new(0, 0) };
+    let array = job("req-0401", "batch", 14);
+    user.until(&cluster.listen, Method::Post, "/work", Some(&array), |s, _| s == 201 || s == 200);
+    user.until(&cluster.listen, Method::Get, "/work/req-0401", None, |s, v| s == 200 && v["bloom"] == "done");
+    let both_ran = lock(&cluster.workers).iter().all(|w| w.begun.contains("req-0401"));
+    assert!(both_ran, "a machine was not used");
+    assert_eq!(&placed(cluster), before, "tasks were moved or started anew");
+    cluster.nothing_broken();
+}
+
+#[test]
+fn a_malformed_report_is_refused_by_every_controller_and_changes_nothing() {
+    let cluster = start("malformed-reports");
+    let user = User { client: Client::new(1, 4) };
+    let before = placed(&cluster);
+    let worker = before.values().next().expect("a task").0;
+    let reports = malformed_reports(&report(&cluster, worker));
+    let mut taken = Vec::new();
+    for bytes in reports {
+        for at in &cluster.listen {
+            let (status, answer) = user.ask(*at, Method::Post, "/checkin", Some(bytes.clone()));
+            if status != 400 {
+                taken.push(format!("{status} {answer}: {}", String::from_utf8_lossy(&bytes)));
+            }
+        }
+    }
+    assert!(taken.is_empty(), "{} reports were not refused: {taken:#?}", taken.len());
+    nothing_has_changed(&cluster, &before);
+}
+
+/// Sends bytes to where controllers talk to one another, and reads until that is closed.
+fn send_raw(at: SocketAddr, bytes: &[u8]) {
+    let mut stream = TcpStream::connect(at).expect("a connection");
+    stream.set_read_timeout(Some(Duration::from_millis(500))).expect("a time limit");
+    stream.write_all(bytes).expect("sent");
+    let _closed_or_silent = stream.read_to_end(&mut Vec::new());
+}
+
+#[test]
+fn a_malformed_message_between_controllers_is_refused_and_changes_nothing() {
+    let cluster = start("malformed-messages");
+    let before = placed(&cluster);
+    let http1 = b"POST /lupinspur.peer.v1.Owner/Ask HTTP/1.1\r\nhost: owner\r\ncontent-length: 2\r\n\r\n{}";
+    let preface_and_junk = [b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n".as_slice(), &[0xff; 64]].concat();
+    for at in &cluster.peer {
+        [b"junk".as_slice(), http1, &preface_and_junk].iter().for_each(|bytes| send_raw(*at, bytes));
+        let answer = async_io::block_on(query_quotas(&EX, *at, "no job"));
+        assert_eq!(answer.err().as_deref(), Some("job id is malformed"));
+    }
+    let settings = |i: usize| Settings::load(&cluster.dir.join(format!("n{i}.toml"))).expect("settings");
+    let (all, owner) = (settings(0), format!("n{}", cluster.until_owned()));
+    // From wherever the owner is one of the others.
+    let peers = if owner == "n0" { Peers::new(&EX, &settings(1)) } else { Peers::new(&EX, &all) };
+    let ask = |verb, job: &str, cell| async_io::block_on(peers.ask(&owner, verb, (job, cell), None));
+    for job in ["", "no job", "req-", "../own/0", &"9".repeat(9000)] {
+        for verb in [Verb::Show, Verb::Cancel] {
+            assert!(ask(verb, job, 0).is_none(), "{verb:?} {job:.20} is answered");
+        }
+    }
+    assert!(ask(Verb::Cancel, SERVICE, 7).is_none(), "there is no such cell");
+    let good = ask(Verb::Show, SERVICE, 0).expect("an answer");
+    assert_eq!((good.outcome(), good.state.as_str()), (Outcome::Known, "running"));
+    nothing_has_changed(&cluster, &before);
+}
--- a/tests/loopback/traffic.rs
+++ b/tests/loopback/traffic.rs
@@ -5,6 +5,7 @@
 use crate::cluster::{Cluster, wait_until};
 use crate::requests::{LONG, User, job};
 use lupinspur::http::Client;
+use lupinspur::wire::JobState;
 use lupinspur_histories::{Known, Operation, Unfit};
 use serde_json::{Value, json};
 use std::sync::Mutex;
@@ -111,6 +112,15 @@
         wait_until("a controller tells nothing", within, || self.answers.told_by(node, after) >= answers);
     }
 
+    /// How many jobs a controller called done in answer to requests sent after a moment.
+    pub fn called_done_by(&self, node: usize, after: u64) -> usize {
+        let done = |o: &Operation| {
+            o.node == node && o.sent > after && o.answered.is_some_and(|(_, a)| a.told() == Some(JobState::Done))
+        };
+        let submitted = self.submitted.lock().unwrap_or_else(|e| e.into_inner());
+        submitted.iter().filter(|(id, _)| self.answers.operations(id).iter().any(done)).count()
+    }
+
     /// How often a controller refused jobs that no controller may accept, by requests sent after a moment.
     pub fn refused_by(&self, node: usize, after: u64) -> usize {
         let of = |why| self.answers.operations(&unfit(node, why).0);
