--- /dev/null
+++ b/tests/loopback/rules.rs
@@ -0,0 +1,153 @@
+//! A judge that looks at all workers every few milliseconds, from the start of a test to its end.
+
+use crate::cluster::Cluster;
+use crate::http::lock;
+use crate::workers::Workers;
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+const PAUSE: Duration = Duration::from_millis(4);
+
+/// A start that was under way when its cancellation was confirmed arrives within this, unless the test
+/// holds commands up.
+const UNDER_WAY: Duration = Duration::from_secs(1);
+
+/// What the judge has to know, and what it saw.
+#[derive(Default)]
+struct Ledger {
+    cancel: Duration,
+    /// Starts of cancelled jobs may come so late after the confirmation.
+    start_grace: Duration,
+    limits: BTreeMap<String, usize>,
+    team_of: BTreeMap<String, String>,
+    /// When each cancellation was confirmed to its user.
+    confirmed: BTreeMap<String, Instant>,
+    completed: BTreeMap<String, Instant>,
+    broken: BTreeSet<String>,
+}
+
+/// Watches the rules until it is dropped.
+pub struct RuleWatch {
+    ledger: Arc<Mutex<Ledger>>,
+    workers: Workers,
+    over: Arc<AtomicBool>,
+    thread: Option<JoinHandle<()>>,
+}
+
+fn job_of(task: &str) -> &str {
+    task.split('/').next().unwrap_or(task)
+}
+
+impl Ledger {
+    fn look(&mut self, workers: &Workers) {
+        let workers = lock(workers);
+        let mut used: BTreeMap<&str, usize> = BTreeMap::new();
+        for worker in workers.iter() {
+            for (task, state) in worker.tasks.iter().filter(|t| t.1.ended() == Some("done")) {
+                self.completed.entry(task.clone()).or_insert(state.began);
+            }
+            for task in worker.on_it() {
+                let began = worker.tasks[task].began;
+                if let Some(team) = self.team_of.get(job_of(task)) {
+                    *used.entry(team).or_default() += 1;
+                }
+                if self.completed.get(task).is_some_and(|first| began > *first) {
+                    self.broken.insert(format!("{task} was started again after its end"));
+                }
+                let Some(at) = self.confirmed.get(job_of(task)) else { continue };
+                if at.elapsed() > self.cancel {
+                    self.broken.insert(format!("{task} is on {} though it was cancelled", worker.name));
+                }
+                if began > *at + self.start_grace {
+                    let late = began - *at;
+                    self.broken.insert(format!("{task} started on {} {late:?} after its cancellation", worker.name));
+                }
+            }
+        }
+        for (team, limit) in &self.limits {
+            let used = used.get(team.as_str()).copied().unwrap_or_default();
+            if used > *limit {
+                self.broken.insert(format!("{team} uses {used} of {limit}"));
+            }
+        }
+    }
+}
+
+impl RuleWatch {
+    /// Watches that the tasks of cancelled jobs are gone after `cancel`, and that no team is over its limit.
+    pub fn start(cluster: &Cluster, cancel: Duration, limits: &[(&str, usize)]) -> RuleWatch {
+        let limits = limits.iter().map(|(team, limit)| ((*team).to_owned(), *limit)).collect();
+        let ledger = Ledger { cancel, start_grace: UNDER_WAY, limits, ..Ledger::default() };
+        let ledger = Arc::new(Mutex::new(ledger));
+        let over = Arc::new(AtomicBool::new(false));
+        let (watched, workers, ended) = (ledger.clone(), cluster.workers.clone(), over.clone());
+        let thread = std::thread::spawn(move || {
+            while !ended.load(Ordering::Relaxed) {
+                lock(&watched).look(&workers);
+                std::thread::sleep(PAUSE);
+            }
+        });
+        RuleWatch { ledger, workers: cluster.workers.clone(), over, thread: Some(thread) }
+    }
+
+    /// The job counts against the limit of this team.
+    pub fn belongs(&self, job: &str, team: &str) {
+        lock(&self.ledger).team_of.insert(job.to_owned(), team.to_owned());
+    }
+
+    /// A user was just told that the job is cancelled.
+    pub fn confirmed(&self, job: &str) {
+        lock(&self.ledger).confirmed.entry(job.to_owned()).or_insert_with(Instant::now);
+    }
+
+    /// Commands are held up or machines hang: a start that was sent before may come any time until `cancel`.
+    pub fn allow_late_starts(&self) {
+        let mut ledger = lock(&self.ledger);
+        ledger.start_grace = ledger.cancel;
+    }
+
+    /// How many tasks of a team are on workers at this moment.
+    pub fn used(&self, team: &str) -> usize {
+        let ledger = lock(&self.ledger);
+        let workers = lock(&self.workers);
+        let of_team = |task: &&str| ledger.team_of.get(job_of(task)).is_some_and(|t| t == team);
+        workers.iter().flat_map(|w| w.on_it()).filter(of_team).count()
+    }
+
+    /// Tasks of a job that some worker has completed.
+    pub fn completed(&self, job: &str) -> usize {
+        lock(&self.ledger).completed.keys().filter(|task| job_of(task) == job).count()
+    }
+
+    /// Fails if any rule was broken so far.
+    pub fn check(&self, cluster: &Cluster) {
+        cluster.nothing_broken();
+        let broken = &lock(&self.ledger).broken;
+        assert!(broken.is_empty(), "{} rules were broken, the first: {:?}", broken.len(), broken.first());
+    }
+
+    /// Waits until all cancelled tasks have to be gone, and checks that they are.
+    pub fn check_all_gone(&self, cluster: &Cluster) {
+        let last = {
+            let ledger = lock(&self.ledger);
+            ledger.confirmed.values().max().map(|at| *at + ledger.cancel + 5 * PAUSE)
+        };
+        while last.is_some_and(|t| Instant::now() < t) {
+            self.check(cluster);
+            std::thread::sleep(PAUSE);
+        }
+        self.check(cluster);
+    }
+}
+
+impl Drop for RuleWatch {
+    fn drop(&mut self) {
+        self.over.store(true, Ordering::Relaxed);
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
--- a/tests/loopback/settings.rs
+++ b/tests/loopback/settings.rs
@@ -16,6 +16,8 @@
         Some(_) => ["n1", "n2", "s1"].map(|t| format!("[[cluster.teams]]\nname = \"{t}\"\ncpus = 2.0\n")).concat(),
         None => String::new(),
     };
+    let limited = |(name, max): &(&str, f64)| format!("[[cluster.teams]]\nname = \"{name}\"\ncpus_max = {max:.1}\n");
+    let more = more + &size.teams.iter().map(limited).collect::<String>();
     let (lease, cancel, cpus) = (size.lease.as_secs_f64(), size.cancel.as_secs_f64(), size.cpus_max);
     let mut peers = String::new();
     for (j, a) in peer.iter().enumerate().filter(|(j, _)| *j != i) {
@@ -40,6 +42,8 @@
     /// When the tasks of a cancelled job must be gone.
     pub cancel: Duration,
     pub cpus_max: f64,
+    /// Teams beside red, and their limits.
+    pub teams: Vec<(&'static str, f64)>,
     /// The operators' file of quotas, if quotas nest.
     pub quotas: Option<String>,
     /// The operators' file of elastic jobs, if there are some.
@@ -60,6 +64,7 @@
             lease,
             cancel: Duration::from_secs(10),
             cpus_max: 0.0,
+            teams: Vec::new(),
             quotas: None,
             elastic: None,
             cells: None,
--- /dev/null
+++ b/tests/loopback/unreachable_machines.rs
@@ -0,0 +1,108 @@
+//! Machines that open no connection to any controller, while direct commands still reach them.
+
+use crate::cluster::{Cluster, wait_until};
+use crate::http::lock;
+use crate::requests::{SERVICES, User, job};
+use crate::rules::RuleWatch;
+use crate::settings::Size;
+use http_types::Method;
+use lupinspur::http::Client;
+use serde_json::json;
+use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+const WORKERS: usize = 8;
+const LEASE_S: u64 = 8;
+/// Well under the lease: only commands can end the tasks of machines that report nothing.
+const CANCEL: Duration = Duration::from_secs(4);
+const SERVICE_COUNT: usize = 8;
+const REPLICAS: u32 = 3;
+const CANCELLED: usize = 3;
+const WHOLE_WITHIN: Duration = Duration::from_secs(40);
+
+fn service_id(i: usize) -> String {
+    format!("{SERVICES}{i:02}")
+}
+
+/// The `count` workers with the most tasks.
+fn busiest(cluster: &Cluster, count: usize) -> Vec<usize> {
+    let workers = lock(&cluster.workers);
+    let mut all: Vec<usize> = (0..workers.len()).collect();
+    all.sort_by_key(|i| std::cmp::Reverse(workers[*i].on_it().count()));
+    all.truncate(count);
+    assert!(all.iter().all(|i| workers[*i].on_it().count() > 0), "some of {all:?} have no task");
+    all
+}
+
+/// Half of the workers, those with the most tasks, open no connection to any controller. The leader ends,
+/// services are cancelled through the next one, and their tasks on these machines end by direct commands.
+/// The others' tasks start nowhere else while they are there.
+#[test]
+fn commands_reach_machines_that_reach_no_controller() {
+    let size = Size { cancel: CANCEL, ..Size::of(3, WORKERS, LEASE_S) };
+    let mut cluster = Cluster::start("unreachable", size);
+    let listen = cluster.listen.clone();
+    let user = User { client: Client::new(0, 0) };
+    let watch = RuleWatch::start(&cluster, CANCEL, &[]);
+    for i in 0..SERVICE_COUNT {
+        let mut service = job(&service_id(i), "standing", REPLICAS);
+        // Four to a machine, so that most machines have some.
+        service["cpus"] = json!(2.0);
+        user.until(&listen, Method::Post, "/work", Some(&service), |s, _| s == 201 || s == 200);
+    }
+    let whole = |cluster: &Cluster, from: usize| {
+        (from..SERVICE_COUNT).all(|i| cluster.running(&service_id(i)) == REPLICAS as usize)
+    };
+    wait_until("services are not whole", WHOLE_WITHIN, || whole(&cluster, 0));
+
+    let mute = busiest(&cluster, WORKERS / 2);
+    let leader = cluster.until_owned();
+    let first_token = lock(&cluster.store).keys["own/0"].1;
+    // Machines that are not heard would be taken back, with all that is on them.
+    cluster.cloud_down.store(true, Ordering::Relaxed);
+    mute.iter().for_each(|w| lock(&cluster.workers)[*w].mute = true);
+    // They say nothing of their own accord from now on, and their leases run.
+    let sessions: Vec<u64> = mute.iter().map(|w| lock(&cluster.workers)[*w].session).collect();
+    cluster.kill(leader);
+    cluster.until_owned_by_another(leader);
+    let others: Vec<SocketAddr> = (0..listen.len()).filter(|i| *i != leader).map(|i| listen[i]).collect();
+    let on_mute = |id: &str| {
+        let workers = lock(&cluster.workers);
+        mute.iter().flat_map(|w| workers[*w].on_it()).filter(|task| task.split('/').next() == Some(id)).count()
+    };
+    let cancelled_on_mute: usize = (0..CANCELLED).map(|i| on_mute(&service_id(i))).sum();
+    assert!(cancelled_on_mute > 0, "nothing that is to be cancelled is on a machine that reports nothing");
+    for i in 0..CANCELLED {
+        let path = format!("/work/{}/withdraw", service_id(i));
+        user.until(&others, Method::Post, &path, None, |s, v| s == 200 && v["bloom"] == "cancelled");
+        watch.confirmed(&service_id(i));
+    }
+    wait_until("no command of the next leader reaches the machines that report nothing", CANCEL, || {
+        let workers = lock(&cluster.workers);
+        mute.iter().all(|w| workers[*w].token > first_token)
+    });
+    watch.check_all_gone(&cluster);
+    // Their leases end, and with them what was left: it starts on machines that are heard.
+    wait_until("leases do not end", WHOLE_WITHIN, || {
+        watch.check(&cluster);
+        mute.iter().zip(&sessions).all(|(w, first)| lock(&cluster.workers)[*w].session > *first)
+    });
+    wait_until("services are not whole beside machines that report nothing", WHOLE_WITHIN, || {
+        watch.check(&cluster);
+        whole(&cluster, CANCELLED)
+    });
+    lock(&cluster.workers).iter_mut().for_each(|w| w.mute = false);
+    cluster.cloud_down.store(false, Ordering::Relaxed);
+    cluster.begin(leader);
+    for at in &listen {
+        for i in 0..CANCELLED {
+            let path = format!("/work/{}", service_id(i));
+            user.until(&[*at], Method::Get, &path, None, |s, v| s == 200 && v["bloom"] == "cancelled");
+        }
+    }
+    wait_until("services are not whole in the end", WHOLE_WITHIN, || {
+        watch.check(&cluster);
+        whole(&cluster, CANCELLED)
+    });
+}
