--- a/tests/loopback/settings.rs
+++ b/tests/loopback/settings.rs
@@ -41,6 +41,8 @@
     pub lease: Duration,
     /// When the tasks of a cancelled job must be gone.
     pub cancel: Duration,
+    /// How long a controller's claim outlives its last renewal.
+    pub claim: Duration,
     pub cpus_max: f64,
     /// Teams beside red, and their limits.
     pub teams: Vec<(&'static str, f64)>,
@@ -63,6 +65,7 @@
             workers,
             lease,
             cancel: Duration::from_secs(10),
+            claim: Duration::from_secs(4),
             cpus_max: 0.0,
             teams: Vec::new(),
             quotas: None,
