--- a/tests/loopback/cluster.rs
+++ b/tests/loopback/cluster.rs
@@ -5,6 +5,7 @@
 use crate::http::{free_port, lock, server, server_that_loses};
 use crate::links::Links;
 use crate::machines::Machines;
+use crate::rules::job_of;
 use crate::settings::{FIRST_ZONE, Size, settings};
 use crate::state_service::{Store, state};
 use crate::workers::{Worker, Workers};
@@ -270,6 +271,13 @@
         deliver(&self.workers, w, &self.twice)
     }
 
+    /// How many tasks of a job are on these workers.
+    pub fn tasks_on(&self, chosen: &[usize], job: &str) -> usize {
+        let workers = lock(&self.workers);
+        let tasks = chosen.iter().flat_map(|w| workers[*w].on_it());
+        tasks.filter(|task| job_of(task) == job).count()
+    }
+
     /// How many tasks of a job run, counted at the workers.
     pub fn running(&self, job: &str) -> usize {
         let of = |n: &str| n.rsplit_once('/').is_some_and(|(j, _)| j == job);
