Red: an old direct answer makes a task run twice

Found by reading, one hypothesis of three: a direct answer counts as made when it arrives (REPLY_DROPPED_S after the reply with a start), though it may have been made before that reply was carried out. Behind a slow link, or where the owner stands still, a withdrawn start is taken for gone and made elsewhere.

--- a/crates/scheduler/tests/owner/starts.rs
+++ b/crates/scheduler/tests/owner/starts.rs
@@ -3,6 +3,7 @@
 use crate::world::{NEXT_TOKEN, World, job, report, report_of, tasks};
 use lupinspur_scheduler::fleet::HeldState;
 use lupinspur_scheduler::jobs::Phase;
+use lupinspur_scheduler::shard::Direct;
 use lupinspur_scheduler::wire::Op;
 use serde_json::json;
 
@@ -74,3 +75,34 @@
     let both: Vec<Op> = told.iter().map(|c| c.op).collect();
     assert_eq!(both, [Op::Start, Op::Stop]);
 }
+
+/// answer-as-old-as-question: a direct answer shows the machine as it was when it was made, at the earliest when
+/// the commands were sent. A start that went out in the reply to a report since then may be running.
+#[test]
+fn a_direct_answer_from_before_a_start_does_not_show_that_it_never_came() {
+    let mut world = World::with(&["h1"]);
+    let other = world.started("h1", "req-9", 0.7);
+    let question = world.direct(0.8).pop().expect("a start is sent directly");
+    world.accept(job("req-1", 1, json!({"cpus": 28.0, "precedence": "idle"})), 0.9);
+    world.write(0.9);
+    // The machine sends its third report, then answers the question; the reply to the report starts the task.
+    let reply = world.answer(&report("h1", 3, &[("req-9/0", other, "running")]), 1.0);
+    assert_eq!(tasks(&reply, Op::Start), ["req-1/0"]);
+    let answer = report("h1", 4, &[("req-9/0", other, "running")]);
+    // A service needs the room: the start is to be undone.
+    world.accept(job("req-2", 1, json!({"cpus": 28.0, "habit": "standing", "precedence": "critical"})), 1.1);
+    let key = (world.shard.jobs.find("req-1").expect("a job"), 0);
+    assert!(world.machine("h1").tasks[&key].stop.is_some(), "it does not give way");
+    // This owner stands still, or its links are slow, for longer than any reply is on its way.
+    world.shard.on_direct(
+        &question,
+        Direct::Answered { executed: true, report: Some(serde_json::from_value(answer).expect("a report")) },
+        8.0,
+    );
+    assert!(world.machine("h1").tasks.contains_key(&key), "what may run there is taken for gone");
+    for counter in 1..3 {
+        world.hear(&report("h2", counter, &[]), 8.0 + counter as f64 / 10.0);
+    }
+    world.tick_until(8.3, 9.0);
+    assert!(!world.machine("h2").tasks.contains_key(&key), "it is started beside the one that may run");
+}
