Red: a watch that is far behind opens a job again that is over

An older record that comes afterwards is taken for a new job: its tasks start again, and its user is told 'queued' after 'done'.

Change: the test alone, red and listed.

--- a/crates/scheduler/tests/owner/ends.rs
+++ b/crates/scheduler/tests/owner/ends.rs
@@ -101,3 +101,30 @@
     world.store_writes(record, 1.0);
     assert_eq!(tasks(&world.answer(&report("h1", 3, &[]), 1.1), Op::Start), [""; 0]);
 }
+
+/// over-until-watched: whoever forgets a job that is over takes an older record of it for a new job. The watch of
+/// the jobs' records may be minutes behind what this owner has stored itself.
+#[test]
+fn a_watch_that_is_far_behind_opens_no_job_again_that_is_over() {
+    let mut world = World::with(&["h1"]);
+    let attempt = world.started("h1", "req-1", 0.7);
+    let accepted = world.keys[&job_key("req-1")].clone();
+    world.direct_answered(true, &report("h1", 3, &[("req-1/0", attempt, "done")]), 0.8);
+    world.write(1.0);
+    assert_eq!(world.state("req-1"), Some(JobState::Done));
+    let mut now = 2.0;
+    while now < 120.0 {
+        world.hear(&report("h1", (now * 10.0) as u64, &[]), now);
+        world.tick_until(now + 0.1, now + 0.9);
+        world.write(now + 0.95);
+        now += 1.0;
+    }
+    let record: JobRecord = serde_json::from_value(accepted.0).expect("a record");
+    world.shard.add_job(record, accepted.1, now);
+    for counter in 1..3 {
+        world.hear(&report("h2", counter, &[]), now + counter as f64 / 10.0);
+    }
+    world.tick_until(now + 0.3, now + 0.9);
+    assert!(world.held("h2").is_none(), "a job that is done is started again");
+    assert_eq!(world.state("req-1"), Some(JobState::Done));
+}
