A direct answer is as old as its question, not as its arrival

Cause: a withdrawn start that went out in the reply to a report counts as never carried out once a direct answer that does not name it arrives 6 s after that reply. But the answer may have been made before the reply was carried out and have waited since, behind a slow link or a process that stood still. The task was then started elsewhere beside the first.

Change: a report says how it came (Origin), and an answer shows only what was before its question left; the time is kept with the commands.

--- a/crates/scheduler/src/shard/commands.rs
+++ b/crates/scheduler/src/shard/commands.rs
@@ -1,6 +1,7 @@
 //! What workers are told, in the answers to their reports and directly.
 
 use super::Shard;
+use super::reports::Origin;
 use crate::fleet::{Held, HeldState, Leftover, Phase as MachinePhase};
 use crate::intern::MachineIx;
 use crate::jobs::{Phase, Slot, TaskKey};
@@ -24,6 +25,8 @@
     pub machine: MachineIx,
     pub addr: SocketAddr,
     pub body: DirectCommands,
+    /// When they were made up: the answer is no older.
+    pub made_at: f64,
     /// The starts in it that no earlier unanswered command carries: its outcome settles these.
     pub starts: Vec<(TaskKey, u64)>,
 }
@@ -200,7 +203,7 @@
         }
         machine.direct_busy = true;
         self.counts.directs += 1;
-        Some(DirectSend { machine: m, addr, body: DirectCommands { token, session, commands }, starts })
+        Some(DirectSend { machine: m, addr, body: DirectCommands { token, session, commands }, made_at: now, starts })
     }
 
     /// The machine answers, and what it was told to stop a while ago runs still: the command was lost. Replies to
@@ -241,7 +244,7 @@
                 let probing = !machine.reported_token;
                 if let Some(r) = report.filter(|r| *r.machine == *machine.name) {
                     // A direct answer renews no lease.
-                    let _ = self.absorb(&r, false, now);
+                    let _ = self.absorb(&r, Origin::DirectAnswer { asked_at: sent.made_at }, now);
                 }
                 let machine = self.machines.at_mut(m);
                 if probing && !machine.reported_token {
--- a/crates/scheduler/src/shard/reported_tasks.rs
+++ b/crates/scheduler/src/shard/reported_tasks.rs
@@ -2,15 +2,13 @@
 
 use super::Shard;
 use super::faults::RUNS_WELL_S;
+use super::reports::Origin;
 use crate::fleet::{First, Held, HeldState, Leftover, UNHEEDED};
 use crate::intern::MachineIx;
 use crate::jobs::{Phase, Slot, TaskKey};
 use crate::wire::{Report, TaskReport, TaskState, Why};
 use std::collections::BTreeMap;
 
-/// Workers drop a reply that takes 4 s.
-const REPLY_DROPPED_S: f64 = 6.0;
-
 impl Shard {
     /// Notes an attempt that is not held, or is no more. One that still runs takes room
     /// and counts against its team's limit until its end is seen: after a takeover, those
@@ -37,9 +35,8 @@
         }
     }
 
-    /// Brings what is known of a machine's tasks in line with its report; `own`: one
-    /// that it sent by itself, so that the reply to the one before is through or dropped.
-    pub(super) fn take_tasks(&mut self, m: MachineIx, r: &Report, own: bool, now: f64) {
+    /// Brings what is known of a machine's tasks in line with its report.
+    pub(super) fn take_tasks(&mut self, m: MachineIx, r: &Report, origin: Origin, now: f64) {
         // A task may be listed with several attempts, in any order: one that ended or was refused beside one that
         // runs.
         let mut listed: BTreeMap<(TaskKey, u64), &TaskReport> = BTreeMap::new();
@@ -61,7 +58,7 @@
         let (mut heeded, mut missed) = (false, Vec::new());
         for (k, attempt, state) in held {
             // Told in an answer before; this report was sent after that came, or was given up.
-            let told = own
+            let told = origin == Origin::Report
                 && state == HeldState::Commanded
                 && self.machines.at(m).tasks.get(&k).is_some_and(|h| h.stop.is_none() && h.replied > f64::MIN);
             match listed.get(&(k, attempt)) {
@@ -78,7 +75,7 @@
                     if told {
                         missed.push(k);
                     }
-                    self.maybe_never(m, k, own, now)
+                    self.maybe_never(m, k, origin)
                 }
                 _ => {
                     self.release(m, k);
@@ -221,11 +218,10 @@
     /// not by an unanswered direct command, nor in the reply to a report that is still
     /// on its way while a direct answer overtakes it. A direct start counts as unanswered from the
     /// moment it is sent: another call that is under way to the machine doesn't carry it.
-    fn maybe_never(&mut self, m: MachineIx, k: TaskKey, own: bool, now: f64) {
+    fn maybe_never(&mut self, m: MachineIx, k: TaskKey, origin: Origin) {
         let machine = self.machines.at(m);
         let Some(h) = machine.tasks.get(&k) else { return };
-        let reply_through = own || now - h.replied > REPLY_DROPPED_S;
-        if h.stop.is_some() && reply_through && !machine.loose.contains_key(&k) {
+        if h.stop.is_some() && origin.shows_reply_of(h.replied) && !machine.loose.contains_key(&k) {
             self.release(m, k);
             self.requeue(k);
         }
--- a/crates/scheduler/src/shard/reports.rs
+++ b/crates/scheduler/src/shard/reports.rs
@@ -7,6 +7,33 @@
 use crate::times::stretched;
 use crate::wire::{Report, ReportReply, TaskReport, TaskState};
 
+/// How a report came to this owner, and so how old what it says may be.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(super) enum Origin {
+    /// The worker sent it by itself: the reply to its report before is carried out or dropped by then.
+    Report,
+    /// In the answer to commands that left at this time: it was made then or later, whenever it arrives. The reply
+    /// to the worker's last report may still be on its way.
+    DirectAnswer { asked_at: f64 },
+}
+
+impl Origin {
+    fn is_report(self) -> bool {
+        self == Origin::Report
+    }
+
+    /// Does it show what became of a start in a reply that was made at this time?
+    pub(super) fn shows_reply_of(self, replied_at: f64) -> bool {
+        match self {
+            Origin::Report => true,
+            Origin::DirectAnswer { asked_at } => asked_at - replied_at > REPLY_DROPPED_S,
+        }
+    }
+}
+
+/// Workers drop a reply that comes 4 s after their report left.
+const REPLY_DROPPED_S: f64 = 6.0;
+
 /// What to answer to a report.
 #[derive(Debug)]
 pub enum Heard {
@@ -24,7 +51,7 @@
     /// processor at a few hundred machines.
     pub fn on_report(&mut self, r: &Report, now: f64) -> Heard {
         self.counts.reports += 1;
-        match self.absorb(r, true, now) {
+        match self.absorb(r, Origin::Report, now) {
             Ok(m) => {
                 let commands = self.report_commands(m, r, now);
                 let in_time = self.own_silence(self.machines.at(m), now) <= self.silent_s();
@@ -57,7 +84,7 @@
         Some(m)
     }
 
-    pub(super) fn absorb(&mut self, r: &Report, own: bool, now: f64) -> Result<MachineIx, Heard> {
+    pub(super) fn absorb(&mut self, r: &Report, origin: Origin, now: f64) -> Result<MachineIx, Heard> {
         let token = self.token;
         if r.token > token {
             return Err(Heard::Superseded);
@@ -106,7 +133,7 @@
         machine.session = r.session;
         machine.seq = r.seq;
         machine.last_heard = now;
-        let proves = !(own && machine.doubted());
+        let proves = !(origin.is_report() && machine.doubted());
         if proves {
             (machine.suspect, machine.unanswered) = (false, 0);
         }
@@ -140,7 +167,7 @@
             // It may still obey an earlier owner: ask for a report with our token.
             let machine = self.machines.at_mut(m);
             machine.reported_token = false;
-            machine.unheeded += u32::from(own && machine.answered.is_some());
+            machine.unheeded += u32::from(origin.is_report() && machine.answered.is_some());
             self.machines.direct_due.insert(m);
             return Ok(m);
         }
@@ -149,12 +176,12 @@
         let first = !std::mem::replace(&mut machine.reported_token, true);
         if first {
             // It has taken up our token. Reports that it had sent before showed the one of an earlier owner.
-            if own {
+            if origin.is_report() {
                 machine.unheeded = 0;
             }
             self.place_due = true;
         }
-        self.take_tasks(m, r, own, now);
+        self.take_tasks(m, r, origin, now);
         // What runs here and is no job known here is one that ended before this owner began:
         // nobody knows its team, so that the machine counts in full until it is gone.
         let unknown = |t: &TaskReport| t.state != TaskState::Exited && self.key_of(&t.task).is_none();
