Jobs that are over stay known until the watch has passed their end

Cause: they left the owner's memory after 60 s by time alone. A watch of the jobs' records that was further behind brought the record of before the end, which was taken for a new job: started again, and called queued after done.

Change: a job whose end has a later revision than the watch stays known.

--- a/crates/recovery/src/known.rs
+++ b/crates/recovery/src/known.rs
@@ -19,6 +19,11 @@
         self.watched = self.watched.max(revision);
     }
 
+    /// Up to here all changes were taken in, and no older one is to come.
+    pub fn watched_revision(&self) -> u64 {
+        self.watched
+    }
+
     /// The end of this record was sent, for the first time or again.
     pub fn sent(&mut self, id: &str) {
         self.sent.entry(id.to_owned()).or_insert(self.watched);
--- a/crates/scheduler/src/shard/recovery.rs
+++ b/crates/scheduler/src/shard/recovery.rs
@@ -13,7 +13,8 @@
 use serde_json::Value;
 use std::collections::{BTreeSet, HashSet, VecDeque};
 
-/// A job that is over stays known for so long, in seconds: its user polls once more.
+/// A job that is over stays known for so long, in seconds, and until the watch has passed its end: its user polls
+/// once more.
 const OVER_FOR_S: f64 = 60.0;
 /// A machine that is gone stays known for so long: what it sent may arrive minutes late.
 const GONE_FOR_S: f64 = 900.0;
@@ -273,6 +274,14 @@
         }
     }
 
+    /// May the watch still bring a record of this job from before its end? Whoever has forgotten the job would take
+    /// that for a new one.
+    fn may_come_again(&self, j: JobIx) -> bool {
+        let Some(job) = self.jobs.get(j) else { return false };
+        let ended_at = self.versions.get(&job_key(&job.id)).copied().unwrap_or(0);
+        ended_at > self.recovery.known.watched_revision()
+    }
+
     fn sweep_jobs(&mut self, now: f64) {
         let mut over: HashSet<JobIx> = HashSet::new();
         while self.recovery.over.front().is_some_and(|(t, _)| now - t > OVER_FOR_S) {
@@ -288,6 +297,7 @@
             kept.extend(keys.map(|k| k.0).filter(|j| over.contains(j)));
         }
         kept.extend(self.finals.iter().chain(&self.progress_due).filter(|j| over.contains(j)));
+        kept.extend(over.iter().filter(|j| self.may_come_again(**j)));
         self.recovery.over.extend(kept.iter().map(|j| (now, *j)));
         over.retain(|j| !kept.contains(j));
         self.name_no_more(&over);
