Soak: random faults by seed on real controllers over loopback

Change: tests/soak plays faults by seed (ends, pauses, refusals, cuts, outages, late and lost transactions, machines that hang, hear or reach nobody, late and held up starts), two or three at once around changes of leader, while users submit, cancel, ask and repeat.

--- a/tests/loopback/answers.rs
+++ b/tests/loopback/answers.rs
@@ -135,11 +135,14 @@
         lock(&self.history).answers_of(node, after).count()
     }
 
+    /// What was answered against a rule.
+    pub fn violations(&self) -> Vec<String> {
+        lock(&self.history).violations().iter().map(ToString::to_string).collect()
+    }
+
     /// Fails if any answer broke a rule.
     pub fn check(&self) {
-        let history = lock(&self.history);
-        let wrong = history.violations();
-        let first = wrong.first().map(ToString::to_string);
-        assert!(wrong.is_empty(), "{} answers were wrong, the first: {}", wrong.len(), first.unwrap_or_default());
+        let wrong = self.violations();
+        assert!(wrong.is_empty(), "{} answers were wrong, the first: {}", wrong.len(), wrong[0]);
     }
 }
--- a/tests/loopback/cluster.rs
+++ b/tests/loopback/cluster.rs
@@ -8,7 +8,7 @@
 use crate::rules::job_of;
 use crate::settings::{FIRST_ZONE, Size, settings};
 use crate::state_service::{Store, state};
-use crate::workers::{Worker, Workers};
+use crate::workers::{Worker, Workers, commands_of};
 use std::ffi::OsString;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -173,6 +173,15 @@
         cluster
     }
 
+    /// Where a controller's log goes: to a file of its own in this folder, if the variable names one.
+    fn log_of(&self, i: usize) -> Stdio {
+        let Some(folder) = std::env::var_os("TEST_LOG_DIR") else { return Stdio::inherit() };
+        let name = self.dir.file_name().unwrap_or_default().to_string_lossy().into_owned();
+        let path = PathBuf::from(folder).join(format!("{name}-n{i}.log"));
+        let file = std::fs::File::options().create(true).append(true).open(path);
+        file.map_or_else(|_| Stdio::inherit(), Stdio::from)
+    }
+
     pub fn begin(&mut self, i: usize) {
         let mut flag = Vec::new();
         for (name, file) in [("--quotas", "quotas.toml"), ("--elastic", "elastic.toml"), ("--cells", "cells.toml")] {
@@ -187,7 +196,7 @@
             .args(flag)
             .args(["--claim-s", &self.claim.as_secs_f64().to_string()])
             .env("LOG_LEVEL", std::env::var("TEST_LOG").unwrap_or("error".into()))
-            .stderr(Stdio::inherit())
+            .stderr(self.log_of(i))
             .spawn()
             .expect("the program starts");
         self.nodes.0[i] = Some(child);
@@ -248,7 +257,9 @@
     }
 
     pub fn nothing_broken(&self) {
-        assert!(lock(&self.twice).is_empty(), "started twice: {:?}", lock(&self.twice));
+        let twice = lock(&self.twice).clone();
+        let commands: Vec<String> = twice.iter().flat_map(|task| commands_of(task)).collect();
+        assert!(twice.is_empty(), "started twice: {twice:?}\n{}", commands.join("\n"));
         let unfenced = &lock(&self.store).unfenced;
         assert!(unfenced.is_empty(), "changed without a claim: {unfenced:?}");
     }
--- a/tests/loopback/rules.rs
+++ b/tests/loopback/rules.rs
@@ -166,10 +166,15 @@
         lock(&self.ledger).completed.keys().filter(|task| job_of(task) == job).count()
     }
 
+    /// What was broken so far.
+    pub fn broken(&self) -> Vec<String> {
+        lock(&self.ledger).broken.iter().cloned().collect()
+    }
+
     /// Fails if any rule was broken so far.
     pub fn check(&self, cluster: &Cluster) {
         cluster.nothing_broken();
-        let broken = &lock(&self.ledger).broken;
+        let broken = self.broken();
         assert!(broken.is_empty(), "{} rules were broken, the first: {:?}", broken.len(), broken.first());
     }
 
--- a/tests/loopback/workers.rs
+++ b/tests/loopback/workers.rs
@@ -7,13 +7,17 @@
 use http_types::Method;
 use lupinspur::http::Client;
 use serde_json::{Value, json};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 pub const RUN_TIME: Duration = Duration::from_millis(400);
 
+/// Tasks of jobs named like this last for a while, each for a time of its own.
+pub const LASTING: &str = "req-5";
+const LASTS: [u64; 5] = [500, 1100, 2300, 3700, 6100];
+
 /// Of jobs whose tasks end far apart each runs so much longer than the one before.
 pub const ENDS_APART: Duration = Duration::from_secs(6);
 
@@ -35,6 +39,10 @@
 }
 
 fn run_time(task: &str) -> Duration {
+    if task.starts_with(LASTING) {
+        let bytes: usize = task.bytes().map(usize::from).sum();
+        return Duration::from_millis(LASTS[bytes % LASTS.len()]);
+    }
     let number = task.rsplit_once('/').and_then(|(_, n)| n.parse().ok()).unwrap_or(0);
     RUN_TIME + if task.starts_with(APART) { ENDS_APART * number } else { Duration::ZERO }
 }
@@ -90,6 +98,49 @@
 
 pub type Workers = Arc<Mutex<Vec<Worker>>>;
 
+/// What a worker was told to do with a task, and did.
+pub struct Executed {
+    pub at: Instant,
+    pub worker: String,
+    pub command: String,
+    pub task: String,
+    pub attempt: u64,
+    pub token: u64,
+    pub session: u64,
+    /// The task was on another worker at that moment.
+    pub twice: bool,
+}
+
+/// The latest commands that the workers of this process executed.
+pub static EXECUTED: Mutex<VecDeque<Executed>> = Mutex::new(VecDeque::new());
+const MOST_EXECUTED: usize = 100_000;
+/// Of a task that broke a rule so many of the last commands are told.
+const COMMANDS_TOLD: usize = 25;
+
+fn note_executed(executed: Executed) {
+    let mut all = lock(&EXECUTED);
+    if all.len() >= MOST_EXECUTED {
+        all.pop_front();
+    }
+    all.push_back(executed);
+}
+
+/// The last commands about a task that workers executed.
+pub fn commands_of(task: &str) -> Vec<String> {
+    let executed = lock(&EXECUTED);
+    let of_task: Vec<&Executed> = executed.iter().filter(|e| e.task == task).collect();
+    let last = of_task.iter().skip(of_task.len().saturating_sub(COMMANDS_TOLD));
+    last.map(|e| {
+        let twice = if e.twice { ", while it is on another" } else { "" };
+        let ago = e.at.elapsed().as_secs_f64();
+        format!(
+            "    {ago:.3} s ago: {} {} attempt {} on {}, session {}, token {}{twice}",
+            e.command, e.task, e.attempt, e.worker, e.session, e.token
+        )
+    })
+    .collect()
+}
+
 impl Task {
     pub fn ended(&self) -> Option<&'static str> {
         if self.stopped || self.saves_until.is_some_and(|t| Instant::now() >= t) {
@@ -183,6 +234,18 @@
     all[w].token = token;
     for c in reply["tidings"].as_array().cloned().unwrap_or_default() {
         let (task, attempt) = (c["seed"].as_str().unwrap_or("").to_owned(), c["sowing"].as_u64().unwrap_or(0));
+        let command = c["tiding"].as_str().unwrap_or("").to_owned();
+        let starts = command == "run" && !all[w].tasks.contains_key(&task);
+        note_executed(Executed {
+            at: Instant::now(),
+            worker: all[w].name.clone(),
+            command,
+            task: task.clone(),
+            attempt,
+            token,
+            session: all[w].session,
+            twice: starts && all.iter().any(|o| o.on_it().any(|n| n == task)),
+        });
         match c["tiding"].as_str() {
             Some("run") if !all[w].tasks.contains_key(&task) => {
                 let elsewhere = all.iter().any(|o| o.on_it().any(|n| n == task));
--- /dev/null
+++ b/tests/soak/plan.rs
@@ -0,0 +1,122 @@
+//! Which faults come when, by a seed.
+
+use fastrand::Rng;
+use std::fmt;
+use std::time::Duration;
+
+/// Where a machine's messages fail.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum MachineFault {
+    Hangs,
+    /// Answers and commands to it are lost.
+    Deaf,
+    DeafToCommands,
+    /// Its reports reach nobody.
+    Mute,
+    AnswersBreak,
+    /// It reaches the leader of this moment no more.
+    CutFromLeader,
+    /// Commands are carried out late and never answered.
+    LateCommands(Duration),
+    /// Starts are held up, and arrive at the end of the fault.
+    StartsHeldUp,
+    StartsUnanswered,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Kind {
+    LeaderEnds,
+    AnotherEnds,
+    AllEnd,
+    LeaderStandsStill,
+    AllStandStill,
+    LeaderRefused,
+    LeaderCutFromPeers,
+    Outage,
+    SlowRequests(Duration),
+    LateTransactions { one_in: usize, by: Duration },
+    LostAnswers { one_in: usize },
+    Machines { fault: MachineFault, share: f64 },
+}
+
+/// A fault, and when it begins and ends.
+#[derive(Debug, Clone, Copy)]
+pub struct Fault {
+    pub at: Duration,
+    pub lasts: Duration,
+    pub kind: Kind,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:5.1} s for {:4.1} s: {:?}", self.at.as_secs_f64(), self.lasts.as_secs_f64(), self.kind)
+    }
+}
+
+/// Between the beginnings of two faults. They last longer, so that two or three overlap.
+const NEXT_AFTER_S: (f64, f64) = (0.4, 3.0);
+const LASTS_S: (f64, f64) = (1.0, 9.0);
+/// What ends comes back at once.
+const BACK_AFTER: Duration = Duration::from_millis(50);
+/// A leader ends at least this often.
+const LEADER_ENDS_EVERY_S: f64 = 7.0;
+
+fn between(rng: &mut Rng, (from, to): (f64, f64)) -> f64 {
+    from + rng.f64() * (to - from)
+}
+
+fn machine_fault(rng: &mut Rng) -> MachineFault {
+    match rng.u32(0..9) {
+        0 => MachineFault::Hangs,
+        1 => MachineFault::Deaf,
+        2 => MachineFault::DeafToCommands,
+        3 => MachineFault::Mute,
+        4 => MachineFault::AnswersBreak,
+        5 => MachineFault::CutFromLeader,
+        6 => MachineFault::StartsHeldUp,
+        7 => MachineFault::StartsUnanswered,
+        _ => MachineFault::LateCommands(Duration::from_secs_f64(between(rng, (0.5, 6.0)))),
+    }
+}
+
+fn kind(rng: &mut Rng) -> Kind {
+    match rng.u32(0..20) {
+        0 | 1 => Kind::LeaderEnds,
+        2 => Kind::AnotherEnds,
+        3 => Kind::AllEnd,
+        4 | 5 => Kind::LeaderStandsStill,
+        6 => Kind::AllStandStill,
+        7 => Kind::LeaderRefused,
+        8 => Kind::LeaderCutFromPeers,
+        9 => Kind::Outage,
+        10 => Kind::SlowRequests(Duration::from_millis(rng.u64(20..300))),
+        11 => Kind::LateTransactions { one_in: rng.usize(2..6), by: Duration::from_secs_f64(between(rng, (1.0, 7.0))) },
+        12 => Kind::LostAnswers { one_in: rng.usize(2..6) },
+        _ => Kind::Machines { fault: machine_fault(rng), share: between(rng, (0.1, 0.7)) },
+    }
+}
+
+/// The faults of this seed, in the order of their beginnings.
+pub fn plan(seed: u64, seconds: u64) -> Vec<Fault> {
+    let mut rng = Rng::with_seed(seed);
+    let end = seconds as f64;
+    let mut faults = Vec::new();
+    let mut at = 0.5;
+    while at < end {
+        let kind = kind(&mut rng);
+        let ends_at_once = matches!(kind, Kind::LeaderEnds | Kind::AnotherEnds | Kind::AllEnd);
+        let lasts = if ends_at_once { BACK_AFTER } else { Duration::from_secs_f64(between(&mut rng, LASTS_S)) };
+        faults.push(Fault { at: Duration::from_secs_f64(at), lasts, kind });
+        at += between(&mut rng, NEXT_AFTER_S);
+    }
+    let mut ends_at = between(&mut rng, (2.0, LEADER_ENDS_EVERY_S));
+    while ends_at < end {
+        let fault = MachineFault::LateCommands(Duration::from_secs_f64(between(&mut rng, (0.5, 4.0))));
+        let before = Duration::from_secs_f64(ends_at - 1.0);
+        faults.push(Fault { at: before, lasts: Duration::from_secs(2), kind: Kind::Machines { fault, share: 0.5 } });
+        faults.push(Fault { at: Duration::from_secs_f64(ends_at), lasts: BACK_AFTER, kind: Kind::LeaderEnds });
+        ends_at += between(&mut rng, (3.0, LEADER_ENDS_EVERY_S));
+    }
+    faults.sort_by_key(|f| f.at);
+    faults
+}
--- /dev/null
+++ b/tests/soak/users.rs
@@ -0,0 +1,171 @@
+//! Users that submit, cancel, ask and repeat at all controllers while faults last.
+
+use crate::answers::{Answers, Known, Request};
+use crate::http::lock;
+use crate::requests::{User, job};
+use crate::rules::RuleWatch;
+use crate::workers::LASTING;
+use fastrand::Rng;
+use lupinspur::http::Client;
+use lupinspur::wire::JobState;
+use serde_json::{Value, json};
+use std::collections::VecDeque;
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+
+pub const LIMITED: &str = "limited";
+pub const LIMIT: usize = 14;
+
+const PAUSE: Duration = Duration::from_millis(30);
+const SUBMITTED_EVERY_MS: (u64, u64) = (100, 700);
+const CANCELLED_AFTER_MS: (u64, u64) = (0, 4000);
+const ASKED_EVERY: Duration = Duration::from_millis(5);
+/// Jobs that are asked about all the while.
+const LATEST: usize = 10;
+/// Users that ask one controller.
+const ASKERS_PER_NODE: usize = 2;
+
+/// A job that some user submitted.
+#[derive(Clone)]
+pub struct Submitted {
+    pub id: String,
+    pub submission: Value,
+}
+
+pub struct Users<'a> {
+    pub answers: &'a Answers,
+    watch: &'a RuleWatch,
+    submitted: Mutex<Vec<Submitted>>,
+    next: AtomicUsize,
+    pub confirmed: AtomicUsize,
+    pub over: AtomicBool,
+}
+
+fn user() -> User {
+    User { client: Client::new(1, 4) }
+}
+
+impl<'a> Users<'a> {
+    pub fn new(answers: &'a Answers, watch: &'a RuleWatch) -> Users<'a> {
+        Users {
+            answers,
+            watch,
+            submitted: Mutex::default(),
+            next: AtomicUsize::new(0),
+            confirmed: AtomicUsize::new(0),
+            over: AtomicBool::new(false),
+        }
+    }
+
+    pub fn submitted(&self) -> Vec<Submitted> {
+        lock(&self.submitted).clone()
+    }
+
+    fn is_over(&self) -> bool {
+        self.over.load(Ordering::Relaxed)
+    }
+
+    fn pause_ms(&self, rng: &mut Rng, (from, to): (u64, u64)) {
+        let until = Instant::now() + Duration::from_millis(rng.u64(from..=to));
+        while Instant::now() < until && !self.is_over() {
+            std::thread::sleep(PAUSE.min(until.saturating_duration_since(Instant::now())));
+        }
+    }
+
+    /// Submits one job after the other, some of which it cancels.
+    pub fn submit_jobs(&self, seed: u64) {
+        let (mut rng, user) = (Rng::with_seed(seed), user());
+        while !self.is_over() {
+            let number = self.next.fetch_add(1, Ordering::Relaxed);
+            let id = format!("{LASTING}{number:05}");
+            let mut submission = job(&id, "batch", rng.u32(1..=5));
+            if rng.f64() < 0.4 {
+                submission["herd"] = json!(LIMITED);
+                self.watch.belongs(&id, LIMITED);
+            }
+            let cancelled = rng.f64() < 0.35;
+            lock(&self.submitted).push(Submitted { id: id.clone(), submission: submission.clone() });
+            let nodes = self.answers.nodes();
+            let mut node = rng.usize(0..nodes);
+            while !self.is_over() && self.answers.ask(&user, node, &id, Request::Submit(&submission)).is_none() {
+                node = (node + 1) % nodes;
+                std::thread::sleep(PAUSE);
+            }
+            if cancelled {
+                self.pause_ms(&mut rng, CANCELLED_AFTER_MS);
+                self.cancel(&user, node, &id);
+            } else {
+                self.pause_ms(&mut rng, SUBMITTED_EVERY_MS);
+            }
+        }
+    }
+
+    fn cancel(&self, user: &User, first: usize, id: &str) {
+        let nodes = self.answers.nodes();
+        for node in (first..).map(|n| n % nodes) {
+            if self.is_over() {
+                return;
+            }
+            match self.answers.ask(user, node, id, Request::Cancel) {
+                Some(JobState::Cancelled) => return self.note_confirmed(id),
+                Some(JobState::Done) => return,
+                _ => std::thread::sleep(PAUSE),
+            }
+        }
+    }
+
+    fn note_confirmed(&self, id: &str) {
+        self.watch.confirmed(id);
+        self.confirmed.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Asks one controller about the latest jobs, and repeats submissions.
+    pub fn keep_asking(&self, node: usize, seed: u64) {
+        let (mut rng, user) = (Rng::with_seed(seed), user());
+        while !self.is_over() {
+            let latest = {
+                let all = lock(&self.submitted);
+                all[all.len().saturating_sub(LATEST)..].to_vec()
+            };
+            for s in &latest {
+                let request = if rng.f64() < 0.1 { Request::Submit(&s.submission) } else { Request::Poll };
+                self.answers.ask(&user, node, &s.id, request);
+            }
+            std::thread::sleep(PAUSE);
+        }
+    }
+
+    pub fn askers(&self) -> impl Iterator<Item = usize> + use<> {
+        let nodes = self.answers.nodes();
+        (0..nodes * ASKERS_PER_NODE).map(move |i| i % nodes)
+    }
+
+    /// Asks all controllers until each job that was accepted is known to have ended. Returns what is not by then.
+    pub fn until_all_ended(&self, within: Duration) -> Vec<String> {
+        let (user, began) = (user(), Instant::now());
+        let mut open: VecDeque<Submitted> = self.submitted().into();
+        while let Some(next) = open.pop_front() {
+            if began.elapsed() > within {
+                open.push_front(next);
+                break;
+            }
+            if !self.has_ended(&user, &next) {
+                open.push_back(next);
+                std::thread::sleep(ASKED_EVERY);
+            }
+        }
+        open.into_iter().map(|s| s.id).collect()
+    }
+
+    fn has_ended(&self, user: &User, s: &Submitted) -> bool {
+        // One that nobody accepted is submitted no more.
+        if self.answers.known(&s.id) == Known::Nothing {
+            return true;
+        }
+        (0..self.answers.nodes()).all(|node| {
+            let state = self.answers.ask(user, node, &s.id, Request::Poll);
+            state.is_some_and(|s| matches!(s, JobState::Done | JobState::Cancelled))
+        })
+    }
+}
