What was decided is looked at once more as it is sent, and the log says by what right

A direct command was decided under the lease, then a connection was opened for up to 1.5 s and nothing asked again; rentals and returns waited for their turn at the cloud without bound.

What is withheld is decided anew, counted and logged. A start that was chosen against a rule is an error in the log, counted, and not made. Each start's line tells attempt, token and session.

--- a/crates/scheduler/src/shard/commands.rs
+++ b/crates/scheduler/src/shard/commands.rs
@@ -15,6 +15,8 @@
     Answered { executed: bool, report: Option<Report> },
     /// Never left this controller.
     NotSent,
+    /// Never left this controller, since what they rested on had changed by then.
+    Withheld,
     /// May have been executed, and may still be, minutes from now.
     Unknown,
 }
@@ -223,6 +225,22 @@
         }
     }
 
+    /// Commands that were withheld are decided anew, by what is known now.
+    fn decide_again(&mut self, withheld: &DirectSend) {
+        self.counts.withheld += 1;
+        let keys: Vec<(TaskKey, u64)> =
+            withheld.body.commands.iter().filter_map(|c| Some((self.key_of(&c.task)?, c.attempt))).collect();
+        let machine = self.machines.at_mut(withheld.machine);
+        for (key, attempt) in keys {
+            if let Some(held) = machine.tasks.get_mut(&key).filter(|h| h.attempt == attempt) {
+                (held.sent, held.stop_sent) = (-1.0, -1.0);
+            }
+        }
+        if machine.phase == MachinePhase::Up {
+            self.machines.direct_due.insert(withheld.machine);
+        }
+    }
+
     /// What became of commands sent directly.
     pub fn on_direct(&mut self, sent: &DirectSend, outcome: Direct, now: f64) {
         let m = sent.machine;
@@ -255,6 +273,7 @@
                 }
                 self.stop_again(m, now);
             }
+            Direct::Withheld => self.decide_again(sent),
             Direct::NotSent | Direct::Unknown => {
                 machine.unanswered += 1;
                 // One that an earlier owner recorded is asked as one whose report is overdue.
--- a/crates/scheduler/src/shard/placement/pass.rs
+++ b/crates/scheduler/src/shard/placement/pass.rs
@@ -246,13 +246,17 @@
         make_room(s, turn, fetches, self.now)
     }
 
-    /// Starts the first task that waits; false if too little is set apart for it.
+    /// Starts the first task that waits; false if too little is set apart for it, or it may not be started.
     fn start(&mut self, turn: &Turn, task: u32, machine: MachineIx, urgent: bool) -> bool {
         let s = &mut *self.shard;
         let cpus = s.jobs.at(turn.job).spec.cpus;
         if turn.set_apart && s.late_credit < cpus {
             return false;
         }
+        s.jobs.at_mut(turn.job).queue.pop_front();
+        if !s.plan(machine, (turn.job, task), self.now) {
+            return false;
+        }
         if turn.set_apart {
             s.late_credit -= cpus;
         } else if !urgent && turn.rank.2 == Prospect::InTime && !turn.first_part {
@@ -261,8 +265,6 @@
         if !urgent {
             s.largest_started(cpus, turn.first_part);
         }
-        s.jobs.at_mut(turn.job).queue.pop_front();
-        s.plan(machine, (turn.job, task), self.now);
         self.starts += 1;
         true
     }
--- a/crates/scheduler/src/shard/starts.rs
+++ b/crates/scheduler/src/shard/starts.rs
@@ -42,8 +42,20 @@
         if s.checkpoint_s > 0.0 { s.save_s + GRACE_EXTRA_S } else { 0.0 }
     }
 
-    /// Holds a task on a machine: resources and limits count from here on.
-    pub(crate) fn plan(&mut self, m: MachineIx, key: TaskKey, now: f64) {
+    /// Holds a task on a machine: resources and limits count from here on. False, and an error in the log, where
+    /// what it rests on does not hold.
+    pub(crate) fn plan(&mut self, m: MachineIx, key: TaskKey, now: f64) -> bool {
+        if let Err(why) = self.may_start(m, key) {
+            self.counts.forbidden += 1;
+            log::error!(
+                "the start of {}/{} on {} is withheld, token {}: {why}",
+                self.jobs.at(key.0).id,
+                key.1,
+                self.machines.at(m).name,
+                self.token
+            );
+            return false;
+        }
         self.attempts += 1;
         self.counts.starts += 1;
         self.stages.first_start.get_or_insert(now - self.began);
@@ -52,11 +64,13 @@
         let job = self.jobs.at(key.0);
         let image = job.image.map(|i| (i, job.spec.image_gb));
         log::debug!(
-            "{}/{} ({}) goes to {}, {} ms after its acceptance, image there: {}",
+            "{}/{} ({}) goes to {}, attempt {attempt}, token {}, session {}, {} ms after its acceptance, image there: {}",
             job.id,
             key.1,
             job.spec.class,
             self.machines.at(m).name,
+            self.token,
+            self.machines.at(m).session,
             self.day_now_ms(now).saturating_sub(job.at_ms),
             image.is_none_or(|i| self.machines.at(m).has_image(i.0))
         );
@@ -92,6 +106,7 @@
                 r.planned(key.0, &job.id, job.is_service());
             }
         }
+        true
     }
 
     pub(crate) fn hold(&mut self, m: MachineIx, key: TaskKey, held: Held) {
--- a/crates/scheduler/src/shard/summary.rs
+++ b/crates/scheduler/src/shard/summary.rs
@@ -15,6 +15,10 @@
     pub progress: u64,
     pub checkpoint: u64,
     pub other_writes: u64,
+    /// Commands that were not sent, because what they rested on had changed by then.
+    pub withheld: u64,
+    /// Starts that were chosen against a rule, and not made: each is a fault of this program.
+    pub forbidden: u64,
 }
 
 impl Shard {
@@ -41,12 +45,14 @@
         }
         let mix = self.pools.values().next().map(|p| p.mix).unwrap_or_default();
         format!(
-            "{} reports, {} direct, {} starts; writes: {} final, {} racks, {} progress, {} checkpoint, {} other; {} live jobs, \
+            "{} reports, {} direct, {} starts, {} withheld, {} forbidden; writes: {} final, {} racks, {} progress, {} checkpoint, {} other; {} live jobs, \
              {waiting} tasks wait; machines up {} spot and {} on-demand, {}+{} cordoned, {booting} boot, \
              {unresolved} unresolved; cpus {held:.0?}; wanted {mix:?}{}{}{}",
             c.reports - before.reports,
             c.directs - before.directs,
             c.starts - before.starts,
+            c.withheld - before.withheld,
+            c.forbidden - before.forbidden,
             c.finals - before.finals,
             c.racks - before.racks,
             c.progress - before.progress,
--- a/crates/scheduler/tests/owner/main.rs
+++ b/crates/scheduler/tests/owner/main.rs
@@ -8,6 +8,7 @@
 mod lost_starts;
 mod moving;
 mod needs;
+mod permission;
 mod placing;
 mod reports;
 mod service_room;
--- a/src/cloud.rs
+++ b/src/cloud.rs
@@ -18,6 +18,9 @@
     Refused(u16),
     #[error("no answer")]
     NoAnswer,
+    /// Not asked: whoever wanted to may not act any more.
+    #[error("withheld")]
+    Withheld,
 }
 
 pub struct CloudClient {
@@ -48,15 +51,29 @@
         self.budget.lock().unwrap_or_else(|e| e.into_inner())
     }
 
-    async fn call(&self, method: Method, path: &str, body: Option<Vec<u8>>) -> Result<(u16, Vec<u8>), CloudError> {
+    /// Waits for its turn, which may take long.
+    async fn call(
+        &self,
+        may_be_sent: impl FnOnce() -> bool,
+        method: Method,
+        path: &str,
+        body: Option<Vec<u8>>,
+    ) -> Result<(u16, Vec<u8>), CloudError> {
         while !self.lock().try_take(clock::now(), 1) {
             Timer::after(Duration::from_millis(25)).await;
         }
-        self.call_now(method, path, body).await
+        self.call_now(may_be_sent, method, path, body).await
     }
 
-    async fn call_now(&self, method: Method, path: &str, body: Option<Vec<u8>>) -> Result<(u16, Vec<u8>), CloudError> {
-        match self.http.call(self.addr, method, path, body, Duration::from_secs(4)).await {
+    async fn call_now(
+        &self,
+        may_be_sent: impl FnOnce() -> bool,
+        method: Method,
+        path: &str,
+        body: Option<Vec<u8>>,
+    ) -> Result<(u16, Vec<u8>), CloudError> {
+        match self.http.call_if(may_be_sent, self.addr, method, path, body, Duration::from_secs(4)).await {
+            Err(CallError::Withheld) => Err(CloudError::Withheld),
             Ok((429, _)) => {
                 self.lock().drain(clock::now());
                 Err(CloudError::Refused(429))
@@ -71,9 +88,9 @@
     /// wait for a share.
     pub async fn types(&self, first: bool) -> Result<Vec<MachineType>, CloudError> {
         let outcome = if first {
-            self.call_now(Method::Get, wire::TYPES_PATH, None).await
+            self.call_now(|| true, Method::Get, wire::TYPES_PATH, None).await
         } else {
-            self.call(Method::Get, wire::TYPES_PATH, None).await
+            self.call(|| true, Method::Get, wire::TYPES_PATH, None).await
         };
         match outcome? {
             (200, b) => serde_json::from_slice::<Types>(&b).map(|t| t.types).map_err(|_| CloudError::NoAnswer),
@@ -81,9 +98,10 @@
         }
     }
 
-    pub async fn rent(&self, r: &RentRequest) -> Result<Vec<String>, CloudError> {
+    /// Rents machines, if that may be done still when its turn has come.
+    pub async fn rent(&self, r: &RentRequest, may_be_sent: impl FnOnce() -> bool) -> Result<Vec<String>, CloudError> {
         let body = serde_json::to_vec(r).map_err(|_| CloudError::Refused(400))?;
-        match self.call(Method::Post, wire::MACHINES_PATH, Some(body)).await? {
+        match self.call(may_be_sent, Method::Post, wire::MACHINES_PATH, Some(body)).await? {
             (200, b) => {
                 serde_json::from_slice::<MachineNames>(&b).map(|m| m.machines).map_err(|_| CloudError::NoAnswer)
             }
@@ -92,9 +110,10 @@
         }
     }
 
-    pub async fn delete(&self, machines: Vec<String>) -> Result<(), CloudError> {
+    /// Returns machines, if that may be done still when its turn has come.
+    pub async fn delete(&self, machines: Vec<String>, may_be_sent: impl FnOnce() -> bool) -> Result<(), CloudError> {
         let body = serde_json::to_vec(&MachineNames { machines }).map_err(|_| CloudError::Refused(400))?;
-        match self.call(Method::Post, wire::MACHINES_DELETE_PATH, Some(body)).await? {
+        match self.call(may_be_sent, Method::Post, wire::MACHINES_DELETE_PATH, Some(body)).await? {
             (200, _) => Ok(()),
             (s, _) => Err(CloudError::Refused(s)),
         }
@@ -104,7 +123,7 @@
         let mut all: Vec<ListedMachine> = Vec::new();
         loop {
             let after = all.last().map(|m| m.id.clone()).unwrap_or_default();
-            match self.call(Method::Get, &wire::machines_query(&after, 500), None).await? {
+            match self.call(|| true, Method::Get, &wire::machines_query(&after, 500), None).await? {
                 (200, b) => {
                     let page: MachineList = serde_json::from_slice(&b).map_err(|_| CloudError::NoAnswer)?;
                     let more = page.more && !page.machines.is_empty();
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -19,6 +19,9 @@
     NotSent,
     #[error("no answer")]
     NoAnswer,
+    /// Not sent: whoever asked may not do so any more.
+    #[error("withheld")]
+    Withheld,
 }
 
 /// A client with a small pool of open connections per address.
@@ -83,6 +86,19 @@
         path: &str,
         body: Option<Vec<u8>>,
         limit: Duration,
+    ) -> Result<(u16, Vec<u8>), CallError> {
+        self.call_if(|| true, addr, method, path, body, limit).await
+    }
+
+    /// The same, if it may be sent still once the connection is open: opening it takes time.
+    pub async fn call_if(
+        &self,
+        may_be_sent: impl FnOnce() -> bool,
+        addr: SocketAddr,
+        method: Method,
+        path: &str,
+        body: Option<Vec<u8>>,
+        limit: Duration,
     ) -> Result<(u16, Vec<u8>), CallError> {
         let conn = match self.pooled(addr) {
             Some(c) => c,
@@ -93,6 +109,10 @@
         if let Some(b) = body {
             req.set_body(Body::from_bytes(b));
         }
+        if !may_be_sent() {
+            self.keep(addr, conn);
+            return Err(CallError::Withheld);
+        }
         let exchange = async {
             let mut res = async_h1::connect(conn.clone(), req).await.map_err(|_| CallError::NoAnswer)?;
             let close = res.header("connection").is_some_and(|h| h.as_str().eq_ignore_ascii_case("close"));
--- a/src/node/loops.rs
+++ b/src/node/loops.rs
@@ -178,7 +178,7 @@
                 let me = self.clone();
                 let done = done_tx.clone();
                 EX.spawn(async move {
-                    let outcome = me.workers.commands(send.addr, &send.body).await;
+                    let outcome = me.workers.commands(send.addr, &send.body, || me.may_still_send(&send)).await;
                     let now = clock::now();
                     // Only the shard that sent it may learn of it.
                     if let Some(s) = lock(&me.shard).as_mut().filter(|s| s.token == send.body.token) {
@@ -193,6 +193,45 @@
         }
     }
 
+    /// May these commands leave now? The lease, the token, the machine's session and each start are looked at again.
+    fn may_still_send(&self, send: &DirectSend) -> bool {
+        let (now, token) = (clock::now(), send.body.token);
+        let permitted = self.with_shard(now, |s| (s.token == token).then(|| s.still_permits(send))).flatten();
+        let left = self.acts_until().map_or(0.0, |until| until - now);
+        let (commands, session) = (send.body.commands.len(), send.body.session);
+        match permitted {
+            Some(Ok(())) => {
+                log::debug!(
+                    "{commands} commands go to {}: token {token}, session {session}, lease {left:.2} s",
+                    send.addr
+                );
+                true
+            }
+            Some(Err(why)) => {
+                log::info!("{commands} commands to {} are withheld, token {token}: {why}", send.addr);
+                false
+            }
+            None => {
+                log::warn!(
+                    "{commands} commands to {} are withheld: token {token} gives no right to act now, lease {left:.2} s",
+                    send.addr
+                );
+                false
+            }
+        }
+    }
+
+    /// Does the owner with this token own still, now that its call to the cloud is about to leave?
+    fn may_still_call_cloud(&self, token: u64, what: &str) -> bool {
+        let owns = self.with_shard(clock::now(), |s| s.token == token) == Some(true);
+        if owns {
+            log::debug!("token {token} {what} machines");
+        } else {
+            log::warn!("token {token} {what} no machines: it gives no right to act now");
+        }
+        owns
+    }
+
     pub(super) async fn rentals(self: Arc<Self>) {
         while self.open() {
             let now = clock::now();
@@ -211,7 +250,7 @@
                 count: l.count,
             });
             let Some(request) = request else { continue };
-            let outcome = self.cloud.rent(&request).await;
+            let outcome = self.cloud.rent(&request, || self.may_still_call_cloud(token, "rents")).await;
             let now = clock::now();
             let mut pause = 0;
             if let Some(s) = lock(&self.shard).as_mut().filter(|s| s.token == token) {
@@ -237,7 +276,7 @@
                 Timer::after(TICK).await;
                 continue;
             };
-            let outcome = self.cloud.delete(names).await;
+            let outcome = self.cloud.delete(names, || self.may_still_call_cloud(token, "returns")).await;
             let failed = outcome.is_err();
             if let Some(s) = lock(&self.shard).as_mut().filter(|s| s.token == token) {
                 if failed { s.on_delete_failed(&machines) } else { s.on_deleted(&machines) }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -22,7 +22,7 @@
 use crate::ownership::{AWAY_S, CLAIM_KEY, CLAIM_PREFIX, Claim, Next, Ownership, SeenClaim, TYPES_KEY, away_key};
 use crate::peer::Peers;
 use crate::settings::Settings;
-use crate::shard::{CloudCall, Counts, Found, Loaded, LoadedQuotas, Shard, job_of};
+use crate::shard::{CloudCall, Counts, DirectSend, Found, Loaded, LoadedQuotas, Shard, job_of};
 use crate::state::{Commit, StateClient, StateError, TXN_BYTES, Turn};
 use crate::tuning::Tuning;
 use crate::wire::{Change, Condition, Item, Kind, MachineType, RentRequest};
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -195,7 +195,7 @@
             }
             Ok((503, _)) => Err(StateError::NotExecuted(503)),
             Ok(r) => Ok(r),
-            Err(CallError::NotSent) => Err(StateError::NotExecuted(0)),
+            Err(CallError::NotSent | CallError::Withheld) => Err(StateError::NotExecuted(0)),
             Err(CallError::NoAnswer) => Err(StateError::Unknown),
         }
     }
--- a/src/worker.rs
+++ b/src/worker.rs
@@ -21,13 +21,15 @@
         WorkerClient { http: Client::new(1, s.sockets / 8) }
     }
 
-    pub async fn commands(&self, addr: SocketAddr, c: &DirectCommands) -> Direct {
+    /// Sends commands straight to a worker, if that may be done still at that moment.
+    pub async fn commands(&self, addr: SocketAddr, c: &DirectCommands, may_be_sent: impl FnOnce() -> bool) -> Direct {
         let Ok(body) = serde_json::to_vec(c) else { return Direct::NotSent };
         // A mere question is asked again; a command that is given up may still arrive.
         let limit = if c.commands.is_empty() { QUESTION } else { COMMAND };
-        match self.http.call(addr, Method::Post, wire::COMMANDS_PATH, Some(body), limit).await {
+        match self.http.call_if(may_be_sent, addr, Method::Post, wire::COMMANDS_PATH, Some(body), limit).await {
             Ok((s, b)) => Direct::Answered { executed: s == 200, report: serde_json::from_slice(&b).ok() },
             Err(CallError::NotSent) => Direct::NotSent,
+            Err(CallError::Withheld) => Direct::Withheld,
             Err(CallError::NoAnswer) => Direct::Unknown,
         }
     }
--- a/tests/clients.rs
+++ b/tests/clients.rs
@@ -181,8 +181,9 @@
     let executor = Executor::new();
     let request =
         RentRequest { request: "r-1".into(), type_name: "m8".into(), zone: "a".into(), spot: false, count: 1 };
-    let rented =
-        async |status, body| CloudClient::new(&settings(service(&executor, &[(status, body)]).0)).rent(&request).await;
+    let rented = async |status, body| {
+        CloudClient::new(&settings(service(&executor, &[(status, body)]).0)).rent(&request, || true).await
+    };
     async_io::block_on(executor.run(async {
         assert_eq!(rented(200, "{\"plots\": [\"host-1\"]}").await, Ok(vec!["host-1".into()]));
         assert_eq!(rented(200, "{\"plots\": [\"host").await, Err(CloudError::NoAnswer));
--- a/tests/soak/plan.rs
+++ b/tests/soak/plan.rs
@@ -58,6 +58,8 @@
 const LASTS_S: (f64, f64) = (1.0, 9.0);
 /// What ends comes back at once.
 const BACK_AFTER: Duration = Duration::from_millis(50);
+/// Of so many of these ends some machines can't be heard by the next leader for a while.
+const OUT_OF_REACH_SHARE: f64 = 0.7;
 /// A leader ends at least this often.
 const LEADER_ENDS_EVERY_S: f64 = 7.0;
 
@@ -96,6 +98,23 @@
     }
 }
 
+/// What a change of leader meets: starts that are on their way, and machines that the next leader cannot hear.
+fn around_an_end(rng: &mut Rng, ends_at: f64, faults: &mut Vec<Fault>) {
+    let mut add = |at: f64, lasts: f64, kind: Kind| {
+        let (at, lasts) = (Duration::from_secs_f64(at.max(0.1)), Duration::from_secs_f64(lasts));
+        faults.push(Fault { at, lasts, kind });
+    };
+    let fault = MachineFault::LateCommands(Duration::from_secs_f64(between(rng, (0.5, 4.0))));
+    add(ends_at - 2.0, between(rng, (2.0, 4.0)), Kind::Machines { fault, share: 0.5 });
+    if rng.f64() < OUT_OF_REACH_SHARE {
+        let lasts = between(rng, (2.0, 7.0));
+        for fault in [MachineFault::Mute, MachineFault::DeafToCommands] {
+            add(ends_at - 0.3, lasts, Kind::Machines { fault, share: 0.7 });
+        }
+    }
+    add(ends_at, BACK_AFTER.as_secs_f64(), Kind::LeaderEnds);
+}
+
 /// The faults of this seed, in the order of their beginnings.
 pub fn plan(seed: u64, seconds: u64) -> Vec<Fault> {
     let mut rng = Rng::with_seed(seed);
@@ -111,10 +130,7 @@
     }
     let mut ends_at = between(&mut rng, (2.0, LEADER_ENDS_EVERY_S));
     while ends_at < end {
-        let fault = MachineFault::LateCommands(Duration::from_secs_f64(between(&mut rng, (0.5, 4.0))));
-        let before = Duration::from_secs_f64(ends_at - 1.0);
-        faults.push(Fault { at: before, lasts: Duration::from_secs(2), kind: Kind::Machines { fault, share: 0.5 } });
-        faults.push(Fault { at: Duration::from_secs_f64(ends_at), lasts: BACK_AFTER, kind: Kind::LeaderEnds });
+        around_an_end(&mut rng, ends_at, &mut faults);
         ends_at += between(&mut rng, (3.0, LEADER_ENDS_EVERY_S));
     }
     faults.sort_by_key(|f| f.at);
--- a/tests/soak/play.rs
+++ b/tests/soak/play.rs
@@ -21,7 +21,7 @@
 const LEASE_S: u64 = 5;
 const CANCEL: Duration = Duration::from_secs(13);
 const CLAIM: Duration = Duration::from_millis(1500);
-const SUBMITTERS: u64 = 4;
+const SUBMITTERS: u64 = 6;
 /// Once all troubles are over, nothing waits for longer beside room, and everything is known.
 const ENDS_WITHIN: Duration = Duration::from_secs(75);
 /// Machines that may be rented, for each that is there.
--- a/tests/soak/users.rs
+++ b/tests/soak/users.rs
@@ -18,7 +18,7 @@
 pub const LIMIT: usize = 14;
 
 const PAUSE: Duration = Duration::from_millis(30);
-const SUBMITTED_EVERY_MS: (u64, u64) = (100, 700);
+const SUBMITTED_EVERY_MS: (u64, u64) = (50, 300);
 const CANCELLED_AFTER_MS: (u64, u64) = (0, 4000);
 const ASKED_EVERY: Duration = Duration::from_millis(5);
 /// Jobs that are asked about all the while.
--- a/tests/unanswered.rs
+++ b/tests/unanswered.rs
@@ -81,11 +81,30 @@
     let commands = DirectCommands { token: 41, session: 1, commands: Vec::new() };
     let client = WorkerClient::new(&settings(nobody()));
     async_io::block_on(executor.run(async {
-        let closed = client.commands(stand_in(&executor, Then::Closes), &commands).await;
+        let closed = client.commands(stand_in(&executor, Then::Closes), &commands, || true).await;
         assert!(matches!(closed, Direct::Unknown), "{closed:?}");
-        let refused = client.commands(stand_in(&executor, Then::Refuses), &commands).await;
+        let refused = client.commands(stand_in(&executor, Then::Refuses), &commands, || true).await;
         assert!(matches!(refused, Direct::Answered { executed: false, .. }), "{refused:?}");
-        let not_sent = client.commands(nobody(), &commands).await;
+        let not_sent = client.commands(nobody(), &commands, || true).await;
+        assert!(matches!(not_sent, Direct::NotSent), "{not_sent:?}");
+    }));
+}
+
+/// permission-when-sent: guards against commands of an owner whose right has lapsed while it opened the connection.
+#[test]
+fn a_command_that_may_not_be_sent_any_more_is_withheld() {
+    let executor = Executor::new();
+    let commands = DirectCommands { token: 41, session: 1, commands: Vec::new() };
+    let client = WorkerClient::new(&settings(nobody()));
+    async_io::block_on(executor.run(async {
+        let address = stand_in(&executor, Then::Refuses);
+        let withheld = client.commands(address, &commands, || false).await;
+        assert!(matches!(withheld, Direct::Withheld), "{withheld:?}");
+        // The connection that was opened for it serves the next one.
+        let sent = client.commands(address, &commands, || true).await;
+        assert!(matches!(sent, Direct::Answered { executed: false, .. }), "{sent:?}");
+        // Of one that cannot be opened nothing is asked.
+        let not_sent = client.commands(nobody(), &commands, || panic!("asked before there is a connection")).await;
         assert!(matches!(not_sent, Direct::NotSent), "{not_sent:?}");
     }));
 }
@@ -94,7 +113,7 @@
 #[test]
 fn a_deletion_is_confirmed_by_its_answer_alone() {
     let executor = Executor::new();
-    let outcome = async |address| CloudClient::new(&settings(address)).delete(vec!["host-1".into()]).await;
+    let outcome = async |address| CloudClient::new(&settings(address)).delete(vec!["host-1".into()], || true).await;
     async_io::block_on(executor.run(async {
         assert_eq!(outcome(stand_in(&executor, Then::Closes)).await, Err(CloudError::NoAnswer));
         assert_eq!(outcome(stand_in(&executor, Then::Refuses)).await, Err(CloudError::Refused(503)));
@@ -112,6 +131,6 @@
         RentRequest { request: "r-1".into(), type_name: "m8".into(), zone: "a".into(), spot: false, count: 1 };
     async_io::block_on(executor.run(async {
         let cloud = CloudClient::new(&settings(stand_in(&executor, Then::Closes)));
-        assert_eq!(cloud.rent(&request).await, Err(CloudError::NoAnswer));
+        assert_eq!(cloud.rent(&request, || true).await, Err(CloudError::NoAnswer));
     }));
 }
