--- a/tests/loopback/rules.rs
+++ b/tests/loopback/rules.rs
@@ -80,6 +80,20 @@
         }
     }
 
+    /// Which tasks of a team are on which workers, for people.
+    fn tasks_of(&self, team: &str, workers: &[Worker]) -> String {
+        let of_team = |task: &str| self.team_of.get(job_of(task)).is_some_and(|t| t == team);
+        let told = |w: &Worker, task: &str| {
+            let (began, renewed) = (w.tasks[task].began.elapsed(), w.renewed.elapsed());
+            let (name, attempt, session, token) = (&w.name, w.tasks[task].attempt, w.session, w.token);
+            format!(
+                "{task} attempt {attempt} for {began:.2?} on {name} (session {session}, token {token}, renewed {renewed:.2?} ago)"
+            )
+        };
+        let all = workers.iter().flat_map(|w| w.on_it().filter(|t| of_team(t)).map(move |t| told(w, t)));
+        all.collect::<Vec<_>>().join(", ")
+    }
+
     fn look(&mut self, workers: &Workers) {
         let workers = lock(workers);
         self.look_at_zones(&workers);
@@ -108,8 +122,10 @@
         }
         for (team, limit) in &self.limits {
             let used = used.get(team.as_str()).copied().unwrap_or_default();
-            if used > *limit {
-                self.broken.insert(format!("{team} uses {used} of {limit}"));
+            let begins = format!("{team} uses ");
+            // Told once, as it was found: the next look may find other tasks.
+            if used > *limit && !self.broken.iter().any(|b| b.starts_with(&begins)) {
+                self.broken.insert(format!("{begins}{used} of {limit}: {}", self.tasks_of(team, &workers)));
             }
         }
     }
