Loopback: workers end with their cluster, and processes side by side have ports of their own

The workers of earlier clusters went on reporting to ports that by then were another process's cluster.

Change: a cluster's workers end with it; 128 ports a process in place of 16.

--- a/tests/common/http.rs
+++ b/tests/common/http.rs
@@ -47,11 +47,14 @@
     addr
 }
 
+/// Processes of tests that run side by side have ports of their own, as long as they want no more.
+const PORTS_A_PROCESS: usize = 128;
+
 /// A port for a program that is started later. Below those that the system hands out by
 /// itself: one of them was taken by somebody's connection before the program was there.
 pub fn free_port() -> SocketAddr {
     static NEXT: AtomicUsize = AtomicUsize::new(0);
-    let first = std::process::id() as usize * 16;
+    let first = std::process::id() as usize * PORTS_A_PROCESS;
     loop {
         let port = 10_000 + (first + NEXT.fetch_add(1, Ordering::Relaxed)) % 20_000;
         if let Ok(l) = TcpListener::bind(("127.0.0.1", port as u16)) {
--- a/tests/loopback/cluster.rs
+++ b/tests/loopback/cluster.rs
@@ -299,6 +299,9 @@
 
 impl Drop for Cluster {
     fn drop(&mut self) {
+        // They would go on reporting to these addresses, which may be another cluster's by then: of two processes
+        // of tests side by side the workers of one once obeyed the controllers of the other.
+        lock(&self.workers).iter_mut().for_each(|w| w.deleted = true);
         let _ = std::fs::remove_dir_all(&self.dir);
     }
 }
