--- a/tests/loopback/workers.rs
+++ b/tests/loopback/workers.rs
@@ -208,12 +208,15 @@
 
     pub fn report(&mut self) -> Value {
         self.seq += 1;
-        let done = self.tasks.iter().filter(|(_, t)| t.ended() == Some("done")).map(|(name, _)| name.clone());
+        // Looked at once: a task that ended in between was reported as done, and counted as done only by the next
+        // report, so that controllers that told it seemed to be wrong.
+        let tasks: Vec<(&String, &Task, Option<&'static str>)> =
+            self.tasks.iter().map(|(name, task)| (name, task, task.ended())).collect();
+        let done = tasks.iter().filter(|(.., ended)| *ended == Some("done")).map(|(name, ..)| (*name).clone());
         self.completed.extend(done);
-        let seeds: Vec<Value> = self
-            .tasks
-            .iter()
-            .map(|(n, t)| match t.ended() {
+        let seeds: Vec<Value> = tasks
+            .into_iter()
+            .map(|(n, t, ended)| match ended {
                 Some(why) => json!({"seed": n, "sowing": t.attempt, "bloom": "ended", "wilt": why}),
                 None if t.saves_until.is_some() => json!({"seed": n, "sowing": t.attempt, "bloom": "flushing"}),
                 None => json!({"seed": n, "sowing": t.attempt, "bloom": "running"}),
