Loopback: a stand-in worker looks once whether a task is on another

The note of executed commands asked all workers again for what the check beside it asks, for each start. One look serves both; what is noted and what fails are the same.

--- a/tests/loopback/workers.rs
+++ b/tests/loopback/workers.rs
@@ -239,6 +239,7 @@
         let (task, attempt) = (c["seed"].as_str().unwrap_or("").to_owned(), c["sowing"].as_u64().unwrap_or(0));
         let command = c["tiding"].as_str().unwrap_or("").to_owned();
         let starts = command == "run" && !all[w].tasks.contains_key(&task);
+        let elsewhere = starts && all.iter().any(|o| o.on_it().any(|n| n == task));
         note_executed(Executed {
             at: Instant::now(),
             worker: all[w].name.clone(),
@@ -247,11 +248,10 @@
             attempt,
             token,
             session: all[w].session,
-            twice: starts && all.iter().any(|o| o.on_it().any(|n| n == task)),
+            twice: elsewhere,
         });
         match c["tiding"].as_str() {
-            Some("run") if !all[w].tasks.contains_key(&task) => {
-                let elsewhere = all.iter().any(|o| o.on_it().any(|n| n == task));
+            Some("run") if starts => {
                 if elsewhere {
                     lock(twice).push(task.clone());
                 }
