Red: a running task starts on a second machine while its job's needs are not read

A successor has not read the need of req-2; h1 reports its attempt as running and is taken to hold nothing that is wanted; with the need read the task starts on h2. No behaviour changes.

--- a/crates/scheduler/tests/owner/main.rs
+++ b/crates/scheduler/tests/owner/main.rs
@@ -8,6 +8,7 @@
 mod lost_starts;
 mod moving;
 mod needs;
+mod occupied;
 mod permission;
 mod placing;
 mod reports;
