A takeover is told in the log: needs not read, attempts adopted or orphaned and why

Cause: the records of the incident told nothing of what a new leader made of running tasks, nor when the needs of jobs were read. Change: at info and at most 300 lines a takeover, the rest at debug: how many needs are not read, when each was; each attempt of an earlier owner that is adopted or orphaned, with token, session, attempt, machine and reason; each start of a task whose job an earlier owner had started. take_tasks is parted by job, its five outcomes are typed, a stray is an orphaned attempt. No behaviour changes.

--- a/crates/scheduler/src/fleet/machine.rs
+++ b/crates/scheduler/src/fleet/machine.rs
@@ -52,10 +52,11 @@
     pub replied: f64,
 }
 
-/// An ended attempt that the machine still reports, or a stray one.
+/// An attempt that the machine still reports and that is not held.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum Leftover {
-    Stray,
+    /// It has not ended, and is told to stop.
+    Orphaned,
     Ended,
 }
 
--- a/crates/scheduler/src/jobs/job.rs
+++ b/crates/scheduler/src/jobs/job.rs
@@ -64,6 +64,8 @@
     pub dirty_chunks: BTreeSet<u32>,
     /// Unresolved machines that may hold tasks of this job.
     pub shadowed_by: u32,
+    /// An earlier owner's record of a machine names it.
+    pub recorded: bool,
     /// Machines on which it failed lately.
     pub failed_on: Vec<MachineIx>,
     /// When a task of it last failed.
--- a/crates/scheduler/src/jobs/mod.rs
+++ b/crates/scheduler/src/jobs/mod.rs
@@ -99,6 +99,7 @@
             begun: 0,
             dirty_chunks: BTreeSet::new(),
             shadowed_by: 0,
+            recorded: false,
             failed_on: Vec::new(),
             failed_at: f64::MIN,
             not_before: 0.0,
--- a/crates/scheduler/src/shard/commands.rs
+++ b/crates/scheduler/src/shard/commands.rs
@@ -90,7 +90,7 @@
         }
         for (k, (attempt, what)) in &machine.leftovers {
             match what {
-                Leftover::Stray => out.push(self.command(Op::Stop, *k, *attempt, Some(0.0))),
+                Leftover::Orphaned => out.push(self.command(Op::Stop, *k, *attempt, Some(0.0))),
                 Leftover::Ended if self.may_forget(m, *k, *attempt) => {
                     out.push(self.command(Op::Forget, *k, *attempt, None))
                 }
@@ -176,7 +176,7 @@
         }
         if !probing {
             for (k, (attempt, what)) in &machine.leftovers {
-                if *what == Leftover::Stray {
+                if *what == Leftover::Orphaned {
                     commands.push(self.command(Op::Stop, *k, *attempt, Some(0.0)));
                 }
             }
--- a/crates/scheduler/src/shard/mod.rs
+++ b/crates/scheduler/src/shard/mod.rs
@@ -147,6 +147,7 @@
     /// The stages of this takeover that were not told yet: when all was known, when the first
     /// task was started.
     stages: takeover::Stages,
+    takeover_log: takeover::TakeoverLog,
     /// Most machines were asked whether they are there, and did not answer.
     pub(crate) most_unresponsive: bool,
     /// Has the cloud told this owner which machines there are?
--- a/crates/scheduler/src/shard/recovery.rs
+++ b/crates/scheduler/src/shard/recovery.rs
@@ -79,8 +79,9 @@
 impl Shard {
     /// A job that was taken in: it belongs into the checkpoint, or is over already.
     pub(super) fn remember(&mut self, j: JobIx, now: f64) {
+        let id = self.jobs.at(j).id.clone();
+        self.need_was_read(&id, now);
         let job = self.jobs.at(j);
-        self.recovery.unread_needs.remove(&*job.id);
         if job.phase == Phase::Open {
             self.recovery.writer.opened(&job.id);
         } else {
@@ -202,6 +203,12 @@
     /// jobs that wait for them.
     pub(super) fn note_unread_needs(&mut self) {
         self.recovery.unread_needs = self.graph.strangers().map(str::to_owned).collect();
+        if !self.recovery.unread_needs.is_empty() {
+            log::info!(
+                "{} needs of jobs ended before the checkpoint, or are another cell's: not read yet",
+                self.recovery.unread_needs.len()
+            );
+        }
     }
 
     /// Needs to be read at once, so many at a time.
@@ -210,8 +217,20 @@
     }
 
     /// The record of this need was read, and taken in if it concerns this shard.
-    pub fn need_was_read(&mut self, id: &str) {
-        self.recovery.unread_needs.remove(id);
+    pub fn need_was_read(&mut self, id: &str, now: f64) {
+        if !self.recovery.unread_needs.remove(id) {
+            return;
+        }
+        let phase = self.jobs.find(id).map(|j| self.jobs.at(j).phase);
+        let level = self.takeover_log.level();
+        let after_s = now - self.began;
+        match phase {
+            Some(phase) => log::log!(level, "the need {id} was read {after_s:.2} s after the takeover: {phase:?}"),
+            None => log::log!(level, "the need {id} was read {after_s:.2} s after the takeover: open in another cell"),
+        }
+        if self.recovery.unread_needs.is_empty() {
+            log::info!("all needs were read {after_s:.2} s after the takeover");
+        }
     }
 
     /// Does this job wait, at any remove, for one whose record was not read yet? That one may have been
--- a/crates/scheduler/src/shard/reported_tasks.rs
+++ b/crates/scheduler/src/shard/reported_tasks.rs
@@ -3,19 +3,38 @@
 use super::Shard;
 use super::faults::RUNS_WELL_S;
 use super::reports::Origin;
+use super::starts::ATTEMPT_BITS;
 use crate::fleet::{First, Held, HeldState, Leftover, UNHEEDED};
 use crate::intern::MachineIx;
 use crate::jobs::{Phase, Slot, TaskKey};
 use crate::wire::{Report, TaskReport, TaskState, Why};
 use std::collections::BTreeMap;
 
+/// The attempts that a report lists, by task and attempt.
+type Listed<'r> = BTreeMap<(TaskKey, u64), &'r TaskReport>;
+
+/// What becomes of an attempt that has not ended and is not held by this owner.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+enum Unheld {
+    #[error("adopted")]
+    Adopted,
+    #[error("orphaned, its job is over")]
+    JobOver,
+    #[error("orphaned, its job waits for others")]
+    NeedsOpen,
+    #[error("orphaned, another attempt is held")]
+    HeldAlready,
+    #[error("orphaned, the task is done")]
+    TaskDone,
+}
+
 impl Shard {
     /// Notes an attempt that is not held, or is no more. One that still runs takes room
     /// and counts against its team's limit until its end is seen: after a takeover, those
     /// of cancelled jobs once did not, and others were started beside them.
     pub(super) fn leave(&mut self, m: MachineIx, k: TaskKey, attempt: u64, what: Leftover) {
         self.drop_leftovers(m, |key, _| *key != k);
-        if what == Leftover::Stray {
+        if what == Leftover::Orphaned {
             self.count_use(m, k.0, 1.0);
         }
         self.machines.at_mut(m).leftovers.insert(k, (attempt, what));
@@ -28,7 +47,7 @@
             leftovers.iter().filter(|(k, (a, _))| !keep(k, *a)).map(|(k, (_, what))| (*k, *what)).collect();
         for (k, what) in gone {
             self.machines.at_mut(m).leftovers.remove(&k);
-            if what == Leftover::Stray {
+            if what == Leftover::Orphaned {
                 self.count_use(m, k.0, -1.0);
                 self.place_due = true;
             }
@@ -37,9 +56,29 @@
 
     /// Brings what is known of a machine's tasks in line with its report.
     pub(super) fn take_tasks(&mut self, m: MachineIx, r: &Report, origin: Origin, now: f64) {
-        // A task may be listed with several attempts, in any order: one that ended or was refused beside one that
-        // runs.
-        let mut listed: BTreeMap<(TaskKey, u64), &TaskReport> = BTreeMap::new();
+        let listed = self.listed_attempts(r);
+        self.note_unknown_attempts(m, r);
+        self.compare_held(m, &listed, origin, now);
+        // A fetch that no task waits for any more is given up.
+        let waited_for: Vec<_> = self.machines.at(m).tasks.keys().filter_map(|k| self.jobs.at(k.0).image).collect();
+        self.machines.at_mut(m).images.retain(|i| i.ready || waited_for.contains(&i.image));
+        self.drop_leftovers(m, |k, a| listed.contains_key(&(*k, a)));
+        for ((k, _), t) in listed {
+            if self.machines.at(m).tasks.get(&k).is_some_and(|h| h.attempt == t.attempt) {
+                continue;
+            }
+            if t.state == TaskState::Exited {
+                self.ended_beside(m, k, t);
+            } else {
+                self.take_unheld(m, k, t, now);
+            }
+        }
+    }
+
+    /// The attempts in a report of tasks that are known here. A task may be listed with several attempts, in any
+    /// order: one that ended or was refused beside one that runs.
+    fn listed_attempts<'r>(&self, r: &'r Report) -> Listed<'r> {
+        let mut listed = Listed::new();
         for t in &r.tasks {
             if let Some(k) = self.key_of(&t.task) {
                 listed.insert((k, t.attempt), t);
@@ -47,12 +86,21 @@
                 log::warn!("machine {} reports {}, which is no task known here", r.machine, t.task);
             }
         }
+        listed
+    }
+
+    /// Attempts that have not ended, of tasks that are not known here: they are told to stop.
+    fn note_unknown_attempts(&mut self, m: MachineIx, r: &Report) {
         let unknown = r.tasks.iter().filter(|t| t.state != TaskState::Exited && self.key_of(&t.task).is_none());
         let unknown: Vec<(String, u64)> = unknown.map(|t| (t.task.clone(), t.attempt)).collect();
         let before = std::mem::replace(&mut self.machines.at_mut(m).unknown, unknown);
         if self.machines.at(m).unknown.iter().any(|u| !before.contains(u)) {
             self.machines.direct_first(m, First::Cancelled);
         }
+    }
+
+    /// What became of the attempts that are held on this machine.
+    fn compare_held(&mut self, m: MachineIx, listed: &Listed, origin: Origin, now: f64) {
         let held: Vec<(TaskKey, u64, HeldState)> =
             self.machines.at(m).tasks.iter().map(|(k, h)| (*k, h.attempt, h.state)).collect();
         let (mut heeded, mut missed) = (false, Vec::new());
@@ -84,45 +132,71 @@
             }
         }
         self.take_heed(m, heeded, missed, now);
-        // A fetch that no task waits for any more is given up.
-        let waited_for: Vec<_> = self.machines.at(m).tasks.keys().filter_map(|k| self.jobs.at(k.0).image).collect();
-        self.machines.at_mut(m).images.retain(|i| i.ready || waited_for.contains(&i.image));
-        self.drop_leftovers(m, |k, a| listed.contains_key(&(*k, a)));
-        for ((k, _), t) in listed {
-            let machine = self.machines.at(m);
-            if machine.tasks.get(&k).is_some_and(|h| h.attempt == t.attempt) {
-                continue;
-            }
-            if t.state == TaskState::Exited {
-                if t.why == Some(Why::Done) {
-                    self.done_elsewhere(k);
-                    self.task_done(k);
-                }
-                // What runs on counts for as long as it is listed; what ended beside it comes after.
-                let beside = self.machines.at(m).leftovers.get(&k);
-                let runs_on = beside.is_some_and(|(a, what)| *a != t.attempt && *what == Leftover::Stray);
-                if !runs_on {
-                    self.leave(m, k, t.attempt, Leftover::Ended);
-                }
-                continue;
+    }
+
+    /// An attempt ended that is not held here: its result counts all the same.
+    fn ended_beside(&mut self, m: MachineIx, k: TaskKey, t: &TaskReport) {
+        if t.why == Some(Why::Done) {
+            self.done_elsewhere(k);
+            self.task_done(k);
+        }
+        // What runs on counts for as long as it is listed; what ended beside it comes after.
+        let beside = self.machines.at(m).leftovers.get(&k);
+        let runs_on = beside.is_some_and(|(a, what)| *a != t.attempt && *what == Leftover::Orphaned);
+        if !runs_on {
+            self.leave(m, k, t.attempt, Leftover::Ended);
+        }
+    }
+
+    /// An attempt that has not ended, and that this owner does not hold on the machine that lists it.
+    fn take_unheld(&mut self, m: MachineIx, k: TaskKey, t: &TaskReport, now: f64) {
+        let known = self.machines.at(m).leftovers.get(&k) == Some(&(t.attempt, Leftover::Orphaned));
+        let what_becomes = self.judge_unheld(k);
+        if what_becomes == Unheld::Adopted || !known {
+            self.tell_unheld(m, k, t.attempt, what_becomes);
+        }
+        if what_becomes == Unheld::Adopted {
+            self.adopt(m, k, t, now);
+        } else if !known {
+            self.leave(m, k, t.attempt, Leftover::Orphaned);
+            if self.jobs.at(k.0).wanted == Phase::Cancelled {
+                self.machines.direct_first(m, First::Cancelled);
+            } else {
+                self.machines.direct_due.insert(m);
             }
-            let job = self.jobs.at(k.0);
-            let free = job.tasks.get(k.1 as usize) == Some(&Slot::Queued);
+        }
+    }
+
+    fn judge_unheld(&self, k: TaskKey) -> Unheld {
+        let job = self.jobs.at(k.0);
+        match job.tasks.get(k.1 as usize) {
+            _ if !job.open() => Unheld::JobOver,
             // Of a job that waits for others nothing may run, whoever started it.
-            let wanted = free && job.open() && !self.graph.waits(k.0);
-            if wanted && !machine.tasks.contains_key(&k) {
-                self.adopt(m, k, t, now);
-                continue;
-            }
-            if self.machines.at(m).leftovers.get(&k) != Some(&(t.attempt, Leftover::Stray)) {
-                self.leave(m, k, t.attempt, Leftover::Stray);
-                if self.jobs.at(k.0).wanted == Phase::Cancelled {
-                    self.machines.direct_first(m, First::Cancelled);
-                } else {
-                    self.machines.direct_due.insert(m);
-                }
-            }
+            _ if self.graph.waits(k.0) => Unheld::NeedsOpen,
+            Some(Slot::Queued) => Unheld::Adopted,
+            Some(Slot::Held(_)) => Unheld::HeldAlready,
+            _ => Unheld::TaskDone,
+        }
+    }
+
+    /// What a new leader makes of each attempt of an earlier one: without these lines nothing told why a task was
+    /// started a second time after a takeover.
+    fn tell_unheld(&mut self, m: MachineIx, k: TaskKey, attempt: u64, what_becomes: Unheld) {
+        match what_becomes {
+            Unheld::Adopted => self.counts.adopted += 1,
+            _ => self.counts.orphaned += 1,
         }
+        let level = self.takeover_log.level();
+        let (job, machine) = (self.jobs.at(k.0), self.machines.at(m));
+        log::log!(
+            level,
+            "{}/{} on {}, session {}, attempt {attempt} of token {}: {what_becomes}",
+            job.id,
+            k.1,
+            machine.name,
+            machine.session,
+            attempt >> ATTEMPT_BITS
+        );
     }
 
     /// Has the machine taken up what the answers to its reports told it? What it missed is told
--- a/crates/scheduler/src/shard/starts.rs
+++ b/crates/scheduler/src/shard/starts.rs
@@ -2,6 +2,9 @@
 
 use super::*;
 
+/// An attempt's number is the token of the owner that started it, shifted by so many bits, and a count.
+pub(super) const ATTEMPT_BITS: u32 = 24;
+
 impl Shard {
     /// Every task of this job is to go. Planned ones were never started.
     pub(super) fn stop_all(&mut self, j: JobIx) {
@@ -60,7 +63,7 @@
         self.counts.starts += 1;
         self.stages.first_start.get_or_insert(now - self.began);
         // Attempts never repeat across owners: each claim has a range of its own.
-        let attempt = (self.token << 24) + self.attempts;
+        let attempt = (self.token << ATTEMPT_BITS) + self.attempts;
         let job = self.jobs.at(key.0);
         let image = job.image.map(|i| (i, job.spec.image_gb));
         log::debug!(
@@ -74,6 +77,7 @@
             self.day_now_ms(now).saturating_sub(job.at_ms),
             image.is_none_or(|i| self.machines.at(m).has_image(i.0))
         );
+        self.tell_second_start(m, key, attempt);
         self.hold(
             m,
             key,
@@ -109,6 +113,23 @@
         true
     }
 
+    /// The right to start a task whose job an earlier owner had started.
+    fn tell_second_start(&mut self, m: MachineIx, key: TaskKey, attempt: u64) {
+        if !self.jobs.at(key.0).recorded {
+            return;
+        }
+        let level = self.takeover_log.level();
+        log::log!(
+            level,
+            "{}/{} goes to {}, attempt {attempt}, token {}: an earlier owner had started its job, no machine lists the task, \
+             and all that were recorded with the job were heard or are gone",
+            self.jobs.at(key.0).id,
+            key.1,
+            self.machines.at(m).name,
+            self.token
+        );
+    }
+
     pub(crate) fn hold(&mut self, m: MachineIx, key: TaskKey, held: Held) {
         let (running, begun) = (held.state == HeldState::Running, held.state.begun());
         self.count_use(m, key.0, 1.0);
--- a/crates/scheduler/src/shard/summary.rs
+++ b/crates/scheduler/src/shard/summary.rs
@@ -19,6 +19,9 @@
     pub withheld: u64,
     /// Starts that were chosen against a rule, and not made: each is a fault of this program.
     pub forbidden: u64,
+    /// Attempts of earlier owners that go on under this one, and that were told to stop.
+    pub adopted: u64,
+    pub orphaned: u64,
 }
 
 impl Shard {
--- a/crates/scheduler/src/shard/takeover.rs
+++ b/crates/scheduler/src/shard/takeover.rs
@@ -35,6 +35,23 @@
     pub(super) told: bool,
 }
 
+/// Lines that an owner writes at `info` of what it takes over, at the most; further ones are at `debug`.
+const MOST_TAKEOVER_LINES: u32 = 300;
+
+/// How many lines of the takeover were written.
+#[derive(Debug, Default)]
+pub(super) struct TakeoverLog {
+    lines: u32,
+}
+
+impl TakeoverLog {
+    /// The level of the next line.
+    pub(super) fn level(&mut self) -> log::Level {
+        self.lines += 1;
+        if self.lines > MOST_TAKEOVER_LINES { log::Level::Debug } else { log::Level::Info }
+    }
+}
+
 impl Shard {
     pub fn new(s: &Params, tuning: Tuning, token: u64, types: Vec<MachineType>, loaded: Loaded, now: f64) -> Shard {
         let mut team_names = Names::default();
@@ -69,6 +86,7 @@
             resumed: now,
             late_at: f64::MIN,
             stages: Stages::default(),
+            takeover_log: TakeoverLog::default(),
             most_unresponsive: false,
             list_read: false,
             zones_asked: BTreeMap::new(),
@@ -297,6 +315,7 @@
         for id in &r.jobs {
             match self.jobs.find(id) {
                 Some(j) if self.jobs.at(j).phase == Phase::Open => {
+                    self.jobs.at_mut(j).recorded = true;
                     if jobs.insert(j) {
                         self.jobs.at_mut(j).shadowed_by += 1;
                     }
@@ -363,7 +382,10 @@
         let Some(first) = s.first_start else { return };
         s.told = true;
         log::info!(
-            "after the takeover the first start took {first:.2} s, and all machines were known after {resolved:.2} s"
+            "after the takeover the first start took {first:.2} s, and all machines were known after {resolved:.2} s; {} attempts \
+             of earlier owners adopted, {} orphaned",
+            self.counts.adopted,
+            self.counts.orphaned
         );
     }
 }
--- a/crates/scheduler/tests/owner/needs.rs
+++ b/crates/scheduler/tests/owner/needs.rs
@@ -33,7 +33,7 @@
 fn read_need(world: &mut World, phase: Phase, now: f64) {
     let record = JobRecord { phase, ..JobRecord::accepted(job("req-1", 1, json!({})), 0) };
     world.shard.add_job(record, 5, now);
-    world.shard.need_was_read("req-1");
+    world.shard.need_was_read("req-1", now);
 }
 
 /// unread-need-tells-nothing: its user was told long ago that the need is cancelled, and the job with it.
@@ -60,7 +60,7 @@
 #[test]
 fn a_job_whose_need_is_open_elsewhere_is_queued_once_that_is_read() {
     let mut world = successor();
-    world.shard.need_was_read("req-1");
+    world.shard.need_was_read("req-1", 100.5);
     assert_eq!(world.state("req-2"), Some(JobState::Queued));
     assert_eq!(world.shard.to_look_up(), ["req-1"], "its end is asked for");
 }
--- a/crates/scheduler/tests/owner/occupied.rs
+++ b/crates/scheduler/tests/owner/occupied.rs
@@ -21,7 +21,7 @@
 fn read_need(world: &mut World, phase: Phase, now: f64) {
     let record = JobRecord { phase, ..JobRecord::accepted(job("req-1", 1, json!({})), 0) };
     world.shard.add_job(record, 5, now);
-    world.shard.need_was_read("req-1");
+    world.shard.need_was_read("req-1", now);
 }
 
 fn hear_running(world: &mut World, machine: &str, counter: u64, task: &str, now: f64) {
--- a/crates/scheduler/tests/owner/reports.rs
+++ b/crates/scheduler/tests/owner/reports.rs
@@ -74,7 +74,7 @@
     assert_eq!(tasks(&stops(&mut world), Op::Stop), ["req-9/0"], "unknown-task-stopped: and it is stopped");
 }
 
-/// stray-counts: what runs on of a cancelled job is stopped, not taken over, and counts until
+/// orphan-counts: what runs on of a cancelled job is stopped, not taken over, and counts until
 /// its end is seen.
 #[test]
 fn a_task_of_a_cancelled_job_counts_and_is_stopped() {
@@ -89,7 +89,7 @@
     assert_eq!(world.shard.teams[0].cpus_used, 0.0);
 }
 
-/// stray-of-ended: the same while the cancellation is on its way to the state service.
+/// orphan-of-ended: the same while the cancellation is on its way to the state service.
 #[test]
 fn a_task_of_a_job_that_is_being_cancelled_is_stopped() {
     let mut world = World::new();
@@ -100,7 +100,7 @@
     assert_eq!(tasks(&commands, Op::Stop), ["req-1/0"]);
 }
 
-/// stray-of-waiting: of a job that waits for others nothing may run, whoever started it.
+/// orphan-of-waiting: of a job that waits for others nothing may run, whoever started it.
 #[test]
 fn a_task_of_a_job_that_waits_is_stopped() {
     let mut world = World::new();
--- a/src/node/takeover.rs
+++ b/src/node/takeover.rs
@@ -238,7 +238,8 @@
                 if let Ok(Some(item)) = self.state.get(&crate::jobs::job_key(id), Turn::InTurn).await {
                     self.take_job(token, &item);
                     // A later shard reads it itself: this record may be older than its claim.
-                    self.with_shard(clock::now(), |s| (s.token == token).then(|| s.need_was_read(id)));
+                    let now = clock::now();
+                    self.with_shard(now, |s| (s.token == token).then(|| s.need_was_read(id, now)));
                 }
             }
             before = wanted;
