--- a/examples/own_site.rs
+++ b/examples/own_site.rs
@@ -33,6 +33,12 @@
     /// Seconds that a day lasts.
     #[arg(long)]
     duration_s: Option<f64>,
+    /// When the first pipelines are submitted, in seconds of a day.
+    #[arg(long)]
+    pipelines_start_s: Option<f64>,
+    /// Pipelines a second.
+    #[arg(long)]
+    pipelines_rate: Option<f64>,
 }
 
 fn number(v: &Value) -> Option<f64> {
@@ -121,6 +127,7 @@
             }
         }
     }
+    resize_pipelines(t, a);
     if let Some(d) = a.duration_s {
         t.insert("duration_s".into(), Value::Float(d));
     }
@@ -132,6 +139,22 @@
     Ok(())
 }
 
+/// When pipelines begin, and how many there are. A day's own beginning gives way.
+fn resize_pipelines(t: &mut Table, a: &Args) {
+    let wanted = [("start_s", a.pipelines_start_s), ("rate", a.pipelines_rate)];
+    for pipeline in tables(t, "pipelines") {
+        let Some(arrivals) = pipeline.get_mut("arrivals").and_then(Value::as_table_mut) else { continue };
+        for (field, value) in wanted.iter().filter_map(|(field, value)| Some((*field, (*value)?))) {
+            arrivals.insert(field.into(), Value::Float(value));
+        }
+    }
+    if a.pipelines_start_s.is_some() {
+        for day in tables(t, "day") {
+            day.remove("pipelines");
+        }
+    }
+}
+
 // ---- the days ----
 
 /// A fault as a line of a site file.
