What a machine lists as not ended occupies its task; unread needs are not open needs

Cause: after a takeover a job whose needs ended before the checkpoint counted as waiting until they were read. A running task of it was told to stop and its machine counted as known, with the slot still queued: once the need was read it started on any machine. Change: unread needs are a state of their own, under which what runs is adopted and nothing starts; needs are read at once at a takeover. A task whose slot becomes free is held where a machine lists an attempt of it (requeue), stored records name such attempts, jobs that come later find what machines list or their records name, and the last look before a start asks for all of it.

--- a/crates/scheduler/src/fleet/machine.rs
+++ b/crates/scheduler/src/fleet/machine.rs
@@ -1,7 +1,8 @@
 //! One machine: what is known of it, and what it may be used for.
 
 use crate::intern::{ImageIx, JobIx, RackIx, TypeIx, ZoneIx};
-use crate::jobs::{TaskKey, TaskMap};
+use crate::jobs::{TaskKey, TaskMap, split_task};
+use crate::wire::TaskState;
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -55,11 +56,32 @@
 /// An attempt that the machine still reports and that is not held.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum Leftover {
-    /// It has not ended, and is told to stop.
-    Orphaned,
+    /// It has not ended, and is told to stop. As long as it is listed its task starts nowhere else.
+    Orphaned(TaskState),
     Ended,
 }
 
+impl Leftover {
+    pub fn is_orphaned(self) -> bool {
+        matches!(self, Leftover::Orphaned(_))
+    }
+}
+
+/// An attempt that has not ended, of a task that nobody here knows.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub struct UnknownAttempt {
+    pub task: String,
+    pub attempt: u64,
+    pub state: TaskState,
+}
+
+impl UnknownAttempt {
+    /// The job that its task's name tells, and the task's number.
+    pub fn job(&self) -> Option<(&str, u32)> {
+        split_task(&self.task)
+    }
+}
+
 /// An image on a machine, or on its way to it.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct CachedImage {
@@ -112,7 +134,10 @@
     /// Since when it is set aside for good.
     pub aside_since: f64,
     /// What runs there of jobs that nobody here knows: they are over, and it is to go.
-    pub unknown: Vec<(String, u64)>,
+    pub unknown: Vec<UnknownAttempt>,
+    /// Jobs that the stored record names and that nobody here knows: while the machine is unresolved it may hold
+    /// tasks of them, should they come to be known.
+    pub unknown_jobs: Vec<Arc<str>>,
     /// Starts sent directly that got no answer yet: these attempts may still arrive.
     pub loose: TaskMap<u64>,
     pub direct_busy: bool,
@@ -179,6 +204,7 @@
             quarantined_until: 0.0,
             aside_since: f64::MIN,
             unknown: Vec::new(),
+            unknown_jobs: Vec::new(),
             loose: TaskMap::new(),
             direct_busy: false,
             direct_not_before: 0.0,
--- a/crates/scheduler/src/fleet/mod.rs
+++ b/crates/scheduler/src/fleet/mod.rs
@@ -12,7 +12,7 @@
 mod types;
 pub mod zones;
 
-pub use machine::{CachedImage, Held, HeldState, Leftover, Machine, Phase, UNHEEDED};
+pub use machine::{CachedImage, Held, HeldState, Leftover, Machine, Phase, UNHEEDED, UnknownAttempt};
 pub use machines::{First, Machines};
 pub use types::Types;
 
--- a/crates/scheduler/src/pipeline.rs
+++ b/crates/scheduler/src/pipeline.rs
@@ -156,6 +156,16 @@
         self.strangers.keys().map(String::as_str)
     }
 
+    /// Is this a need of some job, and was it not heard of here yet?
+    pub fn is_stranger(&self, id: &str) -> bool {
+        self.strangers.contains_key(id)
+    }
+
+    /// Jobs that need this one, which was not heard of here yet.
+    pub fn after_stranger(&self, id: &str) -> &[JobIx] {
+        self.strangers.get(id).map_or(&[], Vec::as_slice)
+    }
+
     pub fn waiting(&self) -> usize {
         self.nodes.values().filter(|n| n.left > 0).count()
     }
--- a/crates/scheduler/src/shard/cell.rs
+++ b/crates/scheduler/src/shard/cell.rs
@@ -113,6 +113,11 @@
         })
     }
 
+    /// Does some machine list an attempt of this job that is not held here?
+    fn listed_anywhere(&self, j: JobIx) -> bool {
+        self.machines.iter().any(|(_, m)| m.leftovers.range((j, 0)..=(j, u32::MAX)).any(|(_, l)| l.1.is_orphaned()))
+    }
+
     /// The record with which a job goes to another cell, the version that it replaces, and what it
     /// takes of its team's limit. From here on nothing of it is started here.
     pub fn goes(&mut self, j: JobIx, to: CellIx) -> Option<(JobRecord, u64, TeamIx, Amount)> {
@@ -137,8 +142,8 @@
     pub fn left(&mut self, id: &str, now: f64) {
         let Some(j) = self.jobs.find(id) else { return };
         let job = self.jobs.at(j);
-        if job.phase != Phase::Open || job.held > 0 {
-            log::error!("{id} is another cell's, and has {} tasks here", job.held);
+        if job.phase != Phase::Open || job.held > 0 || self.listed_anywhere(j) {
+            log::error!("{id} is another cell's, and has {} tasks here, or some that machines list", job.held);
             return;
         }
         let key = job_key(id);
--- a/crates/scheduler/src/shard/commands.rs
+++ b/crates/scheduler/src/shard/commands.rs
@@ -90,7 +90,7 @@
         }
         for (k, (attempt, what)) in &machine.leftovers {
             match what {
-                Leftover::Orphaned => out.push(self.command(Op::Stop, *k, *attempt, Some(0.0))),
+                Leftover::Orphaned(_) => out.push(self.command(Op::Stop, *k, *attempt, Some(0.0))),
                 Leftover::Ended if self.may_forget(m, *k, *attempt) => {
                     out.push(self.command(Op::Forget, *k, *attempt, None))
                 }
@@ -176,12 +176,13 @@
         }
         if !probing {
             for (k, (attempt, what)) in &machine.leftovers {
-                if *what == Leftover::Orphaned {
+                if what.is_orphaned() {
                     commands.push(self.command(Op::Stop, *k, *attempt, Some(0.0)));
                 }
             }
-            for (task, attempt) in &machine.unknown {
-                commands.push(Command { op: Op::Stop, task: task.clone(), attempt: *attempt, grace_s: Some(0.0) });
+            for unknown in &machine.unknown {
+                let (task, attempt) = (unknown.task.clone(), unknown.attempt);
+                commands.push(Command { op: Op::Stop, task, attempt, grace_s: Some(0.0) });
             }
         }
         let session = machine.session;
--- a/crates/scheduler/src/shard/mod.rs
+++ b/crates/scheduler/src/shard/mod.rs
@@ -17,6 +17,7 @@
 mod largest;
 mod moving_off;
 mod naming;
+mod occupation;
 mod permission;
 mod pipelines;
 pub mod placement;
@@ -130,6 +131,7 @@
     pub(crate) others_wait: bool,
     accounts: service::Glue,
     recovery: recovery::Glue,
+    occupation: occupation::Occupation,
     pub team_names: Names<TeamIx>,
     pub pools: BTreeMap<TypeIx, Pool>,
     pub launches: Launches,
@@ -250,6 +252,7 @@
         self.elastic_enter(j);
         self.enter(j, now);
         self.account_due(j);
+        self.occupy_by_unknown(j, now);
         Some(j)
     }
 
--- a/crates/scheduler/src/shard/permission.rs
+++ b/crates/scheduler/src/shard/permission.rs
@@ -31,6 +31,10 @@
     MachineUnknown,
     #[error("an earlier start of it may yet arrive there")]
     EarlierStart,
+    #[error("a machine lists an attempt of it that has not ended")]
+    Occupied,
+    #[error("its job waits for others, or their records were not read yet")]
+    NeedsNotMet,
 }
 
 impl Shard {
@@ -66,6 +70,10 @@
             Err(Forbidden::MachineUnknown)
         } else if machine.loose.contains_key(&key) {
             Err(Forbidden::EarlierStart)
+        } else if self.occupation.orphan_on(&key).is_some() {
+            Err(Forbidden::Occupied)
+        } else if self.graph.waits(key.0) {
+            Err(Forbidden::NeedsNotMet)
         } else {
             Ok(())
         }
--- a/crates/scheduler/src/shard/pipelines.rs
+++ b/crates/scheduler/src/shard/pipelines.rs
@@ -11,7 +11,42 @@
 /// way to other writes; then they go first, however many they are.
 const DOOM_WAITS_SHARE: f64 = 0.2;
 
+/// What is known of the jobs that a job needs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum NeedsState {
+    /// All are stored as done.
+    Met,
+    /// None is known to be open, and the records of some were not read yet since the takeover: they may have been
+    /// done long ago. Nothing of the job starts, and what runs of it is left alone.
+    Unread,
+    /// Some need is open, or was cancelled.
+    Open,
+}
+
 impl Shard {
+    pub(super) fn needs_state(&self, j: JobIx) -> NeedsState {
+        if !self.graph.waits(j) {
+            return NeedsState::Met;
+        }
+        let mut missing = self.jobs.at(j).spec.needs().iter().filter(|need| self.graph.is_stranger(need));
+        if self.graph.needs(j).is_empty() && missing.all(|need| self.is_unread(need)) {
+            NeedsState::Unread
+        } else {
+            NeedsState::Open
+        }
+    }
+
+    /// These jobs may wait for one that was unread, and is known to be open now: what runs of them is stopped.
+    pub(super) fn stop_those_that_wait(&mut self, jobs: Vec<JobIx>) {
+        for j in jobs {
+            let job = self.jobs.at(j);
+            if job.held > 0 && job.open() && self.needs_state(j) == NeedsState::Open {
+                log::warn!("{} waits for a job that is open, and {} tasks of it are held: stopped", job.id, job.held);
+                self.stop_all(j);
+            }
+        }
+    }
+
     /// A job that was just taken in: does it wait, and do others wait for it?
     pub(super) fn enter(&mut self, j: JobIx, now: f64) {
         let job = self.jobs.at(j);
@@ -29,6 +64,7 @@
         }
         if !self.graph.after(j).is_empty() {
             self.inherit(vec![j]);
+            self.stop_those_that_wait(self.graph.after(j).to_vec());
         }
         self.follow(news, now);
     }
--- a/crates/scheduler/src/shard/recovery.rs
+++ b/crates/scheduler/src/shard/recovery.rs
@@ -228,11 +228,18 @@
             Some(phase) => log::log!(level, "the need {id} was read {after_s:.2} s after the takeover: {phase:?}"),
             None => log::log!(level, "the need {id} was read {after_s:.2} s after the takeover: open in another cell"),
         }
+        if phase.is_none() {
+            self.stop_those_that_wait(self.graph.after_stranger(id).to_vec());
+        }
         if self.recovery.unread_needs.is_empty() {
             log::info!("all needs were read {after_s:.2} s after the takeover");
         }
     }
 
+    pub(super) fn is_unread(&self, id: &str) -> bool {
+        self.recovery.unread_needs.contains(id)
+    }
+
     /// Does this job wait, at any remove, for one whose record was not read yet? That one may have been
     /// cancelled, and its user told, before this owner began.
     pub(super) fn waits_for_unread(&self, j: JobIx) -> bool {
--- a/crates/scheduler/src/shard/reported_tasks.rs
+++ b/crates/scheduler/src/shard/reported_tasks.rs
@@ -2,9 +2,10 @@
 
 use super::Shard;
 use super::faults::RUNS_WELL_S;
+use super::pipelines::NeedsState;
 use super::reports::Origin;
 use super::starts::ATTEMPT_BITS;
-use crate::fleet::{First, Held, HeldState, Leftover, UNHEEDED};
+use crate::fleet::{First, Held, HeldState, Leftover, UNHEEDED, UnknownAttempt};
 use crate::intern::MachineIx;
 use crate::jobs::{Phase, Slot, TaskKey};
 use crate::wire::{Report, TaskReport, TaskState, Why};
@@ -18,24 +19,34 @@
 enum Unheld {
     #[error("adopted")]
     Adopted,
+    #[error("adopted, the needs of its job were not read yet")]
+    AdoptedUnread,
+    #[error("held and stopped, its job waits for others")]
+    StoppedForNeeds,
     #[error("orphaned, its job is over")]
     JobOver,
-    #[error("orphaned, its job waits for others")]
-    NeedsOpen,
     #[error("orphaned, another attempt is held")]
     HeldAlready,
     #[error("orphaned, the task is done")]
     TaskDone,
 }
 
+impl Unheld {
+    /// Does it occupy its slot from now on?
+    fn is_held(self) -> bool {
+        matches!(self, Unheld::Adopted | Unheld::AdoptedUnread | Unheld::StoppedForNeeds)
+    }
+}
+
 impl Shard {
     /// Notes an attempt that is not held, or is no more. One that still runs takes room
     /// and counts against its team's limit until its end is seen: after a takeover, those
     /// of cancelled jobs once did not, and others were started beside them.
     pub(super) fn leave(&mut self, m: MachineIx, k: TaskKey, attempt: u64, what: Leftover) {
         self.drop_leftovers(m, |key, _| *key != k);
-        if what == Leftover::Orphaned {
+        if what.is_orphaned() {
             self.count_use(m, k.0, 1.0);
+            self.occupation.orphan_listed(k, m);
         }
         self.machines.at_mut(m).leftovers.insert(k, (attempt, what));
     }
@@ -47,8 +58,9 @@
             leftovers.iter().filter(|(k, (a, _))| !keep(k, *a)).map(|(k, (_, what))| (*k, *what)).collect();
         for (k, what) in gone {
             self.machines.at_mut(m).leftovers.remove(&k);
-            if what == Leftover::Orphaned {
+            if what.is_orphaned() {
                 self.count_use(m, k.0, -1.0);
+                self.occupation.orphan_gone(k, m);
                 self.place_due = true;
             }
         }
@@ -58,11 +70,12 @@
     pub(super) fn take_tasks(&mut self, m: MachineIx, r: &Report, origin: Origin, now: f64) {
         let listed = self.listed_attempts(r);
         self.note_unknown_attempts(m, r);
+        // First of all: what is not listed any more occupies no task.
+        self.drop_leftovers(m, |k, a| listed.contains_key(&(*k, a)));
         self.compare_held(m, &listed, origin, now);
         // A fetch that no task waits for any more is given up.
         let waited_for: Vec<_> = self.machines.at(m).tasks.keys().filter_map(|k| self.jobs.at(k.0).image).collect();
         self.machines.at_mut(m).images.retain(|i| i.ready || waited_for.contains(&i.image));
-        self.drop_leftovers(m, |k, a| listed.contains_key(&(*k, a)));
         for ((k, _), t) in listed {
             if self.machines.at(m).tasks.get(&k).is_some_and(|h| h.attempt == t.attempt) {
                 continue;
@@ -70,7 +83,7 @@
             if t.state == TaskState::Exited {
                 self.ended_beside(m, k, t);
             } else {
-                self.take_unheld(m, k, t, now);
+                self.take_unheld(m, k, t.attempt, t.state, now);
             }
         }
     }
@@ -92,13 +105,38 @@
     /// Attempts that have not ended, of tasks that are not known here: they are told to stop.
     fn note_unknown_attempts(&mut self, m: MachineIx, r: &Report) {
         let unknown = r.tasks.iter().filter(|t| t.state != TaskState::Exited && self.key_of(&t.task).is_none());
-        let unknown: Vec<(String, u64)> = unknown.map(|t| (t.task.clone(), t.attempt)).collect();
-        let before = std::mem::replace(&mut self.machines.at_mut(m).unknown, unknown);
-        if self.machines.at(m).unknown.iter().any(|u| !before.contains(u)) {
+        let unknown = unknown.map(|t| UnknownAttempt { task: t.task.clone(), attempt: t.attempt, state: t.state });
+        let unknown: Vec<UnknownAttempt> = unknown.collect();
+        if self.set_unknown(m, unknown) {
             self.machines.direct_first(m, First::Cancelled);
         }
     }
 
+    /// Whether any of them was not listed before.
+    fn set_unknown(&mut self, m: MachineIx, unknown: Vec<UnknownAttempt>) -> bool {
+        if unknown.is_empty() && self.machines.at(m).unknown.is_empty() {
+            return false;
+        }
+        let before = std::mem::replace(&mut self.machines.at_mut(m).unknown, unknown);
+        let machine = self.machines.at(m);
+        for (id, _) in before.iter().filter_map(UnknownAttempt::job) {
+            if !machine.unknown_jobs.iter().any(|named| **named == *id) {
+                self.occupation.holds_no_more(id, m);
+            }
+        }
+        for (id, _) in machine.unknown.iter().filter_map(UnknownAttempt::job) {
+            self.occupation.may_hold(id, m);
+        }
+        let is_new = |u: &UnknownAttempt| !before.iter().any(|b| (&b.task, b.attempt) == (&u.task, u.attempt));
+        machine.unknown.iter().any(is_new)
+    }
+
+    /// Nothing that is listed runs any more, since its session is over or its machine is gone.
+    pub(super) fn nothing_listed(&mut self, m: MachineIx) {
+        self.drop_leftovers(m, |_, _| false);
+        self.set_unknown(m, Vec::new());
+    }
+
     /// What became of the attempts that are held on this machine.
     fn compare_held(&mut self, m: MachineIx, listed: &Listed, origin: Origin, now: f64) {
         let held: Vec<(TaskKey, u64, HeldState)> =
@@ -142,28 +180,43 @@
         }
         // What runs on counts for as long as it is listed; what ended beside it comes after.
         let beside = self.machines.at(m).leftovers.get(&k);
-        let runs_on = beside.is_some_and(|(a, what)| *a != t.attempt && *what == Leftover::Orphaned);
+        let runs_on = beside.is_some_and(|(a, what)| *a != t.attempt && what.is_orphaned());
         if !runs_on {
             self.leave(m, k, t.attempt, Leftover::Ended);
         }
     }
 
-    /// An attempt that has not ended, and that this owner does not hold on the machine that lists it.
-    fn take_unheld(&mut self, m: MachineIx, k: TaskKey, t: &TaskReport, now: f64) {
-        let known = self.machines.at(m).leftovers.get(&k) == Some(&(t.attempt, Leftover::Orphaned));
+    /// An attempt that has not ended, and that this owner does not hold on the machine that lists it. Whatever
+    /// becomes of it, its task starts nowhere else.
+    pub(super) fn take_unheld(&mut self, m: MachineIx, k: TaskKey, attempt: u64, state: TaskState, now: f64) {
+        let known = self.orphan_seen(m, k, attempt, state);
         let what_becomes = self.judge_unheld(k);
-        if what_becomes == Unheld::Adopted || !known {
-            self.tell_unheld(m, k, t.attempt, what_becomes);
+        if what_becomes.is_held() || !known {
+            self.tell_unheld(m, k, attempt, what_becomes);
         }
-        if what_becomes == Unheld::Adopted {
-            self.adopt(m, k, t, now);
-        } else if !known {
-            self.leave(m, k, t.attempt, Leftover::Orphaned);
-            if self.jobs.at(k.0).wanted == Phase::Cancelled {
-                self.machines.direct_first(m, First::Cancelled);
-            } else {
-                self.machines.direct_due.insert(m);
+        match what_becomes {
+            Unheld::Adopted | Unheld::AdoptedUnread => self.adopt(m, k, (attempt, state), None, now),
+            Unheld::StoppedForNeeds => self.adopt(m, k, (attempt, state), Some(0.0), now),
+            _ if known => {}
+            _ => {
+                self.leave(m, k, attempt, Leftover::Orphaned(state));
+                if self.jobs.at(k.0).wanted == Phase::Cancelled {
+                    self.machines.direct_first(m, First::Cancelled);
+                } else {
+                    self.machines.direct_due.insert(m);
+                }
+            }
+        }
+    }
+
+    /// Was this attempt known as orphaned? Then it is in this state now.
+    fn orphan_seen(&mut self, m: MachineIx, k: TaskKey, attempt: u64, state: TaskState) -> bool {
+        match self.machines.at_mut(m).leftovers.get_mut(&k) {
+            Some((a, Leftover::Orphaned(known))) if *a == attempt => {
+                *known = state;
+                true
             }
+            _ => false,
         }
     }
 
@@ -171,9 +224,12 @@
         let job = self.jobs.at(k.0);
         match job.tasks.get(k.1 as usize) {
             _ if !job.open() => Unheld::JobOver,
-            // Of a job that waits for others nothing may run, whoever started it.
-            _ if self.graph.waits(k.0) => Unheld::NeedsOpen,
-            Some(Slot::Queued) => Unheld::Adopted,
+            Some(Slot::Queued) => match self.needs_state(k.0) {
+                NeedsState::Met => Unheld::Adopted,
+                NeedsState::Unread => Unheld::AdoptedUnread,
+                // Of a job that waits for others nothing may run, whoever started it.
+                NeedsState::Open => Unheld::StoppedForNeeds,
+            },
             Some(Slot::Held(_)) => Unheld::HeldAlready,
             _ => Unheld::TaskDone,
         }
@@ -183,7 +239,7 @@
     /// started a second time after a takeover.
     fn tell_unheld(&mut self, m: MachineIx, k: TaskKey, attempt: u64, what_becomes: Unheld) {
         match what_becomes {
-            Unheld::Adopted => self.counts.adopted += 1,
+            Unheld::Adopted | Unheld::AdoptedUnread => self.counts.adopted += 1,
             _ => self.counts.orphaned += 1,
         }
         let level = self.takeover_log.level();
@@ -224,23 +280,32 @@
         }
     }
 
-    /// An earlier owner's start goes on under this one.
-    fn adopt(&mut self, m: MachineIx, k: TaskKey, t: &TaskReport, now: f64) {
+    /// An earlier owner's start goes on under this one, or is stopped by it.
+    fn adopt(&mut self, m: MachineIx, k: TaskKey, (attempt, state): (u64, TaskState), stop: Option<f64>, now: f64) {
+        self.drop_leftovers(m, |key, a| (*key, a) != (k, attempt));
         self.hold(
             m,
             k,
             Held {
-                attempt: t.attempt,
+                attempt,
                 state: HeldState::Commanded,
                 since: now,
                 running_since: now,
-                stop: None,
+                stop,
                 stop_sent: -1.0,
                 sent: now,
                 replied: f64::MIN,
             },
         );
-        self.seen(m, k, t.state, now);
+        self.seen(m, k, state, now);
+        if stop.is_some() {
+            self.machines.direct_due.insert(m);
+        }
+        let machine = self.machines.at(m);
+        // The next owner has to know of it as well.
+        if machine.resolved() && !(machine.record_stored && machine.stored_jobs.contains(&k.0)) {
+            self.want_record(m);
+        }
     }
 
     /// The task completed under another attempt: a planned start of it is of no use.
--- a/crates/scheduler/src/shard/reports.rs
+++ b/crates/scheduler/src/shard/reports.rs
@@ -196,14 +196,13 @@
     fn session_over(&mut self, m: MachineIx) {
         let keys: Vec<TaskKey> =
             self.machines.at(m).tasks.iter().filter(|(_, h)| h.state != HeldState::Planned).map(|(k, _)| *k).collect();
+        // First, so that nothing of this session occupies a task any more.
+        self.nothing_listed(m);
         for k in keys {
             self.release(m, k);
             self.requeue(k);
         }
-        self.drop_leftovers(m, |_, _| false);
-        let machine = self.machines.at_mut(m);
-        machine.loose.clear();
-        machine.unknown.clear();
+        self.machines.at_mut(m).loose.clear();
         // What waited for those may start here again.
         self.place_due = true;
     }
--- a/crates/scheduler/src/shard/starts.rs
+++ b/crates/scheduler/src/shard/starts.rs
@@ -192,7 +192,11 @@
         Some(held)
     }
 
+    /// A slot that is free again is queued, unless a machine lists an attempt of its task all the same.
     pub(crate) fn requeue(&mut self, key: TaskKey) {
+        if self.hold_orphan(key) {
+            return;
+        }
         let job = self.jobs.at_mut(key.0);
         if job.open() && job.tasks.get(key.1 as usize) == Some(&Slot::Queued) {
             job.queue.push_front(key.1);
@@ -216,6 +220,7 @@
     /// Everything that was on a machine is gone for certain.
     pub(crate) fn all_gone(&mut self, m: MachineIx) {
         let keys: Vec<TaskKey> = self.machines.at(m).tasks.keys().copied().collect();
+        self.nothing_listed(m);
         for k in keys {
             // A planned start was never sent: it may stay planned only on a machine that goes on.
             self.release(m, k);
@@ -225,7 +230,6 @@
         machine.dead_session = machine.session;
         machine.loose.clear();
         machine.last_ok = None;
-        self.drop_leftovers(m, |_, _| false);
         self.resolve(m);
     }
 }
--- a/crates/scheduler/src/shard/takeover.rs
+++ b/crates/scheduler/src/shard/takeover.rs
@@ -75,6 +75,7 @@
             elastic_looked: now,
             others_wait: false,
             accounts: service::Glue::new(token, now),
+            occupation: occupation::Occupation::default(),
             recovery: recovery::Glue::new(value_bytes, &loaded.checkpoint, now),
             quotas: loaded.quotas.as_ref().map(|q| Quotas::new(&s.teams, q, value_bytes)),
             team_names,
@@ -288,6 +289,8 @@
             if let Some(j) = self.jobs.find(id) {
                 let job = self.jobs.at_mut(j);
                 job.not_before = job.not_before.max(until);
+            } else {
+                self.occupation.hold_back(id, until);
             }
         }
     }
@@ -321,7 +324,12 @@
                     }
                 }
                 Some(j) if self.jobs.at(j).phase == Phase::Cancelled => first = Some(First::Cancelled),
-                _ => first = first.or(Some(First::Over)),
+                Some(_) => first = first.or(Some(First::Over)),
+                None => {
+                    first = first.or(Some(First::Over));
+                    self.occupation.may_hold(id, m);
+                    self.machines.at_mut(m).unknown_jobs.push(id.as_str().into());
+                }
             }
         }
         let images = r
@@ -359,6 +367,9 @@
                 let job = self.jobs.at_mut(j);
                 job.shadowed_by = job.shadowed_by.saturating_sub(1);
             }
+            for id in std::mem::take(&mut self.machines.at_mut(m).unknown_jobs) {
+                self.occupation.holds_no_more(&id, m);
+            }
             self.place_due = true;
         }
     }
--- a/crates/scheduler/src/shard/writes/rack_values.rs
+++ b/crates/scheduler/src/shard/writes/rack_values.rs
@@ -2,11 +2,17 @@
 
 use super::{Content, What, Write, sized};
 use crate::fleet::racks::{RackMachine, RackRecord, rack_key};
-use crate::fleet::{Held, HeldState, Phase as MachinePhase};
+use crate::fleet::{Held, HeldState, Machine, Phase as MachinePhase};
 use crate::intern::{JobIx, MachineIx, RackIx};
 use crate::jobs::TaskKey;
 use crate::shard::Shard;
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
+
+/// Jobs that nobody here knows and that this machine may hold: their names go on standing in its record.
+fn unknown_jobs(machine: &Machine) -> BTreeSet<&str> {
+    let listed = machine.unknown.iter().filter_map(|u| u.job().map(|(id, _)| id));
+    listed.chain(machine.unknown_jobs.iter().map(|id| &**id)).collect()
+}
 
 impl Shard {
     /// No machine is left in this rack.
@@ -85,7 +91,7 @@
             ..RackRecord::default()
         };
         let mut contents = Vec::with_capacity(rack.members.len());
-        let (mut job_at, mut image_at) = (HashMap::new(), HashMap::new());
+        let (mut job_at, mut image_at, mut unknown_at) = (HashMap::new(), HashMap::new(), HashMap::new());
         for &m in &rack.members {
             let machine = self.machines.at(m);
             let mut jobs: Vec<JobIx> = machine.tasks.keys().map(|k| k.0).collect();
@@ -93,6 +99,8 @@
                 jobs.extend(machine.stored_jobs.iter().copied());
             }
             jobs.extend(machine.loose.keys().map(|k| k.0));
+            // What is listed and not held occupies its task under the next owner as well.
+            jobs.extend(machine.leftovers.iter().filter(|(_, leftover)| leftover.1.is_orphaned()).map(|(k, _)| k.0));
             jobs.sort_unstable();
             jobs.dedup();
             let mut place = |j: &JobIx| {
@@ -101,7 +109,13 @@
                     record.jobs.len() as u32 - 1
                 })
             };
-            let places = jobs.iter().map(&mut place).collect();
+            let mut places: Vec<u32> = jobs.iter().map(&mut place).collect();
+            places.extend(unknown_jobs(machine).into_iter().map(|id| {
+                *unknown_at.entry(id).or_insert_with(|| {
+                    record.jobs.push(id.to_owned());
+                    record.jobs.len() as u32 - 1
+                })
+            }));
             let ready = machine.images.iter().filter(|i| i.ready && with_images);
             let images = ready
                 .map(|i| {
--- a/src/node/cell.rs
+++ b/src/node/cell.rs
@@ -56,6 +56,7 @@
                 writer: async_channel::bounded(1),
                 direct: async_channel::bounded(1),
                 pace: async_channel::bounded(1),
+                needs: async_channel::bounded(1),
             },
             claiming: AtomicBool::new(false),
             loading: AtomicBool::new(false),
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -87,6 +87,8 @@
     writer: (Sender<()>, Receiver<()>),
     direct: (Sender<()>, Receiver<()>),
     pace: (Sender<()>, Receiver<()>),
+    /// A takeover is through, and the records of needs are to be read.
+    needs: (Sender<()>, Receiver<()>),
 }
 
 pub struct Node {
--- a/src/node/takeover.rs
+++ b/src/node/takeover.rs
@@ -128,6 +128,7 @@
                 *lock(&self.shard) = Some(shard);
                 *lock(&self.read_at) = (token, revision);
                 self.wake();
+                let _ = self.wakes.needs.0.try_send(());
                 EX.spawn(self.clone().watch_jobs(token, revision)).detach();
             }
             Err(e) => log::warn!("loading (after {:.1} s): {e}", clock::now() - began),
@@ -225,24 +226,57 @@
         }
     }
 
-    /// Jobs that others here need and that nobody has told of: mostly they ended long ago.
+    /// Jobs that others here need and that nobody has told of: mostly they ended long ago. Those that a takeover
+    /// has not met are read at once: until then nothing starts of the jobs that wait for them.
     pub(super) async fn look_up_needs(self: Arc<Self>) {
         let mut before: Vec<String> = Vec::new();
         while self.open() {
-            Timer::after(LOOK_UP_EVERY).await;
-            let to_read = |s: &mut Shard| (s.token, s.unread_needs(), s.to_look_up());
-            let (token, unread, wanted) = self.with_shard(clock::now(), to_read).unwrap_or_default();
-            // One that is new here may only be late by the watch; those of a takeover are not.
-            let again = wanted.iter().filter(|id| before.contains(id) && !unread.contains(id));
-            for id in unread.iter().chain(again) {
-                if let Ok(Some(item)) = self.state.get(&crate::jobs::job_key(id), Turn::InTurn).await {
-                    self.take_job(token, &item);
-                    // A later shard reads it itself: this record may be older than its claim.
-                    let now = clock::now();
-                    self.with_shard(now, |s| (s.token == token).then(|| s.need_was_read(id, now)));
-                }
+            let taken_over = self.taken_over_within(LOOK_UP_EVERY).await;
+            self.read_unread_needs().await;
+            if taken_over {
+                continue;
+            }
+            let to_look_up = |s: &mut Shard| (s.token, s.unread_needs(), s.to_look_up());
+            let (token, unread, wanted) = self.with_shard(clock::now(), to_look_up).unwrap_or_default();
+            // One that is new here may only be late by the watch.
+            for id in wanted.iter().filter(|id| before.contains(id) && !unread.contains(id)) {
+                self.read_need(token, id).await;
             }
             before = wanted;
         }
     }
+
+    /// Was a takeover through within this time?
+    async fn taken_over_within(&self, time: Duration) -> bool {
+        let taken_over = async { self.wakes.needs.1.recv().await.is_ok() };
+        let time_out = async {
+            Timer::after(time).await;
+            false
+        };
+        taken_over.or(time_out).await
+    }
+
+    /// Reads what a takeover has not met, as long as the state service answers.
+    async fn read_unread_needs(&self) {
+        loop {
+            let unread = self.with_shard(clock::now(), |s| (s.token, s.unread_needs()));
+            let Some((token, unread)) = unread else { return };
+            let mut any_read = false;
+            for id in &unread {
+                any_read |= self.read_need(token, id).await;
+            }
+            if !any_read {
+                return;
+            }
+        }
+    }
+
+    async fn read_need(&self, token: u64, id: &str) -> bool {
+        let Ok(Some(item)) = self.state.get(&crate::jobs::job_key(id), Turn::InTurn).await else { return false };
+        self.take_job(token, &item);
+        // A later shard reads it itself: this record may be older than its claim.
+        let now = clock::now();
+        let read = self.with_shard(now, |s| (s.token == token).then(|| s.need_was_read(id, now)));
+        read.flatten().is_some()
+    }
 }
