--- a/crates/model/src/coincidences.rs
+++ b/crates/model/src/coincidences.rs
@@ -34,6 +34,9 @@
     pub teams_at_limit_at_takeover: u64,
     pub unreachable_machines_at_takeover: u64,
     pub waiting_jobs_at_takeover: u64,
+    /// Needs whose records a new leader had not read, and tasks of the jobs behind them that ran, each at a takeover.
+    pub unread_needs_at_takeover: u64,
+    pub tasks_behind_unread_needs_at_takeover: u64,
     /// Jobs of which some tasks ended before a takeover and others afterwards.
     pub jobs_ending_across_takeover: u64,
 
--- a/crates/model/src/controllers.rs
+++ b/crates/model/src/controllers.rs
@@ -58,6 +58,8 @@
     pub(crate) listed_at: f64,
     pub(crate) commits: usize,
     pub(crate) looked_at: f64,
+    /// When records of needs were last looked up.
+    pub(crate) needs_read_at: f64,
     pub(crate) leader: (u64, Leader),
 }
 
@@ -83,6 +85,7 @@
             listed_at: 0.0,
             commits: 0,
             looked_at: 0.0,
+            needs_read_at: 0.0,
             leader: Default::default(),
         };
         self.cells = (0..cells).map(held).collect();
@@ -132,6 +135,7 @@
         if reaches {
             self.watch(i, c);
             self.look_around(i, c);
+            self.look_up_needs(i, c);
         }
         self.misjudge_silence(i, c);
         let wrong = self.wrong;
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -12,6 +12,7 @@
 //! - `takeover`: how a new owner begins
 //! - `machines`, `store`, `users`, `messages`: the stand-ins
 //! - `questions`, `odd_requests`, `late_reports`, `spells`: troubles that users, machines and reports bring
+//! - `pipelines`: jobs that wait for others
 //! - `rules`, `cancelled`, `waiting`: what must not be
 //! - `wrong_decisions`: decisions that are wrong on purpose
 //! - [`report`]: what came of it
@@ -28,6 +29,7 @@
 mod messages;
 mod observer;
 mod odd_requests;
+mod pipelines;
 mod questions;
 pub mod report;
 mod rules;
--- /dev/null
+++ b/crates/model/src/pipelines.rs
@@ -0,0 +1,95 @@
+//! Pipelines: jobs that wait for earlier ones. Users submit them, a new owner reads the records of needs that ended
+//! before its checkpoint, and no task may start before all that its job needs is done.
+
+use crate::between::concerns;
+use crate::users::{Job, job_done};
+use crate::world::World;
+use lupinspur_scheduler::jobs::{JobRecord, job_key};
+use std::collections::BTreeSet;
+
+/// How often an owner looks up needs that nobody has told of, and how long after its takeover it has read those that
+/// the checkpoint does not have.
+const LOOK_UP_EVERY_S: f64 = 1.0;
+const NEEDS_READ_AFTER_S: f64 = 0.6;
+/// A need was accepted at least so long before.
+const ACCEPTED_BEFORE_S: f64 = 1.0;
+
+impl World {
+    /// Makes this job wait for an earlier one, as the scenario says. Nobody cancels what others need.
+    pub(crate) fn may_need_another(&mut self, job: &mut Job) {
+        let share = self.scenario.pipelines;
+        if share == 0.0 || job.spec.estimate_s == 0.0 || self.pipeline_draws.f64() >= share {
+            return;
+        }
+        let now = self.now;
+        let may_be_needed = |j: &Job| {
+            let accepted = j.accepted.is_some_and(|t| now - t >= ACCEPTED_BEFORE_S);
+            accepted && j.spec.estimate_s > 0.0 && j.cancel_at.is_none()
+        };
+        let earlier: Vec<String> =
+            self.jobs.iter().filter(|(_, j)| may_be_needed(j)).map(|(id, _)| id.clone()).collect();
+        if earlier.is_empty() {
+            return;
+        }
+        let need = earlier[self.pipeline_draws.usize(0..earlier.len())].clone();
+        if let Some(j) = self.jobs.get_mut(&need) {
+            j.needed = true;
+        }
+        job.spec.needs = Some(vec![need]);
+    }
+
+    /// Is all that this job needs done, as the machines have it?
+    pub(crate) fn needs_are_done(&self, job: &Job) -> bool {
+        let done = |need: &String| self.jobs.get(need).is_some_and(job_done);
+        job.spec.needs.iter().flatten().all(done)
+    }
+
+    /// Notes since when jobs wait for no other any more.
+    pub(crate) fn note_free_jobs(&mut self) {
+        let waits = self.jobs.iter().filter(|(_, j)| j.free_since.is_none());
+        let free: Vec<String> = waits.filter(|(_, j)| self.needs_are_done(j)).map(|(id, _)| id.clone()).collect();
+        for id in free {
+            if let Some(j) = self.jobs.get_mut(&id) {
+                j.free_since = Some(self.now);
+            }
+        }
+    }
+
+    /// An owner reads records of needs that it does not know.
+    pub(crate) fn look_up_needs(&mut self, node: usize, cell: usize) {
+        let now = self.now;
+        let held = &mut self.nodes[node].cells[cell];
+        let Some(shard) = held.shard.as_mut() else { return };
+        if now - shard.began < NEEDS_READ_AFTER_S || now - held.needs_read_at < LOOK_UP_EVERY_S {
+            return;
+        }
+        held.needs_read_at = now;
+        let needs: BTreeSet<String> = shard.unread_needs().into_iter().chain(shard.to_look_up()).collect();
+        for id in needs {
+            let Some((value, version)) = self.store.keys.get(&job_key(&id)) else { continue };
+            let record: JobRecord = serde_json::from_value(value.clone()).expect("a record");
+            if concerns(cell, &record) {
+                shard.add_job(record, *version, now);
+            } else {
+                shard.left(&id, now);
+            }
+            shard.need_was_read(&id, now);
+        }
+    }
+
+    /// What a takeover meets: needs that it has not read, and tasks that run behind them.
+    pub(crate) fn observe_unread_needs(&mut self, node: usize, cell: usize) {
+        let Some(shard) = self.nodes[node].cells[cell].shard.as_ref() else { return };
+        let unread: BTreeSet<String> = shard.unread_needs().into_iter().collect();
+        let waits = |id: &str| {
+            let needs = self.jobs.get(id).and_then(|j| j.spec.needs.as_ref());
+            needs.is_some_and(|needs| needs.iter().any(|need| unread.contains(need)))
+        };
+        let now = self.now;
+        let tasks = self.machines.iter().flat_map(|m| m.tasks.keys().filter(move |task| m.holds(task, now)));
+        let running = tasks.filter(|task| task.split('/').next().is_some_and(waits)).count();
+        let seen = &mut self.counts.coincidences;
+        seen.unread_needs_at_takeover += unread.len() as u64;
+        seen.tasks_behind_unread_needs_at_takeover += running as u64;
+    }
+}
--- a/crates/model/src/scenario.rs
+++ b/crates/model/src/scenario.rs
@@ -35,6 +35,9 @@
     /// The share of jobs that their users cancel.
     #[garde(range(min = 0.0, max = 1.0))]
     pub cancelled: f64,
+    /// The share of arrays that wait for an earlier one.
+    #[garde(range(min = 0.0, max = 1.0))]
+    pub pipelines: f64,
     /// The cpus that the services of one team have together at most.
     #[garde(range(min = 1.0, max = 1e6))]
     pub services_cpus: f64,
@@ -84,6 +87,7 @@
             job_every_s: 1.5,
             work: Work::Mixed,
             cancelled: 60.0 / 256.0,
+            pipelines: 0.0,
             services_cpus: 40.0,
             calm_s: 120.0,
             room: true,
--- a/crates/model/src/takeover.rs
+++ b/crates/model/src/takeover.rs
@@ -49,6 +49,7 @@
         held.watched = self.store.revision;
         held.commits = 0;
         held.shard = Some(shard);
+        self.observe_unread_needs(i, c);
     }
 
     /// What the state service holds of a cell.
--- a/crates/model/src/trouble.rs
+++ b/crates/model/src/trouble.rs
@@ -79,6 +79,8 @@
     OddRequests,
     /// Rented machines are up within two seconds, most of them before the answer to their rental comes.
     FastBoots,
+    /// Other keys of the state service change thousands of times: a leader writes its checkpoint anew.
+    ManyChanges,
     /// Messages between controllers and machines take up to two seconds, and images up to twenty seconds more.
     SlowLinks,
 }
@@ -234,4 +236,6 @@
     RentedAreEmpty,
     /// A start without an answer passes for one that never arrives.
     UnansweredNeverArrives,
+    /// A running task of a job whose needs were not read yet passes for gone.
+    UnreadIsOpen,
 }
--- a/crates/model/src/users.rs
+++ b/crates/model/src/users.rs
@@ -14,11 +14,15 @@
     pub(crate) spec: JobRequest,
     pub(crate) accepted: Option<f64>,
     pub(crate) cancel_at: Option<f64>,
+    /// Another job waits for it: its user does not cancel it.
+    pub(crate) needed: bool,
     pub(crate) told: Option<JobState>,
     pub(crate) told_cancelled_at: f64,
     pub(crate) answered: f64,
     pub(crate) next_poll: f64,
     pub(crate) done: BTreeSet<u32>,
+    /// Since when all that it needs is done.
+    pub(crate) free_since: Option<f64>,
     /// When its first task ran.
     pub(crate) begun: Option<f64>,
     /// Since when it waits while a machine has room for it, after all troubles.
@@ -32,11 +36,13 @@
             spec,
             accepted: None,
             cancel_at,
+            needed: false,
             told: None,
             told_cancelled_at: f64::MAX,
             answered: now,
             next_poll: now,
             done: BTreeSet::new(),
+            free_since: None,
             begun: None,
             waits_since: None,
         }
--- a/crates/model/src/waiting.rs
+++ b/crates/model/src/waiting.rs
@@ -63,7 +63,8 @@
 
     fn waits(&self, job: &Job) -> bool {
         let over = matches!(job.told, Some(JobState::Done | JobState::Cancelled));
-        job.accepted.is_some() && !over && job.cancel_at.is_none_or(|t| self.now < t) && !job_done(job)
+        let needs_done = self.needs_are_done(job);
+        job.accepted.is_some() && !over && needs_done && job.cancel_at.is_none_or(|t| self.now < t) && !job_done(job)
     }
 
     fn team_has_room(&self, job: &Job, used: &InUse) -> bool {
--- a/crates/model/src/world.rs
+++ b/crates/model/src/world.rs
@@ -92,6 +92,8 @@
     pub(crate) counts: Counts,
     /// Draws for the troubles of machines, reports and users; other draws are the same with and without them.
     pub(crate) chance: Rng,
+    /// Draws for pipelines.
+    pub(crate) pipeline_draws: Rng,
     pub(crate) spells: Spells,
     pub(crate) late_reports: LateReports,
     pub(crate) observer: Observer,
@@ -140,6 +142,7 @@
             broken: None,
             counts: Counts::of(cells, controllers),
             chance: Rng::with_seed(seed.rotate_left(32) ^ 0x5eed),
+            pipeline_draws: Rng::with_seed(seed.rotate_left(16) ^ 0x9199),
             spells: Spells::default(),
             late_reports: LateReports::default(),
             observer: Observer::default(),
@@ -350,7 +353,8 @@
                 let spec = spec(next_job as usize, &self.scenario, &mut self.rng);
                 let cancels = f64::from(self.rng.u8(..)) < self.scenario.cancelled * 256.0;
                 let cancel_at = cancels.then(|| self.now + 2.0 + self.rng.f64() * 30.0);
-                let job = Job::new(spec, cancel_at, self.now);
+                let mut job = Job::new(spec, cancel_at, self.now);
+                self.may_need_another(&mut job);
                 // A team's services must not fill its limit: then others wait rightly.
                 let held: f64 = self
                     .jobs
--- a/crates/model/src/wrong_decisions.rs
+++ b/crates/model/src/wrong_decisions.rs
@@ -64,12 +64,20 @@
                 let tokens = self.nodes[node].cells.iter().filter_map(|held| Some(held.shard.as_ref()?.token));
                 report.token = tokens.max().unwrap_or(report.token);
             }
+            Some(Wrong::UnreadIsOpen) => self.drop_what_waits(node, &mut report),
             Some(Wrong::MissesRestarts) => self.miss_restart(node, &mut report),
             _ => {}
         }
         report
     }
 
+    /// Leaves out what runs of jobs that wait, as the owner knows it.
+    fn drop_what_waits(&self, node: usize, report: &mut Report) {
+        let shards = || self.nodes[node].cells.iter().filter_map(|held| held.shard.as_ref());
+        let waits = |id: &str| shards().any(|s| s.jobs.find(id).is_some_and(|j| s.graph.waits(j)));
+        report.tasks.retain(|t| t.state == TaskState::Exited || !t.task.split('/').next().is_some_and(waits));
+    }
+
     /// Names the session that the owner knows, and what ran in it.
     fn miss_restart(&self, node: usize, report: &mut Report) {
         let shards = || self.nodes[node].cells.iter().filter_map(|held| held.shard.as_ref());
@@ -91,6 +99,12 @@
 
     /// What becomes of direct commands, as their sender takes it.
     pub(crate) fn misjudge_outcome(&mut self, node: usize, send: &DirectSend, outcome: Direct) -> Direct {
+        if self.wrong == Some(Wrong::UnreadIsOpen)
+            && let Direct::Answered { executed, report: Some(mut report) } = outcome
+        {
+            self.drop_what_waits(node, &mut report);
+            return Direct::Answered { executed, report: Some(report) };
+        }
         if self.wrong != Some(Wrong::UnansweredNeverArrives) || !matches!(outcome, Direct::Unknown) {
             return outcome;
         }
