--- a/crates/scheduler/src/shard/reported_tasks.rs
+++ b/crates/scheduler/src/shard/reported_tasks.rs
@@ -95,8 +95,6 @@
         for t in &r.tasks {
             if let Some(k) = self.key_of(&t.task) {
                 listed.insert((k, t.attempt), t);
-            } else {
-                log::warn!("machine {} reports {}, which is no task known here", r.machine, t.task);
             }
         }
         listed
@@ -127,8 +125,11 @@
         for (id, _) in machine.unknown.iter().filter_map(UnknownAttempt::job) {
             self.occupation.may_hold(id, m);
         }
-        let is_new = |u: &UnknownAttempt| !before.iter().any(|b| (&b.task, b.attempt) == (&u.task, u.attempt));
-        machine.unknown.iter().any(is_new)
+        let is_new = |u: &&UnknownAttempt| !before.iter().any(|b| (&b.task, b.attempt) == (&u.task, u.attempt));
+        let new = machine.unknown.iter().filter(is_new);
+        let told =
+            new.inspect(|u| log::warn!("machine {} lists {}, which is no task known here", machine.name, u.task));
+        told.count() > 0
     }
 
     /// Nothing that is listed runs any more, since its session is over or its machine is gone.
--- a/tests/loopback/rules.rs
+++ b/tests/loopback/rules.rs
@@ -34,6 +34,8 @@
     limits: BTreeMap<String, usize>,
     team_of: BTreeMap<String, String>,
     zones_of: BTreeMap<String, Zones>,
+    /// Tasks that have to be done before any of the job starts.
+    needs_of: BTreeMap<String, Vec<String>>,
     /// When each cancellation was confirmed to its user.
     confirmed: BTreeMap<String, Instant>,
     completed: BTreeMap<String, Instant>,
@@ -80,6 +82,17 @@
         }
     }
 
+    /// Tasks that run before all that their job needs is done.
+    fn look_at_needs(&mut self, workers: &[Worker]) {
+        let running = workers.iter().flat_map(Worker::on_it).map(job_of);
+        let waiting: BTreeSet<&str> = running.filter(|job| self.needs_of.contains_key(*job)).collect();
+        for job in waiting {
+            let done = |task: &String| workers.iter().any(|w| w.completed.contains(task));
+            let Some(open) = self.needs_of[job].iter().find(|task| !done(task)).cloned() else { continue };
+            self.broken.insert(format!("too_early: {job} runs before {open} is done"));
+        }
+    }
+
     /// Which tasks of a team are on which workers, for people.
     fn tasks_of(&self, team: &str, workers: &[Worker]) -> String {
         let of_team = |task: &str| self.team_of.get(job_of(task)).is_some_and(|t| t == team);
@@ -97,6 +110,7 @@
     fn look(&mut self, workers: &Workers) {
         let workers = lock(workers);
         self.look_at_zones(&workers);
+        self.look_at_needs(&workers);
         let mut used: BTreeMap<&str, usize> = BTreeMap::new();
         for worker in workers.iter() {
             for (task, state) in worker.tasks.iter().filter(|t| t.1.ended() == Some("done")) {
@@ -153,6 +167,11 @@
         lock(&self.ledger).team_of.insert(job.to_owned(), team.to_owned());
     }
 
+    /// No task of this job may run before all these are done.
+    pub fn needs(&self, job: &str, tasks: &[String]) {
+        lock(&self.ledger).needs_of.insert(job.to_owned(), tasks.to_vec());
+    }
+
     /// The job's tasks may only be in zones like this.
     pub fn bound(&self, job: &str, zones: Zones) {
         lock(&self.ledger).zones_of.insert(job.to_owned(), zones);
--- a/tests/loopback/unread_needs.rs
+++ b/tests/loopback/unread_needs.rs
@@ -84,6 +84,7 @@
     let size = Size { cancel: CANCEL, claim: CLAIM, ..Size::of(3, 3, LEASE_S) };
     let mut cluster = Cluster::start("unread-needs", size);
     let watch = RuleWatch::start(&cluster, CANCEL, &[]);
+    watch.needs(LONG, &[format!("{NEED}/0")]);
     submit(&cluster, NEED, 1.0, &[]);
     submit(&cluster, LONG, CPUS, &[NEED]);
     until_done(&cluster, NEED);
--- a/tests/soak/plan.rs
+++ b/tests/soak/plan.rs
@@ -34,9 +34,19 @@
     LeaderCutFromPeers,
     Outage,
     SlowRequests(Duration),
-    LateTransactions { one_in: usize, by: Duration },
-    LostAnswers { one_in: usize },
-    Machines { fault: MachineFault, share: f64 },
+    LateTransactions {
+        one_in: usize,
+        by: Duration,
+    },
+    LostAnswers {
+        one_in: usize,
+    },
+    /// Other keys change thousands of times: the leader writes its checkpoint anew.
+    ManyChanges,
+    Machines {
+        fault: MachineFault,
+        share: f64,
+    },
 }
 
 /// A fault, and when it begins and ends.
@@ -60,6 +70,9 @@
 const BACK_AFTER: Duration = Duration::from_millis(50);
 /// Of so many of these ends some machines can't be heard by the next leader for a while.
 const OUT_OF_REACH_SHARE: f64 = 0.7;
+/// A checkpoint is written so long before an end, of so many ends. The leader takes a moment for that.
+const CHECKPOINT_BEFORE_S: f64 = 1.2;
+const CHECKPOINT_SHARE: f64 = 0.8;
 /// A leader ends at least this often.
 const LEADER_ENDS_EVERY_S: f64 = 7.0;
 
@@ -106,6 +119,9 @@
     };
     let fault = MachineFault::LateCommands(Duration::from_secs_f64(between(rng, (0.5, 4.0))));
     add(ends_at - 2.0, between(rng, (2.0, 4.0)), Kind::Machines { fault, share: 0.8 });
+    if rng.f64() < CHECKPOINT_SHARE {
+        add(ends_at - CHECKPOINT_BEFORE_S, 0.0, Kind::ManyChanges);
+    }
     if rng.f64() < OUT_OF_REACH_SHARE {
         let lasts = between(rng, (2.0, 7.0));
         for fault in [MachineFault::Mute, MachineFault::DeafToCommands] {
--- a/tests/soak/play.rs
+++ b/tests/soak/play.rs
@@ -24,6 +24,8 @@
 const SUBMITTERS: u64 = 6;
 /// Once all troubles are over, nothing waits for longer beside room, and everything is known.
 const ENDS_WITHIN: Duration = Duration::from_secs(75);
+/// Revisions after which a leader writes its checkpoint anew.
+const MANY_CHANGES: u64 = 2500;
 /// Machines that may be rented, for each that is there.
 const RENTED_EACH: usize = 4;
 
@@ -186,6 +188,10 @@
                 lock(&store).faults.lose_one_answer_in = one_in;
                 Some(Undo::EndLostAnswers)
             }
+            Kind::ManyChanges => {
+                lock(&store).revision += MANY_CHANGES;
+                None
+            }
             Kind::Machines { fault, share } => {
                 let mut workers = lock(&self.cluster.workers);
                 let chosen: Vec<usize> = (0..workers.len()).filter(|_| self.rng.f64() < share).collect();
--- a/tests/soak/users.rs
+++ b/tests/soak/users.rs
@@ -21,6 +21,11 @@
 const SUBMITTED_EVERY_MS: (u64, u64) = (50, 300);
 const CANCELLED_AFTER_MS: (u64, u64) = (0, 4000);
 const ASKED_EVERY: Duration = Duration::from_millis(5);
+/// Of all jobs, those that nobody cancels so that others may wait for them, and those that wait for one.
+const NEEDED_SHARE: f64 = 0.4;
+const WAITING_SHARE: f64 = 0.6;
+/// A job waits for one of so many.
+const LATEST_NEEDED: usize = 8;
 /// Jobs that are asked about all the while.
 const LATEST: usize = 10;
 /// Users that ask one controller.
@@ -33,10 +38,20 @@
     pub submission: Value,
 }
 
+impl Submitted {
+    /// The names of its tasks.
+    fn tasks(&self) -> Vec<String> {
+        let count = self.submission["seeds"].as_u64().unwrap_or(0);
+        (0..count).map(|task| format!("{}/{task}", self.id)).collect()
+    }
+}
+
 pub struct Users<'a> {
     pub answers: &'a Answers,
     watch: &'a RuleWatch,
     submitted: Mutex<Vec<Submitted>>,
+    /// Accepted jobs that nobody cancels, for which others wait.
+    needed: Mutex<Vec<Submitted>>,
     next: AtomicUsize,
     pub confirmed: AtomicUsize,
     pub over: AtomicBool,
@@ -52,6 +67,7 @@
             answers,
             watch,
             submitted: Mutex::default(),
+            needed: Mutex::default(),
             next: AtomicUsize::new(0),
             confirmed: AtomicUsize::new(0),
             over: AtomicBool::new(false),
@@ -84,7 +100,13 @@
                 submission["herd"] = json!(LIMITED);
                 self.watch.belongs(&id, LIMITED);
             }
-            let cancelled = rng.f64() < 0.35;
+            let need = self.need(&mut rng);
+            if let Some(need) = &need {
+                submission["awaits"] = json!([need.id]);
+                self.watch.needs(&id, &need.tasks());
+            }
+            let needed = rng.f64() < NEEDED_SHARE;
+            let cancelled = !needed && rng.f64() < 0.35;
             lock(&self.submitted).push(Submitted { id: id.clone(), submission: submission.clone() });
             let nodes = self.answers.nodes();
             let mut node = rng.usize(0..nodes);
@@ -92,6 +114,9 @@
                 node = (node + 1) % nodes;
                 std::thread::sleep(PAUSE);
             }
+            if needed && !self.is_over() {
+                lock(&self.needed).push(Submitted { id: id.clone(), submission: submission.clone() });
+            }
             if cancelled {
                 self.pause_ms(&mut rng, CANCELLED_AFTER_MS);
                 self.cancel(&user, node, &id);
@@ -101,6 +126,14 @@
         }
     }
 
+    /// One of the latest jobs that others may wait for, for some jobs.
+    fn need(&self, rng: &mut Rng) -> Option<Submitted> {
+        let needed = lock(&self.needed);
+        let latest = &needed[needed.len().saturating_sub(LATEST_NEEDED)..];
+        let waits = !latest.is_empty() && rng.f64() < WAITING_SHARE;
+        waits.then(|| latest[rng.usize(0..latest.len())].clone())
+    }
+
     fn cancel(&self, user: &User, first: usize, id: &str) {
         let nodes = self.answers.nodes();
         for node in (first..).map(|n| n % nodes) {
