--- a/crates/scheduler/src/shard/occupation.rs
+++ b/crates/scheduler/src/shard/occupation.rs
@@ -5,7 +5,7 @@
 //! starts nowhere else. A held attempt occupies its slot ([`Slot::Held`]); this is the index of all others.
 
 use super::Shard;
-use crate::fleet::Leftover;
+use crate::fleet::{Leftover, UnknownAttempt};
 use crate::intern::{JobIx, MachineIx};
 use crate::jobs::{Slot, TaskKey};
 use std::collections::{BTreeSet, HashMap};
@@ -90,8 +90,8 @@
     fn take_unknown(&mut self, m: MachineIx, j: JobIx, now: f64) {
         let Some(machine) = self.machines.list.get_mut(m) else { return };
         let id = self.jobs.at(j).id.clone();
-        let of_job = |task: &str| task.rsplit_once('/').is_some_and(|(job, _)| job == &*id);
-        let listed: Vec<_> = machine.unknown.extract_if(.., |u| of_job(&u.task)).collect();
+        let of_job = |unknown: &UnknownAttempt| unknown.job().is_some_and(|(job, _)| *job == *id);
+        let listed: Vec<_> = machine.unknown.extract_if(.., |unknown| of_job(unknown)).collect();
         for unknown in listed {
             match self.key_of(&unknown.task) {
                 Some(key) => self.take_unheld(m, key, unknown.attempt, unknown.state, now),
