--- a/src/node/shard_exchange/mod.rs
+++ b/src/node/shard_exchange/mod.rs
@@ -3,6 +3,7 @@
 
 mod activation;
 mod machine_transfers;
+pub(in crate::node) mod quota_log;
 mod quota_shares;
 mod rebalance;
 mod spill;
--- a/src/node/shard_exchange/quota_shares.rs
+++ b/src/node/shard_exchange/quota_shares.rs
@@ -1,6 +1,6 @@
 //! The shards' shares of the team limits. A shard stops using the quota that it transfers before the write is sent.
 
-use super::{LEDGER_KEY, SettledWrite};
+use super::{LEDGER_KEY, SettledWrite, quota_log};
 use crate::clock;
 use crate::node::{Node, ShardRuntime, lock};
 use crate::shard::team_limits_by_name;
@@ -67,6 +67,7 @@
             let uses: Vec<Option<QuotaUse>> = (0..plan.cells).map(use_of).collect();
             transfers.extend(quota_transfers(self.id, team, &ledger, &uses, self.home_shard_in_plan(plan, team)));
         }
+        lock(&self.quota_waits).observe(self.id, token, &ledger, own_load);
         if !transfers.is_empty() {
             self.store_quota_transfers(token, (ledger, version), transfers, Vec::new(), Vec::new()).await;
         }
@@ -97,12 +98,16 @@
             fits
         });
         let mut stored = SettledWrite::NotStored;
+        if fits == Some(false) {
+            quota_log::log_refusal(&transfers, token);
+        }
         if fits == Some(true) {
             let value = serde_json::to_value(&next).unwrap_or_default();
             conditions.push(Compare { key: self.leadership_key.clone(), version: token });
             conditions.push(Compare { key: LEDGER_KEY.into(), version: ledger_version });
             changes.push(Mutation::Put { key: LEDGER_KEY.into(), value, lease: None });
             stored = self.commit_until_settled(token, conditions, changes).await;
+            quota_log::log_transfers(&transfers, token, stored);
             // Unless the write was certainly not stored, reads the stored shares before any quota is used again.
             while stored != SettledWrite::NotStored && lock(&self.election).token() == Some(token) {
                 if let Ok(Some(item)) = self.state.get(LEDGER_KEY, RequestPriority::Normal).await
--- a/src/node/shard_runtime.rs
+++ b/src/node/shard_runtime.rs
@@ -3,6 +3,7 @@
 
 use crate::clock;
 use crate::election::LeaderElection;
+use crate::node::shard_exchange::quota_log::QuotaWaits;
 use crate::node::{EXECUTOR, LeadershipStatus, Node, WATCH_TIMEOUT, Wakes, lock};
 use crate::shard::{Shard, parse_job_record};
 use crate::wire::KeyValue;
@@ -24,6 +25,8 @@
     pub(super) failover_in_progress: AtomicBool,
     /// Whether quota of this shard is being transferred to another shard.
     pub(super) quota_transfer_in_progress: AtomicBool,
+    /// The teams that wait at their share of a limit, as last logged.
+    pub(super) quota_waits: Mutex<QuotaWaits>,
     /// Whether this runtime was replaced because the set of shards changed. Its loops then end.
     pub(super) closed: AtomicBool,
     pub(super) loaded_at: Mutex<LoadedAt>,
@@ -76,6 +79,7 @@
             campaign_in_progress: AtomicBool::new(false),
             failover_in_progress: AtomicBool::new(false),
             quota_transfer_in_progress: AtomicBool::new(false),
+            quota_waits: Mutex::default(),
             closed: AtomicBool::new(false),
             loaded_at: Mutex::default(),
             absorbs_all_shards: AtomicBool::new(false),
