--- a/crates/scheduler/tests/shard/main.rs
+++ b/crates/scheduler/tests/shard/main.rs
@@ -17,4 +17,5 @@
 mod permission;
 mod placement;
 mod service_capacity;
+mod spillable_jobs;
 mod starts;
--- /dev/null
+++ b/crates/scheduler/tests/shard/spillable_jobs.rs
@@ -0,0 +1,37 @@
+//! Tests of which waiting jobs a shard offers to other shards.
+
+use crate::harness::{ShardHarness, heartbeat, job};
+use lupinspur_scheduler::jobs::{JobRecord, Phase};
+use serde_json::json;
+
+/// The cpus of one machine.
+const MACHINE_CPUS: f64 = 32.0;
+
+/// Hands a job to the leader, which does not place it yet.
+fn add_without_placement(harness: &mut ShardHarness, id: &str, now: f64) {
+    let request = job(id, 1, json!({"cpus": MACHINE_CPUS}));
+    harness.store_job(request.clone(), Phase::Open);
+    let version = harness.stored[&format!("job/{id}")].revision;
+    harness.shard.add_job(JobRecord::accepted(request, 0), version, now).expect("a job of a known team");
+}
+
+fn offered(harness: &ShardHarness, now: f64) -> Vec<String> {
+    let candidates = harness.shard.spillable_jobs(now);
+    candidates.into_iter().map(|candidate| harness.shard.jobs[candidate.job].id.to_string()).collect()
+}
+
+/// Guards against a job that leaves a shard which has room and has not tried to place it: a leader that hears late of
+/// an accepted job would send it away at once.
+#[test]
+fn a_job_is_offered_to_other_shards_only_after_placement_found_no_room() {
+    let mut harness = ShardHarness::with_machines(&["m1"]);
+    add_without_placement(&mut harness, "req-1", 10.0);
+    assert!(offered(&harness, 10.0).is_empty(), "the leader has not tried to place the job");
+    harness.receive_heartbeat(&heartbeat("m1", 3, &[]), 10.1);
+    harness.shard.tick(10.2);
+    assert!(offered(&harness, 10.2).is_empty(), "the job is assigned to a machine");
+    add_without_placement(&mut harness, "req-2", 10.3);
+    assert!(offered(&harness, 10.3).is_empty());
+    harness.shard.tick(10.4);
+    assert_eq!(offered(&harness, 10.4), ["req-2"], "the shard has no room for it");
+}
