A job stays in a shard that has room for it until placement has tried it

Callers saw: a job that its own shard could start at once went to another shard, where it needed room of others; the set-up of both tests of job_on_its_way timed out with 'the home shard is not full', and so did that of jobs_between_cells.

Now a job is judged by what waits ahead of it: work that is no candidate and older candidates that stay. And a shard offers a job only if the last placement pass that considered it started none of its tasks. The wait itself still counts from when the job was ready, so jobs that do lack room move as fast as before.

--- a/crates/scheduler/src/jobs/job.rs
+++ b/crates/scheduler/src/jobs/job.rs
@@ -29,6 +29,13 @@
     Done { stored: bool },
 }
 
+/// Why a placement pass started no task of a waiting job.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Unplaced {
+    /// No machine could take a task.
+    NoCapacity,
+}
+
 /// A job known to this leader. Fields that end in `_ms`, `serves_until` and `useful_until` are wall-clock times in
 /// milliseconds; all other times are seconds of the monotonic clock.
 #[derive(Debug)]
@@ -85,6 +92,9 @@
     pub failed_at: f64,
     /// Time before which none of its tasks is started.
     pub not_before: f64,
+    /// Why no task of it started in the last placement pass that considered it; `None` if one did, or if no pass has
+    /// considered it since something else held it up.
+    pub unplaced: Option<Unplaced>,
     /// True once the service-level tracker has recorded whether this job, one of the largest of its class, began in
     /// time.
     pub large_job_reported: bool,
--- a/crates/scheduler/src/jobs/mod.rs
+++ b/crates/scheduler/src/jobs/mod.rs
@@ -6,7 +6,7 @@
 mod job;
 mod records;
 
-pub use job::{Job, TaskSlot};
+pub use job::{Job, TaskSlot, Unplaced};
 pub use records::{
     JOB_PREFIX, JobRecord, PART_PREFIX, PROGRESS_PREFIX, Phase, ProgressRecord, RECORD_END_GROWTH_BYTES, chunk_tasks,
     job_key, part_key, progress_key,
@@ -117,6 +117,7 @@
             failed_at: f64::MIN,
             not_before: 0.0,
             attempts_since_fault: 0,
+            unplaced: None,
             large_job_reported: false,
             avoided_machine: None,
             known_since: now,
--- a/crates/scheduler/src/shard/placement/pass.rs
+++ b/crates/scheduler/src/shard/placement/pass.rs
@@ -7,7 +7,7 @@
 use super::unplaceable::UnplaceableShapes;
 use crate::fleet::Machine;
 use crate::intern::{JobIndex, MachineIndex, TeamIndex};
-use crate::jobs::TaskKey;
+use crate::jobs::{TaskKey, Unplaced};
 use crate::shard::{EPSILON, Prospect, Shard};
 use crate::wire::Priority;
 use std::collections::{HashMap, VecDeque};
@@ -103,7 +103,13 @@
 
     fn run(mut self) {
         while let Some(turn) = self.turns.pop_front() {
-            match self.take(&turn) {
+            let starts_before = self.starts;
+            let step = self.take(&turn);
+            if turn.rank.class != GROWTH_CLASS && !matches!(step, PassStep::LaterPass) {
+                let unplaced = (self.starts == starts_before).then_some(Unplaced::NoCapacity);
+                self.shard.jobs[turn.job].unplaced = unplaced;
+            }
+            match step {
                 PassStep::Turn => {}
                 PassStep::End => break,
                 PassStep::LaterPass => {
--- a/crates/scheduler/src/shard/placement/queue_order.rs
+++ b/crates/scheduler/src/shard/placement/queue_order.rs
@@ -88,6 +88,7 @@
         let guaranteed = by_turn.take(&shard.jobs[job_index]) || within_by_age.contains(&job_index);
         let job = &mut shard.jobs[job_index];
         if job.unreconciled_machines > 0 || job.moving_away || now < job.not_before || !job.has_queued() {
+            job.unplaced = None;
             continue;
         }
         let rank = rank(shard, &shard.jobs[job_index], guaranteed, prospect, deadline_ms);
--- a/crates/scheduler/src/shard/rebalancing.rs
+++ b/crates/scheduler/src/shard/rebalancing.rs
@@ -105,8 +105,9 @@
         snapshot
     }
 
-    /// Returns waiting jobs that can move to another shard as a whole: none of their tasks was ever started, and they
-    /// have neither dependents nor dependencies.
+    /// Returns waiting jobs that can move to another shard as a whole: none of their tasks was ever started, they have
+    /// neither dependents nor dependencies, and placement has tried them and started nothing. How long a job waits
+    /// counts from when it was ready, also in other shards.
     pub fn spillable_jobs(&self, now: f64) -> Vec<SpillCandidate<JobIndex>> {
         let now_ms = self.wall_clock_ms(now);
         let never_started = |job: &&Job| {
@@ -115,6 +116,7 @@
                 && job.done == 0
                 && job.unreconciled_machines == 0
                 && !job.moving_away
+                && job.unplaced.is_some()
                 && !job.in_pipeline()
         };
         let candidate = |job: &Job| SpillCandidate {
--- a/crates/sharding/src/load_snapshot.rs
+++ b/crates/sharding/src/load_snapshot.rs
@@ -69,10 +69,16 @@
         age_s <= picture_s * STALE_AFTER + bound_s
     }
 
-    /// Estimates the seconds until work of `cpus` cpus can start in this shard: at once in free capacity, after a
-    /// boot on booting machines, or after the waiting work.
+    /// Estimates the seconds until work of `cpus` cpus can start in this shard, behind all work that waits there.
     pub fn expected_start_s(&self, cpus: f64, boot_s: f64) -> f64 {
-        let free = self.free_cpus - self.waiting_cpus;
+        self.expected_start_behind_s(cpus, self.waiting_cpus, boot_s)
+    }
+
+    /// Estimates the seconds until work of `cpus` cpus can start in this shard, behind waiting work of `ahead_cpus`: at
+    /// once in free capacity, after a boot on booting machines, or after the waiting work. Work that waits in this
+    /// shard itself is not ahead of itself.
+    pub fn expected_start_behind_s(&self, cpus: f64, ahead_cpus: f64, boot_s: f64) -> f64 {
+        let free = self.free_cpus - ahead_cpus;
         match () {
             () if free >= cpus => 0.0,
             () if free + self.booting_cpus >= cpus => boot_s,
--- a/crates/sharding/src/spill.rs
+++ b/crates/sharding/src/spill.rs
@@ -74,38 +74,60 @@
     let mut destinations: Vec<Destination> = others.iter().copied().filter_map(destination).collect();
     let mut unusable: Vec<(ShardId, UnusableCapacity)> =
         others.iter().map(|snapshot| (snapshot.shard, snapshot.unusable_capacity)).collect();
-    let mut due: Vec<&SpillCandidate<J>> = waiting.iter().filter(|candidate| candidate.may_move(plan)).collect();
-    due.sort_by(|a, b| b.waited_s.total_cmp(&a.waited_s));
+    let mut oldest_first: Vec<&SpillCandidate<J>> = waiting.iter().collect();
+    oldest_first.sort_by(|a, b| b.waited_s.total_cmp(&a.waited_s));
+    let candidate_cpus: f64 = waiting.iter().map(|candidate| candidate.cpus).sum();
+    // What waits ahead of the next candidate: work that is no candidate, and older candidates that stay.
+    let mut ahead_cpus = (own.waiting_cpus - candidate_cpus).max(0.0);
     let mut spills = Vec::new();
-    for candidate in due {
+    for candidate in oldest_first {
         if spills.len() >= MAX_SPILLS_AT_ONCE {
             break;
         }
-        let waits_long = candidate.has_waited_long(plan, boot_s);
-        let here_s =
-            own.expected_start_s(candidate.cpus, boot_s).max(if waits_long { candidate.waited_s } else { 0.0 });
-        // A job that is larger than the free capacity of any shard would wait forever in a shard without machines:
-        // after a long wait it moves to a shard in which one of its tasks can start.
-        let needed_cpus = if waits_long { candidate.task_cpus } else { candidate.cpus };
-        let best = destinations
-            .iter_mut()
-            .filter(|destination| destination.free_cpus >= needed_cpus)
-            .max_by(|a, b| a.free_cpus.total_cmp(&b.free_cpus));
-        if let Some(destination) = best {
-            if destination.snapshot.expected_start_s(needed_cpus, boot_s) + plan.spill_gain_s <= here_s {
-                destination.free_cpus -= candidate.cpus;
-                spills.push((candidate.job.clone(), destination.shard));
-            }
-        } else if waits_long
-            && plan.spill_gain_s <= here_s
-            && let Some(shard) = take_unusable(&mut unusable, candidate)
-        {
-            spills.push((candidate.job.clone(), shard));
+        let here_s = own.expected_start_behind_s(candidate.cpus, ahead_cpus, boot_s);
+        let moves_to = candidate
+            .may_move(plan)
+            .then(|| choose_destination(plan, candidate, here_s, &mut destinations, &mut unusable, boot_s))
+            .flatten();
+        match moves_to {
+            Some(shard) => spills.push((candidate.job.clone(), shard)),
+            None => ahead_cpus += candidate.cpus,
         }
     }
     spills
 }
 
+/// Returns the shard in which this job starts sooner than in its own, where it is expected to start in `here_s`
+/// seconds. Takes the capacity that the job needs there.
+fn choose_destination<J>(
+    plan: &ShardingPlan,
+    candidate: &SpillCandidate<J>,
+    here_s: f64,
+    destinations: &mut [Destination],
+    unusable: &mut [(ShardId, UnusableCapacity)],
+    boot_s: f64,
+) -> Option<ShardId> {
+    let waits_long = candidate.has_waited_long(plan, boot_s);
+    let here_s = here_s.max(if waits_long { candidate.waited_s } else { 0.0 });
+    // A job that is larger than the free capacity of any shard would wait forever in a shard without machines:
+    // after a long wait it moves to a shard in which one of its tasks can start.
+    let needed_cpus = if waits_long { candidate.task_cpus } else { candidate.cpus };
+    let best = destinations
+        .iter_mut()
+        .filter(|destination| destination.free_cpus >= needed_cpus)
+        .max_by(|a, b| a.free_cpus.total_cmp(&b.free_cpus));
+    let Some(destination) = best else {
+        let unusable_is_enough = waits_long && plan.spill_gain_s <= here_s;
+        return unusable_is_enough.then(|| take_unusable(unusable, candidate)).flatten();
+    };
+    let there_s = destination.snapshot.expected_start_s(needed_cpus, boot_s);
+    if there_s + plan.spill_gain_s > here_s {
+        return None;
+    }
+    destination.free_cpus -= candidate.cpus;
+    Some(destination.shard)
+}
+
 /// Returns the usable free capacity of a shard; `None` if the shard is itself short of capacity.
 fn destination(snapshot: &LoadSnapshot) -> Option<Destination<'_>> {
     let spare_cpus = snapshot.free_cpus - snapshot.waiting_cpus;
