Unused parts of a limit are brought together where a waiting task needs them

Callers saw: with several shards, a team under its limit waited for good beside free machines ('not as many jobs run as may': five of six one-cpu jobs ran).

Now a shard publishes, with its load, the first task of each team in its queue that has a machine and lacks only quota, if all that is unused over all shards satisfies it. Every shard gives its unused part, whatever it wants, to the oldest such request; what a shard reserves for a large job stays. A request is made only where placement would start the task, so quota that arrives is used at once, and a shard whose task has lost its room requests nothing and gives it on.

--- a/crates/model/src/shard_exchange.rs
+++ b/crates/model/src/shard_exchange.rs
@@ -8,11 +8,12 @@
 use crate::world::World;
 use lupinspur_scheduler::jobs::{JobRecord, Phase, job_key};
 use lupinspur_sharding::ShardId;
-use lupinspur_sharding::escrow::{Amount, Ledger, QuotaTransfer, QuotaUse, quota_transfers};
+use lupinspur_sharding::escrow::{Amount, Ledger, QuotaTransfer};
 use lupinspur_sharding::load_snapshot::LoadSnapshot;
 use lupinspur_sharding::machine_transfer::{
     self, MachineTransfer, TransferredMachine, next_by_receiver, next_by_sender, next_receiver,
 };
+use lupinspur_sharding::quota_requests::{PublishedLoad, QuotaRound, TeamRequests};
 use lupinspur_sharding::rebalance::{RebalancePlan, Rebalancer, must_reacquire};
 use lupinspur_sharding::spill::plan_spills;
 use lupinspur_wire::Mutation;
@@ -24,7 +25,7 @@
 #[derive(Default, Clone)]
 pub(crate) struct SharedState {
     pub(crate) ledger: Option<(Ledger, u64)>,
-    pub(crate) load_snapshots: BTreeMap<usize, LoadSnapshot>,
+    pub(crate) published_loads: BTreeMap<usize, PublishedLoad>,
     pub(crate) rebalance_plan: (RebalancePlan, u64),
     pub(crate) machine_transfers: BTreeMap<String, (MachineTransfer, u64)>,
 }
@@ -152,15 +153,15 @@
     /// Reads the records that shards exchange, as a controller's watch does.
     pub(crate) fn refresh_shared_state(&mut self, node: usize) {
         let keys = &self.store.keys;
-        let load_snapshots = stored::readable::<LoadSnapshot>(keys, LOAD_SNAPSHOT_PREFIX);
+        let published_loads = stored::readable::<PublishedLoad>(keys, LOAD_SNAPSHOT_PREFIX);
         let machine_transfers = stored::readable::<MachineTransfer>(keys, machine_transfer::PREFIX);
         let controller = &mut self.nodes[node];
         controller.shared_state_read_at = self.now;
         controller.shared_state = SharedState {
             ledger: self.store.read(LEDGER_KEY),
-            load_snapshots: load_snapshots
+            published_loads: published_loads
                 .into_iter()
-                .map(|(_, snapshot, _)| (snapshot.shard.as_usize(), snapshot))
+                .map(|(_, published, _)| (published.load.shard.as_usize(), published))
                 .collect(),
             rebalance_plan: self.store.read(REBALANCE_PLAN_KEY).unwrap_or_default(),
             machine_transfers: machine_transfers
@@ -208,6 +209,38 @@
         Some(applied)
     }
 
+    /// Returns the loads of the other shards that a controller last read and that are recent enough, and a shard's own.
+    fn loads_with_own(&self, node: usize, own: PublishedLoad) -> Vec<PublishedLoad> {
+        let is_fresh = |other: &&PublishedLoad| {
+            other.load.shard != own.load.shard && other.load.is_fresh(own.load.at_ms, self.plan.picture_s, 0.0)
+        };
+        let published = self.nodes[node].shared_state.published_loads.values();
+        let mut loads: Vec<PublishedLoad> = published.filter(is_fresh).cloned().collect();
+        loads.push(own);
+        loads
+    }
+
+    fn quota_round<'a>(&self, own_shard: ShardId, ledger: &'a Ledger, loads: &'a [PublishedLoad]) -> QuotaRound<'a> {
+        QuotaRound { own_shard, shards: self.shard_count as u32, ledger, loads }
+    }
+
+    /// Returns what a shard publishes: its load, and its requests for quota.
+    fn published_load(
+        &self,
+        node: usize,
+        load: LoadSnapshot,
+        requests: &BTreeMap<String, TeamRequests>,
+    ) -> PublishedLoad {
+        if self.wrong_decision == Some(WrongDecision::PublishesNoQuotaRequests) {
+            return PublishedLoad { load, quota: None };
+        }
+        let own = PublishedLoad { load, quota: Some(BTreeMap::new()) };
+        let Some((ledger, _)) = &self.nodes[node].shared_state.ledger else { return own };
+        let loads = self.loads_with_own(node, own.clone());
+        let statuses = self.quota_round(own.load.shard, ledger, &loads).statuses(requests);
+        PublishedLoad { quota: Some(statuses), ..own }
+    }
+
     /// Publishes the load snapshot of a shard and runs its part of the exchange with the other shards.
     pub(crate) fn exchange_with_shards(&mut self, node: usize, shard_index: usize) {
         let now = self.now;
@@ -216,40 +249,30 @@
         }
         self.nodes[node].slots[shard_index].exchanged_at = now;
         let shard_id = ShardId(shard_index as u32);
-        let published = self.nodes[node]
-            .acting(shard_index, now)
-            .map(|shard| (shard.token, shard.heartbeats_gathered(now).then(|| shard.load_snapshot(shard_id, now))));
-        let Some((token, Some(mine))) = published else { return };
+        let observed = self.nodes[node].acting(shard_index, now).map(|shard| {
+            let load = || (shard.load_snapshot(shard_id, now), shard.quota_requests());
+            (shard.token, shard.heartbeats_gathered(now).then(load))
+        });
+        let Some((token, Some((mine, requests)))) = observed else { return };
+        let own = self.published_load(node, mine.clone(), &requests);
         let leadership = (self.leadership_key(shard_index), token);
         self.store.commit(
             std::slice::from_ref(&leadership),
-            &[put(&format!("{LOAD_SNAPSHOT_PREFIX}{shard_index}"), &mine)],
+            &[put(&format!("{LOAD_SNAPSHOT_PREFIX}{shard_index}"), &own)],
             None,
         );
         self.refresh_shared_state(node);
-        let is_fresh =
-            |other: &&LoadSnapshot| other.shard != shard_id && other.is_fresh(mine.at_ms, self.plan.picture_s, 0.0);
-        let others: Vec<LoadSnapshot> =
-            self.nodes[node].shared_state.load_snapshots.values().filter(is_fresh).cloned().collect();
+        let loads = self.loads_with_own(node, own);
         if let Some((ledger, _)) = self.nodes[node].shared_state.ledger.clone() {
-            let mut all = Vec::new();
-            for team in ledger.teams.keys() {
-                let use_of = |shard: usize| -> Option<QuotaUse> {
-                    let snapshot = if shard == shard_index {
-                        &mine
-                    } else {
-                        others.iter().find(|other| other.shard.as_usize() == shard)?
-                    };
-                    Some(snapshot.teams.get(team).copied().unwrap_or_default())
-                };
-                let uses: Vec<Option<QuotaUse>> = (0..self.shard_count).map(use_of).collect();
-                let home = self.nodes[node].shared_state.rebalance_plan.0.home(&self.plan, team);
-                all.extend(quota_transfers(shard_id, team, &ledger, &uses, home));
-            }
-            if !all.is_empty() {
-                self.transfer_quota(node, shard_index, token, &all, Vec::new(), Vec::new());
+            let round = self.quota_round(shard_id, &ledger, &loads);
+            let homes = &self.nodes[node].shared_state.rebalance_plan.0;
+            let transfers = round.transfers(|team| homes.home(&self.plan, team));
+            if !transfers.is_empty() {
+                self.transfer_quota(node, shard_index, token, &transfers, Vec::new(), Vec::new());
             }
         }
+        let others: Vec<LoadSnapshot> =
+            loads.into_iter().map(|published| published.load).filter(|snapshot| snapshot.shard != shard_id).collect();
         let waiting =
             self.nodes[node].acting(shard_index, now).map(|shard| shard.spillable_jobs(now)).unwrap_or_default();
         for (job, to) in plan_spills(&self.plan, &mine, &others, &waiting, 20.0) {
@@ -344,7 +367,8 @@
         let seen = self.nodes[node].shared_state.clone();
         let fresh = seen.rebalance_plan.0.is_fresh(&self.plan, now_ms, 0.0);
         let moves = if fresh { seen.rebalance_plan.0.moves.clone() } else { Vec::new() };
-        let token_of = |shard: ShardId| seen.load_snapshots.get(&shard.as_usize()).map(|snapshot| snapshot.token);
+        let token_of =
+            |shard: ShardId| seen.published_loads.get(&shard.as_usize()).map(|published| published.load.token);
         if must_reacquire(shard_id, token, &moves, token_of) {
             return self.reacquire(node, shard_index, token);
         }
--- a/crates/scheduler/src/shard/failover.rs
+++ b/crates/scheduler/src/shard/failover.rs
@@ -4,6 +4,7 @@
 //! itself, and starts, stops and releases no tasks: a restored machine may hold tasks of all jobs that its record names
 //! until it is reconciled.
 
+use super::quota_requests::QuotaRequests;
 use super::quotas::{LoadedQuotas, Quotas};
 use super::writes::WriteQueue;
 use super::{
@@ -183,6 +184,7 @@
             late_batch_credit_cpus: 0.0,
             limits_examined: 0,
             large_jobs: large_jobs::LargeJobReservations::new(),
+            quota_requests: QuotaRequests::default(),
             consistency: consistency::ConsistencyChecker::default(),
             transfers: machine_transfers::MachineTransfers::new(std::mem::take(&mut loaded.transferred_away)),
             pairs_examined: 0,
--- a/crates/scheduler/src/shard/mod.rs
+++ b/crates/scheduler/src/shard/mod.rs
@@ -22,6 +22,7 @@
 mod moved_jobs;
 mod permission;
 pub mod placement;
+mod quota_requests;
 mod quotas;
 mod rebalancing;
 mod responsiveness;
@@ -189,6 +190,7 @@
     /// order: the next pass goes on after them.
     pub(crate) limits_examined: usize,
     large_jobs: large_jobs::LargeJobReservations,
+    quota_requests: quota_requests::QuotaRequests,
     consistency: consistency::ConsistencyChecker,
     /// Machines on their way between this shard and others.
     transfers: machine_transfers::MachineTransfers,
--- a/crates/scheduler/src/shard/placement/limits.rs
+++ b/crates/scheduler/src/shard/placement/limits.rs
@@ -34,34 +34,38 @@
         && stays_within(team.spec.accelerators_max, team.accelerators_used, job.spec.accelerators, unreconciled.1)
 }
 
-/// Returns whether `task_count` tasks of this job fit on the machines of `options` together, within its team's limit
-/// and quotas.
-pub(super) fn fits_at_once(
-    shard: &Shard,
-    job: &Job,
-    options: &[(f64, MachineIndex)],
-    task_count: u32,
-    unreconciled: (f64, f64),
-) -> bool {
+/// Returns how many tasks that request `requested` fit into `free`; `unlimited` if they request nothing.
+fn tasks_in(free: f64, requested: f64, unlimited: u32) -> f64 {
+    if requested > 0.0 { (free + EPSILON) / requested } else { f64::from(unlimited) }
+}
+
+/// Returns whether `task_count` more tasks of this job stay within its team's limit and quotas.
+pub(super) fn limit_allows(shard: &Shard, job: &Job, task_count: u32, unreconciled: (f64, f64)) -> bool {
     let spec = &job.spec;
-    let tasks_in = |free: f64, requested: f64| {
-        if requested > 0.0 { (free + EPSILON) / requested } else { f64::from(task_count) }
-    };
     let team = &shard.teams[job.team.as_usize()];
     let left = |max: f64, used: f64, unreconciled: f64| {
         if max > 0.0 { max - used - unreconciled } else { f64::INFINITY }
     };
-    let within = tasks_in(left(team.spec.cpus_max, team.cpus_used, unreconciled.0), spec.cpus)
-        .min(tasks_in(left(team.spec.accelerators_max, team.accelerators_used, unreconciled.1), spec.accelerators))
+    let cpus_left = left(team.spec.cpus_max, team.cpus_used, unreconciled.0);
+    let accelerators_left = left(team.spec.accelerators_max, team.accelerators_used, unreconciled.1);
+    let within = tasks_in(cpus_left, spec.cpus, task_count)
+        .min(tasks_in(accelerators_left, spec.accelerators, task_count))
         .min(shard.tasks_within_quota(job));
-    if within.floor() < f64::from(task_count) {
-        return false;
-    }
+    within.floor() >= f64::from(task_count)
+}
+
+/// Returns whether `task_count` tasks of this job fit on the machines of `options` together.
+pub(super) fn capacity_for(shard: &Shard, job: &Job, options: &[(f64, MachineIndex)], task_count: u32) -> bool {
+    let spec = &job.spec;
     let tasks_on = |&(_, i): &(f64, MachineIndex)| {
         let (machine, machine_type) = (&shard.machines[i], shard.types.get(shard.machines[i].type_index));
-        let most = tasks_in(machine_type.cpus - machine.cpus_used, spec.cpus)
-            .min(tasks_in(machine_type.memory_gb - machine.memory_used, spec.memory_gb));
-        most.min(tasks_in(machine_type.accelerators - machine.accelerators_used, spec.accelerators)).max(0.0).floor()
+        let most = tasks_in(machine_type.cpus - machine.cpus_used, spec.cpus, task_count).min(tasks_in(
+            machine_type.memory_gb - machine.memory_used,
+            spec.memory_gb,
+            task_count,
+        ));
+        let accelerators_free = machine_type.accelerators - machine.accelerators_used;
+        most.min(tasks_in(accelerators_free, spec.accelerators, task_count)).max(0.0).floor()
     };
     options.iter().map(tasks_on).sum::<f64>() >= f64::from(task_count)
 }
--- a/crates/scheduler/src/shard/placement/pass.rs
+++ b/crates/scheduler/src/shard/placement/pass.rs
@@ -1,7 +1,7 @@
 //! One placement pass over all waiting jobs: each job in its turn starts tasks on the machines that suit it.
 
 use super::bin_packing::{fits, has_unacknowledged_start, leaves_service_headroom, options};
-use super::limits::{fits_at_once, unreconciled_accelerators, unreconciled_cpus, within_limit};
+use super::limits::{capacity_for, limit_allows, unreconciled_accelerators, unreconciled_cpus, within_limit};
 use super::preemption::{could_be_placed, preempt_for};
 use super::queue_order::{GROWTH_CLASS, QueuedTurn, queue_order, requeue_behind};
 use super::unplaceable::UnplaceableShapes;
@@ -62,6 +62,7 @@
 /// Runs one placement pass: starts waiting tasks as far as capacity and limits allow.
 pub fn place(shard: &mut Shard, now: f64) {
     shard.unplaced_work_waiting = false;
+    shard.quota_requests.begin_pass();
     if !shard.types.known() {
         return;
     }
@@ -148,9 +149,8 @@
             return PassStep::Turn;
         }
         let options = self.options(turn, is_production);
-        let shard = &mut *self.shard;
-        if turn.together && !fits_at_once(shard, &shard.jobs[turn.job], &options, turn.most, self.unreconciled) {
-            shard.unplaced_work_waiting = true;
+        if turn.together && !self.fits_at_once(turn, &options) {
+            self.shard.unplaced_work_waiting = true;
             return PassStep::Turn;
         }
         let before = self.starts;
@@ -174,13 +174,54 @@
                 (1..=MAX_SERVICES_EXAMINED).contains(&self.services_at_limits.saturating_sub(shard.limits_examined));
             if is_examined && could_be_placed(shard, turn, &self.candidates, self.now) {
                 self.at_limits.push(turn.job);
+                shard.request_quota(turn.job, 1);
             }
             return;
         }
         let team = shard.jobs[turn.job].team;
         if turn.is_initial_allocation && shard.limit_will_suffice(turn.job) && shard.reserve_limit(self.now) {
             self.limit_reserved_for.entry(team).or_insert(turn.job);
+            shard.quota_requests.reserve(team);
+        }
+        self.request_quota_if_placeable(turn);
+    }
+
+    /// Requests quota for the next task of a job at its limit, if a machine could take the task now.
+    fn request_quota_if_placeable(&mut self, turn: &QueuedTurn) {
+        let shard = &mut *self.shard;
+        let job = &shard.jobs[turn.job];
+        let is_covered = shard.quota_requests.covers(job.team, shard.limited_amount(job, 1));
+        if turn.rank.class == GROWTH_CLASS
+            || is_covered
+            || self.candidates.is_empty()
+            || self.unplaceable.covers(shard, job)
+            || !shard.quota_requests.may_examine()
+        {
+            return;
+        }
+        shard.pairs_examined += self.candidates.len() as u64;
+        let job = &shard.jobs[turn.job];
+        let options = options(shard, job, &self.candidates, self.now);
+        if options.is_empty() {
+            self.unplaceable.note(shard, job);
+        } else if options.iter().any(|option| !shard.is_reserved_for_other(option.1, turn.job)) {
+            shard.request_quota(turn.job, 1);
+        }
+    }
+
+    /// Returns whether all tasks of this turn fit on these machines together, within the limit. Requests quota if only
+    /// the limit keeps them from starting.
+    fn fits_at_once(&mut self, turn: &QueuedTurn, options: &[(f64, MachineIndex)]) -> bool {
+        let shard = &mut *self.shard;
+        let job = &shard.jobs[turn.job];
+        if !capacity_for(shard, job, options, turn.most) {
+            return false;
         }
+        let is_allowed = limit_allows(shard, job, turn.most, self.unreconciled);
+        if !is_allowed {
+            shard.request_quota(turn.job, turn.most);
+        }
+        is_allowed
     }
 
     /// Returns the machines that could take tasks in this turn, the best first.
@@ -209,6 +250,10 @@
             let job = &self.shard.jobs[turn.job];
             let Some(&task) = job.queued_tasks.front() else { break };
             if !within_limit(self.shard, job, self.unreconciled) {
+                let has_capacity = self.next_machine(turn.job, task, options, &mut full).is_some();
+                if has_capacity && turn.rank.class != GROWTH_CLASS {
+                    self.shard.request_quota(turn.job, 1);
+                }
                 break;
             }
             let found = self.next_machine(turn.job, task, options, &mut full);
--- a/crates/scheduler/src/shard/rebalancing.rs
+++ b/crates/scheduler/src/shard/rebalancing.rs
@@ -27,6 +27,7 @@
     /// Sets this shard's share of each team's limit and guarantee. A team without shares in the ledger keeps its limit
     /// and guarantee unchanged.
     pub fn set_limit_shares(&mut self, whole: &[Team], shares: &Ledger, shard_id: ShardId) {
+        self.quota_requests.set_has_shares();
         for (team, whole_team) in self.teams.iter_mut().zip(whole) {
             let Some(share) = shares.share(&whole_team.name, shard_id) else { continue };
             let limit_share = |share: f64, limit: f64| if limit > 0.0 { share.max(MIN_SHARE) } else { 0.0 };
--- a/crates/scheduler/tests/shard/harness.rs
+++ b/crates/scheduler/tests/shard/harness.rs
@@ -31,13 +31,14 @@
     Team { name: name.into(), cpus: 0.0, cpus_max, accelerators: 0.0, accelerators_max }
 }
 
+/// Returns all teams with their whole limits.
+pub fn teams() -> Vec<Team> {
+    vec![team("limited", TEAM_CPU_LIMIT, 0.0), team("free", 0.0, 0.0), team("few-cards", 0.0, TEAM_ACCELERATOR_LIMIT)]
+}
+
 fn params() -> Params {
     Params {
-        teams: vec![
-            team("limited", TEAM_CPU_LIMIT, 0.0),
-            team("free", 0.0, 0.0),
-            team("few-cards", 0.0, TEAM_ACCELERATOR_LIMIT),
-        ],
+        teams: teams(),
         zones: vec!["a".into(), "b".into()],
         objectives: HashMap::new(),
         report_s: 3.0,
--- a/crates/scheduler/tests/shard/main.rs
+++ b/crates/scheduler/tests/shard/main.rs
@@ -16,6 +16,7 @@
 mod moved_jobs;
 mod permission;
 mod placement;
+mod quota_requests;
 mod service_capacity;
 mod spillable_jobs;
 mod starts;
--- a/crates/sharding/src/escrow.rs
+++ b/crates/sharding/src/escrow.rs
@@ -43,7 +43,7 @@
     }
 
     /// Returns the minimum in each resource.
-    fn min(self, o: Amount) -> Amount {
+    pub(crate) fn min(self, o: Amount) -> Amount {
         Amount::new(self.cpus.min(o.cpus), self.accelerators.min(o.accelerators))
     }
 
--- a/crates/sharding/src/lib.rs
+++ b/crates/sharding/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`plan`]: the operators' file, and the home shard of each team
 //! - [`activation`]: when a plan becomes active, and which controller campaigns for which shard
 //! - [`escrow`]: quota shares: each team's limit, divided among the shards
+//! - [`quota_requests`]: unused parts of a limit, brought together where a waiting task needs them
 //! - [`load_snapshot`]: the load that each shard publishes
 //! - [`spill`]: which waiting jobs move to which shard
 //! - [`rebalance`]: which machines and team homes move to other shards
@@ -19,6 +20,7 @@
 pub mod load_snapshot;
 pub mod machine_transfer;
 pub mod plan;
+pub mod quota_requests;
 pub mod rebalance;
 pub mod spill;
 
--- a/src/node/shard_exchange/machine_transfers.rs
+++ b/src/node/shard_exchange/machine_transfers.rs
@@ -68,7 +68,8 @@
             let bound_s = self.settings.time_bound_s;
             let orders = exchange.orders.as_ref().filter(|(orders, _)| orders.is_fresh(plan, own_load.at_ms, bound_s));
             let moves = orders.map_or(&[][..], |(orders, _)| &orders.moves);
-            let token_of = |shard: ShardId| exchange.load_snapshots.get(&shard.0).map(|snapshot| snapshot.token);
+            let token_of =
+                |shard: ShardId| exchange.published_loads.get(&shard.0).map(|published| published.load.token);
             let order = next_receiver(self.id, token, moves.iter(), &in_progress, token_of);
             (transfers, order, must_reacquire(self.id, token, moves, token_of))
         };
--- a/src/node/shard_exchange/mod.rs
+++ b/src/node/shard_exchange/mod.rs
@@ -19,6 +19,7 @@
 use lupinspur_sharding::escrow::Ledger;
 use lupinspur_sharding::load_snapshot::LoadSnapshot;
 use lupinspur_sharding::machine_transfer::{self, MachineTransfer};
+use lupinspur_sharding::quota_requests::PublishedLoad;
 use lupinspur_sharding::rebalance::{RebalancePlan, Rebalancer};
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -47,8 +48,8 @@
 pub(in crate::node) struct ShardExchange {
     /// The shards' shares of the team limits, with their version.
     ledger: Option<(Ledger, u64)>,
-    /// The last load snapshot of each shard, by shard number.
-    load_snapshots: HashMap<u32, LoadSnapshot>,
+    /// The last published load of each shard, by shard number.
+    published_loads: HashMap<u32, PublishedLoad>,
     /// The rebalance plan, with its version.
     orders: Option<(RebalancePlan, u64)>,
     /// Machine transfers by stored key, each with its version.
@@ -104,8 +105,8 @@
                 self.observe_ledger(ledger, item.version);
             }
         } else if item.key.starts_with(LOAD_SNAPSHOTS_PREFIX) {
-            if let Ok(snapshot) = serde_json::from_value::<LoadSnapshot>(item.value) {
-                lock(&self.shard_exchange).load_snapshots.insert(snapshot.shard.0, snapshot);
+            if let Ok(published) = serde_json::from_value::<PublishedLoad>(item.value) {
+                lock(&self.shard_exchange).published_loads.insert(published.load.shard.0, published);
             }
         } else if item.key == ORDERS_KEY {
             match serde_json::from_value::<RebalancePlan>(item.value) {
@@ -135,48 +136,62 @@
             Timer::after(Duration::from_secs_f64(plan.picture_s * (0.9 + 0.2 * fastrand::f64()))).await;
             let now = clock::now();
             let observed = self.with_shard(now, |shard| {
-                (shard.token, shard.heartbeats_gathered(now).then(|| shard.load_snapshot(self.id, now)))
+                let load = || (shard.load_snapshot(self.id, now), shard.quota_requests());
+                (shard.token, shard.heartbeats_gathered(now).then(load))
             });
-            let Some((token, snapshot)) = observed else { continue };
+            let Some((token, observed_load)) = observed else { continue };
             if self.is_merging() {
                 self.merge(token, &plan).await;
                 continue;
             }
-            let Some(own_load) = snapshot else { continue };
-            if let Ok(value) = serde_json::to_value(&own_load)
-                && value.to_string().len() <= self.settings.value_bytes()
-            {
-                let key = format!("{LOAD_SNAPSHOTS_PREFIX}{}", self.id.0);
-                let change = Mutation::Put { key, value, lease: None };
-                let condition = Compare { key: self.leadership_key.clone(), version: token };
-                let _ = self.state.commit(vec![condition], vec![change], RequestPriority::Normal).await;
-            }
+            let Some((own_load, requests)) = observed_load else { continue };
+            let published = self.published_load(&plan, own_load, &requests);
+            self.publish_load(token, &published).await;
+            let own_load = &published.load;
             if self.state.is_responsive(clock::now()) {
                 if self.wants_single_shard() && self.id.0 == 0 {
                     self.begin_merging(token, &plan).await;
                 }
-                self.transfer_spare_quota(token, &plan, &own_load).await;
-                self.spill_over(token, &plan, &own_load).await;
+                self.transfer_spare_quota(token, &plan, &published).await;
+                self.spill_over(token, &plan, own_load).await;
                 if self.id.0 == 0 {
-                    self.rebalance(token, &plan, &own_load).await;
+                    self.rebalance(token, &plan, own_load).await;
                 }
-                self.transfer_machines(token, &plan, &own_load).await;
+                self.transfer_machines(token, &plan, own_load).await;
             }
         }
     }
 
-    /// Returns the load snapshots that are recent enough to act on.
-    pub(super) fn fresh_load_snapshots(&self, plan: &ShardingPlan, now_ms: u64) -> Vec<LoadSnapshot> {
+    /// Stores this shard's load for the others. A value that is too large is stored without the quota requests, or not
+    /// at all.
+    async fn publish_load(&self, token: u64, published: &PublishedLoad) {
+        let without_quota = PublishedLoad { quota: None, ..published.clone() };
+        let values = [published, &without_quota].into_iter().filter_map(|load| serde_json::to_value(load).ok());
+        let max_bytes = self.settings.value_bytes();
+        let Some(value) = values.into_iter().find(|value| value.to_string().len() <= max_bytes) else { return };
+        let key = format!("{LOAD_SNAPSHOTS_PREFIX}{}", self.id.0);
+        let change = Mutation::Put { key, value, lease: None };
+        let condition = Compare { key: self.leadership_key.clone(), version: token };
+        let _ = self.state.commit(vec![condition], vec![change], RequestPriority::Normal).await;
+    }
+
+    /// Returns the published loads of all shards that are recent enough to act on.
+    pub(super) fn fresh_published_loads(&self, plan: &ShardingPlan, now_ms: u64) -> Vec<PublishedLoad> {
         let exchange = lock(&self.shard_exchange);
         let bound_s = 2.0 * self.settings.time_bound_s;
         exchange
-            .load_snapshots
+            .published_loads
             .values()
-            .filter(|snapshot| snapshot.is_fresh(now_ms, plan.picture_s, bound_s))
+            .filter(|published| published.load.is_fresh(now_ms, plan.picture_s, bound_s))
             .cloned()
             .collect()
     }
 
+    /// Returns the load snapshots that are recent enough to act on.
+    pub(super) fn fresh_load_snapshots(&self, plan: &ShardingPlan, now_ms: u64) -> Vec<LoadSnapshot> {
+        self.fresh_published_loads(plan, now_ms).into_iter().map(|published| published.load).collect()
+    }
+
     /// Sends a write until it is certain that it will not be applied later, or leadership is lost. A write whose
     /// response was lost is sent again: it is then applied, or conflicts because its conditions have changed, and
     /// after either the earlier copy cannot be applied any more.
--- a/src/node/shard_exchange/quota_shares.rs
+++ b/src/node/shard_exchange/quota_shares.rs
@@ -7,9 +7,11 @@
 use crate::state::{RequestPriority, StateError};
 use crate::wire::{Compare, Mutation};
 use async_io::Timer;
-use lupinspur_sharding::escrow::{Amount, Ledger, QuotaTransfer, QuotaUse, quota_transfers};
+use lupinspur_sharding::escrow::{Amount, Ledger, QuotaTransfer};
 use lupinspur_sharding::load_snapshot::LoadSnapshot;
+use lupinspur_sharding::quota_requests::{PublishedLoad, QuotaRound, TeamRequests};
 use lupinspur_sharding::{ShardId, ShardingPlan};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -53,21 +55,36 @@
         }
     }
 
-    /// Transfers quota that this shard does not need to shards that can use it.
-    pub(super) async fn transfer_spare_quota(&self, token: u64, plan: &ShardingPlan, own_load: &LoadSnapshot) {
+    /// Returns the published loads of the other shards that are recent enough to act on, and this shard's own.
+    fn loads_with_own(&self, plan: &ShardingPlan, own: PublishedLoad) -> Vec<PublishedLoad> {
+        let mut loads = self.fresh_published_loads(plan, own.load.at_ms);
+        loads.retain(|published| published.load.shard != self.id);
+        loads.push(own);
+        loads
+    }
+
+    /// Returns what this shard publishes: its load, and for each team with a limit the request that the unused parts
+    /// of the limit can satisfy.
+    pub(super) fn published_load(
+        &self,
+        plan: &ShardingPlan,
+        load: LoadSnapshot,
+        requests: &BTreeMap<String, TeamRequests>,
+    ) -> PublishedLoad {
+        let own = PublishedLoad { load, quota: Some(BTreeMap::new()) };
+        let Some((ledger, _)) = lock(&self.shard_exchange).ledger.clone() else { return own };
+        let loads = self.loads_with_own(plan, own.clone());
+        let round = QuotaRound { own_shard: self.id, shards: plan.cells, ledger: &ledger, loads: &loads };
+        PublishedLoad { quota: Some(round.statuses(requests)), ..own }
+    }
+
+    /// Transfers quota that this shard does not need, or cannot use, to shards that can use it.
+    pub(super) async fn transfer_spare_quota(&self, token: u64, plan: &ShardingPlan, own: &PublishedLoad) {
         let Some((ledger, version)) = lock(&self.shard_exchange).ledger.clone() else { return };
-        let snapshots = self.fresh_load_snapshots(plan, own_load.at_ms);
-        let mut transfers: Vec<QuotaTransfer> = Vec::new();
-        for team in ledger.teams.keys() {
-            let use_of = |shard: u32| -> Option<QuotaUse> {
-                let other = || snapshots.iter().find(|snapshot| snapshot.shard.0 == shard);
-                let snapshot = if shard == self.id.0 { own_load } else { other()? };
-                Some(snapshot.teams.get(team).copied().unwrap_or_default())
-            };
-            let uses: Vec<Option<QuotaUse>> = (0..plan.cells).map(use_of).collect();
-            transfers.extend(quota_transfers(self.id, team, &ledger, &uses, self.home_shard_in_plan(plan, team)));
-        }
-        lock(&self.quota_waits).observe(self.id, token, &ledger, own_load);
+        let loads = self.loads_with_own(plan, own.clone());
+        let round = QuotaRound { own_shard: self.id, shards: plan.cells, ledger: &ledger, loads: &loads };
+        let transfers = round.transfers(|team| self.home_shard_in_plan(plan, team));
+        lock(&self.quota_waits).observe(self.id, token, &ledger, own);
         if !transfers.is_empty() {
             self.store_quota_transfers(token, (ledger, version), transfers, Vec::new(), Vec::new()).await;
         }
