Red test: a job at its team's limit is offered to shards where it waits too

spillable_jobs::a_job_that_only_its_limit_keeps_waiting_is_not_offered fails on this commit: a job that has a machine and waits for its team's limit alone is offered to other shards.

--- a/crates/scheduler/tests/shard/spillable_jobs.rs
+++ b/crates/scheduler/tests/shard/spillable_jobs.rs
@@ -1,7 +1,10 @@
 //! Tests of which waiting jobs a shard offers to other shards.
 
-use crate::harness::{ShardHarness, heartbeat, job};
+use crate::harness::{ShardHarness, heartbeat, job, teams};
 use lupinspur_scheduler::jobs::{JobRecord, Phase};
+use lupinspur_scheduler::shard::team_limits_by_name;
+use lupinspur_sharding::ShardId;
+use lupinspur_sharding::escrow::Ledger;
 use serde_json::json;
 
 /// The cpus of one machine.
@@ -35,3 +38,16 @@
     harness.shard.tick(10.4);
     assert_eq!(offered(&harness, 10.4), ["req-2"], "the shard has no room for it");
 }
+
+/// Guards against a job at its team's limit that moves to and fro between shards with room for it: elsewhere it waits
+/// for the same limit.
+#[test]
+fn a_job_that_only_its_limit_keeps_waiting_is_not_offered() {
+    for (machines, expected) in [(&["m1"] as &[&str], &[] as &[&str]), (&[], &["req-1"])] {
+        let mut harness = ShardHarness::with_machines(machines);
+        let elsewhere = Ledger::new(&team_limits_by_name(&teams()), 2, ShardId(1));
+        harness.shard.set_limit_shares(&teams(), &elsewhere, ShardId(0));
+        harness.accept_job(job("req-1", 1, json!({"herd": "limited"})), 1.0);
+        assert_eq!(offered(&harness, 1.1), expected, "machines: {machines:?}");
+    }
+}
