A job that waits for its limit alone stays in its shard

Cause: a job that waits long counts the free capacity of its own shard as of no use to it, though only the limit keeps it; elsewhere it waits for the same limit.

Now placement says why it started nothing: no capacity, or the limit alone (its team has a request for quota that needs no more than this job). Only the first is offered to other shards. Where the shard has no room the job moves as before.

--- a/crates/scheduler/src/jobs/job.rs
+++ b/crates/scheduler/src/jobs/job.rs
@@ -32,8 +32,10 @@
 /// Why a placement pass started no task of a waiting job.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum Unplaced {
-    /// No machine could take a task.
+    /// No machine could take a task, or none may at this time.
     NoCapacity,
+    /// A machine could take a task; only this shard's share of the team's limit does not suffice.
+    Limit,
 }
 
 /// A job known to this leader. Fields that end in `_ms`, `serves_until` and `useful_until` are wall-clock times in
--- a/crates/scheduler/src/shard/placement/pass.rs
+++ b/crates/scheduler/src/shard/placement/pass.rs
@@ -31,12 +31,25 @@
 enum PassStep {
     /// With the next turn.
     Turn,
+    /// With the next turn: a machine could take a task of this one, but its limit does not allow it.
+    TurnAtLimit,
     /// It ends: nothing is left to place in this pass.
     End,
     /// It ends at [`MAX_STARTS_PER_PASS`]: the remaining turns wait for another pass.
     LaterPass,
 }
 
+impl PassStep {
+    /// Returns why the turn started nothing, if it did not; `None` if the turn was not over.
+    fn unplaced(&self) -> Option<Unplaced> {
+        match self {
+            PassStep::Turn | PassStep::End => Some(Unplaced::NoCapacity),
+            PassStep::TurnAtLimit => Some(Unplaced::Limit),
+            PassStep::LaterPass => None,
+        }
+    }
+}
+
 /// The state of one placement pass.
 struct PlacementPass<'a> {
     shard: &'a mut Shard,
@@ -106,12 +119,12 @@
         while let Some(turn) = self.turns.pop_front() {
             let starts_before = self.starts;
             let step = self.take(&turn);
-            if turn.rank.class != GROWTH_CLASS && !matches!(step, PassStep::LaterPass) {
-                let unplaced = (self.starts == starts_before).then_some(Unplaced::NoCapacity);
-                self.shard.jobs[turn.job].unplaced = unplaced;
+            if turn.rank.class != GROWTH_CLASS {
+                let started = self.starts > starts_before;
+                self.shard.jobs[turn.job].unplaced = step.unplaced().filter(|_| !started);
             }
             match step {
-                PassStep::Turn => {}
+                PassStep::Turn | PassStep::TurnAtLimit => {}
                 PassStep::End => break,
                 PassStep::LaterPass => {
                     self.shard.request_placement();
@@ -132,7 +145,7 @@
         let is_production = job.spec.priority == Priority::Production;
         if !within_limit(shard, job, self.unreconciled) {
             self.at_limit(turn, is_production);
-            return PassStep::Turn;
+            return if self.is_requested(turn) { PassStep::TurnAtLimit } else { PassStep::Turn };
         }
         if !is_production && self.limit_reserved_for.get(&job.team).is_some_and(|j| *j != turn.job) {
             shard.unplaced_work_waiting = true;
@@ -151,7 +164,7 @@
         let options = self.options(turn, is_production);
         if turn.together && !self.fits_at_once(turn, &options) {
             self.shard.unplaced_work_waiting = true;
-            return PassStep::Turn;
+            return if self.is_requested(turn) { PassStep::TurnAtLimit } else { PassStep::Turn };
         }
         let before = self.starts;
         let next = self.start_tasks(turn, is_production, &options);
@@ -188,17 +201,16 @@
 
     /// Requests quota for the next task of a job at its limit, if a machine could take the task now.
     fn request_quota_if_placeable(&mut self, turn: &QueuedTurn) {
-        let shard = &mut *self.shard;
-        let job = &shard.jobs[turn.job];
-        let is_covered = shard.quota_requests.covers(job.team, shard.limited_amount(job, 1));
         if turn.rank.class == GROWTH_CLASS
-            || is_covered
+            || !self.shard.quota_requests.are_possible()
             || self.candidates.is_empty()
-            || self.unplaceable.covers(shard, job)
-            || !shard.quota_requests.may_examine()
+            || self.is_requested(turn)
+            || self.unplaceable.covers(self.shard, &self.shard.jobs[turn.job])
+            || !self.shard.quota_requests.may_examine()
         {
             return;
         }
+        let shard = &mut *self.shard;
         shard.pairs_examined += self.candidates.len() as u64;
         let job = &shard.jobs[turn.job];
         let options = options(shard, job, &self.candidates, self.now);
@@ -209,6 +221,12 @@
         }
     }
 
+    /// Returns whether quota is requested for a task of this job, or for one of its team that needs no more.
+    fn is_requested(&self, turn: &QueuedTurn) -> bool {
+        let job = &self.shard.jobs[turn.job];
+        self.shard.quota_requests.covers(job.team, self.shard.limited_amount(job, 1))
+    }
+
     /// Returns whether all tasks of this turn fit on these machines together, within the limit. Requests quota if only
     /// the limit keeps them from starting.
     fn fits_at_once(&mut self, turn: &QueuedTurn, options: &[(f64, MachineIndex)]) -> bool {
@@ -250,8 +268,8 @@
             let job = &self.shard.jobs[turn.job];
             let Some(&task) = job.queued_tasks.front() else { break };
             if !within_limit(self.shard, job, self.unreconciled) {
-                let has_capacity = self.next_machine(turn.job, task, options, &mut full).is_some();
-                if has_capacity && turn.rank.class != GROWTH_CLASS {
+                let may_request = turn.rank.class != GROWTH_CLASS && self.shard.quota_requests.are_possible();
+                if may_request && self.next_machine(turn.job, task, options, &mut full).is_some() {
                     self.shard.request_quota(turn.job, 1);
                 }
                 break;
--- a/crates/scheduler/src/shard/quota_requests.rs
+++ b/crates/scheduler/src/shard/quota_requests.rs
@@ -44,7 +44,12 @@
     /// Returns whether the pass may look for a machine for one more job at its limit.
     pub(super) fn may_examine(&mut self) -> bool {
         self.examined += 1;
-        self.has_shares && self.examined <= MAX_JOBS_EXAMINED
+        self.examined <= MAX_JOBS_EXAMINED
+    }
+
+    /// Returns whether there are other shards from which quota can be requested.
+    pub(super) fn are_possible(&self) -> bool {
+        self.has_shares
     }
 
     fn request(&mut self, team: TeamIndex, request: QuotaRequest) {
--- a/crates/scheduler/src/shard/rebalancing.rs
+++ b/crates/scheduler/src/shard/rebalancing.rs
@@ -4,7 +4,7 @@
 use super::{Shard, placement};
 use crate::fleet::Phase as MachinePhase;
 use crate::intern::{DenseIndex, JobIndex, TeamIndex};
-use crate::jobs::{Job, JobRecord, Phase, TaskKey, job_key};
+use crate::jobs::{Job, JobRecord, Phase, TaskKey, Unplaced, job_key};
 use crate::params::Team;
 use lupinspur_sharding::ShardId;
 use lupinspur_sharding::escrow::{Amount, Ledger, QuotaUse};
@@ -107,7 +107,7 @@
     }
 
     /// Returns waiting jobs that can move to another shard as a whole: none of their tasks was ever started, they have
-    /// neither dependents nor dependencies, and placement has tried them and started nothing. How long a job waits
+    /// neither dependents nor dependencies, and placement has tried them and found no capacity. How long a job waits
     /// counts from when it was ready, also in other shards.
     pub fn spillable_jobs(&self, now: f64) -> Vec<SpillCandidate<JobIndex>> {
         let now_ms = self.wall_clock_ms(now);
@@ -117,7 +117,7 @@
                 && job.done == 0
                 && job.unreconciled_machines == 0
                 && !job.moving_away
-                && job.unplaced.is_some()
+                && job.unplaced == Some(Unplaced::NoCapacity)
                 && !job.in_pipeline()
         };
         let candidate = |job: &Job| SpillCandidate {
