The use of one team withholds no quota of another, and no move of a job

What callers would see: after a failover, jobs and quota of all teams stay in a shard while one machine is unreconciled and any team has a share smaller than that machine.

Cause, found by reading: a transfer was sent only if every team used no more than its remaining share, and each unreconciled machine counts as a use of every team. That also withheld moves that carry no quota.

Controllers and the model use the same method.

--- a/crates/model/src/shard_exchange.rs
+++ b/crates/model/src/shard_exchange.rs
@@ -329,11 +329,7 @@
         let Some((ledger, version)) = self.nodes[node].shared_state.ledger.clone() else { return };
         let Some(next) = ledger.apply(transfers) else { return };
         let Some(shard) = self.nodes[node].acting(shard_index, now) else { return };
-        if shard
-            .limit_usage()
-            .iter()
-            .all(|(team, used)| next.share(team, shard_id).is_none_or(|share| used.fits(share)))
-        {
+        if next.covers_use(shard_id, transfers, &shard.limit_usage()) {
             shard.set_limit_shares(&teams, &next, shard_id);
             conditions.extend([(self.leadership_key(shard_index), token), (LEDGER_KEY.to_owned(), version)]);
             changes.push(put(LEDGER_KEY, &next));
--- a/crates/sharding/src/escrow.rs
+++ b/crates/sharding/src/escrow.rs
@@ -118,6 +118,17 @@
         })
     }
 
+    /// Returns whether a shard's remaining shares still cover what it uses, of each team whose quota these transfers
+    /// take away. `usage` holds the use by team name; the use of other teams does not matter to the transfers.
+    pub fn covers_use(&self, shard: ShardId, transfers: &[QuotaTransfer], usage: &[(String, Amount)]) -> bool {
+        let gives =
+            |team: &str| transfers.iter().any(|transfer| transfer.team == team && transfer.amount != Amount::default());
+        let covers = |(team, used): &(String, Amount)| {
+            !gives(team) || self.share(team, shard).is_none_or(|remaining| used.fits(remaining))
+        };
+        usage.iter().all(covers)
+    }
+
     /// Returns the ledger after these transfers; `None` if a shard would give more than its share.
     pub fn apply(&self, transfers: &[QuotaTransfer]) -> Option<Ledger> {
         let mut next = self.clone();
--- a/src/node/shard_exchange/quota_shares.rs
+++ b/src/node/shard_exchange/quota_shares.rs
@@ -7,7 +7,7 @@
 use crate::state::{RequestPriority, StateError};
 use crate::wire::{Compare, Mutation};
 use async_io::Timer;
-use lupinspur_sharding::escrow::{Amount, Ledger, QuotaTransfer};
+use lupinspur_sharding::escrow::{Ledger, QuotaTransfer};
 use lupinspur_sharding::load_snapshot::LoadSnapshot;
 use lupinspur_sharding::quota_requests::{PublishedLoad, QuotaRound, TeamRequests};
 use lupinspur_sharding::{ShardId, ShardingPlan};
@@ -104,11 +104,7 @@
         self.quota_transfer_in_progress.store(true, Ordering::Relaxed);
         let fits = self.with_shard(clock::now(), |shard| {
             // Quota that came into use after the load snapshot is not transferred.
-            let usage = shard.limit_usage();
-            let fits_share = |(team, used): &(String, Amount)| {
-                next.share(team, self.id).is_none_or(|remaining| used.fits(remaining))
-            };
-            let fits = shard.token == token && usage.iter().all(fits_share);
+            let fits = shard.token == token && next.covers_use(self.id, &transfers, &shard.limit_usage());
             if fits {
                 shard.set_limit_shares(&self.settings.teams, &next, self.id);
             }
