Work that only its limit keeps waiting does not make a shard short of capacity

What callers would see: a shard with free machines and a team at its limit looked short of capacity; it accepted no jobs of other shards, got idle machines of theirs, and after a while took its leadership anew to get them, at the price of a failover.

Test: spillable_jobs::work_that_only_its_limit_keeps_waiting_lacks_no_capacity, which gave 40 waiting cpus where a machine was free before, and 0 now. Where there is no room it counts as before.

--- a/crates/scheduler/src/shard/rebalancing.rs
+++ b/crates/scheduler/src/shard/rebalancing.rs
@@ -86,9 +86,12 @@
         let mut wanted = vec![Amount::default(); self.teams.len()];
         for job in self.jobs.live.iter().map(|&job_index| &self.jobs[job_index]).filter(|job| job.is_open()) {
             let waiting_tasks = f64::from(job.unfinished().saturating_sub(job.assigned));
-            snapshot.waiting_cpus += waiting_tasks * job.spec.cpus;
+            let waits_for_capacity = job.unplaced != Some(Unplaced::Limit);
+            if waits_for_capacity {
+                snapshot.waiting_cpus += waiting_tasks * job.spec.cpus;
+            }
             snapshot.assigned_cpus += f64::from(job.assigned) * job.spec.cpus;
-            if job.assigned == 0 {
+            if job.assigned == 0 && waits_for_capacity {
                 snapshot.longest_wait_s =
                     snapshot.longest_wait_s.max(now_ms.saturating_sub(job.ready_at_ms) as f64 / 1000.0);
             }
--- a/crates/scheduler/tests/shard/spillable_jobs.rs
+++ b/crates/scheduler/tests/shard/spillable_jobs.rs
@@ -51,3 +51,18 @@
         assert_eq!(offered(&harness, 1.1), expected, "machines: {machines:?}");
     }
 }
+
+/// Guards against a shard that takes itself for short of capacity because of a team at its limit: it would get machines
+/// of other shards and accept none of their jobs.
+#[test]
+fn work_that_only_its_limit_keeps_waiting_lacks_no_capacity() {
+    for (machines, waiting_cpus) in [(&["m1"] as &[&str], 0.0), (&[], 40.0)] {
+        let mut harness = ShardHarness::with_machines(machines);
+        let elsewhere = Ledger::new(&team_limits_by_name(&teams()), 2, ShardId(1));
+        harness.shard.set_limit_shares(&teams(), &elsewhere, ShardId(0));
+        harness.accept_job(job("req-1", 20, json!({"herd": "limited"})), 1.0);
+        let load = harness.shard.load_snapshot(ShardId(0), 1.1);
+        assert_eq!(load.waiting_cpus, waiting_cpus, "machines: {machines:?}");
+        assert_eq!(load.teams["limited"].wanted.cpus, 40.0, "the team wants its quota all the same");
+    }
+}
--- a/crates/sharding/src/load_snapshot.rs
+++ b/crates/sharding/src/load_snapshot.rs
@@ -42,7 +42,7 @@
     /// Free capacity that no waiting work of this shard can use.
     #[serde(rename = "unusable", default)]
     pub unusable_capacity: UnusableCapacity,
-    /// Cpus that the waiting work requests.
+    /// Cpus that the waiting work requests, without work that only its team's limit keeps waiting.
     #[serde(rename = "waits")]
     pub waiting_cpus: f64,
     /// Cpus that running tasks hold.
@@ -51,7 +51,7 @@
     /// Cpus of machines that boot.
     #[serde(rename = "boots")]
     pub booting_cpus: f64,
-    /// Longest time that a job has waited for its start, in seconds.
+    /// Longest time that a job has waited for capacity, in seconds.
     #[serde(rename = "longest_s")]
     pub longest_wait_s: f64,
     /// The quota use of each team with a limit.
