A malformed ledger of quota shares never lets a team exceed its limit

What callers would see: a stored ledger with a negative, huge or surplus share let a team exceed its limit over all shards, since each shard takes its share as stored.

Found by reading; nothing writes such a value today but an operator by hand, or a lowered limit in the settings while shards keep the shares of the old one.

Ledger::bounded drops shares that are no part of the limit and reduces the others in proportion; controllers with the same limits derive the same shares, and the next transfer stores them. Logged where it is read; a value that cannot be parsed is logged as an error now, like the others beside it.

--- a/crates/sharding/src/escrow.rs
+++ b/crates/sharding/src/escrow.rs
@@ -118,6 +118,22 @@
         })
     }
 
+    /// Returns this ledger with shares that are at least zero, belong to one of the shards, and sum to at most the
+    /// limits, and the teams whose shares had to be changed for that. Every controller with the same limits derives
+    /// the same shares from a stored value.
+    pub fn bounded(mut self, limits: &[(String, Amount)], shards: u32) -> (Ledger, Vec<String>) {
+        let mut faulty_teams = Vec::new();
+        self.teams.retain(|team, shares| {
+            let limit = limits.iter().find(|(name, _)| name == team);
+            let is_sound = limit.is_some_and(|(_, limit)| bound_shares(shares, *limit, shards as usize));
+            if !is_sound {
+                faulty_teams.push(team.clone());
+            }
+            limit.is_some()
+        });
+        (self, faulty_teams)
+    }
+
     /// Returns whether a shard's remaining shares still cover what it uses, of each team whose quota these transfers
     /// take away. `usage` holds the use by team name; the use of other teams does not matter to the transfers.
     pub fn covers_use(&self, shard: ShardId, transfers: &[QuotaTransfer], usage: &[(String, Amount)]) -> bool {
@@ -149,6 +165,26 @@
     }
 }
 
+/// Bounds the shares of one team. Returns whether they were sound before.
+fn bound_shares(shares: &mut Vec<Amount>, limit: Amount, shards: usize) -> bool {
+    let before = shares.clone();
+    shares.truncate(shards);
+    bound_resource(shares.iter_mut().map(|share| &mut share.cpus).collect(), limit.cpus);
+    bound_resource(shares.iter_mut().map(|share| &mut share.accelerators).collect(), limit.accelerators);
+    *shares == before
+}
+
+/// Bounds the shares of one resource: no share is negative or exceeds the limit, and if they exceed it together, all
+/// are reduced in proportion.
+fn bound_resource(mut shares: Vec<&mut f64>, limit: f64) {
+    let is_sound = |share: f64| (0.0..=limit * (1.0 + EPSILON)).contains(&share);
+    shares.iter_mut().filter(|share| !is_sound(***share)).for_each(|share| **share = 0.0);
+    let sum: f64 = shares.iter().map(|share| **share).sum();
+    if sum > limit * (1.0 + EPSILON) {
+        shares.iter_mut().for_each(|share| **share *= limit / sum);
+    }
+}
+
 /// The fraction of a limit that a shard keeps beyond what it uses and wants, so that not every new task
 /// needs a transfer.
 const RESERVE_SHARE: f64 = 0.05;
--- a/src/node/shard_exchange/mod.rs
+++ b/src/node/shard_exchange/mod.rs
@@ -101,7 +101,7 @@
     /// Handles a value that was read or watched, according to its key.
     pub(super) fn observe_exchange_item(&self, item: KeyValue) {
         if item.key == LEDGER_KEY {
-            if let Ok(ledger) = serde_json::from_value::<Ledger>(item.value) {
+            if let Some(ledger) = self.parse_ledger(item.value) {
                 self.observe_ledger(ledger, item.version);
             }
         } else if item.key.starts_with(LOAD_SNAPSHOTS_PREFIX) {
--- a/src/node/shard_exchange/quota_shares.rs
+++ b/src/node/shard_exchange/quota_shares.rs
@@ -17,6 +17,23 @@
 use std::time::Duration;
 
 impl Node {
+    /// Parses a stored ledger, bounded by the team limits. Returns none if it cannot be parsed.
+    pub(super) fn parse_ledger(&self, value: serde_json::Value) -> Option<Ledger> {
+        let stored: Ledger = match serde_json::from_value(value) {
+            Ok(ledger) => ledger,
+            Err(error) => {
+                log::error!("stored value unreadable key={LEDGER_KEY} reason=\"{error}\"");
+                return None;
+            }
+        };
+        let shards = lock(&self.active_plan).as_ref().map_or(u32::MAX, |plan| plan.cells);
+        let (ledger, faulty_teams) = stored.bounded(&team_limits_by_name(&self.settings.teams), shards);
+        if !faulty_teams.is_empty() {
+            log::warn!("quota shares bounded reason=malformed teams={faulty_teams:?}");
+        }
+        Some(ledger)
+    }
+
     /// Applies newer stored shares to every shard that is led here, except one with a quota transfer in progress.
     pub(super) fn observe_ledger(&self, ledger: Ledger, version: u64) {
         {
@@ -44,7 +61,7 @@
             return Ok(None);
         }
         let item = self.state.get(LEDGER_KEY, RequestPriority::Normal).await?;
-        let stored = item.and_then(|item| Some((serde_json::from_value::<Ledger>(item.value).ok()?, item.version)));
+        let stored = item.and_then(|item| Some((self.parse_ledger(item.value)?, item.version)));
         match stored {
             Some((ledger, version)) => {
                 self.observe_ledger(ledger.clone(), version);
@@ -124,7 +141,7 @@
             // Unless the write was certainly not stored, reads the stored shares before any quota is used again.
             while stored != SettledWrite::NotStored && lock(&self.election).token() == Some(token) {
                 if let Ok(Some(item)) = self.state.get(LEDGER_KEY, RequestPriority::Normal).await
-                    && let Ok(ledger) = serde_json::from_value::<Ledger>(item.value)
+                    && let Some(ledger) = self.parse_ledger(item.value)
                 {
                     self.observe_ledger(ledger, item.version);
                     break;
