--- a/crates/sharding/src/quota_requests.rs
+++ b/crates/sharding/src/quota_requests.rs
@@ -1,6 +1,6 @@
 //! Quota requests: unused parts of a team's limit are brought together in the shard where a waiting task needs them.
 //!
-//! [`quota_transfers`](crate::escrow::quota_transfers) moves what a shard neither uses nor wants. It leaves parts that
+//! [`quota_transfers`] moves what a shard neither uses nor wants. It leaves parts that
 //! a shard wants but cannot use: a share that is smaller than a task, the reserve of the home shard, or the quota of
 //! work that waits in a shard without free capacity. So each shard publishes, for each team, the task that only its
 //! share of the limit keeps waiting, and all shards give what they do not hold to the oldest request that all unused
@@ -118,10 +118,10 @@
     requests.sort_by_key(|(waiting_since_ms, shard, _)| (*waiting_since_ms, *shard));
     let mut transfers = Vec::new();
     for (_, receiver, amount) in requests {
-        let own_unused = if known(receiver).is_some_and(|quota| quota.status.reserved) {
-            known(receiver).unwrap_or_default().unused()
-        } else {
-            offered[receiver]
+        // What the receiver reserves is for this request as well, though not for those of others.
+        let own_unused = match known(receiver) {
+            Some(quota) if quota.status.reserved => quota.unused(),
+            _ => offered[receiver],
         };
         let others = sum((0..offered.len()).filter(|shard| *shard != receiver).map(|shard| offered[shard]));
         if !satisfies(own_unused.plus(others), amount) {
