--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,4 +1,4 @@
-"""A pipeline of 26 steps with two jobs each: the leader computes inherited deadlines for minutes and answers nothing."""
+"""Two jobs with a mistake make the only machine of a zone unusable for all others, also after they are cancelled."""
 import os
 import sys
 import time
@@ -7,59 +7,47 @@
 sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "rig"))
 import rig
 
-FIRST, STEPS = 60, 24
-BASE_S = 10.0
-WATCHED_S = 75.0
-
-
-def cpu_s(pid):
-    with open(f"/proc/{pid}/stat") as file:
-        fields = file.read().rsplit(") ", 1)[1].split()
-    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+ZONE = "gyor-dc"
+GOOD = "req-000400"
+WAITS_S = 90.0
 
 
 def scenario(d, trouble):
-    d.verbose = False
+    machine = next(w for w in d.workers if w.zone == ZONE)
     if not d.wait(lambda: all(w.token > 0 for w in d.workers), 20):
         raise rig.CannotRun("the machines have no leader")
-    count = 0
-
-    def add(awaits, expected_s, **fields):
-        nonlocal count
-        count += 1
-        job = d.job(f"req-{count:06d}", awaits=awaits, expected_s=expected_s, **fields)
-        d.run_times[job["id"]] = 900.0
-        if not d.submit(job):
-            raise rig.CannotRun(f"{job['id']} is not accepted")
-        return job["id"]
-
-    # Each step has a short job and a longer one; both need both jobs of the step before. The longer jobs take 1 ms
-    # more than the short one in the first step, and in each later step twice as much more; 2.3 hours in the last.
-    step = [add(None, BASE_S) for _ in range(FIRST)]
-    for number in range(STEPS):
-        more_s = 0.001 * 2**number if trouble else 0.0
-        step = [add(step, BASE_S), add(step, BASE_S + more_s)]
-    leader = d.state.leader()
-    # The last job of the pipeline has the deadline.
-    last = d.job("req-000900", awaits=step, expected_s=8.0, precedence="urgent", harvest_s=36000.0)
-    d.specs[last["id"]] = last
-    if not d.submit(last, within=30.0):
-        raise rig.CannotRun("the last job is not accepted")
-    d.record(f"the pipeline is complete, the leader at its submission is {leader}")
-    began, answered = rig.now(), {n: rig.now() for n in range(len(d.names))}
-    while rig.now() - began < WATCHED_S:
-        for node in range(len(d.names)):
-            if d.ask(node, "GET", "/up", None, 1.0)[0] is not None:
-                answered[node] = rig.now()
+    # Each machine runs a replica of a critical service all the time.
+    services = [d.job(f"req-00020{n}", breed="slotdesk", habit="standing", precedence="critical", cpus=1.0, field=zone,
+                      expected_s=0.0, bulb="img-02") for n, zone in enumerate(d.zones)]
+    if not all(d.submit(s) for s in services) or not d.wait(lambda: all(d.live(s["id"]) for s in services), 20):
+        raise rig.CannotRun("not all services run")
+    if trouble:
+        # Their tasks fail wherever they start, until their users cancel them.
+        wrong = [d.job(f"req-00030{n}", field=ZONE, cpus=2.0, expected_s=5.0) for n in range(2)]
+        d.mistakes.update(job["id"] for job in wrong)
+        if not all(d.submit(job) for job in wrong):
+            raise rig.CannotRun("not accepted")
+        failed = lambda id: any(e[1] == "end" and e[3].startswith(id + "/") for e in d.events)
+        if not d.wait(lambda: all(failed(job["id"]) for job in wrong), 10):
+            raise rig.CannotRun("the jobs with a mistake did not begin")
         time.sleep(1.0)
-    for node, name in enumerate(d.names):
-        process = d.processes[node]
-        alive = process.poll() is None
-        d.record(f"{name}: process {'runs' if alive else 'has ended'}, silent for {rig.now() - answered[node]:.0f} s, "
-                 f"has used {cpu_s(process.pid) if alive else 0:.0f} s of processor time")
-    silent = [name for node, name in enumerate(d.names) if rig.now() - answered[node] > WATCHED_S - 10.0]
-    if silent:
-        return f"{silent} answer nothing for {WATCHED_S - 10.0:.0f} s or more, without any fault in the deployment"
+        if not all(d.cancel(job["id"]) for job in wrong):
+            raise rig.CannotRun("not cancelled")
+    # From now on the machine has 31 of 32 cpus free, and the team uses 3 of 936 cpus. Another critical service comes.
+    if not d.submit(d.job(GOOD, breed="slotdesk", habit="standing", precedence="critical", cpus=1.0, field=ZONE,
+                          expected_s=0.0, bulb="img-02")):
+        raise rig.CannotRun("not accepted")
+    since, state, began = rig.now(), "queued", False
+    d.record("the trouble is over")
+    while rig.now() - since < WAITS_S + 1.0 and not began:
+        time.sleep(2.0)
+        state = d.poll(GOOD) or state
+        began = any(e[1] == "start" and e[3].startswith(GOOD + "/") for e in d.events)
+    d.record(f"{rig.now() - since:.0f} s after the trouble {GOOD} is {state}, it has {'' if began else 'not '}begun")
+    if machine.deleted:
+        raise rig.CannotRun("the machine was returned")
+    if not began:
+        return f"{GOOD} is {state} for {WAITS_S:.0f} s while {machine.name} is up, well, and has 31 of 32 CPUs free"
     return None
 
 
