--- a/review/rig/rig.py
+++ b/review/rig/rig.py
@@ -194,6 +194,7 @@
             self.condition.notify_all()
 
     def handle(self, node, method, path, query, body):
+        time.sleep(0.003)
         if self.refused[node] or self.outage:
             if path == "/follow":
                 block = int(query.get("block_ms", 0)) / 1000
@@ -289,6 +290,11 @@
         self.condition.notify_all()
         return 200, {"almanac": self.revision}
 
+    def token(self):
+        """The fencing token of the current leader, 0 without one."""
+        with self.condition:
+            return self.keys["own/0"][1] if "own/0" in self.keys else 0
+
     def leader(self):
         with self.condition:
             item = self.keys.get("own/0")
@@ -300,8 +306,9 @@
 class Cloud:
     """The cloud. It has no capacity besides the machines that a test adds: every rental is refused."""
 
-    def __init__(self, record, zones, machine_type):
-        self.record, self.zones, self.type = record, zones, machine_type
+    def __init__(self, record, zones, types):
+        self.record, self.zones = record, zones
+        self.types = types
         self.machines = {}
         self.lock = threading.Lock()
         self.server = Server(self.handle)
@@ -313,7 +320,7 @@
     def handle(self, method, path, query, body):
         with self.lock:
             if path == "/flavors":
-                return 200, {"strains": [dict(self.type, fields=self.zones)]}
+                return 200, {"strains": [dict(t, fields=self.zones) for t in self.types]}
             if path == "/machines" and method == "POST":
                 return 503, {"error": "no capacity"}
             if path == "/machines/delete":
@@ -326,7 +333,7 @@
             if path == "/machines":
                 names = sorted(n for n in self.machines if n > query.get("from", ""))
                 limit = int(query.get("limit", 500))
-                plots = [{"id": n, "addr": self.machines[n].server.addr, "strain": self.type["name"],
+                plots = [{"id": n, "addr": self.machines[n].server.addr, "strain": self.machines[n].type["name"],
                           "field": self.machines[n].zone, "fallow": self.machines[n].spot, "bloom": "running",
                           "held_s": now() + 5.0} for n in names[:limit]]
                 return 200, {"plots": plots, "has_next": len(names) > limit}
@@ -347,8 +354,9 @@
 class Worker:
     """A worker. Faults: `hold_answer_s` (direct commands are executed at once and answered so much later)."""
 
-    def __init__(self, deployment, number, zone, spot=False):
+    def __init__(self, deployment, number, zone, spot=False, machine_type=None):
         self.d, self.zone, self.spot = deployment, zone, spot
+        self.type = machine_type or deployment.type
         self.name = f"host-{number:06d}"
         self.lock = threading.RLock()
         self.tasks, self.images = {}, set()
@@ -415,8 +423,8 @@
                     refused = "unknown"
                 elif any(n == name for (n, _), _ in live):
                     refused = "in_use"
-                elif sum(t.spec["cpus"] for _, t in live) + spec["cpus"] > self.d.type["cpus"] + 1e-6 or \
-                        sum(t.spec["memory_gb"] for _, t in live) + spec["memory_gb"] > self.d.type["memory_gb"] + 1e-6:
+                elif sum(t.spec["cpus"] for _, t in live) + spec["cpus"] > self.type["cpus"] + 1e-6 or \
+                        sum(t.spec["memory_gb"] for _, t in live) + spec["memory_gb"] > self.type["memory_gb"] + 1e-6:
                     refused = "full"
                 task = Task(attempt, "pulling", spec)
                 self.tasks[(name, attempt)] = task
@@ -426,7 +434,7 @@
                 elif spec["bulb"] in self.images:
                     self.begin((name, attempt), task)
                 else:
-                    task.until = time.monotonic() + spec["pull_gb"] / self.d.type["pull_gb_per_s"]
+                    task.until = time.monotonic() + spec["pull_gb"] / self.type["pull_gb_per_s"]
             elif kind == "halt" and task is not None and not task.ended():
                 self.changed = True
                 mercy = tiding.get("mercy_s") or 0.0
@@ -450,7 +458,7 @@
                 if task.stored:
                     seed["stored"] = True
             seeds.append(seed)
-        return {"plot": self.name, "addr": self.server.addr, "strain": self.d.type["name"], "field": self.zone,
+        return {"plot": self.name, "addr": self.server.addr, "strain": self.type["name"], "field": self.zone,
                 "fallow": self.spot, "season": self.season, "tally": self.tally, "warrant": self.token,
                 "reclaim_s": None, "seeds": seeds}
 
@@ -536,6 +544,7 @@
     report_s, lease_s, cancel_s = 3.0, 21.0, 46.0
     type = {"name": "tatra32", "cpus": 32.0, "cards": 0.0, "memory_gb": 64.0, "local_gb": 40.0, "pull_gb_per_s": 0.2,
             "hourly": 1.49, "spot_price": 0.43, "ready_s": 15.0}
+    more_types = []
     zones = ["buda-dc", "gyor-dc", "pest-dc"]
     teams = [("foglalas", 376.0, 1248.0), ("beutalo", 216.0, 440.0), ("levelezes", 376.0, 936.0),
              ("atallas", 248.0, 936.0)]
@@ -555,7 +564,7 @@
         self.dir = tempfile.mkdtemp(prefix="lupinspur-review-")
         self.log_level = log_level
         self.state = State(nodes, self.record)
-        self.cloud = Cloud(self.record, self.zones, self.type)
+        self.cloud = Cloud(self.record, self.zones, [self.type, *self.more_types])
         ports = free_ports(2 * nodes)
         self.listen, self.peer = ports[:nodes], ports[nodes:]
         for node in range(nodes):
