Log every command with its attempt, token, incarnation and the answer's sequence

Cause: after the incident of a start command that arrived twice, the logs could not show which leader made a worker forget an attempt, under which token, or which response a pushed start got. Change: at debug, 'commands sent' lists the commands; 'commands settled' gives the outcome of a push with the sequence number and the token in the response; 'commands replied' lists the commands in the reply to a heartbeat. Result: no decision changes.

--- a/crates/scheduler/src/shard/commands.rs
+++ b/crates/scheduler/src/shard/commands.rs
@@ -8,7 +8,7 @@
 use crate::fleet::{Assignment, AssignmentState, Machine, Phase as MachinePhase, UnassignedAttempt};
 use crate::intern::MachineIndex;
 use crate::jobs::{Phase, TaskKey, TaskSlot};
-use crate::wire::{Command, CommandKind, Heartbeat, PushedCommands, TaskReport, TaskState};
+use crate::wire::{Command, CommandKind, CommandList, Heartbeat, PushedCommands, TaskReport, TaskState};
 use std::net::SocketAddr;
 
 /// The outcome of commands that were pushed to a worker.
@@ -119,10 +119,28 @@
         self.command_unassigned_attempts(machine_index, &mut commands);
         self.command_assignments(machine, now, &mut commands);
         commands.truncate(MAX_COMMANDS);
+        self.log_reply(machine_index, &commands);
         self.mark_replied(machine_index, now);
         commands
     }
 
+    /// Counts the forgets in the reply to a heartbeat, and logs its commands.
+    fn log_reply(&mut self, machine_index: MachineIndex, commands: &[Command]) {
+        if commands.is_empty() {
+            return;
+        }
+        self.counts.forgets += commands.iter().filter(|command| command.kind == CommandKind::Forget).count() as u64;
+        let machine = &self.machines[machine_index];
+        log::debug!(
+            "commands replied machine={} token={} incarnation={} sequence={} commands=\"{}\"",
+            machine.name,
+            self.token,
+            machine.incarnation,
+            machine.sequence,
+            CommandList(commands)
+        );
+    }
+
     /// Adds commands for reported tasks of jobs unknown to this leader: stop them, and forget them once they have
     /// ended.
     fn command_unknown_tasks(&self, heartbeat: &Heartbeat, commands: &mut Vec<Command>) {
--- a/crates/scheduler/src/shard/summary.rs
+++ b/crates/scheduler/src/shard/summary.rs
@@ -12,6 +12,8 @@
     /// Commands pushed to workers, besides those in heartbeat replies.
     pub pushes: u64,
     pub starts: u64,
+    /// Commands to forget an ended attempt.
+    pub forgets: u64,
     /// Writes of each kind.
     pub job_ends: u64,
     pub machine_groups: u64,
@@ -52,13 +54,14 @@
         }
         let mix = self.pools.values().next().map(|p| p.mix).unwrap_or_default();
         format!(
-            "{} heartbeats, {} pushes, {} starts, {} withheld, {} forbidden; writes: {} job ends, {} machine groups, \
+            "{} heartbeats, {} pushes, {} starts, {} forgets, {} withheld, {} forbidden; writes: {} job ends, {} machine groups, \
              {} progress, {} checkpoint, {} other; {} live jobs, {waiting} tasks waiting; \
              machines up {} spot and {} on-demand, {}+{} cordoned, {booting} booting, {unreconciled} unreconciled; \
              cpus {cpus_by_state:.0?}; wanted {mix:?}{}{}{}",
             counts.heartbeats - before.heartbeats,
             counts.pushes - before.pushes,
             counts.starts - before.starts,
+            counts.forgets - before.forgets,
             counts.withheld - before.withheld,
             counts.forbidden - before.forbidden,
             counts.job_ends - before.job_ends,
--- a/crates/wire/src/workers.rs
+++ b/crates/wire/src/workers.rs
@@ -100,6 +100,30 @@
     pub grace_s: Option<f64>,
 }
 
+impl std::fmt::Display for Command {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let kind = match self.kind {
+            CommandKind::Start => "start",
+            CommandKind::Stop => "stop",
+            CommandKind::Forget => "forget",
+        };
+        write!(formatter, "{kind} {}@{}", self.task, self.attempt)
+    }
+}
+
+/// Commands as a log line lists them.
+pub struct CommandList<'c>(pub &'c [Command]);
+
+impl std::fmt::Display for CommandList<'_> {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        for (position, command) in self.0.iter().enumerate() {
+            let separator = if position == 0 { "" } else { ", " };
+            write!(formatter, "{separator}{command}")?;
+        }
+        Ok(())
+    }
+}
+
 /// The reply to a heartbeat, with the leader's fencing token.
 #[derive(Deserialize, Serialize, Clone, Debug)]
 pub struct HeartbeatReply {
--- a/src/node/failover/mod.rs
+++ b/src/node/failover/mod.rs
@@ -44,7 +44,7 @@
         }
         let now = clock::now();
         log::info!(
-            "failover complete shard={} token={token} jobs={} machines={machines} read_s={:.2}",
+            "failover complete shard={} token={token} revision={revision} jobs={} machines={machines} read_s={:.2}",
             self.id.0,
             loaded.jobs.len(),
             now - began_at
--- a/src/node/loops/pushes.rs
+++ b/src/node/loops/pushes.rs
@@ -3,7 +3,8 @@
 
 use crate::clock;
 use crate::node::{EXECUTOR, ShardRuntime, lock};
-use crate::shard::{PushRequest, Shard};
+use crate::shard::{PushOutcome, PushRequest, Shard};
+use crate::wire::CommandList;
 use async_channel::Sender;
 use std::sync::Arc;
 
@@ -44,6 +45,7 @@
         let may_be_sent = || self.may_still_push(&request);
         let outcome = self.workers.commands(request.addr, &request.body, may_be_sent).await;
         let now = clock::now();
+        log_outcome(&request, &outcome);
         // The outcome concerns only the shard that created the push.
         if let Some(shard) = lock(&self.shard).as_mut().filter(|shard| shard.token == request.body.token) {
             shard.on_push_outcome(&request, outcome, now);
@@ -61,7 +63,9 @@
         match permitted {
             Some(Ok(())) => {
                 log::debug!(
-                    "commands sent count={commands} address={address} token={token} incarnation={incarnation} lease_s={lease_s:.2}"
+                    "commands sent count={commands} address={address} token={token} incarnation={incarnation} \
+                     lease_s={lease_s:.2} commands=\"{}\"",
+                    CommandList(&request.body.commands)
                 );
                 true
             }
@@ -78,3 +82,26 @@
         }
     }
 }
+
+/// Logs what is known of pushed commands: whether the worker executed them, and the sequence number of its response.
+fn log_outcome(request: &PushRequest, outcome: &PushOutcome) {
+    if request.body.commands.is_empty() || !log::log_enabled!(log::Level::Debug) {
+        return;
+    }
+    let (outcome, heartbeat) = match outcome {
+        PushOutcome::Responded { executed: true, heartbeat } => ("executed", heartbeat.as_ref()),
+        PushOutcome::Responded { executed: false, heartbeat } => ("refused", heartbeat.as_ref()),
+        PushOutcome::NotSent => ("not_sent", None),
+        PushOutcome::Withheld => ("withheld", None),
+        PushOutcome::Unknown => ("unknown", None),
+    };
+    let (sequence, newest_token) = heartbeat.map_or((0, 0), |heartbeat| (heartbeat.sequence, heartbeat.token));
+    log::debug!(
+        "commands settled outcome={outcome} address={} token={} incarnation={} sequence={sequence} \
+         newest_token={newest_token} commands=\"{}\"",
+        request.addr,
+        request.body.token,
+        request.body.incarnation,
+        CommandList(&request.body.commands)
+    );
+}
