Red tests: a copy of an answered start command starts its task again

Cause: in production a task stood on two machines at once, because a direct command that had been carried out and answered 2.2 s before arrived once more. Nobody led at that moment. A unit test of the shard with a worker that obeys the protocol; a fault of the model, 'repeated_commands', whose starts are judged at the moment of the start, with its own counts in the report; real controllers over loopback, with and without a leader that was killed and is back after 0.25 s.

--- a/crates/model/src/active_faults.rs
+++ b/crates/model/src/active_faults.rs
@@ -32,10 +32,11 @@
     pub(crate) invalid_requests_until: f64,
     pub(crate) fast_boots_until: f64,
     pub(crate) slow_network_until: f64,
+    pub(crate) commands_repeated_until: f64,
 }
 
 impl World {
-    /// Injects a fault of [`crate::USER_AND_MACHINE_FAULT_KINDS`]; `machine` is the affected one if it affects one.
+    /// Injects a fault of [`crate::USER_AND_MACHINE_FAULT_KINDS`] or of repeated messages; `machine` is the affected one if it affects one.
     pub(crate) fn inject_user_or_machine_fault(&mut self, fault: InjectedFault, machine: usize, until: f64) {
         match fault.kind {
             FaultKind::HeartbeatsLost => self.machines[machine].heartbeats_lost_until = until,
@@ -51,6 +52,7 @@
             FaultKind::FastBoots => self.active_faults.fast_boots_until = until,
             FaultKind::ManyStateChanges => self.store.revision += CHANGES_BEFORE_CHECKPOINT,
             FaultKind::SlowNetwork => self.active_faults.slow_network_until = until,
+            FaultKind::CommandsRepeated => self.active_faults.commands_repeated_until = until,
             _ => {}
         }
     }
--- a/crates/model/src/coincidences.rs
+++ b/crates/model/src/coincidences.rs
@@ -77,6 +77,11 @@
     /// Pushed commands executed by machines whose heartbeats are lost.
     #[serde(rename = "commands_to_unreporting_machines")]
     pub commands_to_machines_without_heartbeats: u64,
+    /// Copies of pushed starts that arrived after the first response: those executed, those refused because the machine
+    /// had seen a newer fencing token or its incarnation was over, and the tasks that they started again.
+    pub repeated_commands_executed: u64,
+    pub repeated_commands_refused: u64,
+    pub tasks_started_by_repeated_commands: u64,
     /// Replies to heartbeats that did not reach the machine.
     #[serde(rename = "answers_lost")]
     pub heartbeat_replies_lost: u64,
--- a/crates/model/src/faults.rs
+++ b/crates/model/src/faults.rs
@@ -119,6 +119,12 @@
     /// Messages between controllers and machines take up to two seconds, and images up to twenty seconds more.
     #[serde(rename = "slow_links")]
     SlowNetwork,
+
+    // Faults of repeated messages: `REPEATED_MESSAGE_FAULT_KINDS`.
+    /// Direct commands with starts that were executed and answered arrive once more, a tenth of a second to over a
+    /// lease later.
+    #[serde(rename = "repeated_commands")]
+    CommandsRepeated,
 }
 
 /// Kinds from which random faults are drawn. The list and its order stay as they are, because a seed selects from it.
@@ -175,6 +181,10 @@
     FaultKind::SlowNetwork,
 ];
 
+/// Kinds of faults by which a request that was executed and answered arrives again. They are in a list of their own for
+/// the same reason.
+pub const REPEATED_MESSAGE_FAULT_KINDS: [FaultKind; 1] = [FaultKind::CommandsRepeated];
+
 /// One trouble: what, to whom, from when on and for how long, in seconds.
 #[derive(Debug, Clone, Copy, PartialEq, Deserialize, JsonSchema, Validate)]
 #[serde(deny_unknown_fields)]
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -17,6 +17,7 @@
 //! - `questions`: polls by users right after an event of their job
 //! - `invalid_requests`: requests that have to be refused, and polls of unknown jobs
 //! - `delayed_heartbeats`: duplicated heartbeats that are held back until a shard has a new leader
+//! - `repeated_commands`: direct commands that arrive a second time after their response
 //! - `pipelines`: jobs that depend on others
 //! - `rules`, `cancelled`, `waiting`: the checks
 //! - `wrong_decisions`: deliberately wrong decisions
@@ -41,6 +42,7 @@
 mod observer;
 mod pipelines;
 mod questions;
+mod repeated_commands;
 pub mod report;
 mod rules;
 pub mod scenario;
@@ -56,8 +58,8 @@
 
 pub use coincidences::Coincidences;
 pub use faults::{
-    CONTROLLER_FAULT_KINDS, FAULT_KINDS, FaultKind, InjectedFault, LEADER, SAME_LEADER, USER_AND_MACHINE_FAULT_KINDS,
-    WrongDecision,
+    CONTROLLER_FAULT_KINDS, FAULT_KINDS, FaultKind, InjectedFault, LEADER, REPEATED_MESSAGE_FAULT_KINDS, SAME_LEADER,
+    USER_AND_MACHINE_FAULT_KINDS, WrongDecision,
 };
 pub use lupinspur_files::Fault;
 pub use report::{Counts, Run, play, simulate};
--- a/crates/model/src/messages.rs
+++ b/crates/model/src/messages.rs
@@ -46,6 +46,11 @@
         /// Whether the sender still waits for the outcome.
         reports_outcome: bool,
     },
+    /// A copy of pushed commands that were executed and answered, on its way to the machine with the number `to`.
+    RepeatedPush {
+        to: usize,
+        commands: PushedCommands,
+    },
     /// The outcome of pushed commands, as it reaches the controller that sent them.
     PushOutcome {
         node: usize,
@@ -165,11 +170,15 @@
                 }
                 let report = self.machines[index].next_heartbeat(self.wrong_decision);
                 if reports_outcome {
+                    if accepted {
+                        self.repeat_commands(index, &push);
+                    }
                     let after = self.latency();
                     let outcome = PushOutcome::Responded { executed: accepted, heartbeat: Some(report) };
                     self.send(after, Message::PushOutcome { node, generation, push, outcome });
                 }
             }
+            Message::RepeatedPush { to, commands } => self.deliver_repeated(to, commands),
             Message::PushOutcome { node, generation, push, outcome } => {
                 let controller = &mut self.nodes[node];
                 if controller.generation != generation {
--- a/crates/model/src/rules.rs
+++ b/crates/model/src/rules.rs
@@ -21,63 +21,60 @@
             .map(|(n, _)| n.clone())
             .collect();
         self.counts.starts += started.len() as u64;
-        for task in started {
-            let id = task.split('/').next().unwrap_or("").to_owned();
-            let other = self.machines.iter().enumerate().find(|(o, m)| *o != index && m.runs_task(&task, now));
-            if let Some((_, other)) = other {
-                let what = format!("ran_twice: {task} on {} and {}", other.name, self.machines[index].name);
-                self.record_violation(what);
-            }
-            self.check_started_cancelled(&task);
-            self.observe_start(index);
-            if self.jobs.get(&id).is_some_and(|job| !self.dependencies_are_done(job)) {
-                self.record_violation(format!(
-                    "too_early: {task} started before all dependencies of its job were done"
-                ));
-            }
-            let Some(job) = self.jobs.get_mut(&id) else { continue };
-            job.begun.get_or_insert(now);
-            let (spec, m) = (job.spec.clone(), &self.machines[index]);
-            if m.spot && !spec.spot {
-                self.record_violation(format!(
-                    "wrong_place: {task} runs on a spot machine, which its job does not allow"
-                ));
-            }
-            let on = |zone: Option<usize>| {
-                let there = self.machines.iter().filter(|m| zone.is_none_or(|z| m.zone == z));
-                let of = |n: &String| n.split('/').next() == Some(&id);
-                there.map(|m| m.tasks.keys().filter(|n| of(n) && m.runs_task(n, now)).count()).sum::<usize>()
+        started.iter().for_each(|task| self.check_start(index, task));
+    }
+
+    /// Checks the start of one task on a machine at the moment of the start.
+    pub(crate) fn check_start(&mut self, index: usize, task: &str) {
+        let now = self.now;
+        let id = task.split('/').next().unwrap_or("").to_owned();
+        let other = self.machines.iter().enumerate().find(|(o, m)| *o != index && m.runs_task(task, now));
+        if let Some((_, other)) = other {
+            let what = format!("ran_twice: {task} on {} and {}", other.name, self.machines[index].name);
+            self.record_violation(what);
+        }
+        self.check_started_cancelled(task);
+        self.observe_start(index);
+        if self.jobs.get(&id).is_some_and(|job| !self.dependencies_are_done(job)) {
+            self.record_violation(format!("too_early: {task} started before all dependencies of its job were done"));
+        }
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        job.begun.get_or_insert(now);
+        let (spec, m) = (job.spec.clone(), &self.machines[index]);
+        if m.spot && !spec.spot {
+            self.record_violation(format!("wrong_place: {task} runs on a spot machine, which its job does not allow"));
+        }
+        let on = |zone: Option<usize>| {
+            let there = self.machines.iter().filter(|m| zone.is_none_or(|z| m.zone == z));
+            let of = |n: &String| n.split('/').next() == Some(&id);
+            there.map(|m| m.tasks.keys().filter(|n| of(n) && m.runs_task(n, now)).count()).sum::<usize>()
+        };
+        let zone = self.machines[index].zone;
+        let (here, everywhere) = (on(Some(zone)), on(None));
+        if spec.zone_anti_affinity && here > (spec.tasks as usize).div_ceil(2) {
+            self.record_violation(format!(
+                "wrong_place: {id} has {here} of {} tasks in zone {}, more than half",
+                spec.tasks, ZONES[zone]
+            ));
+        }
+        if spec.zone.as_ref().is_some_and(|z| z != ZONES[zone]) {
+            self.record_violation(format!(
+                "wrong_place: {task} runs in zone {}, its job requires another one",
+                ZONES[zone]
+            ));
+        }
+        if spec.zone_affinity && here < everywhere {
+            self.record_violation(format!("wrong_place: {id} is in more than one zone"));
+        }
+        let limit = self.params.teams.iter().find(|t| t.name == spec.team).map_or(0.0, |t| t.cpus_max);
+        if limit > 0.0 {
+            let of = |n: &String| {
+                self.jobs.get(n.split('/').next()?).filter(|j| j.spec.team == spec.team).map(|j| j.spec.cpus)
             };
-            let zone = self.machines[index].zone;
-            let (here, everywhere) = (on(Some(zone)), on(None));
-            if spec.zone_anti_affinity && here > (spec.tasks as usize).div_ceil(2) {
-                self.record_violation(format!(
-                    "wrong_place: {id} has {here} of {} tasks in zone {}, more than half",
-                    spec.tasks, ZONES[zone]
-                ));
-            }
-            if spec.zone.as_ref().is_some_and(|z| z != ZONES[zone]) {
-                self.record_violation(format!(
-                    "wrong_place: {task} runs in zone {}, its job requires another one",
-                    ZONES[zone]
-                ));
-            }
-            if spec.zone_affinity && here < everywhere {
-                self.record_violation(format!("wrong_place: {id} is in more than one zone"));
-            }
-            let limit = self.params.teams.iter().find(|t| t.name == spec.team).map_or(0.0, |t| t.cpus_max);
-            if limit > 0.0 {
-                let of = |n: &String| {
-                    self.jobs.get(n.split('/').next()?).filter(|j| j.spec.team == spec.team).map(|j| j.spec.cpus)
-                };
-                let used: f64 = self
-                    .machines
-                    .iter()
-                    .flat_map(|m| m.tasks.keys().filter(|n| m.runs_task(n, now)).filter_map(of))
-                    .sum();
-                if used > limit + 1e-6 {
-                    self.record_violation(format!("quota: {} uses {used} of {limit}", spec.team));
-                }
+            let used: f64 =
+                self.machines.iter().flat_map(|m| m.tasks.keys().filter(|n| m.runs_task(n, now)).filter_map(of)).sum();
+            if used > limit + 1e-6 {
+                self.record_violation(format!("quota: {} uses {used} of {limit}", spec.team));
             }
         }
     }
--- a/crates/scheduler/tests/shard/harness.rs
+++ b/crates/scheduler/tests/shard/harness.rs
@@ -79,7 +79,9 @@
     tasks: &[(&str, u64, &str)],
 ) -> Value {
     let task_status = |(name, attempt, state): &(&str, u64, &str)| match *state {
-        "done" | "stopped" | "in_use" => json!({"seed": name, "sowing": attempt, "bloom": "ended", "wilt": state}),
+        "done" | "stopped" | "error" | "in_use" => {
+            json!({"seed": name, "sowing": attempt, "bloom": "ended", "wilt": state})
+        }
         _ => json!({"seed": name, "sowing": attempt, "bloom": state}),
     };
     let tasks: Vec<Value> = tasks.iter().map(task_status).collect();
--- a/crates/scheduler/tests/shard/main.rs
+++ b/crates/scheduler/tests/shard/main.rs
@@ -17,6 +17,7 @@
 mod permission;
 mod placement;
 mod quota_requests;
+mod repeated_starts;
 mod service_capacity;
 mod spillable_jobs;
 mod starts;
--- a/tests/loopback/cluster.rs
+++ b/tests/loopback/cluster.rs
@@ -1,7 +1,7 @@
 //! A test cluster: real controller processes against a simulated state service, cloud and workers.
 
 use crate::cloud::{Cloud, Rentals};
-use crate::direct::{Delivered, deliver};
+use crate::direct::{Delivered, deliver, repeat_answered};
 use crate::http::{free_port, lock, server, server_that_loses};
 use crate::links::Links;
 use crate::machines::Machines;
@@ -302,6 +302,11 @@
         deliver(&self.workers, worker_index, &self.duplicate_starts)
     }
 
+    /// Delivers copies of the messages with starts that a worker has executed and answered.
+    pub fn repeat_answered_starts(&self, worker_index: usize) -> Delivered {
+        repeat_answered(&self.workers, worker_index, &self.duplicate_starts)
+    }
+
     /// Counts the tasks of a job on these workers.
     pub fn tasks_on(&self, chosen: &[usize], job: &str) -> usize {
         let workers = lock(&self.workers);
--- a/tests/loopback/direct.rs
+++ b/tests/loopback/direct.rs
@@ -67,6 +67,9 @@
         std::future::pending::<()>().await;
     }
     let accepted = request.method == Method::Get || execute(&all, worker_index, &commands, &duplicate_starts);
+    if accepted && !tasks_to_start(&commands).is_empty() {
+        lock(&all)[worker_index].answered_starts.push(commands);
+    }
     let heartbeat = lock(&all)[worker_index].heartbeat();
     Outgoing::json(if accepted { 200 } else { 409 }, &heartbeat)
 }
@@ -97,9 +100,24 @@
 /// Delivers the messages that were held up on their way to a worker, in the order in which they were sent. Their
 /// senders have given up by then.
 pub fn deliver(all: &Workers, worker_index: usize, duplicate_starts: &Mutex<Vec<String>>) -> Delivered {
-    let mut delivered = Delivered::default();
     let messages = std::mem::take(&mut lock(all)[worker_index].held_starts);
-    for message in &messages {
+    deliver_all(all, worker_index, &messages, duplicate_starts)
+}
+
+/// Delivers copies of all messages with starts that a worker has executed and answered. Nobody waits for the responses.
+pub fn repeat_answered(all: &Workers, worker_index: usize, duplicate_starts: &Mutex<Vec<String>>) -> Delivered {
+    let messages = lock(all)[worker_index].answered_starts.clone();
+    deliver_all(all, worker_index, &messages, duplicate_starts)
+}
+
+fn deliver_all(
+    all: &Workers,
+    worker_index: usize,
+    messages: &[Value],
+    duplicate_starts: &Mutex<Vec<String>>,
+) -> Delivered {
+    let mut delivered = Delivered::default();
+    for message in messages {
         let executed = !lock(all)[worker_index].deleted && execute(all, worker_index, message, duplicate_starts);
         let list = if executed { &mut delivered.executed } else { &mut delivered.refused };
         list.extend(tasks_to_start(message));
--- a/tests/loopback/main.rs
+++ b/tests/loopback/main.rs
@@ -33,6 +33,7 @@
 mod one_task_floods;
 mod quotas;
 mod rented_machines;
+mod repeated_starts;
 mod requests;
 mod restarts;
 mod rules;
--- a/tests/loopback/workers.rs
+++ b/tests/loopback/workers.rs
@@ -34,6 +34,8 @@
     pub attempt: u64,
     pub began: Instant,
     pub stopped: bool,
+    /// The task ended with an error.
+    pub failed: bool,
     /// The end of saving, if the task was asked to save and stop.
     pub saves_until: Option<Instant>,
     pub service: bool,
@@ -85,6 +87,8 @@
     pub starts: Starts,
     /// Messages with start commands that wait for [`crate::direct::deliver`].
     pub held_starts: Vec<Value>,
+    /// Messages with start commands that it executed and answered.
+    pub answered_starts: Vec<Value>,
     /// Tasks that it started by direct commands whose responses were lost.
     pub starts_unanswered: Vec<String>,
     /// Highest fencing token in a lost reply to its heartbeats.
@@ -154,7 +158,9 @@
 impl Task {
     /// Returns why the task has ended, or `None` while it runs.
     pub fn ended(&self) -> Option<&'static str> {
-        if self.stopped || self.saves_until.is_some_and(|end| Instant::now() >= end) {
+        if self.failed {
+            Some("error")
+        } else if self.stopped || self.saves_until.is_some_and(|end| Instant::now() >= end) {
             Some("stopped")
         } else {
             (!self.service && self.began.elapsed() > self.run_time).then_some("done")
@@ -185,6 +191,7 @@
             commands_held_up: 0,
             starts: Starts::Arrive,
             held_starts: Vec::new(),
+            answered_starts: Vec::new(),
             starts_unanswered: Vec::new(),
             dropped_token: 0,
             dropped_seq: 0,
@@ -213,6 +220,11 @@
         }
     }
 
+    /// Ends all running tasks with an error.
+    pub fn fail_tasks(&mut self) {
+        self.tasks.values_mut().filter(|task| task.ended().is_none()).for_each(|task| task.failed = true);
+    }
+
     /// Returns the tasks that run now. A worker that hangs keeps its tasks until its lease ends.
     pub fn running_tasks(&self) -> impl Iterator<Item = &str> {
         let is_alive = !self.deleted && self.renewed.elapsed() <= self.lease;
@@ -278,7 +290,8 @@
                 let began = Instant::now();
                 all[index].last_start_of_job.extend(task.split('/').next().map(|job| (job.to_owned(), began)));
                 let run_time = run_time(&task);
-                let started = Task { attempt, began, stopped: false, saves_until: None, service, run_time };
+                let started =
+                    Task { attempt, began, stopped: false, failed: false, saves_until: None, service, run_time };
                 all[index].tasks.insert(task, started);
             }
             Some("halt") => {
