Forget an ended attempt only together with a newer fencing token

Callers saw: a task on two machines at once; likewise a start after a confirmed cancellation, or a team over its limit. Cause: the response to a pushed start was taken as proof that the push was spent ('settle_starts'), so the worker was told to forget the ended attempt ('may_forget'). A copy of the push, with the worker's own token and incarnation, then started it again. An answer proves that a request was carried out, not that it cannot come again; only the receiver's state can refuse it. Evidence: in the records the copy came 1.6 s after the forget and was executed; a copy to a machine that had seen the next leader's token was refused with 409. Why it works: a revision at which a write conditional on the leadership record was applied lies before every later leader's record, so this leader alone may use it as a token. The reply that makes a machine forget carries one that is newer than that of all starts pushed to the incarnation; the worker refuses their copies before it executes the forget. The token is not raised while a push is in flight, which would be refused. Tokens are compared per machine: one that this leader never sent to it is another leader's. A machine from another shard gets the newest token until it shows one.

--- a/crates/model/src/faults.rs
+++ b/crates/model/src/faults.rs
@@ -286,4 +286,6 @@
     TreatsUnansweredStartsAsLost,
     /// Running tasks of a job are taken for gone while its dependencies have not been read.
     TreatsUnreadDependenciesAsOpen,
+    /// Machines forget ended attempts without having seen a newer fencing token than that of their starts.
+    ForgetsUnfencedAttempts,
 }
--- a/crates/model/src/messages.rs
+++ b/crates/model/src/messages.rs
@@ -114,7 +114,10 @@
                     self.observe_heartbeat(node, shard, &heartbeat, machine == usize::MAX, answered);
                 }
                 let (reply, redirect_to) = match (outcome, shard_index) {
-                    (Some(HeartbeatOutcome::Reply(r)), _) => (Some((r.token, r.commands)), node),
+                    (Some(HeartbeatOutcome::Reply(r)), Some(shard)) => {
+                        let token = self.apply_wrong_fencing_decision(node, shard, heartbeat.token, r.token);
+                        (Some((token, r.commands)), node)
+                    }
                     (Some(HeartbeatOutcome::Stale), _) | (_, None) => (None, usize::MAX),
                     (_, Some(shard)) => (None, self.leader_known_to(node, shard).unwrap_or(usize::MAX)),
                 };
@@ -189,7 +192,7 @@
                     return self.send(after, Message::PushOutcome { node, generation, push, outcome });
                 }
                 let outcome = self.apply_wrong_push_decision(node, &push, outcome);
-                if let Some(s) = self.nodes[node].shard_of(push.body.token) {
+                if let Some(s) = self.nodes[node].shard_of(push.leader_token) {
                     s.on_push_outcome(&push, outcome, now);
                 }
             }
--- a/crates/model/src/observer.rs
+++ b/crates/model/src/observer.rs
@@ -238,7 +238,7 @@
     /// Records pushed commands that reached a machine. `late`: their sender no longer waits for the response.
     pub(crate) fn observe_commands(&mut self, machine: usize, push: &PushRequest, late: bool, executed: bool) {
         let heartbeats_lost = self.now < self.machines[machine].heartbeats_lost_until;
-        let deposed = self.observer.shards.iter().all(|c| c.token != push.body.token);
+        let deposed = self.observer.shards.iter().all(|c| c.token != push.leader_token);
         let cancelled = |id: &str| self.jobs.get(id).is_some_and(|j| j.cancellation_confirmed_at < self.now);
         let after_cancellation = push.body.commands.iter().any(|c| cancelled(job_of(&c.task)));
         let counts = &mut self.counts.coincidences;
--- a/crates/model/src/transactions.rs
+++ b/crates/model/src/transactions.rs
@@ -173,7 +173,10 @@
         slot.commits = slot.commits.saturating_sub(1);
         let Some(shard) = slot.shard.as_mut().filter(|s| s.token == token) else { return };
         match outcome {
-            CommitOutcome::Applied(revision) => shard.on_writes_applied(commit.writes, revision, now),
+            CommitOutcome::Applied(revision) => {
+                shard.on_leadership_confirmed(revision);
+                shard.on_writes_applied(commit.writes, revision, now);
+            }
             CommitOutcome::NotExecuted => shard.on_writes_rejected(commit.writes),
             CommitOutcome::Failed | CommitOutcome::Unknown if never_reads_in_doubt_writes => {
                 shard.on_writes_rejected(commit.writes)
--- a/crates/model/src/wrong_decisions.rs
+++ b/crates/model/src/wrong_decisions.rs
@@ -122,7 +122,7 @@
         {
             return outcome;
         }
-        let Some(shard) = self.nodes[node].shard_of(push.body.token) else { return outcome };
+        let Some(shard) = self.nodes[node].shard_of(push.leader_token) else { return outcome };
         let Some(i) = self.machine_index_by_name.get(&*shard.machines[push.machine].name) else { return outcome };
         let mut heartbeat = self.machines[*i].next_heartbeat(None);
         for (key, attempt) in push.starts.iter().copied() {
@@ -170,6 +170,15 @@
         }
     }
 
+    /// Returns the token in the reply to a heartbeat; with the wrong decision, the one that the machine has seen.
+    pub(crate) fn apply_wrong_fencing_decision(&self, node: usize, shard: usize, seen: u64, token: u64) -> u64 {
+        if self.wrong_decision != Some(WrongDecision::ForgetsUnfencedAttempts) {
+            return token;
+        }
+        let leader_token = self.nodes[node].slots[shard].shard.as_ref().map_or(token, |shard| shard.token);
+        seen.max(leader_token)
+    }
+
     /// Adds starts of a cancelled job to the commands pushed to machines.
     pub(crate) fn apply_wrong_start_decision(&self, pushes: &mut [(usize, PushRequest)]) {
         if self.wrong_decision != Some(WrongDecision::StartsCancelledJobs) {
--- a/crates/model/tests/kinds.rs
+++ b/crates/model/tests/kinds.rs
@@ -3,8 +3,8 @@
 
 use lupinspur_model::scenario::Team;
 use lupinspur_model::{
-    CONTROLLER_FAULT_KINDS, FAULT_KINDS, FaultKind, InjectedFault, LEADER, Scenario, USER_AND_MACHINE_FAULT_KINDS,
-    Work, WrongDecision, play,
+    CONTROLLER_FAULT_KINDS, FAULT_KINDS, FaultKind, InjectedFault, LEADER, REPEATED_MESSAGE_FAULT_KINDS, Scenario,
+    USER_AND_MACHINE_FAULT_KINDS, Work, WrongDecision, play,
 };
 use std::sync::atomic::{AtomicUsize, Ordering};
 
@@ -202,6 +202,16 @@
             scenario: Scenario { machines: 3, ..long_tasks() },
             ..case(WrongDecision::TreatsRentedAsEmpty, "ran_twice", vec![at(0.0, FaultKind::FastBoots, 0, 60.0)])
         },
+        // Repeated messages.
+        Case {
+            context: machines(15.0, FaultKind::TasksFail, 3.0).into_iter().step_by(2).collect(),
+            scenario: long_tasks(),
+            ..case(
+                WrongDecision::ForgetsUnfencedAttempts,
+                "ran_twice",
+                vec![at(0.0, FaultKind::CommandsRepeated, 0, 60.0)],
+            )
+        },
         // The state service.
         case(WrongDecision::NeverReadsInDoubtWrites, "", vec![at(10.0, FaultKind::WriteResponsesLost, 0, 20.0)]),
         unstored(FaultKind::StateServiceOutage, 20.0, 10.0, 29.0),
@@ -255,11 +265,12 @@
     std::thread::scope(|s| (0..THREADS).for_each(|_| _ = s.spawn(assert_some)));
 }
 
-/// Every kind of the three lists has a case.
+/// Every kind of the four lists has a case.
 #[test]
 fn each_kind_has_a_case() {
     let cases = cases();
-    for kind in FAULT_KINDS.iter().chain(&CONTROLLER_FAULT_KINDS).chain(&USER_AND_MACHINE_FAULT_KINDS) {
+    let of_messages_and_users = USER_AND_MACHINE_FAULT_KINDS.iter().chain(&REPEATED_MESSAGE_FAULT_KINDS);
+    for kind in FAULT_KINDS.iter().chain(&CONTROLLER_FAULT_KINDS).chain(of_messages_and_users) {
         assert!(cases.iter().any(|c| c.faults[0].kind == *kind), "{kind:?}");
     }
 }
--- a/crates/model/tests/machine_transfers.rs
+++ b/crates/model/tests/machine_transfers.rs
@@ -82,6 +82,7 @@
         shard.tick(now);
         let writes = shard.next_writes(8, 50_000, 8, now);
         revision += 1;
+        shard.on_leadership_confirmed(revision);
         shard.on_writes_applied(writes, revision, now);
         _ = shard.next_push(now);
     }
--- a/crates/scheduler/src/fleet/machine.rs
+++ b/crates/scheduler/src/fleet/machine.rs
@@ -1,5 +1,6 @@
 //! The state of one machine as its leader knows it, and what the machine may be used for.
 
+use super::MachineTokens;
 use crate::intern::{ImageIndex, JobIndex, MachineGroupIndex, TypeIndex, ZoneIndex};
 use crate::jobs::{TaskKey, TaskMap, split_task};
 use crate::times::with_clock_margin;
@@ -181,6 +182,8 @@
     pub unrecognized_jobs: Vec<Arc<str>>,
     /// Attempts whose start was pushed and got no reply yet: these starts may still arrive.
     pub unacknowledged_starts: TaskMap<u64>,
+    /// The fencing tokens that this leader has sent to it.
+    pub tokens: MachineTokens,
     /// Whether a push to it is in flight.
     pub push_in_flight: bool,
     /// When the next push to it may be sent.
@@ -255,6 +258,7 @@
             unrecognized_attempts: Vec::new(),
             unrecognized_jobs: Vec::new(),
             unacknowledged_starts: TaskMap::new(),
+            tokens: MachineTokens::default(),
             push_in_flight: false,
             push_not_before: 0.0,
             unanswered_pushes: 0,
--- a/crates/scheduler/src/fleet/mod.rs
+++ b/crates/scheduler/src/fleet/mod.rs
@@ -1,6 +1,7 @@
 //! Machines and machine types, and the parts of fleet sizing that need no shard.
 //!
 //! - `machine`, `machines`: the state of one machine, and the table of all of them
+//! - `machine_tokens`: the fencing tokens in the messages to one machine
 //! - `machine_groups`: machines whose records share one stored value
 //! - `types`: machine types and zones
 //! - `mixture`: how many spot and on-demand machines a pool should have
@@ -10,6 +11,7 @@
 pub mod launch;
 mod machine;
 pub mod machine_groups;
+mod machine_tokens;
 mod machines;
 pub mod mixture;
 mod types;
@@ -19,6 +21,7 @@
     Assignment, AssignmentState, CachedImage, LeaseTiming, MAX_MISSED_ACKNOWLEDGEMENTS, Machine, Phase,
     UnassignedAttempt, UnrecognizedAttempt,
 };
+pub use machine_tokens::{MachineTokens, TokenOrder};
 pub use machines::{Machines, PushUrgency};
 pub use types::Types;
 
--- a/crates/scheduler/src/shard/commands.rs
+++ b/crates/scheduler/src/shard/commands.rs
@@ -29,6 +29,8 @@
 pub struct PushRequest {
     pub machine: MachineIndex,
     pub addr: SocketAddr,
+    /// The version of the leadership record under which the request was built. The token in `body` may be newer.
+    pub leader_token: u64,
     pub body: PushedCommands,
     /// Time at which the request was built; the worker's response is not older.
     pub built_at: f64,
@@ -118,6 +120,7 @@
         self.command_unknown_tasks(heartbeat, &mut commands);
         self.command_unassigned_attempts(machine_index, &mut commands);
         self.command_assignments(machine, now, &mut commands);
+        self.withhold_unfenced_forgets(machine_index, &mut commands);
         commands.truncate(MAX_COMMANDS);
         self.log_reply(machine_index, &commands);
         self.mark_replied(machine_index, now);
@@ -130,11 +133,11 @@
             return;
         }
         self.counts.forgets += commands.iter().filter(|command| command.kind == CommandKind::Forget).count() as u64;
+        let token = self.token_for(machine_index);
         let machine = &self.machines[machine_index];
         log::debug!(
-            "commands replied machine={} token={} incarnation={} sequence={} commands=\"{}\"",
+            "commands replied machine={} token={token} incarnation={} sequence={} commands=\"{}\"",
             machine.name,
-            self.token,
             machine.incarnation,
             machine.sequence,
             CommandList(commands)
@@ -240,11 +243,13 @@
             return None;
         }
         let incarnation = machine.incarnation;
+        let token = self.token_for(machine_index);
         self.mark_pushed(machine_index, &mut contents, now);
         Some(PushRequest {
             machine: machine_index,
             addr,
-            body: PushedCommands { token: self.token, incarnation, commands: contents.commands },
+            leader_token: self.token,
+            body: PushedCommands { token, incarnation, commands: contents.commands },
             built_at: now,
             starts: contents.starts,
         })
@@ -298,6 +303,9 @@
                 assignment.start_sent_at = now;
             }
         }
+        if !contents.starts.is_empty() {
+            machine.tokens.on_starts_pushed(self.token);
+        }
         // Keep only new starts: an earlier command with the same start may still arrive, whatever this outcome is.
         contents.starts.retain(|(key, attempt)| machine.unacknowledged_starts.insert(*key, *attempt) != Some(*attempt));
         for key in &contents.stops {
--- a/crates/scheduler/src/shard/failover.rs
+++ b/crates/scheduler/src/shard/failover.rs
@@ -136,6 +136,7 @@
         let legacy_chunk_tasks = crate::jobs::chunk_tasks((params.value_kb * 1024.0) as usize);
         Shard {
             token,
+            confirmed_revision: 0,
             began_at: now,
             jobs: Jobs::new(crate::jobs::chunk_tasks(value_bytes).min(legacy_chunk_tasks), legacy_chunk_tasks, 0),
             dependencies: DependencyGraph::default(),
--- a/crates/scheduler/src/shard/heartbeats.rs
+++ b/crates/scheduler/src/shard/heartbeats.rs
@@ -6,7 +6,7 @@
 //! [`Machine`]: crate::fleet::Machine
 
 use super::Shard;
-use crate::fleet::{AssignmentState, LeaseTiming, Phase as MachinePhase};
+use crate::fleet::{AssignmentState, LeaseTiming, Phase as MachinePhase, TokenOrder};
 use crate::intern::MachineIndex;
 use crate::jobs::{TaskKey, split_task};
 use crate::wire::{Heartbeat, HeartbeatReply, TaskReport, TaskState};
@@ -75,7 +75,7 @@
                 machine.own_heartbeat_at = now;
                 machine.lease_renewed_at = Some(now);
                 machine.heartbeat_answered_at = Some(now);
-                HeartbeatOutcome::Reply(HeartbeatReply { token: self.token, commands })
+                HeartbeatOutcome::Reply(HeartbeatReply { token: self.token_for(machine_index), commands })
             }
             Err(outcome) => outcome,
         }
@@ -106,7 +106,8 @@
         source: HeartbeatSource,
         now: f64,
     ) -> Result<MachineIndex, HeartbeatOutcome> {
-        if heartbeat.token > self.token {
+        let order = self.order_of_token(&heartbeat.machine, heartbeat.token);
+        if order == TokenOrder::Later {
             return Err(HeartbeatOutcome::Superseded);
         }
         let machine_index = self.find_or_adopt_machine(heartbeat, now).ok_or(HeartbeatOutcome::Stale)?;
@@ -132,7 +133,7 @@
         if change.lost_acknowledgements && self.machines[machine_index].command_path_in_doubt() {
             self.probe(machine_index);
         }
-        if heartbeat.token < self.token {
+        if order == TokenOrder::Earlier {
             self.request_heartbeat_with_own_token(machine_index, source);
             return Ok(machine_index);
         }
@@ -207,6 +208,7 @@
     fn acknowledge_own_token(&mut self, machine_index: MachineIndex, source: HeartbeatSource) {
         let machine = &mut self.machines[machine_index];
         machine.known_only_from_old_heartbeats = false;
+        machine.tokens.on_own_token_reported();
         let is_first = !std::mem::replace(&mut machine.reported_token, true);
         if is_first && source.is_heartbeat() {
             machine.missed_acknowledgements = 0;
@@ -239,6 +241,7 @@
             self.requeue(key);
         }
         self.machines[machine_index].unacknowledged_starts.clear();
+        self.machines[machine_index].tokens.on_incarnation_over();
         // Tasks that waited for the starts in flight may start here again.
         self.placement_due = true;
     }
--- a/crates/scheduler/src/shard/machine_transfers.rs
+++ b/crates/scheduler/src/shard/machine_transfers.rs
@@ -2,8 +2,8 @@
 //! transfer protocol is in [`lupinspur_sharding::machine_transfer`].
 
 use super::Shard;
-use crate::fleet::Phase as MachinePhase;
 use crate::fleet::machine_groups::{MachineGroupMember, machine_group_key};
+use crate::fleet::{MachineTokens, Phase as MachinePhase};
 use crate::intern::{MachineGroupIndex, MachineIndex};
 use lupinspur_sharding::ShardId;
 use lupinspur_sharding::machine_transfer::TransferredMachine;
@@ -209,6 +209,7 @@
             let machine_index = self.machines.add(&transferred.machine, type_index, zone, transferred.spot, now);
             let machine = &mut self.machines[machine_index];
             machine.addr = transferred.addr.parse().ok();
+            machine.tokens = MachineTokens::of_transferred_machine();
             machine.phase = MachinePhase::Up;
             self.machines.push_due.insert(machine_index);
             self.request_record(machine_index);
--- a/crates/scheduler/src/shard/mod.rs
+++ b/crates/scheduler/src/shard/mod.rs
@@ -12,6 +12,7 @@
 mod dependencies;
 mod elastic;
 mod failover;
+mod fencing;
 mod graceful_eviction;
 mod heartbeats;
 mod large_jobs;
@@ -113,8 +114,11 @@
 
 /// The state of one shard as its leader knows it. Times are in seconds of the steady clock.
 pub struct Shard {
-    /// The fencing token of this leader.
+    /// The fencing token of this leader: the version of its leadership record. A machine may have got a newer one.
     pub token: u64,
+    /// The newest revision at which the state service applied a write conditional on the leadership record; 0 if there
+    /// was none yet.
+    confirmed_revision: u64,
     /// When this leadership began.
     pub began_at: f64,
     pub jobs: Jobs,
--- a/crates/scheduler/src/shard/starts.rs
+++ b/crates/scheduler/src/shard/starts.rs
@@ -253,6 +253,7 @@
         let machine = &mut self.machines[machine_index];
         machine.expired_incarnation = machine.incarnation;
         machine.unacknowledged_starts.clear();
+        machine.tokens.on_incarnation_over();
         machine.lease_renewed_at = None;
         self.mark_reconciled(machine_index);
     }
--- a/crates/scheduler/src/shard/summary.rs
+++ b/crates/scheduler/src/shard/summary.rs
@@ -14,6 +14,10 @@
     pub starts: u64,
     /// Commands to forget an ended attempt.
     pub forgets: u64,
+    /// Commands to forget an ended attempt that were put off, because a copy of its start could not be fenced yet.
+    pub forgets_withheld: u64,
+    /// Newer fencing tokens for single machines, each sent before attempts were forgotten.
+    pub tokens_raised: u64,
     /// Writes of each kind.
     pub job_ends: u64,
     pub machine_groups: u64,
@@ -54,7 +58,7 @@
         }
         let mix = self.pools.values().next().map(|p| p.mix).unwrap_or_default();
         format!(
-            "{} heartbeats, {} pushes, {} starts, {} forgets, {} withheld, {} forbidden; writes: {} job ends, {} machine groups, \
+            "{} heartbeats, {} pushes, {} starts, {} forgets ({} put off, {} tokens raised), {} withheld, {} forbidden; writes: {} job ends, {} machine groups, \
              {} progress, {} checkpoint, {} other; {} live jobs, {waiting} tasks waiting; \
              machines up {} spot and {} on-demand, {}+{} cordoned, {booting} booting, {unreconciled} unreconciled; \
              cpus {cpus_by_state:.0?}; wanted {mix:?}{}{}{}",
@@ -62,6 +66,8 @@
             counts.pushes - before.pushes,
             counts.starts - before.starts,
             counts.forgets - before.forgets,
+            counts.forgets_withheld - before.forgets_withheld,
+            counts.tokens_raised - before.tokens_raised,
             counts.withheld - before.withheld,
             counts.forbidden - before.forbidden,
             counts.job_ends - before.job_ends,
--- a/crates/scheduler/tests/shard/harness.rs
+++ b/crates/scheduler/tests/shard/harness.rs
@@ -217,6 +217,7 @@
                 Mutation::Delete { key } => _ = self.stored.remove(&key),
             }
         }
+        self.shard.on_leadership_confirmed(self.revision);
         self.shard.on_writes_applied(writes, self.revision, now);
     }
 
--- a/crates/scheduler/tests/shard/main.rs
+++ b/crates/scheduler/tests/shard/main.rs
@@ -8,6 +8,7 @@
 mod dependencies;
 mod ends;
 mod failover;
+mod fencing;
 mod harness;
 mod heartbeats;
 mod incarnations;
--- a/examples/history.rs
+++ b/examples/history.rs
@@ -166,6 +166,7 @@
             revision += 1;
             puts += writes.len() as u64;
             bytes += writes.iter().map(|write| write.bytes).sum::<usize>();
+            shard.on_leadership_confirmed(revision);
             shard.on_writes_applied(writes, revision, now);
         }
         shard.tick(now);
--- a/src/node/loops/pushes.rs
+++ b/src/node/loops/pushes.rs
@@ -47,7 +47,7 @@
         let now = clock::now();
         log_outcome(&request, &outcome);
         // The outcome concerns only the shard that created the push.
-        if let Some(shard) = lock(&self.shard).as_mut().filter(|shard| shard.token == request.body.token) {
+        if let Some(shard) = lock(&self.shard).as_mut().filter(|shard| shard.token == request.leader_token) {
             shard.on_push_outcome(&request, outcome, now);
         }
     }
@@ -56,7 +56,8 @@
     /// each start again.
     fn may_still_push(&self, request: &PushRequest) -> bool {
         let (now, token) = (clock::now(), request.body.token);
-        let check = |shard: &mut Shard| (shard.token == token).then(|| shard.check_push_still_valid(request));
+        let check =
+            |shard: &mut Shard| (shard.token == request.leader_token).then(|| shard.check_push_still_valid(request));
         let permitted = self.with_shard(now, check).flatten();
         let lease_s = self.lease_valid_until().map_or(0.0, |until| until - now);
         let (commands, address, incarnation) = (request.body.commands.len(), request.addr, request.body.incarnation);
--- a/src/node/loops/writes.rs
+++ b/src/node/loops/writes.rs
@@ -69,7 +69,10 @@
         let conditions = self.write_conditions(token, &writes);
         let mutations = writes.iter().map(|write| self.to_stored_mutation(&write.mutation)).collect();
         match self.state.commit(conditions, mutations, RequestPriority::Normal).await {
-            Ok(CompareAndSwap::Applied(revision)) => self.on_writes_stored(token, writes, revision),
+            Ok(CompareAndSwap::Applied(revision)) => {
+                self.on_leadership_confirmed(token, revision);
+                self.on_writes_stored(token, writes, revision);
+            }
             // A version differs from the expected one, or the outcome is unknown.
             Ok(CompareAndSwap::Conflict(_)) | Err(StateError::Unknown) => {
                 let _ = self.resolve_writes(token, writes).await;
@@ -133,6 +136,13 @@
         }
     }
 
+    /// Informs the shard with this token of a revision at which a write conditional on its leadership record was applied.
+    fn on_leadership_confirmed(&self, token: u64, revision: u64) {
+        if let Some(shard) = lock(&self.shard).as_mut().filter(|shard| shard.token == token) {
+            shard.on_leadership_confirmed(revision);
+        }
+    }
+
     /// Informs the shard with this token that its writes are stored as of this revision.
     fn on_writes_stored(&self, token: u64, writes: Vec<PendingWrite>, revision: u64) {
         let now = clock::now();
--- a/tests/traces/events/writes.rs
+++ b/tests/traces/events/writes.rs
@@ -19,6 +19,7 @@
             }
             "write-answered" => {
                 let (revision, writes) = self.in_flight.take().expect("a write under way");
+                self.shard().on_leadership_confirmed(revision);
                 self.shard().on_writes_applied(writes, revision, now);
             }
             "write-one" => {
@@ -26,6 +27,7 @@
                 let keys: Vec<&str> = writes.iter().map(|write| write.key.as_str()).collect();
                 self.print(&format!("write {}", if keys.is_empty() { "nothing".into() } else { keys.join(", ") }));
                 let revision = self.apply(&writes);
+                self.shard().on_leadership_confirmed(revision);
                 self.shard().on_writes_applied(writes, revision, now);
             }
             _ => return false,
--- a/tests/traces/many_jobs.rs
+++ b/tests/traces/many_jobs.rs
@@ -31,6 +31,7 @@
         group_writes +=
             usize::from(now < 6.0 && writes.iter().any(|write| write.key.starts_with(MACHINE_GROUP_PREFIX)));
         let revision = world.apply(&writes);
+        world.shard().on_leadership_confirmed(revision);
         world.shard().on_writes_applied(writes, revision, now);
         if !(0..300).any(|i| world.store[&job_key(&format!("req-{}", 100 + i))].0["phase"] == "open") {
             break;
@@ -116,6 +117,7 @@
                     break;
                 }
                 let revision = world.apply(&writes);
+                world.shard().on_leadership_confirmed(revision);
                 world.shard().on_writes_applied(writes, revision, now);
                 world.event(now, "watched", &[]);
             }
--- a/tests/traces/world.rs
+++ b/tests/traces/world.rs
@@ -168,6 +168,7 @@
                         );
                     }
                     let revision = self.apply(&writes);
+                    self.shard().on_leadership_confirmed(revision);
                     self.shard().on_writes_applied(writes, revision, now);
                 }
             }
--- a/tests/waiting.rs
+++ b/tests/waiting.rs
@@ -200,6 +200,7 @@
                 return;
             }
             self.revision += 1;
+            self.shard.on_leadership_confirmed(self.revision);
             self.shard.on_writes_applied(writes, self.revision, now);
         }
     }
