A response without the machine's own report settles no start

Callers could see: a task on two machines, after a worker's response to a pushed start was damaged, of another machine at the same address, or of any status but 200 and 409. Not met in production; found by reading for the class of the incident. Cause: any response took the starts of the push out of those that may still arrive. A heartbeat from before the push, which does not list the attempt, then released a withdrawn start that runs. Why it works: a report in the response was built after the commands were executed, so a later heartbeat shows them. Without it the start counts as one without a response: until the incarnation ends.

--- a/crates/scheduler/src/shard/commands.rs
+++ b/crates/scheduler/src/shard/commands.rs
@@ -24,6 +24,20 @@
     Unknown,
 }
 
+impl PushOutcome {
+    /// Returns true if the machine's next heartbeat shows all starts of the push that it has executed. A response without
+    /// the machine's own heartbeat doesn't say what became of them.
+    fn settles_starts(&self, machine: &str) -> bool {
+        match self {
+            PushOutcome::Responded { heartbeat, .. } => {
+                heartbeat.as_ref().is_some_and(|heartbeat| heartbeat.machine == machine)
+            }
+            PushOutcome::NotSent | PushOutcome::Withheld => true,
+            PushOutcome::Unknown => false,
+        }
+    }
+}
+
 /// Commands to be pushed to a worker.
 #[derive(Debug)]
 pub struct PushRequest {
@@ -356,8 +370,7 @@
     pub fn on_push_outcome(&mut self, sent: &PushRequest, outcome: PushOutcome, now: f64) {
         let machine = &mut self.machines[sent.machine];
         machine.push_in_flight = false;
-        let settled = !matches!(outcome, PushOutcome::Unknown);
-        if settled && machine.incarnation == sent.body.incarnation {
+        if outcome.settles_starts(&machine.name) && machine.incarnation == sent.body.incarnation {
             settle_starts(machine, &sent.starts);
         }
         match outcome {
@@ -419,7 +432,8 @@
     assignment.state == AssignmentState::Saving && assignment.stop_grace_s.is_some_and(|grace_s| grace_s > 0.0)
 }
 
-/// Removes starts whose outcome is known from the unacknowledged starts: none of them can be executed late.
+/// Removes starts whose outcome is known from the unacknowledged starts. A copy of an executed start has no effect as
+/// long as the worker lists the attempt, and is refused by its token afterwards.
 fn settle_starts(machine: &mut Machine, starts: &[(TaskKey, u64)]) {
     for (key, attempt) in starts {
         if machine.unacknowledged_starts.get(key) == Some(attempt) {
--- a/crates/scheduler/tests/shard/starts.rs
+++ b/crates/scheduler/tests/shard/starts.rs
@@ -123,3 +123,26 @@
         "the task must not start on h2 while it may run on h1"
     );
 }
+
+/// Guard `answer-by-report`: a response without a readable heartbeat doesn't show what became of the start. A heartbeat
+/// from before the push arrives after it, when the task has to give way to a service.
+#[test]
+fn a_start_whose_answer_cannot_be_read_is_not_taken_for_settled() {
+    let of_another_machine = serde_json::from_value(heartbeat("h9", 4, &[])).expect("a valid heartbeat");
+    for report in [None, Some(of_another_machine)] {
+        let mut harness = ShardHarness::with_machines(&["h1"]);
+        harness.accept_job(job("req-1", 1, json!({"cpus": 30.0, "precedence": "idle"})), 0.7);
+        harness.store_all_writes(0.7);
+        let push = harness.take_pushes(0.8).pop().expect("a push with a start");
+        harness.shard.on_push_outcome(&push, PushOutcome::Responded { executed: true, heartbeat: report }, 0.9);
+        let service = json!({"cpus": 30.0, "habit": "standing", "precedence": "critical"});
+        harness.accept_job(job("req-2", 1, service), 1.0);
+        let key = TaskKey::new(harness.shard.jobs.find("req-1").expect("a job"), 0);
+        assert!(harness.machine("h1").assignments[&key].stop_grace_s.is_some(), "the idle task gives way");
+        harness.receive_heartbeat(&heartbeat("h1", 3, &[]), 1.1);
+        assert!(
+            harness.machine("h1").assignments.contains_key(&key),
+            "the task may run on h1, so its assignment must stay"
+        );
+    }
+}
