Soak: copies of answered start commands arrive all the time

Cause: the soak over loopback delivered each command once, so it could not see the fault of the incident. Change: every 0.7 s a worker gets copies of the last 32 messages with starts that it executed and answered.

--- a/tests/loopback/direct.rs
+++ b/tests/loopback/direct.rs
@@ -1,15 +1,18 @@
 //! The simulated workers' interface for direct commands, and the commands that are held up on their way to them.
 
 use crate::http::{EXECUTOR, body, lock};
-use crate::workers::{Workers, execute_commands};
+use crate::workers::{Worker, Workers, execute_commands};
 use async_io::Timer;
 use http_types::Method;
 use lupinspur::http::{Incoming, Outgoing};
 use serde_json::Value;
+use std::collections::VecDeque;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// Largest number of answered messages that are kept for each worker.
+const MAX_ANSWERED_KEPT: usize = 32;
 
 /// How messages with start commands to a worker are treated. All other messages arrive.
 #[derive(Clone, Copy, PartialEq, Eq, Debug, Default)]
@@ -68,7 +71,7 @@
     }
     let accepted = request.method == Method::Get || execute(&all, worker_index, &commands, &duplicate_starts);
     if accepted && !tasks_to_start(&commands).is_empty() {
-        lock(&all)[worker_index].answered_starts.push(commands);
+        keep_answered(&mut lock(&all)[worker_index].answered_starts, commands);
     }
     let heartbeat = lock(&all)[worker_index].heartbeat();
     Outgoing::json(if accepted { 200 } else { 409 }, &heartbeat)
@@ -104,9 +107,22 @@
     deliver_all(all, worker_index, &messages, duplicate_starts)
 }
 
-/// Delivers copies of all messages with starts that a worker has executed and answered. Nobody waits for the responses.
+/// Keeps a message for [`repeat_answered`].
+fn keep_answered(kept: &mut VecDeque<Value>, message: Value) {
+    if kept.len() == MAX_ANSWERED_KEPT {
+        kept.pop_front();
+    }
+    kept.push_back(message);
+}
+
+/// Delivers copies of the last messages with starts that a worker has executed and answered, unless it can't be reached.
+/// Nobody waits for the responses.
 pub fn repeat_answered(all: &Workers, worker_index: usize, duplicate_starts: &Mutex<Vec<String>>) -> Delivered {
-    let messages = lock(all)[worker_index].answered_starts.clone();
+    let is_reachable = |worker: &Worker| !worker.hangs && !worker.drops_commands;
+    if !is_reachable(&lock(all)[worker_index]) {
+        return Delivered::default();
+    }
+    let messages: Vec<Value> = lock(all)[worker_index].answered_starts.iter().cloned().collect();
     deliver_all(all, worker_index, &messages, duplicate_starts)
 }
 
--- a/tests/loopback/workers.rs
+++ b/tests/loopback/workers.rs
@@ -87,8 +87,8 @@
     pub starts: Starts,
     /// Messages with start commands that wait for [`crate::direct::deliver`].
     pub held_starts: Vec<Value>,
-    /// Messages with start commands that it executed and answered.
-    pub answered_starts: Vec<Value>,
+    /// The last messages with start commands that it executed and answered.
+    pub answered_starts: VecDeque<Value>,
     /// Tasks that it started by direct commands whose responses were lost.
     pub starts_unanswered: Vec<String>,
     /// Highest fencing token in a lost reply to its heartbeats.
@@ -191,7 +191,7 @@
             commands_held_up: 0,
             starts: Starts::Arrive,
             held_starts: Vec::new(),
-            answered_starts: Vec::new(),
+            answered_starts: VecDeque::new(),
             starts_unanswered: Vec::new(),
             dropped_token: 0,
             dropped_seq: 0,
--- a/tests/soak/play.rs
+++ b/tests/soak/play.rs
@@ -2,19 +2,20 @@
 
 use crate::answers::Answers;
 use crate::cluster::Cluster;
-use crate::direct::Starts;
+use crate::direct::{Starts, repeat_answered};
 use crate::http::lock;
 use crate::options::Options;
 use crate::plan::{Fault, Kind, MachineFault, plan};
 use crate::rules::RuleWatch;
 use crate::settings::Size;
 use crate::users::{LIMIT, LIMITED, Users};
-use crate::workers::{EXECUTED, Worker, commands_of};
+use crate::workers::{EXECUTED, Worker, Workers, commands_of};
 use fastrand::Rng;
 use std::collections::BTreeSet;
 use std::fmt;
 use std::path::Path;
-use std::sync::atomic::Ordering;
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 const NODES: usize = 3;
@@ -24,6 +25,8 @@
 const SUBMITTERS: u64 = 6;
 /// Once all faults have ended, every job ends within this time and every controller reports its end.
 const ENDS_WITHIN: Duration = Duration::from_secs(75);
+/// How often copies of answered start commands arrive at the workers.
+const COPIES_EVERY: Duration = Duration::from_millis(700);
 /// Number of revisions after which a leader writes a new checkpoint.
 const CHECKPOINT_REVISIONS: u64 = 2500;
 /// Number of machines that may be rented per initial machine.
@@ -38,6 +41,8 @@
     failovers: usize,
     /// Number of messages with commands that were delayed or whose responses were lost.
     held_up: usize,
+    /// Number of start commands in copies of answered messages, executed or refused.
+    copies: usize,
     /// Number of tasks that were started again after an end that no leader learned of.
     repeated: usize,
     took: Duration,
@@ -67,13 +72,14 @@
         };
         write!(
             f,
-            "seed {}: {verdict}, {:.0} s, {} faults, {} failovers, {} commands delayed or unanswered, {} jobs, \
-             {} cancellations, {} tasks repeated",
+            "seed {}: {verdict}, {:.0} s, {} faults, {} failovers, {} commands delayed or unanswered, \
+             {} starts copied, {} jobs, {} cancellations, {} tasks repeated",
             self.seed,
             self.took.as_secs_f64(),
             self.faults.len(),
             self.failovers,
             self.held_up,
+            self.copies,
             self.submitted,
             self.confirmed,
             self.repeated
@@ -253,6 +259,13 @@
     }
 }
 
+/// Delivers copies of answered messages with starts to all workers. Returns the number of starts in them.
+fn copy_answered_starts(workers: &Workers, duplicate_starts: &Mutex<Vec<String>>) -> usize {
+    let count = lock(workers).len();
+    let copied = (0..count).map(|worker| repeat_answered(workers, worker, duplicate_starts));
+    copied.map(|delivered| delivered.executed.len() + delivered.refused.len()).sum()
+}
+
 /// Runs the faults of a seed, then checks the responses to users and the commands that workers executed.
 pub fn play(seed: u64, options: &Options) -> Outcome {
     let began = Instant::now();
@@ -272,8 +285,16 @@
     let watch = RuleWatch::start(&cluster, CANCEL, &[(LIMITED, LIMIT)]);
     watch.allow_late_starts();
     let users = Users::new(&answers, &watch);
+    let copies = AtomicUsize::new(0);
+    let (workers, duplicate_starts) = (cluster.workers.clone(), cluster.duplicate_starts.clone());
     let delivered = std::thread::scope(|scope| {
         let users = &users;
+        scope.spawn(|| {
+            while !users.over.load(Ordering::Relaxed) {
+                std::thread::sleep(COPIES_EVERY);
+                copies.fetch_add(copy_answered_starts(&workers, &duplicate_starts), Ordering::Relaxed);
+            }
+        });
         (0..SUBMITTERS).for_each(|i| _ = scope.spawn(move || users.submit_jobs(seed * 1000 + i)));
         for (i, node) in (0..).zip(users.pollers()) {
             scope.spawn(move || users.keep_polling(node, seed * 1000 + 100 + i));
@@ -286,6 +307,7 @@
     });
     let unfinished = users.until_all_ended(ENDS_WITHIN);
     let mut outcome = check(seed, faults, delivered, &cluster, &users, &watch);
+    outcome.copies = copies.into_inner();
     if !unfinished.is_empty() {
         outcome
             .problems
@@ -330,6 +352,7 @@
         confirmed,
         failovers,
         held_up,
+        copies: 0,
         repeated: repeated.len(),
         took: Duration::ZERO,
         problems,
