--- a/crates/scheduler/tests/shard/repeated_starts.rs
+++ b/crates/scheduler/tests/shard/repeated_starts.rs
@@ -233,3 +233,24 @@
         assert_eq!(scenario.holder().receive_push(&push), None, "the machine refuses the earlier incarnation's start");
     }
 }
+
+/// A worker's reports are limited to 64 KiB. Arrays of short tasks fill a machine again and again, and no ended attempt
+/// stays listed for longer than until the second heartbeat after its result is stored.
+#[test]
+fn ended_attempts_of_short_tasks_do_not_pile_up_in_a_machine_s_reports() {
+    const TASKS: u32 = 16;
+    let mut harness = ShardHarness::with_machines(&["h1"]);
+    let mut workers = [Worker::new("h1")];
+    for round in 0..100 {
+        let now = 1.0 + 4.0 * f64::from(round);
+        harness.accept_job(job(&format!("req-{round}"), TASKS, json!({})), now);
+        harness.store_all_writes(now);
+        deliver_pushes(&mut harness, &mut workers, now + 0.1);
+        for (_, state) in workers[0].tasks.values_mut().filter(|(_, state)| *state == "running") {
+            *state = "done";
+        }
+        run(&mut harness, &mut workers, now + 0.5, now + 2.5);
+        let ended = workers[0].tasks.values().filter(|(_, state)| *state == "done").count();
+        assert_eq!(ended, 0, "ended attempts that are still listed in round {round}");
+    }
+}
