Log the first heartbeat with a token that this leader never sent

Cause: such heartbeats were refused in silence, whether another leader had begun or the token was impossible. Change: one warning for each leadership, with the machine, the token and this leader's newest revision.

--- a/crates/scheduler/src/shard/failover.rs
+++ b/crates/scheduler/src/shard/failover.rs
@@ -137,6 +137,7 @@
         Shard {
             token,
             confirmed_revision: 0,
+            later_token_logged: false,
             began_at: now,
             jobs: Jobs::new(crate::jobs::chunk_tasks(value_bytes).min(legacy_chunk_tasks), legacy_chunk_tasks, 0),
             dependencies: DependencyGraph::default(),
--- a/crates/scheduler/src/shard/fencing.rs
+++ b/crates/scheduler/src/shard/fencing.rs
@@ -8,7 +8,7 @@
 use super::Shard;
 use crate::fleet::TokenOrder;
 use crate::intern::MachineIndex;
-use crate::wire::{Command, CommandKind};
+use crate::wire::{Command, CommandKind, Heartbeat};
 
 fn is_forget(command: &Command) -> bool {
     command.kind == CommandKind::Forget
@@ -37,6 +37,20 @@
         known.unwrap_or_default().order_of(reported, self.token)
     }
 
+    /// Logs the first heartbeat with a token that this leader never sent. Such heartbeats are refused: another leader has
+    /// begun, or the machine shows an impossible token.
+    pub(super) fn log_later_token(&mut self, heartbeat: &Heartbeat) {
+        if !std::mem::replace(&mut self.later_token_logged, true) {
+            log::warn!(
+                "heartbeat refused reason=later_token machine={} reported={} leader_token={} confirmed={}",
+                heartbeat.machine,
+                heartbeat.token,
+                self.token,
+                self.confirmed_revision
+            );
+        }
+    }
+
     /// Removes the forgets from the commands of a reply unless the reply's token is newer than that of every pushed
     /// start, which it makes sure of if it can. The forgets are sent with a later heartbeat otherwise.
     pub(super) fn withhold_unfenced_forgets(&mut self, machine_index: MachineIndex, commands: &mut Vec<Command>) {
--- a/crates/scheduler/src/shard/heartbeats.rs
+++ b/crates/scheduler/src/shard/heartbeats.rs
@@ -108,6 +108,7 @@
     ) -> Result<MachineIndex, HeartbeatOutcome> {
         let order = self.order_of_token(&heartbeat.machine, heartbeat.token);
         if order == TokenOrder::Later {
+            self.log_later_token(heartbeat);
             return Err(HeartbeatOutcome::Superseded);
         }
         let machine_index = self.find_or_adopt_machine(heartbeat, now).ok_or(HeartbeatOutcome::Stale)?;
--- a/crates/scheduler/src/shard/mod.rs
+++ b/crates/scheduler/src/shard/mod.rs
@@ -121,6 +121,8 @@
     /// The newest revision at which the state service applied a write conditional on the leadership record; 0 if there
     /// was none yet.
     confirmed_revision: u64,
+    /// Whether a heartbeat with a token that this leader never sent was logged.
+    later_token_logged: bool,
     /// When this leadership began.
     pub began_at: f64,
     pub jobs: Jobs,
