--- a/crates/scheduler/src/shard/fencing.rs
+++ b/crates/scheduler/src/shard/fencing.rs
@@ -21,7 +21,8 @@
         self.confirmed_revision = self.confirmed_revision.max(revision);
     }
 
-    /// Returns the fencing token for the next message to the machine.
+    /// Returns the fencing token for the next message to the machine. A machine from another shard gets the newest one
+    /// until it shows that it has seen it.
     pub(super) fn token_for(&mut self, machine_index: MachineIndex) -> u64 {
         let confirmed = self.confirmed_revision;
         let tokens = &mut self.machines[machine_index].tokens;
