--- a/review/rig-2/rig.py
+++ b/review/rig-2/rig.py
@@ -642,6 +642,8 @@
                   "gang_wait_s = 40.0", "gang_peer_s = 8.0", f"cancel_s = {s['cancel_s']}",
                   "[cluster.state]", f"rps = {s['rps']}", f"write_rps = {s['write_rps']}",
                   f"value_kb = {s['value_kb']}", f"txn_ops = {s['txn_ops']}"]
+        if s["next"]:
+            lines += ["[cluster.state.next]"] + [f"{name} = {value}" for name, value in s["next"].items()]
         lines += ["[cluster.cloud]", f"rps = {s['cloud_rps']}", f"list_lag_s = {s['list_lag_s']}",
                   "[cluster.limits]", "cores = 0.32", f"ram_mb = {s['ram_mb']}", f"sockets = {s['sockets']}"]
         self.settings = os.path.join(self.run.dir, f"{self.name}.toml")
@@ -674,6 +676,7 @@
     "teams": {"foglalas": (376.0, 1248.0), "beutalo": (216.0, 440.0), "levelezes": (376.0, 936.0)},
     "report_s": 3.0, "lease_s": 21.0, "cancel_s": 46.0, "rps": 90.0, "write_rps": 35.0, "value_kb": 16.0,
     "txn_ops": 16, "cloud_rps": 2.0, "list_lag_s": 6.0, "ram_mb": 104.0, "sockets": 2000,
+    "next": {},  # limits that the state service will have later, `state.next`
 }
 
 ZONES = ["buda-dc", "gyor-dc", "pest-dc"]
