--- a/review/rig-2/rig.py
+++ b/review/rig-2/rig.py
@@ -422,7 +422,7 @@
         self.cut = False  # neither reports nor direct commands pass
         self.hung = False  # executes nothing; goes on later
         self.awake = asyncio.Event()
-        self.reported_at = 0.0
+        self.reported_at, self.token_counted_at = 0.0, -1e9
         self.loops = []
 
     async def boot(self, delay):
@@ -497,7 +497,10 @@
                 return
             if token > self.warrant:
                 self.warrant = token
-                self.awake.set()
+                # A higher token counts as a change at most once in half of a lease.
+                if now() - self.token_counted_at > self.run.lease_s / 2:
+                    self.token_counted_at = now()
+                    self.awake.set()
             self.lease_from = sent_at
             self.execute(answer[1].get("tidings", []), "reply")
             return
