--- a/review/8/case.py
+++ b/review/8/case.py
@@ -6,6 +6,9 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "rig-2"))
 from rig import TROUBLE, CannotRun, Worker, asyncio, json, main, now  # noqa: E402
 
+# What was sent, answered and run, in the folder of this case.
+RECORD = os.path.join(os.path.dirname(os.path.abspath(__file__)), "record.txt")
+
 MOST_WAIT_S, ENDS_S = 90.0, 113.0
 HELD_UP_S = 3.5
 ARRAY, SERVICE = "req-001001", "req-001002"
@@ -60,4 +63,4 @@
     return None
 
 
-main(os.path.dirname(os.path.abspath(__file__)), case, capacity=capacity, boot_s=2.0)
+main(RECORD, case, capacity=capacity, boot_s=2.0)
--- a/review/rig-2/rig.py
+++ b/review/rig-2/rig.py
@@ -685,10 +685,10 @@
 class Run:
     """One run of a case: stand-ins, controllers, users, and the record of what was sent, answered and run."""
 
-    def __init__(self, folder, nodes=3, zones=ZONES, types=None, capacity=None, boot_s=None, **settings):
+    def __init__(self, record, nodes=3, zones=ZONES, types=None, capacity=None, boot_s=None, **settings):
         self.settings = {**DEFAULTS, **settings}
         self.lease_s, self.report_s = self.settings["lease_s"], self.settings["report_s"]
-        self.record = open(os.path.join(folder, "record.txt"), "w")
+        self.record = open(record, "w")
         self.began = now()
         self.tasks, self.nodes, self.jobs, self.zones = [], [], {}, list(zones)
         self.on, self.completed, self.starts, self.twice = {}, set(), 0, []
@@ -834,12 +834,13 @@
     threading.Thread(target=end, daemon=True).start()
 
 
-def main(folder, case, **options):
-    """Runs a case: 0 if the rule held, 1 if it was broken, 2 if the case could not run."""
+def main(record, case, **options):
+    """Runs a case: 0 if the rule held, 1 if it was broken, 2 if the case could not run. `record` is the file for what
+    was sent, answered and run."""
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
 
     async def go():
-        run = Run(folder, **options)
+        run = Run(record, **options)
         end_after(118, run)
         try:
             await run.start()
