--- a/review/rig-2/rig.py
+++ b/review/rig-2/rig.py
@@ -34,10 +34,17 @@
 # ---------------------------------------------------------------------------------------------------------- HTTP
 
 
+HELD_PORTS = []
+
+
 def free_port():
-    with socket.socket() as s:
-        s.bind(("127.0.0.1", 0))
-        return s.getsockname()[1]
+    """Returns a free port for a controller. It stays bound here, without listening, so that nobody else gets it before
+    the controller listens: other runs on this machine take free ports as well."""
+    s = socket.socket()
+    s.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    s.bind(("127.0.0.1", 0))
+    HELD_PORTS.append(s)
+    return s.getsockname()[1]
 
 
 async def read_message(reader):
